Run the thin whole path from an operators' file to a streamed answer

Cause: nothing ran yet. Change: an operators' file goes through apply into the key-value stand-in, reaches two serve processes, and a caller gets a whole answer computed over a chain of stages in layer order; a plain service call passes through.

--- /dev/null
+++ b/apricotseam/callers/_context.py
@@ -0,0 +1,99 @@
+"""What the callers' calls need, gathered in one place."""
+
+import hashlib
+import random
+
+from apricotseam.errors import AuthenticationError
+from apricotseam.errors import NotConfiguredError
+
+
+class CallerContext:
+    """Parts of the request path.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    clock : Clock
+        Source of time.
+    http : HttpClient
+        Client towards plain services.
+    runner : ChainRunner
+        Runs answers over chains.
+    snapshots : Snapshots
+        Configuration, targets and members in force.
+    """
+
+    __slots__ = ("clock", "http", "random", "runner", "settings", "snapshots")
+
+    def __init__(self, settings, clock, http, runner, snapshots):
+        self.settings = settings
+        self.clock = clock
+        self.http = http
+        self.runner = runner
+        self.snapshots = snapshots
+        self.random = random.Random()
+
+
+class Caller:
+    """An authenticated customer, pinned to one configuration."""
+
+    __slots__ = ("configuration", "customer", "scope_file")
+
+    def __init__(self, configuration, scope_file, customer):
+        self.configuration = configuration
+        self.scope_file = scope_file
+        self.customer = customer
+
+
+def authenticate(request, snapshots):
+    """Return the `Caller` of a request.
+
+    Raises
+    ------
+    NotConfiguredError
+        If no configuration is in force on this host yet.
+    AuthenticationError
+        If the key is missing or unknown.
+    """
+    configuration = snapshots.configuration
+    if configuration is None:
+        raise NotConfiguredError(
+            "this host has no configuration yet",
+            "try another address",
+            retry_after=1,
+        )
+    found = configuration.find_customer(hash_key(bearer_key(request)))
+    if found is None:
+        raise AuthenticationError(
+            "the key is not known", "send the key that your operator gave you"
+        )
+    return Caller(configuration, *found)
+
+
+def bearer_key(request):
+    """Return the key of the ``Authorization: Bearer`` header.
+
+    Raises
+    ------
+    AuthenticationError
+        If there is none.
+    """
+    value = request.header("Authorization", "")
+    scheme, _, key = value.partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        raise AuthenticationError(
+            "no key was sent", "send the header `Authorization: Bearer KEY`"
+        )
+    return key.strip()
+
+
+def hash_key(key):
+    """Return the SHA-256 digest of a key in hexadecimal.
+
+    Examples
+    --------
+    >>> hash_key("secret")[:8]
+    '2bb80d53'
+    """
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
--- /dev/null
+++ b/apricotseam/cli/_client.py
@@ -0,0 +1,92 @@
+"""Client of the administration and callers' interfaces."""
+
+import msgspec
+
+from apricotseam.errors import ApricotseamError
+from apricotseam.web import HttpClient
+
+
+class RemoteError(ApricotseamError):
+    """An error that a host answered with."""
+
+    def __init__(self, body):
+        super().__init__(body.message, body.remedy, body.retry_after)
+        self.code = body.code
+        self.exit_code = _EXIT_CODES.get(body.code, 1)
+
+
+class _Body(msgspec.Struct):
+    code: str
+    outcome: str
+    message: str
+    remedy: str
+    retry_after: float | None = None
+
+
+class _Refusal(msgspec.Struct):
+    error: _Body
+
+
+def _exit_codes(kind):
+    table = {kind.code: kind.exit_code}
+    for child in kind.__subclasses__():
+        table.update(_exit_codes(child))
+    return table
+
+
+_EXIT_CODES = _exit_codes(ApricotseamError)
+
+
+class HostClient:
+    """Calls one host with a key.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the interface.
+    key : str
+        The operator's or customer's key.
+    """
+
+    def __init__(self, address, key, client=None):
+        self._address = address
+        self._key = key
+        self._client = client or HttpClient()
+
+    def call(self, method, path, record_type, body=None, headers=None):
+        """Send a call and return its answer as a record.
+
+        Raises
+        ------
+        RemoteError
+            If the host answered with an error.
+        """
+        answer = self._client.call(
+            self._address, method, path, body, headers=self._headers(headers)
+        )
+        if answer.status >= 400:
+            raise RemoteError(answer.json(_Refusal).error)
+        return answer.json(record_type)
+
+    def stream(self, method, path, body, headers=None):
+        """Send a call and yield the lines of its streamed answer.
+
+        Raises
+        ------
+        RemoteError
+            If the host answered with an error.
+        """
+        response = self._client.stream(
+            self._address, method, path, body, headers=self._headers(headers)
+        )
+        if response.status >= 400:
+            raise RemoteError(
+                msgspec.json.decode(response.read(), type=_Refusal).error
+            )
+        pending = b""
+        for chunk in response.stream(4096):
+            *lines, pending = (pending + chunk).split(b"\n")
+            yield from lines
+
+    def _headers(self, headers):
+        return {"Authorization": f"Bearer {self._key}", **(headers or {})}
--- /dev/null
+++ b/apricotseam/cli/_commands.py
@@ -0,0 +1,226 @@
+"""Commands of the program."""
+
+import os
+import pathlib
+import signal
+import sys
+
+import msgspec
+
+from apricotseam.cli._client import HostClient
+from apricotseam.cli._output import show
+from apricotseam.config import AuditEntry
+from apricotseam.config import load_scope_file
+from apricotseam.config import load_settings
+from apricotseam.errors import InvalidInputError
+from apricotseam.host import EntryHost
+from apricotseam.logs import configure_logging
+from apricotseam import standins
+
+KEY_VARIABLE = "APRICOTSEAM_KEY"
+
+
+def serve(settings):
+    """Run one entry host until it is told to stop.
+
+    Parameters
+    ----------
+    settings : str
+        File with the settings of the process.
+    """
+    configure_logging()
+    text = pathlib.Path(settings).read_text()
+    entry = EntryHost(load_settings(text, settings))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: entry.request_stop())
+    entry.start()
+    entry.wait()
+    entry.stop()
+    return 1 if entry.has_failed else 0
+
+
+def check(file):
+    """Check an operators' file wholly without a host.
+
+    Parameters
+    ----------
+    file : str
+        The YAML file.
+    """
+    scope_file = load_scope_file(pathlib.Path(file).read_text(), file)
+    print(f"{file}: scope {scope_file.scope} is valid")
+
+
+def apply(file, *, host, change_id="", base=-1, output="table"):
+    """Replace one scope whole by a file.
+
+    Parameters
+    ----------
+    file : str
+        The YAML file.
+    host : str
+        Operators' address of any host, ``ip:port``.
+    change_id : str
+        Identifier of the change; a repeat with it is not applied again.
+    base : int
+        Revision that the file was written for; -1 for any.
+    output : str
+        ``table`` or ``json``.
+    """
+    text = pathlib.Path(file).read_text()
+    scope = load_scope_file(text, file).scope
+    headers = {}
+    if change_id:
+        headers["Change-Id"] = change_id
+    if base >= 0:
+        headers["Base-Revision"] = str(base)
+    entry = _operator(host).call(
+        "PUT",
+        f"/v1/admin/scopes/{scope}",
+        AuditEntry,
+        text.encode(),
+        headers,
+    )
+    show(entry, output)
+
+
+def change(change_id, *, host, output="table"):
+    """Show what became of a change.
+
+    Parameters
+    ----------
+    change_id : str
+        Identifier of the change.
+    host : str
+        Operators' address of any host, ``ip:port``.
+    output : str
+        ``table`` or ``json``.
+    """
+    client = _operator(host)
+    show(
+        client.call("GET", f"/v1/admin/changes/{change_id}", AuditEntry),
+        output,
+    )
+
+
+def status(*, host, output="table"):
+    """Show hosts, targets and the revision in force.
+
+    Parameters
+    ----------
+    host : str
+        Operators' address of any host, ``ip:port``.
+    output : str
+        ``table`` or ``json``.
+    """
+    show(_operator(host).call("GET", "/v1/admin/status", dict), output)
+
+
+def audit(*, host, output="table"):
+    """Show the newest changes, accepted and refused.
+
+    Parameters
+    ----------
+    host : str
+        Operators' address of any host, ``ip:port``.
+    output : str
+        ``table`` or ``json``.
+    """
+    show(_operator(host).call("GET", "/v1/admin/audit", list), output)
+
+
+def drain(*, host):
+    """Start a planned stop of one host.
+
+    Parameters
+    ----------
+    host : str
+        Operators' address of that host, ``ip:port``.
+    """
+    show(_operator(host).call("POST", "/v1/admin/drain", dict), "table")
+
+
+def address(*, host, output="table"):
+    """Ask a host which addresses a caller should use.
+
+    Parameters
+    ----------
+    host : str
+        Callers' address of any host, ``ip:port``.
+    output : str
+        ``table`` or ``json``.
+    """
+    show(_operator(host).call("GET", "/v1/addresses", dict), output)
+
+
+def ask(model, prompt, *, host, max_tokens=64):
+    """Send a prompt and print the answer as it streams.
+
+    Parameters
+    ----------
+    model : str
+        Name of the pipeline.
+    prompt : str
+        Text of the user's message.
+    host : str
+        Callers' address of any host, ``ip:port``.
+    max_tokens : int
+        Bound on the answer.
+    """
+    body = {
+        "model": model,
+        "stream": True,
+        "max_tokens": max_tokens,
+        "messages": [{"role": "user", "content": prompt}],
+    }
+    for line in _operator(host).stream("POST", "/v1/chat/completions", body):
+        if line.startswith(b"data: {"):
+            _print_event(line[6:])
+    print()
+
+
+def standin(kind, *, address="127.0.0.1:0", options="{}"):
+    """Run one stand-in of the platform until interrupted.
+
+    Parameters
+    ----------
+    kind : str
+        ``key-value``, ``host-list``, ``engine`` or ``service``.
+    address : str
+        Address to listen on, ``ip:port``.
+    options : str
+        Options of an engine, or the name of a service, as JSON.
+    """
+    part = _standin(kind, address, options).start()
+    print(part.address, flush=True)
+    signal.sigwait([signal.SIGTERM, signal.SIGINT])
+    part.stop()
+
+
+def _standin(kind, address, options):
+    if kind == "key-value":
+        return standins.KeyValueStandIn(address)
+    if kind == "host-list":
+        return standins.HostListStandIn(address)
+    if kind == "service":
+        return standins.ServiceStandIn(msgspec.json.decode(options), address)
+    if kind == "engine":
+        parsed = msgspec.json.decode(options, type=standins.EngineOptions)
+        return standins.EngineStandIn(parsed, address)
+    raise InvalidInputError(
+        f"unknown stand-in {kind!r}",
+        "use key-value, host-list, engine or service",
+    )
+
+
+def _operator(address):
+    key = os.environ.get(KEY_VARIABLE, "")
+    return HostClient(address, key)
+
+
+def _print_event(data):
+    event = msgspec.json.decode(data)
+    if "error" in event:
+        print(f"\n{event['error']['message']}", file=sys.stderr)
+        return
+    print(event["choices"][0]["delta"]["content"], end="", flush=True)
--- /dev/null
+++ b/apricotseam/demo/_system.py
@@ -0,0 +1,163 @@
+"""A whole small system in one process: stand-ins and entry hosts."""
+
+import socket
+import threading
+import time
+
+import msgspec
+import yaml
+
+from apricotseam.callers import hash_key
+from apricotseam.config import Bounds
+from apricotseam.config import load_scope_file
+from apricotseam.config import Operator
+from apricotseam.config import Role
+from apricotseam.config import Settings
+from apricotseam.config import TargetKind
+from apricotseam.host import EntryHost
+from apricotseam.platform import ListedHost
+from apricotseam.standins import EngineOptions
+from apricotseam.standins import EngineStandIn
+from apricotseam.standins import HostListStandIn
+from apricotseam.standins import KeyValueStandIn
+from apricotseam.standins import ServiceStandIn
+
+OPERATOR_KEY = "operator-key-of-the-demo"
+SIGNING_KEY = "signing-key-of-the-demo"
+
+
+def free_address():
+    """Return a loopback address whose port is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def _stop_all(parts):
+    threads = [threading.Thread(target=part.stop) for part in parts]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+class LocalSystem:
+    """Stand-ins and entry hosts of one system on loopback.
+
+    Parameters
+    ----------
+    files : list of str
+        Operators' files; target addresses are replaced by those of the
+        stand-ins started for them.
+    zones : list of str
+        Availability zone of each entry host.
+    step_seconds : float
+        Time that a stand-in engine takes for one batch.
+    bounds : Bounds, optional
+        Bounds of each entry host.
+    """
+
+    def __init__(self, files, zones, step_seconds=0.002, bounds=None):
+        self.key_value = KeyValueStandIn()
+        self.host_list = HostListStandIn()
+        self.engines = {}
+        self.services = {}
+        self.hosts = {}
+        self._step_seconds = step_seconds
+        self._bounds = bounds or Bounds(
+            caller_threads=16, address_valid_seconds=1.0
+        )
+        self.texts = [self._with_standins(text) for text in files]
+        self._zones = list(zones)
+
+    def start(self):
+        """Start every part; return the system itself."""
+        self.key_value.start()
+        self.host_list.start()
+        for number, zone in enumerate(self._zones):
+            self.add_host(f"entry-{number}", zone)
+        return self
+
+    def stop(self):
+        """Stop every part."""
+        _stop_all(self.hosts.values())
+        parts = [*self.engines.values(), *self.services.values()]
+        _stop_all([*parts, self.host_list, self.key_value])
+
+    def settings(self, name, zone):
+        """Return settings of an entry host with free addresses."""
+        operator = Operator(
+            name="operator", role=Role.OPERATE, key_hash=hash_key(OPERATOR_KEY)
+        )
+        return Settings(
+            host=name,
+            availability_zone=zone,
+            callers_address=free_address(),
+            operators_address=free_address(),
+            peers_address=free_address(),
+            key_value_service=[self.key_value.address],
+            host_list=self.host_list.address,
+            operators=[operator],
+            signing_keys=[SIGNING_KEY],
+            plain_text_allowed=True,
+            bounds=self._bounds,
+        )
+
+    def add_host(self, name, zone):
+        """Start one more entry host and list it."""
+        settings = self.settings(name, zone)
+        entry = EntryHost(settings)
+        entry.start()
+        self.hosts[name] = entry
+        self.host_list.set(
+            ListedHost(
+                name=name,
+                address=settings.callers_address,
+                role="entry",
+                availability_zone=zone,
+            )
+        )
+        return entry
+
+    def wait_until(self, condition, seconds=10.0):
+        """Wait until a condition holds; return whether it does."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            if condition():
+                return True
+            time.sleep(0.02)
+        return False
+
+    def _with_standins(self, text):
+        scope_file = load_scope_file(text)
+        data = msgspec.to_builtins(scope_file)
+        models = {model.name: model for model in scope_file.models}
+        for group, plain in zip(
+            scope_file.groups, data["groups"], strict=True
+        ):
+            for target, row in zip(
+                group.targets, plain["targets"], strict=True
+            ):
+                row["address"] = self._start_target(group, target, models)
+        return yaml.safe_dump(data, sort_keys=False)
+
+    def _start_target(self, group, target, models):
+        if group.kind is TargetKind.SERVICE:
+            part = ServiceStandIn(target.name).start()
+            self.services[target.name] = part
+            return part.address
+        model = models[group.model]
+        options = EngineOptions(
+            name=target.name,
+            model=model.name,
+            version=model.serving,
+            layers=model.layers,
+            first=target.layers.first,
+            last=target.layers.last,
+            accelerator=target.accelerator or "standard",
+            step_seconds=self._step_seconds,
+            checks_fencing=group.fencing.value == "checked",
+        )
+        part = EngineStandIn(options).start()
+        self.engines[target.name] = part
+        return part.address
--- /dev/null
+++ b/apricotseam/logs/_logging.py
@@ -0,0 +1,26 @@
+"""Set-up of `python-json-logger` for the whole process."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+
+def configure_logging(level=logging.INFO, stream=None):
+    """Send all events to one stream as JSON lines.
+
+    Parameters
+    ----------
+    level : int
+        Lowest level that is logged.
+    stream : file, optional
+        Where to; standard error without it.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            rename_fields={"message": "event", "asctime": "time"},
+        )
+    )
+    logging.basicConfig(level=level, handlers=[handler], force=True)
--- /dev/null
+++ b/apricotseam/operators/_configuration.py
@@ -0,0 +1,133 @@
+"""Administration calls about the configuration."""
+
+import uuid
+
+import msgspec
+
+from apricotseam.config import AuditEntry
+from apricotseam.config import Change
+from apricotseam.config import load_scope_file
+from apricotseam.config import Role
+from apricotseam.errors import ConflictError
+from apricotseam.errors import InvalidRequestError
+from apricotseam.errors import UnknownNameError
+from apricotseam.operators._context import require_role
+from apricotseam.web import Response
+
+
+class ScopeAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Text of a scope and the revision it was read at."""
+
+    scope: str
+    revision: int
+    text: str
+
+
+class ConfigurationCalls:
+    """Checks, applies and reads operators' files.
+
+    Parameters
+    ----------
+    context : OperatorContext
+        Parts of the administration interface.
+    """
+
+    def __init__(self, context):
+        self._context = context
+
+    def check(self, request):
+        """Answer ``POST /v1/admin/check``."""
+        require_role(request, self._context.settings, Role.READ)
+        scope_file = load_scope_file(_text(request))
+        return Response.of({"scope": scope_file.scope})
+
+    def apply(self, request):
+        """Answer ``PUT /v1/admin/scopes/{scope}``."""
+        operator = require_role(request, self._context.settings, Role.APPLY)
+        text = _text(request)
+        scope = load_scope_file(text).scope
+        if scope != request.arguments["scope"]:
+            raise InvalidRequestError(
+                f"the file declares scope {scope!r}, not"
+                f" {request.arguments['scope']!r}",
+                "apply the file to the scope that it declares",
+            )
+        self._check_keys(scope, text)
+        change = Change(
+            change_id=request.header("Change-Id") or uuid.uuid4().hex,
+            operator=operator.name,
+            source=request.peer,
+            wall_time=self._context.clock.wall(),
+            scope=scope,
+            text=text,
+            base=_base(request),
+        )
+        return Response.of(self._context.store.apply(change))
+
+    def read(self, request):
+        """Answer ``GET /v1/admin/scopes/{scope}``."""
+        require_role(request, self._context.settings, Role.READ)
+        scope = request.arguments["scope"]
+        root, _ = self._context.store.read_root()
+        if scope not in root.scopes:
+            raise UnknownNameError(
+                f"unknown scope {scope!r}",
+                f"known scopes are {sorted(root.scopes)}",
+            )
+        text = self._context.store.read_scope(root.scopes[scope])
+        return Response.of(
+            ScopeAnswer(scope=scope, revision=root.revision, text=text)
+        )
+
+    def change(self, request):
+        """Answer ``GET /v1/admin/changes/{change}``."""
+        require_role(request, self._context.settings, Role.READ)
+        change_id = request.arguments["change"]
+        entry = self._context.store.find_change(change_id)
+        if entry is None:
+            raise UnknownNameError(
+                f"no change {change_id!r} was accepted",
+                "apply the file again with the same change id",
+            )
+        return Response.of(entry)
+
+    def audit(self, request):
+        """Answer ``GET /v1/admin/audit``."""
+        require_role(request, self._context.settings, Role.READ)
+        root, _ = self._context.store.read_root()
+        entries: list[AuditEntry] = root.audit
+        return Response.of(entries)
+
+    def _check_keys(self, scope, text):
+        configuration = self._context.snapshots.configuration
+        if configuration is None:
+            return
+        for customer in load_scope_file(text).customers:
+            for digest in customer.key_hashes:
+                found = configuration.find_customer(digest)
+                if found is not None and found[0].scope != scope:
+                    raise ConflictError(
+                        f"a key of customer {customer.name!r} belongs to"
+                        " another scope",
+                        "give the customer a key of its own",
+                    )
+
+
+def _text(request):
+    try:
+        return request.body().decode()
+    except UnicodeDecodeError:
+        raise InvalidRequestError(
+            "the file is not UTF-8", "save the file as UTF-8"
+        ) from None
+
+
+def _base(request):
+    value = request.header("Base-Revision")
+    if value is None:
+        return None
+    if not value.isdigit():
+        raise InvalidRequestError(
+            f"base revision {value!r} is no number", "send a revision number"
+        )
+    return int(value)
--- /dev/null
+++ b/apricotseam/operators/_context.py
@@ -0,0 +1,65 @@
+"""What the operators' calls need, and the check of their roles."""
+
+import hmac
+
+from apricotseam.callers import bearer_key
+from apricotseam.callers import hash_key
+from apricotseam.config import Role
+from apricotseam.errors import AuthenticationError
+from apricotseam.errors import ForbiddenError
+
+_RANKS = {Role.READ: 0, Role.APPLY: 1, Role.OPERATE: 2}
+
+
+class OperatorContext:
+    """Parts of the administration interface.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    clock : Clock
+        Source of time.
+    store : ConfigurationStore
+        Configuration in the key-value service.
+    snapshots : Snapshots
+        Configuration, targets and members in force.
+    drain : callable
+        Starts a planned stop of this host.
+    """
+
+    __slots__ = ("clock", "drain", "settings", "snapshots", "store")
+
+    def __init__(self, settings, clock, store, snapshots, drain):
+        self.settings = settings
+        self.clock = clock
+        self.store = store
+        self.snapshots = snapshots
+        self.drain = drain
+
+
+def require_role(request, settings, role):
+    """Return the `Operator` of a request if its role is enough.
+
+    Raises
+    ------
+    AuthenticationError
+        If the key is missing or unknown.
+    ForbiddenError
+        If the role is not enough.
+    """
+    digest = hash_key(bearer_key(request))
+    found = None
+    for operator in settings.operators:
+        if hmac.compare_digest(operator.key_hash, digest):
+            found = operator
+    if found is None:
+        raise AuthenticationError(
+            "the operator's key is not known", "use a key of the settings"
+        )
+    if _RANKS[found.role] < _RANKS[role]:
+        raise ForbiddenError(
+            f"role {found.role.value!r} is not enough",
+            f"use a key with role {role.value!r}",
+        )
+    return found
--- /dev/null
+++ b/apricotseam/peers/__init__.py
@@ -0,0 +1,17 @@
+"""Typed messages between hosts."""
+
+from apricotseam.peers._loop import ControlLoop
+from apricotseam.peers._transport import Nothing
+from apricotseam.peers._transport import PeerAnswerLostError
+from apricotseam.peers._transport import PeerTransport
+from apricotseam.peers._transport import PeerUnreachableError
+from apricotseam.peers._transport import Traffic
+
+__all__ = [
+    "ControlLoop",
+    "Nothing",
+    "PeerAnswerLostError",
+    "PeerTransport",
+    "PeerUnreachableError",
+    "Traffic",
+]
--- /dev/null
+++ b/apricotseam/pipelines/__init__.py
@@ -0,0 +1,17 @@
+"""Chains over layer ranges: planning, running and recovery."""
+
+from apricotseam.pipelines._chain import Chain
+from apricotseam.pipelines._chain import enumerate_chains
+from apricotseam.pipelines._chain import Stage
+from apricotseam.pipelines._runner import ChainRunner
+from apricotseam.pipelines._runner import StreamPlan
+from apricotseam.pipelines._runner import Token
+
+__all__ = [
+    "Chain",
+    "ChainRunner",
+    "Stage",
+    "StreamPlan",
+    "Token",
+    "enumerate_chains",
+]
--- /dev/null
+++ b/apricotseam/routing/_merge.py
@@ -0,0 +1,80 @@
+"""Merges operators' files, the host list and reports into one table."""
+
+from apricotseam.config import TargetKind
+from apricotseam.platform import LEAVING
+from apricotseam.routing._table import TargetState
+from apricotseam.routing._table import TargetTable
+
+
+def merge_targets(configuration, listed, reports):
+    """Return the target table of one moment.
+
+    Either source may say that a target is leaving. A target that the host
+    list does not show is kept: the list lags and may be stale.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The configuration in force.
+    listed : dict of str to ListedHost
+        Host list by address.
+    reports : dict of str to EngineReport
+        Newest report by address.
+
+    Returns
+    -------
+    TargetTable
+    """
+    states = []
+    for scope, scope_file in configuration.scopes.items():
+        for group in scope_file.groups:
+            declared = {target.address for target in group.targets}
+            for target in group.targets:
+                states.append(_declared(scope, group, target, listed, reports))
+            for host in listed.values():
+                if host.group == group.name and host.address not in declared:
+                    states.append(_joined(scope, group, host, reports))
+    return TargetTable(states)
+
+
+def _declared(scope, group, target, listed, reports):
+    host = listed.get(target.address)
+    leaving = target.leaving or (host is not None and host.state == LEAVING)
+    report = reports.get(target.address)
+    layers = target.layers
+    return TargetState(
+        name=target.name,
+        address=target.address,
+        availability_zone=target.availability_zone,
+        scope=scope,
+        group=group.name,
+        kind=group.kind,
+        leaving=leaving,
+        accelerator=target.accelerator,
+        first=report.first if report else layers.first if layers else None,
+        last=report.last if report else layers.last if layers else None,
+        version=report.version if report else None,
+        queued_steps=report.queued_steps if report else 0,
+        running_streams=report.running_streams if report else 0,
+    )
+
+
+def _joined(scope, group, host, reports):
+    report = reports.get(host.address)
+    is_engine = group.kind is TargetKind.ENGINE
+    return TargetState(
+        name=host.name,
+        address=host.address,
+        availability_zone=host.availability_zone,
+        scope=scope,
+        group=group.name,
+        kind=group.kind,
+        leaving=host.state == LEAVING,
+        suspect=is_engine and report is None,
+        accelerator=report.accelerator if report else None,
+        first=report.first if report else None,
+        last=report.last if report else None,
+        version=report.version if report else None,
+        queued_steps=report.queued_steps if report else 0,
+        running_streams=report.running_streams if report else 0,
+    )
--- /dev/null
+++ b/apricotseam/routing/_table.py
@@ -0,0 +1,62 @@
+"""Target table: an immutable snapshot of what can be routed to."""
+
+import msgspec
+
+from apricotseam.config import TargetKind
+
+
+class TargetState(msgspec.Struct, frozen=True, kw_only=True):
+    """One target as this host knows it."""
+
+    name: str
+    address: str
+    availability_zone: str
+    scope: str
+    group: str
+    kind: TargetKind
+    leaving: bool = False
+    suspect: bool = False
+    accelerator: str | None = None
+    first: int | None = None
+    last: int | None = None
+    version: str | None = None
+    queued_steps: int = 0
+    running_streams: int = 0
+    report_deadline: float = 0.0
+
+
+class TargetTable:
+    """Targets by scope and group.
+
+    Parameters
+    ----------
+    targets : iterable of TargetState
+        All targets.
+    """
+
+    __slots__ = ("_by_group", "_by_name")
+
+    def __init__(self, targets=()):
+        self._by_group = {}
+        self._by_name = {}
+        for target in targets:
+            key = (target.scope, target.group)
+            self._by_group.setdefault(key, []).append(target)
+            self._by_name[(target.scope, target.name)] = target
+
+    @property
+    def all(self):
+        """All targets."""
+        return list(self._by_name.values())
+
+    def group(self, scope, group):
+        """Return the targets of a group."""
+        return self._by_group.get((scope, group), [])
+
+    def usable(self, scope, group):
+        """Return the targets of a group that may get new work."""
+        return [
+            target
+            for target in self.group(scope, group)
+            if not target.leaving and not target.suspect
+        ]
--- /dev/null
+++ b/apricotseam/standins/__init__.py
@@ -0,0 +1,23 @@
+"""Small stand-ins of the platform's parts, with real sockets."""
+
+from apricotseam.standins._engine import EngineOptions
+from apricotseam.standins._engine import EngineStandIn
+from apricotseam.standins._faults import FaultOrder
+from apricotseam.standins._faults import Faults
+from apricotseam.standins._hostlist import HostListStandIn
+from apricotseam.standins._keyvalue import KeyValueStandIn
+from apricotseam.standins._model import reference_answer
+from apricotseam.standins._server import StandIn
+from apricotseam.standins._service import ServiceStandIn
+
+__all__ = [
+    "EngineOptions",
+    "EngineStandIn",
+    "FaultOrder",
+    "Faults",
+    "HostListStandIn",
+    "KeyValueStandIn",
+    "ServiceStandIn",
+    "StandIn",
+    "reference_answer",
+]
--- /dev/null
+++ b/apricotseam/standins/_service.py
@@ -0,0 +1,44 @@
+"""Stand-in of a plain service that counts what it ran."""
+
+import collections
+import threading
+
+from apricotseam.standins._server import StandIn
+from apricotseam.web import Response
+
+
+class ServiceStandIn(StandIn):
+    """A server that runs any call and counts runs by request id.
+
+    Parameters
+    ----------
+    name : str
+        Name in its answers.
+    address : str
+        ``ip:port``; port 0 takes a free one.
+    """
+
+    def __init__(self, name, address="127.0.0.1:0"):
+        super().__init__(address)
+        self._name = name
+        self._lock = threading.Lock()
+        self.runs = collections.Counter()
+        self.application.route("GET", "/service/v1/report", self._report)
+        self.application.route("*", "/{path*}", self._run)
+
+    def _report(self, request):
+        return Response.of({"name": self._name, "load": 0.0})
+
+    def _run(self, request):
+        identifier = request.header("X-Request-Id", "")
+        body = request.body()
+        with self._lock:
+            self.runs[identifier] += 1
+        return Response.of(
+            {
+                "server": self._name,
+                "method": request.method,
+                "path": request.path,
+                "bytes": len(body),
+            }
+        )
--- /dev/null
+++ b/apricotseam/web/_listener.py
@@ -0,0 +1,77 @@
+"""HTTP listener: a `cheroot` server bound to one address."""
+
+import logging
+import threading
+
+from cheroot import wsgi
+
+_LOG = logging.getLogger(__name__)
+
+
+class Listener:
+    """Serves one application on one address.
+
+    Parameters
+    ----------
+    application : callable
+        A WSGI application.
+    address : str
+        ``ip:port``; port 0 takes a free one.
+    threads : int
+        Number of worker threads.
+    socket_timeout : float
+        Seconds a client may keep the socket idle.
+    header_bytes : int
+        Bound on the request line and headers.
+    tls_adapter : cheroot.ssl.Adapter, optional
+        Adapter that wraps connections in TLS.
+    """
+
+    def __init__(
+        self,
+        application,
+        address,
+        threads=8,
+        socket_timeout=10.0,
+        header_bytes=1 << 16,
+        tls_adapter=None,
+    ):
+        host, port = address.rsplit(":", 1)
+        self._server = wsgi.Server(
+            (host, int(port)),
+            application,
+            numthreads=threads,
+            timeout=socket_timeout,
+            shutdown_timeout=1,
+            request_queue_size=512,
+        )
+        self._server.max_request_header_size = header_bytes
+        self._server.ssl_adapter = tls_adapter
+        self._server.error_log = self._log_error
+        self._thread = None
+
+    @property
+    def address(self):
+        """The bound address as ``ip:port``."""
+        host, port = self._server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def start(self):
+        """Bind the address and serve it in a thread of its own."""
+        self._server.prepare()
+        self._thread = threading.Thread(
+            target=self._server.serve,
+            name=f"listener-{self.address}",
+            daemon=True,
+        )
+        self._thread.start()
+
+    def stop(self):
+        """Close the address and end the workers."""
+        self._server.stop()
+        if self._thread is not None:
+            self._thread.join(5)
+
+    @staticmethod
+    def _log_error(message="", level=20, traceback=False):
+        _LOG.debug("listener_error", extra={"detail": str(message)[:200]})
