Put admission, choice and execution behind interfaces of the request path

Cause: the request path chose and ran everything in place. Conclusion: each decision can now grow on its own.

--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,14 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 PY := $(BIN)/python
+# The environment is made again when the lock changes.
+STAMP := $(VENV)/.ready-$(shell sha256sum requirements/dev.txt | cut -c1-12)
 
-.PHONY: setup test demo measure format lint schema
+.PHONY: setup test demo format lint
 
-setup: $(VENV)/.ready
+setup: $(STAMP)
 
-$(VENV)/.ready: requirements/dev.txt
+$(STAMP):
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --disable-pip-version-check --require-hashes -r requirements/dev.txt
 	touch $@
--- a/apricotseam/callers/_completions.py
+++ b/apricotseam/callers/_completions.py
@@ -1,16 +1,16 @@
 """Chat completions: checked bodies, streamed answers."""
 
+import hashlib
 import uuid
 
 import msgspec
 
 from apricotseam.callers._context import authenticate
+from apricotseam.callers._work import describe_work
 from apricotseam.errors import ApricotseamError
-from apricotseam.errors import NoTargetError
 from apricotseam.errors import UnknownNameError
-from apricotseam.pipelines import enumerate_chains
-from apricotseam.pipelines import Stage
 from apricotseam.pipelines import StreamPlan
+from apricotseam.routing import Demand
 from apricotseam.web import error_body
 from apricotseam.web import Response
 
@@ -51,8 +51,22 @@
         caller = authenticate(request, self._context.snapshots)
         body = request.json(CompletionBody)
         pipeline = _pipeline(caller, body.model)
-        plan = self._plan(caller, pipeline, body)
-        tokens = self._context.runner.run(plan)
+        work = describe_work(
+            request,
+            caller,
+            self._context.clock,
+            uuid.uuid4().hex,
+            pipeline.group,
+            pipeline.default_priority,
+            _bound(pipeline, body),
+        )
+        permit = self._context.admission.admit(work)
+        try:
+            plan = self._plan(caller, pipeline, body, work)
+        except BaseException:
+            permit.close()
+            raise
+        tokens = _counted(self._context.runner.run(plan), permit)
         if body.stream:
             return Response(
                 body=_events(plan, tokens, body.model),
@@ -70,36 +84,55 @@
         ]
         return Response.of({"object": "list", "data": models})
 
-    def _plan(self, caller, pipeline, body):
-        chain = self._choose_chain(caller, pipeline)
-        wanted = body.max_tokens or pipeline.max_tokens
+    def _plan(self, caller, pipeline, body, work):
+        scope_file = caller.scope_file
+        model = next(m for m in scope_file.models if m.name == pipeline.model)
         prompt = msgspec.json.encode(
             [(message.role, message.content) for message in body.messages]
         )
+        prefix = _prefix(caller, pipeline, body)
+        demand = Demand(
+            scope=scope_file.scope,
+            group=pipeline.group,
+            customer=caller.customer.name,
+            prefix=prefix,
+            tokens=work.tokens,
+        )
+        table = self._context.snapshots.targets
+        chain = self._context.chooser.choose_chain(table, model, demand)
         return StreamPlan(
-            stream=uuid.uuid4().hex,
+            stream=work.request,
             chain=chain,
             prompt=prompt.decode(),
-            max_tokens=min(wanted, pipeline.max_tokens),
+            max_tokens=work.tokens,
+            priority=work.rank,
+            prefix=prefix,
         )
 
-    def _choose_chain(self, caller, pipeline):
-        scope_file = caller.scope_file
-        model = next(m for m in scope_file.models if m.name == pipeline.model)
-        table = self._context.snapshots.targets
-        stages = [
-            Stage(t.name, t.address, t.availability_zone, t.first, t.last)
-            for t in table.usable(scope_file.scope, pipeline.group)
-            if t.first is not None and t.version == model.serving
-        ]
-        chains = enumerate_chains(model, model.serving, stages)
-        if not chains:
-            raise NoTargetError(
-                f"no chain of targets covers model {model.name!r}",
-                "try again later",
-                retry_after=1,
-            )
-        return self._context.random.choice(chains)
+
+def _bound(pipeline, body):
+    wanted = body.max_tokens or pipeline.max_tokens
+    return max(1, min(wanted, pipeline.max_tokens))
+
+
+def _prefix(caller, pipeline, body):
+    """Return a digest of the first message, apart by customer."""
+    owner = "" if pipeline.share_prefixes else caller.customer.name
+    first = body.messages[0].content if body.messages else ""
+    text = f"{caller.scope_file.scope}/{owner}/{pipeline.model}/{first}"
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+def _counted(tokens, permit):
+    """Yield tokens and close the permit with their number."""
+    count = 0
+    try:
+        for token in tokens:
+            count += 1
+            yield token
+    finally:
+        tokens.close()
+        permit.close(count)
 
 
 def _pipeline(caller, name):
--- a/apricotseam/callers/_context.py
+++ b/apricotseam/callers/_context.py
@@ -1,7 +1,6 @@
 """What the callers' calls need, gathered in one place."""
 
 import hashlib
-import random
 
 from apricotseam.errors import AuthenticationError
 from apricotseam.errors import NotConfiguredError
@@ -22,17 +21,45 @@
         Runs answers over chains.
     snapshots : Snapshots
         Configuration, targets and members in force.
+    admission : Admission
+        Decides when a request may start.
+    chooser : Chooser
+        Chooses chains and targets.
+    execution : Execution
+        Runs requests at most once.
     """
 
-    __slots__ = ("clock", "http", "random", "runner", "settings", "snapshots")
-
-    def __init__(self, settings, clock, http, runner, snapshots):
+    __slots__ = (
+        "admission",
+        "chooser",
+        "clock",
+        "execution",
+        "http",
+        "runner",
+        "settings",
+        "snapshots",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings,
+        clock,
+        http,
+        runner,
+        snapshots,
+        admission,
+        chooser,
+        execution,
+    ):
         self.settings = settings
         self.clock = clock
         self.http = http
         self.runner = runner
         self.snapshots = snapshots
-        self.random = random.Random()
+        self.admission = admission
+        self.chooser = chooser
+        self.execution = execution
 
 
 class Caller:
--- a/apricotseam/callers/_services.py
+++ b/apricotseam/callers/_services.py
@@ -1,16 +1,20 @@
 """Pass-through of calls to plain services."""
 
-import time
+import hashlib
 import uuid
 
 from apricotseam.callers._context import authenticate
+from apricotseam.callers._work import describe_work
 from apricotseam.errors import AnswerLostError
-from apricotseam.errors import NoTargetError
 from apricotseam.errors import OutcomeUnknownError
 from apricotseam.errors import UnknownNameError
+from apricotseam.execution import ExecutionRequest
+from apricotseam.routing import Demand
 from apricotseam.web import Response
 
 CALL_TIMEOUT_SECONDS = 10.0
+TICKET_HEADER = "Apricotseam-Ticket"
+KEY_HEADER = "Idempotency-Key"
 
 
 class Services:
@@ -31,31 +35,52 @@
         service = _service(caller, request.arguments["service"])
         path = "/" + request.arguments["path"]
         call = _call(service, request.method, path)
+        forward = Forward(request, path)
+        work = describe_work(
+            request,
+            caller,
+            self._context.clock,
+            forward.identifier,
+            service.group,
+            call.priority,
+            1,
+        )
+        permit = self._context.admission.admit(work)
+        try:
+            return self._run(caller, service, call, forward)
+        finally:
+            permit.close(1)
+
+    def _run(self, caller, service, call, forward):
+        demand = Demand(
+            scope=caller.scope_file.scope,
+            group=service.group,
+            customer=caller.customer.name,
+        )
+        if call.idempotent:
+            return self._send(demand, forward)
+        once = ExecutionRequest(
+            scope=demand.scope,
+            customer=demand.customer,
+            digest=forward.digest,
+            ticket=forward.ticket,
+            key=forward.key,
+        )
+        return self._context.execution.run_once(
+            once, lambda: self._send(demand, forward)
+        )
+
+    def _send(self, demand, forward):
         table = self._context.snapshots.targets
-        targets = table.usable(caller.scope_file.scope, service.group)
-        if not targets:
-            raise NoTargetError(
-                f"no target of service {service.name!r} is up",
-                "try again later",
-                retry_after=1,
-            )
-        target = self._context.random.choice(targets)
-        return self._forward(request, call, target, path)
-
-    def _forward(self, request, call, target, path):
-        query = f"?{request.query}" if request.query else ""
-        headers = {
-            "X-Request-Id": request.header("X-Request-Id") or uuid.uuid4().hex,
-            "Content-Type": request.header("Content-Type") or "",
-        }
+        target = self._context.chooser.choose_target(table, demand)
         try:
             answer = self._context.http.call(
                 target.address,
-                request.method,
-                path + query,
-                request.body(),
-                time.monotonic() + CALL_TIMEOUT_SECONDS,
-                headers,
+                forward.method,
+                forward.path,
+                forward.body,
+                self._context.clock.monotonic() + CALL_TIMEOUT_SECONDS,
+                forward.headers,
             )
         except AnswerLostError:
             raise OutcomeUnknownError(
@@ -69,6 +94,43 @@
         )
 
 
+class Forward:
+    """A call as it is passed on to a target.
+
+    Parameters
+    ----------
+    request : Request
+        The caller's request.
+    path : str
+        Path at the target.
+    """
+
+    __slots__ = (
+        "body",
+        "digest",
+        "headers",
+        "identifier",
+        "key",
+        "method",
+        "path",
+        "ticket",
+    )
+
+    def __init__(self, request, path):
+        self.method = request.method
+        self.path = f"{path}?{request.query}" if request.query else path
+        self.body = request.body()
+        self.identifier = request.header("X-Request-Id") or uuid.uuid4().hex
+        self.ticket = request.header(TICKET_HEADER)
+        self.key = request.header(KEY_HEADER)
+        self.headers = {"X-Request-Id": self.identifier}
+        content_type = request.header("Content-Type")
+        if content_type:
+            self.headers["Content-Type"] = content_type
+        text = f"{self.method} {self.path}\n".encode()
+        self.digest = hashlib.sha256(text + self.body).hexdigest()
+
+
 def _service(caller, name):
     for service in caller.scope_file.services:
         if service.name == name:
--- /dev/null
+++ b/apricotseam/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Whole answers: order of events, resume handles."""
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -3,10 +3,12 @@
 import threading
 import time
 
+from apricotseam.admission import OpenAdmission
 from apricotseam.callers import build_callers_application
 from apricotseam.callers import CallerContext
 from apricotseam.clock import SystemClock
 from apricotseam.config import ConfigurationStore
+from apricotseam.execution import DirectExecution
 from apricotseam.host._children import ConfigurationChild
 from apricotseam.host._children import ListenerChild
 from apricotseam.host._children import TargetsChild
@@ -17,6 +19,7 @@
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
 from apricotseam.platform import HttpModelEngine
+from apricotseam.routing import RandomChooser
 from apricotseam.supervision import Supervisor
 from apricotseam.web import HttpClient
 from apricotseam.web import Listener
@@ -47,7 +50,14 @@
             engine, self._clock, settings.bounds.step_timeout_seconds
         )
         callers = CallerContext(
-            settings, self._clock, http, runner, self.snapshots
+            settings=settings,
+            clock=self._clock,
+            http=http,
+            runner=runner,
+            snapshots=self.snapshots,
+            admission=OpenAdmission(),
+            chooser=RandomChooser(),
+            execution=DirectExecution(),
         )
         operators = OperatorContext(
             settings, self._clock, store, self.snapshots, self.request_stop
--- /dev/null
+++ b/apricotseam/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of entry hosts."""
--- /dev/null
+++ b/apricotseam/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to targets under a lease."""
--- a/apricotseam/routing/__init__.py
+++ b/apricotseam/routing/__init__.py
@@ -1,7 +1,17 @@
 """Targets and the choice between them."""
 
+from apricotseam.routing._chooser import Chooser
+from apricotseam.routing._chooser import Demand
+from apricotseam.routing._chooser import RandomChooser
 from apricotseam.routing._merge import merge_targets
 from apricotseam.routing._table import TargetState
 from apricotseam.routing._table import TargetTable
 
-__all__ = ["TargetState", "TargetTable", "merge_targets"]
+__all__ = [
+    "Chooser",
+    "Demand",
+    "RandomChooser",
+    "TargetState",
+    "TargetTable",
+    "merge_targets",
+]
--- a/apricotseam/web/_application.py
+++ b/apricotseam/web/_application.py
@@ -58,9 +58,9 @@
 
     def header(self, name, default=None):
         """Return a header by its usual name, or the default."""
-        key = "HTTP_" + name.upper().replace("-", "_")
-        if key == "HTTP_CONTENT_TYPE":
-            key = "CONTENT_TYPE"
+        key = name.upper().replace("-", "_")
+        if key not in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+            key = "HTTP_" + key
         return self._environ.get(key, default)
 
     def body(self):
