Ship the program as one file that starts no process

Cause: hosts have no disks and a process may start no other; the usual one-file tools start a child.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 
 lint: setup
 	$(BIN)/ruff format -q --check .
-	$(BIN)/flake8 apricotseam measure
+	$(BIN)/flake8 apricotseam measure release
 	$(BIN)/lint-imports --no-cache
 
 test: lint
@@ -27,3 +27,13 @@
 
 demo: setup
 	$(PY) -m apricotseam demo
+
+.PHONY: binary binary-test
+
+# One file that runs without this tree, its environment or a disk.
+binary: setup
+	$(PY) release/build.py
+
+# Needs `strace`, which `.ci/run` installs.
+binary-test: binary
+	$(PY) -m pytest release/tests
