--- a/apricotseam/config/_settings.py
+++ b/apricotseam/config/_settings.py
@@ -69,6 +69,7 @@
     ]
     tls: Tls | None = None
     peer_tls: Tls | None = None
+    platform_tls: Tls | None = None
     plain_text_allowed: bool = False
     bounds: Bounds = Bounds()
     choice: str = "least_cost"
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -13,6 +13,7 @@
 from apricotseam.host._children import ListenerChild
 from apricotseam.host._children import TargetsChild
 from apricotseam.host._snapshots import Snapshots
+from apricotseam.host._tls import HostTls
 from apricotseam.operators import build_operators_application
 from apricotseam.operators import OperatorContext
 from apricotseam.pipelines import ChainRunner
@@ -42,7 +43,8 @@
         self._failed = threading.Event()
         self._ended = threading.Event()
         self.snapshots = Snapshots(settings)
-        http = HttpClient()
+        self._tls = HostTls(settings)
+        http = HttpClient(tls=self._tls.platform_context)
         engine = HttpModelEngine(http)
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
@@ -66,6 +68,7 @@
         self._supervisor = Supervisor(
             settings.host,
             [
+                self._tls,
                 ConfigurationChild(store, self.snapshots),
                 TargetsChild(host_list, engine, self.snapshots),
                 ListenerChild("operators", self._operators(operators)),
@@ -105,12 +108,14 @@
             threads=bounds.caller_threads,
             socket_timeout=bounds.socket_timeout_seconds,
             header_bytes=bounds.header_bytes,
+            tls=self._tls.listener_context,
         )
 
     def _operators(self, context):
         return Listener(
             build_operators_application(context),
             self.settings.operators_address,
+            tls=self._tls.listener_context,
         )
 
     def _fail(self, name):
--- a/apricotseam/web/_listener.py
+++ b/apricotseam/web/_listener.py
@@ -5,6 +5,8 @@
 
 from cheroot import wsgi
 
+from apricotseam.web._tls import ContextAdapter
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -23,8 +25,8 @@
         Seconds a client may keep the socket idle.
     header_bytes : int
         Bound on the request line and headers.
-    tls_adapter : cheroot.ssl.Adapter, optional
-        Adapter that wraps connections in TLS.
+    tls : ssl.SSLContext, optional
+        Context for TLS; plain text without it.
     """
 
     def __init__(
@@ -34,7 +36,7 @@
         threads=8,
         socket_timeout=10.0,
         header_bytes=1 << 16,
-        tls_adapter=None,
+        tls=None,
     ):
         host, port = address.rsplit(":", 1)
         self._server = wsgi.Server(
@@ -46,7 +48,8 @@
             request_queue_size=512,
         )
         self._server.max_request_header_size = header_bytes
-        self._server.ssl_adapter = tls_adapter
+        if tls is not None:
+            self._server.ssl_adapter = ContextAdapter(tls)
         self._server.error_log = self._log_error
         self._thread = None
 
