Bound the time in which a request must be received

Cause: a worker was given to each new connection at once and read as long as single bytes kept coming; eight silent TLS clients held up a ninth for 8.5 s with four workers and a socket timeout of 2 s. Change: a new connection waits in the selector until it is readable; a request must be received whole by a deadline, past which the connection is shut down; idle connections are bounded. Conclusion: silent clients cost no worker, slow ones one for a bounded time.

--- a/apricotseam/web/_application.py
+++ b/apricotseam/web/_application.py
@@ -107,6 +107,7 @@
                 f"the body could not be read: {error}", "send it again"
             ) from None
         self._check_size(len(body))
+        self._environ.get("apricotseam.received", _nothing)()
         return body
 
     def _check_size(self, size):
@@ -117,6 +118,10 @@
             )
 
 
+def _nothing():
+    """Stand for servers that bound the time of receiving elsewhere."""
+
+
 class Response:
     """One HTTP response.
 
--- a/apricotseam/web/_listener.py
+++ b/apricotseam/web/_listener.py
@@ -3,12 +3,13 @@
 import logging
 import threading
 
-from cheroot import wsgi
-
+from apricotseam.web._server import BoundedServer
 from apricotseam.web._tls import ContextAdapter
 
 _LOG = logging.getLogger(__name__)
 
+MAX_CONNECTIONS = 4096
+
 
 class Listener:
     """Serves one application on one address.
@@ -22,11 +23,14 @@
     threads : int
         Number of worker threads.
     socket_timeout : float
-        Seconds a client may keep the socket idle.
+        Seconds by which a request must be received whole, and for which
+        an idle connection is kept.
     header_bytes : int
         Bound on the request line and headers.
     tls : ssl.SSLContext, optional
         Context for TLS; plain text without it.
+    max_connections : int
+        Bound on idle connections; new ones over it are closed.
     """
 
     def __init__(
@@ -37,15 +41,15 @@
         socket_timeout=10.0,
         header_bytes=1 << 16,
         tls=None,
+        max_connections=MAX_CONNECTIONS,
     ):
         host, port = address.rsplit(":", 1)
-        self._server = wsgi.Server(
+        self._server = BoundedServer(
             (host, int(port)),
             application,
-            numthreads=threads,
-            timeout=socket_timeout,
-            shutdown_timeout=1,
-            request_queue_size=512,
+            threads,
+            socket_timeout,
+            max_connections,
         )
         self._server.max_request_header_size = header_bytes
         if tls is not None:
--- /dev/null
+++ b/apricotseam/web/tests/test_bad_input.py
@@ -0,0 +1,178 @@
+"""Malformed, oversized, endless and slow input at a listener."""
+
+import json
+import socket
+import threading
+import time
+
+import hypothesis
+import hypothesis.strategies
+import msgspec
+import pytest
+
+from apricotseam.web import Application
+from apricotseam.web import HttpClient
+from apricotseam.web import Listener
+from apricotseam.web import Response
+
+MAX_BODY_BYTES = 1000
+HEADER_BYTES = 4096
+WORKERS = 3
+
+
+class Book(msgspec.Struct):
+    """A body that the test application takes."""
+
+    title: str
+    copies: int = 1
+
+
+@pytest.fixture(scope="module")
+def address():
+    """Address of a listener with small bounds."""
+    application = Application(MAX_BODY_BYTES)
+    application.route("POST", "/books", _add)
+    application.route("GET", "/fault", _fault)
+    application.route("GET", "/books/{name}", _read)
+    listener = Listener(application, "127.0.0.1:0", WORKERS, 1.0, HEADER_BYTES)
+    listener.start()
+    yield listener.address
+    listener.stop()
+
+
+def _add(request):
+    return Response.of({"title": request.json(Book).title})
+
+
+def _read(request):
+    return Response.of({"name": request.arguments["name"]})
+
+
+def _fault(request):
+    raise RuntimeError("secret detail")
+
+
+def connect(address):
+    """Return a connection to an address."""
+    host, port = address.split(":")
+    return socket.create_connection((host, int(port)), 20)
+
+
+def exchange(address, data):
+    """Send bytes and return all that comes back."""
+    with connect(address) as connection:
+        connection.sendall(data)
+        return read_all(connection)
+
+
+def read_all(connection):
+    """Return all bytes until the other side closes."""
+    received = b""
+    try:
+        while chunk := connection.recv(65536):
+            received += chunk
+    except ConnectionError:
+        pass
+    return received
+
+
+def post(body, *headers):
+    """Return the bytes of a POST with a body."""
+    lines = ["POST /books HTTP/1.1", "Host: a", "Connection: close", *headers]
+    if not any(line.startswith(("Content-L", "Transfer")) for line in headers):
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "code"),
+    [
+        (post(b'{"title": "a"}'), 200, None),
+        (post(b"{"), 400, "invalid_request"),
+        (post(b'{"title": 1}'), 400, "invalid_request"),
+        (post(b"\xff\xfe"), 400, "invalid_request"),
+        (post(b"[" * 900), 400, "invalid_request"),
+        (post(b"x" * 1001), 413, "request_too_large"),
+        (post(b"", "Content-Length: 99999999"), 413, "request_too_large"),
+        (post(b"", "Content-Length: many"), 400, None),
+        (
+            post(b"5\r\nhello\r\n0\r\n\r\n", "Transfer-Encoding: chunked"),
+            400,
+            "invalid_request",
+        ),
+        (
+            post(
+                b"7d0\r\n" + b"x" * 2000 + b"\r\n0\r\n\r\n",
+                "Transfer-Encoding: chunked",
+            ),
+            413,
+            None,
+        ),
+        (post(b"{}", "A: " + "b" * 5000), 413, None),
+        (b"nonsense\r\n\r\n", 400, None),
+        (
+            b"GET /none HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+            404,
+            "unknown_name",
+        ),
+        (
+            b"GET /fault HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+            500,
+            "internal_error",
+        ),
+    ],
+)
+def test_input_gets_a_clear_answer(address, data, status, code):
+    answer = exchange(address, data)
+    assert answer.startswith(b"HTTP/1.1 %d" % status), answer[:200]
+    assert b"secret detail" not in answer
+    assert b"Traceback" not in answer
+    if code is not None:
+        body = json.loads(answer.split(b"\r\n\r\n", 1)[1])
+        assert body["error"]["code"] == code
+        assert body["error"]["remedy"]
+
+
+@pytest.mark.parametrize(
+    ("start", "drip"),
+    [
+        (b"", b""),
+        (b"GET /books/a HTTP/1.1\r\n", b""),
+        (b"GET /books/a HTTP/1.1\r\n", b"A: b\r\n"),
+        (b"POST /books HTTP/1.1\r\nContent-Length: 900\r\n\r\n", b" "),
+    ],
+)
+def test_slow_clients_leave_workers_to_others(address, start, drip):
+    slow = [connect(address) for _ in range(2 * WORKERS)]
+    stopping = threading.Event()
+    dripper = threading.Thread(
+        target=_drip, args=(slow, start, drip, stopping)
+    )
+    dripper.start()
+    client = HttpClient()
+    deadline = time.monotonic() + 30
+    answer = client.call(address, "GET", "/books/b", deadline=deadline)
+    assert answer.status == 200
+    for connection in slow:
+        read_all(connection)
+        connection.close()
+    stopping.set()
+    dripper.join()
+
+
+def _drip(connections, start, drip, stopping):
+    for connection in connections:
+        connection.sendall(start)
+    while drip and not stopping.wait(0.2):
+        for connection in connections:
+            try:
+                connection.sendall(drip)
+            except OSError:
+                continue
+
+
+@hypothesis.given(hypothesis.strategies.binary(max_size=300))
+@hypothesis.settings(max_examples=40)
+def test_any_body_gets_an_answer(address, body):
+    answer = exchange(address, post(body))
+    assert answer.split(b" ", 2)[1] in (b"200", b"400")
