--- a/apricotseam/cli/_client.py
+++ b/apricotseam/cli/_client.py
@@ -7,7 +7,9 @@
 
 
 class RemoteError(ApricotseamError):
-    """An error that a host answered with."""
+    """An error that a host answered with; carries that error's code."""
+
+    code = "remote_error"
 
     def __init__(self, body):
         super().__init__(body.message, body.remedy, body.retry_after)
--- a/apricotseam/config/_load.py
+++ b/apricotseam/config/_load.py
@@ -8,52 +8,14 @@
 import difflib
 
 import msgspec
-import yaml
 
 from apricotseam.config import _schema
 from apricotseam.config import _settings
+from apricotseam.config._yaml import Document
 from apricotseam.errors import InvalidFileError
 
-MAX_FILE_BYTES = 8 << 20
-MAX_NESTING = 32
-
-
-class _StrictLoader(yaml.SafeLoader):
-    """YAML loader that refuses duplicate keys, anchors and deep nesting."""
-
-    _depth = 0
-
-    def compose_node(self, parent, index):
-        """Compose one node unless it is an alias or too deeply nested."""
-        event = self.peek_event()
-        if getattr(event, "anchor", None) is not None:
-            raise yaml.MarkedYAMLError(
-                problem="anchors and aliases are not allowed",
-                problem_mark=event.start_mark,
-            )
-        self._depth += 1
-        if self._depth > MAX_NESTING:
-            raise yaml.MarkedYAMLError(
-                problem=f"nesting is deeper than {MAX_NESTING} levels",
-                problem_mark=event.start_mark,
-            )
-        try:
-            return super().compose_node(parent, index)
-        finally:
-            self._depth -= 1
-
-    def construct_mapping(self, node, deep=False):
-        """Construct a mapping whose keys are unique strings."""
-        seen = set()
-        for key_node, _ in node.value:
-            key = key_node.value
-            if not isinstance(key, str) or key in seen:
-                raise yaml.MarkedYAMLError(
-                    problem=f"key {key!r} stands twice or is not a string",
-                    problem_mark=key_node.start_mark,
-                )
-            seen.add(key)
-        return super().construct_mapping(node, deep=deep)
+# Names less alike than this are not proposed, from 0 to 1.
+MIN_LIKENESS = 0.4
 
 
 def load_scope_file(text, source="<file>"):
@@ -80,12 +42,13 @@
     >>> load_scope_file("scope: a")
     Traceback (most recent call last):
     ...
-    apricotseam.errors._errors.InvalidFileError: <file>: Object missing \
-required field `priorities`; remedy: correct the file and check it again
+    apricotseam.errors._errors.InvalidFileError: <file>:1: Object missing \
+required field `priorities` - at `$`; remedy: correct the file and check it \
+again
     """
-    data = _parse(text, source)
-    scope_file = _convert(data, _schema.ScopeFile, source)
-    _check_references(scope_file, source)
+    document = Document(text, source)
+    scope_file = _convert(document, _schema.ScopeFile, source)
+    _References(scope_file, document, source).check()
     return scope_file
 
 
@@ -108,49 +71,32 @@
     InvalidFileError
         If anything in the file is not allowed.
     """
-    return _convert(_parse(text, source), _settings.Settings, source)
+    return _convert(Document(text, source), _settings.Settings, source)
 
 
-def _parse(text, source):
-    if len(text) > MAX_FILE_BYTES:
-        raise InvalidFileError(
-            f"{source}: {len(text)} bytes found, {MAX_FILE_BYTES} allowed",
-            "split the scope",
-        )
+def _convert(document, record_type, source):
     try:
-        return yaml.load(text, Loader=_StrictLoader)  # noqa: S506
-    except yaml.MarkedYAMLError as error:
-        mark = error.problem_mark
-        line = mark.line + 1 if mark is not None else "?"
-        raise InvalidFileError(
-            f"{source}:{line}: {error.problem}",
-            "correct the YAML at that line",
-        ) from None
-    except (yaml.YAMLError, ValueError, RecursionError) as error:
-        raise InvalidFileError(
-            f"{source}: not YAML: {error}", "correct the file"
-        ) from None
-
-
-def _convert(data, record_type, source):
-    try:
-        return msgspec.convert(data, record_type, strict=True)
+        return msgspec.convert(document.data, record_type, strict=True)
     except msgspec.ValidationError as error:
-        raise InvalidFileError(
-            f"{source}: {error}", "correct the file and check it again"
-        ) from None
+        problem, _, path = str(error).partition(" - at ")
+        path = path.strip("`") or "$"
+        raise _invalid(document, source, problem, path) from None
 
 
-def _check_references(scope_file, source):
-    _References(scope_file, source).check()
+def _invalid(document, source, problem, path):
+    return InvalidFileError(
+        f"{source}:{document.line_of(path)}: {problem} - at `{path}`",
+        "correct the file and check it again",
+    )
 
 
 class _References:
     """Checks that every name in a file refers to something declared."""
 
-    __slots__ = ("_file", "_source")
+    __slots__ = ("_document", "_file", "_source")
 
-    def __init__(self, scope_file, source):
+    def __init__(self, scope_file, document, source):
+        self._document = document
         self._file = scope_file
         self._source = source
 
@@ -170,81 +116,84 @@
         self._unique("pipelines", scope_file.pipelines)
         self._unique("services", scope_file.services)
         self._unique("customers", scope_file.customers)
-        for model in scope_file.models:
+        for number, model in enumerate(scope_file.models):
             self._known(
-                f"models.{model.name}.serving", model.serving, model.versions
+                f"models[{number}].serving", model.serving, model.versions
             )
         self._check_groups(models, kinds)
-        for pipeline in scope_file.pipelines:
-            path = f"pipelines.{pipeline.name}"
+        for number, pipeline in enumerate(scope_file.pipelines):
+            path = f"pipelines[{number}]"
             self._known(f"{path}.model", pipeline.model, models)
             self._known(f"{path}.group", pipeline.group, groups)
             self._known(
                 f"{path}.default_priority", pipeline.default_priority, ranks
             )
-        for service in scope_file.services:
-            path = f"services.{service.name}"
+        for number, service in enumerate(scope_file.services):
+            path = f"services[{number}]"
             self._known(f"{path}.group", service.group, groups)
-            for call in service.calls:
-                self._known(f"{path}.calls.priority", call.priority, ranks)
+            for place, call in enumerate(service.calls):
+                self._known(
+                    f"{path}.calls[{place}].priority", call.priority, ranks
+                )
         self._check_keys()
 
     def _check_groups(self, models, kinds):
         names = set()
-        for group in self._file.groups:
-            path = f"groups.{group.name}"
+        for number, group in enumerate(self._file.groups):
+            path = f"groups[{number}]"
             if group.model is not None:
                 self._known(f"{path}.model", group.model, models)
-            for target in group.targets:
+            for place, target in enumerate(group.targets):
+                here = f"{path}.targets[{place}]"
                 if target.name in names:
-                    self._fail(path, f"target {target.name!r} stands twice")
+                    self._fail(
+                        f"{here}.name", f"name {target.name!r} stands twice"
+                    )
                 names.add(target.name)
-                self._check_target(path, group, target, models, kinds)
+                self._check_target(here, group, target, models, kinds)
 
     def _check_target(self, path, group, target, models, kinds):
         if target.accelerator is not None:
-            self._known(
-                f"{path}.{target.name}.accelerator", target.accelerator, kinds
-            )
+            self._known(f"{path}.accelerator", target.accelerator, kinds)
         if target.layers is None or group.model is None:
             return
         layers = models[group.model].layers
         held = target.layers
         if not 0 <= held.first <= held.last < layers:
             self._fail(
-                f"{path}.{target.name}.layers",
+                f"{path}.layers",
                 f"{held.first}..{held.last} found, a range within"
                 f" 0..{layers - 1} allowed",
             )
 
     def _check_keys(self):
         owners = {}
-        for customer in self._file.customers:
+        for number, customer in enumerate(self._file.customers):
             for digest in customer.key_hashes:
                 if digest in owners:
                     self._fail(
-                        f"customers.{customer.name}.key_hashes",
+                        f"customers[{number}].key_hashes",
                         f"the same key belongs to {owners[digest]!r}",
                     )
                 owners[digest] = customer.name
 
     def _unique(self, path, records):
         table = {}
-        for record in records:
+        for number, record in enumerate(records):
             if record.name in table:
-                self._fail(path, f"name {record.name!r} stands twice")
+                self._fail(
+                    f"{path}[{number}].name",
+                    f"name {record.name!r} stands twice",
+                )
             table[record.name] = record
         return table
 
     def _known(self, path, name, known):
         if name in known:
             return
-        near = difflib.get_close_matches(name, list(known), n=1)
+        near = difflib.get_close_matches(name, list(known), 1, MIN_LIKENESS)
         hint = f", nearest known is {near[0]!r}" if near else ""
         self._fail(path, f"unknown name {name!r}{hint}")
 
     def _fail(self, path, problem):
-        raise InvalidFileError(
-            f"{self._source}: {problem} - at `$.{path}`",
-            "correct the file and check it again",
-        )
+        raise _invalid(self._document, self._source, problem, f"$.{path}")
--- /dev/null
+++ b/release/__init__.py
@@ -0,0 +1,1 @@
+"""Building and describing what is shipped; not itself shipped."""
