--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The environment is made again when the lock changes.
 STAMP := $(VENV)/.ready-$(shell sha256sum requirements/dev.txt | cut -c1-12)
 
-.PHONY: setup test demo format lint
+.PHONY: setup test demo format lint measure measure-long
 
 setup: $(STAMP)
 
@@ -27,3 +27,14 @@
 
 demo: setup
 	$(PY) -m apricotseam demo
+
+measure: setup
+	$(PY) -m measure run
+	$(PY) -m measure tables
+	$(PY) -m measure report
+
+measure-long: setup
+	$(PY) -m measure run --long
+	$(PY) -m measure tables
+	$(PY) -m measure report
+
--- /dev/null
+++ b/measure/kinds/imports.py
@@ -0,0 +1,33 @@
+"""Memory and time of the program's imports, before any state."""
+
+from measure._figure import Figure
+from measure._fresh import call_fresh
+
+CONTROL_MEMORY_MEGABYTES = 64.0
+
+_CODE = """
+import json
+import os
+import sys
+import time
+before = time.process_time()
+__import__(sys.argv[1])
+seconds = time.process_time() - before
+from measure._usage import resident_bytes
+print(json.dumps([resident_bytes(os.getpid()) / 1e6, seconds]))
+"""
+_MODULES = {"node": "apricotseam.host", "interpreter": "sys"}
+
+
+def run(parameters, variant, seed):
+    """Import the node, or nothing, in a fresh interpreter."""
+    megabytes, seconds = call_fresh(_CODE, _MODULES[variant])
+    return [
+        Figure(
+            name="resident after imports",
+            value=megabytes,
+            unit="MB",
+            bound=CONTROL_MEMORY_MEGABYTES,
+        ),
+        Figure(name="processor time of imports", value=seconds, unit="s"),
+    ]
