Recover streams whose stages fail and carry steps together

Cause: an answer ended with an error when one of its stages died, hung or answered wrongly, and every step was a call of its own. Change: a pure decision over what was seen and what the stage says of its position; replacement by import of the KV cache, by replay of recorded inputs, or by a new stream once these are over their bound; a reorder buffer before the caller; steps that wait for a busy stage share a call; cancels leave the request path. Conclusion: tests of single, double and repeated failures pass with the tokens of a right run; not measured yet.

--- a/apricotseam/callers/_completions.py
+++ b/apricotseam/callers/_completions.py
@@ -11,6 +11,7 @@
 from apricotseam.errors import UnknownNameError
 from apricotseam.pipelines import StreamPlan
 from apricotseam.routing import Demand
+from apricotseam.routing import TableStageChooser
 from apricotseam.web import error_body
 from apricotseam.web import Response
 
@@ -66,7 +67,10 @@
         except BaseException:
             permit.close()
             raise
-        tokens = _counted(self._context.runner.run(plan), permit)
+        stages = TableStageChooser(
+            self._context.snapshots, work.scope, pipeline.group
+        )
+        tokens = _counted(self._context.runner.run(plan, stages), permit)
         if body.stream:
             return Response(
                 body=_events(plan, tokens, body.model),
@@ -107,6 +111,7 @@
             max_tokens=work.tokens,
             priority=work.rank,
             prefix=prefix,
+            layers=model.layers,
         )
 
 
--- a/apricotseam/pipelines/__init__.py
+++ b/apricotseam/pipelines/__init__.py
@@ -1,8 +1,11 @@
 """Chains over layer ranges: planning, running and recovery."""
 
+from apricotseam.pipelines._carrier import StepCarrier
 from apricotseam.pipelines._chain import Chain
 from apricotseam.pipelines._chain import enumerate_chains
 from apricotseam.pipelines._chain import Stage
+from apricotseam.pipelines._recovery import NoReplacement
+from apricotseam.pipelines._recovery import StageChooser
 from apricotseam.pipelines._runner import ChainRunner
 from apricotseam.pipelines._runner import StreamPlan
 from apricotseam.pipelines._runner import Token
@@ -10,7 +13,10 @@
 __all__ = [
     "Chain",
     "ChainRunner",
+    "NoReplacement",
     "Stage",
+    "StageChooser",
+    "StepCarrier",
     "StreamPlan",
     "Token",
     "enumerate_chains",
--- /dev/null
+++ b/apricotseam/pipelines/tests/test_runner.py
@@ -0,0 +1,149 @@
+"""Answers over chains whose stages fail."""
+
+import pytest
+
+from apricotseam.clock import ManualClock
+from apricotseam.errors import FailedError
+from apricotseam.pipelines import Chain
+from apricotseam.pipelines import ChainRunner
+from apricotseam.pipelines import StreamPlan
+from apricotseam.pipelines.tests._layers import answer
+from apricotseam.pipelines.tests._layers import LayerEngine
+from apricotseam.pipelines.tests._layers import RangeChooser
+
+LAYERS = 6
+TOKENS = 8
+RANGES = {
+    "a": (0, 2),
+    "b": (3, 5),
+    "a2": (0, 2),
+    "b2": (3, 5),
+    "b3": (3, 4),
+    "b4": (5, 5),
+}
+
+
+class System:
+    """An engine with a runner over targets ``a`` and ``b``."""
+
+    def __init__(self, recorded_bytes=1 << 20, **changes):
+        self.engine = LayerEngine(RANGES, LAYERS)
+        self.clock = ManualClock()
+        self.runner = ChainRunner(
+            self.engine,
+            self.clock,
+            0.5,
+            wait=self.clock.advance,
+            recorded_bytes=recorded_bytes,
+        )
+        stages = (self.engine.stage("a"), self.engine.stage("b"))
+        self.plan = StreamPlan(
+            stream="s",
+            chain=Chain("m", "v1", stages),
+            prompt="hello",
+            max_tokens=TOKENS,
+            layers=LAYERS,
+            **changes,
+        )
+
+    def run(self):
+        return list(self.runner.run(self.plan, RangeChooser(self.engine)))
+
+
+def check_whole(system, tokens):
+    """Check tokens, and positions at each stage once and in order."""
+    first = system.plan.first_position
+    assert [t.text for t in tokens] == answer(LAYERS, "hello", TOKENS)[first:]
+    assert [t.position for t in tokens] == list(range(first, TOKENS))
+    assert [t.end for t in tokens] == [False] * (TOKENS - first - 1) + [True]
+    for positions in system.engine.seen.values():
+        start = positions[0]
+        assert positions == list(range(start, start + len(positions)))
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        {},
+        {"a": ["refuse"]},
+        {"a": ["", "", "refuse", "lose"]},
+        {"b": ["lose"]},
+        {"b": ["", "", "", "lose_before"]},
+        {"a": ["die"]},
+        {"a": ["", "", "die"]},
+        {"b": ["die"]},
+        {"b": ["", "", "", "die"]},
+        {"a": ["", "wrong"]},
+        {"b": ["", "", "wrong"]},
+        {"a": ["", "late"], "b": ["", "late"]},
+        {"a": ["", "die"], "b": ["", "die"]},
+        {"b": ["", "die"], "b2": ["die"]},
+        {"b": ["", "die"], "b2": ["", "", "die"]},
+    ],
+)
+@pytest.mark.parametrize("recorded_bytes", [1 << 20, 20, 0])
+def test_answer_is_whole_whatever_fails(faults, recorded_bytes):
+    system = System(recorded_bytes)
+    for address, kinds in faults.items():
+        system.engine.faults[address].extend(kinds)
+    check_whole(system, system.run())
+
+
+def test_every_replacement_fails_too():
+    system = System()
+    faults = {"b": ["", "die"], "b2": ["die"], "b3": ["lose"]}
+    for address, kinds in faults.items():
+        system.engine.faults[address].extend(kinds)
+    with pytest.raises(FailedError, match="resume handle"):
+        system.run()
+
+
+def test_stage_that_restarted_is_rebuilt_in_place():
+    system = System()
+    tokens = system.runner.run(system.plan, RangeChooser(system.engine))
+    got = [next(tokens) for _ in range(3)]
+    for name in ("a2", "b2", "b3"):
+        del system.engine.ranges[name]
+    system.engine.streams.clear()
+    got += list(tokens)
+    assert [t.text for t in got] == answer(LAYERS, "hello", TOKENS)
+
+
+def test_no_replacement_fails_with_remedy():
+    system = System()
+    for name in ("b2", "b3"):
+        del system.engine.ranges[name]
+    system.engine.faults["b"].extend(["", "", "die"])
+    tokens = system.runner.run(system.plan, RangeChooser(system.engine))
+    got = [next(tokens).text, next(tokens).text]
+    with pytest.raises(FailedError, match="resume handle"):
+        next(tokens)
+    assert got == answer(LAYERS, "hello", 2)
+
+
+def test_other_stages_are_not_run_again_for_a_replacement():
+    system = System()
+    system.engine.faults["b"].extend(["", "", "", "die"])
+    system.run()
+    assert system.engine.seen[("a", "s", 1)] == list(range(TOKENS))
+    assert system.engine.seen[("b2", "s", 2)] == list(range(TOKENS))
+
+
+def test_stage_that_stalls_gives_its_cache_away():
+    system = System()
+    system.engine.faults["b"].extend(["", "", "lose_before"])
+    check_whole(system, system.run())
+    assert system.engine.seen[("b2", "s", 2)] == list(range(2, TOKENS))
+
+
+@pytest.mark.parametrize("first", [0, 3, TOKENS - 1])
+def test_resumed_answer_goes_on_after_delivered_tokens(first):
+    whole = answer(LAYERS, "hello", TOKENS)
+    system = System(delivered=tuple(whole[:first]), first_position=first)
+    system.engine.faults["a"].append("die")
+    check_whole(system, system.run())
+
+
+def test_answer_is_run_again_when_no_tokens_are_sent_back():
+    system = System(first_position=4)
+    check_whole(system, system.run())
--- a/apricotseam/routing/__init__.py
+++ b/apricotseam/routing/__init__.py
@@ -4,6 +4,7 @@
 from apricotseam.routing._chooser import Demand
 from apricotseam.routing._chooser import RandomChooser
 from apricotseam.routing._merge import merge_targets
+from apricotseam.routing._replacement import TableStageChooser
 from apricotseam.routing._table import TargetState
 from apricotseam.routing._table import TargetTable
 
@@ -11,6 +12,7 @@
     "Chooser",
     "Demand",
     "RandomChooser",
+    "TableStageChooser",
     "TargetState",
     "TargetTable",
     "merge_targets",
