Go on with an answer at another host by a signed resume handle

Cause: an answer was lost with the host or connection that carried it. Change: each streamed answer carries a signed handle (customer, scope, model, version, stream, revision, position, digest of the body, deadline); any host goes on after the last event by one batched replay of the tokens that the caller sends back, or by running the answer again without them; ask goes on at the next address. Conclusion: refusals of altered, expired, foreign and mismatched handles and resumption at another host pass over real sockets; not measured yet.

--- a/apricotseam/callers/_completions.py
+++ b/apricotseam/callers/_completions.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from apricotseam.callers._context import authenticate
+from apricotseam.callers._resume import Resumption
 from apricotseam.callers._work import describe_work
 from apricotseam.errors import ApricotseamError
 from apricotseam.errors import UnknownNameError
@@ -27,12 +28,16 @@
 
 
 class CompletionBody(msgspec.Struct):
-    """Body of a chat completion, as far as it is understood."""
+    """Body of a chat completion, as far as it is understood.
+
+    ``delivered`` are the tokens that a caller sends back to resume.
+    """
 
     model: str
     messages: list[Message]
     stream: bool = False
     max_tokens: int | None = None
+    delivered: list[str] | None = None
 
 
 class Completions:
@@ -46,12 +51,17 @@
 
     def __init__(self, context):
         self._context = context
+        self._resumption = Resumption(context.settings, context.clock)
 
     def handle(self, request):
         """Answer ``POST /v1/chat/completions``."""
         caller = authenticate(request, self._context.snapshots)
         body = request.json(CompletionBody)
         pipeline = _pipeline(caller, body.model)
+        point = self._resumption.read(request, caller, body)
+        bound = _bound(pipeline, body)
+        if point.handle is not None:
+            bound = point.handle.max_tokens
         work = describe_work(
             request,
             caller,
@@ -59,11 +69,13 @@
             uuid.uuid4().hex,
             pipeline.group,
             pipeline.default_priority,
-            _bound(pipeline, body),
+            max(1, bound - point.position),
         )
+        if point.position >= bound:
+            return _stream(iter([DONE_EVENT]), [])
         permit = self._context.admission.admit(work)
         try:
-            plan = self._plan(caller, pipeline, body, work)
+            plan = self._plan(caller, pipeline, body, work, point)
         except BaseException:
             permit.close()
             raise
@@ -72,10 +84,8 @@
         )
         tokens = _counted(self._context.runner.run(plan, stages), permit)
         if body.stream:
-            return Response(
-                body=_events(plan, tokens, body.model),
-                content_type=EVENT_STREAM_TYPE,
-            )
+            header = self._resumption.header(caller, body, plan)
+            return _stream(_events(plan, tokens, body.model), [header])
         text = "".join(token.text for token in tokens)
         return Response.of(_whole(plan, body.model, text))
 
@@ -88,9 +98,13 @@
         ]
         return Response.of({"object": "list", "data": models})
 
-    def _plan(self, caller, pipeline, body, work):
+    def _plan(self, caller, pipeline, body, work, point):
         scope_file = caller.scope_file
         model = next(m for m in scope_file.models if m.name == pipeline.model)
+        if point.handle is not None:
+            model = msgspec.structs.replace(
+                model, serving=point.handle.version
+            )
         prompt = msgspec.json.encode(
             [(message.role, message.content) for message in body.messages]
         )
@@ -108,13 +122,21 @@
             stream=work.request,
             chain=chain,
             prompt=prompt.decode(),
-            max_tokens=work.tokens,
+            max_tokens=point.position + work.tokens,
             priority=work.rank,
             prefix=prefix,
             layers=model.layers,
+            delivered=point.delivered,
+            first_position=point.position,
         )
 
 
+def _stream(events, headers):
+    return Response(
+        body=events, content_type=EVENT_STREAM_TYPE, headers=headers
+    )
+
+
 def _bound(pipeline, body):
     wanted = body.max_tokens or pipeline.max_tokens
     return max(1, min(wanted, pipeline.max_tokens))
--- a/apricotseam/cli/_client.py
+++ b/apricotseam/cli/_client.py
@@ -71,22 +71,48 @@
     def stream(self, method, path, body, headers=None):
         """Send a call and yield the lines of its streamed answer.
 
+        Raises
+        ------
+        RemoteError
+            If the host answered with an error.
+        """
+        _, lines = self.open_stream(method, path, body, headers)
+        yield from lines
+
+    def open_stream(self, method, path, body, headers=None, deadline=None):
+        """Send a call; return the headers and lines of its answer.
+
+        Parameters
+        ----------
+        deadline : float, optional
+            Monotonic time; what is left of it now also bounds the wait
+            for each part of the answer.
+
         Raises
         ------
         RemoteError
             If the host answered with an error.
         """
         response = self._client.stream(
-            self._address, method, path, body, headers=self._headers(headers)
+            self._address,
+            method,
+            path,
+            body,
+            deadline,
+            self._headers(headers),
         )
         if response.status >= 400:
             raise RemoteError(
                 msgspec.json.decode(response.read(), type=_Refusal).error
             )
-        pending = b""
-        for chunk in response.stream(4096):
-            *lines, pending = (pending + chunk).split(b"\n")
-            yield from lines
+        return response.headers, _lines(response)
 
     def _headers(self, headers):
         return {"Authorization": f"Bearer {self._key}", **(headers or {})}
+
+
+def _lines(response):
+    pending = b""
+    for chunk in response.stream(4096):
+        *lines, pending = (pending + chunk).split(b"\n")
+        yield from lines
--- a/apricotseam/cli/_commands.py
+++ b/apricotseam/cli/_commands.py
@@ -3,10 +3,10 @@
 import os
 import pathlib
 import signal
-import sys
 
 import msgspec
 
+from apricotseam.cli._ask import ResumingAnswer
 from apricotseam.cli._client import HostClient
 from apricotseam.cli._output import show
 from apricotseam.config import AuditEntry
@@ -156,6 +156,9 @@
 def ask(model, prompt, *, host, max_tokens=64):
     """Send a prompt and print the answer as it streams.
 
+    If the host or the connection is lost, the answer goes on at the next
+    address that the host named.
+
     Parameters
     ----------
     model : str
@@ -167,15 +170,10 @@
     max_tokens : int
         Bound on the answer.
     """
-    body = {
-        "model": model,
-        "stream": True,
-        "max_tokens": max_tokens,
-        "messages": [{"role": "user", "content": prompt}],
-    }
-    for line in _operator(host).stream("POST", "/v1/chat/completions", body):
-        if line.startswith(b"data: {"):
-            _print_event(line[6:])
+    key = os.environ.get(KEY_VARIABLE, "")
+    answer = ResumingAnswer(key, model, prompt, max_tokens)
+    for text in answer.read(host):
+        print(text, end="", flush=True)
     print()
 
 
@@ -216,11 +214,3 @@
 def _operator(address):
     key = os.environ.get(KEY_VARIABLE, "")
     return HostClient(address, key)
-
-
-def _print_event(data):
-    event = msgspec.json.decode(data)
-    if "error" in event:
-        print(f"\n{event['error']['message']}", file=sys.stderr)
-        return
-    print(event["choices"][0]["delta"]["content"], end="", flush=True)
--- a/apricotseam/delivery/__init__.py
+++ b/apricotseam/delivery/__init__.py
@@ -1,5 +1,8 @@
 """Whole answers: order of events, resume handles."""
 
+from apricotseam.delivery._handle import body_digest
+from apricotseam.delivery._handle import HandleSigner
+from apricotseam.delivery._handle import ResumeHandle
 from apricotseam.delivery._reorder import ReorderBuffer
 
-__all__ = ["ReorderBuffer"]
+__all__ = ["HandleSigner", "ReorderBuffer", "ResumeHandle", "body_digest"]
--- a/apricotseam/standins/_engine.py
+++ b/apricotseam/standins/_engine.py
@@ -97,6 +97,12 @@
         self._add_routes()
         self._worker = threading.Thread(target=self._work, daemon=True)
 
+    @property
+    def stream_count(self):
+        """Number of streams that are held."""
+        with self._lock:
+            return len(self._streams)
+
     def start(self):
         """Start to serve; return the stand-in itself."""
         self._worker.start()
