Test recovery as a state machine and steps that share a call

Cause: single cases do not show what faults do together. Change: two answers run while targets refuse, lose answers, answer wrongly, die and come back empty, with recorded inputs unbounded, bounded and none; the handle uses the shared signer.

--- a/apricotseam/delivery/_handle.py
+++ b/apricotseam/delivery/_handle.py
@@ -1,17 +1,14 @@
 """Signed handles with which a caller goes on after its host died."""
 
-import base64
-import binascii
 import hashlib
-import hmac
 
 import msgspec
 
 from apricotseam.errors import ForbiddenError
 from apricotseam.errors import InvalidRequestError
+from apricotseam.security import Signer
 
-MAX_HANDLE_BYTES = 2048
-PURPOSE = b"apricotseam resume handle 1\n"
+PURPOSE = "resume 1 "
 
 
 class ResumeHandle(msgspec.Struct, frozen=True, kw_only=True):
@@ -42,25 +39,18 @@
     ----------
     keys : list of str
         The first key signs; each of them is accepted.
-
-    Examples
-    --------
-    >>> HandleSigner(["key"]).open("altered.text", 0.0)
-    Traceback (most recent call last):
-    ...
-    apricotseam.errors._errors.ForbiddenError: the resume handle was not \
-signed here; remedy: send the request again without it
     """
 
-    __slots__ = ("_keys",)
+    __slots__ = ("_signer",)
 
     def __init__(self, keys):
-        self._keys = [key.encode() for key in keys]
+        self._signer = Signer(keys)
 
     def sign(self, handle):
         """Return a handle as text for a header."""
-        payload = _encode(msgspec.json.encode(handle))
-        return f"{payload}.{_signature(self._keys[0], payload)}"
+        return self._signer.sign(
+            PURPOSE + msgspec.json.encode(handle).decode()
+        )
 
     def open(self, text, now):
         """Return the `ResumeHandle` of a signed text.
@@ -75,19 +65,11 @@
         Raises
         ------
         ForbiddenError
-            If no key of this host signed it.
+            If no key of this host signed it as a resume handle.
         InvalidRequestError
             If it is past its deadline.
         """
-        payload, _, signature = text.partition(".")
-        if len(text) > MAX_HANDLE_BYTES or not self._is_signed(
-            payload, signature
-        ):
-            raise ForbiddenError(
-                "the resume handle was not signed here",
-                "send the request again without it",
-            )
-        handle = _decode(payload)
+        handle = _decode(self._signer.verify(text))
         if handle.deadline <= now:
             raise InvalidRequestError(
                 "the resume handle is past its deadline",
@@ -95,14 +77,6 @@
             )
         return handle
 
-    def _is_signed(self, payload, signature):
-        if not (payload.isascii() and signature.isascii()):
-            return False
-        return any(
-            hmac.compare_digest(_signature(key, payload), signature)
-            for key in self._keys
-        )
-
 
 def body_digest(model, messages):
     """Return the digest that ties a handle to a request's body.
@@ -118,22 +92,13 @@
     return hashlib.sha256(text).hexdigest()
 
 
-def _signature(key, payload):
-    text = PURPOSE + payload.encode()
-    return _encode(hmac.digest(key, text, "sha256"))
-
-
-def _encode(data):
-    return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
-
-
-def _decode(payload):
-    padding = "=" * (-len(payload) % 4)
+def _decode(text):
     try:
-        data = base64.urlsafe_b64decode(payload + padding)
-        return msgspec.json.decode(data, type=ResumeHandle)
-    except (binascii.Error, msgspec.DecodeError):
+        if not text.startswith(PURPOSE):
+            raise msgspec.DecodeError("signed for another purpose")
+        return msgspec.json.decode(text[len(PURPOSE) :], type=ResumeHandle)
+    except msgspec.DecodeError:
         raise ForbiddenError(
-            "the resume handle is of another release",
+            "the resume handle is of another release or purpose",
             "send the request again without it",
         ) from None
--- a/apricotseam/delivery/tests/test_handle.py
+++ b/apricotseam/delivery/tests/test_handle.py
@@ -8,6 +8,7 @@
 from apricotseam.errors import ApricotseamError
 from apricotseam.errors import ForbiddenError
 from apricotseam.errors import InvalidRequestError
+from apricotseam.security import Signer
 
 HANDLE = ResumeHandle(
     scope="scope",
@@ -53,6 +54,12 @@
         signer.open(signer.sign(HANDLE), 100.0)
 
 
+def test_text_signed_for_another_purpose_is_refused():
+    text = Signer(["key"]).sign(msgspec.json.encode(HANDLE).decode())
+    with pytest.raises(ForbiddenError, match="purpose"):
+        HandleSigner(["key"]).open(text, 0.0)
+
+
 def test_handle_of_another_release_is_refused():
     signer = HandleSigner(["key"])
     with pytest.raises(ApricotseamError, match="release"):
--- /dev/null
+++ b/apricotseam/pipelines/tests/test_carrier.py
@@ -0,0 +1,131 @@
+"""Steps that travel together."""
+
+import threading
+
+import pytest
+
+from apricotseam.errors import AnswerLostError
+from apricotseam.pipelines import StepCarrier
+from apricotseam.platform import Step
+from apricotseam.platform import StepResult
+from apricotseam.web import UnreachableError
+
+
+class GatedEngine:
+    """An engine whose calls wait for a gate."""
+
+    def __init__(self):
+        self.gate = threading.Semaphore(0)
+        self.started = threading.Semaphore(0)
+        self.batches = []
+        self.error = None
+
+    def run_steps(self, address, steps, deadline):
+        self.batches.append([step.stream for step in steps])
+        self.started.release()
+        self.gate.acquire()
+        if self.error is not None:
+            raise self.error
+        return [
+            StepResult(stream=s.stream, attempt=1, position=s.position)
+            for s in steps
+        ]
+
+
+def step(stream, priority=0):
+    """Return a step of a stream."""
+    return Step(
+        stream=stream,
+        attempt=1,
+        position=0,
+        payload="",
+        model="m",
+        version="v",
+        first=0,
+        last=1,
+        priority=priority,
+    )
+
+
+class Callers:
+    """Threads that each run one step."""
+
+    def __init__(self, carrier):
+        self.carrier = carrier
+        self.results = {}
+        self.threads = []
+
+    def start(self, stream, priority=0, deadline=float("inf")):
+        thread = threading.Thread(
+            target=self._run, args=(stream, priority, deadline)
+        )
+        self.threads.append(thread)
+        thread.start()
+
+    def _run(self, stream, priority, deadline):
+        try:
+            result = self.carrier.run("a", step(stream, priority), deadline)
+            self.results[stream] = result.stream
+        except (UnreachableError, AnswerLostError) as error:
+            self.results[stream] = type(error)
+
+    def join(self):
+        for thread in self.threads:
+            thread.join(10)
+
+
+@pytest.fixture
+def system():
+    """An engine, a carrier with one call at a time, and its callers."""
+    engine = GatedEngine()
+    carrier = StepCarrier(engine, max_calls=1, max_steps=3)
+    return engine, carrier, Callers(carrier)
+
+
+def wait_for_queue(carrier, count):
+    """Wait until a number of steps wait."""
+    lane = carrier._lanes["a"]
+    while len(lane.queue) < count:
+        threading.Event().wait(0.001)
+
+
+def fill(system, streams):
+    """Start a first call and have steps wait behind it."""
+    engine, carrier, callers = system
+    callers.start("first", deadline=1e6)
+    engine.started.acquire()
+    for count, (stream, priority) in enumerate(streams, 1):
+        callers.start(stream, priority, deadline=1e6)
+        wait_for_queue(carrier, count)
+
+
+def test_waiting_steps_share_a_call_urgent_first(system):
+    engine, carrier, callers = system
+    fill(system, [("low", 5), ("a", 1), ("b", 1), ("urgent", 0)])
+    engine.gate.release(3)
+    callers.join()
+    assert engine.batches == [["first"], ["urgent", "a", "b"], ["low"]]
+    assert all(key == value for key, value in callers.results.items())
+    assert (carrier.calls, carrier.steps) == (3, 5)
+
+
+def test_error_of_a_shared_call_reaches_every_step(system):
+    engine, _, callers = system
+    fill(system, [("a", 0), ("b", 0)])
+    engine.error = AnswerLostError("lost", "ask")
+    engine.gate.release(2)
+    callers.join()
+    assert set(callers.results.values()) == {AnswerLostError}
+
+
+def test_step_that_waited_too_long_was_not_sent(system):
+    engine, carrier, callers = system
+    fill(system, [])
+    callers.start("late", deadline=0.0)
+    callers.threads[-1].join(10)
+    callers.start("next", deadline=1e6)
+    wait_for_queue(carrier, 2)
+    engine.gate.release(2)
+    callers.join()
+    assert callers.results["late"] is UnreachableError
+    assert engine.batches == [["first"], ["next"]]
--- /dev/null
+++ b/apricotseam/pipelines/tests/test_recovery_machine.py
@@ -0,0 +1,111 @@
+"""Rules of chains, steps and recovery against layer states."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from apricotseam.clock import ManualClock
+from apricotseam.errors import FailedError
+from apricotseam.pipelines import Chain
+from apricotseam.pipelines import ChainRunner
+from apricotseam.pipelines import StreamPlan
+from apricotseam.pipelines.tests._layers import answer
+from apricotseam.pipelines.tests._layers import LayerEngine
+from apricotseam.pipelines.tests._layers import RangeChooser
+
+LAYERS = 6
+TOKENS = 10
+RANGES = {
+    "a1": (0, 1),
+    "a2": (0, 1),
+    "a3": (0, 0),
+    "a4": (1, 1),
+    "b1": (2, 3),
+    "b2": (2, 3),
+    "c1": (4, 5),
+    "c2": (4, 5),
+    "c3": (4, 4),
+    "c4": (5, 5),
+}
+NAMES = sorted(RANGES)
+FAULTS = ["", "refuse", "lose", "lose_before", "wrong", "late", "die"]
+
+
+class RecoveryMachine(stateful.RuleBasedStateMachine):
+    """Two answers under way while targets fail, restart and come back."""
+
+    @stateful.initialize(recorded_bytes=st.sampled_from([0, 64, 1 << 20]))
+    def begin(self, recorded_bytes):
+        self.engine = LayerEngine(RANGES, LAYERS)
+        clock = ManualClock()
+        runner = ChainRunner(
+            self.engine,
+            clock,
+            0.5,
+            wait=clock.advance,
+            recorded_bytes=recorded_bytes,
+        )
+        stages = tuple(self.engine.stage(n) for n in ("a1", "b1", "c1"))
+        self.got = {}
+        self.tokens = {}
+        for stream in ("s", "t"):
+            plan = StreamPlan(
+                stream=stream,
+                chain=Chain("m", "v1", stages),
+                prompt=stream,
+                max_tokens=TOKENS,
+                layers=LAYERS,
+            )
+            self.got[stream] = []
+            self.tokens[stream] = runner.run(plan, RangeChooser(self.engine))
+
+    @stateful.rule(name=st.sampled_from(NAMES), fault=st.sampled_from(FAULTS))
+    def fail(self, name, fault):
+        self.engine.faults[name].append(fault)
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def die(self, name):
+        self.engine.dead.add(name)
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def come_back_empty(self, name):
+        self.engine.dead.discard(name)
+        for key in [k for k in self.engine.streams if k[0] == name]:
+            del self.engine.streams[key]
+
+    @stateful.rule(stream=st.sampled_from(["s", "t"]), count=st.integers(1, 4))
+    def read(self, stream, count):
+        for _ in range(count):
+            try:
+                token = next(self.tokens[stream], None)
+            except FailedError as error:
+                assert error.remedy
+                self.tokens[stream] = iter(())
+                return
+            if token is not None:
+                self.got[stream].append(token)
+
+    @stateful.invariant()
+    def tokens_are_those_of_a_right_run(self):
+        for stream, tokens in self.got.items():
+            count = len(tokens)
+            whole = answer(LAYERS, stream, TOKENS)
+            assert [t.text for t in tokens] == whole[:count]
+            assert [t.position for t in tokens] == list(range(count))
+
+    @stateful.invariant()
+    def a_stage_sees_positions_once_in_order(self):
+        for positions in self.engine.seen.values():
+            first = positions[0]
+            assert positions == list(range(first, first + len(positions)))
+
+    def teardown(self):
+        for tokens in getattr(self, "tokens", {}).values():
+            if hasattr(tokens, "close"):
+                tokens.close()
+
+
+TestRecovery = RecoveryMachine.TestCase
+TestRecovery.settings = hypothesis.settings(
+    max_examples=120, stateful_step_count=25
+)
