Choose targets by lag-corrected cost over bounded subsets

Cause: requests went to targets at random, whatever their load, kind, distance or cache. Change: LeastCostChooser weighs corrected load, step time, link distance and prefix chance of two sampled targets for each range of layers; failing targets are ejected up to a third of a pool and return by a trial and slow start; other zones are used by what is free in them. Calls to plain services are tried again within a budget and only when nothing was sent or the call is idempotent. Baselines are chosen by the setting choice.

--- a/apricotseam/callers/_context.py
+++ b/apricotseam/callers/_context.py
@@ -27,6 +27,8 @@
         Chooses chains and targets.
     execution : Execution
         Runs requests at most once.
+    retries : RetryPolicy
+        Budget of further attempts.
     """
 
     __slots__ = (
@@ -35,6 +37,7 @@
         "clock",
         "execution",
         "http",
+        "retries",
         "runner",
         "settings",
         "snapshots",
@@ -51,6 +54,7 @@
         admission,
         chooser,
         execution,
+        retries,
     ):
         self.settings = settings
         self.clock = clock
@@ -60,6 +64,7 @@
         self.admission = admission
         self.chooser = chooser
         self.execution = execution
+        self.retries = retries
 
 
 class Caller:
--- a/apricotseam/callers/_services.py
+++ b/apricotseam/callers/_services.py
@@ -3,6 +3,7 @@
 import hashlib
 import uuid
 
+from apricotseam.callers._attempts import Attempts
 from apricotseam.callers._context import authenticate
 from apricotseam.callers._work import describe_work
 from apricotseam.errors import AnswerLostError
@@ -13,6 +14,7 @@
 from apricotseam.web import Response
 
 CALL_TIMEOUT_SECONDS = 10.0
+FAILURE_STATUSES = frozenset((500, 502, 503, 504))
 TICKET_HEADER = "Apricotseam-Ticket"
 KEY_HEADER = "Idempotency-Key"
 
@@ -28,6 +30,7 @@
 
     def __init__(self, context):
         self._context = context
+        self._attempts = Attempts(context.retries, context.clock)
 
     def handle(self, request):
         """Answer ``/v1/services/{service}/{path}``."""
@@ -47,18 +50,22 @@
         )
         permit = self._context.admission.admit(work)
         try:
-            return self._run(caller, service, call, forward)
+            return self._run(caller, service, call, forward, work)
         finally:
             permit.close(1)
 
-    def _run(self, caller, service, call, forward):
+    def _run(self, caller, service, call, forward, work):
         demand = Demand(
             scope=caller.scope_file.scope,
             group=service.group,
             customer=caller.customer.name,
         )
+
+        def send():
+            return self._send(demand, forward, call, work.deadline)
+
         if call.idempotent:
-            return self._send(demand, forward)
+            return send()
         once = ExecutionRequest(
             scope=demand.scope,
             customer=demand.customer,
@@ -66,27 +73,43 @@
             ticket=forward.ticket,
             key=forward.key,
         )
-        return self._context.execution.run_once(
-            once, lambda: self._send(demand, forward)
-        )
+        return self._context.execution.run_once(once, send)
 
-    def _send(self, demand, forward):
-        table = self._context.snapshots.targets
-        target = self._context.chooser.choose_target(table, demand)
+    def _send(self, demand, forward, call, deadline):
+        try:
+            return self._attempts.run(
+                demand,
+                deadline,
+                call.idempotent,
+                lambda left, tried: self._attempt(left, tried, forward),
+            )
+        except AnswerLostError:
+            raise OutcomeUnknownError(
+                f"a target of {demand.group} took the call and gave no answer",
+                "read the state of your request before sending it again",
+            ) from None
+
+    def _attempt(self, demand, tried, forward):
+        chooser = self._context.chooser
+        target = chooser.choose_target(self._context.snapshots.targets, demand)
+        tried.append(target.name)
+        begun = self._context.clock.monotonic()
+        is_success = False
+        chooser.started(target.address)
         try:
             answer = self._context.http.call(
                 target.address,
                 forward.method,
                 forward.path,
                 forward.body,
-                self._context.clock.monotonic() + CALL_TIMEOUT_SECONDS,
+                begun + CALL_TIMEOUT_SECONDS,
                 forward.headers,
             )
-        except AnswerLostError:
-            raise OutcomeUnknownError(
-                f"target {target.name} took the call and gave no answer",
-                "read the state of your request before sending it again",
-            ) from None
+            is_success = answer.status not in FAILURE_STATUSES
+        finally:
+            seconds = self._context.clock.monotonic() - begun
+            chooser.ended(target.address)
+            chooser.observed(target.address, is_success, seconds)
         return Response(
             answer.status,
             answer.body,
--- a/apricotseam/config/__init__.py
+++ b/apricotseam/config/__init__.py
@@ -20,6 +20,7 @@
 from apricotseam.config._schema import TargetKind
 from apricotseam.config._schema import WeightStoreLimit
 from apricotseam.config._settings import Bounds
+from apricotseam.config._settings import Choice
 from apricotseam.config._settings import Operator
 from apricotseam.config._settings import Role
 from apricotseam.config._settings import Settings
@@ -34,6 +35,7 @@
     "AuditEntry",
     "Bounds",
     "Call",
+    "Choice",
     "Change",
     "Configuration",
     "ConfigurationStore",
--- a/apricotseam/config/_settings.py
+++ b/apricotseam/config/_settings.py
@@ -20,6 +20,15 @@
     OPERATE = "operate"
 
 
+class Choice(enum.Enum):
+    """Policy by which targets are chosen; all but the last are baselines."""
+
+    RANDOM = "random"
+    ROUND_ROBIN = "round_robin"
+    LEAST_REPORTED = "least_reported"
+    LEAST_COST = "least_cost"
+
+
 class Operator(_Record, kw_only=True):
     """An operator with a role and the hash of a key."""
 
@@ -46,6 +55,7 @@
     queued_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1 << 30)] = 1 << 23
     socket_timeout_seconds: Positive = 10.0
     step_timeout_seconds: Positive = 0.5
+    report_lag_seconds: Annotated[float, msgspec.Meta(ge=0, le=60)] = 0.0
     address_valid_seconds: Positive = 30.0
     stop_timeout_seconds: Positive = 120.0
 
@@ -71,4 +81,4 @@
     peer_tls: Tls | None = None
     plain_text_allowed: bool = False
     bounds: Bounds = Bounds()
-    choice: str = "least_cost"
+    choice: Choice = Choice.LEAST_COST
--- a/apricotseam/host/_children.py
+++ b/apricotseam/host/_children.py
@@ -92,14 +92,17 @@
         Gives the engines' reports.
     snapshots : Snapshots
         Where the table is put.
+    watched : callable
+        Returns the targets of a table whose reports this host needs.
     """
 
     name = "targets"
 
-    def __init__(self, host_list, engine, snapshots):
+    def __init__(self, host_list, engine, snapshots, watched):
         self._host_list = host_list
         self._engine = engine
         self._snapshots = snapshots
+        self._watched = watched
         self._reports = {}
 
     def run(self, stopping):
@@ -119,7 +122,7 @@
         if configuration is None:
             return
         self._swap(configuration)
-        for target in self._snapshots.targets.all:
+        for target in self._watched(self._snapshots.targets):
             if target.kind.value == "engine":
                 self._read_report(target.address)
         self._swap(configuration)
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -12,6 +12,7 @@
 from apricotseam.host._children import ConfigurationChild
 from apricotseam.host._children import ListenerChild
 from apricotseam.host._children import TargetsChild
+from apricotseam.host._loads import LoadsChild
 from apricotseam.host._snapshots import Snapshots
 from apricotseam.operators import build_operators_application
 from apricotseam.operators import OperatorContext
@@ -19,7 +20,10 @@
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
 from apricotseam.platform import HttpModelEngine
-from apricotseam.routing import RandomChooser
+from apricotseam.routing import build_chooser
+from apricotseam.routing import LinkDistances
+from apricotseam.routing import ObservedEngine
+from apricotseam.routing import RetryPolicy
 from apricotseam.supervision import Supervisor
 from apricotseam.web import HttpClient
 from apricotseam.web import Listener
@@ -43,7 +47,20 @@
         self._ended = threading.Event()
         self.snapshots = Snapshots(settings)
         http = HttpClient()
-        engine = HttpModelEngine(http)
+        chooser = build_chooser(
+            settings.choice,
+            host=settings.host,
+            zone=settings.availability_zone,
+            clock=self._clock,
+            distances=LinkDistances(lambda: self.snapshots.configuration),
+            hosts=self.snapshots.count_entry_hosts,
+        )
+        engine = ObservedEngine(
+            HttpModelEngine(http),
+            chooser,
+            self._clock,
+            settings.bounds.report_lag_seconds,
+        )
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
         runner = ChainRunner(
@@ -56,8 +73,9 @@
             runner=runner,
             snapshots=self.snapshots,
             admission=OpenAdmission(),
-            chooser=RandomChooser(),
+            chooser=chooser,
             execution=DirectExecution(),
+            retries=RetryPolicy(self._clock),
         )
         operators = OperatorContext(
             settings, self._clock, store, self.snapshots, self.request_stop
@@ -67,7 +85,10 @@
             settings.host,
             [
                 ConfigurationChild(store, self.snapshots),
-                TargetsChild(host_list, engine, self.snapshots),
+                TargetsChild(
+                    host_list, engine, self.snapshots, chooser.watched
+                ),
+                LoadsChild(http, engine, chooser, self.snapshots, self._clock),
                 ListenerChild("operators", self._operators(operators)),
                 ListenerChild("callers", self._callers(callers)),
             ],
--- a/apricotseam/host/_snapshots.py
+++ b/apricotseam/host/_snapshots.py
@@ -29,15 +29,15 @@
         """Return the callers' addresses of entry hosts, nearest first."""
         zone = self._settings.availability_zone
         own = self._settings.callers_address
-        hosts = [
-            host
-            for host in self.listed.values()
-            if host.role == "entry" and host.state == LIVE
-        ]
+        hosts = self._live_hosts()
         hosts.sort(key=lambda h: (h.availability_zone != zone, h.address))
         addresses = [host.address for host in hosts]
         return addresses or [own]
 
+    def count_entry_hosts(self):
+        """Return the number of live entry hosts, at least 1."""
+        return max(1, len(self._live_hosts()))
+
     def host_statuses(self):
         """Return the `HostStatus` of each known entry host."""
         revision = self.configuration.revision if self.configuration else 0
@@ -50,3 +50,10 @@
                 revision=revision,
             )
         ]
+
+    def _live_hosts(self):
+        return [
+            host
+            for host in self.listed.values()
+            if host.role == "entry" and host.state == LIVE
+        ]
--- a/apricotseam/routing/__init__.py
+++ b/apricotseam/routing/__init__.py
@@ -1,17 +1,43 @@
 """Targets and the choice between them."""
 
+from apricotseam.routing._baselines import LeastReportedChooser
+from apricotseam.routing._baselines import RandomChooser
+from apricotseam.routing._baselines import RoundRobinChooser
+from apricotseam.routing._build import build_chooser
 from apricotseam.routing._chooser import Chooser
 from apricotseam.routing._chooser import Demand
-from apricotseam.routing._chooser import RandomChooser
+from apricotseam.routing._chooser import TargetLoad
+from apricotseam.routing._distance import LinkDistances
+from apricotseam.routing._ejection import OutlierEjector
+from apricotseam.routing._least_cost import LeastCostChooser
 from apricotseam.routing._merge import merge_targets
+from apricotseam.routing._observed import ObservedEngine
+from apricotseam.routing._prefixes import PrefixTable
+from apricotseam.routing._retry import RetryBudget
+from apricotseam.routing._retry import RetryPolicy
+from apricotseam.routing._subset import choose_subset
+from apricotseam.routing._subset import rendezvous_score
 from apricotseam.routing._table import TargetState
 from apricotseam.routing._table import TargetTable
 
 __all__ = [
     "Chooser",
     "Demand",
+    "LeastCostChooser",
+    "LeastReportedChooser",
+    "LinkDistances",
+    "ObservedEngine",
+    "OutlierEjector",
+    "PrefixTable",
     "RandomChooser",
+    "RetryBudget",
+    "RetryPolicy",
+    "RoundRobinChooser",
+    "TargetLoad",
     "TargetState",
     "TargetTable",
+    "build_chooser",
+    "choose_subset",
     "merge_targets",
+    "rendezvous_score",
 ]
--- a/apricotseam/routing/_chooser.py
+++ b/apricotseam/routing/_chooser.py
@@ -1,12 +1,10 @@
-"""Interface of the choice of targets and the random baseline."""
+"""Interface of the choice of targets and what it chooses among."""
 
 import abc
-import random
 
 import msgspec
 
 from apricotseam.errors import NoTargetError
-from apricotseam.pipelines import enumerate_chains
 from apricotseam.pipelines import Stage
 
 
@@ -15,7 +13,8 @@
 
     ``prefix`` is a digest of the prompt's beginning, kept apart by
     customer unless the pipeline shares it; ``excluded`` names targets
-    that this request must not use again.
+    that this request must not use again. ``tokens`` bounds the answer,
+    ``prompt_tokens`` is the length of the prompt.
     """
 
     scope: str
@@ -23,11 +22,25 @@
     customer: str
     prefix: str = ""
     tokens: int = 1
+    prompt_tokens: int = 0
     excluded: frozenset[str] = frozenset()
 
 
+class TargetLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Load that a target reported, and when it was read."""
+
+    running: int
+    max_batch: int
+    step_seconds: float
+    read_at: float
+
+
 class Chooser(abc.ABC):
-    """Chooses chains and targets from a target table."""
+    """Chooses chains and targets from a target table.
+
+    The feedback calls tell it what became of its choices; a chooser that
+    needs none ignores them.
+    """
 
     @abc.abstractmethod
     def choose_chain(self, table, model, demand):
@@ -49,45 +62,55 @@
             If no target is usable.
         """
 
+    def started(self, address):
+        """Note that a stream or call began at a target."""
 
-class RandomChooser(Chooser):
-    """Chooses evenly at random; a baseline.
+    def ended(self, address):
+        """Note that a stream or call ended at a target."""
 
-    Parameters
-    ----------
-    generator : random.Random, optional
-        Source of random numbers.
-    """
+    def observed(self, address, is_success, seconds):
+        """Note the result of one step or call and how long it took."""
 
-    def __init__(self, generator=None):
-        self._random = generator or random.Random()
+    def reported(self, address, load):
+        """Note the `TargetLoad` that a target reported."""
 
-    def choose_chain(self, table, model, demand):
-        """Return any chain that covers the model."""
-        chains = enumerate_chains(
-            model, model.serving, usable_stages(table, model, demand)
-        )
-        if not chains:
-            raise no_chain(model)
-        return self._random.choice(chains)
+    def cached(self, address, events):
+        """Note `CacheEvent` records of an engine."""
 
-    def choose_target(self, table, demand):
-        """Return any usable target."""
-        targets = usable_targets(table, demand)
-        return self._random.choice(targets)
+    def sent(self, address, prefix):
+        """Note that a prefix was sent to an engine."""
+
+    def event_sequence(self, address):
+        """Return the number of the last cache event of an engine."""
+        return 0
+
+    def watched(self, table):
+        """Return the targets whose reports and events matter here."""
+        return [t for t in table.all if not t.leaving]
 
 
 def usable_stages(table, model, demand):
     """Return stages of the serving version that may get new work."""
     return [
-        Stage(t.name, t.address, t.availability_zone, t.first, t.last)
-        for t in table.usable(demand.scope, demand.group)
-        if t.first is not None
-        and t.version == model.serving
-        and t.name not in demand.excluded
+        stage_of(target)
+        for target in table.usable(demand.scope, demand.group)
+        if target.first is not None
+        and target.version == model.serving
+        and target.name not in demand.excluded
     ]
 
 
+def stage_of(target):
+    """Return the `Stage` that a target runs."""
+    return Stage(
+        target.name,
+        target.address,
+        target.availability_zone,
+        target.first,
+        target.last,
+    )
+
+
 def usable_targets(table, demand):
     """Return targets that may get new work.
 
@@ -102,14 +125,19 @@
         if target.name not in demand.excluded
     ]
     if not targets:
-        raise NoTargetError(
-            f"no target of group {demand.group!r} is up",
-            "try again later",
-            retry_after=1,
-        )
+        raise no_target(demand)
     return targets
 
 
+def no_target(demand):
+    """Return the error for a group without a usable target."""
+    return NoTargetError(
+        f"no target of group {demand.group!r} is up",
+        "try again later",
+        retry_after=1,
+    )
+
+
 def no_chain(model):
     """Return the error for a model that no chain covers."""
     return NoTargetError(
--- a/apricotseam/routing/_table.py
+++ b/apricotseam/routing/_table.py
@@ -34,21 +34,27 @@
         All targets.
     """
 
-    __slots__ = ("_by_group", "_by_name")
+    __slots__ = ("_by_address", "_by_group", "_by_name")
 
     def __init__(self, targets=()):
         self._by_group = {}
         self._by_name = {}
+        self._by_address = {}
         for target in targets:
             key = (target.scope, target.group)
             self._by_group.setdefault(key, []).append(target)
             self._by_name[(target.scope, target.name)] = target
+            self._by_address[target.address] = target
 
     @property
     def all(self):
         """All targets."""
         return list(self._by_name.values())
 
+    def find(self, address):
+        """Return the target at an address, or None."""
+        return self._by_address.get(address)
+
     def group(self, scope, group):
         """Return the targets of a group."""
         return self._by_group.get((scope, group), [])
