Admit by priority, fair share and adaptive concurrency for each pool

Cause: every request was admitted at once, so that a rush stopped the portal and a large customer a small one. Change: FairAdmission keeps for each group of targets a pure scheduler: ranks with an aging share, weighted classes and customers by virtual time, bounds in count and bytes, refusal at once of what cannot meet its deadline, and a bound on requests in progress that follows latency.

--- a/apricotseam/admission/_admission.py
+++ b/apricotseam/admission/_admission.py
@@ -55,6 +55,9 @@
             If a queue is full or the deadline cannot be met.
         """
 
+    def observed(self, address, is_success, seconds):
+        """Note how long a call to a target took."""
+
 
 class OpenAdmission(Admission):
     """Admits every request at once."""
--- a/apricotseam/callers/_services.py
+++ b/apricotseam/callers/_services.py
@@ -109,7 +109,8 @@
         finally:
             seconds = self._context.clock.monotonic() - begun
             chooser.ended(target.address)
-            chooser.observed(target.address, is_success, seconds)
+            for observer in (chooser, self._context.admission):
+                observer.observed(target.address, is_success, seconds)
         return Response(
             answer.status,
             answer.body,
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-from apricotseam.admission import OpenAdmission
+from apricotseam.admission import FairAdmission
 from apricotseam.callers import build_callers_application
 from apricotseam.callers import CallerContext
 from apricotseam.clock import SystemClock
@@ -21,6 +21,7 @@
 from apricotseam.platform import HttpHostList
 from apricotseam.platform import HttpModelEngine
 from apricotseam.routing import build_chooser
+from apricotseam.routing import count_retry
 from apricotseam.routing import LinkDistances
 from apricotseam.routing import ObservedEngine
 from apricotseam.routing import RetryPolicy
@@ -55,11 +56,18 @@
             distances=LinkDistances(lambda: self.snapshots.configuration),
             hosts=self.snapshots.count_entry_hosts,
         )
+        admission = FairAdmission(
+            settings.bounds,
+            self._clock,
+            table=lambda: self.snapshots.targets,
+            hosts=self.snapshots.count_entry_hosts,
+        )
         engine = ObservedEngine(
             HttpModelEngine(http),
             chooser,
             self._clock,
             settings.bounds.report_lag_seconds,
+            admission.observed,
         )
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
@@ -72,10 +80,10 @@
             http=http,
             runner=runner,
             snapshots=self.snapshots,
-            admission=OpenAdmission(),
+            admission=admission,
             chooser=chooser,
             execution=DirectExecution(),
-            retries=RetryPolicy(self._clock),
+            retries=RetryPolicy(self._clock, on_retry=count_retry),
         )
         operators = OperatorContext(
             settings, self._clock, store, self.snapshots, self.request_stop
--- a/apricotseam/routing/__init__.py
+++ b/apricotseam/routing/__init__.py
@@ -11,6 +11,8 @@
 from apricotseam.routing._ejection import OutlierEjector
 from apricotseam.routing._least_cost import LeastCostChooser
 from apricotseam.routing._merge import merge_targets
+from apricotseam.routing._metrics import count_retry
+from apricotseam.routing._metrics import pool_label
 from apricotseam.routing._observed import ObservedEngine
 from apricotseam.routing._prefixes import PrefixTable
 from apricotseam.routing._retry import RetryBudget
@@ -38,6 +40,8 @@
     "TargetTable",
     "build_chooser",
     "choose_subset",
+    "count_retry",
     "merge_targets",
+    "pool_label",
     "rendezvous_score",
 ]
--- a/apricotseam/routing/_ejection.py
+++ b/apricotseam/routing/_ejection.py
@@ -4,6 +4,10 @@
 
 import msgspec
 
+from apricotseam.routing._metrics import EJECTED
+from apricotseam.routing._metrics import EJECTIONS
+from apricotseam.routing._metrics import pool_label
+
 MAX_TARGETS = 4096
 FAILURES_TO_EJECT = 3
 MAX_EJECTED_SHARE = 0.34
@@ -119,6 +123,8 @@
             if self._ejected[pool] < allowed:
                 circuit.is_ejected = True
                 self._ejected[pool] += 1
+                EJECTIONS.labels(pool_label(*pool)).inc()
+                EJECTED.labels(pool_label(*pool)).inc()
                 self._extend(circuit, now)
 
     def _extend(self, circuit, now):
@@ -132,6 +138,7 @@
     def _readmit(self, circuit):
         circuit.is_ejected = False
         self._ejected[circuit.pool] -= 1
+        EJECTED.labels(pool_label(*circuit.pool)).dec()
         if not self._ejected[circuit.pool]:
             del self._ejected[circuit.pool]
 
--- a/apricotseam/routing/_merge.py
+++ b/apricotseam/routing/_merge.py
@@ -56,6 +56,8 @@
         version=report.version if report else None,
         queued_steps=report.queued_steps if report else 0,
         running_streams=report.running_streams if report else 0,
+        max_batch=report.max_batch if report else 0,
+        step_seconds=report.step_seconds if report else 0.0,
     )
 
 
@@ -77,4 +79,6 @@
         version=report.version if report else None,
         queued_steps=report.queued_steps if report else 0,
         running_streams=report.running_streams if report else 0,
+        max_batch=report.max_batch if report else 0,
+        step_seconds=report.step_seconds if report else 0.0,
     )
--- a/apricotseam/routing/_observed.py
+++ b/apricotseam/routing/_observed.py
@@ -9,6 +9,7 @@
 
 MAX_STREAMS = 8192
 IDLE_STREAM_SECONDS = 10.0
+SAMPLE_SECONDS = 0.05
 
 
 class ObservedEngine(ModelEngine):
@@ -40,6 +41,7 @@
         self._on_step = on_step or (lambda address, ok, seconds: None)
         self._lock = threading.Lock()
         self._streams = collections.OrderedDict()
+        self._sample_deadlines = {}
 
     def run_steps(self, address, steps, deadline):
         """Run a batch of steps and return one `StepResult` each."""
@@ -97,6 +99,9 @@
 
     def _note_step(self, address, step, now):
         key = (address, step.stream)
+        known = self._streams.get(key)
+        if known is not None and known - now > IDLE_STREAM_SECONDS / 2:
+            return
         with self._lock:
             is_new = key not in self._streams
             self._streams[key] = now + IDLE_STREAM_SECONDS
@@ -126,6 +131,14 @@
             self._chooser.ended(key[0])
 
     def _note_result(self, address, is_success, before):
-        seconds = self._clock.monotonic() - before
+        """Tell of every failure and of a sample of successes."""
+        now = self._clock.monotonic()
+        if is_success:
+            if now < self._sample_deadlines.get(address, 0.0):
+                return
+            if len(self._sample_deadlines) > MAX_STREAMS:
+                self._sample_deadlines.clear()
+            self._sample_deadlines[address] = now + SAMPLE_SECONDS
+        seconds = now - before
         self._chooser.observed(address, is_success, seconds)
         self._on_step(address, is_success, seconds)
--- a/apricotseam/routing/_table.py
+++ b/apricotseam/routing/_table.py
@@ -22,6 +22,8 @@
     version: str | None = None
     queued_steps: int = 0
     running_streams: int = 0
+    max_batch: int = 0
+    step_seconds: float = 0.0
     report_deadline: float = 0.0
 
 
