--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-from apricotseam.admission import OpenAdmission
+from apricotseam.admission import FairAdmission
 from apricotseam.callers import build_callers_application
 from apricotseam.callers import CallerContext
 from apricotseam.clock import SystemClock
@@ -12,6 +12,7 @@
 from apricotseam.host._children import ConfigurationChild
 from apricotseam.host._children import ListenerChild
 from apricotseam.host._children import TargetsChild
+from apricotseam.host._loads import LoadsChild
 from apricotseam.host._snapshots import Snapshots
 from apricotseam.host._tls import HostTls
 from apricotseam.operators import build_operators_application
@@ -20,7 +21,11 @@
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
 from apricotseam.platform import HttpModelEngine
-from apricotseam.routing import RandomChooser
+from apricotseam.routing import build_chooser
+from apricotseam.routing import count_retry
+from apricotseam.routing import LinkDistances
+from apricotseam.routing import ObservedEngine
+from apricotseam.routing import RetryPolicy
 from apricotseam.supervision import Supervisor
 from apricotseam.web import HttpClient
 from apricotseam.web import Listener
@@ -45,7 +50,27 @@
         self.snapshots = Snapshots(settings)
         self._tls = HostTls(settings)
         http = HttpClient(tls=self._tls.platform_context)
-        engine = HttpModelEngine(http)
+        chooser = build_chooser(
+            settings.choice,
+            host=settings.host,
+            zone=settings.availability_zone,
+            clock=self._clock,
+            distances=LinkDistances(lambda: self.snapshots.configuration),
+            hosts=self.snapshots.count_entry_hosts,
+        )
+        admission = FairAdmission(
+            settings.bounds,
+            self._clock,
+            table=lambda: self.snapshots.targets,
+            hosts=self.snapshots.count_entry_hosts,
+        )
+        engine = ObservedEngine(
+            HttpModelEngine(http),
+            chooser,
+            self._clock,
+            settings.bounds.report_lag_seconds,
+            admission.observed,
+        )
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
         runner = ChainRunner(
@@ -57,9 +82,10 @@
             http=http,
             runner=runner,
             snapshots=self.snapshots,
-            admission=OpenAdmission(),
-            chooser=RandomChooser(),
+            admission=admission,
+            chooser=chooser,
             execution=DirectExecution(),
+            retries=RetryPolicy(self._clock, on_retry=count_retry),
         )
         operators = OperatorContext(
             settings, self._clock, store, self.snapshots, self.request_stop
@@ -70,7 +96,10 @@
             [
                 self._tls,
                 ConfigurationChild(store, self.snapshots),
-                TargetsChild(host_list, engine, self.snapshots),
+                TargetsChild(
+                    host_list, engine, self.snapshots, chooser.watched
+                ),
+                LoadsChild(http, engine, chooser, self.snapshots, self._clock),
                 ListenerChild("operators", self._operators(operators)),
                 ListenerChild("callers", self._callers(callers)),
             ],
