Run the membership of hosts over the transport between them

Cause: hosts knew each other only through the host list, and nothing listened on the peers' address. The transport bounds messages, streams and connections and checks senders.

--- a/apricotseam/demo/_system.py
+++ b/apricotseam/demo/_system.py
@@ -115,6 +115,7 @@
                 address=settings.callers_address,
                 role="entry",
                 availability_zone=zone,
+                peers_address=settings.peers_address,
             )
         )
         return entry
--- a/apricotseam/host/_children.py
+++ b/apricotseam/host/_children.py
@@ -41,6 +41,38 @@
         self._listener.stop()
 
 
+class PeersChild(Child):
+    """Runs the control loop and the transport between hosts.
+
+    Parameters
+    ----------
+    loop : ControlLoop
+        Loop of the control path.
+    transport : PeerTransport
+        Messages between hosts.
+    """
+
+    name = "peers"
+
+    def __init__(self, loop, transport):
+        self._loop = loop
+        self._transport = transport
+
+    def start(self):
+        """Start the loop and listen."""
+        self._loop.start()
+        self._transport.start()
+
+    def run(self, stopping):
+        """Wait for the end; the loop has its own thread."""
+        stopping.wait()
+
+    def stop(self):
+        """Close the listener and end the loop."""
+        self._transport.stop()
+        self._loop.stop()
+
+
 class ConfigurationChild(Child):
     """Follows the configuration root in the key-value service.
 
@@ -92,11 +124,14 @@
         Gives the engines' reports.
     snapshots : Snapshots
         Where the table is put.
+    membership : MembershipChild
+        Takes the peers' addresses of the list as seeds.
     """
 
     name = "targets"
 
-    def __init__(self, host_list, engine, snapshots):
+    def __init__(self, host_list, engine, snapshots, membership):
+        self._membership = membership
         self._host_list = host_list
         self._engine = engine
         self._snapshots = snapshots
@@ -113,6 +148,9 @@
         try:
             hosts = self._host_list.read()
             self._snapshots.listed = {host.address: host for host in hosts}
+            self._membership.set_seeds(
+                host.peers_address for host in hosts if host.peers_address
+            )
         except ApricotseamError as error:
             _LOG.warning("host_list_not_read", extra={"code": error.code})
         configuration = self._snapshots.configuration
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -1,5 +1,6 @@
 """An entry host: all parts of one process under one supervisor."""
 
+import random
 import threading
 import time
 
@@ -11,10 +12,17 @@
 from apricotseam.execution import DirectExecution
 from apricotseam.host._children import ConfigurationChild
 from apricotseam.host._children import ListenerChild
+from apricotseam.host._children import PeersChild
 from apricotseam.host._children import TargetsChild
 from apricotseam.host._snapshots import Snapshots
+from apricotseam.membership import Member
+from apricotseam.membership import Membership
+from apricotseam.membership import MembershipChild
 from apricotseam.operators import build_operators_application
 from apricotseam.operators import OperatorContext
+from apricotseam.peers import ControlLoop
+from apricotseam.peers import peer_tls_context
+from apricotseam.peers import PeerTransport
 from apricotseam.pipelines import ChainRunner
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
@@ -24,6 +32,8 @@
 from apricotseam.web import HttpClient
 from apricotseam.web import Listener
 
+MILLISECONDS = 1000
+
 
 class EntryHost:
     """Builds and runs the parts of one entry host.
@@ -63,11 +73,23 @@
             settings, self._clock, store, self.snapshots, self.request_stop
         )
         host_list = HttpHostList(http, settings.host_list)
+        loop = ControlLoop()
+        self.transport = PeerTransport(
+            loop,
+            settings.peers_address,
+            int(self._clock.wall() * MILLISECONDS),
+            peer_tls_context(settings.peer_tls),
+        )
+        self.membership = self._membership(loop)
         self._supervisor = Supervisor(
             settings.host,
             [
+                PeersChild(loop, self.transport),
+                self.membership,
                 ConfigurationChild(store, self.snapshots),
-                TargetsChild(host_list, engine, self.snapshots),
+                TargetsChild(
+                    host_list, engine, self.snapshots, self.membership
+                ),
                 ListenerChild("operators", self._operators(operators)),
                 ListenerChild("callers", self._callers(callers)),
             ],
@@ -97,6 +119,34 @@
         seconds = self.settings.bounds.stop_timeout_seconds
         return self._supervisor.stop(time.monotonic() + seconds)
 
+    def _membership(self, loop):
+        settings = self.settings
+        own = Member(
+            name=settings.host,
+            peers_address=settings.peers_address,
+            callers_address=settings.callers_address,
+            operators_address=settings.operators_address,
+            availability_zone=settings.availability_zone,
+            incarnation=self.transport.incarnation,
+        )
+        membership = Membership(own, random.Random(), self._clock.monotonic())
+        child = MembershipChild(
+            loop,
+            self.transport,
+            membership,
+            self._clock,
+            self._take_members,
+        )
+        child.follow(self._facts, lambda address, revision: None)
+        return child
+
+    def _take_members(self, table):
+        self.snapshots.members = table
+
+    def _facts(self):
+        configuration = self.snapshots.configuration
+        return (configuration.revision if configuration else 0, 0)
+
     def _callers(self, context):
         bounds = self.settings.bounds
         return Listener(
--- a/apricotseam/host/_snapshots.py
+++ b/apricotseam/host/_snapshots.py
@@ -1,7 +1,11 @@
 """Immutable snapshots that the control path swaps as a whole."""
 
+import random
+
+from apricotseam.membership import MemberTable
+from apricotseam.membership import order_addresses
 from apricotseam.operators import HostStatus
-from apricotseam.platform import LIVE
+from apricotseam.platform import LEAVING
 from apricotseam.routing import TargetTable
 
 
@@ -17,36 +21,56 @@
         Settings of the process.
     """
 
-    __slots__ = ("_settings", "configuration", "listed", "targets")
+    __slots__ = (
+        "_random",
+        "_settings",
+        "configuration",
+        "listed",
+        "members",
+        "targets",
+    )
 
     def __init__(self, settings):
         self._settings = settings
         self.configuration = None
         self.listed = {}
+        self.members = MemberTable()
+        self._random = random.Random()
         self.targets = TargetTable()
 
     def callers_addresses(self):
-        """Return the callers' addresses of entry hosts, nearest first."""
-        zone = self._settings.availability_zone
-        own = self._settings.callers_address
-        hosts = [
-            host
+        """Return the callers' addresses of entry hosts, best first."""
+        settings = self._settings
+        leaving = {
+            host.address
             for host in self.listed.values()
-            if host.role == "entry" and host.state == LIVE
+            if host.state == LEAVING
+        }
+        members = [
+            member
+            for member in self.members.live()
+            if member.callers_address not in leaving
         ]
-        hosts.sort(key=lambda h: (h.availability_zone != zone, h.address))
-        addresses = [host.address for host in hosts]
-        return addresses or [own]
+        addresses = order_addresses(
+            members, settings.availability_zone, self._random
+        )
+        return addresses or [settings.callers_address]
 
     def host_statuses(self):
         """Return the `HostStatus` of each known entry host."""
+        own = self._settings.peers_address
         revision = self.configuration.revision if self.configuration else 0
         return [
             HostStatus(
-                name=self._settings.host,
-                address=self._settings.callers_address,
-                availability_zone=self._settings.availability_zone,
-                state=LIVE,
-                revision=revision,
+                name=member.name,
+                address=member.callers_address,
+                availability_zone=member.availability_zone,
+                state=member.state.value,
+                revision=(
+                    revision
+                    if member.peers_address == own
+                    else member.revision
+                ),
             )
+            for member in self.members.all
         ]
--- /dev/null
+++ b/apricotseam/membership/_messages.py
@@ -0,0 +1,71 @@
+"""Messages of the membership protocol."""
+
+import msgspec
+
+from apricotseam.membership._member import Member
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True):
+    """Probe of a member, with changed records."""
+
+    number: int
+    revision: int
+    records: list[Member] = []
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True):
+    """Answer to a `Ping`, directly or through a relay."""
+
+    number: int
+    revision: int
+    records: list[Member] = []
+
+
+class PingRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Request to probe another member on behalf of the sender."""
+
+    number: int
+    address: str
+
+
+class Sync(msgspec.Struct, frozen=True, array_like=True):
+    """Records of a range of addresses, to be compared by the receiver.
+
+    ``after`` is the address before the range and ``last`` its end; an
+    empty ``last`` means the end of the table.
+    """
+
+    after: str
+    last: str
+    records: list[Member]
+
+
+class SyncAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Newer records than those of a `Sync`."""
+
+    records: list[Member]
+
+
+class TableRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Request for one page of the table, past an address."""
+
+    after: str
+
+
+class TablePage(msgspec.Struct, frozen=True, array_like=True):
+    """One page of the table; an empty ``last`` means its end."""
+
+    after: str
+    last: str
+    records: list[Member]
+
+
+MESSAGE_TYPES = (
+    Ping,
+    Ack,
+    PingRequest,
+    Sync,
+    SyncAnswer,
+    TableRequest,
+    TablePage,
+)
--- /dev/null
+++ b/apricotseam/membership/_ring.py
@@ -0,0 +1,54 @@
+"""Ring of members that fixes with whom each one keeps contact."""
+
+import hashlib
+
+SUCCESSORS = 3
+
+
+def ring_position(address):
+    """Return the position of an address on the ring.
+
+    Examples
+    --------
+    >>> ring_position("127.0.0.1:1") == ring_position("127.0.0.1:1")
+    True
+    """
+    digest = hashlib.blake2b(address.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def choose_partners(ring, position):
+    """Return indices of the partners of one place on a ring.
+
+    The partners are the next few places and those at distances that are
+    powers of two, so their number grows with the logarithm of the ring
+    and a fact reaches every place in as many hops.
+
+    Parameters
+    ----------
+    ring : int
+        Number of places.
+    position : int
+        Index of the place.
+
+    Returns
+    -------
+    list of int
+
+    Examples
+    --------
+    >>> choose_partners(8, 0)
+    [1, 2, 3, 4]
+    >>> len(choose_partners(2200, 5))
+    13
+    """
+    distances = set(range(1, SUCCESSORS + 1))
+    step = 1
+    while step < ring:
+        distances.add(step)
+        step *= 2
+    return [
+        (position + distance) % ring
+        for distance in sorted(distances)
+        if distance < ring
+    ]
--- a/apricotseam/peers/__init__.py
+++ b/apricotseam/peers/__init__.py
@@ -1,17 +1,21 @@
 """Typed messages between hosts."""
 
+from apricotseam.peers._errors import PeerAnswerLostError
+from apricotseam.peers._errors import PeerMessageError
+from apricotseam.peers._errors import PeerUnreachableError
 from apricotseam.peers._loop import ControlLoop
+from apricotseam.peers._tls import peer_tls_context
 from apricotseam.peers._transport import Nothing
-from apricotseam.peers._transport import PeerAnswerLostError
 from apricotseam.peers._transport import PeerTransport
-from apricotseam.peers._transport import PeerUnreachableError
 from apricotseam.peers._transport import Traffic
 
 __all__ = [
     "ControlLoop",
     "Nothing",
     "PeerAnswerLostError",
+    "PeerMessageError",
     "PeerTransport",
     "PeerUnreachableError",
     "Traffic",
+    "peer_tls_context",
 ]
--- /dev/null
+++ b/apricotseam/peers/_channels.py
@@ -0,0 +1,84 @@
+"""Bounded set of connections to other hosts."""
+
+import asyncio
+import collections
+
+import grpclib.client
+import grpclib.config
+
+from apricotseam.peers._errors import PeerUnreachableError
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+MAX_CHANNELS = 48
+WINDOW_BYTES = 1 << 20
+
+
+def make_configuration():
+    """Return the `grpclib` configuration of both sides."""
+    return grpclib.config.Configuration(
+        http2_connection_window_size=WINDOW_BYTES,
+        http2_stream_window_size=WINDOW_BYTES,
+    )
+
+
+class Channels:
+    """Connections by address; the least recently used one is closed.
+
+    Parameters
+    ----------
+    make_context : callable
+        Returns the `ssl.SSLContext` of a client, or None.
+    """
+
+    def __init__(self, make_context):
+        self._make_context = make_context
+        self._channels = collections.OrderedDict()
+
+    def __len__(self):
+        return len(self._channels)
+
+    async def connect(self, address, timeout):
+        """Return a connected channel.
+
+        Raises
+        ------
+        PeerUnreachableError
+            If no connection could be made.
+        """
+        channel = self._channels.get(address)
+        if channel is None:
+            host, port = address.rsplit(":", 1)
+            channel = grpclib.client.Channel(
+                host,
+                int(port),
+                ssl=self._make_context(),
+                config=make_configuration(),
+            )
+            self._channels[address] = channel
+            self._close_oldest()
+        self._channels.move_to_end(address)
+        try:
+            await asyncio.wait_for(
+                channel.__connect__(), min(timeout, CONNECT_TIMEOUT_SECONDS)
+            )
+        except (OSError, asyncio.TimeoutError):
+            self.close(address)
+            raise PeerUnreachableError(
+                f"no connection to peer {address}", "try another host"
+            ) from None
+        return channel
+
+    def close(self, address):
+        """Close the connection to an address if there is one."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def close_all(self):
+        """Close all connections."""
+        for address in list(self._channels):
+            self.close(address)
+
+    def _close_oldest(self):
+        if len(self._channels) > MAX_CHANNELS:
+            self.close(next(iter(self._channels)))
--- a/apricotseam/peers/_loop.py
+++ b/apricotseam/peers/_loop.py
@@ -29,7 +29,12 @@
         TimeoutError
             If it takes longer than `timeout` seconds.
         """
-        return self.submit(coroutine).result(timeout)
+        future = self.submit(coroutine)
+        try:
+            return future.result(timeout)
+        except TimeoutError:
+            future.cancel()
+            raise
 
     def stop(self):
         """Stop the loop and end its thread."""
--- /dev/null
+++ b/apricotseam/peers/_servant.py
@@ -0,0 +1,77 @@
+"""Server side of the calls between hosts."""
+
+import logging
+
+import grpclib.const
+import grpclib.exceptions
+
+from apricotseam.peers._errors import PeerMessageError
+from apricotseam.peers import _peers_grpc
+
+_LOG = logging.getLogger(__name__)
+
+MAX_OPEN_STREAMS = 256
+
+
+class Servant(_peers_grpc.PeersBase):
+    """Checks the sender of each message and dispatches it.
+
+    Parameters
+    ----------
+    dispatch : callable
+        Coroutine function that takes an envelope and returns its answer.
+    """
+
+    def __init__(self, dispatch):
+        self._dispatch = dispatch
+        self._open_streams = 0
+
+    async def Ask(self, stream):
+        """Answer one question."""
+        envelope = await stream.recv_message()
+        answer = await self._answer(stream, envelope)
+        if answer is None:
+            raise grpclib.exceptions.GRPCError(
+                grpclib.const.Status.INVALID_ARGUMENT
+            )
+        await stream.send_message(answer)
+
+    async def Exchange(self, stream):
+        """Take one-way messages until the sender ends the stream."""
+        if self._open_streams >= MAX_OPEN_STREAMS:
+            raise grpclib.exceptions.GRPCError(
+                grpclib.const.Status.RESOURCE_EXHAUSTED
+            )
+        self._open_streams += 1
+        try:
+            async for envelope in stream:
+                await self._answer(stream, envelope)
+        finally:
+            self._open_streams -= 1
+
+    async def _answer(self, stream, envelope):
+        try:
+            _check_sender(stream, envelope)
+            return await self._dispatch(envelope)
+        except Exception as error:
+            _LOG.debug(
+                "peer_message_refused",
+                extra={
+                    "kind": envelope.kind if envelope else "",
+                    "reason": type(error).__name__,
+                },
+            )
+            return None
+
+
+def _check_sender(stream, envelope):
+    """Refuse an envelope whose sender is not at the connection's address."""
+    if envelope is None:
+        raise PeerMessageError("an empty call", "send one message")
+    peer = stream.peer.addr() if stream.peer is not None else None
+    claimed = envelope.sender.rsplit(":", 1)[0]
+    if not peer or claimed != peer[0]:
+        raise PeerMessageError(
+            f"a message of {claimed!r} came from another address",
+            "connect from the address that the host listens on",
+        )
--- a/apricotseam/peers/_transport.py
+++ b/apricotseam/peers/_transport.py
@@ -4,35 +4,28 @@
 import contextlib
 import logging
 
-import grpclib.client
-import grpclib.const
 import grpclib.exceptions
 import grpclib.server
 import msgspec
 
-from apricotseam.errors import OutcomeUnknownError
-from apricotseam.errors import RefusedError
+from apricotseam.peers._channels import Channels
+from apricotseam.peers._channels import CONNECT_TIMEOUT_SECONDS
+from apricotseam.peers._channels import make_configuration
+from apricotseam.peers._errors import PeerAnswerLostError
+from apricotseam.peers._errors import PeerMessageError
+from apricotseam.peers._errors import PeerUnreachableError
 from apricotseam.peers import _peers_grpc
 from apricotseam.peers import _peers_pb2
+from apricotseam.peers._servant import Servant
 
 _LOG = logging.getLogger(__name__)
 
 CALL_TIMEOUT_SECONDS = 2.0
-CONNECT_TIMEOUT_SECONDS = 1.0
+IDLE_STREAM_SECONDS = 30.0
+MAX_MESSAGE_BYTES = 1 << 20
 MAX_QUEUED_MESSAGES = 256
-MAX_OPEN_STREAMS = 64
-
-
-class PeerUnreachableError(RefusedError):
-    """No connection to the peer could be made; nothing was asked."""
-
-    code = "peer_unreachable"
-
-
-class PeerAnswerLostError(OutcomeUnknownError):
-    """The peer may have taken the question; its answer was lost."""
-
-    code = "peer_answer_lost"
+MAX_QUEUES = 128
+STOP_TIMEOUT_SECONDS = 2.0
 
 
 class Nothing(msgspec.Struct, frozen=True):
@@ -79,11 +72,12 @@
         self._loop = loop
         self._address = address
         self._incarnation = incarnation
-        self._tls_context = tls_context
+        self._tls_context = tls_context or (lambda side: None)
         self._types = {"Nothing": Nothing}
         self._handlers = {}
-        self._channels = {}
+        self._channels = Channels(lambda: self._tls_context("client"))
         self._queues = {}
+        self._pumps = set()
         self._server = None
         self.traffic = Traffic()
 
@@ -97,6 +91,14 @@
         """Incarnation of this process."""
         return self._incarnation
 
+    def renew_incarnation(self, incarnation):
+        """Take a higher incarnation than an earlier process had.
+
+        Needed only where the wall clock went back between two processes
+        at the same address.
+        """
+        self._incarnation = max(self._incarnation, incarnation)
+
     def handle(self, record_type, handler, answer_type=Nothing):
         """Give records of a type to a handler.
 
@@ -121,7 +123,7 @@
     def stop(self):
         """Close the listener and all connections."""
         with contextlib.suppress(Exception):
-            self._loop.run(self._stop(), CALL_TIMEOUT_SECONDS)
+            self._loop.run(self._stop(), STOP_TIMEOUT_SECONDS)
 
     def ask(self, address, record, timeout=CALL_TIMEOUT_SECONDS):
         """Ask a peer and wait for its answer (not on the control loop).
@@ -137,13 +139,17 @@
 
     async def ask_async(self, address, record, timeout=CALL_TIMEOUT_SECONDS):
         """Ask a peer and wait for its answer on the control loop."""
-        channel = await self._connected(address, timeout)
+        envelope = self._pack(record)
+        channel = await self._channels.connect(address, timeout)
         stub = _peers_grpc.PeersStub(channel)
         try:
-            answer = await stub.Ask(self._pack(record), timeout=timeout)
+            answer = await stub.Ask(envelope, timeout=timeout)
+            return self._unpack(answer)
         except (
             grpclib.exceptions.GRPCError,
             grpclib.exceptions.StreamTerminatedError,
+            msgspec.DecodeError,
+            PeerMessageError,
             OSError,
             asyncio.TimeoutError,
         ) as error:
@@ -151,69 +157,58 @@
                 f"peer {address} gave no answer ({type(error).__name__})",
                 "ask again if the question is idempotent",
             ) from None
-        return self._unpack(answer)
 
     def send(self, address, record):
         """Queue a one-way message; the oldest is dropped when full.
 
         Must be called on the control loop.
         """
+        envelope = self._pack(record)
         queue = self._queues.get(address)
         if queue is None:
+            if len(self._queues) >= MAX_QUEUES:
+                return
             queue = asyncio.Queue(MAX_QUEUED_MESSAGES)
             self._queues[address] = queue
-            task = asyncio.ensure_future(self._pump(address, queue))
-            task.add_done_callback(lambda _: self._queues.pop(address, None))
+            pump = asyncio.ensure_future(self._pump(address, queue))
+            self._pumps.add(pump)
+            pump.add_done_callback(self._pumps.discard)
         if queue.full():
             queue.get_nowait()
-        queue.put_nowait(self._pack(record))
+        queue.put_nowait(envelope)
 
     def forget(self, address):
-        """Close the connection to a peer that is gone."""
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+        """Close the connection to a peer that is gone.
+
+        Must be called on the control loop.
+        """
+        self._channels.close(address)
 
     async def _start(self):
         host, port = self._address.rsplit(":", 1)
-        self._server = grpclib.server.Server([_Servant(self)])
-        context = self._tls_context("server") if self._tls_context else None
+        self._server = grpclib.server.Server(
+            [Servant(self.dispatch)], config=make_configuration()
+        )
+        context = self._tls_context("server")
         await self._server.start(host, int(port), ssl=context)
 
     async def _stop(self):
-        for channel in self._channels.values():
-            channel.close()
-        self._channels.clear()
+        for pump in list(self._pumps):
+            pump.cancel()
+        self._channels.close_all()
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
 
-    async def _connected(self, address, timeout):
-        channel = self._channels.get(address)
-        if channel is None:
-            host, port = address.rsplit(":", 1)
-            context = None
-            if self._tls_context is not None:
-                context = self._tls_context("client")
-            channel = grpclib.client.Channel(host, int(port), ssl=context)
-            self._channels[address] = channel
-        try:
-            await asyncio.wait_for(
-                channel.__connect__(), min(timeout, CONNECT_TIMEOUT_SECONDS)
-            )
-        except (OSError, asyncio.TimeoutError):
-            raise PeerUnreachableError(
-                f"no connection to peer {address}", "try another host"
-            ) from None
-        return channel
-
     async def _pump(self, address, queue):
         try:
-            channel = await self._connected(address, CONNECT_TIMEOUT_SECONDS)
+            channel = await self._channels.connect(
+                address, CONNECT_TIMEOUT_SECONDS
+            )
             stub = _peers_grpc.PeersStub(channel)
             async with stub.Exchange.open() as stream:
-                while True:
-                    await stream.send_message(await queue.get())
+                await self._send_queued(stream, queue)
+                await stream.end()
         except (
             PeerUnreachableError,
             grpclib.exceptions.GRPCError,
@@ -221,9 +216,28 @@
             OSError,
         ):
             _LOG.debug("peer_stream_ended", extra={"peer": address})
+        finally:
+            if self._queues.get(address) is queue:
+                del self._queues[address]
+
+    async def _send_queued(self, stream, queue):
+        """Send what is queued until nothing comes for a while."""
+        while True:
+            try:
+                envelope = await asyncio.wait_for(
+                    queue.get(), IDLE_STREAM_SECONDS
+                )
+            except asyncio.TimeoutError:
+                return
+            await stream.send_message(envelope)
 
     def _pack(self, record):
         body = msgspec.msgpack.encode(record)
+        if len(body) > MAX_MESSAGE_BYTES:
+            raise PeerMessageError(
+                f"a message of {len(body)} bytes, {MAX_MESSAGE_BYTES} allowed",
+                "send it in pieces",
+            )
         self.traffic.messages_sent += 1
         self.traffic.bytes_sent += len(body)
         return _peers_pb2.Envelope(
@@ -237,9 +251,10 @@
         self.traffic.messages_received += 1
         self.traffic.bytes_received += len(envelope.body)
         record_type = self._types.get(envelope.kind)
-        if record_type is None:
-            raise PeerAnswerLostError(
-                f"an unknown kind of message, {envelope.kind!r}",
+        if record_type is None or len(envelope.body) > MAX_MESSAGE_BYTES:
+            raise PeerMessageError(
+                f"a message of kind {envelope.kind!r} with"
+                f" {len(envelope.body)} bytes",
                 "run the same version on all hosts",
             )
         return msgspec.msgpack.decode(envelope.body, type=record_type)
@@ -247,44 +262,13 @@
     async def dispatch(self, envelope):
         """Give one envelope to its handler and pack the answer."""
         record = self._unpack(envelope)
-        handler = self._handlers[envelope.kind]
+        handler = self._handlers.get(envelope.kind)
+        if handler is None:
+            raise PeerMessageError(
+                f"a message of kind {envelope.kind!r} that nobody takes",
+                "run the same version on all hosts",
+            )
         answer = handler(envelope.sender, record)
         if asyncio.iscoroutine(answer):
             answer = await answer
         return self._pack(Nothing() if answer is None else answer)
-
-
-class _Servant(_peers_grpc.PeersBase):
-    """Server side of the calls between hosts."""
-
-    def __init__(self, transport):
-        self._transport = transport
-
-    async def Ask(self, stream):
-        """Answer one question."""
-        envelope = await stream.recv_message()
-        try:
-            answer = await self._transport.dispatch(envelope)
-        except Exception as error:
-            _LOG.warning(
-                "peer_message_refused",
-                extra={"kind": envelope.kind, "reason": type(error).__name__},
-            )
-            raise grpclib.exceptions.GRPCError(
-                grpclib.const.Status.INVALID_ARGUMENT
-            ) from None
-        await stream.send_message(answer)
-
-    async def Exchange(self, stream):
-        """Take one-way messages until the sender ends the stream."""
-        async for envelope in stream:
-            try:
-                await self._transport.dispatch(envelope)
-            except Exception as error:
-                _LOG.warning(
-                    "peer_message_refused",
-                    extra={
-                        "kind": envelope.kind,
-                        "reason": type(error).__name__,
-                    },
-                )
--- /dev/null
+++ b/apricotseam/peers/tests/test_transport.py
@@ -0,0 +1,123 @@
+"""Tests of the messages between hosts over real sockets."""
+
+import socket
+import threading
+
+import grpclib.client
+import grpclib.exceptions
+import msgspec
+import pytest
+
+from apricotseam.peers import _peers_grpc
+from apricotseam.peers import _peers_pb2
+from apricotseam.peers._transport import MAX_MESSAGE_BYTES
+from apricotseam.peers import ControlLoop
+from apricotseam.peers import PeerAnswerLostError
+from apricotseam.peers import PeerMessageError
+from apricotseam.peers import PeerTransport
+from apricotseam.peers import PeerUnreachableError
+
+
+class Text(msgspec.Struct, frozen=True):
+    """A record for tests."""
+
+    text: str
+
+
+def free_address():
+    """Return a loopback address whose port is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@pytest.fixture
+def pair():
+    """Two transports on one loop, and what the second one was sent."""
+    loop = ControlLoop()
+    loop.start()
+    first = PeerTransport(loop, free_address(), 1)
+    second = PeerTransport(loop, free_address(), 2)
+    taken = []
+    arrived = threading.Event()
+
+    def take(sender, record):
+        if record.text == "fail":
+            raise ValueError(record.text)
+        taken.append((sender, record.text))
+        arrived.set()
+        return Text(record.text.upper())
+
+    first.handle(Text, lambda sender, record: None, Text)
+    second.handle(Text, take, Text)
+    first.start()
+    second.start()
+    yield loop, first, second, taken, arrived
+    first.stop()
+    second.stop()
+    loop.stop()
+
+
+def test_question_is_answered(pair):
+    _, first, second, taken, _ = pair
+    assert first.ask(second.address, Text("a")) == Text("A")
+    assert taken == [(first.address, "a")]
+
+
+def test_one_way_message_arrives(pair):
+    loop, first, second, taken, arrived = pair
+
+    async def send():
+        first.send(second.address, Text("b"))
+
+    loop.run(send())
+    assert arrived.wait(10)
+    assert taken == [(first.address, "b")]
+
+
+def test_failure_of_the_handler_is_a_lost_answer(pair):
+    _, first, second, _, _ = pair
+    with pytest.raises(PeerAnswerLostError):
+        first.ask(second.address, Text("fail"))
+    assert first.ask(second.address, Text("c")) == Text("C")
+
+
+def test_nobody_at_the_address_is_unreachable(pair):
+    _, first, _, _, _ = pair
+    with pytest.raises(PeerUnreachableError):
+        first.ask(free_address(), Text("a"))
+
+
+def test_message_over_the_bound_is_not_sent(pair):
+    _, first, second, taken, _ = pair
+    with pytest.raises(PeerMessageError):
+        first.ask(second.address, Text("x" * (MAX_MESSAGE_BYTES + 1)))
+    assert taken == []
+
+
+@pytest.mark.parametrize(
+    "sender, kind, body",
+    [
+        ("10.9.9.9:1", "Text", msgspec.msgpack.encode(Text("a"))),
+        ("127.0.0.1:1", "Unknown", b""),
+        ("127.0.0.1:1", "Text", b"\xc1"),
+        ("127.0.0.1:1", "Nothing", msgspec.msgpack.encode({})),
+        ("127.0.0.1:1", "Text", bytes(MAX_MESSAGE_BYTES + 1)),
+    ],
+)
+def test_forged_or_damaged_envelopes_are_refused(pair, sender, kind, body):
+    loop, first, second, taken, _ = pair
+
+    async def ask():
+        host, port = second.address.rsplit(":", 1)
+        channel = grpclib.client.Channel(host, int(port))
+        envelope = _peers_pb2.Envelope(kind=kind, sender=sender, body=body)
+        try:
+            return await _peers_grpc.PeersStub(channel).Ask(envelope)
+        finally:
+            channel.close()
+
+    with pytest.raises(grpclib.exceptions.GRPCError):
+        loop.run(ask())
+    assert taken == []
+    assert first.ask(second.address, Text("a")) == Text("A")
--- a/apricotseam/platform/_hostlist.py
+++ b/apricotseam/platform/_hostlist.py
@@ -14,7 +14,8 @@
     """One line of the host list.
 
     ``role`` is ``entry`` for hosts that run this program and ``target``
-    for back ends; ``group`` names the group of a target.
+    for back ends; ``group`` names the group of a target and
+    ``peers_address`` is where other entry hosts reach an entry host.
     """
 
     name: str
@@ -23,6 +24,7 @@
     availability_zone: str
     state: str = LIVE
     group: str | None = None
+    peers_address: str | None = None
 
 
 class HostList(abc.ABC):
