Settle the outcome of every lost answer when a file is applied

Cause: a lost answer to the first swap could be reported as a conflict though it won, a repeat with an old change id was applied twice once the root had dropped its entry, and each change rewrote whole chunks. Change: the swap repeats on one base until the entry of the next revision proves who won; markers find a change id at any age; audit entries move to segments before the root drops them; chunks are cut at lines and are deleted without a race, since a reference never comes back. Conclusion: conflicts are named only when proved.

--- a/apricotseam/config/_load.py
+++ b/apricotseam/config/_load.py
@@ -89,6 +89,23 @@
     return scope_file
 
 
+def load_scope_data(data):
+    """Return a scope file from the checked form that is kept.
+
+    Raises
+    ------
+    InvalidFileError
+        If it was written by a version with another schema.
+    """
+    try:
+        return msgspec.json.decode(data, type=_schema.ScopeFile)
+    except msgspec.DecodeError as error:
+        raise InvalidFileError(
+            f"kept data of a scope: {error}",
+            "apply the file again with this version",
+        ) from None
+
+
 def load_settings(text, source="<settings>"):
     """Check the settings of one process and return them.
 
--- a/apricotseam/config/_store.py
+++ b/apricotseam/config/_store.py
@@ -1,56 +1,34 @@
 """Configuration kept in the platform's key-value service.
 
-Scopes are stored as content-addressed chunks; one root record, swapped by
-compare-and-swap, names the chunk of each scope, the revision, the change
-id and the newest audit entries.
+Scopes are stored in chunks; one root record, swapped by compare-and-swap,
+names the chunks of each scope, the revision, the change id and the newest
+audit entries.
 """
 
 import hashlib
+import secrets
 
 import msgspec
 
 from apricotseam.errors import AnswerLostError
 from apricotseam.errors import ConflictError
-from apricotseam.errors import OutcomeUnknownError
 from apricotseam.errors import ServiceUnavailableError
 
-MAX_CHUNK_BYTES = 512 << 10
-MAX_ROOT_AUDIT_ENTRIES = 64
-MAX_SWAP_ATTEMPTS = 8
+from apricotseam.config._audit import AuditTrail
+from apricotseam.config._chunks import ChunkCache
+from apricotseam.config._chunks import is_intact
+from apricotseam.config._difference import compare_scopes
+from apricotseam.config._load import load_scope_data
+from apricotseam.config._load import load_scope_file
+from apricotseam.config._markers import ChangeMarkers
+from apricotseam.config._records import AuditEntry
+from apricotseam.config._records import Root
+from apricotseam.config._retry import Retry
+from apricotseam.config._rootwriter import RootWriter
+from apricotseam.config._swap import RootSwap
 
-
-class AuditEntry(msgspec.Struct, frozen=True, kw_only=True):
-    """One change: who, when, from where, which scope and outcome."""
-
-    revision: int
-    change_id: str
-    operator: str
-    source: str
-    wall_time: float
-    scope: str
-    outcome: str
-    digest: str
-
-
-class Root(msgspec.Struct, frozen=True, kw_only=True):
-    """The root record; `revision` grows by one with each change."""
-
-    revision: int = 0
-    change_id: str = ""
-    scopes: dict[str, list[str]] = {}
-    audit: list[AuditEntry] = []
-
-
-class Change(msgspec.Struct, frozen=True, kw_only=True):
-    """A requested replacement of one scope."""
-
-    change_id: str
-    operator: str
-    source: str
-    wall_time: float
-    scope: str
-    text: str
-    base: int | None = None
+APPLY_TIMEOUT_SECONDS = 10.0
+READ_TIMEOUT_SECONDS = 3.0
 
 
 class ConfigurationStore:
@@ -62,17 +40,34 @@
         The platform's key-value service.
     prefix : str
         Prefix of all keys.
+    retry : Retry, optional
+        Repeats idempotent calls.
+    run_all : callable, optional
+        As `map`; may run the calls side by side.
     """
 
-    def __init__(self, service, prefix):
+    def __init__(self, service, prefix, retry=None, run_all=map):
         self._service = service
         self._prefix = prefix
+        self._retry = retry or Retry()
+        self._run_all = run_all
+        self._trail = AuditTrail(service, prefix + "config/audit/")
+        self._markers = ChangeMarkers(service, prefix + "config/change/")
+        self._writer = RootWriter(
+            service, prefix + "config/chunk/", self._retry, run_all
+        )
+        self._on_accepted = lambda root: None
+        self.cache = ChunkCache()
 
     @property
     def root_key(self):
         """Key of the root record."""
         return self._prefix + "config/root"
 
+    def on_accepted(self, function):
+        """Call a function with each root that this store wrote."""
+        self._on_accepted = function
+
     def read_root(self):
         """Return the root and the service's version of it.
 
@@ -80,22 +75,46 @@
         -------
         (Root, int)
             An empty root and version 0 if there is none yet.
+
+        Raises
+        ------
+        ServiceUnavailableError, AnswerLostError
+            If the service gives no answer.
         """
         found = self._service.get(self.root_key)
         if found is None:
             return Root(), 0
-        return msgspec.json.decode(found.value, type=Root), found.version
+        root = msgspec.json.decode(found.value, type=Root)
+        return self._writer.with_scopes(root, self._read_chunk), found.version
+
+    def read_text(self, chunks):
+        """Return the text of a scope as the operator sent it.
+
+        Raises
+        ------
+        ServiceUnavailableError
+            If a chunk is missing or damaged.
+        """
+        return self._join(chunks.text).decode()
 
-    def read_scope(self, digests):
-        """Return the text of a scope from its chunks.
+    def load_scope(self, chunks):
+        """Return the `ScopeFile` of a scope.
 
         Raises
         ------
         ServiceUnavailableError
             If a chunk is missing or damaged.
         """
-        parts = [self._read_chunk(digest) for digest in digests]
-        return b"".join(parts).decode()
+        self.fetch(chunks.data)
+        return load_scope_data(self._join(chunks.data))
+
+    def fetch(self, references):
+        """Read chunks that are not here yet into the cache."""
+        missing = self.cache.missing(references)
+        for reference, chunk in zip(
+            missing, self._run_all(self._read_chunk, missing), strict=True
+        ):
+            self.cache.put(reference, chunk)
 
     def apply(self, change):
         """Replace one scope whole.
@@ -108,111 +127,161 @@
         Raises
         ------
         ConflictError
-            If another change won.
+            If another change won, or the change id has other content.
         OutcomeUnknownError
             If the answer of the service stays unknown.
         ServiceUnavailableError
-            If nothing was written.
+            If nothing came into force.
         """
-        digests = self._write_chunks(change.text.encode())
-        lost = False
-        for _ in range(MAX_SWAP_ATTEMPTS):
-            try:
-                entry, lost = self._try_swap(change, digests, lost)
-            except (AnswerLostError, ServiceUnavailableError):
-                if not lost:
-                    raise
-                continue
-            if entry is not None:
-                return entry
-        raise OutcomeUnknownError(
-            f"the answer to change {change.change_id} was lost",
-            f"run `apricotseam change {change.change_id}` later",
-        )
+        deadline = self._retry.clock.monotonic() + APPLY_TIMEOUT_SECONDS
+        new = load_scope_file(change.text, change.scope)
+        digest = _digest(change.text)
+        root, version = self._repeat(deadline, self.read_root)
+        known = self._repeat(deadline, self._find, root, change.change_id)
+        if known is not None:
+            return _same_change(known, change, digest)
+        _check_base(root, change)
+        draft = self._draft(root, change, new, digest, deadline)
+        try:
+            draft.write(deadline)
+            self._repeat(
+                deadline, self._markers.add, change.change_id, root.revision
+            )
+            won = self._swap(version, draft, deadline)
+        except AnswerLostError as error:
+            raise _not_written(error) from None
+        except (ConflictError, ServiceUnavailableError):
+            draft.discard()
+            raise
+        if won != draft.entry:
+            draft.discard()
+            return _same_change(won, change, digest)
+        for reference, chunk in draft.data_chunks:
+            self.cache.put(reference, chunk)
+        self._on_accepted(draft.root)
+        return won
 
     def find_change(self, change_id):
         """Return the audit entry of a change id, or None."""
-        root, _ = self.read_root()
-        return _find(root, change_id)
+        deadline = self._deadline()
+        root, _ = self._repeat(deadline, self.read_root)
+        return self._repeat(deadline, self._find, root, change_id)
+
+    def list_changes(self, before=None, limit=50):
+        """Return accepted entries below a revision, newest first."""
+        deadline = self._deadline()
+        root, _ = self._repeat(deadline, self.read_root)
+        return self._repeat(deadline, self._trail.list, root, before, limit)
+
+    def _draft(self, root, change, new, digest, deadline):
+        tag = secrets.token_hex(4)
+        entry = AuditEntry(
+            revision=root.revision + 1,
+            change_id=change.change_id,
+            operator=change.operator,
+            source=change.source,
+            wall_time=change.wall_time,
+            scope=change.scope,
+            outcome="accepted",
+            digest=digest,
+            attempt=tag,
+            difference=self._repeat(deadline, self._compare, root, new),
+        )
+        entries = self._repeat(deadline, self._trail.make_room, root)
+        self._collect_old(root, entries)
+        return self._writer.draft(root, entry, entries, change.text, new)
+
+    def _swap(self, version, draft, deadline):
+        def find_winner():
+            root, now_version = self.read_root()
+            if now_version == version:
+                return None
+            return self._trail.entry_at(root, draft.entry.revision)
+
+        swap = RootSwap(self._service, self.root_key, self._retry)
+        return swap.run(
+            version, draft.encoded, draft.entry, find_winner, deadline
+        )
 
-    def _try_swap(self, change, digests, lost):
-        root, version = self.read_root()
-        known = _find(root, change.change_id)
-        if known is not None:
-            return known, lost
-        if change.base is not None and change.base != root.revision:
-            raise ConflictError(
-                f"revision {root.revision} is in force, not {change.base}",
-                "read that revision with `apricotseam diff` and apply again",
-            )
-        entry = _entry(change, digests, root.revision + 1)
-        swapped = _next_root(root, entry, digests)
+    def _collect_old(self, root, entries):
+        """Forget changes that are past what the audit trail keeps."""
+        if len(entries) == len(root.audit):
+            return
         try:
-            done = self._service.compare_and_swap(
-                self.root_key, version, msgspec.json.encode(swapped)
-            )
-        except AnswerLostError:
-            return None, True
-        if done:
-            return entry, lost
-        if lost:
-            return None, lost
-        raise ConflictError(
-            f"another change took revision {root.revision + 1}",
-            "read it with `apricotseam diff` and apply again",
-        )
+            for entry in self._trail.drop_oldest(root):
+                self._markers.remove(entry.change_id)
+        except (AnswerLostError, ServiceUnavailableError):
+            return
+
+    def _find(self, root, change_id):
+        for entry in root.audit:
+            if entry.change_id == change_id:
+                return entry
+        for base in self._markers.read(change_id):
+            if base >= root.revision:
+                continue
+            entry = self._trail.entry_at(root, base + 1)
+            if entry is not None and entry.change_id == change_id:
+                return entry
+        return None
+
+    def _compare(self, root, new):
+        chunks = root.scopes.get(new.scope)
+        old = self.load_scope(chunks) if chunks is not None else None
+        return compare_scopes(old, new)
 
-    def _write_chunks(self, body):
-        digests = []
-        for start in range(0, max(len(body), 1), MAX_CHUNK_BYTES):
-            part = body[start : start + MAX_CHUNK_BYTES]
-            digest = hashlib.sha256(part).hexdigest()
-            self._service.put(self._chunk_key(digest), part)
-            digests.append(digest)
-        return digests
-
-    def _read_chunk(self, digest):
-        found = self._service.get(self._chunk_key(digest))
-        if found is None or _digest(found.value) != digest:
+    def _repeat(self, deadline, function, *arguments):
+        """Repeat an idempotent call that brings nothing into force."""
+        try:
+            return self._retry.call(deadline, function, *arguments)
+        except AnswerLostError as error:
+            raise _not_written(error) from None
+
+    def _deadline(self):
+        return self._retry.clock.monotonic() + READ_TIMEOUT_SECONDS
+
+    def _join(self, references):
+        return b"".join(self._run_all(self._read_chunk, references))
+
+    def _read_chunk(self, reference):
+        chunk = self.cache.get(reference)
+        if chunk is not None:
+            return chunk
+        found = self._service.get(self._writer.key(reference))
+        if found is None or not is_intact(reference, found.value):
             raise ServiceUnavailableError(
-                f"chunk {digest[:12]} is missing or damaged",
-                "apply the scope's file again",
+                f"chunk {reference[:12]} is missing or damaged",
+                "read the newest revision; else apply the file again",
             )
         return found.value
 
-    def _chunk_key(self, digest):
-        return f"{self._prefix}config/chunk/{digest}"
 
+def _digest(text):
+    return hashlib.sha256(text.encode()).hexdigest()
 
-def _digest(value):
-    return hashlib.sha256(value).hexdigest()
 
-
-def _find(root, change_id):
-    for entry in root.audit:
-        if entry.change_id == change_id:
-            return entry
-    return None
+def _not_written(error):
+    return ServiceUnavailableError(
+        f"the service gave no answer: {error.found}",
+        "repeat the call when the service is back",
+        retry_after=5,
+    )
 
 
-def _entry(change, digests, revision):
-    return AuditEntry(
-        revision=revision,
-        change_id=change.change_id,
-        operator=change.operator,
-        source=change.source,
-        wall_time=change.wall_time,
-        scope=change.scope,
-        outcome="accepted",
-        digest="+".join(digests),
-    )
+def _check_base(root, change):
+    if change.base is not None and change.base != root.revision:
+        raise ConflictError(
+            f"revision {root.revision} is in force, not {change.base}",
+            "read that revision with `apricotseam diff` and apply again",
+        )
 
 
-def _next_root(root, entry, digests):
-    audit = [entry, *root.audit][:MAX_ROOT_AUDIT_ENTRIES]
-    return Root(
-        revision=entry.revision,
-        change_id=entry.change_id,
-        scopes={**root.scopes, entry.scope: digests},
-        audit=audit,
-    )
+def _same_change(entry, change, digest):
+    """Return an earlier entry of a change id if it is the same change."""
+    if (entry.scope, entry.digest) != (change.scope, digest):
+        raise ConflictError(
+            f"change id {change.change_id} was used for other content at"
+            f" revision {entry.revision}",
+            "apply with a new change id",
+        )
+    return entry
--- /dev/null
+++ b/apricotseam/config/tests/fakes.py
@@ -0,0 +1,100 @@
+"""A key-value service in memory whose calls can fail at every point."""
+
+from apricotseam.errors import AnswerLostError
+from apricotseam.errors import ServiceUnavailableError
+from apricotseam.platform import KeyValueService
+from apricotseam.platform import Versioned
+
+FAULTS = ("none", "before", "after", "late", "lost", "race")
+
+
+class FakeService(KeyValueService):
+    """Takes one fault from `plan` for each call.
+
+    ``before`` refuses the call, ``after`` loses its answer, ``late`` lets
+    a write land at a later call, ``lost`` loses a call without effect and
+    ``race`` runs `on_race` first.
+    """
+
+    def __init__(self):
+        self.entries = {}
+        self.revision = 0
+        self.plan = []
+        self.pending = []
+        self.is_down = False
+        self.on_race = lambda: None
+        self.calls = 0
+
+    def land(self):
+        """Let every late write take effect now."""
+        pending, self.pending = self.pending, []
+        for write in pending:
+            write()
+
+    def get(self, key):
+        """Return the `Versioned` value of a key, or None."""
+        self._call(None)
+        found = self.entries.get(key)
+        return Versioned(key, found[0], found[1]) if found else None
+
+    def get_prefix(self, prefix):
+        """Return all `Versioned` values under a prefix."""
+        self._call(None)
+        return [
+            Versioned(key, *found)
+            for key, found in sorted(self.entries.items())
+            if key.startswith(prefix)
+        ]
+
+    def put(self, key, value, lease=None):
+        """Set a key whatever it was."""
+        self._call(lambda: self._set(key, value))
+
+    def compare_and_swap(self, key, version, value, lease=None):
+        """Set a key if its version is still the given one."""
+        done = []
+
+        def swap():
+            now = self.entries[key][1] if key in self.entries else 0
+            if now == version:
+                self._set(key, value)
+                done.append(True)
+
+        self._call(swap)
+        return bool(done)
+
+    def delete(self, key):
+        """Remove a key if it exists."""
+        self._call(lambda: self.entries.pop(key, None))
+
+    def grant_lease(self, seconds):
+        """Not used here."""
+        raise NotImplementedError
+
+    keep_alive = revoke = grant_lease
+
+    def watch(self, key, version, deadline):
+        """Return whether the key is past a version."""
+        self._call(None)
+        return self.entries.get(key, (b"", 0))[1] > version
+
+    def _set(self, key, value):
+        self.revision += 1
+        self.entries[key] = (value, self.revision)
+
+    def _call(self, write):
+        self.calls += 1
+        fault = self.plan.pop(0) if self.plan else "none"
+        if self.is_down or fault == "before":
+            raise ServiceUnavailableError("refused", "try again")
+        if fault == "race":
+            self.on_race()
+        if fault == "lost":
+            raise AnswerLostError("lost", "read back")
+        if fault == "late" and write is not None:
+            self.pending.append(write)
+            raise AnswerLostError("lost", "read back")
+        if write is not None:
+            write()
+        if fault in ("after", "late"):
+            raise AnswerLostError("lost", "read back")
--- a/apricotseam/operators/_configuration.py
+++ b/apricotseam/operators/_configuration.py
@@ -74,7 +74,7 @@
                 f"unknown scope {scope!r}",
                 f"known scopes are {sorted(root.scopes)}",
             )
-        text = self._context.store.read_scope(root.scopes[scope])
+        text = self._context.store.read_text(root.scopes[scope])
         return Response.of(
             ScopeAnswer(scope=scope, revision=root.revision, text=text)
         )
