Move the clients of a host out of the command line

Cause: the demonstration's tests imported private modules of the command line, against the import contract. Change: apricotseam.client holds the typed client and the resuming answer.

--- a/apricotseam/cli/_commands.py
+++ b/apricotseam/cli/_commands.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from apricotseam.cli._ask import ResumingAnswer
-from apricotseam.cli._client import HostClient
 from apricotseam.cli._output import show
+from apricotseam.client import HostClient
+from apricotseam.client import ResumingAnswer
 from apricotseam.config import AuditEntry
 from apricotseam.config import load_scope_file
 from apricotseam.config import load_settings
--- a/apricotseam/cli/_ask.py
+++ b/apricotseam/client/_ask.py
@@ -5,8 +5,8 @@
 import msgspec
 import urllib3
 
-from apricotseam.cli._client import HostClient
-from apricotseam.cli._client import RemoteError
+from apricotseam.client._client import HostClient
+from apricotseam.client._client import RemoteError
 from apricotseam.errors import AnswerLostError
 from apricotseam.errors import OutcomeUnknownError
 from apricotseam.web import HttpClient
--- a/apricotseam/demo/tests/test_resume.py
+++ b/apricotseam/demo/tests/test_resume.py
@@ -5,9 +5,9 @@
 import msgspec
 import pytest
 
-from apricotseam.cli._ask import ResumingAnswer
-from apricotseam.cli._client import HostClient
-from apricotseam.cli._client import RemoteError
+from apricotseam.client import HostClient
+from apricotseam.client import RemoteError
+from apricotseam.client import ResumingAnswer
 from apricotseam.config import AuditEntry
 from apricotseam.demo import LocalSystem
 from apricotseam.demo import OPERATOR_KEY
--- a/apricotseam/demo/tests/test_system.py
+++ b/apricotseam/demo/tests/test_system.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from apricotseam.cli._client import HostClient
+from apricotseam.client import HostClient
 from apricotseam.config import AuditEntry
 from apricotseam.demo import LocalSystem
 from apricotseam.demo import OPERATOR_KEY
