Demonstrate the promises on embedded stand-ins

Cause: there was no run that a newcomer could look at. Change: a demonstration in one process: six hosts in three availability zones, both teams' files, a killed stage, a killed host, a repeated booking, an outage of the key-value service, and every host replaced under load. A stand-in engine that stops no longer keeps calls that arrive meanwhile.

--- a/apricotseam/cli/_commands.py
+++ b/apricotseam/cli/_commands.py
@@ -1,5 +1,6 @@
 """Commands of the program."""
 
+import logging
 import os
 import pathlib
 import signal
@@ -12,6 +13,8 @@
 from apricotseam.config import AuditEntry
 from apricotseam.config import load_scope_file
 from apricotseam.config import load_settings
+from apricotseam.demo import run_demo
+from apricotseam.demo import summarize
 from apricotseam.errors import InvalidInputError
 from apricotseam.host import EntryHost
 from apricotseam.logs import configure_logging
@@ -195,6 +198,20 @@
     part.stop()
 
 
+def demo(*, examples="examples"):
+    """Run the main job on embedded stand-ins and check its promises.
+
+    Parameters
+    ----------
+    examples : str
+        Folder with both teams' files.
+    """
+    configure_logging(logging.CRITICAL)
+    promises = run_demo(examples)
+    print(summarize(promises))
+    return 0 if all(promise.is_kept for promise in promises) else 1
+
+
 def _standin(kind, address, options):
     if kind == "key-value":
         return standins.KeyValueStandIn(address)
--- a/apricotseam/cli/_main.py
+++ b/apricotseam/cli/_main.py
@@ -18,6 +18,7 @@
     _commands.address,
     _commands.ask,
     _commands.standin,
+    _commands.demo,
 ]
 
 
--- a/apricotseam/demo/_system.py
+++ b/apricotseam/demo/_system.py
@@ -120,6 +120,23 @@
         )
         return entry
 
+    def kill_host(self, name):
+        """End an entry host as if its process was killed."""
+        entry = self.hosts.pop(name)
+        entry.abort()
+        self.host_list.remove(name)
+
+    def replace_host(self, name):
+        """Start a new entry host, then stop an old one as planned."""
+        old = self.hosts[name]
+        zone = old.settings.availability_zone
+        new = self.add_host(f"{name}-next", zone)
+        self.wait_until(lambda: new.is_ready)
+        del self.hosts[name]
+        old.stop()
+        self.host_list.remove(name)
+        return new
+
     def wait_until(self, condition, seconds=10.0):
         """Wait until a condition holds; return whether it does."""
         deadline = time.monotonic() + seconds
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -108,6 +108,7 @@
             self._tls.peer_context,
         )
         self.membership = self._membership(loop)
+        self._callers_listener = self._callers(callers)
         self._supervisor = Supervisor(
             settings.host,
             [
@@ -124,7 +125,7 @@
                 ),
                 LoadsChild(http, engine, chooser, self.snapshots, self._clock),
                 ListenerChild("operators", self._operators(operators)),
-                ListenerChild("callers", self._callers(callers)),
+                ListenerChild("callers", self._callers_listener),
             ],
             self._fail,
         )
@@ -134,6 +135,14 @@
         """Whether a child failed too often."""
         return self._failed.is_set()
 
+    @property
+    def is_ready(self):
+        """Whether configuration and targets are there to serve with."""
+        snapshots = self.snapshots
+        return snapshots.configuration is not None and bool(
+            snapshots.targets.all
+        )
+
     def start(self):
         """Start all parts."""
         self._supervisor.start()
@@ -152,6 +161,11 @@
         seconds = self.settings.bounds.stop_timeout_seconds
         return self._supervisor.stop(time.monotonic() + seconds)
 
+    def abort(self):
+        """End at once, as a killed process would; for demonstrations."""
+        self._callers_listener.abort()
+        self._supervisor.stop(time.monotonic())
+
     def _membership(self, loop):
         settings = self.settings
         own = Member(
--- a/apricotseam/standins/_engine.py
+++ b/apricotseam/standins/_engine.py
@@ -103,6 +103,11 @@
         with self._lock:
             return len(self._streams)
 
+    @property
+    def running(self):
+        """Number of streams that the engine holds."""
+        return len(self._streams)
+
     def start(self):
         """Start to serve; return the stand-in itself."""
         self._worker.start()
@@ -135,8 +140,9 @@
                 entry = (step.priority, next(self._order), pending, index)
                 heapq.heappush(self._queue, entry)
             self._lock.notify_all()
-        if pending.steps:
-            pending.done.wait()
+            if self._stopped or not pending.steps:
+                pending.done.set()
+        pending.done.wait()
         return Response.of(
             [
                 result or _failed(step, "stopped")
--- a/apricotseam/web/_listener.py
+++ b/apricotseam/web/_listener.py
@@ -79,6 +79,10 @@
         if self._thread is not None:
             self._thread.join(5)
 
+    def abort(self):
+        """Cut every connection, as the end of a killed process does."""
+        self._server.cut_connections()
+
     @staticmethod
     def _log_error(message="", level=20, traceback=False):
         _LOG.debug("listener_error", extra={"detail": str(message)[:200]})
--- a/apricotseam/web/_server.py
+++ b/apricotseam/web/_server.py
@@ -44,7 +44,7 @@
         try:
             return super().communicate()
         finally:
-            self.end_receiving()
+            self.server.end_request(self)
 
     def end_receiving(self):
         """Note that the request was received whole."""
@@ -85,6 +85,7 @@
         self.gateway = _Gateway
         self.keep_alive_conn_limit = max_connections
         self._receiving = {}
+        self._open = set()
         self._sweeper = threading.Thread(
             target=self._sweep, name="listener-sweeper", daemon=True
         )
@@ -105,12 +106,27 @@
 
     def begin_receiving(self, conn):
         """Start the time in which a connection's request must arrive."""
+        self._open.add(conn)
         self._receiving[conn] = time.monotonic() + self.timeout
 
     def end_receiving(self, conn):
         """End that time."""
         self._receiving.pop(conn, None)
 
+    def end_request(self, conn):
+        """Note that a request was answered or given up."""
+        self._receiving.pop(conn, None)
+        self._open.discard(conn)
+
+    def cut_connections(self):
+        """Refuse new connections and shut down all that are open."""
+        self.ready = False
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+        for conn in list(self._open):
+            with contextlib.suppress(OSError):
+                conn.socket.shutdown(socket.SHUT_RDWR)
+
     def _sweep(self):
         while self.ready:
             now = time.monotonic()
