Run calls that are not idempotent at most once

Cause: every copy of a call ran, and an idle connection that died under a call was no proof of anything. Change: tickets granted once by the host that issued them, callers' keys claimed by compare-and-swap, calls over connections of their own, another target only after a failed connect. Messages between hosts are started. Conclusion: copies through three hosts run once and get one answer.

--- a/apricotseam/callers/_services.py
+++ b/apricotseam/callers/_services.py
@@ -3,18 +3,24 @@
 import hashlib
 import uuid
 
+import msgspec
+
 from apricotseam.callers._context import authenticate
 from apricotseam.callers._work import describe_work
 from apricotseam.errors import AnswerLostError
+from apricotseam.errors import ApricotseamError
+from apricotseam.errors import Outcome
 from apricotseam.errors import OutcomeUnknownError
 from apricotseam.errors import UnknownNameError
 from apricotseam.execution import ExecutionRequest
 from apricotseam.routing import Demand
 from apricotseam.web import Response
+from apricotseam.web import UnreachableError
 
 CALL_TIMEOUT_SECONDS = 10.0
 TICKET_HEADER = "Apricotseam-Ticket"
 KEY_HEADER = "Idempotency-Key"
+REPEAT_HEADER = "Apricotseam-Repeat"
 
 
 class Services:
@@ -31,10 +37,21 @@
 
     def handle(self, request):
         """Answer ``/v1/services/{service}/{path}``."""
+        try:
+            call = self._prepare(request)
+        except ApricotseamError as error:
+            raise _for_repeat(error, request) from None
+        if call.idempotent:
+            return self._admit_and_send(call)
+        return self._context.execution.run_once(
+            call.once, lambda: self._admit_and_send(call)
+        )
+
+    def _prepare(self, request):
         caller = authenticate(request, self._context.snapshots)
         service = _service(caller, request.arguments["service"])
         path = "/" + request.arguments["path"]
-        call = _call(service, request.method, path)
+        declared = _call(service, request.method, path)
         forward = Forward(request, path)
         work = describe_work(
             request,
@@ -42,39 +59,40 @@
             self._context.clock,
             forward.identifier,
             service.group,
-            call.priority,
+            declared.priority,
             1,
         )
-        permit = self._context.admission.admit(work)
-        try:
-            return self._run(caller, service, call, forward)
-        finally:
-            permit.close(1)
-
-    def _run(self, caller, service, call, forward):
         demand = Demand(
             scope=caller.scope_file.scope,
             group=service.group,
             customer=caller.customer.name,
         )
-        if call.idempotent:
-            return self._send(demand, forward)
-        once = ExecutionRequest(
-            scope=demand.scope,
-            customer=demand.customer,
-            digest=forward.digest,
-            ticket=forward.ticket,
-            key=forward.key,
-        )
-        return self._context.execution.run_once(
-            once, lambda: self._send(demand, forward)
-        )
+        return PreparedCall(demand, forward, work, declared.idempotent)
 
-    def _send(self, demand, forward):
+    def _admit_and_send(self, call):
+        permit = self._context.admission.admit(call.work)
+        try:
+            return self._send(call, call.demand)
+        finally:
+            permit.close(1)
+
+    def _send(self, call, demand):
+        """Send a call to the first target that takes a connection."""
         table = self._context.snapshots.targets
-        target = self._context.chooser.choose_target(table, demand)
+        while True:
+            target = self._context.chooser.choose_target(table, demand)
+            try:
+                return self._send_to(target, call)
+            except UnreachableError:
+                excluded = demand.excluded | {target.name}
+                demand = msgspec.structs.replace(demand, excluded=excluded)
+
+    def _send_to(self, target, call):
+        http = self._context.http
+        send = http.call if call.idempotent else http.call_afresh
+        forward = call.forward
         try:
-            answer = self._context.http.call(
+            answer = send(
                 target.address,
                 forward.method,
                 forward.path,
@@ -94,6 +112,42 @@
         )
 
 
+class PreparedCall:
+    """A call that was checked and may be run.
+
+    Parameters
+    ----------
+    demand : Demand
+        What it needs of the targets.
+    forward : Forward
+        The call as it is passed on.
+    work : Work
+        The call as admission sees it.
+    idempotent : bool
+        Whether it may be repeated.
+    """
+
+    __slots__ = ("demand", "forward", "idempotent", "work")
+
+    def __init__(self, demand, forward, work, idempotent):
+        self.demand = demand
+        self.forward = forward
+        self.work = work
+        self.idempotent = idempotent
+
+    @property
+    def once(self):
+        """The `ExecutionRequest` of the call."""
+        return ExecutionRequest(
+            scope=self.demand.scope,
+            customer=self.demand.customer,
+            digest=self.forward.digest,
+            ticket=self.forward.ticket,
+            key=self.forward.key,
+            is_repeat=self.forward.is_repeat,
+        )
+
+
 class Forward:
     """A call as it is passed on to a target.
 
@@ -110,6 +164,7 @@
         "digest",
         "headers",
         "identifier",
+        "is_repeat",
         "key",
         "method",
         "path",
@@ -123,6 +178,7 @@
         self.identifier = request.header("X-Request-Id") or uuid.uuid4().hex
         self.ticket = request.header(TICKET_HEADER)
         self.key = request.header(KEY_HEADER)
+        self.is_repeat = _is_repeat(request)
         self.headers = {"X-Request-Id": self.identifier}
         content_type = request.header("Content-Type")
         if content_type:
@@ -131,6 +187,24 @@
         self.digest = hashlib.sha256(text + self.body).hexdigest()
 
 
+def _is_repeat(request):
+    return request.header(REPEAT_HEADER, "").lower() in ("1", "true")
+
+
+def _for_repeat(error, request):
+    """Return the error of a refusal, as far as it holds for a repeat.
+
+    The refusal of a copy proves nothing about copies sent before it.
+    """
+    if error.outcome is not Outcome.NOT_RUN or not _is_repeat(request):
+        return error
+    return OutcomeUnknownError(
+        f"this copy was not run, an earlier one may have been: {error.found}",
+        error.remedy,
+        error.retry_after,
+    )
+
+
 def _service(caller, name):
     for service in caller.scope_file.services:
         if service.name == name:
--- /dev/null
+++ b/apricotseam/demo/tests/test_execution.py
@@ -0,0 +1,168 @@
+"""Execution at most once over real sockets and several hosts."""
+
+import concurrent.futures
+import pathlib
+import uuid
+
+import msgspec
+import pytest
+
+from apricotseam.cli._client import HostClient
+from apricotseam.config import AuditEntry
+from apricotseam.config import Bounds
+from apricotseam.demo import LocalSystem
+from apricotseam.demo import OPERATOR_KEY
+from apricotseam.standins import FaultOrder
+from apricotseam.web import HttpClient
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+SCOPE = "consorzio-richiamata-padana"
+CUSTOMER_KEY = "demo-key-milano-desk"
+SLOTS = "/v1/services/scheduling/slots"
+HTTP = HttpClient()
+
+
+def start_system():
+    """Return a system with one team's file in force on three hosts."""
+    text = (EXAMPLES / f"{SCOPE}.yaml").read_text()
+    bounds = Bounds(caller_threads=16, address_valid_seconds=30.0)
+    local = LocalSystem([text], ["sala-milano"] * 3, bounds=bounds).start()
+    host = local.hosts["entry-0"]
+    operator = HostClient(host.settings.operators_address, OPERATOR_KEY)
+    path = f"/v1/admin/scopes/{SCOPE}"
+    operator.call("PUT", path, AuditEntry, local.texts[0].encode())
+    assert local.wait_until(
+        lambda: all(h.snapshots.targets.all for h in local.hosts.values())
+    )
+    return local
+
+
+@pytest.fixture(scope="module")
+def system():
+    """A system that the tests leave as it was."""
+    local = start_system()
+    yield local
+    local.stop()
+
+
+@pytest.fixture
+def broken_system():
+    """A system of which a test may stop parts."""
+    local = start_system()
+    yield local
+    local.stop()
+
+
+def take_ticket(system, name):
+    """Return a ticket whose home is the named host."""
+    host = system.hosts[name].settings.callers_address
+    client = HostClient(host, CUSTOMER_KEY)
+    answer = client.call("GET", "/v1/addresses?tickets=2", dict)
+    assert len(set(answer["tickets"])) == 2
+    return answer["ticket"]
+
+
+def book(system, name, request, headers, body=b'{"slot": 7}'):
+    """Send one copy through a host; return status and body."""
+    answer = HTTP.call(
+        system.hosts[name].settings.callers_address,
+        "POST",
+        SLOTS,
+        body,
+        headers={
+            "Authorization": f"Bearer {CUSTOMER_KEY}",
+            "X-Request-Id": request,
+            **headers,
+        },
+    )
+    return answer.status, answer.body
+
+
+def runs_of(system, request):
+    """Return how often any target ran a request."""
+    return sum(part.runs[request] for part in system.services.values())
+
+
+def slow_down(system, seconds):
+    """Let every target of the service answer late."""
+    for part in system.services.values():
+        part.faults.set(FaultOrder(delay_seconds=seconds))
+
+
+def outcome(body):
+    """Return the outcome that an error states."""
+    return msgspec.json.decode(body)["error"]["outcome"]
+
+
+def headers_of(system, way):
+    """Return the headers that make a request run once."""
+    if way == "ticket":
+        return {"Apricotseam-Ticket": take_ticket(system, "entry-2")}
+    return {"Idempotency-Key": uuid.uuid4().hex}
+
+
+@pytest.mark.parametrize("way", ["ticket", "key"])
+def test_copies_through_all_hosts_run_once(system, way):
+    slow_down(system, 0.3)
+    headers = headers_of(system, way)
+    request = f"one-{way}"
+    with concurrent.futures.ThreadPoolExecutor(9) as threads:
+        copies = [
+            threads.submit(book, system, name, request, headers)
+            for name in [*system.hosts] * 3
+        ]
+        answers = {copy.result() for copy in copies}
+    assert len(answers) == 1
+    assert answers.pop()[0] == 200
+    assert runs_of(system, request) == 1
+    slow_down(system, 0.0)
+    status, body = book(system, "entry-1", request, headers, b"other")
+    assert (status, outcome(body)) == (409, "not_run")
+
+
+def test_a_lost_host_leaves_the_outcome_unknown(broken_system):
+    system = broken_system
+    runner = "entry-2"
+    sent = {way: headers_of(system, way) for way in ("ticket", "key")}
+    for way, headers in sent.items():
+        assert book(system, runner, way, headers)[0] == 200
+    system.hosts.pop(runner).stop()
+    for way, headers in sent.items():
+        status, body = book(system, "entry-0", way, headers)
+        assert (status, outcome(body)) == (504, "outcome_unknown")
+        assert runs_of(system, way) == 1
+
+
+def test_a_target_that_cuts_its_answer_is_not_tried_again(system):
+    for part in system.services.values():
+        part.faults.set(FaultOrder(drop_answers=1))
+    status, body = book(system, "entry-0", "three", {})
+    assert (status, outcome(body)) == (504, "outcome_unknown")
+    for part in system.services.values():
+        part.faults.set(FaultOrder(drop_answers=0))
+    assert runs_of(system, "three") == 1
+
+
+def test_another_target_is_tried_when_none_was_reached(broken_system):
+    system = broken_system
+    parts = list(system.services.values())
+    for part in parts[:-1]:
+        part.stop()
+    for number in range(4):
+        name = f"four-{number}"
+        assert book(system, "entry-0", name, {})[0] == 200
+        assert parts[-1].runs[name] == 1
+
+
+def test_outage_refuses_keys_and_serves_tickets(system):
+    ticket = {"Apricotseam-Ticket": take_ticket(system, "entry-1")}
+    system.key_value.faults.set(FaultOrder(down=True))
+    key = {"Idempotency-Key": uuid.uuid4().hex}
+    status, body = book(system, "entry-0", "five", key)
+    error = msgspec.json.decode(body)["error"]
+    assert (status, error["outcome"]) == (503, "not_run")
+    assert "ticket" in error["remedy"]
+    assert book(system, "entry-0", "six", ticket)[0] == 200
+    assert (runs_of(system, "five"), runs_of(system, "six")) == (0, 1)
+    system.key_value.faults.set(FaultOrder(down=False))
+    assert book(system, "entry-0", "five", key)[0] == 200
--- a/apricotseam/execution/__init__.py
+++ b/apricotseam/execution/__init__.py
@@ -1,7 +1,35 @@
 """Execution at most once of requests that are not idempotent."""
 
+from apricotseam.execution._claims import ClaimBatches
+from apricotseam.execution._claims import ShardClaims
+from apricotseam.execution._claims import ShardStore
+from apricotseam.execution._execution import AtMostOnceExecution
 from apricotseam.execution._execution import DirectExecution
 from apricotseam.execution._execution import Execution
 from apricotseam.execution._execution import ExecutionRequest
+from apricotseam.execution._keys import KeyRuns
+from apricotseam.execution._messages import PeerLink
+from apricotseam.execution._messages import TransportLink
+from apricotseam.execution._records import RunRecords
+from apricotseam.execution._ticket import TicketSigner
+from apricotseam.execution._tickets import TicketRuns
+from apricotseam.execution._waiter import SystemWaiter
+from apricotseam.execution._waiter import Waiter
 
-__all__ = ["DirectExecution", "Execution", "ExecutionRequest"]
+__all__ = [
+    "AtMostOnceExecution",
+    "ClaimBatches",
+    "DirectExecution",
+    "Execution",
+    "ExecutionRequest",
+    "KeyRuns",
+    "PeerLink",
+    "RunRecords",
+    "ShardClaims",
+    "ShardStore",
+    "SystemWaiter",
+    "TicketRuns",
+    "TicketSigner",
+    "TransportLink",
+    "Waiter",
+]
--- /dev/null
+++ b/apricotseam/execution/_claims.py
@@ -0,0 +1,274 @@
+"""Claims of callers' keys by compare-and-swap, batched by shard."""
+
+import asyncio
+import collections
+import concurrent.futures
+import hashlib
+import threading
+
+import msgspec
+
+from apricotseam.errors import AnswerLostError
+from apricotseam.errors import ApricotseamError
+from apricotseam.errors import ServiceUnavailableError
+from apricotseam.execution._messages import ASK_TIMEOUT_SECONDS
+from apricotseam.execution._shards import decode_shard
+from apricotseam.execution._shards import encode_shard
+from apricotseam.execution._shards import Entry
+from apricotseam.execution._shards import Holder
+from apricotseam.execution._shards import merge_claims
+from apricotseam.execution._shards import Shard
+from apricotseam.execution._shards import shard_of
+
+MAX_SWAP_ATTEMPTS = 8
+MAX_BATCH_CLAIMS = 256
+MAX_CACHED_SHARDS = 64
+FLUSH_THREADS = 4
+CLAIM_TIMEOUT_SECONDS = 8.0
+
+
+class ClaimQuestion(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks the current host of a shard to claim a key in its batch."""
+
+    entry: Entry
+
+
+class ClaimAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The key's holder, or None if it is not known or there is no room."""
+
+    holder: Holder | None = None
+
+
+class ShardFullError(ServiceUnavailableError):
+    """The shard of a key has no room for one more claim."""
+
+    code = "claims_full"
+
+
+class ShardStore:
+    """Reads and swaps shards; the swap alone makes a claim safe.
+
+    Parameters
+    ----------
+    service : KeyValueService
+        The platform's key-value service.
+    prefix : str
+        Prefix of all keys of the product.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, service, prefix, clock):
+        self._service = service
+        self._prefix = prefix
+        self._clock = clock
+        self._cache = collections.OrderedDict()
+        self._lock = threading.Lock()
+
+    def claim(self, number, entries):
+        """Claim a batch of one shard and return each key's holder.
+
+        Raises
+        ------
+        ServiceUnavailableError
+            If no swap of this batch can have taken effect.
+        AnswerLostError
+            If a swap may have taken effect and could not be read back.
+        """
+        may_land = False
+        cached = self._cached(number)
+        for _ in range(MAX_SWAP_ATTEMPTS):
+            try:
+                shard, version = cached or self._read(number)
+            except ApricotseamError as error:
+                raise _lost(error) if may_land else error from None
+            cached = None
+            merged, holders = merge_claims(shard, entries, self._clock.wall())
+            if merged is shard:
+                self._keep(number, shard, version)
+                return holders
+            self._forget(number)
+            try:
+                swapped = self._swap(number, version, merged)
+            except AnswerLostError:
+                may_land = True
+                continue
+            except ServiceUnavailableError as error:
+                raise _lost(error) if may_land else error from None
+            if swapped:
+                self._keep(number, merged, swapped)
+                return holders
+        raise _lost(None)
+
+    def _key(self, number):
+        return f"{self._prefix}claims/{number:04d}"
+
+    def _read(self, number):
+        found = self._service.get(self._key(number))
+        if found is None:
+            return Shard(), 0
+        return decode_shard(found.value), found.version
+
+    def _swap(self, number, version, shard):
+        return self._service.compare_and_swap(
+            self._key(number), version, encode_shard(shard)
+        )
+
+    def _cached(self, number):
+        with self._lock:
+            return self._cache.get(number)
+
+    def _keep(self, number, shard, version):
+        if version is True:
+            return
+        with self._lock:
+            self._cache[number] = (shard, version)
+            self._cache.move_to_end(number)
+            if len(self._cache) > MAX_CACHED_SHARDS:
+                self._cache.popitem(last=False)
+
+    def _forget(self, number):
+        with self._lock:
+            self._cache.pop(number, None)
+
+
+def _lost(error):
+    reason = error.found if error is not None else "the swap keeps failing"
+    return AnswerLostError(
+        f"whether the key was claimed is not known: {reason}",
+        "send the request again with the same key",
+    )
+
+
+class ClaimBatches:
+    """Batches claims by shard: one swap at a time for each.
+
+    A claim that finds its shard idle goes at once; those that arrive
+    while a swap is under way go together with the next one.
+
+    Parameters
+    ----------
+    store : ShardStore
+        Claims a batch.
+    """
+
+    def __init__(self, store, threads=FLUSH_THREADS):
+        self._store = store
+        self._lock = threading.Lock()
+        self._waiting = {}
+        self._threads = concurrent.futures.ThreadPoolExecutor(
+            threads, thread_name_prefix="claims"
+        )
+
+    def submit(self, entry):
+        """Return a future of the holder of an entry's key."""
+        number = shard_of(entry.identifier)
+        future = concurrent.futures.Future()
+        with self._lock:
+            is_idle = number not in self._waiting
+            self._waiting.setdefault(number, []).append((entry, future))
+        if is_idle:
+            self._threads.submit(self._flush, number)
+        return future
+
+    def close(self):
+        """End the threads once their swaps ended."""
+        self._threads.shutdown(wait=False)
+
+    def _flush(self, number):
+        while True:
+            batch = self._take(number)
+            if not batch:
+                return
+            try:
+                holders = self._store.claim(number, [e for e, _ in batch])
+            except Exception as error:
+                for _, future in batch:
+                    future.set_exception(error)
+                continue
+            for (_, future), holder in zip(batch, holders, strict=True):
+                future.set_result(holder)
+
+    def _take(self, number):
+        with self._lock:
+            waiting = self._waiting[number]
+            batch = waiting[:MAX_BATCH_CLAIMS]
+            del waiting[:MAX_BATCH_CLAIMS]
+            if not batch:
+                del self._waiting[number]
+            return batch
+
+
+class ShardClaims:
+    """Claims keys at the current host of their shard, or directly.
+
+    Parameters
+    ----------
+    link : PeerLink
+        Messages between hosts.
+    batches : ClaimBatches
+        Batches of this host.
+    members : callable
+        Returns the peers addresses of live hosts, this one included.
+    """
+
+    def __init__(self, link, batches, members):
+        self._link = link
+        self._batches = batches
+        self._members = members
+        link.handle(ClaimQuestion, self._answer, ClaimAnswer)
+
+    def claim(self, entry):
+        """Claim a key and return its holder.
+
+        Raises
+        ------
+        ServiceUnavailableError
+            If the claim cannot have taken effect, or the shard is full.
+        AnswerLostError
+            If it may have taken effect.
+        """
+        host = self._host_of(shard_of(entry.identifier))
+        holder = None
+        if host != self._link.address:
+            holder = self._ask(host, entry)
+        if holder is None:
+            holder = self._claim_here(entry)
+        return holder
+
+    def _claim_here(self, entry):
+        future = self._batches.submit(entry)
+        try:
+            holder = future.result(CLAIM_TIMEOUT_SECONDS)
+        except TimeoutError:
+            raise _lost(None) from None
+        if holder is None:
+            raise ShardFullError(
+                "too many keys are claimed",
+                "use a ticket of GET /v1/addresses, or try again later",
+            )
+        return holder
+
+    def _ask(self, host, entry):
+        try:
+            answer = self._link.ask(host, ClaimQuestion(entry=entry))
+        except ApricotseamError:
+            return None
+        return answer.holder
+
+    async def _answer(self, sender, question):
+        future = asyncio.wrap_future(self._batches.submit(question.entry))
+        try:
+            holder = await asyncio.wait_for(future, ASK_TIMEOUT_SECONDS)
+        except (ApricotseamError, TimeoutError):
+            return ClaimAnswer()
+        return ClaimAnswer(holder=holder)
+
+    def _host_of(self, number):
+        members = self._members() or [self._link.address]
+        return max(members, key=lambda address: _score(address, number))
+
+
+def _score(address, number):
+    text = f"{address}/{number}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- a/apricotseam/execution/_execution.py
+++ b/apricotseam/execution/_execution.py
@@ -1,15 +1,18 @@
-"""Interface of execution and the one that runs every request."""
+"""Interface of execution and its implementations."""
 
 import abc
 
 import msgspec
 
+from apricotseam.errors import InvalidRequestError
+
 
 class ExecutionRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A request that must run at most once.
 
     ``ticket`` was issued with the address answer; ``key`` is the caller's
     own idempotency key; ``digest`` is the hash of method, path and body.
+    ``is_repeat`` says that the caller sent a copy before.
     """
 
     scope: str
@@ -17,6 +20,7 @@
     digest: str
     ticket: str | None = None
     key: str | None = None
+    is_repeat: bool = False
 
 
 class Execution(abc.ABC):
@@ -54,3 +58,42 @@
     def run_once(self, request, run):
         """Run the request."""
         return run()
+
+
+class AtMostOnceExecution(Execution):
+    """Runs requests by ticket, by the caller's key, or once by itself.
+
+    A request with neither is a request of its own: this host runs it once
+    and never again, and a copy that the caller sends is another request.
+
+    Parameters
+    ----------
+    tickets : TicketRuns
+        Runs by ticket.
+    keys : KeyRuns
+        Runs by the caller's key.
+    ticket_seconds : float
+        Seconds for which an issued ticket is granted.
+    """
+
+    def __init__(self, tickets, keys, ticket_seconds):
+        self._tickets = tickets
+        self._keys = keys
+        self._ticket_seconds = ticket_seconds
+
+    def issue_ticket(self, scope, customer):
+        """Return a new ticket for a customer."""
+        return self._tickets.issue(scope, customer, self._ticket_seconds)
+
+    def run_once(self, request, run):
+        """Run a request unless a copy of it was granted before."""
+        if request.ticket and request.key:
+            raise InvalidRequestError(
+                "a ticket and an idempotency key were both sent",
+                "send one of the two with each copy",
+            )
+        if request.ticket:
+            return self._tickets.run_once(request, run)
+        if request.key:
+            return self._keys.run_once(request, run)
+        return run()
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -8,7 +8,7 @@
 from apricotseam.callers import CallerContext
 from apricotseam.clock import SystemClock
 from apricotseam.config import ConfigurationStore
-from apricotseam.execution import DirectExecution
+from apricotseam.host._agreement import PeerParts
 from apricotseam.host._children import ConfigurationChild
 from apricotseam.host._children import ListenerChild
 from apricotseam.host._children import TargetsChild
@@ -46,6 +46,7 @@
         engine = HttpModelEngine(http)
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
+        self._peers = PeerParts(settings, self._clock, service, self.snapshots)
         runner = ChainRunner(
             engine, self._clock, settings.bounds.step_timeout_seconds
         )
@@ -57,7 +58,7 @@
             snapshots=self.snapshots,
             admission=OpenAdmission(),
             chooser=RandomChooser(),
-            execution=DirectExecution(),
+            execution=self._peers.execution,
         )
         operators = OperatorContext(
             settings, self._clock, store, self.snapshots, self.request_stop
@@ -66,6 +67,7 @@
         self._supervisor = Supervisor(
             settings.host,
             [
+                self._peers,
                 ConfigurationChild(store, self.snapshots),
                 TargetsChild(host_list, engine, self.snapshots),
                 ListenerChild("operators", self._operators(operators)),
--- a/apricotseam/web/_client.py
+++ b/apricotseam/web/_client.py
@@ -59,6 +59,7 @@
     def __init__(self, max_connections=64, tls=None):
         self._scheme = "https" if tls is not None else "http"
         options = {"ssl_context": tls} if tls is not None else {}
+        self._options = options
         self._pool = urllib3.PoolManager(
             num_pools=256, maxsize=max_connections, retries=False, **options
         )
@@ -97,6 +98,32 @@
         )
         return HttpAnswer(answer.status, answer.headers, answer.data)
 
+    def call_afresh(
+        self, address, method, path, body=None, deadline=None, headers=None
+    ):
+        """Send one call over a connection of its own.
+
+        An idle connection may be closed by the other side as the call is
+        written to it; a new one either connects or carries nothing.
+
+        Raises
+        ------
+        UnreachableError, AnswerLostError
+            As for `call`.
+        """
+        host, port = address.rsplit(":", 1)
+        pool = urllib3.connection_from_url(
+            f"{self._scheme}://{host}:{port}", maxsize=1, **self._options
+        )
+        headers = {**(headers or {}), "Connection": "close"}
+        try:
+            answer = _send(
+                pool, address, method, path, body, deadline, headers
+            )
+        finally:
+            pool.close()
+        return HttpAnswer(answer.status, answer.headers, answer.data)
+
     def stream(
         self, address, method, path, body=None, deadline=None, headers=None
     ):
@@ -116,31 +143,38 @@
         self._pool.clear()
 
     def _send(self, address, method, path, body, deadline, headers, preload):
-        if body is not None and not isinstance(body, bytes):
-            body = msgspec.json.encode(body)
-        timeout = _timeout(deadline)
-        try:
-            return self._pool.request(
-                method,
-                f"{self._scheme}://{address}{path}",
-                body=body,
-                headers=headers,
-                timeout=timeout,
-                preload_content=preload,
-                redirect=False,
-            )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ):
-            raise UnreachableError(
-                f"no connection to {address}", "try another address"
-            ) from None
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise AnswerLostError(
-                f"{address} gave no whole answer ({type(error).__name__})",
-                "read back before repeating the call",
-            ) from None
+        url = f"{self._scheme}://{address}{path}"
+        return _send(
+            self._pool, address, method, url, body, deadline, headers, preload
+        )
+
+
+def _send(pool, address, method, url, body, deadline, headers, preload=True):
+    if body is not None and not isinstance(body, bytes):
+        body = msgspec.json.encode(body)
+    try:
+        return pool.request(
+            method,
+            url,
+            body=body,
+            headers=headers,
+            timeout=_timeout(deadline),
+            preload_content=preload,
+            redirect=False,
+            retries=False,
+        )
+    except (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+    ):
+        raise UnreachableError(
+            f"no connection to {address}", "try another address"
+        ) from None
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        raise AnswerLostError(
+            f"{address} gave no whole answer ({type(error).__name__})",
+            "read back before repeating the call",
+        ) from None
 
 
 def _timeout(deadline):
