--- a/apricotseam/callers/_services.py
+++ b/apricotseam/callers/_services.py
@@ -3,8 +3,7 @@
 import hashlib
 import uuid
 
-import msgspec
-
+from apricotseam.callers._attempts import Attempts
 from apricotseam.callers._context import authenticate
 from apricotseam.callers._work import describe_work
 from apricotseam.errors import AnswerLostError
@@ -15,9 +14,9 @@
 from apricotseam.execution import ExecutionRequest
 from apricotseam.routing import Demand
 from apricotseam.web import Response
-from apricotseam.web import UnreachableError
 
 CALL_TIMEOUT_SECONDS = 10.0
+FAILURE_STATUSES = frozenset((500, 502, 503, 504))
 TICKET_HEADER = "Apricotseam-Ticket"
 KEY_HEADER = "Idempotency-Key"
 REPEAT_HEADER = "Apricotseam-Repeat"
@@ -34,6 +33,7 @@
 
     def __init__(self, context):
         self._context = context
+        self._attempts = Attempts(context.retries, context.clock)
 
     def handle(self, request):
         """Answer ``/v1/services/{service}/{path}``."""
@@ -72,39 +72,50 @@
     def _admit_and_send(self, call):
         permit = self._context.admission.admit(call.work)
         try:
-            return self._send(call, call.demand)
+            return self._send(call)
         finally:
             permit.close(1)
 
-    def _send(self, call, demand):
-        """Send a call to the first target that takes a connection."""
-        table = self._context.snapshots.targets
-        while True:
-            target = self._context.chooser.choose_target(table, demand)
-            try:
-                return self._send_to(target, call)
-            except UnreachableError:
-                excluded = demand.excluded | {target.name}
-                demand = msgspec.structs.replace(demand, excluded=excluded)
-
-    def _send_to(self, target, call):
+    def _send(self, call):
+        try:
+            return self._attempts.run(
+                call.demand,
+                call.work.deadline,
+                call.idempotent,
+                lambda left, tried: self._attempt(left, tried, call),
+            )
+        except AnswerLostError:
+            raise OutcomeUnknownError(
+                f"a target of {call.demand.group} took the call and did not"
+                " answer",
+                "read the state of your request before sending it again",
+            ) from None
+
+    def _attempt(self, demand, tried, call):
         http = self._context.http
         send = http.call if call.idempotent else http.call_afresh
         forward = call.forward
+        chooser = self._context.chooser
+        target = chooser.choose_target(self._context.snapshots.targets, demand)
+        tried.append(target.name)
+        begun = self._context.clock.monotonic()
+        is_success = False
+        chooser.started(target.address)
         try:
             answer = send(
                 target.address,
                 forward.method,
                 forward.path,
                 forward.body,
-                self._context.clock.monotonic() + CALL_TIMEOUT_SECONDS,
+                begun + CALL_TIMEOUT_SECONDS,
                 forward.headers,
             )
-        except AnswerLostError:
-            raise OutcomeUnknownError(
-                f"target {target.name} took the call and gave no answer",
-                "read the state of your request before sending it again",
-            ) from None
+            is_success = answer.status not in FAILURE_STATUSES
+        finally:
+            seconds = self._context.clock.monotonic() - begun
+            chooser.ended(target.address)
+            for observer in (chooser, self._context.admission):
+                observer.observed(target.address, is_success, seconds)
         return Response(
             answer.status,
             answer.body,
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -1,29 +1,46 @@
 """An entry host: all parts of one process under one supervisor."""
 
+import random
 import threading
 import time
 
-from apricotseam.admission import OpenAdmission
+from apricotseam.admission import FairAdmission
 from apricotseam.callers import build_callers_application
 from apricotseam.callers import CallerContext
 from apricotseam.clock import SystemClock
 from apricotseam.config import ConfigurationStore
-from apricotseam.host._agreement import PeerParts
+from apricotseam.execution import TransportLink
 from apricotseam.host._children import ConfigurationChild
 from apricotseam.host._children import ListenerChild
+from apricotseam.host._children import PeersChild
 from apricotseam.host._children import TargetsChild
+from apricotseam.host._execution import build_execution
+from apricotseam.host._execution import ClaimsChild
+from apricotseam.host._loads import LoadsChild
 from apricotseam.host._snapshots import Snapshots
+from apricotseam.host._tls import HostTls
+from apricotseam.membership import Member
+from apricotseam.membership import Membership
+from apricotseam.membership import MembershipChild
 from apricotseam.operators import build_operators_application
 from apricotseam.operators import OperatorContext
+from apricotseam.peers import ControlLoop
+from apricotseam.peers import PeerTransport
 from apricotseam.pipelines import ChainRunner
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
 from apricotseam.platform import HttpModelEngine
-from apricotseam.routing import RandomChooser
+from apricotseam.routing import build_chooser
+from apricotseam.routing import count_retry
+from apricotseam.routing import LinkDistances
+from apricotseam.routing import ObservedEngine
+from apricotseam.routing import RetryPolicy
 from apricotseam.supervision import Supervisor
 from apricotseam.web import HttpClient
 from apricotseam.web import Listener
 
+MILLISECONDS = 1000
+
 
 class EntryHost:
     """Builds and runs the parts of one entry host.
@@ -42,34 +59,80 @@
         self._failed = threading.Event()
         self._ended = threading.Event()
         self.snapshots = Snapshots(settings)
-        http = HttpClient()
-        engine = HttpModelEngine(http)
+        self._tls = HostTls(settings)
+        http = HttpClient(tls=self._tls.platform_context)
+        chooser = build_chooser(
+            settings.choice,
+            host=settings.host,
+            zone=settings.availability_zone,
+            clock=self._clock,
+            distances=LinkDistances(lambda: self.snapshots.configuration),
+            hosts=self.snapshots.count_entry_hosts,
+        )
+        admission = FairAdmission(
+            settings.bounds,
+            self._clock,
+            table=lambda: self.snapshots.targets,
+            hosts=self.snapshots.count_entry_hosts,
+        )
+        engine = ObservedEngine(
+            HttpModelEngine(http),
+            chooser,
+            self._clock,
+            settings.bounds.report_lag_seconds,
+            admission.observed,
+        )
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
-        self._peers = PeerParts(settings, self._clock, service, self.snapshots)
         runner = ChainRunner(
             engine, self._clock, settings.bounds.step_timeout_seconds
         )
+        loop = ControlLoop()
+        self.transport = PeerTransport(
+            loop,
+            settings.peers_address,
+            int(self._clock.wall() * MILLISECONDS),
+            self._tls.peer_context,
+        )
+        execution, claim_batches = build_execution(
+            settings,
+            self._clock,
+            service,
+            TransportLink(self.transport, loop),
+            self._claim_hosts,
+        )
         callers = CallerContext(
             settings=settings,
             clock=self._clock,
             http=http,
             runner=runner,
             snapshots=self.snapshots,
-            admission=OpenAdmission(),
-            chooser=RandomChooser(),
-            execution=self._peers.execution,
+            admission=admission,
+            chooser=chooser,
+            execution=execution,
+            retries=RetryPolicy(self._clock, on_retry=count_retry),
         )
         operators = OperatorContext(
             settings, self._clock, store, self.snapshots, self.request_stop
         )
         host_list = HttpHostList(http, settings.host_list)
+        self.membership = self._membership(loop)
         self._supervisor = Supervisor(
             settings.host,
             [
-                self._peers,
+                self._tls,
+                PeersChild(loop, self.transport),
+                ClaimsChild(claim_batches),
+                self.membership,
                 ConfigurationChild(store, self.snapshots),
-                TargetsChild(host_list, engine, self.snapshots),
+                TargetsChild(
+                    host_list,
+                    engine,
+                    self.snapshots,
+                    self.membership,
+                    chooser.watched,
+                ),
+                LoadsChild(http, engine, chooser, self.snapshots, self._clock),
                 ListenerChild("operators", self._operators(operators)),
                 ListenerChild("callers", self._callers(callers)),
             ],
@@ -99,6 +162,38 @@
         seconds = self.settings.bounds.stop_timeout_seconds
         return self._supervisor.stop(time.monotonic() + seconds)
 
+    def _membership(self, loop):
+        settings = self.settings
+        own = Member(
+            name=settings.host,
+            peers_address=settings.peers_address,
+            callers_address=settings.callers_address,
+            operators_address=settings.operators_address,
+            availability_zone=settings.availability_zone,
+            incarnation=self.transport.incarnation,
+        )
+        membership = Membership(own, random.Random(), self._clock.monotonic())
+        child = MembershipChild(
+            loop,
+            self.transport,
+            membership,
+            self._clock,
+            self._take_members,
+        )
+        child.follow(self._facts, lambda address, revision: None)
+        return child
+
+    def _take_members(self, table):
+        self.snapshots.members = table
+
+    def _claim_hosts(self):
+        live = self.snapshots.members.live()
+        return [member.peers_address for member in live]
+
+    def _facts(self):
+        configuration = self.snapshots.configuration
+        return (configuration.revision if configuration else 0, 0)
+
     def _callers(self, context):
         bounds = self.settings.bounds
         return Listener(
@@ -107,12 +202,14 @@
             threads=bounds.caller_threads,
             socket_timeout=bounds.socket_timeout_seconds,
             header_bytes=bounds.header_bytes,
+            tls=self._tls.listener_context,
         )
 
     def _operators(self, context):
         return Listener(
             build_operators_application(context),
             self.settings.operators_address,
+            tls=self._tls.listener_context,
         )
 
     def _fail(self, name):
