--- a/apricotseam/callers/_services.py
+++ b/apricotseam/callers/_services.py
@@ -7,6 +7,8 @@
 from apricotseam.callers._context import authenticate
 from apricotseam.callers._work import describe_work
 from apricotseam.errors import AnswerLostError
+from apricotseam.errors import ApricotseamError
+from apricotseam.errors import Outcome
 from apricotseam.errors import OutcomeUnknownError
 from apricotseam.errors import UnknownNameError
 from apricotseam.execution import ExecutionRequest
@@ -17,6 +19,7 @@
 FAILURE_STATUSES = frozenset((500, 502, 503, 504))
 TICKET_HEADER = "Apricotseam-Ticket"
 KEY_HEADER = "Idempotency-Key"
+REPEAT_HEADER = "Apricotseam-Repeat"
 
 
 class Services:
@@ -34,10 +37,21 @@
 
     def handle(self, request):
         """Answer ``/v1/services/{service}/{path}``."""
+        try:
+            call = self._prepare(request)
+        except ApricotseamError as error:
+            raise _for_repeat(error, request) from None
+        if call.idempotent:
+            return self._admit_and_send(call)
+        return self._context.execution.run_once(
+            call.once, lambda: self._admit_and_send(call)
+        )
+
+    def _prepare(self, request):
         caller = authenticate(request, self._context.snapshots)
         service = _service(caller, request.arguments["service"])
         path = "/" + request.arguments["path"]
-        call = _call(service, request.method, path)
+        declared = _call(service, request.method, path)
         forward = Forward(request, path)
         work = describe_work(
             request,
@@ -45,51 +59,42 @@
             self._context.clock,
             forward.identifier,
             service.group,
-            call.priority,
+            declared.priority,
             1,
         )
-        permit = self._context.admission.admit(work)
-        try:
-            return self._run(caller, service, call, forward, work)
-        finally:
-            permit.close(1)
-
-    def _run(self, caller, service, call, forward, work):
         demand = Demand(
             scope=caller.scope_file.scope,
             group=service.group,
             customer=caller.customer.name,
         )
+        return PreparedCall(demand, forward, work, declared.idempotent)
 
-        def send():
-            return self._send(demand, forward, call, work.deadline)
-
-        if call.idempotent:
-            return send()
-        once = ExecutionRequest(
-            scope=demand.scope,
-            customer=demand.customer,
-            digest=forward.digest,
-            ticket=forward.ticket,
-            key=forward.key,
-        )
-        return self._context.execution.run_once(once, send)
+    def _admit_and_send(self, call):
+        permit = self._context.admission.admit(call.work)
+        try:
+            return self._send(call)
+        finally:
+            permit.close(1)
 
-    def _send(self, demand, forward, call, deadline):
+    def _send(self, call):
         try:
             return self._attempts.run(
-                demand,
-                deadline,
+                call.demand,
+                call.work.deadline,
                 call.idempotent,
-                lambda left, tried: self._attempt(left, tried, forward),
+                lambda left, tried: self._attempt(left, tried, call),
             )
         except AnswerLostError:
             raise OutcomeUnknownError(
-                f"a target of {demand.group} took the call and gave no answer",
+                f"a target of {call.demand.group} took the call and did not"
+                " answer",
                 "read the state of your request before sending it again",
             ) from None
 
-    def _attempt(self, demand, tried, forward):
+    def _attempt(self, demand, tried, call):
+        http = self._context.http
+        send = http.call if call.idempotent else http.call_afresh
+        forward = call.forward
         chooser = self._context.chooser
         target = chooser.choose_target(self._context.snapshots.targets, demand)
         tried.append(target.name)
@@ -97,7 +102,7 @@
         is_success = False
         chooser.started(target.address)
         try:
-            answer = self._context.http.call(
+            answer = send(
                 target.address,
                 forward.method,
                 forward.path,
@@ -118,6 +123,42 @@
         )
 
 
+class PreparedCall:
+    """A call that was checked and may be run.
+
+    Parameters
+    ----------
+    demand : Demand
+        What it needs of the targets.
+    forward : Forward
+        The call as it is passed on.
+    work : Work
+        The call as admission sees it.
+    idempotent : bool
+        Whether it may be repeated.
+    """
+
+    __slots__ = ("demand", "forward", "idempotent", "work")
+
+    def __init__(self, demand, forward, work, idempotent):
+        self.demand = demand
+        self.forward = forward
+        self.work = work
+        self.idempotent = idempotent
+
+    @property
+    def once(self):
+        """The `ExecutionRequest` of the call."""
+        return ExecutionRequest(
+            scope=self.demand.scope,
+            customer=self.demand.customer,
+            digest=self.forward.digest,
+            ticket=self.forward.ticket,
+            key=self.forward.key,
+            is_repeat=self.forward.is_repeat,
+        )
+
+
 class Forward:
     """A call as it is passed on to a target.
 
@@ -134,6 +175,7 @@
         "digest",
         "headers",
         "identifier",
+        "is_repeat",
         "key",
         "method",
         "path",
@@ -147,6 +189,7 @@
         self.identifier = request.header("X-Request-Id") or uuid.uuid4().hex
         self.ticket = request.header(TICKET_HEADER)
         self.key = request.header(KEY_HEADER)
+        self.is_repeat = _is_repeat(request)
         self.headers = {"X-Request-Id": self.identifier}
         content_type = request.header("Content-Type")
         if content_type:
@@ -155,6 +198,24 @@
         self.digest = hashlib.sha256(text + self.body).hexdigest()
 
 
+def _is_repeat(request):
+    return request.header(REPEAT_HEADER, "").lower() in ("1", "true")
+
+
+def _for_repeat(error, request):
+    """Return the error of a refusal, as far as it holds for a repeat.
+
+    The refusal of a copy proves nothing about copies sent before it.
+    """
+    if error.outcome is not Outcome.NOT_RUN or not _is_repeat(request):
+        return error
+    return OutcomeUnknownError(
+        f"this copy was not run, an earlier one may have been: {error.found}",
+        error.remedy,
+        error.retry_after,
+    )
+
+
 def _service(caller, name):
     for service in caller.scope_file.services:
         if service.name == name:
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -9,11 +9,13 @@
 from apricotseam.callers import CallerContext
 from apricotseam.clock import SystemClock
 from apricotseam.config import ConfigurationStore
-from apricotseam.execution import DirectExecution
+from apricotseam.execution import TransportLink
 from apricotseam.host._children import ConfigurationChild
 from apricotseam.host._children import ListenerChild
 from apricotseam.host._children import PeersChild
 from apricotseam.host._children import TargetsChild
+from apricotseam.host._execution import build_execution
+from apricotseam.host._execution import ClaimsChild
 from apricotseam.host._loads import LoadsChild
 from apricotseam.host._snapshots import Snapshots
 from apricotseam.host._tls import HostTls
@@ -85,6 +87,20 @@
         runner = ChainRunner(
             engine, self._clock, settings.bounds.step_timeout_seconds
         )
+        loop = ControlLoop()
+        self.transport = PeerTransport(
+            loop,
+            settings.peers_address,
+            int(self._clock.wall() * MILLISECONDS),
+            self._tls.peer_context,
+        )
+        execution, claim_batches = build_execution(
+            settings,
+            self._clock,
+            service,
+            TransportLink(self.transport, loop),
+            self._claim_hosts,
+        )
         callers = CallerContext(
             settings=settings,
             clock=self._clock,
@@ -93,20 +109,13 @@
             snapshots=self.snapshots,
             admission=admission,
             chooser=chooser,
-            execution=DirectExecution(),
+            execution=execution,
             retries=RetryPolicy(self._clock, on_retry=count_retry),
         )
         operators = OperatorContext(
             settings, self._clock, store, self.snapshots, self.request_stop
         )
         host_list = HttpHostList(http, settings.host_list)
-        loop = ControlLoop()
-        self.transport = PeerTransport(
-            loop,
-            settings.peers_address,
-            int(self._clock.wall() * MILLISECONDS),
-            self._tls.peer_context,
-        )
         self.membership = self._membership(loop)
         self._callers_listener = self._callers(callers)
         self._supervisor = Supervisor(
@@ -114,6 +123,7 @@
             [
                 self._tls,
                 PeersChild(loop, self.transport),
+                ClaimsChild(claim_batches),
                 self.membership,
                 ConfigurationChild(store, self.snapshots),
                 TargetsChild(
@@ -190,6 +200,10 @@
     def _take_members(self, table):
         self.snapshots.members = table
 
+    def _claim_hosts(self):
+        live = self.snapshots.members.live()
+        return [member.peers_address for member in live]
+
     def _facts(self):
         configuration = self.snapshots.configuration
         return (configuration.revision if configuration else 0, 0)
