Measure the time from a stage's death to the next token

Cause: the recovery had no figures, and a hang was found after the whole bound of a step and a second bound for the question.

--- a/apricotseam/pipelines/_recovery.py
+++ b/apricotseam/pipelines/_recovery.py
@@ -1,6 +1,7 @@
 """Brings a stream on after one of its stages failed."""
 
 import abc
+import logging
 
 from apricotseam.errors import ApricotseamError
 from apricotseam.errors import FailedError
@@ -16,6 +17,8 @@
 from apricotseam.pipelines._stages import RecoveryTimes
 from apricotseam.pipelines._stages import StepFailure
 
+_LOG = logging.getLogger(__name__)
+
 MAX_REPLACEMENTS = 8
 POLL_SECONDS = 0.02
 _REUSABLE = (Word.UNKNOWN_STREAM, Word.ELSEWHERE)
@@ -155,7 +158,7 @@
             spent.rebuild += self._clock.monotonic() - started
             if results is not None:
                 self.abandoned.append(old)
-                self._observe(spent)
+                self._observe(old, spent)
                 return index + len(stages) - 1, results
         raise _given_up(old, failure)
 
@@ -311,10 +314,13 @@
         seconds = self._times.timeout(stage.address)
         return self._clock.monotonic() + seconds
 
-    @staticmethod
-    def _observe(spent):
+    def _observe(self, old, spent):
+        fields = {"target": old.target, "stream": self._plan.stream}
         for part in spent.__struct_fields__:
-            RECOVERY_SECONDS.labels(part).observe(getattr(spent, part))
+            seconds = getattr(spent, part)
+            RECOVERY_SECONDS.labels(part).observe(seconds)
+            fields[part] = round(seconds, 4)
+        _LOG.info("stage_recovered", extra=fields)
 
 
 def _given_up(stage, failure):
--- /dev/null
+++ b/measure/_engines.py
@@ -0,0 +1,318 @@
+"""Stand-in engines and entry hosts as processes of their own."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import msgspec
+import yaml
+
+from apricotseam.callers import hash_key
+from apricotseam.cli._client import HostClient
+from apricotseam.config import AuditEntry
+from apricotseam.demo import free_address
+from apricotseam.demo import LocalSystem
+from apricotseam.demo import OPERATOR_KEY
+from apricotseam.errors import ApricotseamError
+from apricotseam.host import EntryHost
+from apricotseam.platform import HttpModelEngine
+from apricotseam.standins import EngineOptions
+from apricotseam.web import HttpClient
+
+CUSTOMER_KEY = "key-of-the-measured-customer"
+SCOPE = "measured"
+READY_SECONDS = 30.0
+
+
+class EngineProcess:
+    """One stand-in engine in a process of its own.
+
+    Parameters
+    ----------
+    options : EngineOptions
+        What the engine is made of.
+    zone : str
+        Its availability zone.
+    """
+
+    def __init__(self, options, zone):
+        self.options = options
+        self.zone = zone
+        self.address = free_address()
+        self._process = None
+
+    def start(self):
+        """Start the process."""
+        options = msgspec.json.encode(self.options).decode()
+        arguments = ["standin", "engine", "--address", self.address]
+        self._process = subprocess.Popen(
+            [
+                *(sys.executable, "-m", "apricotseam"),
+                *(*arguments, "--options", options),
+            ],
+            stdout=subprocess.DEVNULL,
+        )
+        return self
+
+    def kill(self):
+        """End the process as a power cut would."""
+        self._process.kill()
+        self._process.wait(10)
+
+    def pause(self):
+        """Stop the process; its kernel still accepts connections."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def resume(self):
+        """Let a stopped process go on."""
+        self._process.send_signal(signal.SIGCONT)
+
+    def cpu_seconds(self):
+        """Return the processor time of the process in seconds."""
+        return process_seconds(self._process.pid)
+
+
+class HostProcess:
+    """One entry host in a process of its own."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self._directory = tempfile.TemporaryDirectory()
+        path = os.path.join(self._directory.name, "settings.yaml")
+        with open(path, "w") as file:
+            yaml.safe_dump(msgspec.to_builtins(settings), file)
+        command = [sys.executable, "-m", "apricotseam", "serve", path]
+        self._process = subprocess.Popen(
+            command, stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL
+        )
+
+    def kill(self):
+        """End the process as a power cut would."""
+        if self._process.poll() is None:
+            self._process.kill()
+        self._process.wait(10)
+        self._directory.cleanup()
+
+    def cpu_seconds(self):
+        """Return the processor time of the process in seconds."""
+        return process_seconds(self._process.pid)
+
+
+class Cluster:
+    """Engine processes behind entry hosts, all on loopback.
+
+    Parameters
+    ----------
+    engines : list of EngineProcess
+        Engines of one model.
+    layers : int
+        Layers of the model.
+    accelerators, links : list of dict
+        As in an operators' file.
+    zones : list of str
+        Availability zone of each entry host.
+    in_process : bool
+        Whether the hosts run inside this process.
+    """
+
+    def __init__(
+        self,
+        engines,
+        layers,
+        accelerators=(),
+        links=(),
+        zones=("a",),
+        in_process=True,
+        bounds=None,
+    ):
+        self.engines = engines
+        self.hosts = []
+        self._layers = layers
+        self._accelerators = list(accelerators)
+        self._links = list(links)
+        self._zones = zones
+        self._in_process = in_process
+        self._client = HttpClient()
+        self._platform = LocalSystem([], [], bounds=bounds)
+
+    def __enter__(self):
+        """Start everything and wait until requests can be served."""
+        self._platform.start()
+        for engine in self.engines:
+            engine.start()
+        for number, zone in enumerate(self._zones):
+            self.add_host(f"entry-{number}", zone)
+        self._wait(lambda: self._apply() is not None)
+        self._wait(self.is_ready)
+        return self
+
+    def __exit__(self, *arguments):
+        """End everything."""
+        for host in self.hosts:
+            host.stop() if self._in_process else host.kill()
+        for engine in self.engines:
+            engine.kill()
+        self._platform.stop()
+
+    @property
+    def addresses(self):
+        """Callers' addresses of the hosts."""
+        return [host.settings.callers_address for host in self.hosts]
+
+    def add_host(self, name, zone):
+        """Start one more entry host."""
+        settings = self._platform.settings(name, zone)
+        if self._in_process:
+            host = EntryHost(settings)
+            host.start()
+        else:
+            host = HostProcess(settings)
+        self.hosts.append(host)
+        return host
+
+    def is_ready(self):
+        """Return whether every host knows every engine's version."""
+        return all(map(self._knows_engines, self.hosts))
+
+    def wait_ready(self):
+        """Wait until every host knows every engine."""
+        self._wait(self.is_ready)
+
+    def running(self, engine):
+        """Return the number of streams that an engine holds."""
+        report = HttpModelEngine(self._client).report(
+            engine.address, time.monotonic() + 2
+        )
+        return report.running_streams
+
+    def _knows_engines(self, host):
+        try:
+            status = self._operator(host).call("GET", "/v1/admin/status", dict)
+        except ApricotseamError:
+            return False
+        known = {
+            row["address"]
+            for row in status["targets"]
+            if row.get("version") and not row.get("suspect")
+        }
+        return known >= {engine.address for engine in self.engines}
+
+    def _apply(self):
+        path = f"/v1/admin/scopes/{SCOPE}"
+        text = yaml.safe_dump(self._scope()).encode()
+        try:
+            return self._operator(self.hosts[0]).call(
+                "PUT", path, AuditEntry, text
+            )
+        except ApricotseamError:
+            return None
+
+    @staticmethod
+    def _operator(host):
+        return HostClient(host.settings.operators_address, OPERATOR_KEY)
+
+    @staticmethod
+    def _wait(condition):
+        deadline = time.monotonic() + READY_SECONDS
+        while not condition():
+            if time.monotonic() > deadline:
+                raise TimeoutError("the measured system is not ready")
+            time.sleep(0.1)
+
+    def _scope(self):
+        targets = [
+            {
+                "name": engine.options.name,
+                "address": engine.address,
+                "availability_zone": engine.zone,
+                "accelerator": engine.options.accelerator,
+                "layers": {
+                    "first": engine.options.first,
+                    "last": engine.options.last,
+                },
+            }
+            for engine in self.engines
+        ]
+        kinds = {engine.options.accelerator for engine in self.engines}
+        accelerators = self._accelerators or [
+            {
+                "name": kind,
+                "layer_tokens_per_second": 1e6,
+                "memory_layers": self._layers,
+            }
+            for kind in sorted(kinds)
+        ]
+        return {
+            "scope": SCOPE,
+            "models": [
+                {
+                    "name": "m",
+                    "layers": self._layers,
+                    "versions": ["v1"],
+                    "serving": "v1",
+                }
+            ],
+            "accelerators": accelerators,
+            "links": self._links,
+            "groups": [
+                {
+                    "name": "g",
+                    "kind": "engine",
+                    "model": "m",
+                    "targets": targets,
+                }
+            ],
+            "priorities": [
+                {
+                    "name": "p",
+                    "rank": 0,
+                    "first_token_milliseconds": 60000.0,
+                }
+            ],
+            "pipelines": [
+                {
+                    "name": "q",
+                    "model": "m",
+                    "group": "g",
+                    "default_priority": "p",
+                    "max_tokens": 4096,
+                }
+            ],
+            "customers": [
+                {
+                    "name": "c",
+                    "key_hashes": [hash_key(CUSTOMER_KEY)],
+                    "requests_per_second": 1e6,
+                    "tokens_per_second": 1e9,
+                    "max_streams": 100000,
+                }
+            ],
+        }
+
+
+def even_engines(ranges, layers, copies, step_seconds, zone="a"):
+    """Return engines with a number of copies of each layer range."""
+    engines = []
+    for first, last in ranges:
+        for copy in range(copies):
+            options = EngineOptions(
+                name=f"e{first}-{copy}",
+                model="m",
+                version="v1",
+                layers=layers,
+                first=first,
+                last=last,
+                step_seconds=step_seconds,
+            )
+            engines.append(EngineProcess(options, zone))
+    return engines
+
+
+def process_seconds(pid):
+    """Return user and system time of a process in seconds."""
+    with open(f"/proc/{pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
