--- a/apricotseam/cli/_ask.py
+++ b/apricotseam/cli/_ask.py
@@ -34,6 +34,8 @@
         Bound on the answer.
     """
 
+    sends_back = True
+
     def __init__(self, key, model, prompt, max_tokens):
         self._key = key
         self._client = HttpClient()
@@ -90,7 +92,8 @@
             headers[RESUME_HEADER] = self._handle
             if self._tokens:
                 headers["Last-Event-ID"] = str(len(self._tokens) - 1)
-                body["delivered"] = self._tokens
+                if self.sends_back:
+                    body["delivered"] = self._tokens
         deadline = time.monotonic() + IDLE_SECONDS
         try:
             got, lines = client.open_stream(
--- a/apricotseam/pipelines/_carrier.py
+++ b/apricotseam/pipelines/_carrier.py
@@ -9,6 +9,8 @@
 from apricotseam.errors import AnswerLostError
 from apricotseam.errors import ApricotseamError
 from apricotseam.errors import TargetError
+from apricotseam.pipelines._metrics import STEP_CALLS
+from apricotseam.pipelines._metrics import STEPS
 from apricotseam.web import UnreachableError
 
 MAX_LANES = 4096
@@ -88,8 +90,6 @@
         self._lock = threading.Lock()
         self._lanes = collections.OrderedDict()
         self._order = itertools.count()
-        self.calls = 0
-        self.steps = 0
 
     def run(self, address, step, deadline):
         """Run one step and return its `StepResult`.
@@ -160,8 +160,8 @@
     def _call(self, address, batch):
         steps = [entry.step for entry in batch]
         deadline = max(entry.deadline for entry in batch)
-        self.calls += 1
-        self.steps += len(steps)
+        STEP_CALLS.inc()
+        STEPS.inc(len(steps))
         try:
             results = self._engine.run_steps(address, steps, deadline)
             if len(results) != len(steps):
--- a/apricotseam/pipelines/_metrics.py
+++ b/apricotseam/pipelines/_metrics.py
@@ -19,3 +19,11 @@
     "apricotseam_late_answers",
     "Results of abandoned attempts that were dropped.",
 )
+STEP_CALLS = prometheus_client.Counter(
+    "apricotseam_step_calls",
+    "Calls to engines that carried steps.",
+)
+STEPS = prometheus_client.Counter(
+    "apricotseam_steps",
+    "Steps carried to engines.",
+)
--- a/measure/_readers.py
+++ b/measure/_readers.py
@@ -22,13 +22,15 @@
         Length of the answer.
     layers : int
         Layers of the model.
+    kind : type
+        Class of the caller.
     """
 
-    def __init__(self, addresses, prompt, tokens, layers):
+    def __init__(self, addresses, prompt, tokens, layers, kind=ResumingAnswer):
         self.times = []
         self.texts = []
         self.error = None
-        self._answer = ResumingAnswer(CUSTOMER_KEY, "q", prompt, tokens)
+        self._answer = kind(CUSTOMER_KEY, "q", prompt, tokens)
         self._addresses = addresses
         text = f'[["user","{prompt}"]]'
         self._wanted = reference_answer("v1", layers, text, tokens)
