Gather steps for a millisecond instead of waiting for a call slot

Cause: a step that waited for a call slot missed the engine's next batch. Change: with a call under way and a slot free, the first step waits a short time for others and sends all of them.

--- a/apricotseam/pipelines/_carrier.py
+++ b/apricotseam/pipelines/_carrier.py
@@ -15,7 +15,8 @@
 
 MAX_LANES = 4096
 MAX_STEPS_PER_CALL = 64
-MAX_CALLS_PER_STAGE = 2
+MAX_CALLS_PER_STAGE = 8
+GATHER_SECONDS = 0.001
 
 
 class _Entry:
@@ -44,12 +45,13 @@
 class _Lane:
     """Steps that wait for one stage and the calls under way to it."""
 
-    __slots__ = ("calls", "lock", "queue")
+    __slots__ = ("calls", "gatherer", "lock", "queue")
 
     def __init__(self):
         self.lock = threading.Lock()
         self.queue = []
         self.calls = 0
+        self.gatherer = None
 
     def take(self, count):
         """Return up to a number of waiting entries, by priority."""
@@ -62,11 +64,12 @@
 
 
 class StepCarrier:
-    """Sends steps that wait while calls to a stage are under way together.
+    """Sends steps for a stage together while a call to it is under way.
 
-    A request thread whose stage has a free call slot sends at once. Others
-    wait; the thread whose call ends passes its slot to the first of them,
-    which sends all that wait, urgent steps first.
+    A request thread that finds no call to its stage under way sends at
+    once. Else it waits a short time for steps of others and sends all of
+    them, urgent steps first. With too many calls under way it waits for
+    one to end.
 
     Parameters
     ----------
@@ -76,6 +79,8 @@
         Calls under way to one stage at a time.
     max_steps : int
         Steps in one call.
+    gather_seconds : float
+        Longest wait for steps of others while a slot is free.
     """
 
     def __init__(
@@ -83,10 +88,12 @@
         engine,
         max_calls=MAX_CALLS_PER_STAGE,
         max_steps=MAX_STEPS_PER_CALL,
+        gather_seconds=GATHER_SECONDS,
     ):
         self._engine = engine
         self._max_calls = max_calls
         self._max_steps = max_steps
+        self._gather_seconds = gather_seconds
         self._lock = threading.Lock()
         self._lanes = collections.OrderedDict()
         self._order = itertools.count()
@@ -112,13 +119,9 @@
         """
         lane = self._lane(address)
         entry = _Entry(step, deadline)
-        with lane.lock:
-            if lane.calls < self._max_calls:
-                lane.calls += 1
-                entry.batch = [entry, *lane.take(self._max_steps - 1)]
-            else:
-                item = (step.priority, next(self._order), entry)
-                heapq.heappush(lane.queue, item)
+        self._join(lane, entry)
+        if lane.gatherer is entry:
+            self._gather(lane, entry)
         if entry.batch is None:
             self._wait(lane, entry)
         if entry.batch is not None:
@@ -127,6 +130,29 @@
             raise entry.error
         return entry.result
 
+    def _join(self, lane, entry):
+        """Give an entry its part: to send, to gather or to wait."""
+        with lane.lock:
+            is_free = lane.gatherer is None and lane.calls < self._max_calls
+            if is_free and (lane.calls == 0 or self._gather_seconds <= 0):
+                lane.calls += 1
+                entry.batch = [entry]
+            elif is_free:
+                lane.calls += 1
+                lane.gatherer = entry
+            else:
+                item = (entry.step.priority, next(self._order), entry)
+                heapq.heappush(lane.queue, item)
+                is_full = len(lane.queue) + 1 >= self._max_steps
+                if lane.gatherer is not None and is_full:
+                    lane.gatherer.wake.set()
+
+    def _gather(self, lane, entry):
+        entry.wake.wait(self._gather_seconds)
+        with lane.lock:
+            lane.gatherer = None
+            entry.batch = [entry, *lane.take(self._max_steps - 1)]
+
     def _wait(self, lane, entry):
         left = entry.deadline - time.monotonic()
         if entry.wake.wait(max(0.0, left)):
@@ -150,7 +176,9 @@
             self._call(address, batch)
         finally:
             with lane.lock:
-                following = lane.take(self._max_steps)
+                following = []
+                if lane.gatherer is None:
+                    following = lane.take(self._max_steps)
                 if following:
                     following[0].batch = following
                     following[0].wake.set()
--- a/apricotseam/pipelines/tests/test_carrier.py
+++ b/apricotseam/pipelines/tests/test_carrier.py
@@ -128,3 +128,21 @@
     callers.join()
     assert callers.results["late"] is UnreachableError
     assert engine.batches == [["first"], ["next"]]
+
+
+def test_steps_gather_while_a_slot_is_free():
+    engine = GatedEngine()
+    carrier = StepCarrier(engine, max_calls=2, max_steps=3, gather_seconds=30)
+    callers = Callers(carrier)
+    callers.start("first", deadline=1e6)
+    engine.started.acquire()
+    callers.start("gatherer", deadline=1e6)
+    while carrier._lanes["a"].gatherer is None:
+        threading.Event().wait(0.001)
+    callers.start("low", 5, deadline=1e6)
+    wait_for_queue(carrier, 1)
+    callers.start("urgent", 0, deadline=1e6)
+    engine.started.acquire()
+    engine.gate.release(2)
+    callers.join()
+    assert engine.batches == [["first"], ["gatherer", "urgent", "low"]]
--- a/measure/kinds/token_overhead.py
+++ b/measure/kinds/token_overhead.py
@@ -32,12 +32,17 @@
 def run(parameters, variant, seed):
     """Return delay and processor time per token as ratios to direct.
 
-    The variant ``one_call_per_step`` never lets steps share a call.
+    The variant ``one_call_per_step`` never lets steps share a call;
+    ``wait_for_slot`` has them wait until one of two calls ended.
     """
     defaults = _carrier.StepCarrier.__init__.__defaults__
-    if variant == "one_call_per_step":
-        changed = (UNBOUNDED_CALLS, *defaults[1:])
-        _carrier.StepCarrier.__init__.__defaults__ = changed
+    changed = {
+        "one_call_per_step": (UNBOUNDED_CALLS, 64, 0.0),
+        "wait_for_slot": (2, 64, 0.0),
+        "gather_2_ms": (8, 64, 0.002),
+        "gather_4_ms": (8, 64, 0.004),
+    }
+    _carrier.StepCarrier.__init__.__defaults__ = changed.get(variant, defaults)
     try:
         with _cluster(parameters) as cluster:
             return _compare(cluster, parameters, seed)
