--- a/measure/_engines.py
+++ b/measure/_engines.py
@@ -11,7 +11,7 @@
 import yaml
 
 from apricotseam.callers import hash_key
-from apricotseam.cli._client import HostClient
+from apricotseam.client import HostClient
 from apricotseam.config import AuditEntry
 from apricotseam.demo import free_address
 from apricotseam.demo import LocalSystem
--- a/measure/_readers.py
+++ b/measure/_readers.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-from apricotseam.cli._ask import ResumingAnswer
+from apricotseam.client import ResumingAnswer
 from apricotseam.errors import ApricotseamError
 from apricotseam.standins import reference_answer
 from measure._engines import CUSTOMER_KEY
--- a/measure/kinds/host_death.py
+++ b/measure/kinds/host_death.py
@@ -2,7 +2,7 @@
 
 import time
 
-from apricotseam.cli import _ask
+from apricotseam.client import ResumingAnswer
 from measure._engines import Cluster
 from measure._engines import even_engines
 from measure._figure import Figure
@@ -13,7 +13,7 @@
 LAYERS = 8
 
 
-class _RunAgain(_ask.ResumingAnswer):
+class _RunAgain(ResumingAnswer):
     """A caller that does not send back the tokens that it has."""
 
     sends_back = False
@@ -25,7 +25,7 @@
     The variant ``run_again`` has the new host run the answer from its
     beginning instead of replaying the tokens that the caller has.
     """
-    kind = _RunAgain if variant == "run_again" else _ask.ResumingAnswer
+    kind = _RunAgain if variant == "run_again" else ResumingAnswer
     engines = even_engines(RANGES, LAYERS, 2, parameters["step_seconds"])
     gaps = []
     broken = 0
