Split the flow of tokens over chains from a maximum-flow bound

Cause: chains were sampled without knowing what kinds and links can carry. Change: a plan by maximum flow of least crossings over zones and ranges, split over targets; links that several boundaries share are fitted by rounds; hosts compute it again only when targets, rates, links or the file change, and halve the rate of a stage whose steps are far slower than it reports; the chooser prefers planned chains.

--- a/apricotseam/host/_children.py
+++ b/apricotseam/host/_children.py
@@ -128,16 +128,21 @@
         Takes the peers' addresses of the list as seeds.
     watched : callable
         Returns the targets of a table whose reports this host needs.
+    plans : ChainPlans
+        Plans to compute again when targets change.
     """
 
     name = "targets"
 
-    def __init__(self, host_list, engine, snapshots, membership, watched):
+    def __init__(
+        self, host_list, engine, snapshots, membership, watched, plans
+    ):
         self._membership = membership
         self._host_list = host_list
         self._engine = engine
         self._snapshots = snapshots
         self._watched = watched
+        self._plans = plans
         self._reports = {}
 
     def run(self, stopping):
@@ -164,6 +169,8 @@
             if target.kind.value == "engine":
                 self._read_report(target.address)
         self._swap(configuration)
+        table = self._snapshots.targets
+        self._plans.refresh(configuration, table, self._watched(table))
 
     def _swap(self, configuration):
         self._snapshots.targets = merge_targets(
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -29,6 +29,7 @@
 from apricotseam.platform import HttpHostList
 from apricotseam.platform import HttpModelEngine
 from apricotseam.routing import build_chooser
+from apricotseam.routing import ChainPlans
 from apricotseam.routing import count_retry
 from apricotseam.routing import LinkDistances
 from apricotseam.routing import ObservedEngine
@@ -59,6 +60,7 @@
         self.snapshots = Snapshots(settings)
         self._tls = HostTls(settings)
         http = HttpClient(tls=self._tls.platform_context)
+        plans = ChainPlans(lambda address: runner.step_seconds(address))
         chooser = build_chooser(
             settings.choice,
             host=settings.host,
@@ -66,6 +68,7 @@
             clock=self._clock,
             distances=LinkDistances(lambda: self.snapshots.configuration),
             hosts=self.snapshots.count_entry_hosts,
+            plans=plans,
         )
         admission = FairAdmission(
             settings.bounds,
@@ -121,6 +124,7 @@
                     self.snapshots,
                     self.membership,
                     chooser.watched,
+                    plans,
                 ),
                 LoadsChild(http, engine, chooser, self.snapshots, self._clock),
                 ListenerChild("operators", self._operators(operators)),
--- a/apricotseam/pipelines/__init__.py
+++ b/apricotseam/pipelines/__init__.py
@@ -4,6 +4,8 @@
 from apricotseam.pipelines._chain import Chain
 from apricotseam.pipelines._chain import enumerate_chains
 from apricotseam.pipelines._chain import Stage
+from apricotseam.pipelines._planner import ChainPlan
+from apricotseam.pipelines._planner import plan_chains
 from apricotseam.pipelines._recovery import NoReplacement
 from apricotseam.pipelines._recovery import StageChooser
 from apricotseam.pipelines._runner import ChainRunner
@@ -12,6 +14,7 @@
 
 __all__ = [
     "Chain",
+    "ChainPlan",
     "ChainRunner",
     "NoReplacement",
     "Stage",
@@ -20,4 +23,5 @@
     "StreamPlan",
     "Token",
     "enumerate_chains",
+    "plan_chains",
 ]
--- a/apricotseam/pipelines/_runner.py
+++ b/apricotseam/pipelines/_runner.py
@@ -82,6 +82,10 @@
         self._wait = wait
         self._recorded_bytes = recorded_bytes
 
+    def step_seconds(self, address):
+        """Return the observed seconds of a step at a stage, or None."""
+        return self._times.mean(address)
+
     def run(self, plan, chooser=None):
         """Yield the tokens of an answer in order, each once.
 
--- a/apricotseam/pipelines/_timeouts.py
+++ b/apricotseam/pipelines/_timeouts.py
@@ -45,6 +45,11 @@
             if len(self._times) > MAX_STAGES:
                 self._times.popitem(last=False)
 
+    def mean(self, address):
+        """Return the smoothed seconds of a step, or None."""
+        known = self._times.get(address)
+        return known[0] if known is not None else None
+
     def timeout(self, address):
         """Return the seconds after which a stage is asked.
 
--- a/apricotseam/routing/__init__.py
+++ b/apricotseam/routing/__init__.py
@@ -14,6 +14,7 @@
 from apricotseam.routing._metrics import count_retry
 from apricotseam.routing._metrics import pool_label
 from apricotseam.routing._observed import ObservedEngine
+from apricotseam.routing._planned import ChainPlans
 from apricotseam.routing._prefixes import PrefixTable
 from apricotseam.routing._replacement import TableStageChooser
 from apricotseam.routing._retry import RetryBudget
@@ -24,6 +25,7 @@
 from apricotseam.routing._table import TargetTable
 
 __all__ = [
+    "ChainPlans",
     "Chooser",
     "Demand",
     "LeastCostChooser",
--- /dev/null
+++ b/apricotseam/routing/tests/test_planned.py
@@ -0,0 +1,114 @@
+"""When plans are computed again."""
+
+import pytest
+
+from apricotseam.config import Configuration
+from apricotseam.config import load_scope_file
+from apricotseam.config import TargetKind
+from apricotseam.routing import _planned
+from apricotseam.routing import ChainPlans
+from apricotseam.routing import TargetState
+from apricotseam.routing import TargetTable
+
+FILE = """
+scope: s
+models: [{name: m, layers: 4, versions: [v1, v2], serving: v1}]
+accelerators:
+  - {name: large, layer_tokens_per_second: 400, memory_layers: 4}
+groups:
+  - {name: g, kind: engine, model: m, targets: []}
+priorities: [{name: p, rank: 0}]
+customers: []
+"""
+
+
+def target(name, first, last, **changes):
+    """Return a target of the group."""
+    fields = {"version": "v1", "accelerator": "large", "step_seconds": 0.02}
+    return TargetState(
+        name=name,
+        address=name,
+        availability_zone="a",
+        scope="s",
+        group="g",
+        kind=TargetKind.ENGINE,
+        first=first,
+        last=last,
+        **{**fields, **changes},
+    )
+
+
+BASE = (target("one", 0, 1), target("two", 2, 3), target("three", 0, 1))
+
+
+@pytest.fixture
+def planned(monkeypatch):
+    """Plans, their observed step times and the number of computations."""
+    counts = []
+    compute = _planned.plan_chains
+
+    def counted(*arguments):
+        counts.append(1)
+        return compute(*arguments)
+
+    monkeypatch.setattr(_planned, "plan_chains", counted)
+    seconds = {}
+    return ChainPlans(seconds.get), seconds, counts
+
+
+def refresh(plans, targets, text=FILE):
+    """Refresh and return the plan."""
+    scope_file = load_scope_file(text)
+    configuration = Configuration(1, {"s": scope_file})
+    table = TargetTable(targets)
+    plans.refresh(configuration, table, table.all)
+    return plans.plan("s", "g", scope_file.models[0])
+
+
+def test_nothing_is_computed_without_a_change(planned):
+    plans, _, counts = planned
+    first = refresh(plans, BASE)
+    assert first.planned == 200.0
+    assert refresh(plans, reversed(BASE)) is first
+    assert len(counts) == 1
+
+
+@pytest.mark.parametrize(
+    ("targets", "text", "rate"),
+    [
+        (BASE[:1] + BASE[2:], FILE, 0.0),
+        (BASE[1:], FILE, 200.0),
+        ((*BASE, target("four", 2, 3)), FILE, 400.0),
+        ((*BASE, target("four", 2, 3, leaving=True)), FILE, 200.0),
+        ((*BASE, target("four", 2, 3, suspect=True)), FILE, 200.0),
+        ((*BASE, target("four", 2, 3, version="v2")), FILE, 200.0),
+        ((*BASE, target("four", 0, 3)), FILE, 300.0),
+        (BASE, FILE.replace("second: 400", "second: 800"), 400.0),
+        (BASE, FILE.replace("serving: v1", "serving: v2"), 0.0),
+    ],
+)
+def test_plan_follows_targets_and_files(planned, targets, text, rate):
+    plans, _, _ = planned
+    refresh(plans, BASE)
+    assert refresh(plans, targets, text).planned == rate
+
+
+def test_much_slower_stage_gets_less_until_it_is_fast_again(planned):
+    plans, seconds, counts = planned
+    refresh(plans, BASE)
+    for observed, rate in [
+        (0.03, 200),
+        (0.06, 100),
+        (0.045, 100),
+        (0.02, 200),
+    ]:
+        seconds["two"] = observed
+        assert refresh(plans, BASE).planned == rate
+    assert len(counts) == 3
+
+
+def test_chains_of_another_version_are_not_given(planned):
+    plans, _, _ = planned
+    refresh(plans, BASE)
+    model = load_scope_file(FILE.replace("serving: v1", "serving: v2"))
+    assert plans("s", "g", model.models[0]) == ()
