--- a/apricotseam/host/_loads.py
+++ b/apricotseam/host/_loads.py
@@ -34,10 +34,8 @@
     ----------
     http : HttpClient
         Client towards plain services.
-    engine : ModelEngine
-        Gives the cache events.
-    chooser : Chooser
-        Told of what was read.
+    policy : RequestPolicy
+        Its engine gives the cache events, its chooser is told.
     snapshots : Snapshots
         The targets.
     clock : Clock
@@ -46,10 +44,10 @@
 
     name = "loads"
 
-    def __init__(self, http, engine, chooser, snapshots, clock):
+    def __init__(self, http, policy, snapshots, clock):
         self._http = http
-        self._engine = engine
-        self._chooser = chooser
+        self._engine = policy.engine
+        self._chooser = policy.chooser
         self._snapshots = snapshots
         self._clock = clock
 
