--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -4,7 +4,6 @@
 import threading
 import time
 
-from apricotseam.admission import FairAdmission
 from apricotseam.callers import build_callers_application
 from apricotseam.callers import CallerContext
 from apricotseam.clock import SystemClock
@@ -17,6 +16,7 @@
 from apricotseam.host._execution import build_execution
 from apricotseam.host._execution import ClaimsChild
 from apricotseam.host._loads import LoadsChild
+from apricotseam.host._policy import RequestPolicy
 from apricotseam.host._snapshots import Snapshots
 from apricotseam.host._tls import HostTls
 from apricotseam.membership import Member
@@ -29,13 +29,7 @@
 from apricotseam.pipelines import ChainRunner
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
-from apricotseam.platform import HttpModelEngine
-from apricotseam.routing import build_chooser
 from apricotseam.routing import ChainPlans
-from apricotseam.routing import count_retry
-from apricotseam.routing import LinkDistances
-from apricotseam.routing import ObservedEngine
-from apricotseam.routing import RetryPolicy
 from apricotseam.supervision import Supervisor
 from apricotseam.web import HttpClient
 from apricotseam.web import Listener
@@ -63,32 +57,13 @@
         self._tls = HostTls(settings)
         http = HttpClient(tls=self._tls.platform_context)
         plans = ChainPlans(lambda address: runner.step_seconds(address))
-        chooser = build_chooser(
-            settings.choice,
-            host=settings.host,
-            zone=settings.availability_zone,
-            clock=self._clock,
-            distances=LinkDistances(lambda: self.snapshots.configuration),
-            hosts=self.snapshots.count_entry_hosts,
-            plans=plans,
-        )
-        admission = FairAdmission(
-            settings.bounds,
-            self._clock,
-            table=lambda: self.snapshots.targets,
-            hosts=self.snapshots.count_entry_hosts,
-        )
-        engine = ObservedEngine(
-            HttpModelEngine(http),
-            chooser,
-            self._clock,
-            settings.bounds.report_lag_seconds,
-            admission.observed,
+        policy = RequestPolicy(
+            settings, self._clock, self.snapshots, http, plans
         )
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
         runner = ChainRunner(
-            engine, self._clock, settings.bounds.step_timeout_seconds
+            policy.engine, self._clock, settings.bounds.step_timeout_seconds
         )
         loop = ControlLoop()
         self.transport = PeerTransport(
@@ -110,10 +85,10 @@
             http=http,
             runner=runner,
             snapshots=self.snapshots,
-            admission=admission,
-            chooser=chooser,
+            admission=policy.admission,
+            chooser=policy.chooser,
             execution=execution,
-            retries=RetryPolicy(self._clock, on_retry=count_retry),
+            retries=policy.retries,
         )
         operators = OperatorContext(
             settings, self._clock, store, self.snapshots, self.request_stop
@@ -131,13 +106,13 @@
                 ConfigurationChild(store, self.snapshots),
                 TargetsChild(
                     host_list,
-                    engine,
+                    policy.engine,
                     self.snapshots,
                     self.membership,
-                    chooser.watched,
+                    policy.chooser.watched,
                     plans,
                 ),
-                LoadsChild(http, engine, chooser, self.snapshots, self._clock),
+                LoadsChild(http, policy, self.snapshots, self._clock),
                 ListenerChild("operators", self._operators(operators)),
                 ListenerChild("callers", self._callers_listener),
             ],
