Measure open-loop load over processes with shapes and faults

Cause: what callers see was measured nowhere. Change: a load tool with seeded arrivals from shapes, over serve processes and stand-ins, with kills, pauses and stand-in faults at stated times; a baseline that steps the engines with no router in between.

--- /dev/null
+++ b/measure/_processes.py
@@ -0,0 +1,285 @@
+"""A whole system of separate processes on loopback."""
+
+import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import msgspec
+import yaml
+
+from apricotseam.callers import hash_key
+from apricotseam.config import Bounds
+from apricotseam.config import Operator
+from apricotseam.config import Role
+from apricotseam.config import Settings
+from apricotseam.demo import free_address
+from apricotseam.errors import ApricotseamError
+from apricotseam.standins import EngineOptions
+from apricotseam.web import HttpClient
+from measure._scope import dump_scope
+
+ROOT = pathlib.Path(__file__).parent.parent
+OPERATOR_KEY = "operator-key-of-the-measuring-tool"
+START_TIMEOUT_SECONDS = 60.0
+STOP_TIMEOUT_SECONDS = 10.0
+POLL_SECONDS = 0.05
+
+
+class System:
+    """Stand-ins and entry hosts of one scope, each a process.
+
+    Parameters
+    ----------
+    scope : dict
+        The scope as plain data; its target addresses are replaced by
+        those of the stand-ins.
+    hosts : int
+        Number of entry hosts.
+    step_seconds : float
+        Time that a stand-in engine takes for one batch.
+    bounds : dict
+        Bounds of the hosts' settings.
+    engine : dict
+        Further options of the stand-in engines.
+    """
+
+    def __init__(
+        self, scope, hosts=1, step_seconds=0.002, bounds=None, engine=None
+    ):
+        self._scope = scope
+        self._host_count = hosts
+        self._step_seconds = step_seconds
+        self._bounds = msgspec.convert(bounds or {}, Bounds)
+        self._engine = engine or {}
+        self._children = {}
+        self._folder = tempfile.TemporaryDirectory()
+        self._client = HttpClient()
+        self.addresses = {}
+        self.settings = {}
+
+    def __enter__(self):
+        """Start every process and wait until all hosts can serve."""
+        try:
+            self._start_standins()
+            for number in range(self._host_count):
+                self.start_host(f"entry-{number}")
+            self.apply()
+            self._wait(self._is_ready, "the hosts did not become ready")
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        """End every process."""
+        self.close()
+
+    @property
+    def hosts(self):
+        """Names of the entry hosts."""
+        return list(self.settings)
+
+    @property
+    def scope(self):
+        """The scope with the addresses of the stand-ins."""
+        return self._scope
+
+    def pid(self, name):
+        """Return the process id of a part."""
+        return self._children[name].pid
+
+    def is_running(self, name):
+        """Return whether the process of a part has not ended."""
+        return self._children[name].poll() is None
+
+    def start_host(self, name):
+        """Start an entry host and put it into the host list."""
+        number = len(self.settings)
+        zone = self._zones()[number % len(self._zones())]
+        settings = self._settings(name, zone)
+        self.settings[name] = settings
+        path = pathlib.Path(self._folder.name) / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(msgspec.to_builtins(settings)))
+        log = path.with_suffix(".log").open("wb")
+        with log:
+            self._children[name] = _start(["serve", str(path)], log, log)
+        self.addresses[name] = settings.callers_address
+        listed = {
+            "name": name,
+            "address": settings.callers_address,
+            "role": "entry",
+            "availability_zone": zone,
+        }
+        path = f"/v1/hosts/{name}"
+        self.call(self.addresses["host-list"], "PUT", path, listed)
+
+    def apply(self):
+        """Put the scope into force through the first host."""
+        address = self.settings["entry-0"].operators_address
+        path = f"/v1/admin/scopes/{self._scope['scope']}"
+        text = dump_scope(self._scope).encode()
+
+        def is_applied():
+            answer = self.call(address, "PUT", path, text, seconds=30.0)
+            return answer.status < 300
+
+        self._wait(is_applied, "the scope was not accepted")
+
+    def call(self, address, method, path, body=None, seconds=5.0):
+        """Call a part with the operator's key and return the answer."""
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        deadline = time.monotonic() + seconds
+        return self._client.call(
+            address, method, path, body, deadline, headers
+        )
+
+    def fault(self, name, kind, order=None):
+        """Bring a fault about.
+
+        Parameters
+        ----------
+        name : str
+            The part.
+        kind : str
+            ``kill``, ``pause``, ``resume``, or ``standin`` with an order
+            for the stand-in.
+        order : dict, optional
+            Fields of `FaultOrder`.
+        """
+        if kind == "standin":
+            self.call(self.addresses[name], "POST", "/standin/faults", order)
+            return
+        numbers = {
+            "kill": signal.SIGKILL,
+            "pause": signal.SIGSTOP,
+            "resume": signal.SIGCONT,
+        }
+        os.kill(self.pid(name), numbers[kind])
+
+    def log(self, name):
+        """Return what an entry host wrote to its log."""
+        path = pathlib.Path(self._folder.name) / f"{name}.log"
+        return path.read_text(errors="replace")
+
+    def close(self):
+        """End every process that was started here, by its id."""
+        for child in self._children.values():
+            with contextlib.suppress(ProcessLookupError):
+                child.send_signal(signal.SIGKILL)
+                child.send_signal(signal.SIGCONT)
+        for child in self._children.values():
+            child.wait(STOP_TIMEOUT_SECONDS)
+            if child.stdout is not None:
+                child.stdout.close()
+        self._client.close()
+        self._folder.cleanup()
+
+    def _start_standins(self):
+        commands = {
+            "key-value": ["key-value"],
+            "host-list": ["host-list"],
+            **self._target_commands(),
+        }
+        for name, command in commands.items():
+            self._children[name] = _start(
+                ["standin", *command], subprocess.PIPE, subprocess.DEVNULL
+            )
+        for name in commands:
+            line = self._children[name].stdout.readline()
+            self.addresses[name] = line.decode().strip()
+        for group in self._scope["groups"]:
+            for target in group["targets"]:
+                target["address"] = self.addresses[target["name"]]
+
+    def _target_commands(self):
+        models = {model["name"]: model for model in self._scope["models"]}
+        commands = {}
+        for group in self._scope["groups"]:
+            for target in group["targets"]:
+                name = target["name"]
+                if group["kind"] == "service":
+                    options = msgspec.json.encode(name)
+                    commands[name] = ["service", "--options", options]
+                    continue
+                model = models[group["model"]]
+                options = msgspec.json.encode(self._options(target, model))
+                commands[name] = ["engine", "--options", options]
+        return commands
+
+    def _options(self, target, model):
+        options = {
+            "name": target["name"],
+            "model": model["name"],
+            "version": model["serving"],
+            "layers": model["layers"],
+            "step_seconds": self._step_seconds,
+            **target["layers"],
+            **self._engine,
+        }
+        return msgspec.convert(options, EngineOptions)
+
+    def _settings(self, name, zone):
+        operator = Operator(
+            name="measure", role=Role.OPERATE, key_hash=hash_key(OPERATOR_KEY)
+        )
+        return Settings(
+            host=name,
+            availability_zone=zone,
+            callers_address=free_address(),
+            operators_address=free_address(),
+            peers_address=free_address(),
+            key_value_service=[self.addresses["key-value"]],
+            host_list=self.addresses["host-list"],
+            operators=[operator],
+            signing_keys=["signing-key-of-the-measuring-tool"],
+            plain_text_allowed=True,
+            bounds=self._bounds,
+        )
+
+    def _zones(self):
+        zones = {
+            target["availability_zone"]: None
+            for group in self._scope["groups"]
+            for target in group["targets"]
+        }
+        return list(zones) or ["zone-a"]
+
+    def _is_ready(self):
+        engines = sum(
+            len(group["targets"])
+            for group in self._scope["groups"]
+            if group["kind"] == "engine"
+        )
+        for settings in self.settings.values():
+            answer = self.call(
+                settings.operators_address, "GET", "/v1/admin/status"
+            )
+            status = answer.json(dict)
+            known = [t for t in status.get("targets", []) if t["version"]]
+            if not status.get("revision") or len(known) < engines:
+                return False
+        return True
+
+    def _wait(self, condition, problem):
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
+        while time.monotonic() < deadline:
+            with contextlib.suppress(ApricotseamError):
+                if condition():
+                    return
+            time.sleep(POLL_SECONDS)
+        raise TimeoutError(f"{problem}: {self.log('entry-0')[-300:]}")
+
+
+def _start(arguments, output, log):
+    return subprocess.Popen(
+        [sys.executable, "-m", "apricotseam", *arguments],
+        cwd=ROOT,
+        stdin=subprocess.DEVNULL,
+        stdout=output,
+        stderr=log,
+    )
