Measure what grows with hosts, targets, customers, tokens and changes

Change: slopes at three or more sizes with a least-squares line and its residual: memory in fresh interpreters, processor time of processes from /proc, bytes of messages by a relay, calls counted by the stand-ins.

--- a/apricotseam/standins/_server.py
+++ b/apricotseam/standins/_server.py
@@ -1,6 +1,8 @@
 """Base of all stand-ins: an HTTP server that can be told to fail."""
 
+import collections
 import socket
+import threading
 
 from apricotseam.standins._faults import FaultOrder
 from apricotseam.standins._faults import Faults
@@ -10,7 +12,7 @@
 
 
 class StandIn:
-    """An HTTP server with routes of a subclass and a fault route.
+    """An HTTP server with routes of a subclass, faults and counted calls.
 
     Parameters
     ----------
@@ -24,6 +26,9 @@
         self.faults = Faults()
         self.application = Application(max_body_bytes=64 << 20)
         self.application.route("POST", "/standin/faults", self._set_faults)
+        self.application.route("GET", "/standin/calls", self._read_calls)
+        self._calls = collections.Counter()
+        self._calls_lock = threading.Lock()
         self._listener = Listener(
             self._serve, address, threads=threads, socket_timeout=60.0
         )
@@ -46,9 +51,16 @@
         self.faults.set(request.json(FaultOrder))
         return Response.of({})
 
+    def _read_calls(self, request):
+        with self._calls_lock:
+            return Response.of(dict(self._calls))
+
     def _serve(self, environ, start_response):
-        if environ["PATH_INFO"] == "/standin/faults":
+        path = environ["PATH_INFO"]
+        if path.startswith("/standin/"):
             return self.application(environ, start_response)
+        with self._calls_lock:
+            self._calls[_family(path)] += 1
         if self.faults.before():
             _cut(environ)
             start_response("503 Service Unavailable", [])
@@ -59,6 +71,11 @@
         return answer
 
 
+def _family(path):
+    """Return the first three parts of a path, so that the count is bounded."""
+    return "/".join(path.split("/")[:4])
+
+
 def _cut(environ):
     """Shut the connection down so that no answer arrives."""
     reader = environ["wsgi.input"]
--- a/measure/_processes.py
+++ b/measure/_processes.py
@@ -58,7 +58,7 @@
         self._engine = engine or {}
         self._children = {}
         self._folder = tempfile.TemporaryDirectory()
-        self._client = HttpClient()
+        self.client = HttpClient()
         self.addresses = {}
         self.settings = {}
 
@@ -134,9 +134,7 @@
         """Call a part with the operator's key and return the answer."""
         headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
         deadline = time.monotonic() + seconds
-        return self._client.call(
-            address, method, path, body, deadline, headers
-        )
+        return self.client.call(address, method, path, body, deadline, headers)
 
     def fault(self, name, kind, order=None):
         """Bring a fault about.
@@ -176,7 +174,7 @@
             child.wait(STOP_TIMEOUT_SECONDS)
             if child.stdout is not None:
                 child.stdout.close()
-        self._client.close()
+        self.client.close()
         self._folder.cleanup()
 
     def _start_standins(self):
--- /dev/null
+++ b/measure/slopes/__init__.py
@@ -0,0 +1,19 @@
+"""Costs that grow with a size, each measured at several sizes."""
+
+from measure.slopes._memory import MEMORY_SLOPES
+from measure.slopes._peers import PEER_SLOPES
+from measure.slopes._processor import PROCESSOR_SLOPES
+from measure.slopes._service import SERVICE_SLOPES
+from measure.slopes._slope import Slope
+
+ALL_SLOPES = {
+    slope.name: slope
+    for slope in (
+        *MEMORY_SLOPES,
+        *PEER_SLOPES,
+        *PROCESSOR_SLOPES,
+        *SERVICE_SLOPES,
+    )
+}
+
+__all__ = ["ALL_SLOPES", "Slope"]
--- /dev/null
+++ b/measure/slopes/_objects.py
@@ -0,0 +1,118 @@
+"""State of the program at any size."""
+
+import msgspec
+
+from apricotseam.config import Configuration
+from apricotseam.config import load_scope_file
+from apricotseam.config import ScopeFile
+from apricotseam.platform import EngineReport
+from apricotseam.platform import ListedHost
+from apricotseam.routing import merge_targets
+from measure._scope import dump_scope
+from measure._scope import synthetic_scope
+from measure._scope import ZONES
+
+STAGES = 4
+
+
+def scope_text(customers=10, targets=8):
+    """Return an operators' file of a size."""
+    scope = synthetic_scope(
+        chains=max(1, targets // STAGES), stages=STAGES, customers=customers
+    )
+    return dump_scope(scope)
+
+
+def configuration(text):
+    """Return the configuration of one operators' file."""
+    scope_file = load_scope_file(text)
+    return Configuration(1, {scope_file.scope: scope_file})
+
+
+def configuration_of_customers(size):
+    """Return a configuration with a number of customers."""
+    return configuration(scope_text(customers=size))
+
+
+def configuration_of_targets(size):
+    """Return a configuration with a number of targets."""
+    scope = synthetic_scope(chains=max(1, size // STAGES), stages=STAGES)
+    data = msgspec.convert(scope, type=ScopeFile)
+    return Configuration(1, {data.scope: data})
+
+
+def table_of_targets(size):
+    """Return a target table with a report of each target."""
+    in_force = configuration_of_targets(size)
+    return merge_targets(in_force, {}, reports(in_force))
+
+
+def reports(in_force):
+    """Return a report of each engine of a configuration."""
+    found = {}
+    for scope_file in in_force.scopes.values():
+        for group in scope_file.groups:
+            for target in group.targets:
+                if target.layers is not None:
+                    found[target.address] = _report(group, target)
+    return found
+
+
+def listed_hosts(size):
+    """Return the host list as a host keeps it."""
+    hosts = [_listed(number) for number in range(size)]
+    body = msgspec.json.encode(hosts)
+    found = msgspec.json.decode(body, type=list[ListedHost])
+    return {host.address: host for host in found}
+
+
+def members(size):
+    """Return a table of members."""
+    from apricotseam import membership
+
+    return membership.MemberTable(
+        [member(number) for number in range(size)], peer_address(0)
+    )
+
+
+def member(number):
+    """Return the record of one member."""
+    from apricotseam import membership
+
+    return membership.Member(
+        name=f"entry-{number}",
+        peers_address=peer_address(number),
+        callers_address=f"10.3.{number // 250}.{number % 250}:8080",
+        operators_address=f"10.3.{number // 250}.{number % 250}:8081",
+        availability_zone=ZONES[number % len(ZONES)],
+        incarnation=1_780_000_000_000 + number,
+    )
+
+
+def peer_address(number):
+    """Return the peers' address of one member."""
+    return f"10.3.{number // 250}.{number % 250}:8082"
+
+
+def _report(group, target):
+    return EngineReport(
+        name=target.name,
+        model=group.model,
+        version="v1",
+        first=target.layers.first,
+        last=target.layers.last,
+        accelerator="standard",
+        queued_steps=1,
+        running_streams=1,
+        max_batch=16,
+        step_seconds=0.02,
+    )
+
+
+def _listed(number):
+    return ListedHost(
+        name=f"entry-{number}",
+        address=f"10.3.{number // 250}.{number % 250}:8080",
+        role="entry",
+        availability_zone=ZONES[number % len(ZONES)],
+    )
