Measure the membership protocol by the size of the fleet

Cause: control may cost a node 11 KB/s, and no figure said what gossip costs. Change: memberships that exchange messages in simulated time; messages, bytes and decision time a host and second at several sizes.

--- a/measure/slopes/__init__.py
+++ b/measure/slopes/__init__.py
@@ -1,5 +1,6 @@
 """Costs that grow with a size, each measured at several sizes."""
 
+from measure.slopes._membership import MEMBERSHIP_SLOPES
 from measure.slopes._memory import MEMORY_SLOPES
 from measure.slopes._peers import PEER_SLOPES
 from measure.slopes._processor import PROCESSOR_SLOPES
@@ -9,6 +10,7 @@
 ALL_SLOPES = {
     slope.name: slope
     for slope in (
+        *MEMBERSHIP_SLOPES,
         *MEMORY_SLOPES,
         *PEER_SLOPES,
         *PROCESSOR_SLOPES,
--- a/measure/slopes/_objects.py
+++ b/measure/slopes/_objects.py
@@ -5,6 +5,8 @@
 from apricotseam.config import Configuration
 from apricotseam.config import load_scope_file
 from apricotseam.config import ScopeFile
+from apricotseam.membership import Member
+from apricotseam.membership import MemberTable
 from apricotseam.platform import EngineReport
 from apricotseam.platform import ListedHost
 from apricotseam.routing import merge_targets
@@ -68,18 +70,14 @@
 
 def members(size):
     """Return a table of members."""
-    from apricotseam import membership
-
-    return membership.MemberTable(
+    return MemberTable(
         [member(number) for number in range(size)], peer_address(0)
     )
 
 
 def member(number):
     """Return the record of one member."""
-    from apricotseam import membership
-
-    return membership.Member(
+    return Member(
         name=f"entry-{number}",
         peers_address=peer_address(number),
         callers_address=f"10.3.{number // 250}.{number % 250}:8080",
--- a/measure/slopes/_peers.py
+++ b/measure/slopes/_peers.py
@@ -70,6 +70,7 @@
         for transport in self.transports:
             transport.stop()
         for loop in self._loops:
+            loop.run(_end_tasks())
             loop.stop()
 
     async def _send(self, address, numbers):
@@ -96,6 +97,13 @@
             writer.write(part)
 
 
+async def _end_tasks():
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def _cost(is_counted, size):
     pair = _Pair()
     try:
