Propose the nearest command, state exit codes, prove TLS over a whole host

Cause: an unknown command listed all others; the demonstration left a thread of the cut listener behind and did not end.

--- a/apricotseam/cli/_commands.py
+++ b/apricotseam/cli/_commands.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import ssl
 
 import msgspec
 
@@ -19,8 +20,18 @@
 from apricotseam.host import EntryHost
 from apricotseam.logs import configure_logging
 from apricotseam import standins
+from apricotseam.web import HttpClient
 
 KEY_VARIABLE = "APRICOTSEAM_KEY"
+AUTHORITY_VARIABLE = "APRICOTSEAM_AUTHORITY"
+
+
+def http_client():
+    """Return a client, with TLS where an authority is named."""
+    authority = os.environ.get(AUTHORITY_VARIABLE)
+    if not authority:
+        return HttpClient()
+    return HttpClient(tls=ssl.create_default_context(cafile=authority))
 
 
 def serve(settings):
@@ -174,7 +185,8 @@
         Bound on the answer.
     """
     key = os.environ.get(KEY_VARIABLE, "")
-    answer = ResumingAnswer(key, model, prompt, max_tokens)
+    client = http_client()
+    answer = ResumingAnswer(key, model, prompt, max_tokens, client)
     for text in answer.read(host):
         print(text, end="", flush=True)
     print()
@@ -230,4 +242,4 @@
 
 def _operator(address):
     key = os.environ.get(KEY_VARIABLE, "")
-    return HostClient(address, key)
+    return HostClient(address, key, http_client())
--- a/apricotseam/cli/_main.py
+++ b/apricotseam/cli/_main.py
@@ -1,11 +1,14 @@
 """Entry point of the program."""
 
+import difflib
 import sys
 
 import defopt
 
+import apricotseam
 from apricotseam.cli import _commands
 from apricotseam.errors import ApricotseamError
+from apricotseam.errors import UnknownNameError
 
 COMMANDS = [
     _commands.serve,
@@ -20,6 +23,24 @@
     _commands.standin,
     _commands.demo,
 ]
+INTERRUPTED_EXIT_CODE = 130
+
+_ABOUT = "Router for language-model pipelines over mixed accelerators."
+_HELP = """
+The key of an operator or customer is read from APRICOTSEAM_KEY. For hosts
+with TLS, APRICOTSEAM_AUTHORITY names the PEM file of their authority.
+
+examples:
+  apricotseam check examples/fundacion-libro-andino.yaml
+  apricotseam apply scope.yaml --host 10.0.0.1:8081
+  apricotseam status --host 10.0.0.1:8081 --output json
+  apricotseam ask student-assistant "Is my book due?" --host 10.0.0.1:8080
+
+exit codes:
+  0 done, 1 internal error, 2 invalid input, 3 access denied, 4 conflict,
+  5 refused and not run, 6 outcome unknown, 7 run and failed
+  (docs/ERRORS.md lists the kinds)
+"""
 
 
 def main(arguments=None):
@@ -35,14 +56,42 @@
     int
         0 if it went well, else the exit code of the error's kind.
     """
+    if arguments is None:
+        arguments = sys.argv[1:]
     try:
+        _check_command(arguments)
         result = defopt.run(
-            COMMANDS, argv=arguments, no_negated_flags=True, short={}
+            COMMANDS,
+            argv=arguments,
+            short={},
+            no_negated_flags=True,
+            version=apricotseam.__version__,
+            argparse_kwargs={
+                "prog": "apricotseam",
+                "description": _ABOUT,
+                "epilog": _HELP,
+            },
         )
     except ApricotseamError as error:
         print(f"apricotseam: {error.code}: {error}", file=sys.stderr)
         return error.exit_code
+    except KeyboardInterrupt:
+        return INTERRUPTED_EXIT_CODE
     except OSError as error:
         print(f"apricotseam: {error}", file=sys.stderr)
         return 1
     return result or 0
+
+
+def _check_command(arguments):
+    """Name the nearest command where the given one is unknown."""
+    names = [command.__name__ for command in COMMANDS]
+    if not arguments or arguments[0].startswith("-"):
+        return
+    if arguments[0] in names:
+        return
+    near = difflib.get_close_matches(arguments[0], names, 1, 0.4)
+    hint = f", nearest known is {near[0]!r}" if near else ""
+    raise UnknownNameError(
+        f"unknown command {arguments[0]!r}{hint}", "see apricotseam --help"
+    )
--- a/apricotseam/client/_ask.py
+++ b/apricotseam/client/_ask.py
@@ -32,13 +32,15 @@
         Name of the pipeline and text of the user's message.
     max_tokens : int
         Bound on the answer.
+    client : HttpClient, optional
+        Carries the calls; plain text without it.
     """
 
     sends_back = True
 
-    def __init__(self, key, model, prompt, max_tokens):
+    def __init__(self, key, model, prompt, max_tokens, client=None):
         self._key = key
-        self._client = HttpClient()
+        self._client = client or HttpClient()
         self._body = {
             "model": model,
             "stream": True,
--- a/apricotseam/demo/_system.py
+++ b/apricotseam/demo/_system.py
@@ -55,15 +55,20 @@
         Time that a stand-in engine takes for one batch.
     bounds : Bounds, optional
         Bounds of each entry host.
+    tls : Tls, optional
+        Certificate of all entry hosts; plain text without it.
     """
 
-    def __init__(self, files, zones, step_seconds=0.002, bounds=None):
+    def __init__(
+        self, files, zones, step_seconds=0.002, bounds=None, tls=None
+    ):
         self.key_value = KeyValueStandIn()
         self.host_list = HostListStandIn()
         self.engines = {}
         self.services = {}
         self.hosts = {}
         self._step_seconds = step_seconds
+        self._tls = tls
         self._bounds = bounds or Bounds(
             caller_threads=16, address_valid_seconds=1.0
         )
@@ -99,7 +104,9 @@
             host_list=self.host_list.address,
             operators=[operator],
             signing_keys=[SIGNING_KEY],
-            plain_text_allowed=True,
+            tls=self._tls,
+            peer_tls=self._tls,
+            plain_text_allowed=self._tls is None,
             bounds=self._bounds,
         )
 
--- a/apricotseam/web/_listener.py
+++ b/apricotseam/web/_listener.py
@@ -82,6 +82,7 @@
     def abort(self):
         """Cut every connection, as the end of a killed process does."""
         self._server.cut_connections()
+        self.stop()
 
     @staticmethod
     def _log_error(message="", level=20, traceback=False):
--- a/apricotseam/web/_server.py
+++ b/apricotseam/web/_server.py
@@ -119,10 +119,7 @@
         self._open.discard(conn)
 
     def cut_connections(self):
-        """Refuse new connections and shut down all that are open."""
-        self.ready = False
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
+        """Shut down every connection that a worker serves."""
         for conn in list(self._open):
             with contextlib.suppress(OSError):
                 conn.socket.shutdown(socket.SHUT_RDWR)
