Log and count each request, and refuse ambiguous paths and claimed urgency

Cause: nothing was logged or counted per request; a path with dot segments matched a call declared idempotent while the target could read another; any caller could claim the most urgent class. Change: one event per request with ids and no text, metrics by class with bounded labels, GET /v1/usage with a customer's own numbers; paths with empty, dot or encoded parts are refused; a class more urgent than the declared one needs the customer's priorities. Conclusion: a declaration of idempotence cannot be stepped around.

--- a/apricotseam/callers/_application.py
+++ b/apricotseam/callers/_application.py
@@ -2,6 +2,7 @@
 
 from apricotseam.callers._addresses import Addresses
 from apricotseam.callers._completions import Completions
+from apricotseam.callers._journal import Journal
 from apricotseam.callers._services import Services
 from apricotseam.web import Application
 from apricotseam.web import Response
@@ -24,9 +25,16 @@
     completions = Completions(context)
     services = Services(context)
     addresses = Addresses(context)
-    application.route("GET", "/healthz", lambda request: Response.of({}))
-    application.route("GET", "/v1/addresses", addresses.handle)
-    application.route("GET", "/v1/models", completions.list_models)
-    application.route("POST", "/v1/chat/completions", completions.handle)
-    application.route("*", "/v1/services/{service}/{path*}", services.handle)
+    journal = Journal(context)
+    route = application.route
+    route("GET", "/healthz", lambda request: Response.of({}))
+    route("GET", "/v1/addresses", addresses.handle)
+    route("GET", "/v1/models", completions.list_models)
+    route("GET", "/v1/usage", journal.usage)
+    route("POST", "/v1/chat/completions", journal.observe(completions.handle))
+    route(
+        "*",
+        "/v1/services/{service}/{path*}",
+        journal.observe(services.handle),
+    )
     return application
--- a/apricotseam/callers/_context.py
+++ b/apricotseam/callers/_context.py
@@ -100,7 +100,12 @@
         raise AuthenticationError(
             "the key is not known", "send the key that your operator gave you"
         )
-    return Caller(configuration, *found)
+    caller = Caller(configuration, *found)
+    if request.record is not None:
+        request.record.revision = configuration.revision
+        request.record.scope = caller.scope_file.scope
+        request.record.customer = caller.customer.name
+    return caller
 
 
 def bearer_key(request):
--- /dev/null
+++ b/apricotseam/callers/_journal.py
@@ -0,0 +1,208 @@
+"""One log event and the metrics of each caller's request."""
+
+import collections
+import logging
+import threading
+
+import msgspec
+import prometheus_client
+
+from apricotseam.callers._context import authenticate
+from apricotseam.errors import ApricotseamError
+from apricotseam.web import Response
+
+_LOG = logging.getLogger(__name__)
+
+# Bounds of the label values and of the customers counted on one host.
+MAX_LABEL_VALUES = 64
+MAX_CUSTOMERS = 20_000
+OTHER_LABEL = "other"
+TOKEN_EVENT = b"id: "
+
+REQUESTS = prometheus_client.Counter(
+    "apricotseam_requests", "Requests by class and outcome.", ["class", "code"]
+)
+TOKENS = prometheus_client.Counter(
+    "apricotseam_tokens", "Tokens delivered to callers.", ["class"]
+)
+FIRST_TOKEN_SECONDS = prometheus_client.Histogram(
+    "apricotseam_first_token_seconds",
+    "Time from a request to its first token or answer.",
+    ["class"],
+    buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.3, 2.0, 5.0, 10.0),
+)
+TOKEN_GAP_SECONDS = prometheus_client.Histogram(
+    "apricotseam_token_gap_seconds",
+    "Time between two tokens of an answer.",
+    ["class"],
+    buckets=(0.005, 0.01, 0.02, 0.03, 0.04, 0.056, 0.08, 0.12, 0.25, 1.0),
+)
+
+
+class RequestRecord:
+    """What is known of one request while it is answered."""
+
+    __slots__ = (
+        "begun",
+        "customer",
+        "identifier",
+        "last_token",
+        "pool",
+        "priority",
+        "revision",
+        "scope",
+        "targets",
+        "tokens",
+    )
+
+    def __init__(self, begun):
+        self.begun = begun
+        self.last_token = None
+        self.tokens = 0
+        self.targets = ()
+        self.identifier = self.scope = self.customer = ""
+        self.priority = self.pool = ""
+        self.revision = 0
+
+
+class Usage(msgspec.Struct, kw_only=True):
+    """What one customer used of one host since its start."""
+
+    requests: int = 0
+    refused: int = 0
+    tokens: int = 0
+
+
+class Journal:
+    """Logs and counts requests.
+
+    Parameters
+    ----------
+    context : CallerContext
+        Parts of the request path.
+    """
+
+    def __init__(self, context):
+        self._context = context
+        self._lock = threading.Lock()
+        self._usage = collections.OrderedDict()
+        self._labels = set()
+
+    def observe(self, handler):
+        """Return a handler that also logs and counts."""
+
+        def observed(request):
+            request.record = RequestRecord(self._now())
+            try:
+                response = handler(request)
+            except ApricotseamError as error:
+                self._end(request.record, error.code)
+                raise
+            except Exception:
+                self._end(request.record, ApricotseamError.code)
+                raise
+            if isinstance(response.body, bytes):
+                self._first(request.record)
+                self._end(request.record, str(response.status))
+            else:
+                response.body = self._follow(request.record, response.body)
+            return response
+
+        return observed
+
+    def usage(self, request):
+        """Answer ``GET /v1/usage`` with the customer's own numbers."""
+        caller = authenticate(request, self._context.snapshots)
+        key = (caller.scope_file.scope, caller.customer.name)
+        with self._lock:
+            usage = self._usage.get(key) or Usage()
+            return Response.of(usage)
+
+    def _follow(self, record, body):
+        code = "caller_gone"
+        try:
+            for chunk in body:
+                if chunk.startswith(TOKEN_EVENT):
+                    self._token(record)
+                if chunk.startswith(b"event: error"):
+                    code = _error_code(chunk)
+                elif chunk.endswith(b"[DONE]\n\n"):
+                    code = "200"
+                yield chunk
+        finally:
+            body.close()
+            self._end(record, code)
+
+    def _token(self, record):
+        now = self._now()
+        if record.last_token is None:
+            self._first(record)
+        else:
+            label = self._label(record)
+            TOKEN_GAP_SECONDS.labels(label).observe(now - record.last_token)
+        record.last_token = now
+        record.tokens += 1
+
+    def _first(self, record):
+        seconds = self._now() - record.begun
+        FIRST_TOKEN_SECONDS.labels(self._label(record)).observe(seconds)
+
+    def _end(self, record, code):
+        label = self._label(record)
+        REQUESTS.labels(label, code).inc()
+        TOKENS.labels(label).inc(record.tokens)
+        self._count(record, code)
+        _LOG.info(
+            "request_ended",
+            extra={
+                "request": record.identifier,
+                "scope": record.scope,
+                "customer": record.customer,
+                "class": record.priority,
+                "pool": record.pool,
+                "revision": record.revision,
+                "targets": list(record.targets),
+                "code": code,
+                "tokens": record.tokens,
+                "seconds": round(self._now() - record.begun, 6),
+            },
+        )
+
+    def _count(self, record, code):
+        if not record.customer:
+            return
+        key = (record.scope, record.customer)
+        with self._lock:
+            usage = self._usage.setdefault(key, Usage())
+            usage.requests += 1
+            usage.refused += not code.isdecimal()
+            usage.tokens += record.tokens
+            self._usage.move_to_end(key)
+            if len(self._usage) > MAX_CUSTOMERS:
+                self._usage.popitem(last=False)
+
+    def _label(self, record):
+        label = f"{record.scope}/{record.priority}"
+        if label in self._labels:
+            return label
+        with self._lock:
+            if len(self._labels) >= MAX_LABEL_VALUES:
+                return OTHER_LABEL
+            self._labels.add(label)
+        return label
+
+    def _now(self):
+        return self._context.clock.monotonic()
+
+
+class _ErrorCode(msgspec.Struct):
+    code: str
+
+
+class _ErrorEvent(msgspec.Struct):
+    error: _ErrorCode
+
+
+def _error_code(chunk):
+    data = chunk.split(b"data: ", 1)[1]
+    return msgspec.json.decode(data, type=_ErrorEvent).error.code
--- a/apricotseam/callers/_services.py
+++ b/apricotseam/callers/_services.py
@@ -1,10 +1,14 @@
 """Pass-through of calls to plain services."""
 
 import hashlib
+import urllib.parse
 import uuid
 
 from apricotseam.callers._attempts import Attempts
 from apricotseam.callers._context import authenticate
+from apricotseam.callers._paths import checked_identifier
+from apricotseam.callers._paths import checked_path
+from apricotseam.callers._paths import is_below
 from apricotseam.callers._work import describe_work
 from apricotseam.errors import AnswerLostError
 from apricotseam.errors import ApricotseamError
@@ -50,7 +54,7 @@
     def _prepare(self, request):
         caller = authenticate(request, self._context.snapshots)
         service = _service(caller, request.arguments["service"])
-        path = "/" + request.arguments["path"]
+        path = checked_path("/" + request.arguments["path"])
         declared = _call(service, request.method, path)
         forward = Forward(request, path)
         work = describe_work(
@@ -184,9 +188,10 @@
 
     def __init__(self, request, path):
         self.method = request.method
-        self.path = f"{path}?{request.query}" if request.query else path
+        quoted = urllib.parse.quote(path)
+        self.path = f"{quoted}?{request.query}" if request.query else quoted
         self.body = request.body()
-        self.identifier = request.header("X-Request-Id") or uuid.uuid4().hex
+        self.identifier = checked_identifier(request) or uuid.uuid4().hex
         self.ticket = request.header(TICKET_HEADER)
         self.key = request.header(KEY_HEADER)
         self.is_repeat = _is_repeat(request)
@@ -229,7 +234,7 @@
     matching = [
         call
         for call in service.calls
-        if call.method == method and path.startswith(call.path)
+        if call.method == method and is_below(path, call.path)
     ]
     if not matching:
         raise UnknownNameError(
--- a/apricotseam/callers/_work.py
+++ b/apricotseam/callers/_work.py
@@ -1,6 +1,9 @@
 """Turns a caller's request into the work that admission sees."""
 
+import math
+
 from apricotseam.admission import Work
+from apricotseam.errors import ForbiddenError
 from apricotseam.errors import InvalidRequestError
 from apricotseam.errors import UnknownNameError
 
@@ -41,9 +44,14 @@
         If the deadline is no number.
     UnknownNameError
         If the priority class is not declared.
+    ForbiddenError
+        If the caller may not ask for that class.
     """
-    name = request.header(PRIORITY_HEADER) or priority
-    declared = _priority(caller, name)
+    declared = _priority(request, caller, priority)
+    if request.record is not None:
+        request.record.identifier = identifier
+        request.record.priority = declared.name
+        request.record.pool = pool
     seconds = declared.first_token_milliseconds / 1000
     stated = request.header(DEADLINE_HEADER)
     if stated is not None:
@@ -63,7 +71,26 @@
     )
 
 
-def _priority(caller, name):
+def _priority(request, caller, default):
+    """Return the class of a request.
+
+    A caller may ask for a class that is no more urgent than the declared
+    one, or for one that its customer is allowed.
+    """
+    usual = _find_priority(caller, default)
+    name = request.header(PRIORITY_HEADER)
+    if not name:
+        return usual
+    wanted = _find_priority(caller, name)
+    if wanted.rank < usual.rank and name not in caller.customer.priorities:
+        raise ForbiddenError(
+            f"priority {name!r} is more urgent than {default!r}",
+            "leave the header out, or ask your operator to allow it",
+        )
+    return wanted
+
+
+def _find_priority(caller, name):
     for declared in caller.scope_file.priorities:
         if declared.name == name:
             return declared
@@ -74,9 +101,12 @@
 
 def _number(text):
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
-        raise InvalidRequestError(
-            f"deadline {text!r} is no number",
-            "send wall-clock seconds since 1970",
-        ) from None
+        number = math.nan
+    if math.isfinite(number):
+        return number
+    raise InvalidRequestError(
+        f"deadline {text[:40]!r} is no number",
+        "send wall-clock seconds since 1970",
+    )
--- a/apricotseam/config/_load.py
+++ b/apricotseam/config/_load.py
@@ -152,6 +152,9 @@
                 self._known(
                     f"{path}.calls[{place}].priority", call.priority, ranks
                 )
+        for number, customer in enumerate(scope_file.customers):
+            for name in customer.priorities:
+                self._known(f"customers[{number}].priorities", name, ranks)
         self._check_keys()
 
     def _check_groups(self, models, kinds):
--- a/apricotseam/config/_schema.py
+++ b/apricotseam/config/_schema.py
@@ -141,13 +141,18 @@
 
 
 class Customer(_Record, kw_only=True):
-    """A customer with its weight, limits and the hashes of its keys."""
+    """A customer with its weight, limits and the hashes of its keys.
+
+    ``priorities`` names classes that its callers may ask for although
+    they are more urgent than the declared class of a call.
+    """
 
     name: Name
     weight: Positive = 1.0
     requests_per_second: Positive = 100.0
     tokens_per_second: Positive = 100_000.0
     max_streams: Count = 1000
+    priorities: list[Name] = []
     key_hashes: Annotated[list[Digest], msgspec.Meta(max_length=8)]
 
 
--- a/apricotseam/web/_application.py
+++ b/apricotseam/web/_application.py
@@ -27,14 +27,20 @@
         Named parts of the path.
     max_body_bytes : int
         Bound on the body.
+
+    Attributes
+    ----------
+    record : object
+        What a handler notes of the request; None until it is set.
     """
 
-    __slots__ = ("_environ", "_max_body_bytes", "arguments")
+    __slots__ = ("_environ", "_max_body_bytes", "arguments", "record")
 
     def __init__(self, environ, arguments, max_body_bytes):
         self._environ = environ
         self._max_body_bytes = max_body_bytes
         self.arguments = arguments
+        self.record = None
 
     @property
     def method(self):
