--- a/apricotseam/admission/_admission.py
+++ b/apricotseam/admission/_admission.py
@@ -10,6 +10,7 @@
 
     ``deadline`` is monotonic: the time by which the first token or the
     answer must be there. ``pool`` names the group of targets it needs.
+    The last three are the limits of its customer over all hosts.
     """
 
     request: str
@@ -23,6 +24,9 @@
     deadline: float
     tokens: int = 1
     size_bytes: int = 0
+    requests_per_second: float = 1e12
+    tokens_per_second: float = 1e12
+    max_streams: int = 1_000_000_000
 
 
 class Permit:
--- a/apricotseam/callers/_work.py
+++ b/apricotseam/callers/_work.py
@@ -59,7 +59,10 @@
         weight=declared.weight,
         deadline=clock.monotonic() + seconds,
         tokens=tokens,
-        size_bytes=int(request.header("Content-Length") or 0),
+        size_bytes=_size(request.header("Content-Length")),
+        requests_per_second=caller.customer.requests_per_second,
+        tokens_per_second=caller.customer.tokens_per_second,
+        max_streams=caller.customer.max_streams,
     )
 
 
@@ -72,6 +75,11 @@
     )
 
 
+def _size(text):
+    """Return the stated size; the body's reader refuses a wrong one."""
+    return int(text) if text and text.isdigit() else 0
+
+
 def _number(text):
     try:
         return float(text)
