--- a/apricotseam/cli/_commands.py
+++ b/apricotseam/cli/_commands.py
@@ -1,17 +1,20 @@
 """Commands of the program."""
 
+import logging
 import os
 import pathlib
 import signal
-import sys
 
 import msgspec
 
-from apricotseam.cli._client import HostClient
 from apricotseam.cli._output import show
+from apricotseam.client import HostClient
+from apricotseam.client import ResumingAnswer
 from apricotseam.config import AuditEntry
 from apricotseam.config import load_scope_file
 from apricotseam.config import load_settings
+from apricotseam.demo import run_demo
+from apricotseam.demo import summarize
 from apricotseam.errors import InvalidInputError
 from apricotseam.host import EntryHost
 from apricotseam.logs import configure_logging
@@ -156,6 +159,9 @@
 def ask(model, prompt, *, host, max_tokens=64):
     """Send a prompt and print the answer as it streams.
 
+    If the host or the connection is lost, the answer goes on at the next
+    address that the host named.
+
     Parameters
     ----------
     model : str
@@ -167,15 +173,10 @@
     max_tokens : int
         Bound on the answer.
     """
-    body = {
-        "model": model,
-        "stream": True,
-        "max_tokens": max_tokens,
-        "messages": [{"role": "user", "content": prompt}],
-    }
-    for line in _operator(host).stream("POST", "/v1/chat/completions", body):
-        if line.startswith(b"data: {"):
-            _print_event(line[6:])
+    key = os.environ.get(KEY_VARIABLE, "")
+    answer = ResumingAnswer(key, model, prompt, max_tokens)
+    for text in answer.read(host):
+        print(text, end="", flush=True)
     print()
 
 
@@ -197,6 +198,20 @@
     part.stop()
 
 
+def demo(*, examples="examples"):
+    """Run the main job on embedded stand-ins and check its promises.
+
+    Parameters
+    ----------
+    examples : str
+        Folder with both teams' files.
+    """
+    configure_logging(logging.CRITICAL)
+    promises = run_demo(examples)
+    print(summarize(promises))
+    return 0 if all(promise.is_kept for promise in promises) else 1
+
+
 def _standin(kind, address, options):
     if kind == "key-value":
         return standins.KeyValueStandIn(address)
@@ -216,11 +231,3 @@
 def _operator(address):
     key = os.environ.get(KEY_VARIABLE, "")
     return HostClient(address, key)
-
-
-def _print_event(data):
-    event = msgspec.json.decode(data)
-    if "error" in event:
-        print(f"\n{event['error']['message']}", file=sys.stderr)
-        return
-    print(event["choices"][0]["delta"]["content"], end="", flush=True)
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -1,5 +1,6 @@
 """An entry host: all parts of one process under one supervisor."""
 
+import random
 import threading
 import time
 
@@ -7,23 +8,34 @@
 from apricotseam.callers import CallerContext
 from apricotseam.clock import SystemClock
 from apricotseam.config import ConfigurationStore
-from apricotseam.execution import DirectExecution
+from apricotseam.execution import TransportLink
 from apricotseam.host._children import ConfigurationChild
 from apricotseam.host._children import ListenerChild
+from apricotseam.host._children import PeersChild
 from apricotseam.host._children import TargetsChild
+from apricotseam.host._execution import build_execution
+from apricotseam.host._execution import ClaimsChild
 from apricotseam.host._loads import LoadsChild
 from apricotseam.host._policy import RequestPolicy
 from apricotseam.host._snapshots import Snapshots
 from apricotseam.host._tls import HostTls
+from apricotseam.membership import Member
+from apricotseam.membership import Membership
+from apricotseam.membership import MembershipChild
 from apricotseam.operators import build_operators_application
 from apricotseam.operators import OperatorContext
+from apricotseam.peers import ControlLoop
+from apricotseam.peers import PeerTransport
 from apricotseam.pipelines import ChainRunner
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
+from apricotseam.routing import ChainPlans
 from apricotseam.supervision import Supervisor
 from apricotseam.web import HttpClient
 from apricotseam.web import Listener
 
+MILLISECONDS = 1000
+
 
 class EntryHost:
     """Builds and runs the parts of one entry host.
@@ -44,12 +56,29 @@
         self.snapshots = Snapshots(settings)
         self._tls = HostTls(settings)
         http = HttpClient(tls=self._tls.platform_context)
-        policy = RequestPolicy(settings, self._clock, self.snapshots, http)
+        plans = ChainPlans(lambda address: runner.step_seconds(address))
+        policy = RequestPolicy(
+            settings, self._clock, self.snapshots, http, plans
+        )
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
         runner = ChainRunner(
             policy.engine, self._clock, settings.bounds.step_timeout_seconds
         )
+        loop = ControlLoop()
+        self.transport = PeerTransport(
+            loop,
+            settings.peers_address,
+            int(self._clock.wall() * MILLISECONDS),
+            self._tls.peer_context,
+        )
+        execution, claim_batches = build_execution(
+            settings,
+            self._clock,
+            service,
+            TransportLink(self.transport, loop),
+            self._claim_hosts,
+        )
         callers = CallerContext(
             settings=settings,
             clock=self._clock,
@@ -58,27 +87,34 @@
             snapshots=self.snapshots,
             admission=policy.admission,
             chooser=policy.chooser,
-            execution=DirectExecution(),
+            execution=execution,
             retries=policy.retries,
         )
         operators = OperatorContext(
             settings, self._clock, store, self.snapshots, self.request_stop
         )
         host_list = HttpHostList(http, settings.host_list)
+        self.membership = self._membership(loop)
+        self._callers_listener = self._callers(callers)
         self._supervisor = Supervisor(
             settings.host,
             [
                 self._tls,
+                PeersChild(loop, self.transport),
+                ClaimsChild(claim_batches),
+                self.membership,
                 ConfigurationChild(store, self.snapshots),
                 TargetsChild(
                     host_list,
                     policy.engine,
                     self.snapshots,
+                    self.membership,
                     policy.chooser.watched,
+                    plans,
                 ),
                 LoadsChild(http, policy, self.snapshots, self._clock),
                 ListenerChild("operators", self._operators(operators)),
-                ListenerChild("callers", self._callers(callers)),
+                ListenerChild("callers", self._callers_listener),
             ],
             self._fail,
         )
@@ -88,6 +124,14 @@
         """Whether a child failed too often."""
         return self._failed.is_set()
 
+    @property
+    def is_ready(self):
+        """Whether configuration and targets are there to serve with."""
+        snapshots = self.snapshots
+        return snapshots.configuration is not None and bool(
+            snapshots.targets.all
+        )
+
     def start(self):
         """Start all parts."""
         self._supervisor.start()
@@ -106,6 +150,43 @@
         seconds = self.settings.bounds.stop_timeout_seconds
         return self._supervisor.stop(time.monotonic() + seconds)
 
+    def abort(self):
+        """End at once, as a killed process would; for demonstrations."""
+        self._callers_listener.abort()
+        self._supervisor.stop(time.monotonic())
+
+    def _membership(self, loop):
+        settings = self.settings
+        own = Member(
+            name=settings.host,
+            peers_address=settings.peers_address,
+            callers_address=settings.callers_address,
+            operators_address=settings.operators_address,
+            availability_zone=settings.availability_zone,
+            incarnation=self.transport.incarnation,
+        )
+        membership = Membership(own, random.Random(), self._clock.monotonic())
+        child = MembershipChild(
+            loop,
+            self.transport,
+            membership,
+            self._clock,
+            self._take_members,
+        )
+        child.follow(self._facts, lambda address, revision: None)
+        return child
+
+    def _take_members(self, table):
+        self.snapshots.members = table
+
+    def _claim_hosts(self):
+        live = self.snapshots.members.live()
+        return [member.peers_address for member in live]
+
+    def _facts(self):
+        configuration = self.snapshots.configuration
+        return (configuration.revision if configuration else 0, 0)
+
     def _callers(self, context):
         bounds = self.settings.bounds
         return Listener(
--- a/apricotseam/host/_policy.py
+++ b/apricotseam/host/_policy.py
@@ -22,11 +22,13 @@
         Configuration, targets and members in force.
     http : HttpClient
         Client towards the engines.
+    plans : ChainPlans
+        Weights of chains.
     """
 
     __slots__ = ("admission", "chooser", "engine", "retries")
 
-    def __init__(self, settings, clock, snapshots, http):
+    def __init__(self, settings, clock, snapshots, http, plans):
         self.chooser = build_chooser(
             settings.choice,
             host=settings.host,
@@ -34,6 +36,7 @@
             clock=clock,
             distances=LinkDistances(lambda: snapshots.configuration),
             hosts=snapshots.count_entry_hosts,
+            plans=plans,
         )
         self.admission = FairAdmission(
             settings.bounds,
--- a/apricotseam/pipelines/__init__.py
+++ b/apricotseam/pipelines/__init__.py
@@ -1,17 +1,27 @@
 """Chains over layer ranges: planning, running and recovery."""
 
+from apricotseam.pipelines._carrier import StepCarrier
 from apricotseam.pipelines._chain import Chain
 from apricotseam.pipelines._chain import enumerate_chains
 from apricotseam.pipelines._chain import Stage
+from apricotseam.pipelines._planner import ChainPlan
+from apricotseam.pipelines._planner import plan_chains
+from apricotseam.pipelines._recovery import NoReplacement
+from apricotseam.pipelines._recovery import StageChooser
 from apricotseam.pipelines._runner import ChainRunner
 from apricotseam.pipelines._runner import StreamPlan
 from apricotseam.pipelines._runner import Token
 
 __all__ = [
     "Chain",
+    "ChainPlan",
     "ChainRunner",
+    "NoReplacement",
     "Stage",
+    "StageChooser",
+    "StepCarrier",
     "StreamPlan",
     "Token",
     "enumerate_chains",
+    "plan_chains",
 ]
