Wire shared limits into the request path and renew loans through changes

Cause: a new owner lent nothing for 5 s after each change of members, so that demonstrations over two hosts were refused at 3 requests a second. Change: a new owner renews what its borrowers still hold; a host that has just started has an equal part of each limit.

--- a/apricotseam/admission/__init__.py
+++ b/apricotseam/admission/__init__.py
@@ -12,10 +12,13 @@
 from apricotseam.admission._pool import PoolScheduler
 from apricotseam.admission._pool import QueueBounds
 from apricotseam.admission._queue import FairQueue
+from apricotseam.admission._shared import EXCHANGE_SECONDS
+from apricotseam.admission._shared import SharedLimits
 
 __all__ = [
     "Admission",
     "CustomerLimits",
+    "EXCHANGE_SECONDS",
     "FairAdmission",
     "FairQueue",
     "OpenAdmission",
@@ -23,6 +26,7 @@
     "PoolCapacity",
     "PoolScheduler",
     "QueueBounds",
+    "SharedLimits",
     "UnlimitedCustomers",
     "Work",
     "pool_capacity",
--- a/apricotseam/admission/_holder.py
+++ b/apricotseam/admission/_holder.py
@@ -8,6 +8,7 @@
 from apricotseam.admission._sharerules import LEASE_SECONDS
 from apricotseam.admission._sharerules import MAX_KEYS
 from apricotseam.admission._sharerules import ShareReport
+from apricotseam.admission._sharerules import YOUNG_SECONDS
 from apricotseam.errors import LimitExceededError
 
 ACTIVE_SECONDS = 10.0
@@ -57,12 +58,22 @@
     ----------
     host : str
         Name of this process among all that ever ran.
+    now : float
+        Monotonic time at which the process began.
     """
 
-    __slots__ = ("_fleet", "_host", "_limits", "_number", "_uses")
+    __slots__ = (
+        "_fleet",
+        "_host",
+        "_limits",
+        "_number",
+        "_uses",
+        "_young_deadline",
+    )
 
-    def __init__(self, host):
+    def __init__(self, host, now):
         self._host = host
+        self._young_deadline = now + YOUNG_SECONDS
         self._number = 0
         self._fleet = 1
         self._uses = collections.OrderedDict()
@@ -76,7 +87,8 @@
         """Return the share of a customer's limits that this host has."""
         use = self._uses.get(customer)
         lent = use.lent(now) if use else 0.0
-        return floor_share(self._fleet) + lent
+        is_young = now < self._young_deadline
+        return floor_share(self._fleet, is_young) + lent
 
     def has_loan(self, customer, now):
         """Return whether a loan for the customer is in force."""
@@ -140,15 +152,14 @@
                 continue
             owner = owners.owner(customer)
             if owner is not None:
-                claim = Claim(customer, self._demand(customer, now), use.held)
+                claim = self._claim(customer, use, now)
                 claims.setdefault(owner, []).append(claim)
         return {owner: self._report(found) for owner, found in claims.items()}
 
     def report_of(self, customer, now):
         """Return a `ShareReport` about one customer."""
-        use = self._uses[customer]
-        demand = self._demand(customer, now)
-        return self._report([Claim(customer, demand, use.held)])
+        claim = self._claim(customer, self._uses[customer], now)
+        return self._report([claim])
 
     def accept(self, answer, sent_at):
         """Take the loans of an answer to a report.
@@ -168,6 +179,10 @@
                 use.share = loan.share
                 use.lease_deadline = sent_at + LEASE_SECONDS
 
+    def _claim(self, customer, use, now):
+        demand = self._demand(customer, now)
+        return Claim(customer, demand, use.held, use.lent(now))
+
     def _report(self, claims):
         self._number += 1
         return ShareReport(self._host, self._number, claims)
--- a/apricotseam/admission/_owner.py
+++ b/apricotseam/admission/_owner.py
@@ -38,9 +38,9 @@
 class ShareOwner:
     """Divides the limits of the customers that this host owns.
 
-    What is lent and not yet lapsed is never more than may be lent. A host
-    that became the owner lends nothing until every loan of an owner
-    before it has lapsed.
+    What is lent and not yet lapsed is never more than may be lent. Until
+    every loan of an earlier owner has lapsed, a new owner only renews
+    what its borrowers still hold.
 
     Parameters
     ----------
@@ -95,8 +95,9 @@
         """Return the `ShareAnswer` to a host's report."""
         loans = []
         for claim in report.claims:
-            if self._may_lend(claim.customer, now):
-                share = self._lend(claim, report, now)
+            if self._owners.owner(claim.customer) == self._host:
+                is_steady = self._is_steady(claim.customer, now)
+                share = self._lend(claim, report, is_steady, now)
                 loans.append(Loan(claim.customer, share))
         return ShareAnswer(report.number, loans)
 
@@ -105,15 +106,11 @@
         borrowers = self._borrowers.get(customer, {})
         return sum(b.outstanding(now) for b in borrowers.values())
 
-    def _may_lend(self, customer, now):
-        """Return whether this host is the owner and no other was lately."""
-        if now < self._quiet_deadline:
-            return False
-        if self._owners.owner(customer) != self._host:
-            return False
+    def _is_steady(self, customer, now):
+        """Return whether no other host was the owner lately."""
         while self._earlier and self._earlier[0][1] <= now:
             self._earlier.popleft()
-        return all(
+        return now >= self._quiet_deadline and all(
             rendezvous_owner(customer, members) == self._host
             for members, _ in self._earlier
         )
@@ -126,7 +123,7 @@
         sizes = [len(members) for members, _ in self._earlier]
         return min([len(self._owners.members), *sizes])
 
-    def _lend(self, claim, report, now):
+    def _lend(self, claim, report, is_steady, now):
         borrowers = self._of(claim.customer)
         self._drop_lapsed(borrowers, now)
         own = borrowers.setdefault(report.host, _Borrower())
@@ -139,7 +136,9 @@
             for name, borrower in borrowers.items()
             if name != report.host
         )
-        wanted = _divide(lendable, borrowers, own)
+        wanted = claim.share
+        if is_steady:
+            wanted = _divide(lendable, borrowers, own)
         share = max(0.0, min(wanted, lendable - others))
         own.loans.append((report.number, now + LEASE_SECONDS, share))
         return share
--- a/apricotseam/admission/_shared.py
+++ b/apricotseam/admission/_shared.py
@@ -41,8 +41,9 @@
         self._lock = threading.Lock()
         self._asks = {}
         name = f"{transport.address}/{transport.incarnation}"
-        self._holder = ShareHolder(name)
-        self._owner = ShareOwner(transport.address, clock.monotonic())
+        now = clock.monotonic()
+        self._holder = ShareHolder(name, now)
+        self._owner = ShareOwner(transport.address, now)
         transport.handle(ShareReport, self._answer, ShareAnswer)
 
     def take(self, work):
--- a/apricotseam/admission/_sharerules.py
+++ b/apricotseam/admission/_sharerules.py
@@ -15,6 +15,7 @@
 LEASE_SECONDS = 3.0
 DETECTION_SKEW_SECONDS = 2.0
 QUIET_SECONDS = LEASE_SECONDS + DETECTION_SKEW_SECONDS
+YOUNG_SECONDS = QUIET_SECONDS + 1.0
 MAX_KEYS = 20_000
 
 
@@ -22,12 +23,14 @@
     """What a host wants of one customer's limit, as a share of it.
 
     ``held`` is the number of the report whose loan the host uses now, so
-    that the owner can forget what it lent before.
+    that the owner can forget what it lent before; ``share`` is that loan,
+    which a new owner may renew.
     """
 
     customer: str
     demand: float
     held: int
+    share: float
 
 
 class ShareReport(msgspec.Struct, frozen=True, array_like=True):
@@ -52,15 +55,20 @@
     loans: list[Loan]
 
 
-def floor_share(hosts):
+def floor_share(hosts, is_young=False):
     """Return the share of each limit that a host always has.
 
+    A host that has just started has an equal part of the whole, since no
+    owner may lend to a fleet that has just started.
+
     Examples
     --------
-    >>> floor_share(1), floor_share(8)
-    (1.0, 0.025)
+    >>> floor_share(1), floor_share(8), floor_share(8, is_young=True)
+    (1.0, 0.025, 0.125)
     """
-    return 1.0 if hosts <= 1 else FLOOR_SHARE / hosts
+    if hosts <= 1 or is_young:
+        return 1.0 / max(1, hosts)
+    return FLOOR_SHARE / hosts
 
 
 def lendable_share(members, hosts):
--- a/apricotseam/callers/_completions.py
+++ b/apricotseam/callers/_completions.py
@@ -18,6 +18,7 @@
 
 EVENT_STREAM_TYPE = "text/event-stream"
 DONE_EVENT = b"data: [DONE]\n\n"
+BYTES_PER_TOKEN = 4
 
 
 class Message(msgspec.Struct):
@@ -115,6 +116,7 @@
             customer=caller.customer.name,
             prefix=prefix,
             tokens=work.tokens,
+            prompt_tokens=len(prompt) // BYTES_PER_TOKEN,
         )
         table = self._context.snapshots.targets
         chain = self._context.chooser.choose_chain(table, model, demand)
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -17,6 +17,7 @@
 from apricotseam.host._execution import ClaimsChild
 from apricotseam.host._loads import LoadsChild
 from apricotseam.host._policy import RequestPolicy
+from apricotseam.host._shares import SharesChild
 from apricotseam.host._snapshots import Snapshots
 from apricotseam.host._tls import HostTls
 from apricotseam.membership import Member
@@ -56,22 +57,27 @@
         self.snapshots = Snapshots(settings)
         self._tls = HostTls(settings)
         http = HttpClient(tls=self._tls.platform_context)
+        loop = ControlLoop()
+        self.transport = PeerTransport(
+            loop,
+            settings.peers_address,
+            int(self._clock.wall() * MILLISECONDS),
+            self._tls.peer_context,
+        )
         plans = ChainPlans(lambda address: runner.step_seconds(address))
         policy = RequestPolicy(
-            settings, self._clock, self.snapshots, http, plans
+            settings,
+            self._clock,
+            self.snapshots,
+            http,
+            plans,
+            self.transport,
         )
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
         runner = ChainRunner(
             policy.engine, self._clock, settings.bounds.step_timeout_seconds
         )
-        loop = ControlLoop()
-        self.transport = PeerTransport(
-            loop,
-            settings.peers_address,
-            int(self._clock.wall() * MILLISECONDS),
-            self._tls.peer_context,
-        )
         execution, claim_batches = build_execution(
             settings,
             self._clock,
@@ -112,6 +118,7 @@
                     policy.chooser.watched,
                     plans,
                 ),
+                SharesChild(loop, policy.limits),
                 LoadsChild(http, policy, self.snapshots, self._clock),
                 ListenerChild("operators", self._operators(operators)),
                 ListenerChild("callers", self._callers_listener),
--- a/apricotseam/host/_policy.py
+++ b/apricotseam/host/_policy.py
@@ -1,6 +1,7 @@
 """Policy of the request path: choice, admission and retries."""
 
 from apricotseam.admission import FairAdmission
+from apricotseam.admission import SharedLimits
 from apricotseam.platform import HttpModelEngine
 from apricotseam.routing import build_chooser
 from apricotseam.routing import count_retry
@@ -24,11 +25,13 @@
         Client towards the engines.
     plans : ChainPlans
         Weights of chains.
+    transport : PeerTransport
+        Messages between hosts.
     """
 
-    __slots__ = ("admission", "chooser", "engine", "retries")
+    __slots__ = ("admission", "chooser", "engine", "limits", "retries")
 
-    def __init__(self, settings, clock, snapshots, http, plans):
+    def __init__(self, settings, clock, snapshots, http, plans, transport):
         self.chooser = build_chooser(
             settings.choice,
             host=settings.host,
@@ -38,9 +41,16 @@
             hosts=snapshots.count_entry_hosts,
             plans=plans,
         )
+        self.limits = SharedLimits(
+            transport,
+            clock,
+            members=snapshots.live_peers,
+            fleet=snapshots.count_fleet,
+        )
         self.admission = FairAdmission(
             settings.bounds,
             clock,
+            limits=self.limits,
             table=lambda: snapshots.targets,
             hosts=snapshots.count_entry_hosts,
         )
--- a/apricotseam/host/_snapshots.py
+++ b/apricotseam/host/_snapshots.py
@@ -8,6 +8,9 @@
 from apricotseam.platform import LEAVING
 from apricotseam.routing import TargetTable
 
+# Entry hosts that are assumed while no host list was ever read.
+UNKNOWN_FLEET = 8
+
 
 class Snapshots:
     """What the request path reads without a lock.
@@ -60,6 +63,17 @@
         """Return the number of live entry hosts, at least 1."""
         return max(1, len(self.members.live()))
 
+    def live_peers(self):
+        """Return the peers' addresses of live entry hosts."""
+        return [member.peers_address for member in self.members.live()]
+
+    def count_fleet(self):
+        """Return the number of entry hosts, also those out of reach."""
+        listed = sum(host.role == "entry" for host in self.listed.values())
+        if not self.listed:
+            listed = UNKNOWN_FLEET
+        return max(listed, len(self.members.live()), 1)
+
     def host_statuses(self):
         """Return the `HostStatus` of each known entry host."""
         own = self._settings.peers_address
