Weigh a prefix that is not held as the work it costs

Cause: a miss was counted in milliseconds for each token, so that it never weighed against a busier target, and hosts sent one prefix to different targets until late events told them. Change: the cost of a target grows by the share of work that the prompt adds; the target that all hosts prefer for a prefix is always compared.

--- a/apricotseam/routing/_cost.py
+++ b/apricotseam/routing/_cost.py
@@ -41,6 +41,14 @@
     return step_seconds * (1.0 + used + OVERLOAD_SLOPE * queue)
 
 
-def prefill_seconds(step_seconds, max_batch, prompt_tokens, chance):
-    """Return the expected time to compute a prefix that is not held."""
-    return (1.0 - chance) * prompt_tokens * step_seconds / max(1, max_batch)
+def work_factor(tokens, prompt_tokens, chance):
+    """Return how much work a request is, over that of its answer alone.
+
+    A prompt that is not held costs steps of its own beside the answer's.
+
+    Examples
+    --------
+    >>> work_factor(32, 32, 0.5)
+    1.5
+    """
+    return 1.0 + (1.0 - chance) * prompt_tokens / max(1, tokens)
--- a/apricotseam/routing/_least_cost.py
+++ b/apricotseam/routing/_least_cost.py
@@ -16,12 +16,13 @@
 from apricotseam.routing._cost import DEFAULT_BATCH
 from apricotseam.routing._cost import DEFAULT_STEP_SECONDS
 from apricotseam.routing._cost import MIN_WARMTH
-from apricotseam.routing._cost import prefill_seconds
+from apricotseam.routing._cost import work_factor
 from apricotseam.routing._cost import token_seconds
 from apricotseam.routing._cost import utilisation
 from apricotseam.routing._ejection import OutlierEjector
 from apricotseam.routing._path import cheapest_chain
 from apricotseam.routing._prefixes import PrefixTable
+from apricotseam.routing._subset import home_target
 from apricotseam.routing._zones import ZoneFilter
 from apricotseam.routing._zones import ZoneLoads
 
@@ -254,9 +255,10 @@
         if len(targets) <= self._samples:
             return targets
         few = self._random.sample(targets, self._samples)
-        holders = self._prefixes.holders(prefix) if prefix else ()
-        if holders:
+        if prefix:
+            holders = self._prefixes.holders(prefix)
             few += [t for t in targets if t.address in holders]
+            few.append(home_target(targets, prefix))
         return few
 
     def _call_cost(self, target, demand, now):
@@ -276,15 +278,11 @@
             self._load(target, now) + 1, report.max_batch, share
         )
         seconds = token_seconds(report.step_seconds, used)
-        if demand.prompt_tokens:
+        if demand.prefix:
             chance = self._prefixes.chance(address, demand.prefix)
-            missed = prefill_seconds(
-                report.step_seconds,
-                report.max_batch,
-                demand.prompt_tokens,
-                chance,
+            seconds *= work_factor(
+                demand.tokens, demand.prompt_tokens, chance
             )
-            seconds += missed / max(1, demand.tokens)
         warmth = self._ejector.warmth(address, now)
         return seconds / max(warmth, MIN_WARMTH)
 
--- a/apricotseam/routing/_subset.py
+++ b/apricotseam/routing/_subset.py
@@ -21,6 +21,22 @@
     return int.from_bytes(digest, "big")
 
 
+def home_target(targets, prefix):
+    """Return the target that all hosts prefer for a prefix.
+
+    Hosts learn of each other's work late; that they agree on a first
+    target brings requests with one prefix together before that.
+
+    Parameters
+    ----------
+    targets : list of TargetState
+        Targets that do the same work.
+    prefix : str
+        Digest of the prefix.
+    """
+    return max(targets, key=lambda t: rendezvous_score(prefix, t.address))
+
+
 def choose_subset(targets, host, zone, size=SUBSET_SIZE):
     """Return the targets that a host routes to.
 
