Let a host's own work stand for that of all hosts

Cause: hosts that follow the same reports, 2 s old, swing together; the load of one engine went between 5 and 102 streams. Change: the load of a target is mostly this host's own running work, scaled by what runs in the pool for each of its streams; the corrected report has the rest of the weight, more while this host runs little.

--- a/apricotseam/routing/_book.py
+++ b/apricotseam/routing/_book.py
@@ -121,6 +121,11 @@
         corrected = reported + account.net_since(reported_at)
         return max(corrected, account.running) + account.pending(now)
 
+    def own(self, address, now):
+        """Return this host's work at a target, with what begins soon."""
+        account = self._accounts.get(address)
+        return account.running + account.pending(now) if account else 0
+
     def _account(self, address):
         account = self._accounts.get(address)
         if account is None:
--- a/apricotseam/routing/_least_cost.py
+++ b/apricotseam/routing/_least_cost.py
@@ -16,9 +16,9 @@
 from apricotseam.routing._cost import DEFAULT_BATCH
 from apricotseam.routing._cost import DEFAULT_STEP_SECONDS
 from apricotseam.routing._cost import MIN_WARMTH
-from apricotseam.routing._cost import work_factor
 from apricotseam.routing._cost import token_seconds
 from apricotseam.routing._cost import utilisation
+from apricotseam.routing._cost import work_factor
 from apricotseam.routing._ejection import OutlierEjector
 from apricotseam.routing._path import cheapest_chain
 from apricotseam.routing._prefixes import PrefixTable
@@ -28,6 +28,8 @@
 
 SAMPLES = 2
 MAX_REPORTS = 4096
+OWN_WEIGHT = 0.8
+OWN_DOUBT = 4.0
 
 
 class LeastCostChooser(Chooser):
@@ -82,6 +84,8 @@
         self._candidates = None
         self._known = {}
         self._pools = {}
+        self._scale = 1.0
+        self._own_weight = 0.0
 
     def choose_chain(self, table, model, demand):
         """Return the cheapest chain through sampled stages."""
@@ -183,7 +187,9 @@
         self._note_joined(key, pool, now)
         pool = [t for t in pool if t.name not in demand.excluded]
         admitted = [t for t in pool if self._ejector.may_use(t.address, now)]
-        return admitted or pool
+        usable = admitted or pool
+        self._note_scale(usable, now)
+        return usable
 
     def _note_joined(self, key, pool, now):
         known = self._known.get(key)
@@ -280,13 +286,29 @@
         seconds = token_seconds(report.step_seconds, used)
         if demand.prefix:
             chance = self._prefixes.chance(address, demand.prefix)
-            seconds *= work_factor(
-                demand.tokens, demand.prompt_tokens, chance
-            )
+            seconds *= work_factor(demand.tokens, demand.prompt_tokens, chance)
         warmth = self._ejector.warmth(address, now)
         return seconds / max(warmth, MIN_WARMTH)
 
+    def _note_scale(self, pool, now):
+        """Note how much runs in a pool for each stream of this host."""
+        own = sum(self._book.own(t.address, now) for t in pool)
+        everyone = sum(self._corrected(t, now) for t in pool)
+        self._scale = everyone / own if own else 1.0
+        self._own_weight = OWN_WEIGHT * own / (own + OWN_DOUBT)
+
     def _load(self, target, now):
+        """Return the expected load of a target.
+
+        Hosts that follow the same old reports swing together. What this
+        host itself runs is fresh, and scaled up it stands for all hosts,
+        since each sees a like part of the requests.
+        """
+        own = self._book.own(target.address, now) * self._scale
+        corrected = self._corrected(target, now)
+        return corrected + self._own_weight * (own - corrected)
+
+    def _corrected(self, target, now):
         report = self._report(target)
         return self._book.load(
             target.address, report.running, report.read_at, now
@@ -332,7 +354,7 @@
 
     def sent(self, target):
         reported = self.reported(target)
-        return max(0, self._chooser._load(target, self._now) - reported)
+        return max(0, self._chooser._corrected(target, self._now) - reported)
 
 
 def _default_distance(scope, zone, other):
