Bound steps per call by the engine's batch and plan by real slowness

Cause: the plan changed every half second because steps that wait in a queue looked like slow stages; a call with more steps than an engine runs at once came back only after its last batch. Change: slowness is compared with the time expected at the reported load and with wider margins; links too slow for one answer are left out; the carrier sends at most a batch in one call; a late answer that was settled by asking counts into the step times.

--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -25,6 +25,7 @@
 from apricotseam.peers import ControlLoop
 from apricotseam.peers import PeerTransport
 from apricotseam.pipelines import ChainRunner
+from apricotseam.pipelines import StepCarrier
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
 from apricotseam.platform import HttpModelEngine
@@ -86,7 +87,10 @@
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
         runner = ChainRunner(
-            engine, self._clock, settings.bounds.step_timeout_seconds
+            engine,
+            self._clock,
+            settings.bounds.step_timeout_seconds,
+            StepCarrier(engine, batch=self.snapshots.max_batch),
         )
         callers = CallerContext(
             settings=settings,
--- a/apricotseam/host/_snapshots.py
+++ b/apricotseam/host/_snapshots.py
@@ -60,6 +60,11 @@
         """Return the number of live entry hosts, at least 1."""
         return max(1, len(self.members.live()))
 
+    def max_batch(self, address):
+        """Return how many steps a target runs at once, 0 if not known."""
+        target = self.targets.find(address)
+        return target.max_batch if target is not None else 0
+
     def host_statuses(self):
         """Return the `HostStatus` of each known entry host."""
         own = self._settings.peers_address
--- a/apricotseam/pipelines/_carrier.py
+++ b/apricotseam/pipelines/_carrier.py
@@ -45,12 +45,13 @@
 class _Lane:
     """Steps that wait for one stage and the calls under way to it."""
 
-    __slots__ = ("calls", "gatherer", "lock", "queue")
+    __slots__ = ("calls", "gatherer", "lock", "most", "queue")
 
     def __init__(self):
         self.lock = threading.Lock()
         self.queue = []
         self.calls = 0
+        self.most = 1
         self.gatherer = None
 
     def take(self, count):
@@ -81,6 +82,9 @@
         Steps in one call.
     gather_seconds : float
         Longest wait for steps of others while a slot is free.
+    batch : callable, optional
+        ``batch(address)`` returns how many steps an engine runs at once,
+        0 if not known. More in one call would wait for each other.
     """
 
     def __init__(
@@ -89,11 +93,13 @@
         max_calls=MAX_CALLS_PER_STAGE,
         max_steps=MAX_STEPS_PER_CALL,
         gather_seconds=GATHER_SECONDS,
+        batch=None,
     ):
         self._engine = engine
         self._max_calls = max_calls
         self._max_steps = max_steps
         self._gather_seconds = gather_seconds
+        self._batch = batch or (lambda address: 0)
         self._lock = threading.Lock()
         self._lanes = collections.OrderedDict()
         self._order = itertools.count()
@@ -118,6 +124,7 @@
             If it may have been sent and no result came.
         """
         lane = self._lane(address)
+        lane.most = self._most(address)
         entry = _Entry(step, deadline)
         self._join(lane, entry)
         if lane.gatherer is entry:
@@ -143,7 +150,7 @@
             else:
                 item = (entry.step.priority, next(self._order), entry)
                 heapq.heappush(lane.queue, item)
-                is_full = len(lane.queue) + 1 >= self._max_steps
+                is_full = len(lane.queue) + 1 >= lane.most
                 if lane.gatherer is not None and is_full:
                     lane.gatherer.wake.set()
 
@@ -151,7 +158,8 @@
         entry.wake.wait(self._gather_seconds)
         with lane.lock:
             lane.gatherer = None
-            entry.batch = [entry, *lane.take(self._max_steps - 1)]
+            entry.batch = [entry, *lane.take(lane.most - 1)]
+            self._pass_on(lane)
 
     def _wait(self, lane, entry):
         left = entry.deadline - time.monotonic()
@@ -176,14 +184,21 @@
             self._call(address, batch)
         finally:
             with lane.lock:
-                following = []
-                if lane.gatherer is None:
-                    following = lane.take(self._max_steps)
-                if following:
-                    following[0].batch = following
-                    following[0].wake.set()
-                else:
-                    lane.calls -= 1
+                lane.calls -= 1
+                self._pass_on(lane)
+
+    def _pass_on(self, lane):
+        """Have waiting entries send what waits while slots are free."""
+        while lane.gatherer is None and lane.calls < self._max_calls:
+            following = lane.take(lane.most)
+            if not following:
+                return
+            lane.calls += 1
+            following[0].batch = following
+            following[0].wake.set()
+
+    def _most(self, address):
+        return min(self._max_steps, self._batch(address) or self._max_steps)
 
     def _call(self, address, batch):
         steps = [entry.step for entry in batch]
--- a/apricotseam/pipelines/_recovery.py
+++ b/apricotseam/pipelines/_recovery.py
@@ -131,6 +131,8 @@
         )
         if decision is Decision.TAKE:
             RECOVERIES.labels("ask").inc()
+            seconds = self._clock.monotonic() - started
+            self._times.observe(progress.stages[index].address, seconds)
             return index, [result]
         return self.rebuild(
             progress, index, position, decision, failure, started
--- a/apricotseam/routing/_planned.py
+++ b/apricotseam/routing/_planned.py
@@ -7,8 +7,9 @@
 from apricotseam.routing._chooser import stage_of
 
 MAX_LEVEL = 6
-RAISE_MARGIN = 1.25
-LOWER_MARGIN = 0.8
+TOKEN_SECONDS = 0.056
+RAISE_MARGIN = 2.0
+LOWER_MARGIN = 1.0
 
 
 class _Known(msgspec.Struct, frozen=True):
@@ -85,7 +86,7 @@
         kinds = {kind.name: kind for kind in scope_file.accelerators}
         rates = {t.name: self._rate(t, kinds) for t in targets}
         links = {
-            frozenset(link.between): link.tokens_per_second * share
+            frozenset(link.between): _link_rate(link) * share
             for link in scope_file.links
         }
         stages = sorted(map(stage_of, targets), key=lambda s: s.address)
@@ -116,7 +117,9 @@
         seconds = self._observed(target.address)
         level = self._levels.get(target.address, 0)
         if seconds is not None and target.step_seconds > 0.0:
-            level = slowness_level(level, seconds / target.step_seconds)
+            queued = target.running_streams / max(1, target.max_batch)
+            expected = target.step_seconds * (1.0 + queued)
+            level = slowness_level(level, seconds / expected)
         self._levels[target.address] = level
         return level
 
@@ -141,7 +144,7 @@
 
     Examples
     --------
-    >>> slowness_level(0, 2.0), slowness_level(0, 2.6), slowness_level(1, 1.7)
+    >>> slowness_level(0, 3.9), slowness_level(0, 4.1), slowness_level(1, 2.1)
     (0, 1, 1)
     """
     while level < MAX_LEVEL and ratio > RAISE_MARGIN * (2 << level):
@@ -151,6 +154,13 @@
     return level
 
 
+def _link_rate(link):
+    """Return a link's rate, 0 if it is too slow for a single answer."""
+    if link.tokens_per_second * TOKEN_SECONDS < 1.0:
+        return 0.0
+    return link.tokens_per_second
+
+
 def _is_usable(target):
     return (
         not target.leaving and not target.suspect and target.first is not None
--- a/measure/_engines.py
+++ b/measure/_engines.py
@@ -13,6 +13,7 @@
 from apricotseam.callers import hash_key
 from apricotseam.client import HostClient
 from apricotseam.config import AuditEntry
+from apricotseam.config import Bounds
 from apricotseam.demo import free_address
 from apricotseam.demo import LocalSystem
 from apricotseam.demo import OPERATOR_KEY
@@ -76,15 +77,27 @@
 
 
 class HostProcess:
-    """One entry host in a process of its own."""
+    """One entry host in a process of its own.
 
-    def __init__(self, settings):
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the host.
+    prelude : str
+        Python statements that run before it starts.
+    """
+
+    def __init__(self, settings, prelude=""):
         self.settings = settings
         self._directory = tempfile.TemporaryDirectory()
         path = os.path.join(self._directory.name, "settings.yaml")
         with open(path, "w") as file:
             yaml.safe_dump(msgspec.to_builtins(settings), file)
-        command = [sys.executable, "-m", "apricotseam", "serve", path]
+        program = (
+            f"{prelude}\nfrom apricotseam.cli import main\n"
+            f"main(['serve', {path!r}])"
+        )
+        command = [sys.executable, "-c", program]
         self._process = subprocess.Popen(
             command, stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL
         )
@@ -116,6 +129,12 @@
         Availability zone of each entry host.
     in_process : bool
         Whether the hosts run inside this process.
+    bounds : Bounds, optional
+        Bounds of each host.
+    choice : Choice, optional
+        Policy of the choice of targets.
+    prelude : str
+        Python statements that host processes run first.
     """
 
     def __init__(
@@ -127,6 +146,8 @@
         zones=("a",),
         in_process=True,
         bounds=None,
+        choice=None,
+        prelude="",
     ):
         self.engines = engines
         self.hosts = []
@@ -135,7 +156,12 @@
         self._links = list(links)
         self._zones = zones
         self._in_process = in_process
+        self._choice = choice
+        self._prelude = prelude
         self._client = HttpClient()
+        bounds = bounds or Bounds(
+            caller_threads=128, address_valid_seconds=1.0
+        )
         self._platform = LocalSystem([], [], bounds=bounds)
 
     def __enter__(self):
@@ -165,11 +191,13 @@
     def add_host(self, name, zone):
         """Start one more entry host."""
         settings = self._platform.settings(name, zone)
+        if self._choice is not None:
+            settings = msgspec.structs.replace(settings, choice=self._choice)
         if self._in_process:
             host = EntryHost(settings)
             host.start()
         else:
-            host = HostProcess(settings)
+            host = HostProcess(settings, self._prelude)
         self.hosts.append(host)
         return host
 
--- a/measure/_readers.py
+++ b/measure/_readers.py
@@ -41,6 +41,11 @@
         """Whether each token arrived once, in order."""
         return self.texts == self._wanted
 
+    @property
+    def is_right(self):
+        """Whether no token was lost or repeated as far as it went."""
+        return self.texts == self._wanted[: len(self.texts)]
+
     def start(self):
         """Begin to read."""
         self._thread.start()
