--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -28,6 +28,7 @@
 from apricotseam.peers import ControlLoop
 from apricotseam.peers import PeerTransport
 from apricotseam.pipelines import ChainRunner
+from apricotseam.pipelines import StepCarrier
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
 from apricotseam.routing import ChainPlans
@@ -76,7 +77,10 @@
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
         runner = ChainRunner(
-            policy.engine, self._clock, settings.bounds.step_timeout_seconds
+            policy.engine,
+            self._clock,
+            settings.bounds.step_timeout_seconds,
+            StepCarrier(policy.engine, batch=self.snapshots.max_batch),
         )
         execution, claim_batches = build_execution(
             settings,
