Work out the capacity page from the slopes, and measure admission

Cause: nobody could say which role fits at the size to come. Change: sizes in measure/fleet.yaml; a script that works each role's processor time, memory and bytes from the slopes, the calls to the platform, the cores and processes of the request path, and what is over its bound, into docs/CAPACITY.md.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -6,10 +6,13 @@
 import defopt
 
 from apricotseam.errors import ApricotseamError
+from measure._capacity import Costs
+from measure._capacity_page import write_page
 from measure._compare import moved_lines
 from measure._experiment import interleave
 from measure._experiment import load_experiments
 from measure._experiment import select
+from measure._fleet import load_fleet
 from measure._results import keep
 from measure._results import LATEST
 from measure._results import PREVIOUS
@@ -21,6 +24,7 @@
 from measure._tables import replace_marked
 from measure._tables import unmet
 
+CAPACITY = ROOT / "docs" / "CAPACITY.md"
 MEASUREMENTS = ROOT / "docs" / "MEASUREMENTS.md"
 
 
@@ -96,6 +100,19 @@
     path.write_text(text)
 
 
+def capacity(page=str(CAPACITY)):
+    """Work out the capacity page from the latest results.
+
+    Parameters
+    ----------
+    page : str
+        The page, with markers where the parts go.
+    """
+    costs = Costs(read_results(), load_experiments())
+    path = pathlib.Path(page)
+    path.write_text(write_page(path.read_text(), load_fleet(), costs))
+
+
 def report(folder=str(ROOT / "build" / "measure")):
     """Plot the latest results.
 
@@ -122,6 +139,7 @@
         "list": list_experiments,
         "compare": compare,
         "tables": tables,
+        "capacity": capacity,
         "report": report,
     }
     try:
--- a/measure/_tables.py
+++ b/measure/_tables.py
@@ -1,9 +1,12 @@
 """Writes the tables of the documentation from results."""
 
+import math
+
 from apricotseam.errors import InvalidFileError
 from measure._statistics import summarize
 
 SIGNIFICANT_DIGITS = 4
+NOT_MEASURED = "not measured"
 
 
 class Row:
@@ -140,13 +143,15 @@
 
 
 def number(value):
-    """Return a value with four significant digits.
+    """Return a value with four significant digits, or that there is none.
 
     Examples
     --------
     >>> number(1234567.0), number(0.00012345), number(2.0)
     ('1,235,000', '0.0001234', '2')
     """
+    if value is None or math.isnan(value):
+        return NOT_MEASURED
     if value == 0:
         return "0"
     rounded = float(f"{value:.{SIGNIFICANT_DIGITS}g}")
--- a/measure/slopes/__init__.py
+++ b/measure/slopes/__init__.py
@@ -1,5 +1,6 @@
 """Costs that grow with a size, each measured at several sizes."""
 
+from measure.slopes._admission import ADMISSION_SLOPES
 from measure.slopes._membership import MEMBERSHIP_SLOPES
 from measure.slopes._memory import MEMORY_SLOPES
 from measure.slopes._peers import PEER_SLOPES
@@ -10,6 +11,7 @@
 ALL_SLOPES = {
     slope.name: slope
     for slope in (
+        *ADMISSION_SLOPES,
         *MEMBERSHIP_SLOPES,
         *MEMORY_SLOPES,
         *PEER_SLOPES,
--- a/measure/slopes/_memory.py
+++ b/measure/slopes/_memory.py
@@ -8,6 +8,7 @@
 from measure._fresh import call_fresh
 from measure._usage import peak_resident_bytes
 from measure._usage import resident_bytes
+from measure.slopes._admission import admission_of_customers
 from measure.slopes import _objects
 from measure.slopes._slope import Slope
 
@@ -52,6 +53,7 @@
 
 _MAKERS = {
     "threads": _threads,
+    "admission": admission_of_customers,
     "configuration": _objects.configuration_of_customers,
     "targets": _objects.table_of_targets,
     "listed": _objects.listed_hosts,
@@ -74,6 +76,7 @@
     _slope(
         "peak memory of loading a customer", "customer", "configuration", 1
     ),
+    _slope("memory of a customer in admission", "customer", "admission"),
     _slope("memory of a target", "target", "targets"),
     _slope("memory of a listed host", "host", "listed"),
     _slope("memory of a member", "host", "members"),
--- a/measure/slopes/_processor.py
+++ b/measure/slopes/_processor.py
@@ -40,6 +40,7 @@
 
 
 def _load_customers(size):
+    load_scope_file(_objects.scope_text())
     text = _objects.scope_text(customers=size)
     return _best_milliseconds(lambda: load_scope_file(text), repeats=1)
 
