Keep no flow of a customer that does not wait

Cause: each admission looked at the flows of all customers seen, and none was forgotten while the virtual time stood still. Change: waiting flows are kept apart and only they are looked at; when nothing waits, virtual time rises to the highest tag, so that all flows can be dropped.

--- a/apricotseam/admission/_flows.py
+++ b/apricotseam/admission/_flows.py
@@ -22,7 +22,9 @@
 
     The flow with the lowest tag goes next and its tag rises by the cost
     over the weight. A flow that was idle begins at the class's virtual
-    time, so that it neither saves up nor owes for its idle time.
+    time, so that it neither saves up nor owes for its idle time. When
+    nothing waits, virtual time rises to the highest tag, so that all flows
+    begin alike and none has to be kept.
 
     Parameters
     ----------
@@ -32,7 +34,18 @@
         Weight beside other classes of the rank.
     """
 
-    __slots__ = ("_flows", "cost", "count", "rank", "tag", "virtual", "weight")
+    __slots__ = (
+        "_flows",
+        "_highest_tag",
+        "_sweep_size",
+        "_waiting",
+        "cost",
+        "count",
+        "rank",
+        "tag",
+        "virtual",
+        "weight",
+    )
 
     def __init__(self, rank, weight):
         self.rank = rank
@@ -42,6 +55,9 @@
         self.count = 0
         self.cost = 0
         self._flows = {}
+        self._waiting = {}
+        self._highest_tag = 0.0
+        self._sweep_size = MAX_IDLE_FLOWS
 
     @property
     def flows(self):
@@ -58,6 +74,7 @@
             flow.tag = max(flow.tag, self.virtual)
         flow.weight = entry.work.customer_weight
         flow.entries.append(entry)
+        self._waiting[customer] = flow
         flow.cost += entry.cost
         self.count += 1
         self.cost += entry.cost
@@ -73,6 +90,7 @@
         entry = flow.entries.popleft()
         self.virtual = max(self.virtual, flow.tag)
         flow.tag += entry.cost / flow.weight
+        self._highest_tag = max(self._highest_tag, flow.tag)
         self._left(flow, entry)
         self._drop_idle()
         return entry
@@ -91,10 +109,7 @@
 
     def longest(self):
         """Return the customer with the most waiting for its weight."""
-        return max(
-            (name for name, flow in self._flows.items() if flow.entries),
-            key=self.backlog,
-        )
+        return max(self._waiting, key=self.backlog)
 
     def backlog(self, customer):
         """Return the waiting cost of a customer over its weight."""
@@ -111,25 +126,29 @@
         own = flow.cost if flow else 0
         total = weight if not own else 0.0
         others = 0
-        for other in self._flows.values():
-            if other.entries:
-                total += other.weight
-                others += other.cost
+        for other in self._waiting.values():
+            total += other.weight
+            others += other.cost
         if flow is not None and own:
             weight = flow.weight
         return min(self.cost, own * total / weight)
 
     def _next_flow(self):
-        waiting = [flow for flow in self._flows.values() if flow.entries]
-        return min(waiting, key=lambda flow: flow.tag, default=None)
+        return min(
+            self._waiting.values(), key=lambda flow: flow.tag, default=None
+        )
 
     def _left(self, flow, entry):
         flow.cost -= entry.cost
         self.count -= 1
         self.cost -= entry.cost
+        if not flow.entries:
+            del self._waiting[entry.work.customer]
+        if not self._waiting:
+            self.virtual = max(self.virtual, self._highest_tag)
 
     def _drop_idle(self):
-        if len(self._flows) <= MAX_IDLE_FLOWS:
+        if len(self._flows) <= self._sweep_size:
             return
         idle = [
             customer
@@ -138,3 +157,4 @@
         ]
         for customer in idle:
             del self._flows[customer]
+        self._sweep_size = max(MAX_IDLE_FLOWS, 2 * len(self._flows))
--- a/apricotseam/admission/tests/test_queue.py
+++ b/apricotseam/admission/tests/test_queue.py
@@ -7,6 +7,8 @@
 import pytest
 
 from apricotseam.admission._entry import Entry
+from apricotseam.admission._flows import ClassQueue
+from apricotseam.admission._flows import MAX_IDLE_FLOWS
 from apricotseam.admission._queue import AGING_SHARE
 from apricotseam.admission import FairQueue
 from apricotseam.admission.tests.works import work
@@ -177,3 +179,11 @@
 
 
 TestQueue = QueueMachine.TestCase
+
+
+def test_customers_that_do_not_wait_are_forgotten():
+    queue = ClassQueue(rank=0, weight=1.0)
+    for number in range(4 * MAX_IDLE_FLOWS):
+        queue.push(Entry(work(customer=f"customer-{number}")))
+        queue.pop()
+        assert queue.flows <= MAX_IDLE_FLOWS + 1
