Order engines until what is declared is what runs

Cause: nothing ordered targets; a file with another version changed nothing at the engines, and engines dropped their streams when they were ordered. Change: one orderer for each group by a lease with a fencing number, a pure plan that never takes away the last chain, the weight store's limit, a stand-in of the store, engines that load and keep old streams, and requests that take one of the versions that run.

--- a/apricotseam/callers/_completions.py
+++ b/apricotseam/callers/_completions.py
@@ -12,6 +12,7 @@
 from apricotseam.errors import UnknownNameError
 from apricotseam.pipelines import StreamPlan
 from apricotseam.routing import Demand
+from apricotseam.routing import ServingVersions
 from apricotseam.routing import TableStageChooser
 from apricotseam.web import error_body
 from apricotseam.web import Response
@@ -51,6 +52,7 @@
 
     def __init__(self, context):
         self._context = context
+        self._versions = ServingVersions()
         self._resumption = Resumption(context.settings, context.clock)
 
     def handle(self, request):
@@ -117,7 +119,11 @@
             tokens=work.tokens,
         )
         table = self._context.snapshots.targets
-        chain = self._context.chooser.choose_chain(table, model, demand)
+        chooser = self._context.chooser
+        if point.handle is not None:
+            chain = chooser.choose_chain(table, model, demand)
+        else:
+            chain = self._versions.choose(chooser, table, model, demand)
         return StreamPlan(
             stream=work.request,
             chain=chain,
--- a/apricotseam/demo/_system.py
+++ b/apricotseam/demo/_system.py
@@ -55,15 +55,20 @@
         Time that a stand-in engine takes for one batch.
     bounds : Bounds, optional
         Bounds of each entry host.
+    load_seconds : float
+        Time that a stand-in engine takes to load a version.
     """
 
-    def __init__(self, files, zones, step_seconds=0.002, bounds=None):
+    def __init__(
+        self, files, zones, step_seconds=0.002, bounds=None, load_seconds=0.0
+    ):
         self.key_value = KeyValueStandIn()
         self.host_list = HostListStandIn()
         self.engines = {}
         self.services = {}
         self.hosts = {}
         self._step_seconds = step_seconds
+        self._load_seconds = load_seconds
         self._bounds = bounds or Bounds(
             caller_threads=16, address_valid_seconds=1.0
         )
@@ -174,6 +179,7 @@
             last=target.layers.last,
             accelerator=target.accelerator or "standard",
             step_seconds=self._step_seconds,
+            load_seconds=self._load_seconds,
             checks_fencing=group.fencing.value == "checked",
         )
         part = EngineStandIn(options).start()
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -16,6 +16,7 @@
 from apricotseam.host._execution import build_execution
 from apricotseam.host._execution import ClaimsChild
 from apricotseam.host._loads import LoadsChild
+from apricotseam.host._orders import build_orders
 from apricotseam.host._policy import RequestPolicy
 from apricotseam.host._snapshots import Snapshots
 from apricotseam.host._tls import HostTls
@@ -112,6 +113,9 @@
                     policy.chooser.watched,
                     plans,
                 ),
+                build_orders(
+                    settings, self._clock, http, service, self.snapshots
+                ),
                 LoadsChild(http, policy, self.snapshots, self._clock),
                 ListenerChild("operators", self._operators(operators)),
                 ListenerChild("callers", self._callers_listener),
--- a/apricotseam/platform/__init__.py
+++ b/apricotseam/platform/__init__.py
@@ -16,6 +16,9 @@
 from apricotseam.platform._hostlist import LIVE
 from apricotseam.platform._keyvalue import KeyValueService
 from apricotseam.platform._keyvalue import Versioned
+from apricotseam.platform._weights import HttpWeightStore
+from apricotseam.platform._weights import LoadRoom
+from apricotseam.platform._weights import WeightStore
 
 __all__ = [
     "CacheEvent",
@@ -24,14 +27,17 @@
     "HostList",
     "HttpHostList",
     "HttpModelEngine",
+    "HttpWeightStore",
     "KeyValueService",
     "LEAVING",
     "LIVE",
     "ListedHost",
+    "LoadRoom",
     "ModelEngine",
     "Order",
     "Step",
     "StepResult",
     "StreamPosition",
     "Versioned",
+    "WeightStore",
 ]
--- a/apricotseam/platform/_engine.py
+++ b/apricotseam/platform/_engine.py
@@ -54,7 +54,10 @@
 
 
 class EngineReport(msgspec.Struct, frozen=True, kw_only=True):
-    """Load and state that an engine reports, with a lag."""
+    """Load and state that an engine reports, with a lag.
+
+    ``loading`` names the version whose weights it is loading.
+    """
 
     name: str
     model: str
@@ -69,6 +72,7 @@
     versions: list[str] = []
     adapters: list[str] = []
     role: str = "both"
+    loading: str | None = None
 
 
 class CacheEvent(msgspec.Struct, frozen=True, kw_only=True):
--- a/apricotseam/routing/_chooser.py
+++ b/apricotseam/routing/_chooser.py
@@ -1,6 +1,8 @@
 """Interface of the choice of targets and what it chooses among."""
 
 import abc
+import collections
+import random
 
 import msgspec
 
@@ -89,6 +91,55 @@
         return [t for t in table.all if not t.leaving]
 
 
+class ServingVersions:
+    """Chooses a chain of one of the versions that run during a rollout.
+
+    While targets hold several declared versions, each request takes one
+    of them with a chance by the targets that hold it, so that neither the
+    first chain of a new version nor the last of an old one is flooded.
+
+    Parameters
+    ----------
+    generator : random.Random, optional
+        Source of random numbers.
+    """
+
+    def __init__(self, generator=None):
+        self._random = generator or random.Random()
+
+    def choose(self, chooser, table, model, demand):
+        """Return a `Chain` whose stages all hold one version.
+
+        Raises
+        ------
+        NoTargetError
+            If no declared version has a chain.
+        """
+        versions = self._order(table, model, demand)
+        for version in versions[:-1]:
+            wanted = msgspec.structs.replace(model, serving=version)
+            try:
+                return chooser.choose_chain(table, wanted, demand)
+            except NoTargetError:
+                continue
+        wanted = msgspec.structs.replace(model, serving=versions[-1])
+        return chooser.choose_chain(table, wanted, demand)
+
+    def _order(self, table, model, demand):
+        """Return the versions to try, one by chance, the serving one next."""
+        held = collections.Counter(
+            target.version
+            for target in table.usable(demand.scope, demand.group)
+            if target.version in model.versions
+        )
+        if set(held) <= {model.serving}:
+            return [model.serving]
+        names = sorted(held)
+        first = self._random.choices(names, [held[n] for n in names])[0]
+        others = sorted(held, key=lambda n: (n != model.serving, n))
+        return [first, *(name for name in others if name != first)]
+
+
 def usable_stages(table, model, demand):
     """Return stages of the serving version that may get new work."""
     return [
--- a/apricotseam/routing/_merge.py
+++ b/apricotseam/routing/_merge.py
@@ -53,7 +53,7 @@
         accelerator=target.accelerator,
         first=report.first if report else layers.first if layers else None,
         last=report.last if report else layers.last if layers else None,
-        version=report.version if report else None,
+        version=_version(report),
         queued_steps=report.queued_steps if report else 0,
         running_streams=report.running_streams if report else 0,
         max_batch=report.max_batch if report else 0,
@@ -61,6 +61,17 @@
     )
 
 
+def _version(report):
+    """Return the version that a target takes new streams of.
+
+    One that loads another version gets none: the version that it still
+    runs may be gone before a stream has begun at all stages.
+    """
+    if report is None or report.loading not in (None, report.version):
+        return None
+    return report.version
+
+
 def _joined(scope, group, host, reports):
     report = reports.get(host.address)
     is_engine = group.kind is TargetKind.ENGINE
@@ -76,7 +87,7 @@
         accelerator=report.accelerator if report else None,
         first=report.first if report else None,
         last=report.last if report else None,
-        version=report.version if report else None,
+        version=_version(report),
         queued_steps=report.queued_steps if report else 0,
         running_streams=report.running_streams if report else 0,
         max_batch=report.max_batch if report else 0,
--- a/apricotseam/standins/__init__.py
+++ b/apricotseam/standins/__init__.py
@@ -9,6 +9,7 @@
 from apricotseam.standins._model import reference_answer
 from apricotseam.standins._server import StandIn
 from apricotseam.standins._service import ServiceStandIn
+from apricotseam.standins._weights import WeightStoreStandIn
 
 __all__ = [
     "EngineOptions",
@@ -18,6 +19,7 @@
     "HostListStandIn",
     "KeyValueStandIn",
     "ServiceStandIn",
+    "WeightStoreStandIn",
     "StandIn",
     "reference_answer",
 ]
--- a/apricotseam/standins/_engine.py
+++ b/apricotseam/standins/_engine.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-from apricotseam.errors import ConflictError
 from apricotseam.errors import InvalidRequestError
 from apricotseam.errors import UnknownNameError
 from apricotseam.platform import CacheEvent
@@ -18,6 +17,8 @@
 from apricotseam.platform import Step
 from apricotseam.platform import StepResult
 from apricotseam.platform import StreamPosition
+from apricotseam.standins._loads import EngineLoads
+from apricotseam.standins._loads import held_by
 from apricotseam.standins._model import LayerStates
 from apricotseam.standins._model import token_text
 from apricotseam.standins._server import StandIn
@@ -42,15 +43,27 @@
     checks_fencing: bool = False
     event_gap_every: int = 0
     end_after: int = 0
+    load_seconds: float = 0.0
+    weight_store: str | None = None
+    adapters: list[str] = []
+    role: str = "both"
 
 
 class _Stream:
     """State of one stream at a stage."""
 
-    __slots__ = ("attempt", "last", "next_position", "states", "version")
+    __slots__ = (
+        "attempt",
+        "held",
+        "last",
+        "next_position",
+        "states",
+        "version",
+    )
 
-    def __init__(self, attempt, version, states):
+    def __init__(self, attempt, version, states, held):
         self.attempt = attempt
+        self.held = held
         self.version = version
         self.states = states
         self.next_position = 0
@@ -90,7 +103,7 @@
         self._prefixes = collections.OrderedDict()
         self._events = []
         self._event_number = 0
-        self._fencing = 0
+        self._loads = EngineLoads(options)
         self._stopped = False
         self.executions = collections.Counter()
         self.orders = []
@@ -175,11 +188,10 @@
                 pending.done.set()
 
     def _run_one(self, step):
-        options = self._options
-        if (step.model, step.version) != (options.model, options.version):
-            return _failed(step, "wrong_version")
-        if (step.first, step.last) != (options.first, options.last):
-            return _failed(step, "wrong_layers")
+        self._loads.finish()
+        error = self._mismatch(step)
+        if error is not None:
+            return _failed(step, error)
         stream = self._stream_of(step)
         if step.attempt < stream.attempt:
             return _failed(step, "stale_attempt")
@@ -192,9 +204,22 @@
         self._remember_prefix(step.prefix)
         return self._advance(stream, step)
 
+    def _mismatch(self, step):
+        """Return the error of a step that its stream cannot take.
+
+        A stream that began under another version goes on under it.
+        """
+        stream = self._streams.get(step.stream)
+        held = stream.held if stream is not None else held_by(self._options)
+        if (step.model, step.version) != held[:2]:
+            return "wrong_version"
+        if (step.first, step.last) != held[2:]:
+            return "wrong_layers"
+        return None
+
     def _advance(self, stream, step):
         output = stream.states.run(step.payload)
-        is_last = self._options.last == self._options.layers - 1
+        is_last = step.last == self._options.layers - 1
         stream.next_position = step.position + 1
         limit = self._options.end_after
         stream.last = StepResult(
@@ -213,7 +238,12 @@
             states = LayerStates(
                 self._options.version, self._options.first, self._options.last
             )
-            stream = _Stream(step.attempt, self._options.version, states)
+            stream = _Stream(
+                step.attempt,
+                self._options.version,
+                states,
+                held_by(self._options),
+            )
             self._streams[step.stream] = stream
             if len(self._streams) > MAX_STREAMS:
                 self._streams.popitem(last=False)
@@ -244,6 +274,7 @@
     def _report(self, request):
         options = self._options
         with self._lock:
+            self._loads.finish()
             return Response.of(
                 EngineReport(
                     name=options.name,
@@ -256,7 +287,10 @@
                     running_streams=len(self._streams),
                     max_batch=options.max_batch,
                     step_seconds=options.step_seconds,
-                    versions=[options.version],
+                    versions=self._versions(),
+                    adapters=list(options.adapters),
+                    role=options.role,
+                    loading=self._loads.version,
                 )
             )
 
@@ -305,28 +339,27 @@
         states = LayerStates(
             options.version, options.first, options.last, cache.states
         )
-        stream = _Stream(int(query["attempt"][0]), options.version, states)
+        stream = _Stream(
+            int(query["attempt"][0]),
+            options.version,
+            states,
+            held_by(options),
+        )
         stream.next_position = cache.next_position
         stream.last = cache.last
         with self._lock:
             self._streams[request.arguments["stream"]] = stream
         return Response.of({})
 
+    def _versions(self):
+        running = {stream.version for stream in self._streams.values()}
+        return sorted(running | {self._options.version})
+
     def _take_order(self, request):
         order = request.json(Order)
         with self._lock:
-            if self._options.checks_fencing and order.fencing < self._fencing:
-                raise ConflictError(
-                    f"fencing number {order.fencing} is old",
-                    "read the lease again",
-                )
-            self._fencing = max(self._fencing, order.fencing)
+            self._loads.take(order)
             self.orders.append(order)
-            self._options.model = order.model
-            self._options.version = order.version
-            self._options.first = order.first
-            self._options.last = order.last
-            self._streams.clear()
         return Response.of({})
 
     def _known_stream(self, request):
--- a/apricotseam/standins/_keyvalue.py
+++ b/apricotseam/standins/_keyvalue.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from apricotseam.errors import UnknownNameError
 from apricotseam.standins._server import StandIn
 from apricotseam.web import Response
 
@@ -156,6 +157,8 @@
         if len(value) > MAX_VALUE_BYTES:
             raise ValueError("value is over a megabyte")
         lease = int(body.get("lease", "0"))
+        if lease and lease not in self._leases:
+            raise UnknownNameError(f"no lease {lease}", "grant a new one")
         self._revision += 1
         self._entries[_key(body)] = _Entry(value, self._revision, lease)
         self._changed.notify_all()
