--- a/apricotseam/callers/_journal.py
+++ b/apricotseam/callers/_journal.py
@@ -130,7 +130,8 @@
                     code = "200"
                 yield chunk
         finally:
-            body.close()
+            if hasattr(body, "close"):
+                body.close()
             self._end(record, code)
 
     def _token(self, record):
--- a/apricotseam/demo/_system.py
+++ b/apricotseam/demo/_system.py
@@ -57,10 +57,18 @@
         Bounds of each entry host.
     tls : Tls, optional
         Certificate of all entry hosts; plain text without it.
+    load_seconds : float
+        Time that a stand-in engine takes to load a version.
     """
 
     def __init__(
-        self, files, zones, step_seconds=0.002, bounds=None, tls=None
+        self,
+        files,
+        zones,
+        step_seconds=0.002,
+        bounds=None,
+        tls=None,
+        load_seconds=0.0,
     ):
         self.key_value = KeyValueStandIn()
         self.host_list = HostListStandIn()
@@ -69,6 +77,7 @@
         self.hosts = {}
         self._step_seconds = step_seconds
         self._tls = tls
+        self._load_seconds = load_seconds
         self._bounds = bounds or Bounds(
             caller_threads=16, address_valid_seconds=1.0
         )
@@ -181,6 +190,7 @@
             last=target.layers.last,
             accelerator=target.accelerator or "standard",
             step_seconds=self._step_seconds,
+            load_seconds=self._load_seconds,
             checks_fencing=group.fencing.value == "checked",
         )
         part = EngineStandIn(options).start()
