Serve a page of graphs, and ask for a key before metrics

Cause: operators had a table of status only, and metrics, whose labels name scopes and classes, were open to anybody who reached the listener. Conclusion: nothing on the operators' listener names a customer without a key.

--- a/apricotseam/operators/_application.py
+++ b/apricotseam/operators/_application.py
@@ -1,6 +1,7 @@
 """The operators' HTTP application."""
 
 from apricotseam.operators._configuration import ConfigurationCalls
+from apricotseam.operators._dashboard import dashboard
 from apricotseam.operators._status import StatusCalls
 from apricotseam.web import Application
 from apricotseam.web import Response
@@ -24,6 +25,7 @@
     configuration = ConfigurationCalls(context)
     status = StatusCalls(context)
     route = application.route
+    route("GET", "/", dashboard)
     route("GET", "/healthz", lambda request: Response.of({}))
     route("GET", "/readyz", status.ready)
     route("GET", "/metrics", status.metrics)
--- a/apricotseam/operators/_status.py
+++ b/apricotseam/operators/_status.py
@@ -76,7 +76,8 @@
         return Response.of({"ready": is_ready}, 200 if is_ready else 503)
 
     def metrics(self, request):
-        """Answer ``GET /metrics``."""
+        """Answer ``GET /metrics``; the labels name scopes and pools."""
+        require_role(request, self._context.settings, Role.READ)
         return Response(
             body=prometheus_client.generate_latest(),
             content_type=prometheus_client.CONTENT_TYPE_LATEST,
--- a/release/build.py
+++ b/release/build.py
@@ -109,6 +109,8 @@
             name = str(source.relative_to(ROOT))
             if "/tests/" not in name:
                 add_module(archive, source, name)
+        for source in sorted((ROOT / "apricotseam").rglob("*.html")):
+            archive.write(source, str(source.relative_to(ROOT)))
         add_natives(archive, natives)
         add_namespaces(archive)
     return path
