Hold urgent requests back only by those of their rank

Cause: bounds on requests in progress grew in proportion and drifted apart between hosts (10 to 65), a rank's wait was estimated from its own small rate, and long routine answers kept urgent requests waiting past a bound that had shrunk: a tenth of them were refused at 1.5 times the bound. Change: the bound grows by a fixed amount; a rank may take over the rate of lower ones; only requests of its own and better ranks hold a request back; an idle customer keeps a credit of four requests.

--- a/apricotseam/admission/_concurrency.py
+++ b/apricotseam/admission/_concurrency.py
@@ -36,6 +36,7 @@
     __slots__ = (
         "_count",
         "_epoch_deadline",
+        "_growth",
         "_highest",
         "_is_used",
         "_is_sized",
@@ -48,6 +49,7 @@
     def __init__(self, now):
         self._value = DEFAULT_LIMIT
         self._highest = MAX_LIMIT
+        self._growth = 1.0
         self._is_sized = False
         self._typical = None
         self._begin_epoch(now)
@@ -57,9 +59,15 @@
         """Requests that may be in progress."""
         return int(self._value)
 
+    @property
+    def highest(self):
+        """Requests that the pool can carry at all."""
+        return int(self._highest)
+
     def resize(self, streams, hosts):
         """Take the pool's capacity in streams and the number of hosts."""
         self._highest = max(MIN_LIMIT, streams)
+        self._growth = max(1.0, GROWTH_SHARE * streams / max(1, hosts))
         if not self._is_sized:
             self._is_sized = True
             self._value = max(MIN_LIMIT, streams / max(1, hosts))
@@ -97,7 +105,7 @@
         if ratio > MAX_RATIO:
             self._value *= max(MIN_BACKOFF, MAX_RATIO / ratio)
         elif self._is_used:
-            self._value += max(1.0, GROWTH_SHARE * self._value)
+            self._value += self._growth
         self._value = min(max(self._value, MIN_LIMIT), self._highest)
         drifted = (self._typical or self._shortest) * BASELINE_DRIFT
         self._typical = min(drifted, self._shortest)
--- a/apricotseam/admission/_flows.py
+++ b/apricotseam/admission/_flows.py
@@ -3,6 +3,7 @@
 import collections
 
 MAX_IDLE_FLOWS = 256
+CREDIT_REQUESTS = 4
 
 
 class Flow:
@@ -21,8 +22,9 @@
     """Entries of one priority class, shared fairly between customers.
 
     The flow with the lowest tag goes next and its tag rises by the cost
-    over the weight. A flow that was idle begins at the class's virtual
-    time, so that it neither saves up nor owes for its idle time.
+    over the weight. A flow that was idle keeps a credit of a few requests
+    at most, so that short gaps between a small customer's requests do not
+    cost it its share, and begins anew after that.
 
     Parameters
     ----------
@@ -54,9 +56,10 @@
         flow = self._flows.get(customer)
         if flow is None:
             flow = self._flows[customer] = Flow()
-        if not flow.entries:
-            flow.tag = max(flow.tag, self.virtual)
         flow.weight = entry.work.customer_weight
+        if not flow.entries:
+            credit = CREDIT_REQUESTS * entry.cost / flow.weight
+            flow.tag = max(flow.tag, self.virtual - credit)
         flow.entries.append(entry)
         flow.cost += entry.cost
         self.count += 1
--- a/apricotseam/admission/_pool.py
+++ b/apricotseam/admission/_pool.py
@@ -8,7 +8,6 @@
 from apricotseam.admission._rates import ServiceRates
 from apricotseam.errors import OverloadedError
 
-URGENT_HEADROOM = 0.25
 MIN_RETRY_AFTER_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 30.0
 
@@ -139,14 +138,21 @@
             self._queue.give_back(entry.work, unused)
 
     def _next(self):
-        limit = self.limit.value
-        if self.running < limit:
+        """Take the next entry that may start, or None.
+
+        Engines run urgent steps first, so that a request is held back
+        only by those in progress of its own rank and better ones, within
+        what the pool can carry at all.
+        """
+        if self.running < self.limit.value:
             return self._queue.pop()
-        # Engines run urgent steps first, so a few urgent requests more
-        # slow only the routine ones in progress.
-        if self.running < limit * (1 + URGENT_HEADROOM) and self._ranks:
-            return self._queue.pop(max(self._ranks) - 1)
-        return None
+        best = self._queue.best_rank()
+        if best is None or self.running >= self.limit.highest:
+            return None
+        ahead = sum(n for rank, n in self._ranks.items() if rank <= best)
+        if ahead == self.running or ahead >= self.limit.value:
+            return None
+        return self._queue.pop(best)
 
 
 def _overloaded(found, wait):
--- a/apricotseam/admission/_queue.py
+++ b/apricotseam/admission/_queue.py
@@ -39,8 +39,8 @@
         self.cost += entry.cost
 
     def best_rank(self):
-        """Return the rank of the entry that goes next, or None."""
-        return self._next_rank(self._waiting()) if self.count else None
+        """Return the best rank that waits, or None."""
+        return min(self._waiting(), default=None)
 
     def pop(self, highest_rank=None):
         """Take the entry that goes next, or None.
--- a/apricotseam/admission/_rates.py
+++ b/apricotseam/admission/_rates.py
@@ -38,9 +38,12 @@
             self._end(now)
 
     def wait(self, rank, cost):
-        """Return the seconds until a cost ahead has started, or 0."""
-        rate = self._rates.get(rank)
-        if rate is None:
+        """Return the seconds until a cost ahead has started, or 0.
+
+        A rank may take over what lower ranks are served at.
+        """
+        rate = sum(r for other, r in self._rates.items() if other >= rank)
+        if not rate:
             rate = sum(self._rates.values())
         return cost / rate if rate > 0 else 0.0
 
