Wait for a slow stage when nothing can replace it

Cause: under overload every stage that was slower than the bound of a step was given up, until no target was left and the answer failed. Change: a stage that answers questions is asked further, up to eight bounds.

--- a/apricotseam/pipelines/_recovery.py
+++ b/apricotseam/pipelines/_recovery.py
@@ -21,6 +21,8 @@
 
 MAX_REPLACEMENTS = 8
 POLL_SECONDS = 0.02
+OUTWAIT_BOUNDS = 8
+OUTWAIT_POLL_SECONDS = 0.1
 _REUSABLE = (Word.UNKNOWN_STREAM, Word.ELSEWHERE)
 
 
@@ -148,7 +150,13 @@
         progress.excluded.add(old.target)
         for _ in range(MAX_REPLACEMENTS):
             started = self._clock.monotonic()
-            stages = self._choose(progress, old, failure)
+            try:
+                stages = self._choose(progress, old, failure)
+            except FailedError:
+                if decision is not Decision.IMPORT:
+                    raise
+                result = self._outwait(progress, index, position, failure)
+                return index, [result]
             spent.choose += self._clock.monotonic() - started
             started = self._clock.monotonic()
             try:
@@ -231,6 +239,21 @@
         self._forget(old)
         return (old,)
 
+    def _outwait(self, progress, index, position, failure):
+        """Wait for a stage that is slow when nothing can replace it."""
+        stage = progress.stages[index]
+        seconds = OUTWAIT_BOUNDS * self._times.bound_seconds
+        deadline = self._clock.monotonic() + seconds
+        while self._clock.monotonic() < deadline:
+            word, result = self._ask(progress, index, position)
+            if word is Word.DONE:
+                RECOVERIES.labels("outwait").inc()
+                return result
+            if word is not Word.BEFORE:
+                break
+            self._wait(OUTWAIT_POLL_SECONDS)
+        raise _given_up(stage, failure)
+
     def _forget(self, stage):
         """Have a stage that lost its place drop the stream."""
         try:
--- a/apricotseam/pipelines/_stages.py
+++ b/apricotseam/pipelines/_stages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from apricotseam.errors import AnswerLostError
-from apricotseam.errors import TargetError
+from apricotseam.errors import ApricotseamError
 from apricotseam.pipelines._metrics import LATE_ANSWERS
 from apricotseam.pipelines._progress import ASK_FIRST_CODES
 from apricotseam.pipelines._progress import Symptom
@@ -71,12 +71,8 @@
             seconds = self._times.bound_seconds
         try:
             result = self._carrier.run(stage.address, step, started + seconds)
-        except UnreachableError as error:
-            raise StepFailure(Symptom.NOT_SENT, error.found) from None
-        except AnswerLostError as error:
-            raise StepFailure(Symptom.ANSWER_LOST, error.found) from None
-        except TargetError as error:
-            raise StepFailure(Symptom.WRONG_ANSWER, error.found) from None
+        except ApricotseamError as error:
+            raise StepFailure(_symptom(error), error.found) from None
         self.check(stage, step, result)
         self._times.observe(stage.address, self._clock.monotonic() - started)
         return result
@@ -98,12 +94,8 @@
         deadline = self._clock.monotonic() + seconds
         try:
             results = self._engine.run_steps(stage.address, steps, deadline)
-        except UnreachableError as error:
-            raise StepFailure(Symptom.NOT_SENT, error.found) from None
-        except AnswerLostError as error:
-            raise StepFailure(Symptom.ANSWER_LOST, error.found) from None
-        except TargetError as error:
-            raise StepFailure(Symptom.WRONG_ANSWER, error.found) from None
+        except ApricotseamError as error:
+            raise StepFailure(_symptom(error), error.found) from None
         if len(results) != len(steps):
             raise StepFailure(
                 Symptom.WRONG_ANSWER, f"stage {stage.target} left steps out"
@@ -149,6 +141,14 @@
         )
 
 
+def _symptom(error):
+    if isinstance(error, UnreachableError):
+        return Symptom.NOT_SENT
+    if isinstance(error, AnswerLostError):
+        return Symptom.ANSWER_LOST
+    return Symptom.WRONG_ANSWER
+
+
 class RecoveryTimes(msgspec.Struct):
     """Seconds that the parts of one recovery took."""
 
--- a/apricotseam/pipelines/tests/_layers.py
+++ b/apricotseam/pipelines/tests/_layers.py
@@ -14,6 +14,9 @@
 from apricotseam.web import UnreachableError
 
 
+SLOW_QUESTIONS = 30
+
+
 def mix(version, layer, state, payload):
     """Return the new state of a layer; any change of input changes it."""
     text = f"{version}/{layer}/{state}/{payload}"
@@ -47,7 +50,8 @@
 
     ``faults`` maps an address to a queue of faults that its next steps
     show: ``refuse``, ``lose`` (run, answer lost), ``lose_before`` (not
-    run, answer lost), ``wrong``, ``late``, ``die`` or ``""`` for none.
+    run, answer lost), ``wrong``, ``late``, ``slow`` (run after many
+    questions), ``die`` or ``""`` for none.
     """
 
     def __init__(self, ranges, layers):
@@ -58,6 +62,7 @@
         self.streams = {}
         self.seen = collections.defaultdict(list)
         self.calls = 0
+        self.pending = []
 
     def stage(self, address):
         first, last = self.ranges[address]
@@ -70,7 +75,9 @@
         fault = faults.popleft() if faults else ""
         if fault == "die":
             self.dead.add(address)
-        if fault in ("die", "lose_before"):
+        if fault == "slow":
+            self.pending.append((address, steps, SLOW_QUESTIONS))
+        if fault in ("die", "lose_before", "slow"):
             raise AnswerLostError("lost", "ask")
         if fault == "refuse":
             raise UnreachableError("refused", "retry")
@@ -116,7 +123,19 @@
         )
         return state.last
 
+    def _run_pending(self):
+        """Run steps of a slow call once enough questions were asked."""
+        for entry in list(self.pending):
+            address, steps, questions = entry
+            self.pending.remove(entry)
+            if questions > 0:
+                self.pending.append((address, steps, questions - 1))
+                continue
+            for step in steps:
+                self._run(address, step)
+
     def position(self, address, stream, deadline):
+        self._run_pending()
         state = self._state(address, stream)
         return StreamPosition(next_position=state.position, last=state.last)
 
--- a/apricotseam/pipelines/tests/test_runner.py
+++ b/apricotseam/pipelines/tests/test_runner.py
@@ -121,6 +121,14 @@
     assert got == answer(LAYERS, "hello", 2)
 
 
+def test_slow_stage_is_waited_for_when_nothing_replaces_it():
+    system = System()
+    for name in ("b2", "b3"):
+        del system.engine.ranges[name]
+    system.engine.faults["b"].extend(["", "", "slow"])
+    check_whole(system, system.run())
+
+
 def test_other_stages_are_not_run_again_for_a_replacement():
     system = System()
     system.engine.faults["b"].extend(["", "", "", "die"])
