--- a/apricotseam/cli/_commands.py
+++ b/apricotseam/cli/_commands.py
@@ -1,8 +1,10 @@
 """Commands of the program."""
 
+import logging
 import os
 import pathlib
 import signal
+import ssl
 
 import msgspec
 
@@ -12,12 +14,24 @@
 from apricotseam.config import AuditEntry
 from apricotseam.config import load_scope_file
 from apricotseam.config import load_settings
+from apricotseam.demo import run_demo
+from apricotseam.demo import summarize
 from apricotseam.errors import InvalidInputError
 from apricotseam.host import EntryHost
 from apricotseam.logs import configure_logging
 from apricotseam import standins
+from apricotseam.web import HttpClient
 
 KEY_VARIABLE = "APRICOTSEAM_KEY"
+AUTHORITY_VARIABLE = "APRICOTSEAM_AUTHORITY"
+
+
+def http_client():
+    """Return a client, with TLS where an authority is named."""
+    authority = os.environ.get(AUTHORITY_VARIABLE)
+    if not authority:
+        return HttpClient()
+    return HttpClient(tls=ssl.create_default_context(cafile=authority))
 
 
 def serve(settings):
@@ -171,7 +185,8 @@
         Bound on the answer.
     """
     key = os.environ.get(KEY_VARIABLE, "")
-    answer = ResumingAnswer(key, model, prompt, max_tokens)
+    client = http_client()
+    answer = ResumingAnswer(key, model, prompt, max_tokens, client)
     for text in answer.read(host):
         print(text, end="", flush=True)
     print()
@@ -195,6 +210,20 @@
     part.stop()
 
 
+def demo(*, examples="examples"):
+    """Run the main job on embedded stand-ins and check its promises.
+
+    Parameters
+    ----------
+    examples : str
+        Folder with both teams' files.
+    """
+    configure_logging(logging.CRITICAL)
+    promises = run_demo(examples)
+    print(summarize(promises))
+    return 0 if all(promise.is_kept for promise in promises) else 1
+
+
 def _standin(kind, address, options):
     if kind == "key-value":
         return standins.KeyValueStandIn(address)
@@ -213,4 +242,4 @@
 
 def _operator(address):
     key = os.environ.get(KEY_VARIABLE, "")
-    return HostClient(address, key)
+    return HostClient(address, key, http_client())
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -4,17 +4,20 @@
 import threading
 import time
 
-from apricotseam.admission import FairAdmission
 from apricotseam.callers import build_callers_application
 from apricotseam.callers import CallerContext
 from apricotseam.clock import SystemClock
 from apricotseam.config import ConfigurationStore
-from apricotseam.execution import DirectExecution
+from apricotseam.execution import TransportLink
 from apricotseam.host._children import ConfigurationChild
 from apricotseam.host._children import ListenerChild
 from apricotseam.host._children import PeersChild
 from apricotseam.host._children import TargetsChild
+from apricotseam.host._execution import build_execution
+from apricotseam.host._execution import ClaimsChild
 from apricotseam.host._loads import LoadsChild
+from apricotseam.host._policy import RequestPolicy
+from apricotseam.host._shares import SharesChild
 from apricotseam.host._snapshots import Snapshots
 from apricotseam.host._tls import HostTls
 from apricotseam.membership import Member
@@ -28,13 +31,7 @@
 from apricotseam.pipelines import StepCarrier
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
-from apricotseam.platform import HttpModelEngine
-from apricotseam.routing import build_chooser
 from apricotseam.routing import ChainPlans
-from apricotseam.routing import count_retry
-from apricotseam.routing import LinkDistances
-from apricotseam.routing import ObservedEngine
-from apricotseam.routing import RetryPolicy
 from apricotseam.supervision import Supervisor
 from apricotseam.web import HttpClient
 from apricotseam.web import Listener
@@ -61,36 +58,36 @@
         self.snapshots = Snapshots(settings)
         self._tls = HostTls(settings)
         http = HttpClient(tls=self._tls.platform_context)
-        plans = ChainPlans(lambda address: runner.step_seconds(address))
-        chooser = build_chooser(
-            settings.choice,
-            host=settings.host,
-            zone=settings.availability_zone,
-            clock=self._clock,
-            distances=LinkDistances(lambda: self.snapshots.configuration),
-            hosts=self.snapshots.count_entry_hosts,
-            plans=plans,
-        )
-        admission = FairAdmission(
-            settings.bounds,
-            self._clock,
-            table=lambda: self.snapshots.targets,
-            hosts=self.snapshots.count_entry_hosts,
+        loop = ControlLoop()
+        self.transport = PeerTransport(
+            loop,
+            settings.peers_address,
+            int(self._clock.wall() * MILLISECONDS),
+            self._tls.peer_context,
         )
-        engine = ObservedEngine(
-            HttpModelEngine(http),
-            chooser,
+        plans = ChainPlans(lambda address: runner.step_seconds(address))
+        policy = RequestPolicy(
+            settings,
             self._clock,
-            settings.bounds.report_lag_seconds,
-            admission.observed,
+            self.snapshots,
+            http,
+            plans,
+            self.transport,
         )
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
         runner = ChainRunner(
-            engine,
+            policy.engine,
             self._clock,
             settings.bounds.step_timeout_seconds,
-            StepCarrier(engine, batch=self.snapshots.max_batch),
+            StepCarrier(policy.engine, batch=self.snapshots.max_batch),
+        )
+        execution, claim_batches = build_execution(
+            settings,
+            self._clock,
+            service,
+            TransportLink(self.transport, loop),
+            self._claim_hosts,
         )
         callers = CallerContext(
             settings=settings,
@@ -98,41 +95,37 @@
             http=http,
             runner=runner,
             snapshots=self.snapshots,
-            admission=admission,
-            chooser=chooser,
-            execution=DirectExecution(),
-            retries=RetryPolicy(self._clock, on_retry=count_retry),
+            admission=policy.admission,
+            chooser=policy.chooser,
+            execution=execution,
+            retries=policy.retries,
         )
         operators = OperatorContext(
             settings, self._clock, store, self.snapshots, self.request_stop
         )
         host_list = HttpHostList(http, settings.host_list)
-        loop = ControlLoop()
-        self.transport = PeerTransport(
-            loop,
-            settings.peers_address,
-            int(self._clock.wall() * MILLISECONDS),
-            self._tls.peer_context,
-        )
         self.membership = self._membership(loop)
+        self._callers_listener = self._callers(callers)
         self._supervisor = Supervisor(
             settings.host,
             [
                 self._tls,
                 PeersChild(loop, self.transport),
+                ClaimsChild(claim_batches),
                 self.membership,
                 ConfigurationChild(store, self.snapshots),
                 TargetsChild(
                     host_list,
-                    engine,
+                    policy.engine,
                     self.snapshots,
                     self.membership,
-                    chooser.watched,
+                    policy.chooser.watched,
                     plans,
                 ),
-                LoadsChild(http, engine, chooser, self.snapshots, self._clock),
+                SharesChild(loop, policy.limits),
+                LoadsChild(http, policy, self.snapshots, self._clock),
                 ListenerChild("operators", self._operators(operators)),
-                ListenerChild("callers", self._callers(callers)),
+                ListenerChild("callers", self._callers_listener),
             ],
             self._fail,
         )
@@ -142,6 +135,14 @@
         """Whether a child failed too often."""
         return self._failed.is_set()
 
+    @property
+    def is_ready(self):
+        """Whether configuration and targets are there to serve with."""
+        snapshots = self.snapshots
+        return snapshots.configuration is not None and bool(
+            snapshots.targets.all
+        )
+
     def start(self):
         """Start all parts."""
         self._supervisor.start()
@@ -160,6 +161,11 @@
         seconds = self.settings.bounds.stop_timeout_seconds
         return self._supervisor.stop(time.monotonic() + seconds)
 
+    def abort(self):
+        """End at once, as a killed process would; for demonstrations."""
+        self._callers_listener.abort()
+        self._supervisor.stop(time.monotonic())
+
     def _membership(self, loop):
         settings = self.settings
         own = Member(
@@ -184,6 +190,10 @@
     def _take_members(self, table):
         self.snapshots.members = table
 
+    def _claim_hosts(self):
+        live = self.snapshots.members.live()
+        return [member.peers_address for member in live]
+
     def _facts(self):
         configuration = self.snapshots.configuration
         return (configuration.revision if configuration else 0, 0)
