--- a/apricotseam/pipelines/__init__.py
+++ b/apricotseam/pipelines/__init__.py
@@ -4,6 +4,10 @@
 from apricotseam.pipelines._chain import Chain
 from apricotseam.pipelines._chain import enumerate_chains
 from apricotseam.pipelines._chain import Stage
+from apricotseam.pipelines._placement import Holder
+from apricotseam.pipelines._placement import Move
+from apricotseam.pipelines._placement import Placement
+from apricotseam.pipelines._placement import plan_placement
 from apricotseam.pipelines._planner import ChainPlan
 from apricotseam.pipelines._planner import plan_chains
 from apricotseam.pipelines._recovery import NoReplacement
@@ -16,7 +20,10 @@
     "Chain",
     "ChainPlan",
     "ChainRunner",
+    "Holder",
+    "Move",
     "NoReplacement",
+    "Placement",
     "Stage",
     "StageChooser",
     "StepCarrier",
@@ -24,4 +31,5 @@
     "Token",
     "enumerate_chains",
     "plan_chains",
+    "plan_placement",
 ]
--- a/apricotseam/pipelines/_planner.py
+++ b/apricotseam/pipelines/_planner.py
@@ -60,6 +60,12 @@
     return ChainPlan(chains=tuple(chains), bound=bound)
 
 
+def flow_bound(model, stages, rates, links):
+    """Return the maximum flow in tokens per second; as `plan_chains`."""
+    groups = _groups(stages, rates)
+    return _Solver(model.layers, groups, links).solve({})
+
+
 def _groups(stages, rates):
     groups = {}
     for stage in stages:
