Take the version of a swap from its answer

Cause: after each swap of claims the shard was read again only to learn its version, half of all calls. Change: a swap returns the new version; the host of a shard keeps the shard it swapped in. Experiments for claims and for runs at most once. Conclusion: kept; the swap still decides, a stale copy only costs a reading.

--- a/apricotseam/execution/_claims.py
+++ b/apricotseam/execution/_claims.py
@@ -119,8 +119,6 @@
             return self._cache.get(number)
 
     def _keep(self, number, shard, version):
-        if version is True:
-            return
         with self._lock:
             self._cache[number] = (shard, version)
             self._cache.move_to_end(number)
--- a/apricotseam/execution/tests/fakes.py
+++ b/apricotseam/execution/tests/fakes.py
@@ -147,9 +147,9 @@
         assert len(value) < 1 << 20
         found = self.values.get(key)
         if (found.version if found else 0) != version:
-            return False
+            return 0
         self.values[key] = Versioned(key, value, version + 1)
-        return True
+        return version + 1
 
     def _call(self, action):
         self.calls += 1
--- a/apricotseam/orders/tests/fakes.py
+++ b/apricotseam/orders/tests/fakes.py
@@ -86,10 +86,10 @@
             raise ServiceUnavailableError("no such lease", "grant another")
         found = self.read(key)
         if (found.version if found else 0) != version:
-            return False
+            return 0
         self._revision += 1
         self._keys[key] = (Versioned(key, value, self._revision), lease)
-        return True
+        return self._revision
 
     def grant_lease(self, seconds):
         return self._chaos.call(lambda: self._grant(seconds))
--- a/apricotseam/platform/_etcd.py
+++ b/apricotseam/platform/_etcd.py
@@ -25,8 +25,13 @@
     kvs: list[_KeyValue] = []
 
 
+class _Header(msgspec.Struct):
+    revision: str = "0"
+
+
 class _TxnAnswer(msgspec.Struct):
     succeeded: bool = False
+    header: _Header = msgspec.field(default_factory=_Header)
 
 
 class _LeaseAnswer(msgspec.Struct):
@@ -83,7 +88,8 @@
             ],
             "success": [{"request_put": _put(key, value, lease)}],
         }
-        return self._call("/v3/kv/txn", body).json(_TxnAnswer).succeeded
+        answer = self._call("/v3/kv/txn", body).json(_TxnAnswer)
+        return int(answer.header.revision) if answer.succeeded else 0
 
     def delete(self, key):
         """Remove a key if it exists."""
--- a/apricotseam/platform/_keyvalue.py
+++ b/apricotseam/platform/_keyvalue.py
@@ -39,8 +39,8 @@
 
         Returns
         -------
-        bool
-            Whether the swap took place.
+        int
+            The new version if the swap took place, else 0.
         """
 
     @abc.abstractmethod
--- a/apricotseam/standins/_keyvalue.py
+++ b/apricotseam/standins/_keyvalue.py
@@ -83,7 +83,10 @@
                     self._set(operation["request_put"])
                 if "request_delete_range" in operation:
                     self._remove(operation["request_delete_range"])
-        return Response.of({"succeeded": holds})
+            revision = str(self._revision)
+        return Response.of(
+            {"succeeded": holds, "header": {"revision": revision}}
+        )
 
     def _delete(self, request):
         body = self._body(request)
--- a/apricotseam/standins/_service.py
+++ b/apricotseam/standins/_service.py
@@ -24,11 +24,16 @@
         self._lock = threading.Lock()
         self.runs = collections.Counter()
         self.application.route("GET", "/service/v1/report", self._report)
+        self.application.route("GET", "/service/v1/runs", self._list_runs)
         self.application.route("*", "/{path*}", self._run)
 
     def _report(self, request):
         return Response.of({"name": self._name, "load": 0.0})
 
+    def _list_runs(self, request):
+        with self._lock:
+            return Response.of(dict(self.runs))
+
     def _run(self, request):
         identifier = request.header("X-Request-Id", "")
         body = request.body()
--- a/measure/_processes.py
+++ b/measure/_processes.py
@@ -118,6 +118,14 @@
         path = f"/v1/hosts/{name}"
         self.call(self.addresses["host-list"], "PUT", path, listed)
 
+    def restart_host(self, name):
+        """Start a host that was killed again, at the same addresses."""
+        path = pathlib.Path(self._folder.name) / f"{name}.yaml"
+        self._children[name].wait(STOP_TIMEOUT_SECONDS)
+        log = path.with_suffix(".log").open("ab")
+        with log:
+            self._children[name] = _start(["serve", str(path)], log, log)
+
     def apply(self):
         """Put the scope into force through the first host."""
         address = self.settings["entry-0"].operators_address
