--- a/apricotseam/callers/_application.py
+++ b/apricotseam/callers/_application.py
@@ -8,6 +8,11 @@
 from apricotseam.web import Response
 
 
+def healthy(request):
+    """Answer ``GET /healthz`` while the listener serves."""
+    return Response.of({})
+
+
 def build_callers_application(context):
     """Return the application that callers reach.
 
@@ -27,7 +32,7 @@
     addresses = Addresses(context)
     journal = Journal(context)
     route = application.route
-    route("GET", "/healthz", lambda request: Response.of({}))
+    route("GET", "/healthz", healthy)
     route("GET", "/v1/addresses", addresses.handle)
     route("GET", "/v1/models", completions.list_models)
     route("GET", "/v1/usage", journal.usage)
--- a/apricotseam/callers/_journal.py
+++ b/apricotseam/callers/_journal.py
@@ -1,6 +1,7 @@
 """One log event and the metrics of each caller's request."""
 
 import collections
+import functools
 import logging
 import threading
 
@@ -91,6 +92,7 @@
     def observe(self, handler):
         """Return a handler that also logs and counts."""
 
+        @functools.wraps(handler)
         def observed(request):
             request.record = RequestRecord(self._now())
             try:
--- a/apricotseam/cli/tests/test_pages.py
+++ b/apricotseam/cli/tests/test_pages.py
@@ -1,10 +1,14 @@
 """Pages that are made from the code are up to date."""
 
+import re
+
 import pytest
 
 from apricotseam.errors import Outcome
 from release import pages
 
+ROOT = pages.DOCS.parent
+
 
 @pytest.mark.parametrize("name", sorted(pages.pages()))
 def test_page_is_up_to_date(name):
@@ -23,3 +27,19 @@
     else:
         assert kind.http_status >= 500
     assert kind.exit_code != 0
+
+
+def links(page):
+    """Return the files that a page links to."""
+    found = re.findall(r"\]\(([^)#\s]+)[^)]*\)", page.read_text())
+    return [link for link in found if "://" not in link]
+
+
+@pytest.mark.parametrize(
+    "page",
+    sorted([*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")]),
+    ids=lambda page: page.name,
+)
+def test_links_of_a_page_lead_somewhere(page):
+    broken = [x for x in links(page) if not (page.parent / x).exists()]
+    assert broken == []
--- a/apricotseam/operators/_application.py
+++ b/apricotseam/operators/_application.py
@@ -9,6 +9,11 @@
 MAX_FILE_BYTES = 8 << 20
 
 
+def healthy(request):
+    """Answer ``GET /healthz`` while the listener serves."""
+    return Response.of({})
+
+
 def build_operators_application(context):
     """Return the application that operators reach.
 
@@ -26,7 +31,7 @@
     status = StatusCalls(context)
     route = application.route
     route("GET", "/", dashboard)
-    route("GET", "/healthz", lambda request: Response.of({}))
+    route("GET", "/healthz", healthy)
     route("GET", "/readyz", status.ready)
     route("GET", "/metrics", status.metrics)
     route("POST", "/v1/admin/check", configuration.check)
--- a/apricotseam/web/__init__.py
+++ b/apricotseam/web/__init__.py
@@ -2,6 +2,7 @@
 
 from apricotseam.web._application import Application
 from apricotseam.web._application import error_body
+from apricotseam.web._application import ErrorBody
 from apricotseam.web._application import Request
 from apricotseam.web._application import Response
 from apricotseam.web._client import HttpAnswer
@@ -11,6 +12,7 @@
 
 __all__ = [
     "Application",
+    "ErrorBody",
     "HttpAnswer",
     "HttpClient",
     "Listener",
--- a/apricotseam/web/_application.py
+++ b/apricotseam/web/_application.py
@@ -180,6 +180,17 @@
     )
 
 
+class Route:
+    """Method, path pattern and handler of one call."""
+
+    __slots__ = ("handler", "method", "pattern")
+
+    def __init__(self, method, pattern, handler):
+        self.method = method
+        self.pattern = pattern
+        self.handler = handler
+
+
 class Application:
     """Routes requests to handlers and turns errors into JSON.
 
@@ -191,8 +202,14 @@
 
     def __init__(self, max_body_bytes=1 << 20):
         self._routes = []
+        self._listed = []
         self._max_body_bytes = max_body_bytes
 
+    @property
+    def routes(self):
+        """All `Route` records in the order of their declaration."""
+        return list(self._listed)
+
     def route(self, method, pattern, handler):
         """Send requests of a method and path pattern to a handler.
 
@@ -206,6 +223,7 @@
         handler : callable
             Takes a `Request`, returns a `Response`.
         """
+        self._listed.append(Route(method, pattern, handler))
         expression = re.sub(r"\{(\w+)\*\}", r"(?P<\1>.*)", pattern)
         expression = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", expression)
         self._routes.append((method, re.compile(expression + r"\Z"), handler))
--- a/release/pages.py
+++ b/release/pages.py
@@ -10,11 +10,15 @@
 import msgspec
 
 import apricotseam.cli  # noqa: F401 - imports every kind of error
+from apricotseam.config import load_settings
 from apricotseam.config import ScopeFile
 from apricotseam.config import Settings
 from apricotseam.errors import ApricotseamError
+from release.openapi import openapi_pages
 
-DOCS = pathlib.Path(__file__).parent.parent / "docs"
+ROOT = pathlib.Path(__file__).parent.parent
+DOCS = ROOT / "docs"
+EXAMPLE_SETTINGS = ROOT / "examples" / "settings.yaml"
 
 _ERRORS_HEAD = """# Errors
 
@@ -122,6 +126,7 @@
 def pages():
     """Return the text of every made page by its path below docs/."""
     return {
+        **openapi_pages(load_settings(EXAMPLE_SETTINGS.read_text())),
         "ERRORS.md": errors_page(),
         "schema/scope-file.json": schema_page(ScopeFile),
         "schema/settings.json": schema_page(Settings),
