--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	$(BIN)/ruff format -q --check .
 	$(BIN)/flake8 apricotseam measure release
 	$(BIN)/lint-imports --no-cache
+	$(PY) -m release.shares
 
 test: lint
 	$(PY) -m pytest
--- a/apricotseam/peers/_transport.py
+++ b/apricotseam/peers/_transport.py
@@ -91,6 +91,11 @@
         """Incarnation of this process."""
         return self._incarnation
 
+    @property
+    def kinds(self):
+        """Names of the kinds of messages that have a handler."""
+        return list(self._handlers)
+
     def renew_incarnation(self, incarnation):
         """Take a higher incarnation than an earlier process had.
 
--- a/apricotseam/supervision/_supervisor.py
+++ b/apricotseam/supervision/_supervisor.py
@@ -11,6 +11,8 @@
 MAX_RESTARTS = 5
 RESTART_WINDOW_SECONDS = 60.0
 RESTART_DELAY_SECONDS = 0.2
+# What each child still gets when another one used up the time.
+MIN_STOP_SECONDS = 0.5
 
 
 class Child(abc.ABC):
@@ -107,7 +109,8 @@
         """End the child; return whether it ended by the deadline."""
         self._stopping.set()
         if self._thread.is_alive():
-            self._thread.join(max(0.0, deadline - time.monotonic()))
+            left = deadline - time.monotonic()
+            self._thread.join(max(MIN_STOP_SECONDS, left))
         self._child.stop()
         return not self._thread.is_alive()
 
