--- a/apricotseam/admission/tests/test_shared.py
+++ b/apricotseam/admission/tests/test_shared.py
@@ -1,6 +1,5 @@
 """Shared limits over real messages between hosts."""
 
-import socket
 import time
 
 import pytest
@@ -11,6 +10,7 @@
 from apricotseam.errors import LimitExceededError
 from apricotseam.peers import ControlLoop
 from apricotseam.peers import PeerTransport
+from apricotseam.web import free_address
 
 QUIET_IS_OVER_SECONDS = 60.0
 
@@ -26,13 +26,6 @@
         return super().monotonic() + self.skipped
 
 
-def free_address():
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 @pytest.fixture
 def fleet():
     """Three hosts with shared limits past the quiet time."""
--- a/apricotseam/demo/__init__.py
+++ b/apricotseam/demo/__init__.py
@@ -3,7 +3,6 @@
 from apricotseam.demo._checks import Promise
 from apricotseam.demo._demo import run_demo
 from apricotseam.demo._demo import summarize
-from apricotseam.demo._system import free_address
 from apricotseam.demo._system import LocalSystem
 from apricotseam.demo._system import OPERATOR_KEY
 
@@ -11,7 +10,6 @@
     "LocalSystem",
     "OPERATOR_KEY",
     "Promise",
-    "free_address",
     "run_demo",
     "summarize",
 ]
--- a/apricotseam/demo/_system.py
+++ b/apricotseam/demo/_system.py
@@ -1,6 +1,5 @@
 """A whole small system in one process: stand-ins and entry hosts."""
 
-import socket
 import threading
 import time
 
@@ -21,18 +20,12 @@
 from apricotseam.standins import HostListStandIn
 from apricotseam.standins import KeyValueStandIn
 from apricotseam.standins import ServiceStandIn
+from apricotseam.web import free_address
 
 OPERATOR_KEY = "operator-key-of-the-demo"
 SIGNING_KEY = "signing-key-of-the-demo"
 
 
-def free_address():
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 def _stop_all(parts):
     threads = [threading.Thread(target=part.stop) for part in parts]
     for thread in threads:
--- a/apricotseam/peers/tests/test_transport.py
+++ b/apricotseam/peers/tests/test_transport.py
@@ -1,6 +1,5 @@
 """Tests of the messages between hosts over real sockets."""
 
-import socket
 import threading
 
 import grpclib.client
@@ -16,6 +15,7 @@
 from apricotseam.peers import PeerMessageError
 from apricotseam.peers import PeerTransport
 from apricotseam.peers import PeerUnreachableError
+from apricotseam.web import free_address
 
 
 class Text(msgspec.Struct, frozen=True):
@@ -24,13 +24,6 @@
     text: str
 
 
-def free_address():
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 @pytest.fixture
 def pair():
     """Two transports on one loop, and what the second one was sent."""
--- a/apricotseam/web/__init__.py
+++ b/apricotseam/web/__init__.py
@@ -9,6 +9,7 @@
 from apricotseam.web._client import HttpClient
 from apricotseam.web._client import UnreachableError
 from apricotseam.web._listener import Listener
+from apricotseam.web._ports import free_address
 
 __all__ = [
     "Application",
@@ -20,4 +21,5 @@
     "Response",
     "UnreachableError",
     "error_body",
+    "free_address",
 ]
--- a/measure/_engines.py
+++ b/measure/_engines.py
@@ -14,13 +14,13 @@
 from apricotseam.client import HostClient
 from apricotseam.config import AuditEntry
 from apricotseam.config import Bounds
-from apricotseam.demo import free_address
 from apricotseam.demo import LocalSystem
 from apricotseam.demo import OPERATOR_KEY
 from apricotseam.errors import ApricotseamError
 from apricotseam.host import EntryHost
 from apricotseam.platform import HttpModelEngine
 from apricotseam.standins import EngineOptions
+from apricotseam.web import free_address
 from apricotseam.web import HttpClient
 
 CUSTOMER_KEY = "key-of-the-measured-customer"
--- a/measure/_processes.py
+++ b/measure/_processes.py
@@ -17,9 +17,9 @@
 from apricotseam.config import Operator
 from apricotseam.config import Role
 from apricotseam.config import Settings
-from apricotseam.demo import free_address
 from apricotseam.errors import ApricotseamError
 from apricotseam.standins import EngineOptions
+from apricotseam.web import free_address
 from apricotseam.web import HttpClient
 from measure._scope import dump_scope
 
--- a/measure/slopes/_peers.py
+++ b/measure/slopes/_peers.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from apricotseam.demo import free_address
 from apricotseam.peers import ControlLoop
 from apricotseam.peers import PeerTransport
+from apricotseam.web import free_address
 from measure.slopes._slope import Slope
 
 BODY_BYTES = 200
