--- a/apricotseam/admission/_entry.py
+++ b/apricotseam/admission/_entry.py
@@ -8,6 +8,8 @@
     ----------
     work : Work
         What the request needs.
+    start_deadline : float
+        Monotonic time by which it must start.
     on_decision : callable, optional
         Called once when it may start or is refused.
     """
@@ -18,11 +20,13 @@
         "is_started",
         "on_decision",
         "refusal",
+        "start_deadline",
         "work",
     )
 
-    def __init__(self, work, on_decision=None):
+    def __init__(self, work, start_deadline=None, on_decision=None):
         self.work = work
+        self.start_deadline = start_deadline or work.deadline
         self.cost = max(1, work.tokens)
         self.on_decision = on_decision
         self.is_started = False
--- a/apricotseam/callers/_completions.py
+++ b/apricotseam/callers/_completions.py
@@ -12,6 +12,7 @@
 from apricotseam.errors import UnknownNameError
 from apricotseam.pipelines import StreamPlan
 from apricotseam.routing import Demand
+from apricotseam.routing import ServingVersions
 from apricotseam.routing import TableStageChooser
 from apricotseam.web import error_body
 from apricotseam.web import Response
@@ -52,6 +53,7 @@
 
     def __init__(self, context):
         self._context = context
+        self._versions = ServingVersions()
         self._resumption = Resumption(context.settings, context.clock)
 
     def handle(self, request):
@@ -119,7 +121,11 @@
             prompt_tokens=len(prompt) // BYTES_PER_TOKEN,
         )
         table = self._context.snapshots.targets
-        chain = self._context.chooser.choose_chain(table, model, demand)
+        chooser = self._context.chooser
+        if point.handle is not None:
+            chain = chooser.choose_chain(table, model, demand)
+        else:
+            chain = self._versions.choose(chooser, table, model, demand)
         return StreamPlan(
             stream=work.request,
             chain=chain,
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -16,6 +16,7 @@
 from apricotseam.host._execution import build_execution
 from apricotseam.host._execution import ClaimsChild
 from apricotseam.host._loads import LoadsChild
+from apricotseam.host._orders import build_orders
 from apricotseam.host._policy import RequestPolicy
 from apricotseam.host._shares import SharesChild
 from apricotseam.host._snapshots import Snapshots
@@ -28,6 +29,7 @@
 from apricotseam.peers import ControlLoop
 from apricotseam.peers import PeerTransport
 from apricotseam.pipelines import ChainRunner
+from apricotseam.pipelines import StepCarrier
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
 from apricotseam.routing import ChainPlans
@@ -76,7 +78,10 @@
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
         runner = ChainRunner(
-            policy.engine, self._clock, settings.bounds.step_timeout_seconds
+            policy.engine,
+            self._clock,
+            settings.bounds.step_timeout_seconds,
+            StepCarrier(policy.engine, batch=self.snapshots.max_batch),
         )
         execution, claim_batches = build_execution(
             settings,
@@ -119,6 +124,9 @@
                     plans,
                 ),
                 SharesChild(loop, policy.limits),
+                build_orders(
+                    settings, self._clock, http, service, self.snapshots
+                ),
                 LoadsChild(http, policy, self.snapshots, self._clock),
                 ListenerChild("operators", self._operators(operators)),
                 ListenerChild("callers", self._callers_listener),
--- a/apricotseam/host/_snapshots.py
+++ b/apricotseam/host/_snapshots.py
@@ -74,6 +74,11 @@
             listed = UNKNOWN_FLEET
         return max(listed, len(self.members.live()), 1)
 
+    def max_batch(self, address):
+        """Return how many steps a target runs at once, 0 if not known."""
+        target = self.targets.find(address)
+        return target.max_batch if target is not None else 0
+
     def host_statuses(self):
         """Return the `HostStatus` of each known entry host."""
         own = self._settings.peers_address
