Carry calls to targets over urllib3 connections without its pool

Cause: of the processor time of a token over two stages most went into the pool of urllib3: a URL parsed, a context merged and retries kept for each call. Change: idle connections by address, connected apart from being written to, so that a failure to connect proves that nothing was sent; no call is repeated.

--- a/apricotseam/web/__init__.py
+++ b/apricotseam/web/__init__.py
@@ -6,7 +6,7 @@
 from apricotseam.web._application import Response
 from apricotseam.web._client import HttpAnswer
 from apricotseam.web._client import HttpClient
-from apricotseam.web._client import UnreachableError
+from apricotseam.web._connections import UnreachableError
 from apricotseam.web._listener import Listener
 
 __all__ = [
--- a/apricotseam/web/_client.py
+++ b/apricotseam/web/_client.py
@@ -6,16 +6,10 @@
 import urllib3
 
 from apricotseam.errors import AnswerLostError
-from apricotseam.errors import RefusedError
 from apricotseam.errors import TargetError
-
-MIN_TIMEOUT_SECONDS = 0.001
-
-
-class UnreachableError(RefusedError):
-    """No connection could be made, so nothing was sent."""
-
-    code = "unreachable"
+from apricotseam.web._connections import Connections
+from apricotseam.web._connections import MIN_TIMEOUT_SECONDS
+from apricotseam.web._connections import UnreachableError
 
 
 class HttpAnswer:
@@ -59,7 +53,7 @@
     def __init__(self, max_connections=64, tls=None):
         self._scheme = "https" if tls is not None else "http"
         options = {"ssl_context": tls} if tls is not None else {}
-        self._options = options
+        self._connections = Connections(max_connections, tls)
         self._pool = urllib3.PoolManager(
             num_pools=256, maxsize=max_connections, retries=False, **options
         )
@@ -93,8 +87,8 @@
         AnswerLostError
             If the call may have been sent and no whole answer came.
         """
-        answer = self._send(
-            address, method, path, body, deadline, headers, True
+        answer = self._connections.exchange(
+            address, method, path, _encoded(body), headers, deadline
         )
         return HttpAnswer(answer.status, answer.headers, answer.data)
 
@@ -111,17 +105,10 @@
         UnreachableError, AnswerLostError
             As for `call`.
         """
-        host, port = address.rsplit(":", 1)
-        pool = urllib3.connection_from_url(
-            f"{self._scheme}://{host}:{port}", maxsize=1, **self._options
-        )
         headers = {**(headers or {}), "Connection": "close"}
-        try:
-            answer = _send(
-                pool, address, method, path, body, deadline, headers
-            )
-        finally:
-            pool.close()
+        answer = self._connections.exchange(
+            address, method, path, _encoded(body), headers, deadline, False
+        )
         return HttpAnswer(answer.status, answer.headers, answer.data)
 
     def stream(
@@ -134,47 +121,39 @@
         UnreachableError, AnswerLostError
             As for `call`.
         """
-        return self._send(
-            address, method, path, body, deadline, headers, False
-        )
+        try:
+            return self._pool.request(
+                method,
+                f"{self._scheme}://{address}{path}",
+                body=_encoded(body),
+                headers=headers,
+                timeout=_timeout(deadline),
+                preload_content=False,
+                redirect=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ):
+            raise UnreachableError(
+                f"no connection to {address}", "try another address"
+            ) from None
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise AnswerLostError(
+                f"{address} gave no whole answer ({type(error).__name__})",
+                "read back before repeating the call",
+            ) from None
 
     def close(self):
         """Close all idle connections."""
+        self._connections.close()
         self._pool.clear()
 
-    def _send(self, address, method, path, body, deadline, headers, preload):
-        url = f"{self._scheme}://{address}{path}"
-        return _send(
-            self._pool, address, method, url, body, deadline, headers, preload
-        )
-
 
-def _send(pool, address, method, url, body, deadline, headers, preload=True):
-    if body is not None and not isinstance(body, bytes):
-        body = msgspec.json.encode(body)
-    try:
-        return pool.request(
-            method,
-            url,
-            body=body,
-            headers=headers,
-            timeout=_timeout(deadline),
-            preload_content=preload,
-            redirect=False,
-            retries=False,
-        )
-    except (
-        urllib3.exceptions.NewConnectionError,
-        urllib3.exceptions.ConnectTimeoutError,
-    ):
-        raise UnreachableError(
-            f"no connection to {address}", "try another address"
-        ) from None
-    except (urllib3.exceptions.HTTPError, OSError) as error:
-        raise AnswerLostError(
-            f"{address} gave no whole answer ({type(error).__name__})",
-            "read back before repeating the call",
-        ) from None
+def _encoded(body):
+    if body is None or isinstance(body, bytes):
+        return body
+    return msgspec.json.encode(body)
 
 
 def _timeout(deadline):
--- /dev/null
+++ b/apricotseam/web/tests/test_connections.py
@@ -0,0 +1,98 @@
+"""Calls over kept connections, against servers that break them."""
+
+import contextlib
+import socket
+import threading
+import time
+
+import pytest
+
+from apricotseam.errors import AnswerLostError
+from apricotseam.web import HttpClient
+from apricotseam.web import UnreachableError
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CLOSING = WHOLE.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n")
+
+
+class Server:
+    """Accepts connections and answers each call with the next script line.
+
+    A line is the bytes to answer; after None the connection is closed.
+    """
+
+    def __init__(self, scripts):
+        self.requests = []
+        self.closed = threading.Semaphore(0)
+        self._scripts = scripts
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        host, port = self._socket.getsockname()
+        self.address = f"{host}:{port}"
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def _serve(self):
+        for number, script in enumerate(self._scripts):
+            accepted, _ = self._socket.accept()
+            with accepted, contextlib.suppress(OSError):
+                for answer in script:
+                    if not accepted.recv(65536):
+                        break
+                    self.requests.append(number)
+                    accepted.sendall(answer)
+            self.closed.release()
+
+
+def call(client, server, seconds=10.0):
+    """Return the body of one call, or the class of its error."""
+    deadline = time.monotonic() + seconds
+    try:
+        answer = client.call(
+            server.address, "POST", "/", b"x", deadline=deadline
+        )
+    except (AnswerLostError, UnreachableError) as error:
+        return type(error)
+    return answer.body
+
+
+@pytest.mark.parametrize(
+    "scripts, answers, requests",
+    [
+        ([[WHOLE, WHOLE]], [b"ok", b"ok"], [0, 0]),
+        ([[CLOSING], [WHOLE]], [b"ok", b"ok"], [0, 1]),
+        ([[b""]], [AnswerLostError], [0]),
+        ([[WHOLE[:-1]]], [AnswerLostError], [0]),
+        ([[b"nonsense\r\n\r\n"]], [AnswerLostError], [0]),
+        ([[WHOLE, b""], [WHOLE]], [b"ok", AnswerLostError, b"ok"], [0, 0, 1]),
+    ],
+)
+def test_call_is_sent_once_and_its_loss_is_told(scripts, answers, requests):
+    server = Server(scripts)
+    client = HttpClient()
+    assert [call(client, server) for _ in answers] == answers
+    assert server.requests == requests
+    client.close()
+
+
+def test_connection_closed_while_idle_is_not_used():
+    server = Server([[WHOLE], [WHOLE]])
+    client = HttpClient()
+    assert call(client, server) == b"ok"
+    assert server.closed.acquire(timeout=10)
+    assert call(client, server) == b"ok"
+    assert server.requests == [0, 1]
+
+
+def test_late_answer_is_lost_at_the_deadline():
+    server = Server([[b"HTTP/1.1 200 OK\r\n"], []])
+    blocked = socket.create_server(("127.0.0.1", 0))
+    server.address = "{}:{}".format(*blocked.getsockname())
+    assert call(HttpClient(), server, 0.2) is AnswerLostError
+    blocked.close()
+
+
+def test_refused_connection_proves_that_nothing_was_sent():
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        address = "{}:{}".format(*probe.getsockname())
+    with pytest.raises(UnreachableError):
+        HttpClient().call(address, "POST", "/", b"x")
