--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -16,7 +16,9 @@
 from apricotseam.host._execution import build_execution
 from apricotseam.host._execution import ClaimsChild
 from apricotseam.host._loads import LoadsChild
+from apricotseam.host._orders import build_orders
 from apricotseam.host._policy import RequestPolicy
+from apricotseam.host._shares import SharesChild
 from apricotseam.host._snapshots import Snapshots
 from apricotseam.host._tls import HostTls
 from apricotseam.membership import Member
@@ -27,6 +29,7 @@
 from apricotseam.peers import ControlLoop
 from apricotseam.peers import PeerTransport
 from apricotseam.pipelines import ChainRunner
+from apricotseam.pipelines import StepCarrier
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
 from apricotseam.routing import ChainPlans
@@ -56,15 +59,6 @@
         self.snapshots = Snapshots(settings)
         self._tls = HostTls(settings)
         http = HttpClient(tls=self._tls.platform_context)
-        plans = ChainPlans(lambda address: runner.step_seconds(address))
-        policy = RequestPolicy(
-            settings, self._clock, self.snapshots, http, plans
-        )
-        service = EtcdService(http, settings.key_value_service)
-        store = ConfigurationStore(service, settings.key_prefix)
-        runner = ChainRunner(
-            policy.engine, self._clock, settings.bounds.step_timeout_seconds
-        )
         loop = ControlLoop()
         self.transport = PeerTransport(
             loop,
@@ -72,6 +66,23 @@
             int(self._clock.wall() * MILLISECONDS),
             self._tls.peer_context,
         )
+        plans = ChainPlans(lambda address: runner.step_seconds(address))
+        policy = RequestPolicy(
+            settings,
+            self._clock,
+            self.snapshots,
+            http,
+            plans,
+            self.transport,
+        )
+        service = EtcdService(http, settings.key_value_service)
+        store = ConfigurationStore(service, settings.key_prefix)
+        runner = ChainRunner(
+            policy.engine,
+            self._clock,
+            settings.bounds.step_timeout_seconds,
+            StepCarrier(policy.engine, batch=self.snapshots.max_batch),
+        )
         execution, claim_batches = build_execution(
             settings,
             self._clock,
@@ -112,6 +123,10 @@
                     policy.chooser.watched,
                     plans,
                 ),
+                SharesChild(loop, policy.limits),
+                build_orders(
+                    settings, self._clock, http, service, self.snapshots
+                ),
                 LoadsChild(http, policy, self.snapshots, self._clock),
                 ListenerChild("operators", self._operators(operators)),
                 ListenerChild("callers", self._callers_listener),
--- a/apricotseam/standins/_keyvalue.py
+++ b/apricotseam/standins/_keyvalue.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from apricotseam.errors import UnknownNameError
 from apricotseam.standins._server import StandIn
 from apricotseam.web import Response
 
@@ -82,7 +83,10 @@
                     self._set(operation["request_put"])
                 if "request_delete_range" in operation:
                     self._remove(operation["request_delete_range"])
-        return Response.of({"succeeded": holds})
+            revision = str(self._revision)
+        return Response.of(
+            {"succeeded": holds, "header": {"revision": revision}}
+        )
 
     def _delete(self, request):
         body = self._body(request)
@@ -156,6 +160,8 @@
         if len(value) > MAX_VALUE_BYTES:
             raise ValueError("value is over a megabyte")
         lease = int(body.get("lease", "0"))
+        if lease and lease not in self._leases:
+            raise UnknownNameError(f"no lease {lease}", "grant a new one")
         self._revision += 1
         self._entries[_key(body)] = _Entry(value, self._revision, lease)
         self._changed.notify_all()
