--- a/measure/_capacity.py
+++ b/measure/_capacity.py
@@ -274,7 +274,7 @@
     calls = fleet.host_requests * (1 - fleet.idempotent_share)
     ticket = costs.get(name, "processor time of a ticket")
     record = costs.get(name, "memory of a ticket's record")
-    kept = calls * fleet.address_valid_seconds * 2
+    kept = calls * (fleet.address_valid_seconds + fleet.record_seconds)
     return Role(
         name="execution home",
         state=f"{number(kept)} records at"
@@ -290,8 +290,8 @@
 def _orderer():
     return Role(
         name="orderer",
-        state="one lease for each group of targets",
-        messages="orders to the targets of its groups",
+        state="one lease and the declared state for each group that it orders",
+        messages="renewals of its leases, orders to the targets of its groups",
         processor=None,
         memory=None,
         mechanism="a lease with a fencing number in the key-value service",
--- a/measure/_fleet.py
+++ b/measure/_fleet.py
@@ -41,6 +41,7 @@
     stages: int
     idempotent_share: float
     address_valid_seconds: float
+    record_seconds: float
     busy_share: float
     key_value_reads_per_second: float
     key_value_writes_per_second: float
--- a/measure/slopes/__init__.py
+++ b/measure/slopes/__init__.py
@@ -1,6 +1,7 @@
 """Costs that grow with a size, each measured at several sizes."""
 
 from measure.slopes._admission import ADMISSION_SLOPES
+from measure.slopes._execution import EXECUTION_SLOPES
 from measure.slopes._membership import MEMBERSHIP_SLOPES
 from measure.slopes._memory import MEMORY_SLOPES
 from measure.slopes._peers import PEER_SLOPES
@@ -12,6 +13,7 @@
     slope.name: slope
     for slope in (
         *ADMISSION_SLOPES,
+        *EXECUTION_SLOPES,
         *MEMBERSHIP_SLOPES,
         *MEMORY_SLOPES,
         *PEER_SLOPES,
--- a/measure/slopes/_memory.py
+++ b/measure/slopes/_memory.py
@@ -9,6 +9,7 @@
 from measure._usage import peak_resident_bytes
 from measure._usage import resident_bytes
 from measure.slopes._admission import admission_of_customers
+from measure.slopes._execution import records_of_runs
 from measure.slopes import _objects
 from measure.slopes._slope import Slope
 
@@ -56,6 +57,7 @@
     "admission": admission_of_customers,
     "configuration": _objects.configuration_of_customers,
     "targets": _objects.table_of_targets,
+    "records": records_of_runs,
     "listed": _objects.listed_hosts,
     "members": _objects.members,
 }
@@ -79,5 +81,6 @@
     _slope("memory of a customer in admission", "customer", "admission"),
     _slope("memory of a target", "target", "targets"),
     _slope("memory of a listed host", "host", "listed"),
+    _slope("memory of a ticket's record", "record", "records"),
     _slope("memory of a member", "host", "members"),
 ]
