--- a/measure/_capacity.py
+++ b/measure/_capacity.py
@@ -205,7 +205,9 @@
     return Role(
         name="membership and peers",
         state=f"{number(fleet.hosts)} records",
-        messages=f"{number(rate)} messages a second sent, as many received",
+        messages=f"{number(rate)} messages a second sent, as many received;"
+        f" {number(fleet.member_changes_per_second)} joins and failures a"
+        " second in the whole fleet",
         processor=decisions + rate * message,
         memory=fleet.hosts * member,
         sent=body + rate * (wire - MESSAGE_BODY_BYTES),
--- a/measure/_capacity_page.py
+++ b/measure/_capacity_page.py
@@ -18,6 +18,8 @@
     " revisions, and merge only targets whose sources changed",
     "memory of control": "keep customers and targets as packed records, and"
     " read only the scopes that a host serves",
+    "memory of control of all processes of a host": "one process of a host"
+    " runs control and hands its snapshots to the others over loopback",
     "bytes of control": "smaller pages when tables are compared, and facts"
     " that travel once",
     "key-value service, nothing changes": "a few readers for each"
@@ -60,6 +62,12 @@
             "% of a core",
         ),
         ("memory of control", memory, control.megabytes, "MB"),
+        (
+            "memory of control of all processes of a host",
+            memory * _needed_processes(fleet, costs),
+            control.megabytes,
+            "MB",
+        ),
         ("bytes of control", sent, control.kilobytes_per_second, "KB/s"),
         ("cores of the request path", request_cores(fleet, costs), 1, "cores"),
     ]
@@ -69,6 +77,13 @@
     return [row for row in found if row[1] > row[2]]
 
 
+def _needed_processes(fleet, costs):
+    """Return the fewest processes of a host, 1 if it was not measured."""
+    cores = [request_cores(fleet, costs), busy_cores(fleet, costs)]
+    known = [value for value in cores if not math.isnan(value)]
+    return processes(fleet, min(known)) if known else 1
+
+
 def _roles_table(listed):
     lines = [
         "| role | state | messages | processor time, ms a second | memory,"
--- a/measure/_fleet.py
+++ b/measure/_fleet.py
@@ -62,6 +62,12 @@
         """Answers under way on one host, at the slowest allowed pace."""
         return self.host_tokens * self.between_tokens_milliseconds / 1e3
 
+    @property
+    def member_changes_per_second(self):
+        """Hosts that join or fail a second in the whole fleet."""
+        changes = self.host_failures_per_day + self.host_restarts_per_day
+        return changes / SECONDS_PER_DAY
+
     @property
     def changes_per_second(self):
         """Changes of the configuration a second."""
--- a/measure/tests/test_capacity.py
+++ b/measure/tests/test_capacity.py
@@ -82,8 +82,9 @@
     known = costs({("imports", "resident after imports", "product"): 65.0})
     listed = roles(FLEET, known)
     assert control_totals(listed) == (0.0, 65.0, 0.0)
-    (row,) = over_bound(FLEET, known, listed)
+    row, of_all = over_bound(FLEET, known, listed)
     assert row[:3] == ("memory of control", 65.0, 64)
+    assert of_all[1:3] == (65.0, 64)
     page = write_page(PAGE.read_text(), FLEET, known)
     assert f"bound 64. To carry it: {CARRIERS['memory of control']}." in page
     assert "Not measured in full:" in page
