Measure the configuration as hosts load it

Cause: the slope of a customer took the YAML of an operator's file, which only the host that is told to apply ever reads. Change: hosts' load of the kept form and the check of a file are slopes of their own.

--- a/measure/_capacity.py
+++ b/measure/_capacity.py
@@ -303,17 +303,18 @@
 
 def _operators_listener(fleet, costs):
     idle = costs.get("slopes-platform", "share of a core of an idle host")
+    checked = costs.get("slopes-state", "peak memory of checking a customer")
     base = costs.get(
         "slopes-platform", "share of a core of an idle host: at none"
     )
     return Role(
         name="operators' listener and idle work",
-        state="none; answers are made from the snapshots",
+        state="while a file is checked, its whole text and nodes",
         messages="status calls, metrics",
         processor=(base + idle) * 10,
-        memory=0.0,
+        memory=fleet.customers * checked,
         mechanism="a few worker threads; the periods of the control path",
-        experiments=("slopes-platform",),
+        experiments=("slopes-platform", "slopes-state"),
     )
 
 
--- a/measure/_capacity_page.py
+++ b/measure/_capacity_page.py
@@ -14,10 +14,11 @@
 
 # What will carry a cost that is over its bound, by the name of the cost.
 CARRIERS = {
-    "processor time of control": "apply only what changed between two"
-    " revisions, and merge only targets whose sources changed",
-    "memory of control": "keep customers and targets as packed records, and"
-    " read only the scopes that a host serves",
+    "processor time of control": "scopes of fewer customers, since a change"
+    " loads only its own scope; the table of targets made again only when a"
+    " source changed",
+    "memory of control": "files checked in parts, so that their nodes are"
+    " not all in memory at once; the host list kept by the readers only",
     "memory of control of all processes of a host": "one process of a host"
     " runs control and hands its snapshots to the others over loopback",
     "bytes of control": "smaller pages when tables are compared, and facts"
--- a/measure/slopes/_memory.py
+++ b/measure/slopes/_memory.py
@@ -5,6 +5,7 @@
 import os
 import threading
 
+from apricotseam.config import load_scope_file
 from measure._fresh import call_fresh
 from measure._usage import peak_resident_bytes
 from measure._usage import resident_bytes
@@ -30,10 +31,11 @@
         Growth that stays and growth at the peak, in bytes.
     """
     make = _MAKERS[name]
-    make(1)
+    given = _INPUTS.get(name, _same)(size)
+    make(_INPUTS.get(name, _same)(1))
     gc.collect()
     before = resident_bytes(os.getpid())
-    kept = make(size)
+    kept = make(given)
     gc.collect()
     after = resident_bytes(os.getpid())
     peak = peak_resident_bytes(os.getpid())
@@ -52,10 +54,19 @@
     return threads
 
 
+def _same(size):
+    return size
+
+
+_INPUTS = {
+    "configuration": _objects.kept_data,
+    "checked": lambda size: _objects.scope_text(customers=size),
+}
 _MAKERS = {
     "threads": _threads,
     "admission": admission_of_customers,
-    "configuration": _objects.configuration_of_customers,
+    "configuration": _objects.configuration_of_data,
+    "checked": load_scope_file,
     "targets": _objects.table_of_targets,
     "records": records_of_runs,
     "listed": _objects.listed_hosts,
@@ -75,9 +86,7 @@
 MEMORY_SLOPES = [
     _slope("memory of a thread", "thread", "threads"),
     _slope("memory of a customer", "customer", "configuration"),
-    _slope(
-        "peak memory of loading a customer", "customer", "configuration", 1
-    ),
+    _slope("peak memory of checking a customer", "customer", "checked", 1),
     _slope("memory of a customer in admission", "customer", "admission"),
     _slope("memory of a target", "target", "targets"),
     _slope("memory of a listed host", "host", "listed"),
--- a/measure/slopes/_objects.py
+++ b/measure/slopes/_objects.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
+from apricotseam.config._load import load_scope_data
 from apricotseam.config import Configuration
-from apricotseam.config import load_scope_file
 from apricotseam.config import ScopeFile
 from apricotseam.membership import Member
 from apricotseam.membership import MemberTable
@@ -25,15 +25,16 @@
     return dump_scope(scope)
 
 
-def configuration(text):
-    """Return the configuration of one operators' file."""
-    scope_file = load_scope_file(text)
-    return Configuration(1, {scope_file.scope: scope_file})
+def kept_data(customers):
+    """Return a scope of a number of customers as a host receives it."""
+    scope = synthetic_scope(customers=customers)
+    return msgspec.json.encode(msgspec.convert(scope, type=ScopeFile))
 
 
-def configuration_of_customers(size):
-    """Return a configuration with a number of customers."""
-    return configuration(scope_text(customers=size))
+def configuration_of_data(data):
+    """Return the configuration that a host loads from a scope's data."""
+    scope_file = load_scope_data(data)
+    return Configuration(1, {scope_file.scope: scope_file})
 
 
 def configuration_of_targets(size):
--- a/measure/slopes/_processor.py
+++ b/measure/slopes/_processor.py
@@ -40,6 +40,11 @@
 
 
 def _load_customers(size):
+    data = _objects.kept_data(size)
+    return _best_milliseconds(lambda: _objects.configuration_of_data(data))
+
+
+def _check_customers(size):
     load_scope_file(_objects.scope_text())
     text = _objects.scope_text(customers=size)
     return _best_milliseconds(lambda: load_scope_file(text), repeats=1)
@@ -170,6 +175,12 @@
         per="customer",
         measure=_load_customers,
     ),
+    Slope(
+        name="processor time to check a customer",
+        unit="ms",
+        per="customer",
+        measure=_check_customers,
+    ),
     Slope(
         name="processor time to merge a target",
         unit="ms",
