--- a/measure/_capacity.py
+++ b/measure/_capacity.py
@@ -205,7 +205,9 @@
     return Role(
         name="membership and peers",
         state=f"{number(fleet.hosts)} records",
-        messages=f"{number(rate)} messages a second sent, as many received",
+        messages=f"{number(rate)} messages a second sent, as many received;"
+        f" {number(fleet.member_changes_per_second)} joins and failures a"
+        " second in the whole fleet",
         processor=decisions + rate * message,
         memory=fleet.hosts * member,
         sent=body + rate * (wire - MESSAGE_BODY_BYTES),
@@ -274,7 +276,7 @@
     calls = fleet.host_requests * (1 - fleet.idempotent_share)
     ticket = costs.get(name, "processor time of a ticket")
     record = costs.get(name, "memory of a ticket's record")
-    kept = calls * fleet.address_valid_seconds * 2
+    kept = calls * (fleet.address_valid_seconds + fleet.record_seconds)
     return Role(
         name="execution home",
         state=f"{number(kept)} records at"
@@ -290,8 +292,8 @@
 def _orderer():
     return Role(
         name="orderer",
-        state="one lease for each group of targets",
-        messages="orders to the targets of its groups",
+        state="one lease and the declared state for each group that it orders",
+        messages="renewals of its leases, orders to the targets of its groups",
         processor=None,
         memory=None,
         mechanism="a lease with a fencing number in the key-value service",
@@ -301,17 +303,18 @@
 
 def _operators_listener(fleet, costs):
     idle = costs.get("slopes-platform", "share of a core of an idle host")
+    checked = costs.get("slopes-state", "peak memory of checking a customer")
     base = costs.get(
         "slopes-platform", "share of a core of an idle host: at none"
     )
     return Role(
         name="operators' listener and idle work",
-        state="none; answers are made from the snapshots",
+        state="while a file is checked, its whole text and nodes",
         messages="status calls, metrics",
         processor=(base + idle) * 10,
-        memory=0.0,
+        memory=fleet.customers * checked,
         mechanism="a few worker threads; the periods of the control path",
-        experiments=("slopes-platform",),
+        experiments=("slopes-platform", "slopes-state"),
     )
 
 
