Claim keys of one moment in few shards and replay traces

Cause: claims spread over 256 shards met no other claim in a batch, and the host of a shard had to read it each time. Change: keys that say when they were made share 4 shards with those of the same 10 seconds, in a ring that outlasts the claims; 8 shards are kept.

--- a/apricotseam/execution/_claims.py
+++ b/apricotseam/execution/_claims.py
@@ -18,11 +18,10 @@
 from apricotseam.execution._shards import Holder
 from apricotseam.execution._shards import merge_claims
 from apricotseam.execution._shards import Shard
-from apricotseam.execution._shards import shard_of
 
 MAX_SWAP_ATTEMPTS = 8
 MAX_BATCH_CLAIMS = 256
-MAX_CACHED_SHARDS = 64
+MAX_CACHED_SHARDS = 8
 FLUSH_THREADS = 4
 CLAIM_TIMEOUT_SECONDS = 8.0
 
@@ -160,7 +159,7 @@
 
     def submit(self, entry):
         """Return a future of the holder of an entry's key."""
-        number = shard_of(entry.identifier)
+        number = entry.shard
         future = concurrent.futures.Future()
         with self._lock:
             is_idle = number not in self._waiting
@@ -226,7 +225,7 @@
         AnswerLostError
             If it may have taken effect.
         """
-        host = self._host_of(shard_of(entry.identifier))
+        host = self._host_of(entry.shard)
         holder = None
         if host != self._link.address:
             holder = self._ask(host, entry)
--- a/apricotseam/execution/_keyformat.py
+++ b/apricotseam/execution/_keyformat.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from apricotseam.errors import InvalidRequestError
+from apricotseam.execution._shards import shard_of
 
 TIMED_KEY_SECONDS = 600.0
 PLAIN_KEY_SECONDS = 86_400.0
@@ -18,19 +19,24 @@
 
 
 class CallerKey(msgspec.Struct, frozen=True, kw_only=True):
-    """A caller's key: digest, whether it states its time, its expiry.
+    """A caller's key: digest, when it was made if it says so, expiry.
 
-    ``expires`` is in seconds since 1970. A key that states its own time
-    is recognised as late for ever; another one only while it is kept.
+    Times are in seconds since 1970. A key that states its own time is
+    recognised as late for ever; another one only while it is kept.
     """
 
     identifier: bytes
-    is_timed: bool
+    made: float | None
     expires: float
 
+    @property
+    def shard(self):
+        """Number of the shard in which it is claimed."""
+        return shard_of(self.identifier, self.made)
+
     def is_late(self, now):
         """Return whether the key may not be run any more."""
-        return self.is_timed and now >= self.expires
+        return self.made is not None and now >= self.expires
 
 
 def read_key(scope, customer, text, now):
@@ -47,8 +53,8 @@
     Examples
     --------
     >>> key = read_key("s", "c", "booking-17", 1000.0)
-    >>> key.is_timed, key.expires
-    (False, 87400.0)
+    >>> key.made, key.expires
+    (None, 87400.0)
     """
     if len(text) > MAX_KEY_CHARACTERS or not _ALLOWED.match(text):
         raise InvalidRequestError(
@@ -66,7 +72,7 @@
         expires = made + TIMED_KEY_SECONDS
     return CallerKey(
         identifier=_identifier(scope, customer, text),
-        is_timed=made is not None,
+        made=made,
         expires=expires,
     )
 
--- a/apricotseam/execution/_keys.py
+++ b/apricotseam/execution/_keys.py
@@ -105,7 +105,7 @@
             expires=key.expires,
         )
         try:
-            return self._claims.claim(Entry(key.identifier, holder))
+            return self._claims.claim(Entry(key.shard, key.identifier, holder))
         except (AnswerLostError, ServiceUnavailableError) as error:
             self._end(claim, _unused_ending())
             found = f"the key could not be claimed: {error.found}"
--- a/apricotseam/execution/_shards.py
+++ b/apricotseam/execution/_shards.py
@@ -3,7 +3,11 @@
 import msgspec
 
 MAX_SHARD_CLAIMS = 2000
-SHARDS = 256
+PLAIN_SHARDS = 256
+BUCKET_SECONDS = 10.0
+BUCKET_SHARDS = 4
+RING_BUCKETS = 96
+RING_SHARDS = RING_BUCKETS * BUCKET_SHARDS
 PRUNE_MARGIN_SECONDS = 120.0
 
 
@@ -28,21 +32,39 @@
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
-    """A claim of one key by one attempt."""
+    """A claim of one key, which falls in a shard, by one attempt."""
 
+    shard: int
     identifier: bytes
     holder: Holder
 
 
-def shard_of(identifier):
-    """Return the number of the shard that an identifier falls in.
+def shard_of(identifier, made):
+    """Return the number of the shard that a key falls in.
+
+    Keys that state when they were made share few shards with those made
+    in the same seconds, so that claims of one moment travel together.
+    These shards are used again in a ring, long after their claims expired.
+
+    Parameters
+    ----------
+    identifier : bytes
+        Digest of the key.
+    made : float or None
+        When the key was made, in seconds since 1970, if it says so.
 
     Examples
     --------
-    >>> shard_of(bytes([255] * 16))
-    255
+    >>> shard_of(bytes(16), 1000.0), shard_of(bytes(16), 1000.0 + 960)
+    (16, 16)
+    >>> shard_of(bytes([255] * 16), None)
+    639
     """
-    return int.from_bytes(identifier[:4], "big") % SHARDS
+    spread = int.from_bytes(identifier[:4], "big")
+    if made is None:
+        return RING_SHARDS + spread % PLAIN_SHARDS
+    place = int(made // BUCKET_SECONDS) % RING_BUCKETS
+    return place * BUCKET_SHARDS + spread % BUCKET_SHARDS
 
 
 def encode_shard(shard):
--- a/apricotseam/execution/tests/fakes.py
+++ b/apricotseam/execution/tests/fakes.py
@@ -4,7 +4,6 @@
 
 from apricotseam.errors import AnswerLostError
 from apricotseam.errors import ServiceUnavailableError
-from apricotseam.execution._shards import shard_of
 from apricotseam.execution import KeyRuns
 from apricotseam.execution import PeerLink
 from apricotseam.execution import ShardStore
@@ -171,8 +170,7 @@
         self._store = store
 
     def claim(self, entry):
-        number = shard_of(entry.identifier)
-        return self._store.claim(number, [entry])[0]
+        return self._store.claim(entry.shard, [entry])[0]
 
 
 class FakeHost:
--- a/apricotseam/execution/tests/test_machine.py
+++ b/apricotseam/execution/tests/test_machine.py
@@ -1,5 +1,7 @@
 """At most once as a state machine over the real code."""
 
+import uuid
+
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -51,7 +53,7 @@
         for address in ADDRESSES:
             self.replace(address)
         self.take_ticket(0)
-        self.make_key()
+        self.make_keys()
 
     def replace(self, address):
         self.incarnation += 1
@@ -68,16 +70,19 @@
         name = f"r{len(self.promises)}"
         self.promises.append(Promise(name, ticket=issued))
 
-    def make_key(self):
-        name = f"r{len(self.promises)}"
-        self.promises.append(Promise(name, key=f"key-{name}"))
+    def make_keys(self):
+        made = int(self.clock.wall() * 1000) << 80
+        timed = str(uuid.UUID(int=made | 7 << 76 | 2 << 62))
+        for key in ("booking-17", timed):
+            name = f"r{len(self.promises)}"
+            self.promises.append(Promise(name, key=key))
 
-    @stateful.rule(which=st.integers(0, 1), host=HOSTS, end=RUNS)
+    @stateful.rule(which=st.integers(0, 2), host=HOSTS, end=RUNS)
     def send_plain_copy(self, which, host, end):
         self.send_copy(which, host, [], end, host)
 
     @stateful.rule(
-        which=st.integers(0, 1),
+        which=st.integers(0, 2),
         host=HOSTS,
         faults=st.lists(FAULTS, min_size=1, max_size=5),
         end=RUNS,
@@ -102,7 +107,7 @@
     def replace_host(self, host):
         self.replace(ADDRESSES[host])
 
-    @stateful.rule(which=st.integers(0, 1), host=HOSTS, parted=HOSTS)
+    @stateful.rule(which=st.integers(0, 2), host=HOSTS, parted=HOSTS)
     def send_while_parted(self, which, host, parted):
         self.network.down = {ADDRESSES[parted]}
         self.service.is_down = True
--- a/apricotseam/orders/tests/test_orderer.py
+++ b/apricotseam/orders/tests/test_orderer.py
@@ -1,6 +1,9 @@
 """Orderers that take over, pause and meet targets of either kind."""
 
+import pathlib
+
 import pytest
+import yaml
 
 from apricotseam.clock import ManualClock
 from apricotseam.config import Fencing
@@ -13,6 +16,7 @@
 from apricotseam.orders.tests.fakes import FakeLeases
 from apricotseam.orders import Wanted
 
+TRACES = pathlib.Path(__file__).parents[3] / "traces"
 RANGES = {"w1": (0, 3), "w2": (0, 3)}
 
 
@@ -74,28 +78,56 @@
     assert (later is None) == is_quiet
 
 
-@pytest.mark.parametrize("checks", [True, False])
-def test_a_paused_orderer_that_wakes_is_corrected(checks):
-    group = Group(checks)
-    fencing = Fencing.CHECKED if checks else Fencing.IGNORED
-    old, new = intent_of("v2", fencing), intent_of("v3", fencing)
+class Replay:
+    """Two orderers that play one trace."""
+
+    def __init__(self, trace):
+        self.checks = trace["checks"]
+        self.group = Group(self.checks)
+        self.orderers = {"h1": self.group.first, "h2": self.group.second}
+
+    def intent(self, version):
+        """Return what a file with a version declares."""
+        fencing = Fencing.CHECKED if self.checks else Fencing.IGNORED
+        return intent_of(version, fencing)
 
-    def settle(orderer, intent):
+    def play(self, step):
+        """Carry out one step."""
+        if "settle" in step:
+            self.settle(self.orderers[step["settle"]], step["version"])
+        elif "order" in step:
+            self.order(step)
+        else:
+            stale = [v for _, _, v in self.group.engines.taken if v == "v2"]
+            assert len(stale) == step["stale_orders_taken"]
+
+    def settle(self, orderer, version):
+        """Step an orderer for 20 seconds."""
         for _ in range(40):
-            orderer.step(intent)
-            group.clock.advance(0.5)
-
-    def pause():
-        group.clock.advance(20.0)
-        settle(group.second, new)
-
-    settle(group.first, intent_of("v1", fencing))
-    group.engines.pause_before_order = pause
-    group.first.step(old)
-    settle(group.second, new)
-    assert set(group.engines.versions.values()) == {"v3"}
-    stale = [f for _, f, v in group.engines.taken if v == "v2"]
-    assert bool(stale) != checks
+            orderer.step(self.intent(version))
+            self.group.clock.advance(0.5)
+
+    def order(self, step):
+        """Step an orderer that is paused just before its first order."""
+
+        def pause():
+            self.group.clock.advance(step["paused_seconds"])
+            self.play(step["meanwhile"])
+
+        self.group.engines.pause_before_order = pause
+        self.orderers[step["order"]].step(self.intent(step["version"]))
+
+
+@pytest.mark.parametrize(
+    "path", sorted(TRACES.glob("orders-*.yaml")), ids=lambda p: p.stem
+)
+def test_trace(path):
+    trace = yaml.safe_load(path.read_text())
+    replay = Replay(trace)
+    for step in trace["steps"]:
+        replay.play(step)
+    versions = set(replay.group.engines.versions.values())
+    assert versions == set(trace["versions"])
 
 
 def test_loads_stay_within_the_rate():
--- a/measure/kinds/claims.py
+++ b/measure/kinds/claims.py
@@ -1,6 +1,7 @@
 """Claims of callers' keys: calls to the service, and time of a claim."""
 
 import concurrent.futures
+import hashlib
 import statistics
 import threading
 import time
@@ -19,6 +20,8 @@
 
 MILLISECONDS = 1000
 EXPIRES_SECONDS = 600.0
+WINDOW_SECONDS = 0.005
+MADE_SECONDS = 1000.0
 
 
 class _Single:
@@ -31,8 +34,7 @@
     def claim(self, entry):
         """Claim one key; swaps of one host go one after the other."""
         with self._lock:
-            number = shard_of(entry.identifier)
-            return self._store.claim(number, [entry])[0]
+            return self._store.claim(entry.shard, [entry])[0]
 
 
 class _Batched:
@@ -46,11 +48,31 @@
         return self._batches.submit(entry).result(30)
 
 
-_WAYS = {"batched": _Batched, "single": _Single}
+class _WindowBatches(ClaimBatches):
+    """Waits for a while before each swap to gather claims."""
+
+    def _take(self, number):
+        time.sleep(WINDOW_SECONDS)
+        return super()._take(number)
+
+
+class _Windowed(_Batched):
+    """Claims keys in batches that are gathered for a fixed time."""
+
+    def __init__(self, store):
+        self._batches = _WindowBatches(store)
+
+
+_WAYS = {
+    "spread": _Batched,
+    "windowed": _Windowed,
+    "batched": _Batched,
+    "single": _Single,
+}
 
 
 def run(parameters, variant, seed):
-    """Claim keys of a few shards from many threads."""
+    """Claim keys that were made at one moment from many threads."""
     service = KeyValueStandIn().start()
     service.faults.set(FaultOrder(delay_seconds=parameters["service_seconds"]))
     client = EtcdService(HttpClient(), [service.address])
@@ -59,8 +81,7 @@
     seconds = []
     won = []
     entries = [
-        _entry(seed, number, parameters["shards"])
-        for number in range(parameters["claims"])
+        _entry(seed, number, variant) for number in range(parameters["claims"])
     ]
 
     def claim(entry):
@@ -99,10 +120,10 @@
     ]
 
 
-def _entry(seed, number, shards):
-    shard = number % shards
-    identifier = shard.to_bytes(4, "big") + seed.to_bytes(4, "big")
-    identifier += number.to_bytes(8, "big")
+def _entry(seed, number, variant):
+    text = f"{seed}/{number}".encode()
+    identifier = hashlib.blake2b(text, digest_size=16).digest()
+    made = None if variant == "spread" else MADE_SECONDS
     holder = Holder(
         address="127.0.0.1:1",
         incarnation=1,
@@ -110,4 +131,4 @@
         digest=b"12345678",
         expires=time.time() + EXPIRES_SECONDS,
     )
-    return Entry(identifier, holder)
+    return Entry(shard_of(identifier, made), identifier, holder)
