--- a/apricotseam/operators/_application.py
+++ b/apricotseam/operators/_application.py
@@ -1,6 +1,7 @@
 """The operators' HTTP application."""
 
 from apricotseam.operators._configuration import ConfigurationCalls
+from apricotseam.operators._dashboard import dashboard
 from apricotseam.operators._status import StatusCalls
 from apricotseam.web import Application
 from apricotseam.web import Response
@@ -8,6 +9,11 @@
 MAX_FILE_BYTES = 8 << 20
 
 
+def healthy(request):
+    """Answer ``GET /healthz`` while the listener serves."""
+    return Response.of({})
+
+
 def build_operators_application(context):
     """Return the application that operators reach.
 
@@ -24,7 +30,8 @@
     configuration = ConfigurationCalls(context)
     status = StatusCalls(context)
     route = application.route
-    route("GET", "/healthz", lambda request: Response.of({}))
+    route("GET", "/", dashboard)
+    route("GET", "/healthz", healthy)
     route("GET", "/readyz", status.ready)
     route("GET", "/metrics", status.metrics)
     route("POST", "/v1/admin/check", configuration.check)
