--- a/measure/kinds/chain_throughput.py
+++ b/measure/kinds/chain_throughput.py
@@ -94,17 +94,19 @@
         for n, (zone, kind, half) in enumerate(PLACES)
     ]
     bound = _bound(engines)
+    hosts = parameters["hosts"]
     zones = {engine.address: engine.zone for engine in engines}
     cluster = Cluster(
         engines,
         LAYERS,
         _accelerators(),
         _links(),
+        zones=("a",) * hosts,
         in_process=False,
         choice=BASELINES.get(variant, Choice.LEAST_COST),
         prelude=(
             "from measure.kinds import chain_throughput\n"
-            f"chain_throughput.install({zones!r}, {variant!r})"
+            f"chain_throughput.install({zones!r}, {variant!r}, {hosts})"
         ),
     )
     with cluster:
@@ -129,7 +131,7 @@
     ]
 
 
-def install(zones, variant):
+def install(zones, variant, hosts):
     """Put links between this process and its engines.
 
     Parameters
@@ -138,10 +140,12 @@
         Availability zone of each engine's address.
     variant : str
         ``unplanned`` turns the plan off.
+    hosts : int
+        Hosts that share the links.
     """
     _LinkedEngine.zones = zones
     _LinkedEngine.links = {
-        frozenset((a, b)): _Link(rate) for a, b, rate in LINKS
+        frozenset((a, b)): _Link(rate / hosts) for a, b, rate in LINKS
     }
     _entry.HttpModelEngine = _LinkedEngine
     if variant == "unplanned":
@@ -230,10 +234,12 @@
 
 def _repeat(cluster, parameters, label, end, readers):
     number = 0
+    addresses = list(cluster.addresses)
     while time.monotonic() < end:
         number += 1
+        addresses.append(addresses.pop(0))
         reader = TimedAnswer(
-            cluster.addresses,
+            list(addresses),
             f"{label}-{number}",
             parameters["tokens"],
             LAYERS,
