--- a/measure/kinds/chain_throughput.py
+++ b/measure/kinds/chain_throughput.py
@@ -7,7 +7,7 @@
 
 from apricotseam.config import Choice
 from apricotseam.errors import ApricotseamError
-from apricotseam.host import _entry
+from apricotseam.host import _policy
 from apricotseam.pipelines import plan_chains
 from apricotseam.pipelines import Stage
 from apricotseam.platform import HttpModelEngine
@@ -147,7 +147,9 @@
     _LinkedEngine.links = {
         frozenset((a, b)): _Link(rate / hosts) for a, b, rate in LINKS
     }
-    _entry.HttpModelEngine = _LinkedEngine
+    if _policy.HttpModelEngine is not HttpModelEngine:
+        raise RuntimeError("the host does not make its engine client here")
+    _policy.HttpModelEngine = _LinkedEngine
     if variant == "unplanned":
         ChainPlans.refresh = lambda self, *arguments: None
 
