Give engines without declared layers a range from the planner

Cause: the placement had no way into what is ordered. Change: the orderer takes the layers of engines for which the file names none from the placement, one load at a time; declared ones stay fixed.

--- a/apricotseam/orders/_intent.py
+++ b/apricotseam/orders/_intent.py
@@ -4,6 +4,7 @@
 
 from apricotseam.config import TargetKind
 from apricotseam.orders._orderer import GroupIntent
+from apricotseam.orders._placed import placed_layers
 from apricotseam.orders._reconcile import Wanted
 
 RANKS_ON_DUTY = 2
@@ -44,7 +45,7 @@
                     layers=model.layers,
                     fencing=group.fencing,
                     loads_per_minute=limit / len(groups),
-                    wanted=_wanted(scope, group, model, table),
+                    wanted=_wanted(scope_file, group, model, table),
                 )
             )
     return intents
@@ -67,13 +68,18 @@
     return hashlib.blake2b(text, digest_size=8).digest()
 
 
-def _wanted(scope, group, model, table):
-    states = {state.name: state for state in table.group(scope, group.name)}
+def _wanted(scope_file, group, model, table):
+    pool = table.group(scope_file.scope, group.name)
+    states = {state.name: state for state in pool}
+    placed = placed_layers(scope_file, group, model, states)
     wanted = []
     for target in group.targets:
         state = states.get(target.name)
         is_leaving = target.leaving or (state is not None and state.leaving)
-        if target.layers is None or is_leaving:
+        layers = placed.get(target.name)
+        if target.layers is not None:
+            layers = (target.layers.first, target.layers.last)
+        if layers is None or is_leaving:
             continue
         wanted.append(
             Wanted(
@@ -81,8 +87,8 @@
                 address=target.address,
                 model=model.name,
                 version=model.serving,
-                first=target.layers.first,
-                last=target.layers.last,
+                first=layers[0],
+                last=layers[1],
                 adapters=tuple(sorted(model.adapters)),
             )
         )
--- a/apricotseam/pipelines/_placement.py
+++ b/apricotseam/pipelines/_placement.py
@@ -16,7 +16,8 @@
 class Holder(msgspec.Struct, frozen=True, kw_only=True):
     """An accelerator that can hold a range of layers.
 
-    ``first`` and ``last`` are None while it holds none.
+    ``first`` and ``last`` are None while it holds none; a fixed one is
+    not moved.
     """
 
     target: str
@@ -25,6 +26,7 @@
     memory_layers: int
     first: int | None = None
     last: int | None = None
+    is_fixed: bool = False
 
 
 class Move(msgspec.Struct, frozen=True, kw_only=True):
@@ -151,7 +153,8 @@
         """Return one holder of each set of equal ones; none twice."""
         alike = {}
         for holder in self._holders.values():
-            if holder.target not in self._moved:
+            is_free = holder.first is None or not holder.is_fixed
+            if is_free and holder.target not in self._moved:
                 key = msgspec.structs.astuple(holder)[1:]
                 alike.setdefault(key, holder)
         return alike.values()
