Read whole requests in the test of kept connections

Cause: the scripted server answered after one recv; where head and body of a request came in two pieces, it answered the body as a second call. Change: the server reads up to the body's only byte. Conclusion: the fault was the test's.

--- a/apricotseam/web/tests/test_connections.py
+++ b/apricotseam/web/tests/test_connections.py
@@ -36,13 +36,27 @@
             accepted, _ = self._socket.accept()
             with accepted, contextlib.suppress(OSError):
                 for answer in script:
-                    if not accepted.recv(65536):
+                    if not receive_request(accepted):
                         break
                     self.requests.append(number)
                     accepted.sendall(answer)
             self.closed.release()
 
 
+def receive_request(connection):
+    """Return the head of a whole request, or nothing at the end.
+
+    Head and body may come in pieces.
+    """
+    received = b""
+    while not received.endswith(b"\r\n\r\nx"):
+        piece = connection.recv(65536)
+        if not piece:
+            return b""
+        received += piece
+    return received
+
+
 def call(client, server, seconds=10.0):
     """Return the body of one call, or the class of its error."""
     deadline = time.monotonic() + seconds
