Spread configuration and host list between hosts

Cause: every host read the root twice a second, the host list twice a second and every engine in turn, so calls grew with hosts and one dead engine delayed all reports. Change: one reader for each availability zone (two at least) watches the service and reads the list; the others fetch changed chunks from peers, announced at once and repeated with each probe. A host that starts serves only the highest revision it hears of. Reports are asked in parallel for a bounded subset at a bounded rate. A watch ends at its deadline although progress lines keep its socket busy.

--- a/apricotseam/callers/_context.py
+++ b/apricotseam/callers/_context.py
@@ -90,6 +90,12 @@
             "try another address",
             retry_after=1,
         )
+    if getattr(snapshots, "is_isolated", False):
+        raise NotConfiguredError(
+            "this host hears neither the key-value service nor any peer",
+            "try another address",
+            retry_after=1,
+        )
     found = configuration.find_customer(hash_key(bearer_key(request)))
     if found is None:
         raise AuthenticationError(
--- a/apricotseam/config/_chunks.py
+++ b/apricotseam/config/_chunks.py
@@ -7,12 +7,14 @@
 
 import hashlib
 import threading
+import time
 import zlib
 
 MIN_CHUNK_BYTES = 4 << 10
 MAX_CHUNK_BYTES = 64 << 10
 LINES_A_CUT = 64
 DIGEST_BYTES = 20
+CACHE_GRACE_SECONDS = 30.0
 
 
 def split_text(body):
@@ -79,11 +81,16 @@
 
 
 class ChunkCache:
-    """Chunks by reference; safe to use from several threads."""
+    """Chunks by reference; safe to use from several threads.
+
+    Chunks that nothing names yet are kept for a while, since they may
+    belong to a revision that is being read.
+    """
 
     def __init__(self):
         self._lock = threading.Lock()
         self._chunks = {}
+        self._deadlines = {}
 
     def __len__(self):
         return len(self._chunks)
@@ -102,14 +109,18 @@
         """Keep a chunk."""
         with self._lock:
             self._chunks[reference] = chunk
+            self._deadlines[reference] = time.monotonic() + CACHE_GRACE_SECONDS
 
     def missing(self, references):
         """Return the references whose chunks are not here."""
         return [r for r in references if r not in self._chunks]
 
     def retain(self, references):
-        """Drop every chunk but those of the references."""
+        """Drop old chunks that are not of the references."""
         kept = set(references)
+        now = time.monotonic()
         with self._lock:
-            for reference in [r for r in self._chunks if r not in kept]:
-                del self._chunks[reference]
+            for reference, deadline in list(self._deadlines.items()):
+                if reference not in kept and now >= deadline:
+                    del self._chunks[reference]
+                    del self._deadlines[reference]
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -10,14 +10,19 @@
 from apricotseam.clock import SystemClock
 from apricotseam.config import ConfigurationStore
 from apricotseam.execution import DirectExecution
-from apricotseam.host._children import ConfigurationChild
 from apricotseam.host._children import ListenerChild
 from apricotseam.host._children import PeersChild
-from apricotseam.host._children import TargetsChild
+from apricotseam.host._configuration import ConfigurationChild
+from apricotseam.host._hostlist import HostListChild
+from apricotseam.host._hostlist import HOSTS
+from apricotseam.host._reports import ReportPlan
+from apricotseam.host._reports import TargetsChild
 from apricotseam.host._snapshots import Snapshots
+from apricotseam.membership import Facts
 from apricotseam.membership import Member
 from apricotseam.membership import Membership
 from apricotseam.membership import MembershipChild
+from apricotseam.membership import Spread
 from apricotseam.operators import build_operators_application
 from apricotseam.operators import OperatorContext
 from apricotseam.peers import ControlLoop
@@ -81,15 +86,24 @@
             peer_tls_context(settings.peer_tls),
         )
         self.membership = self._membership(loop)
+        self._spread = spread = Spread(
+            loop, self.transport, lambda: self.membership.partners
+        )
+        self._configuration = ConfigurationChild(
+            service, store, spread, self.snapshots, self._clock
+        )
+        self._host_list = HostListChild(
+            host_list, spread, self.snapshots, self.membership, self._clock
+        )
+        plan = ReportPlan(settings.host, settings.availability_zone)
         self._supervisor = Supervisor(
             settings.host,
             [
                 PeersChild(loop, self.transport),
                 self.membership,
-                ConfigurationChild(store, self.snapshots),
-                TargetsChild(
-                    host_list, engine, self.snapshots, self.membership
-                ),
+                self._configuration,
+                self._host_list,
+                TargetsChild(engine, self.snapshots, plan),
                 ListenerChild("operators", self._operators(operators)),
                 ListenerChild("callers", self._callers(callers)),
             ],
@@ -137,15 +151,23 @@
             self._clock,
             self._take_members,
         )
-        child.follow(self._facts, lambda address, revision: None)
+        child.follow(self._facts, self._hear)
         return child
 
     def _take_members(self, table):
         self.snapshots.members = table
 
     def _facts(self):
+        self._configuration.update(self.membership.last_heard)
         configuration = self.snapshots.configuration
-        return (configuration.revision if configuration else 0, 0)
+        return Facts(
+            revision=configuration.revision if configuration else 0,
+            listed=self._host_list.revision,
+        )
+
+    def _hear(self, peer, revision, listed):
+        self._configuration.hear(peer, revision)
+        self._spread.hear(peer, HOSTS, listed)
 
     def _callers(self, context):
         bounds = self.settings.bounds
--- a/apricotseam/host/_snapshots.py
+++ b/apricotseam/host/_snapshots.py
@@ -25,6 +25,7 @@
         "_random",
         "_settings",
         "configuration",
+        "is_isolated",
         "listed",
         "members",
         "targets",
@@ -33,6 +34,7 @@
     def __init__(self, settings):
         self._settings = settings
         self.configuration = None
+        self.is_isolated = False
         self.listed = {}
         self.members = MemberTable()
         self._random = random.Random()
--- a/apricotseam/membership/__init__.py
+++ b/apricotseam/membership/__init__.py
@@ -1,21 +1,29 @@
 """Membership of entry hosts."""
 
 from apricotseam.membership._addresses import order_addresses
+from apricotseam.membership._member import Facts
 from apricotseam.membership._member import Health
 from apricotseam.membership._member import Member
 from apricotseam.membership._member import MemberState
 from apricotseam.membership._member import MemberTable
 from apricotseam.membership._membership import Membership
+from apricotseam.membership._readers import choose_readers
+from apricotseam.membership._readers import reader_rank
 from apricotseam.membership._ring import ring_position
 from apricotseam.membership._service import MembershipChild
+from apricotseam.membership._spread import Spread
 
 __all__ = [
+    "Facts",
     "Health",
     "Member",
     "MemberState",
     "MemberTable",
     "Membership",
     "MembershipChild",
+    "Spread",
+    "choose_readers",
     "order_addresses",
+    "reader_rank",
     "ring_position",
 ]
--- a/apricotseam/membership/_member.py
+++ b/apricotseam/membership/_member.py
@@ -64,6 +64,18 @@
         return other is None or self.order > other.order
 
 
+class Facts(msgspec.Struct, frozen=True, kw_only=True):
+    """What a host tells of itself with each probe.
+
+    ``revision`` is that of the configuration, ``listed`` that of the
+    listed hosts and ``load`` the number of requests in progress.
+    """
+
+    revision: int = 0
+    listed: int = 0
+    load: int = 0
+
+
 class MemberTable:
     """Immutable snapshot of all known members.
 
--- a/apricotseam/membership/_membership.py
+++ b/apricotseam/membership/_membership.py
@@ -68,6 +68,7 @@
         self._next_fact = now
         self._revision = own.revision
         self._load = own.load
+        self._listed = 0
         self._last_heard = None
 
     @property
@@ -106,14 +107,15 @@
             others = self._random.sample(others, MAX_SEEDS)
         self._seeds = others
 
-    def set_facts(self, revision, load):
-        """Take the revision in force and the load of this host.
+    def set_facts(self, facts):
+        """Take the `Facts` of this host.
 
         They are published at a rate that falls as the membership grows,
         so that all such facts together stay within a fixed rate.
         """
-        self._revision = max(self._revision, revision)
-        self._load = load
+        self._revision = max(self._revision, facts.revision)
+        self._listed = max(self._listed, facts.listed)
+        self._load = facts.load
 
     def announce_leaving(self):
         """Publish that this host is leaving; return the messages."""
@@ -171,14 +173,19 @@
             records.append(self.own)
         if known is not None and known.health != Health.ALIVE:
             records.append(known)
-        return [(sender, Ack(message.number, self._revision, records))]
+        return [
+            (
+                sender,
+                Ack(message.number, self._revision, self._listed, records),
+            )
+        ]
 
     def _take_ack(self, message, now):
         relayed = self._relayed.pop(message.number, None)
         if relayed is not None:
             self._merge(message.records, now)
             asker, number, _ = relayed
-            return [(asker, Ack(number, self._revision, []))]
+            return [(asker, Ack(number, self._revision, self._listed, []))]
         probe = self._probes.pop(message.number, None)
         known = self._records.get(probe.address) if probe else None
         self._merge(message.records, now)
@@ -194,7 +201,12 @@
         self._number += 1
         deadline = now + INDIRECT_TIMEOUT_SECONDS
         self._relayed[self._number] = (sender, message.number, deadline)
-        return [(message.address, Ping(self._number, self._revision, []))]
+        return [
+            (
+                message.address,
+                Ping(self._number, self._revision, self._listed, []),
+            )
+        ]
 
     def _compare(self, sender, message, now):
         newer = self._records.newer_within(message, MAX_SYNC_RECORDS)
@@ -258,7 +270,10 @@
             records.append(self.own)
         if known is not None and known.health != Health.ALIVE:
             records.append(known)
-        return (address, Ping(self._number, self._revision, records))
+        return (
+            address,
+            Ping(self._number, self._revision, self._listed, records),
+        )
 
     def _sync(self, now):
         partners = self.partners
--- a/apricotseam/membership/_messages.py
+++ b/apricotseam/membership/_messages.py
@@ -6,10 +6,15 @@
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True):
-    """Probe of a member, with changed records."""
+    """Probe of a member, with changed records.
+
+    ``revision`` is that of the sender's configuration and ``listed`` that
+    of its listed hosts.
+    """
 
     number: int
     revision: int
+    listed: int
     records: list[Member] = []
 
 
@@ -18,6 +23,7 @@
 
     number: int
     revision: int
+    listed: int
     records: list[Member] = []
 
 
--- a/apricotseam/membership/_service.py
+++ b/apricotseam/membership/_service.py
@@ -2,8 +2,11 @@
 
 import logging
 
+from apricotseam.membership._member import Facts
 from apricotseam.membership._membership import TICK_SECONDS
+from apricotseam.membership._messages import Ack
 from apricotseam.membership._messages import MESSAGE_TYPES
+from apricotseam.membership._messages import Ping
 from apricotseam.supervision import Child
 
 _LOG = logging.getLogger(__name__)
@@ -37,8 +40,8 @@
         self._clock = clock
         self._publish = publish
         self._published = -1
-        self._facts = lambda: (0, 0)
-        self._on_revision = lambda address, revision: None
+        self._facts = Facts
+        self._on_facts = lambda address, revision, listed: None
         for message_type in MESSAGE_TYPES:
             transport.handle(message_type, self._receive)
         self._swap()
@@ -48,18 +51,24 @@
         """Monotonic time of the last message of any peer, or None."""
         return self._membership.last_heard
 
-    def follow(self, facts, on_revision):
+    @property
+    def partners(self):
+        """Addresses of the members that this host keeps contact with."""
+        return self._membership.partners
+
+    def follow(self, facts, on_facts):
         """Connect the configuration in force with the protocol.
 
         Parameters
         ----------
         facts : callable
-            Returns ``(revision, load)`` of this host.
-        on_revision : callable
-            Called with a peer's address and the revision it has.
+            Returns the `Facts` of this host.
+        on_facts : callable
+            Called with a peer's address, the revision of its configuration
+            and that of its listed hosts.
         """
         self._facts = facts
-        self._on_revision = on_revision
+        self._on_facts = on_facts
 
     def run(self, stopping):
         """Tick until told to stop."""
@@ -83,16 +92,15 @@
         self._swap()
 
     async def _tick(self):
-        self._membership.set_facts(*self._facts())
+        self._membership.set_facts(self._facts())
         self._send(self._membership.tick(self._clock.monotonic()))
         self._swap()
 
     def _receive(self, sender, message):
         now = self._clock.monotonic()
         self._send(self._membership.receive(sender, message, now))
-        revision = getattr(message, "revision", 0)
-        if revision:
-            self._on_revision(sender, revision)
+        if isinstance(message, (Ping, Ack)):
+            self._on_facts(sender, message.revision, message.listed)
         self._swap()
 
     def _send(self, pairs):
--- a/apricotseam/platform/_etcd.py
+++ b/apricotseam/platform/_etcd.py
@@ -120,7 +120,7 @@
         except AnswerLostError:
             return False
         try:
-            return _has_event(response)
+            return _has_event(response, deadline)
         finally:
             response.close()
 
@@ -173,11 +173,14 @@
     )
 
 
-def _has_event(response):
+def _has_event(response, deadline):
+    """Read a watch until an event; progress lines do not extend it."""
     try:
         for line in response.stream(4096):
             if b'"events"' in line:
                 return True
+            if time.monotonic() >= deadline:
+                return False
     except Exception:  # noqa: H201 - a cut watch is not a change
         return False
     return False
