--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The environment is made again when the lock changes.
 STAMP := $(VENV)/.ready-$(shell sha256sum requirements/dev.txt | cut -c1-12)
 
-.PHONY: setup test demo format lint
+.PHONY: setup test demo format lint measure measure-long capacity
 
 setup: $(STAMP)
 
@@ -19,7 +19,7 @@
 
 lint: setup
 	$(BIN)/ruff format -q --check .
-	$(BIN)/flake8 apricotseam measure
+	$(BIN)/flake8 apricotseam measure release
 	$(BIN)/lint-imports --no-cache
 
 test: lint
@@ -27,3 +27,28 @@
 
 demo: setup
 	$(PY) -m apricotseam demo
+
+.PHONY: binary binary-test
+
+# One file that runs without this tree, its environment or a disk.
+binary: setup
+	$(PY) release/build.py
+
+# Needs `strace`, which `.ci/run` installs.
+binary-test: binary
+	$(PY) -m pytest release/tests
+
+measure: setup
+	$(PY) -m measure run
+	$(PY) -m measure tables
+	$(PY) -m measure capacity
+	$(PY) -m measure report
+
+measure-long: setup
+	$(PY) -m measure run --long
+	$(PY) -m measure tables
+	$(PY) -m measure capacity
+	$(PY) -m measure report
+
+capacity: setup
+	$(PY) -m measure capacity
--- a/apricotseam/callers/_context.py
+++ b/apricotseam/callers/_context.py
@@ -27,6 +27,8 @@
         Chooses chains and targets.
     execution : Execution
         Runs requests at most once.
+    retries : RetryPolicy
+        Budget of further attempts.
     """
 
     __slots__ = (
@@ -35,6 +37,7 @@
         "clock",
         "execution",
         "http",
+        "retries",
         "runner",
         "settings",
         "snapshots",
@@ -51,6 +54,7 @@
         admission,
         chooser,
         execution,
+        retries,
     ):
         self.settings = settings
         self.clock = clock
@@ -60,6 +64,7 @@
         self.admission = admission
         self.chooser = chooser
         self.execution = execution
+        self.retries = retries
 
 
 class Caller:
@@ -101,7 +106,12 @@
         raise AuthenticationError(
             "the key is not known", "send the key that your operator gave you"
         )
-    return Caller(configuration, *found)
+    caller = Caller(configuration, *found)
+    if request.record is not None:
+        request.record.revision = configuration.revision
+        request.record.scope = caller.scope_file.scope
+        request.record.customer = caller.customer.name
+    return caller
 
 
 def bearer_key(request):
--- a/apricotseam/cli/_commands.py
+++ b/apricotseam/cli/_commands.py
@@ -1,23 +1,40 @@
 """Commands of the program."""
 
+import difflib
+import logging
 import os
 import pathlib
 import signal
-import sys
+import ssl
 
 import msgspec
 
-from apricotseam.cli._client import HostClient
 from apricotseam.cli._output import show
+from apricotseam.cli._wait import wait_for_revision
+from apricotseam.client import HostClient
+from apricotseam.client import ResumingAnswer
 from apricotseam.config import AuditEntry
 from apricotseam.config import load_scope_file
 from apricotseam.config import load_settings
+from apricotseam.demo import run_demo
+from apricotseam.demo import summarize
 from apricotseam.errors import InvalidInputError
 from apricotseam.host import EntryHost
 from apricotseam.logs import configure_logging
+from apricotseam.operators import ScopeAnswer
 from apricotseam import standins
+from apricotseam.web import HttpClient
 
 KEY_VARIABLE = "APRICOTSEAM_KEY"
+AUTHORITY_VARIABLE = "APRICOTSEAM_AUTHORITY"
+
+
+def http_client():
+    """Return a client, with TLS where an authority is named."""
+    authority = os.environ.get(AUTHORITY_VARIABLE)
+    if not authority:
+        return HttpClient()
+    return HttpClient(tls=ssl.create_default_context(cafile=authority))
 
 
 def serve(settings):
@@ -51,7 +68,7 @@
     print(f"{file}: scope {scope_file.scope} is valid")
 
 
-def apply(file, *, host, change_id="", base=-1, output="table"):
+def apply(file, *, host, change_id="", base=-1, wait=False, output="table"):
     """Replace one scope whole by a file.
 
     Parameters
@@ -64,6 +81,8 @@
         Identifier of the change; a repeat with it is not applied again.
     base : int
         Revision that the file was written for; -1 for any.
+    wait : bool
+        Wait until every present host has the change in force.
     output : str
         ``table`` or ``json``.
     """
@@ -82,6 +101,34 @@
         headers,
     )
     show(entry, output)
+    if wait:
+        wait_for_revision(_operator(host), entry.revision)
+
+
+def diff(file, *, host):
+    """Show how a file differs from its scope in force.
+
+    Parameters
+    ----------
+    file : str
+        The YAML file.
+    host : str
+        Operators' address of any host, ``ip:port``.
+    """
+    text = pathlib.Path(file).read_text()
+    scope = load_scope_file(text, file).scope
+    answer = _operator(host).call(
+        "GET", f"/v1/admin/scopes/{scope}", ScopeAnswer
+    )
+    lines = difflib.unified_diff(
+        answer.text.splitlines(),
+        text.splitlines(),
+        f"{scope} at revision {answer.revision}",
+        file,
+        lineterm="",
+    )
+    for line in lines:
+        print(line)
 
 
 def change(change_id, *, host, output="table"):
@@ -116,17 +163,24 @@
     show(_operator(host).call("GET", "/v1/admin/status", dict), output)
 
 
-def audit(*, host, output="table"):
-    """Show the newest changes, accepted and refused.
+def audit(*, host, before=0, limit=50, output="table"):
+    """Show changes, newest first, and what the asked host refused.
 
     Parameters
     ----------
     host : str
         Operators' address of any host, ``ip:port``.
+    before : int
+        Only changes of lower revisions; 0 for the newest.
+    limit : int
+        Greatest number of changes.
     output : str
         ``table`` or ``json``.
     """
-    show(_operator(host).call("GET", "/v1/admin/audit", list), output)
+    path = f"/v1/admin/audit?limit={limit}"
+    if before:
+        path += f"&before={before}"
+    show(_operator(host).call("GET", path, dict), output)
 
 
 def drain(*, host):
@@ -156,6 +210,9 @@
 def ask(model, prompt, *, host, max_tokens=64):
     """Send a prompt and print the answer as it streams.
 
+    If the host or the connection is lost, the answer goes on at the next
+    address that the host named.
+
     Parameters
     ----------
     model : str
@@ -167,15 +224,11 @@
     max_tokens : int
         Bound on the answer.
     """
-    body = {
-        "model": model,
-        "stream": True,
-        "max_tokens": max_tokens,
-        "messages": [{"role": "user", "content": prompt}],
-    }
-    for line in _operator(host).stream("POST", "/v1/chat/completions", body):
-        if line.startswith(b"data: {"):
-            _print_event(line[6:])
+    key = os.environ.get(KEY_VARIABLE, "")
+    client = http_client()
+    answer = ResumingAnswer(key, model, prompt, max_tokens, client)
+    for text in answer.read(host):
+        print(text, end="", flush=True)
     print()
 
 
@@ -197,6 +250,20 @@
     part.stop()
 
 
+def demo(*, examples="examples"):
+    """Run the main job on embedded stand-ins and check its promises.
+
+    Parameters
+    ----------
+    examples : str
+        Folder with both teams' files.
+    """
+    configure_logging(logging.CRITICAL)
+    promises = run_demo(examples)
+    print(summarize(promises))
+    return 0 if all(promise.is_kept for promise in promises) else 1
+
+
 def _standin(kind, address, options):
     if kind == "key-value":
         return standins.KeyValueStandIn(address)
@@ -215,12 +282,4 @@
 
 def _operator(address):
     key = os.environ.get(KEY_VARIABLE, "")
-    return HostClient(address, key)
-
-
-def _print_event(data):
-    event = msgspec.json.decode(data)
-    if "error" in event:
-        print(f"\n{event['error']['message']}", file=sys.stderr)
-        return
-    print(event["choices"][0]["delta"]["content"], end="", flush=True)
+    return HostClient(address, key, http_client())
--- a/apricotseam/demo/_system.py
+++ b/apricotseam/demo/_system.py
@@ -55,17 +55,33 @@
         Time that a stand-in engine takes for one batch.
     bounds : Bounds, optional
         Bounds of each entry host.
+    tls : Tls, optional
+        Certificate of all entry hosts; plain text without it.
+    load_seconds : float
+        Time that a stand-in engine takes to load a version.
     """
 
-    def __init__(self, files, zones, step_seconds=0.002, bounds=None):
+    def __init__(
+        self,
+        files,
+        zones,
+        step_seconds=0.002,
+        bounds=None,
+        tls=None,
+        load_seconds=0.0,
+    ):
         self.key_value = KeyValueStandIn()
         self.host_list = HostListStandIn()
         self.engines = {}
         self.services = {}
         self.hosts = {}
         self._step_seconds = step_seconds
+        self._tls = tls
+        self._load_seconds = load_seconds
         self._bounds = bounds or Bounds(
-            caller_threads=16, address_valid_seconds=1.0
+            caller_threads=16,
+            address_valid_seconds=1.0,
+            leaving_margin_seconds=1.0,
         )
         self.texts = [self._with_standins(text) for text in files]
         self._zones = list(zones)
@@ -99,7 +115,9 @@
             host_list=self.host_list.address,
             operators=[operator],
             signing_keys=[SIGNING_KEY],
-            plain_text_allowed=True,
+            tls=self._tls,
+            peer_tls=self._tls,
+            plain_text_allowed=self._tls is None,
             bounds=self._bounds,
         )
 
@@ -120,6 +138,25 @@
         )
         return entry
 
+    def kill_host(self, name):
+        """End an entry host as if its process was killed."""
+        entry = self.hosts.pop(name)
+        entry.abort()
+        self.host_list.remove(name)
+
+    def replace_host(self, name):
+        """Start a new entry host, then stop an old one as planned."""
+        old = self.hosts[name]
+        zone = old.settings.availability_zone
+        new = self.add_host(f"{name}-next", zone)
+        self.wait_until(lambda: new.is_ready)
+        del self.hosts[name]
+        old.request_stop()
+        old.wait()
+        old.stop()
+        self.host_list.remove(name)
+        return new
+
     def wait_until(self, condition, seconds=10.0):
         """Wait until a condition holds; return whether it does."""
         deadline = time.monotonic() + seconds
@@ -157,6 +194,7 @@
             last=target.layers.last,
             accelerator=target.accelerator or "standard",
             step_seconds=self._step_seconds,
+            load_seconds=self._load_seconds,
             checks_fencing=group.fencing.value == "checked",
         )
         part = EngineStandIn(options).start()
--- a/apricotseam/host/_configuration.py
+++ b/apricotseam/host/_configuration.py
@@ -19,6 +19,7 @@
 
 WATCH_SECONDS = 2.0
 CUT_WATCH_SECONDS = 1.0
+WATCH_STEP_SECONDS = 0.1
 POLL_SECONDS = 10.0
 READER_CHECK_SECONDS = 0.5
 FIRST_DELAY_SECONDS = 0.2
@@ -26,6 +27,33 @@
 ISOLATION_SECONDS = 30.0
 
 
+class _Watch:
+    """One watch in a thread of its own, so that a stop need not wait."""
+
+    __slots__ = ("_arguments", "_is_changed", "_service", "_thread")
+
+    def __init__(self, service, key, version, deadline):
+        self._service = service
+        self._arguments = (key, version, deadline)
+        self._is_changed = False
+        self._thread = threading.Thread(
+            target=self._run, name="watch", daemon=True
+        )
+
+    def wait(self, stopping):
+        """Return whether a change was seen before the deadline."""
+        self._thread.start()
+        while self._thread.is_alive() and not stopping.is_set():
+            self._thread.join(WATCH_STEP_SECONDS)
+        return self._is_changed
+
+    def _run(self):
+        try:
+            self._is_changed = self._service.watch(*self._arguments)
+        except ApricotseamError as error:
+            _LOG.debug("watch_failed", extra={"code": error.code})
+
+
 class ConfigurationChild(Child):
     """Brings the highest known revision into force on this host.
 
@@ -79,7 +107,7 @@
                 stopping.wait(READER_CHECK_SECONDS)
                 continue
             try:
-                self._follow_once()
+                self._follow_once(stopping)
                 backoff.reset()
             except ApricotseamError as error:
                 _LOG.warning(
@@ -109,15 +137,20 @@
         heard = max(self._last_read, last_heard or 0.0)
         return self._clock.monotonic() > heard + ISOLATION_SECONDS
 
-    def _follow_once(self):
+    def _follow_once(self, stopping):
         now = self._clock.monotonic()
         if self._version is None or now >= self._next_poll:
             self._read()
             return
         deadline = now + WATCH_SECONDS
-        if self._service.watch(self._store.root_key, self._version, deadline):
+        watch = _Watch(
+            self._service, self._store.root_key, self._version, deadline
+        )
+        if watch.wait(stopping):
             self._read()
             return
+        if stopping.is_set():
+            return
         if self._clock.monotonic() < now + CUT_WATCH_SECONDS:
             raise ServiceUnavailableError(
                 "the watch was cut", "check the service"
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -4,20 +4,31 @@
 import threading
 import time
 
-from apricotseam.admission import OpenAdmission
 from apricotseam.callers import build_callers_application
 from apricotseam.callers import CallerContext
 from apricotseam.clock import SystemClock
 from apricotseam.config import ConfigurationStore
-from apricotseam.execution import DirectExecution
+from apricotseam.execution import TransportLink
 from apricotseam.host._children import ListenerChild
 from apricotseam.host._children import PeersChild
 from apricotseam.host._configuration import ConfigurationChild
+from apricotseam.host._drain import Drain
+from apricotseam.host._execution import build_execution
+from apricotseam.host._execution import ClaimsChild
+from apricotseam.host._gate import Gate
 from apricotseam.host._hostlist import HostListChild
 from apricotseam.host._hostlist import HOSTS
+from apricotseam.host._leaving import LeavingChild
+from apricotseam.host._leaving import LINGER_SECONDS
+from apricotseam.host._loads import LoadsChild
+from apricotseam.host._orders import build_orders
+from apricotseam.host._policy import RequestPolicy
 from apricotseam.host._reports import ReportPlan
 from apricotseam.host._reports import TargetsChild
+from apricotseam.host._revisions import Revisions
+from apricotseam.host._shares import SharesChild
 from apricotseam.host._snapshots import Snapshots
+from apricotseam.host._tls import HostTls
 from apricotseam.membership import Facts
 from apricotseam.membership import Member
 from apricotseam.membership import Membership
@@ -26,18 +37,19 @@
 from apricotseam.operators import build_operators_application
 from apricotseam.operators import OperatorContext
 from apricotseam.peers import ControlLoop
-from apricotseam.peers import peer_tls_context
 from apricotseam.peers import PeerTransport
 from apricotseam.pipelines import ChainRunner
+from apricotseam.pipelines import StepCarrier
 from apricotseam.platform import EtcdService
 from apricotseam.platform import HttpHostList
-from apricotseam.platform import HttpModelEngine
-from apricotseam.routing import RandomChooser
+from apricotseam.routing import ChainPlans
 from apricotseam.supervision import Supervisor
 from apricotseam.web import HttpClient
 from apricotseam.web import Listener
 
 MILLISECONDS = 1000
+WAIT_SECONDS = 0.2
+ESSENTIAL_CHILDREN = ("callers", "leaving", "membership", "peers")
 
 
 class EntryHost:
@@ -57,12 +69,38 @@
         self._failed = threading.Event()
         self._ended = threading.Event()
         self.snapshots = Snapshots(settings)
-        http = HttpClient()
-        engine = HttpModelEngine(http)
+        self._tls = HostTls(settings)
+        http = HttpClient(tls=self._tls.platform_context)
+        loop = ControlLoop()
+        self.transport = PeerTransport(
+            loop,
+            settings.peers_address,
+            int(self._clock.wall() * MILLISECONDS),
+            self._tls.peer_context,
+        )
+        plans = ChainPlans(lambda address: runner.step_seconds(address))
+        policy = RequestPolicy(
+            settings,
+            self._clock,
+            self.snapshots,
+            http,
+            plans,
+            self.transport,
+        )
         service = EtcdService(http, settings.key_value_service)
         store = ConfigurationStore(service, settings.key_prefix)
         runner = ChainRunner(
-            engine, self._clock, settings.bounds.step_timeout_seconds
+            policy.engine,
+            self._clock,
+            settings.bounds.step_timeout_seconds,
+            StepCarrier(policy.engine, batch=self.snapshots.max_batch),
+        )
+        execution, claim_batches = build_execution(
+            settings,
+            self._clock,
+            service,
+            TransportLink(self.transport, loop),
+            self._claim_hosts,
         )
         callers = CallerContext(
             settings=settings,
@@ -70,21 +108,21 @@
             http=http,
             runner=runner,
             snapshots=self.snapshots,
-            admission=OpenAdmission(),
-            chooser=RandomChooser(),
-            execution=DirectExecution(),
+            admission=policy.admission,
+            chooser=policy.chooser,
+            execution=execution,
+            retries=policy.retries,
         )
+        revisions = Revisions(loop, self.transport, self.snapshots)
         operators = OperatorContext(
-            settings, self._clock, store, self.snapshots, self.request_stop
+            settings,
+            self._clock,
+            store,
+            self.snapshots,
+            self.request_stop,
+            revisions.state,
         )
         host_list = HttpHostList(http, settings.host_list)
-        loop = ControlLoop()
-        self.transport = PeerTransport(
-            loop,
-            settings.peers_address,
-            int(self._clock.wall() * MILLISECONDS),
-            peer_tls_context(settings.peer_tls),
-        )
         self.membership = self._membership(loop)
         self._spread = spread = Spread(
             loop, self.transport, lambda: self.membership.partners
@@ -95,17 +133,33 @@
         self._host_list = HostListChild(
             host_list, spread, self.snapshots, self.membership, self._clock
         )
-        plan = ReportPlan(settings.host, settings.availability_zone)
+        self._gate = Gate(build_callers_application(callers))
+        self._leaving = self._planned_stop()
+        self._callers_listener = self._callers()
         self._supervisor = Supervisor(
             settings.host,
             [
+                self._tls,
                 PeersChild(loop, self.transport),
+                ClaimsChild(claim_batches),
                 self.membership,
                 self._configuration,
                 self._host_list,
-                TargetsChild(engine, self.snapshots, plan),
+                TargetsChild(
+                    policy.engine,
+                    self.snapshots,
+                    ReportPlan(),
+                    policy.chooser.watched,
+                    plans,
+                ),
+                SharesChild(loop, policy.limits),
+                build_orders(
+                    settings, self._clock, http, service, self.snapshots
+                ),
+                LoadsChild(http, policy, self.snapshots, self._clock),
+                self._leaving,
                 ListenerChild("operators", self._operators(operators)),
-                ListenerChild("callers", self._callers(callers)),
+                ListenerChild("callers", self._callers_listener),
             ],
             self._fail,
         )
@@ -115,17 +169,25 @@
         """Whether a child failed too often."""
         return self._failed.is_set()
 
+    @property
+    def is_ready(self):
+        """Whether configuration and targets are there to serve with."""
+        snapshots = self.snapshots
+        return snapshots.configuration is not None and bool(
+            snapshots.targets.all
+        )
+
     def start(self):
         """Start all parts."""
         self._supervisor.start()
 
     def request_stop(self):
-        """Ask the process to end; returns at once."""
-        self._ended.set()
+        """Ask for a planned stop; returns at once."""
+        self._leaving.request()
 
     def wait(self):
-        """Wait until the process is asked to end."""
-        while not self._ended.wait(1.0):
+        """Wait until the planned stop is over or a child gave up."""
+        while not self._ended.wait(WAIT_SECONDS):
             pass
 
     def stop(self):
@@ -133,6 +195,11 @@
         seconds = self.settings.bounds.stop_timeout_seconds
         return self._supervisor.stop(time.monotonic() + seconds)
 
+    def abort(self):
+        """End at once, as a killed process would; for demonstrations."""
+        self._callers_listener.abort()
+        self._supervisor.stop(time.monotonic())
+
     def _membership(self, loop):
         settings = self.settings
         own = Member(
@@ -157,34 +224,59 @@
     def _take_members(self, table):
         self.snapshots.members = table
 
+    def _claim_hosts(self):
+        live = self.snapshots.members.live()
+        return [member.peers_address for member in live]
+
     def _facts(self):
         self._configuration.update(self.membership.last_heard)
         configuration = self.snapshots.configuration
         return Facts(
             revision=configuration.revision if configuration else 0,
             listed=self._host_list.revision,
+            load=self._gate.in_progress,
         )
 
     def _hear(self, peer, revision, listed):
         self._configuration.hear(peer, revision)
         self._spread.hear(peer, HOSTS, listed)
 
-    def _callers(self, context):
+    def _planned_stop(self):
+        bounds = self.settings.bounds
+        drain = Drain(
+            valid_seconds=bounds.address_valid_seconds,
+            margin_seconds=bounds.leaving_margin_seconds,
+            linger_seconds=LINGER_SECONDS,
+        )
+        return LeavingChild(
+            drain,
+            self._gate,
+            self.membership.announce_leaving,
+            self._ended.set,
+            self._clock,
+            bounds.stop_timeout_seconds,
+        )
+
+    def _callers(self):
         bounds = self.settings.bounds
         return Listener(
-            build_callers_application(context),
+            self._gate,
             self.settings.callers_address,
             threads=bounds.caller_threads,
             socket_timeout=bounds.socket_timeout_seconds,
             header_bytes=bounds.header_bytes,
+            tls=self._tls.listener_context,
         )
 
     def _operators(self, context):
         return Listener(
             build_operators_application(context),
             self.settings.operators_address,
+            tls=self._tls.listener_context,
         )
 
     def _fail(self, name):
         self._failed.set()
-        self._ended.set()
+        self.request_stop()
+        if name in ESSENTIAL_CHILDREN:
+            self._ended.set()
--- a/apricotseam/host/_reports.py
+++ b/apricotseam/host/_reports.py
@@ -1,7 +1,6 @@
 """Keeps the target table: files, host list and engines' reports."""
 
 import concurrent.futures
-import hashlib
 import logging
 import time
 
@@ -16,51 +15,16 @@
 MAX_REPORT_PERIOD_SECONDS = 8.0
 REPORTS_A_SECOND = 20
 REPORT_TIMEOUT_SECONDS = 1.0
-MAX_REPORTED_TARGETS = 64
 MAX_PARALLEL_REPORTS = 8
 
 
 class ReportPlan:
-    """Decides which engines this host asks for reports, and when.
+    """Decides when this host asks each engine for its report."""
 
-    Parameters
-    ----------
-    own_name : str
-        Name of this host, which makes the subsets of hosts differ.
-    zone : str
-        Availability zone of this host.
-    """
-
-    def __init__(self, own_name, zone):
-        self._own_name = own_name
-        self._zone = zone
+    def __init__(self):
         self._due = {}
         self._failures = {}
 
-    def choose(self, targets):
-        """Return the addresses to ask: a bounded subset of the engines.
-
-        For each range of layers the own availability zone comes first
-        and the rest by a hash, so that a subset covers all layers and
-        the subsets of all hosts cover all engines.
-        """
-        engines = [t for t in targets if t.kind.value == "engine"]
-        if len(engines) <= MAX_REPORTED_TARGETS:
-            return [t.address for t in engines]
-        ranges = {}
-        for target in sorted(engines, key=self._preference):
-            key = (target.scope, target.group, target.first, target.last)
-            ranges.setdefault(key, []).append(target.address)
-        chosen = []
-        turn = 0
-        while len(chosen) < MAX_REPORTED_TARGETS:
-            row = [a[turn] for a in ranges.values() if turn < len(a)]
-            if not row:
-                break
-            chosen.extend(row)
-            turn += 1
-        return chosen[: max(MAX_REPORTED_TARGETS, len(ranges))]
-
     def due(self, addresses, now):
         """Return the addresses whose report is due, and plan the next.
 
@@ -84,11 +48,6 @@
         failures = self._failures.get(address, 0)
         self._failures[address] = 0 if is_answered else min(failures + 1, 4)
 
-    def _preference(self, target):
-        text = f"{self._own_name}/{target.address}".encode()
-        digest = hashlib.blake2b(text, digest_size=8).digest()
-        return (target.availability_zone != self._zone, digest)
-
 
 class TargetsChild(Child):
     """Keeps the target table from files, host list and reports.
@@ -100,12 +59,18 @@
     snapshots : Snapshots
         Where the table is put.
     plan : ReportPlan
-        Which reports to ask for.
+        When to ask for reports.
+    watched : callable
+        Returns the targets of a table whose reports this host needs.
+    plans : ChainPlans
+        Plans to compute again when targets change.
     """
 
     name = "targets"
 
-    def __init__(self, engine, snapshots, plan):
+    def __init__(self, engine, snapshots, plan, watched, plans):
+        self._watched = watched
+        self._plans = plans
         self._engine = engine
         self._snapshots = snapshots
         self._plan = plan
@@ -132,7 +97,10 @@
         if configuration is None:
             return
         self._swap(configuration)
-        addresses = self._plan.choose(self._snapshots.targets.all)
+        table = self._snapshots.targets
+        watched = self._watched(table)
+        self._plans.refresh(configuration, table, watched)
+        addresses = [t.address for t in watched if t.kind.value == "engine"]
         for address in set(self._reports).difference(addresses):
             self._reports.pop(address, None)
         for address in self._plan.due(addresses, time.monotonic()):
--- a/apricotseam/host/_snapshots.py
+++ b/apricotseam/host/_snapshots.py
@@ -8,6 +8,9 @@
 from apricotseam.platform import LEAVING
 from apricotseam.routing import TargetTable
 
+# Entry hosts that are assumed while no host list was ever read.
+UNKNOWN_FLEET = 8
+
 
 class Snapshots:
     """What the request path reads without a lock.
@@ -58,6 +61,26 @@
         )
         return addresses or [settings.callers_address]
 
+    def count_entry_hosts(self):
+        """Return the number of live entry hosts, at least 1."""
+        return max(1, len(self.members.live()))
+
+    def live_peers(self):
+        """Return the peers' addresses of live entry hosts."""
+        return [member.peers_address for member in self.members.live()]
+
+    def count_fleet(self):
+        """Return the number of entry hosts, also those out of reach."""
+        listed = sum(host.role == "entry" for host in self.listed.values())
+        if not self.listed:
+            listed = UNKNOWN_FLEET
+        return max(listed, len(self.members.live()), 1)
+
+    def max_batch(self, address):
+        """Return how many steps a target runs at once, 0 if not known."""
+        target = self.targets.find(address)
+        return target.max_batch if target is not None else 0
+
     def host_statuses(self):
         """Return the `HostStatus` of each known entry host."""
         own = self._settings.peers_address
@@ -68,6 +91,7 @@
                 address=member.callers_address,
                 availability_zone=member.availability_zone,
                 state=member.state.value,
+                peers_address=member.peers_address,
                 revision=(
                     revision
                     if member.peers_address == own
--- a/apricotseam/membership/_membership.py
+++ b/apricotseam/membership/_membership.py
@@ -8,6 +8,7 @@
 from apricotseam.membership._messages import Ack
 from apricotseam.membership._messages import Ping
 from apricotseam.membership._messages import PingRequest
+from apricotseam.membership._messages import RecordKey
 from apricotseam.membership._messages import Sync
 from apricotseam.membership._messages import SyncAnswer
 from apricotseam.membership._messages import TablePage
@@ -22,7 +23,7 @@
 SYNC_PERIOD_SECONDS = 2.0
 REVIVE_PERIOD_SECONDS = 3.0
 LOAD_PERIOD_SECONDS = 1.0
-MEMBERS_A_FACT_SECOND = 25
+MEMBERS_A_FACT_SECOND = 10
 INDIRECT_PROBES = 2
 MAX_SEEDS = 64
 MAX_SYNC_RECORDS = 64
@@ -150,7 +151,9 @@
         if isinstance(message, PingRequest):
             return self._relay(sender, message, now)
         if isinstance(message, Sync):
-            return self._compare(sender, message, now)
+            return self._compare(sender, message)
+        if isinstance(message, SyncAnswer):
+            return self._take_sync_answer(sender, message, now)
         if isinstance(message, TableRequest):
             return self._answer_page(sender, message)
         self._merge(message.records, now)
@@ -208,10 +211,17 @@
             )
         ]
 
-    def _compare(self, sender, message, now):
-        newer = self._records.newer_within(message, MAX_SYNC_RECORDS)
+    def _compare(self, sender, message):
+        records, wanted = self._records.compare(message, MAX_SYNC_RECORDS)
+        if not records and not wanted:
+            return []
+        return [(sender, SyncAnswer(records, wanted))]
+
+    def _take_sync_answer(self, sender, message, now):
         self._merge(message.records, now)
-        return [(sender, SyncAnswer(newer))] if newer else []
+        found = map(self._records.get, message.wanted[:MAX_SYNC_RECORDS])
+        records = [record for record in found if record is not None]
+        return [(sender, SyncAnswer(records))] if records else []
 
     def _answer_page(self, sender, message):
         records, last = self._records.page(message.after, MAX_SYNC_RECORDS)
@@ -282,7 +292,11 @@
         jitter = 0.5 + self._random.random()
         self._next_sync = now + SYNC_PERIOD_SECONDS * jitter
         records, last = self._records.page(self._sync_cursor, MAX_SYNC_RECORDS)
-        sync = Sync(self._sync_cursor, last, records)
+        keys = [
+            RecordKey(r.peers_address, r.incarnation, r.sequence, r.health)
+            for r in records
+        ]
+        sync = Sync(self._sync_cursor, last, keys)
         self._sync_cursor = last
         return [(self._random.choice(partners), sync)]
 
--- a/apricotseam/web/_application.py
+++ b/apricotseam/web/_application.py
@@ -27,14 +27,20 @@
         Named parts of the path.
     max_body_bytes : int
         Bound on the body.
+
+    Attributes
+    ----------
+    record : object
+        What a handler notes of the request; None until it is set.
     """
 
-    __slots__ = ("_environ", "_max_body_bytes", "arguments")
+    __slots__ = ("_environ", "_max_body_bytes", "arguments", "record")
 
     def __init__(self, environ, arguments, max_body_bytes):
         self._environ = environ
         self._max_body_bytes = max_body_bytes
         self.arguments = arguments
+        self.record = None
 
     @property
     def method(self):
@@ -107,6 +113,7 @@
                 f"the body could not be read: {error}", "send it again"
             ) from None
         self._check_size(len(body))
+        self._environ.get("apricotseam.received", _nothing)()
         return body
 
     def _check_size(self, size):
@@ -117,6 +124,10 @@
             )
 
 
+def _nothing():
+    """Stand for servers that bound the time of receiving elsewhere."""
+
+
 class Response:
     """One HTTP response.
 
