--- a/apricotseam/admission/_concurrency.py
+++ b/apricotseam/admission/_concurrency.py
@@ -4,8 +4,12 @@
 DEFAULT_LIMIT = 32.0
 MAX_LIMIT = 100_000.0
 EPOCH_SECONDS = 0.25
-MAX_RATIO = 1.75
-MIN_BACKOFF = 0.7
+MAX_RATIO = 1.0
+MAX_UNSTATED_RATIO = 4.0
+MIN_OVERHEAD_SECONDS = 0.002
+MAX_OVERHEAD_SECONDS = 0.005
+LOWEST_SHARE = 0.25
+MIN_BACKOFF = 0.9
 GROWTH_SHARE = 0.1
 BASELINE_DRIFT = 1.01
 
@@ -39,6 +43,7 @@
         "_growth",
         "_highest",
         "_is_used",
+        "_lowest",
         "_is_sized",
         "_shortest",
         "_sum",
@@ -48,6 +53,7 @@
 
     def __init__(self, now):
         self._value = DEFAULT_LIMIT
+        self._lowest = MIN_LIMIT
         self._highest = MAX_LIMIT
         self._growth = 1.0
         self._is_sized = False
@@ -66,12 +72,14 @@
 
     def resize(self, streams, hosts):
         """Take the pool's capacity in streams and the number of hosts."""
-        self._highest = max(MIN_LIMIT, streams)
-        self._growth = max(1.0, GROWTH_SHARE * streams / max(1, hosts))
+        share = streams / max(1, hosts)
+        self._lowest = max(MIN_LIMIT, LOWEST_SHARE * share)
+        self._highest = max(self._lowest, streams)
+        self._growth = max(1.0, GROWTH_SHARE * share)
         if not self._is_sized:
             self._is_sized = True
-            self._value = max(MIN_LIMIT, streams / max(1, hosts))
-        self._value = min(self._value, self._highest)
+            self._value = share
+        self._value = min(max(self._value, self._lowest), self._highest)
 
     def used(self, in_progress):
         """Note how many requests are in progress."""
@@ -95,18 +103,29 @@
         self.used(in_progress)
         self._shortest = min(self._shortest, seconds)
         base = expected or self._typical or seconds
-        self._sum += seconds / max(base, 1e-6)
+        allowed = MAX_RATIO if expected else MAX_UNSTATED_RATIO
+        over = max(0.0, seconds - self._overhead())
+        self._sum += over / max(base * allowed, 1e-6)
         self._count += 1
         if now >= self._epoch_deadline:
             self._end_epoch(now)
 
+    def _overhead(self):
+        """Return the time of a call beside the engine's own step.
+
+        The shortest calls join a batch that is about to run, so that
+        little but this time is left of them.
+        """
+        shortest = self._typical or 0.0
+        return min(max(shortest, MIN_OVERHEAD_SECONDS), MAX_OVERHEAD_SECONDS)
+
     def _end_epoch(self, now):
         ratio = self._sum / self._count
-        if ratio > MAX_RATIO:
-            self._value *= max(MIN_BACKOFF, MAX_RATIO / ratio)
+        if ratio > 1.0:
+            self._value *= max(MIN_BACKOFF, 1.0 / ratio)
         elif self._is_used:
             self._value += self._growth
-        self._value = min(max(self._value, MIN_LIMIT), self._highest)
+        self._value = min(max(self._value, self._lowest), self._highest)
         drifted = (self._typical or self._shortest) * BASELINE_DRIFT
         self._typical = min(drifted, self._shortest)
         self._begin_epoch(now)
--- a/apricotseam/admission/_pool.py
+++ b/apricotseam/admission/_pool.py
@@ -30,7 +30,15 @@
         Monotonic time.
     """
 
-    __slots__ = ("_bounds", "_queue", "_ranks", "_rates", "limit", "running")
+    __slots__ = (
+        "_bounds",
+        "_queue",
+        "_ranks",
+        "_rates",
+        "first_seconds",
+        "limit",
+        "running",
+    )
 
     def __init__(self, bounds, now):
         self._bounds = bounds
@@ -39,6 +47,8 @@
         self._ranks = {}
         self.limit = AdaptiveLimit(now)
         self.running = 0
+        # Time from the start to the first token.
+        self.first_seconds = 0.0
 
     @property
     def waiting(self):
@@ -73,12 +83,13 @@
             If the queue is full or the deadline cannot be met.
         """
         wait = self._rates.wait(work.rank, self._queue.cost_ahead(work))
-        if work.deadline <= now:
-            raise _overloaded("the deadline is past", 0.0)
-        if self._queue.count and now + wait >= work.deadline:
+        start_deadline = work.deadline - self.first_seconds
+        if start_deadline <= now:
+            raise _overloaded("the deadline cannot be met", wait)
+        if self._queue.count and now + wait >= start_deadline:
             raise _overloaded("the deadline cannot be met", wait)
         self._make_room(work, wait, room)
-        entry = Entry(work, on_decision)
+        entry = Entry(work, start_deadline, on_decision)
         self._queue.push(entry)
         return entry
 
