--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -9,21 +9,31 @@
 from apricotseam.clock import SystemClock
 from apricotseam.config import ConfigurationStore
 from apricotseam.execution import TransportLink
-from apricotseam.host._children import ConfigurationChild
 from apricotseam.host._children import ListenerChild
 from apricotseam.host._children import PeersChild
-from apricotseam.host._children import TargetsChild
+from apricotseam.host._configuration import ConfigurationChild
+from apricotseam.host._drain import Drain
 from apricotseam.host._execution import build_execution
 from apricotseam.host._execution import ClaimsChild
+from apricotseam.host._gate import Gate
+from apricotseam.host._hostlist import HostListChild
+from apricotseam.host._hostlist import HOSTS
+from apricotseam.host._leaving import LeavingChild
+from apricotseam.host._leaving import LINGER_SECONDS
 from apricotseam.host._loads import LoadsChild
 from apricotseam.host._orders import build_orders
 from apricotseam.host._policy import RequestPolicy
+from apricotseam.host._reports import ReportPlan
+from apricotseam.host._reports import TargetsChild
+from apricotseam.host._revisions import Revisions
 from apricotseam.host._shares import SharesChild
 from apricotseam.host._snapshots import Snapshots
 from apricotseam.host._tls import HostTls
+from apricotseam.membership import Facts
 from apricotseam.membership import Member
 from apricotseam.membership import Membership
 from apricotseam.membership import MembershipChild
+from apricotseam.membership import Spread
 from apricotseam.operators import build_operators_application
 from apricotseam.operators import OperatorContext
 from apricotseam.peers import ControlLoop
@@ -38,6 +48,8 @@
 from apricotseam.web import Listener
 
 MILLISECONDS = 1000
+WAIT_SECONDS = 0.2
+ESSENTIAL_CHILDREN = ("callers", "leaving", "membership", "peers")
 
 
 class EntryHost:
@@ -101,12 +113,29 @@
             execution=execution,
             retries=policy.retries,
         )
+        revisions = Revisions(loop, self.transport, self.snapshots)
         operators = OperatorContext(
-            settings, self._clock, store, self.snapshots, self.request_stop
+            settings,
+            self._clock,
+            store,
+            self.snapshots,
+            self.request_stop,
+            revisions.state,
         )
         host_list = HttpHostList(http, settings.host_list)
         self.membership = self._membership(loop)
-        self._callers_listener = self._callers(callers)
+        self._spread = spread = Spread(
+            loop, self.transport, lambda: self.membership.partners
+        )
+        self._configuration = ConfigurationChild(
+            service, store, spread, self.snapshots, self._clock
+        )
+        self._host_list = HostListChild(
+            host_list, spread, self.snapshots, self.membership, self._clock
+        )
+        self._gate = Gate(build_callers_application(callers))
+        self._leaving = self._planned_stop()
+        self._callers_listener = self._callers()
         self._supervisor = Supervisor(
             settings.host,
             [
@@ -114,12 +143,12 @@
                 PeersChild(loop, self.transport),
                 ClaimsChild(claim_batches),
                 self.membership,
-                ConfigurationChild(store, self.snapshots),
+                self._configuration,
+                self._host_list,
                 TargetsChild(
-                    host_list,
                     policy.engine,
                     self.snapshots,
-                    self.membership,
+                    ReportPlan(),
                     policy.chooser.watched,
                     plans,
                 ),
@@ -128,6 +157,7 @@
                     settings, self._clock, http, service, self.snapshots
                 ),
                 LoadsChild(http, policy, self.snapshots, self._clock),
+                self._leaving,
                 ListenerChild("operators", self._operators(operators)),
                 ListenerChild("callers", self._callers_listener),
             ],
@@ -152,12 +182,12 @@
         self._supervisor.start()
 
     def request_stop(self):
-        """Ask the process to end; returns at once."""
-        self._ended.set()
+        """Ask for a planned stop; returns at once."""
+        self._leaving.request()
 
     def wait(self):
-        """Wait until the process is asked to end."""
-        while not self._ended.wait(1.0):
+        """Wait until the planned stop is over or a child gave up."""
+        while not self._ended.wait(WAIT_SECONDS):
             pass
 
     def stop(self):
@@ -188,7 +218,7 @@
             self._clock,
             self._take_members,
         )
-        child.follow(self._facts, lambda address, revision: None)
+        child.follow(self._facts, self._hear)
         return child
 
     def _take_members(self, table):
@@ -199,13 +229,38 @@
         return [member.peers_address for member in live]
 
     def _facts(self):
+        self._configuration.update(self.membership.last_heard)
         configuration = self.snapshots.configuration
-        return (configuration.revision if configuration else 0, 0)
+        return Facts(
+            revision=configuration.revision if configuration else 0,
+            listed=self._host_list.revision,
+            load=self._gate.in_progress,
+        )
+
+    def _hear(self, peer, revision, listed):
+        self._configuration.hear(peer, revision)
+        self._spread.hear(peer, HOSTS, listed)
+
+    def _planned_stop(self):
+        bounds = self.settings.bounds
+        drain = Drain(
+            valid_seconds=bounds.address_valid_seconds,
+            margin_seconds=bounds.leaving_margin_seconds,
+            linger_seconds=LINGER_SECONDS,
+        )
+        return LeavingChild(
+            drain,
+            self._gate,
+            self.membership.announce_leaving,
+            self._ended.set,
+            self._clock,
+            bounds.stop_timeout_seconds,
+        )
 
-    def _callers(self, context):
+    def _callers(self):
         bounds = self.settings.bounds
         return Listener(
-            build_callers_application(context),
+            self._gate,
             self.settings.callers_address,
             threads=bounds.caller_threads,
             socket_timeout=bounds.socket_timeout_seconds,
@@ -222,4 +277,6 @@
 
     def _fail(self, name):
         self._failed.set()
-        self._ended.set()
+        self.request_stop()
+        if name in ESSENTIAL_CHILDREN:
+            self._ended.set()
--- a/apricotseam/host/_snapshots.py
+++ b/apricotseam/host/_snapshots.py
@@ -28,6 +28,7 @@
         "_random",
         "_settings",
         "configuration",
+        "is_isolated",
         "listed",
         "members",
         "targets",
@@ -36,6 +37,7 @@
     def __init__(self, settings):
         self._settings = settings
         self.configuration = None
+        self.is_isolated = False
         self.listed = {}
         self.members = MemberTable()
         self._random = random.Random()
@@ -89,6 +91,7 @@
                 address=member.callers_address,
                 availability_zone=member.availability_zone,
                 state=member.state.value,
+                peers_address=member.peers_address,
                 revision=(
                     revision
                     if member.peers_address == own
--- a/apricotseam/membership/_table.py
+++ b/apricotseam/membership/_table.py
@@ -122,17 +122,24 @@
         last = "" if is_end or not chosen else chosen[-1]
         return [self._by_address[address] for address in chosen], last
 
-    def newer_within(self, sync, count):
-        """Return records of a covered range that a peer does not have."""
-        theirs = {record.peers_address: record for record in sync.records}
-        found = []
+    def compare(self, sync, count):
+        """Return newer records than a peer's, and what it has newer."""
+        theirs = {key.address: key for key in sync.keys}
+        records = []
         for address in sorted(self._by_address):
             if address <= sync.after or (sync.last and address > sync.last):
                 continue
             record = self._by_address[address]
-            if record.supersedes(theirs.get(address)):
-                found.append(record)
-        return found[:count]
+            key = theirs.get(address)
+            if key is None or record.order > key.order:
+                records.append(record)
+        wanted = [
+            address
+            for address, key in theirs.items()
+            if address not in self._by_address
+            or key.order > self._by_address[address].order
+        ]
+        return records[:count], wanted[:count]
 
     def _defend(self, record):
         own = self.own
@@ -157,7 +164,9 @@
         was_dead = known is None or known.health == Health.DEAD
         if was_dead != (record.health == Health.DEAD):
             self._ring = None
-        self._updates.add(address, len(self._by_address))
+        is_state = known is None or known.state is not record.state
+        is_state = is_state or known.incarnation != record.incarnation
+        self._updates.add(address, len(self._by_address), is_state)
         self._suspected.pop(address, None)
         self._dead.pop(address, None)
         if record.health == Health.SUSPECT:
--- a/apricotseam/operators/_configuration.py
+++ b/apricotseam/operators/_configuration.py
@@ -1,5 +1,6 @@
 """Administration calls about the configuration."""
 
+import urllib.parse
 import uuid
 
 import msgspec
@@ -8,12 +9,16 @@
 from apricotseam.config import Change
 from apricotseam.config import load_scope_file
 from apricotseam.config import Role
+from apricotseam.errors import ApricotseamError
 from apricotseam.errors import ConflictError
 from apricotseam.errors import InvalidRequestError
 from apricotseam.errors import UnknownNameError
+from apricotseam.operators._attempts import RefusedAttempts
 from apricotseam.operators._context import require_role
 from apricotseam.web import Response
 
+DEFAULT_LISTED_ENTRIES = 50
+
 
 class ScopeAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """Text of a scope and the revision it was read at."""
@@ -23,6 +28,13 @@
     text: str
 
 
+class AuditAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Accepted changes, and attempts that the asked host refused."""
+
+    accepted: list[AuditEntry]
+    refused_here: list[AuditEntry]
+
+
 class ConfigurationCalls:
     """Checks, applies and reads operators' files.
 
@@ -34,6 +46,7 @@
 
     def __init__(self, context):
         self._context = context
+        self._refused = RefusedAttempts()
 
     def check(self, request):
         """Answer ``POST /v1/admin/check``."""
@@ -44,25 +57,19 @@
     def apply(self, request):
         """Answer ``PUT /v1/admin/scopes/{scope}``."""
         operator = require_role(request, self._context.settings, Role.APPLY)
-        text = _text(request)
-        scope = load_scope_file(text).scope
-        if scope != request.arguments["scope"]:
-            raise InvalidRequestError(
-                f"the file declares scope {scope!r}, not"
-                f" {request.arguments['scope']!r}",
-                "apply the file to the scope that it declares",
+        change_id = request.header("Change-Id") or uuid.uuid4().hex
+        try:
+            return Response.of(self._apply(request, operator, change_id))
+        except ApricotseamError as error:
+            self._refused.add(
+                operator=operator.name,
+                source=request.peer,
+                scope=request.arguments["scope"],
+                change_id=change_id,
+                wall_time=self._context.clock.wall(),
+                error=error,
             )
-        self._check_keys(scope, text)
-        change = Change(
-            change_id=request.header("Change-Id") or uuid.uuid4().hex,
-            operator=operator.name,
-            source=request.peer,
-            wall_time=self._context.clock.wall(),
-            scope=scope,
-            text=text,
-            base=_base(request),
-        )
-        return Response.of(self._context.store.apply(change))
+            raise
 
     def read(self, request):
         """Answer ``GET /v1/admin/scopes/{scope}``."""
@@ -94,9 +101,34 @@
     def audit(self, request):
         """Answer ``GET /v1/admin/audit``."""
         require_role(request, self._context.settings, Role.READ)
-        root, _ = self._context.store.read_root()
-        entries: list[AuditEntry] = root.audit
-        return Response.of(entries)
+        query = urllib.parse.parse_qs(request.query)
+        before = _number(query, "before", None)
+        limit = _number(query, "limit", DEFAULT_LISTED_ENTRIES)
+        accepted = self._context.store.list_changes(before, limit)
+        return Response.of(
+            AuditAnswer(accepted=accepted, refused_here=self._refused.newest)
+        )
+
+    def _apply(self, request, operator, change_id):
+        text = _text(request)
+        scope = load_scope_file(text).scope
+        if scope != request.arguments["scope"]:
+            raise InvalidRequestError(
+                f"the file declares scope {scope!r}, not"
+                f" {request.arguments['scope']!r}",
+                "apply the file to the scope that it declares",
+            )
+        self._check_keys(scope, text)
+        change = Change(
+            change_id=change_id,
+            operator=operator.name,
+            source=request.peer,
+            wall_time=self._context.clock.wall(),
+            scope=scope,
+            text=text,
+            base=_base(request),
+        )
+        return self._context.store.apply(change)
 
     def _check_keys(self, scope, text):
         configuration = self._context.snapshots.configuration
@@ -122,6 +154,17 @@
         ) from None
 
 
+def _number(query, name, default):
+    value = query.get(name, [None])[0]
+    if value is None:
+        return default
+    if not value.isdigit():
+        raise InvalidRequestError(
+            f"{name} {value!r} is no number", "send a number"
+        )
+    return int(value)
+
+
 def _base(request):
     value = request.header("Base-Revision")
     if value is None:
--- a/apricotseam/peers/_servant.py
+++ b/apricotseam/peers/_servant.py
@@ -1,9 +1,11 @@
 """Server side of the calls between hosts."""
 
 import logging
+import weakref
 
 import grpclib.const
 import grpclib.exceptions
+import grpclib.server
 
 from apricotseam.peers._errors import PeerMessageError
 from apricotseam.peers import _peers_grpc
@@ -13,6 +15,25 @@
 MAX_OPEN_STREAMS = 256
 
 
+class ClosingServer(grpclib.server.Server):
+    """Server that also closes the connections it accepted."""
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self._accepted = weakref.WeakSet()
+
+    def _protocol_factory(self):
+        protocol = super()._protocol_factory()
+        self._accepted.add(protocol)
+        return protocol
+
+    def close_accepted(self):
+        """Close every accepted connection."""
+        for protocol in list(self._accepted):
+            if getattr(protocol, "connection", None) is not None:
+                protocol.connection.close()
+
+
 class Servant(_peers_grpc.PeersBase):
     """Checks the sender of each message and dispatches it.
 
--- a/apricotseam/peers/_transport.py
+++ b/apricotseam/peers/_transport.py
@@ -5,7 +5,6 @@
 import logging
 
 import grpclib.exceptions
-import grpclib.server
 import msgspec
 
 from apricotseam.peers._channels import Channels
@@ -16,6 +15,7 @@
 from apricotseam.peers._errors import PeerUnreachableError
 from apricotseam.peers import _peers_grpc
 from apricotseam.peers import _peers_pb2
+from apricotseam.peers._servant import ClosingServer
 from apricotseam.peers._servant import Servant
 
 _LOG = logging.getLogger(__name__)
@@ -191,7 +191,7 @@
 
     async def _start(self):
         host, port = self._address.rsplit(":", 1)
-        self._server = grpclib.server.Server(
+        self._server = ClosingServer(
             [Servant(self.dispatch)], config=make_configuration()
         )
         context = self._tls_context("server")
@@ -203,6 +203,7 @@
         self._channels.close_all()
         if self._server is not None:
             self._server.close()
+            self._server.close_accepted()
             await self._server.wait_closed()
 
     async def _pump(self, address, queue):
