--- a/apricotseam/cli/tests/test_main.py
+++ b/apricotseam/cli/tests/test_main.py
@@ -1,5 +1,6 @@
 """Help, exit codes and messages of the command line."""
 
+import logging
 import pathlib
 
 import pytest
@@ -14,6 +15,16 @@
 )
 
 
+@pytest.fixture(autouse=True)
+def usual_logging():
+    """Put the root logger's handlers back after a command set its own."""
+    root = logging.getLogger()
+    handlers, level = list(root.handlers), root.level
+    yield
+    root.handlers[:] = handlers
+    root.setLevel(level)
+
+
 @pytest.mark.parametrize(
     ("arguments", "code", "words"),
     [
