--- a/apricotseam/execution/tests/fakes.py
+++ b/apricotseam/execution/tests/fakes.py
@@ -4,7 +4,6 @@
 
 from apricotseam.errors import AnswerLostError
 from apricotseam.errors import ServiceUnavailableError
-from apricotseam.execution._shards import shard_of
 from apricotseam.execution import KeyRuns
 from apricotseam.execution import PeerLink
 from apricotseam.execution import ShardStore
@@ -147,9 +146,9 @@
         assert len(value) < 1 << 20
         found = self.values.get(key)
         if (found.version if found else 0) != version:
-            return False
+            return 0
         self.values[key] = Versioned(key, value, version + 1)
-        return True
+        return version + 1
 
     def _call(self, action):
         self.calls += 1
@@ -171,8 +170,7 @@
         self._store = store
 
     def claim(self, entry):
-        number = shard_of(entry.identifier)
-        return self._store.claim(number, [entry])[0]
+        return self._store.claim(entry.shard, [entry])[0]
 
 
 class FakeHost:
