--- /dev/null
+++ b/apricotseam/routing/tests/test_observed.py
@@ -0,0 +1,126 @@
+"""What the observed engine tells the chooser of the calls it carries."""
+
+import pytest
+
+from apricotseam.clock import ManualClock
+from apricotseam.errors import AnswerLostError
+from apricotseam.platform import EngineReport
+from apricotseam.platform import Step
+from apricotseam.routing._observed import IDLE_STREAM_SECONDS
+from apricotseam.routing._observed import SAMPLE_SECONDS
+from apricotseam.routing import Chooser
+from apricotseam.routing import ObservedEngine
+
+A = "10.0.0.1:1"
+
+
+class Notes(Chooser):
+    """Keeps the feedback calls."""
+
+    def __init__(self):
+        self.calls = []
+        self.loads = []
+
+    def choose_chain(self, table, model, demand):
+        """Not used."""
+
+    def choose_target(self, table, demand):
+        """Not used."""
+
+    def started(self, address):
+        self.calls.append("started")
+
+    def ended(self, address):
+        self.calls.append("ended")
+
+    def observed(self, address, is_success, seconds):
+        self.calls.append("success" if is_success else "failure")
+
+    def reported(self, address, load):
+        self.loads.append(load)
+
+
+class FakeEngine:
+    """An engine's client that fails on demand and takes time."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.fails = False
+
+    def run_steps(self, address, steps, deadline):
+        self.clock.advance(SAMPLE_SECONDS)
+        if self.fails:
+            raise AnswerLostError("no answer", "ask")
+        return []
+
+    def cancel(self, address, stream, deadline):
+        pass
+
+    def report(self, address, deadline):
+        return EngineReport(
+            name="e",
+            model="m",
+            version="v",
+            first=0,
+            last=3,
+            accelerator="a",
+            queued_steps=0,
+            running_streams=7,
+            max_batch=4,
+            step_seconds=0.02,
+        )
+
+
+def observed(report_lag=0.0):
+    """Return an observed engine with its notes, engine and clock."""
+    clock = ManualClock(100.0)
+    notes, engine = Notes(), FakeEngine(clock)
+    return ObservedEngine(engine, notes, clock, report_lag), notes, engine
+
+
+def step(stream, position=0):
+    """Return one step of a stream."""
+    return Step(
+        stream=stream,
+        attempt=1,
+        position=position,
+        payload="",
+        model="m",
+        version="v",
+        first=0,
+        last=3,
+    )
+
+
+def test_stream_counts_from_its_first_step_until_it_is_cancelled():
+    engine, notes, _ = observed()
+    engine.run_steps(A, [step("s", 0)], None)
+    engine.run_steps(A, [step("s", 1)], None)
+    engine.cancel(A, "s", None)
+    engine.cancel(A, "s", None)
+    assert notes.calls.count("started") == notes.calls.count("ended") == 1
+
+
+def test_stream_that_is_never_cancelled_ends_when_idle():
+    engine, notes, inner = observed()
+    engine.run_steps(A, [step("s")], None)
+    inner.clock.advance(IDLE_STREAM_SECONDS)
+    engine.run_steps(A, [step("other")], None)
+    assert notes.calls.count("started") == 2
+    assert notes.calls.count("ended") == 1
+
+
+def test_every_failure_is_told():
+    engine, notes, inner = observed()
+    inner.fails = True
+    for _ in range(3):
+        with pytest.raises(AnswerLostError):
+            engine.run_steps(A, [step("s")], None)
+    assert notes.calls.count("failure") == 3
+
+
+def test_report_is_dated_by_its_lag():
+    engine, notes, _ = observed(report_lag=2.0)
+    engine.report(A, None)
+    (load,) = notes.loads
+    assert (load.running, load.read_at) == (7, 98.0)
