--- a/apricotseam/cli/_commands.py
+++ b/apricotseam/cli/_commands.py
@@ -1,5 +1,6 @@
 """Commands of the program."""
 
+import difflib
 import logging
 import os
 import pathlib
@@ -9,6 +10,7 @@
 import msgspec
 
 from apricotseam.cli._output import show
+from apricotseam.cli._wait import wait_for_revision
 from apricotseam.client import HostClient
 from apricotseam.client import ResumingAnswer
 from apricotseam.config import AuditEntry
@@ -19,6 +21,7 @@
 from apricotseam.errors import InvalidInputError
 from apricotseam.host import EntryHost
 from apricotseam.logs import configure_logging
+from apricotseam.operators import ScopeAnswer
 from apricotseam import standins
 from apricotseam.web import HttpClient
 
@@ -65,7 +68,7 @@
     print(f"{file}: scope {scope_file.scope} is valid")
 
 
-def apply(file, *, host, change_id="", base=-1, output="table"):
+def apply(file, *, host, change_id="", base=-1, wait=False, output="table"):
     """Replace one scope whole by a file.
 
     Parameters
@@ -78,6 +81,8 @@
         Identifier of the change; a repeat with it is not applied again.
     base : int
         Revision that the file was written for; -1 for any.
+    wait : bool
+        Wait until every present host has the change in force.
     output : str
         ``table`` or ``json``.
     """
@@ -96,6 +101,34 @@
         headers,
     )
     show(entry, output)
+    if wait:
+        wait_for_revision(_operator(host), entry.revision)
+
+
+def diff(file, *, host):
+    """Show how a file differs from its scope in force.
+
+    Parameters
+    ----------
+    file : str
+        The YAML file.
+    host : str
+        Operators' address of any host, ``ip:port``.
+    """
+    text = pathlib.Path(file).read_text()
+    scope = load_scope_file(text, file).scope
+    answer = _operator(host).call(
+        "GET", f"/v1/admin/scopes/{scope}", ScopeAnswer
+    )
+    lines = difflib.unified_diff(
+        answer.text.splitlines(),
+        text.splitlines(),
+        f"{scope} at revision {answer.revision}",
+        file,
+        lineterm="",
+    )
+    for line in lines:
+        print(line)
 
 
 def change(change_id, *, host, output="table"):
@@ -130,17 +163,24 @@
     show(_operator(host).call("GET", "/v1/admin/status", dict), output)
 
 
-def audit(*, host, output="table"):
-    """Show the newest changes, accepted and refused.
+def audit(*, host, before=0, limit=50, output="table"):
+    """Show changes, newest first, and what the asked host refused.
 
     Parameters
     ----------
     host : str
         Operators' address of any host, ``ip:port``.
+    before : int
+        Only changes of lower revisions; 0 for the newest.
+    limit : int
+        Greatest number of changes.
     output : str
         ``table`` or ``json``.
     """
-    show(_operator(host).call("GET", "/v1/admin/audit", list), output)
+    path = f"/v1/admin/audit?limit={limit}"
+    if before:
+        path += f"&before={before}"
+    show(_operator(host).call("GET", path, dict), output)
 
 
 def drain(*, host):
--- a/apricotseam/membership/_messages.py
+++ b/apricotseam/membership/_messages.py
@@ -6,10 +6,15 @@
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True):
-    """Probe of a member, with changed records."""
+    """Probe of a member, with changed records.
+
+    ``revision`` is that of the sender's configuration and ``listed`` that
+    of its listed hosts.
+    """
 
     number: int
     revision: int
+    listed: int
     records: list[Member] = []
 
 
@@ -18,6 +23,7 @@
 
     number: int
     revision: int
+    listed: int
     records: list[Member] = []
 
 
@@ -28,8 +34,22 @@
     address: str
 
 
+class RecordKey(msgspec.Struct, frozen=True, array_like=True):
+    """Address and age of one record."""
+
+    address: str
+    incarnation: int
+    sequence: int
+    health: int
+
+    @property
+    def order(self):
+        """Key by which the newer of two records is found."""
+        return (self.incarnation, self.sequence, self.health)
+
+
 class Sync(msgspec.Struct, frozen=True, array_like=True):
-    """Records of a range of addresses, to be compared by the receiver.
+    """Keys of a range of addresses, to be compared by the receiver.
 
     ``after`` is the address before the range and ``last`` its end; an
     empty ``last`` means the end of the table.
@@ -37,13 +57,14 @@
 
     after: str
     last: str
-    records: list[Member]
+    keys: list[RecordKey]
 
 
 class SyncAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """Newer records than those of a `Sync`."""
+    """Records that the sender of a `Sync` lacks, and those it has newer."""
 
     records: list[Member]
+    wanted: list[str] = []
 
 
 class TableRequest(msgspec.Struct, frozen=True, array_like=True):
