Split the capacity script and the load tool; keep an interrupted run's results

Change: roles and the load's connection in modules of their own; an interrupt ends a run early and keeps what was done.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -48,6 +48,7 @@
         write_results(results, pathlib.Path(output))
     else:
         keep(results)
+    _say(f"{sum(o.seconds for o in results.outcomes):.0f} s in all")
     lines = unmet(results, chosen)
     for line in lines:
         print("NOT MET:", line)
--- a/measure/_capacity_page.py
+++ b/measure/_capacity_page.py
@@ -7,7 +7,7 @@
 from measure._capacity import platform_calls
 from measure._capacity import processes
 from measure._capacity import request_cores
-from measure._capacity import roles
+from measure._roles import roles
 from measure._tables import NOT_MEASURED
 from measure._tables import number
 from measure._tables import replace_marked
--- a/measure/_runner.py
+++ b/measure/_runner.py
@@ -28,11 +28,18 @@
 
 
 def run_all(runs, say=print):
-    """Run everything in the given order and return the `Results`."""
+    """Run everything in the given order and return the `Results`.
+
+    An interrupt ends the run early; what was done until then is returned.
+    """
     revision = code_revision()
     outcomes = []
     for number, run in enumerate(runs, 1):
-        outcome = run_one(run, revision)
+        try:
+            outcome = run_one(run, revision)
+        except KeyboardInterrupt:
+            say("interrupted")
+            break
         outcomes.append(outcome)
         state = outcome.error or f"{len(outcome.figures)} figures"
         say(
--- a/measure/tests/test_capacity.py
+++ b/measure/tests/test_capacity.py
@@ -11,7 +11,6 @@
 from measure._capacity import Costs
 from measure._capacity import processes
 from measure._capacity import request_cores
-from measure._capacity import roles
 from measure._capacity_page import CARRIERS
 from measure._capacity_page import over_bound
 from measure._capacity_page import write_page
@@ -20,6 +19,7 @@
 from measure._fleet import load_fleet
 from measure._results import Outcome
 from measure._results import results_here
+from measure._roles import roles
 
 PAGE = pathlib.Path(__file__).parents[2] / "docs" / "CAPACITY.md"
 FLEET = msgspec.structs.replace(
