--- a/apricotseam/cli/_main.py
+++ b/apricotseam/cli/_main.py
@@ -15,6 +15,7 @@
     _commands.check,
     _commands.apply,
     _commands.change,
+    _commands.diff,
     _commands.status,
     _commands.audit,
     _commands.drain,
--- a/apricotseam/membership/_membership.py
+++ b/apricotseam/membership/_membership.py
@@ -8,6 +8,7 @@
 from apricotseam.membership._messages import Ack
 from apricotseam.membership._messages import Ping
 from apricotseam.membership._messages import PingRequest
+from apricotseam.membership._messages import RecordKey
 from apricotseam.membership._messages import Sync
 from apricotseam.membership._messages import SyncAnswer
 from apricotseam.membership._messages import TablePage
@@ -22,7 +23,7 @@
 SYNC_PERIOD_SECONDS = 2.0
 REVIVE_PERIOD_SECONDS = 3.0
 LOAD_PERIOD_SECONDS = 1.0
-MEMBERS_A_FACT_SECOND = 25
+MEMBERS_A_FACT_SECOND = 10
 INDIRECT_PROBES = 2
 MAX_SEEDS = 64
 MAX_SYNC_RECORDS = 64
@@ -68,6 +69,7 @@
         self._next_fact = now
         self._revision = own.revision
         self._load = own.load
+        self._listed = 0
         self._last_heard = None
 
     @property
@@ -106,14 +108,15 @@
             others = self._random.sample(others, MAX_SEEDS)
         self._seeds = others
 
-    def set_facts(self, revision, load):
-        """Take the revision in force and the load of this host.
+    def set_facts(self, facts):
+        """Take the `Facts` of this host.
 
         They are published at a rate that falls as the membership grows,
         so that all such facts together stay within a fixed rate.
         """
-        self._revision = max(self._revision, revision)
-        self._load = load
+        self._revision = max(self._revision, facts.revision)
+        self._listed = max(self._listed, facts.listed)
+        self._load = facts.load
 
     def announce_leaving(self):
         """Publish that this host is leaving; return the messages."""
@@ -148,7 +151,9 @@
         if isinstance(message, PingRequest):
             return self._relay(sender, message, now)
         if isinstance(message, Sync):
-            return self._compare(sender, message, now)
+            return self._compare(sender, message)
+        if isinstance(message, SyncAnswer):
+            return self._take_sync_answer(sender, message, now)
         if isinstance(message, TableRequest):
             return self._answer_page(sender, message)
         self._merge(message.records, now)
@@ -171,14 +176,19 @@
             records.append(self.own)
         if known is not None and known.health != Health.ALIVE:
             records.append(known)
-        return [(sender, Ack(message.number, self._revision, records))]
+        return [
+            (
+                sender,
+                Ack(message.number, self._revision, self._listed, records),
+            )
+        ]
 
     def _take_ack(self, message, now):
         relayed = self._relayed.pop(message.number, None)
         if relayed is not None:
             self._merge(message.records, now)
             asker, number, _ = relayed
-            return [(asker, Ack(number, self._revision, []))]
+            return [(asker, Ack(number, self._revision, self._listed, []))]
         probe = self._probes.pop(message.number, None)
         known = self._records.get(probe.address) if probe else None
         self._merge(message.records, now)
@@ -194,12 +204,24 @@
         self._number += 1
         deadline = now + INDIRECT_TIMEOUT_SECONDS
         self._relayed[self._number] = (sender, message.number, deadline)
-        return [(message.address, Ping(self._number, self._revision, []))]
+        return [
+            (
+                message.address,
+                Ping(self._number, self._revision, self._listed, []),
+            )
+        ]
 
-    def _compare(self, sender, message, now):
-        newer = self._records.newer_within(message, MAX_SYNC_RECORDS)
+    def _compare(self, sender, message):
+        records, wanted = self._records.compare(message, MAX_SYNC_RECORDS)
+        if not records and not wanted:
+            return []
+        return [(sender, SyncAnswer(records, wanted))]
+
+    def _take_sync_answer(self, sender, message, now):
         self._merge(message.records, now)
-        return [(sender, SyncAnswer(newer))] if newer else []
+        found = map(self._records.get, message.wanted[:MAX_SYNC_RECORDS])
+        records = [record for record in found if record is not None]
+        return [(sender, SyncAnswer(records))] if records else []
 
     def _answer_page(self, sender, message):
         records, last = self._records.page(message.after, MAX_SYNC_RECORDS)
@@ -258,7 +280,10 @@
             records.append(self.own)
         if known is not None and known.health != Health.ALIVE:
             records.append(known)
-        return (address, Ping(self._number, self._revision, records))
+        return (
+            address,
+            Ping(self._number, self._revision, self._listed, records),
+        )
 
     def _sync(self, now):
         partners = self.partners
@@ -267,7 +292,11 @@
         jitter = 0.5 + self._random.random()
         self._next_sync = now + SYNC_PERIOD_SECONDS * jitter
         records, last = self._records.page(self._sync_cursor, MAX_SYNC_RECORDS)
-        sync = Sync(self._sync_cursor, last, records)
+        keys = [
+            RecordKey(r.peers_address, r.incarnation, r.sequence, r.health)
+            for r in records
+        ]
+        sync = Sync(self._sync_cursor, last, keys)
         self._sync_cursor = last
         return [(self._random.choice(partners), sync)]
 
--- a/apricotseam/membership/_updates.py
+++ b/apricotseam/membership/_updates.py
@@ -3,7 +3,8 @@
 import heapq
 import math
 
-RETRANSMIT_FACTOR = 3
+STATE_FACTOR = 3
+FACT_FACTOR = 1
 MAX_QUEUED_UPDATES = 4096
 
 
@@ -13,9 +14,9 @@
     Examples
     --------
     >>> queue = UpdateQueue()
-    >>> queue.add("a", 2)
-    >>> queue.take(8), queue.take(8)
-    (['a'], ['a'])
+    >>> queue.add("a", 2, is_state=False)
+    >>> queue.take(8), queue.take(8), queue.take(8)
+    (['a'], ['a'], [])
     """
 
     __slots__ = ("_left",)
@@ -26,7 +27,7 @@
     def __len__(self):
         return len(self._left)
 
-    def add(self, address, members):
+    def add(self, address, members, is_state=True):
         """Pass on the record of an address from now on.
 
         Parameters
@@ -35,13 +36,16 @@
             Peers' address of the record.
         members : int
             Number of members, which sets how often it is passed on.
+        is_state : bool
+            Whether the state changed; other facts are passed on less
+            often, since the comparison of tables repairs a loss.
         """
-        self._left.pop(address, None)
+        before = self._left.pop(address, 0)
         if len(self._left) >= MAX_QUEUED_UPDATES:
             self._left.pop(next(iter(self._left)))
-        self._left[address] = RETRANSMIT_FACTOR * math.ceil(
-            math.log2(members + 1)
-        )
+        factor = STATE_FACTOR if is_state else FACT_FACTOR
+        hops = math.ceil(math.log2(members + 1))
+        self._left[address] = max(before, factor * hops)
 
     def take(self, count):
         """Return up to `count` addresses, least often passed on first."""
--- a/apricotseam/peers/__init__.py
+++ b/apricotseam/peers/__init__.py
@@ -4,7 +4,6 @@
 from apricotseam.peers._errors import PeerMessageError
 from apricotseam.peers._errors import PeerUnreachableError
 from apricotseam.peers._loop import ControlLoop
-from apricotseam.peers._tls import peer_tls_context
 from apricotseam.peers._transport import Nothing
 from apricotseam.peers._transport import PeerTransport
 from apricotseam.peers._transport import Traffic
@@ -17,5 +16,4 @@
     "PeerTransport",
     "PeerUnreachableError",
     "Traffic",
-    "peer_tls_context",
 ]
