Count the calls to the platform by availability zones

Cause: a few hosts of each availability zone read for all, so that calls follow zones and a line over hosts of one zone says nothing of the fleet.

--- a/measure/_capacity.py
+++ b/measure/_capacity.py
@@ -87,8 +87,12 @@
         ),
         ("host list", "calls a second to the host list", None),
     ):
-        calls = costs.line("slopes-platform", label, fleet.hosts)
-        rows.append((f"{part}, nothing changes", calls, bound, label))
+        by_zones = f"{label} by zones"
+        calls = costs.line(
+            "slopes-platform", by_zones, fleet.availability_zones
+        ) + fleet.hosts * max(0.0, costs.get("slopes-platform", label))
+        slopes = f"{label}; {by_zones}"
+        rows.append((f"{part}, nothing changes", calls, bound, slopes))
     rows.append(
         (
             "key-value service, changes of the configuration",
--- a/measure/_roles.py
+++ b/measure/_roles.py
@@ -116,8 +116,9 @@
         messages=f"{number(fleet.changes_per_second)} changes a second",
         processor=fleet.changes_per_second * change,
         memory=fleet.customers * customer,
-        mechanism="content-addressed chunks and one root; a host loads a"
-        " scope whole when it changes",
+        mechanism="a few readers of each availability zone by rank watch the"
+        " root; the rest take it and its content-addressed chunks from peers;"
+        " a scope is loaded whole when it changed",
         experiments=("slopes-platform", "slopes-state"),
     )
 
--- a/measure/_scope.py
+++ b/measure/_scope.py
@@ -10,7 +10,8 @@
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 KEY_PREFIX = "demo-key-"
-ZONES = ("zone-a", "zone-b", "zone-c")
+ZONES = tuple(f"zone-{letter}" for letter in "abcdefg")
+USUAL_ZONES = 3
 
 
 def example_scope(name):
@@ -20,7 +21,14 @@
 
 
 def synthetic_scope(
-    *, chains=2, stages=2, layers=32, customers=10, services=1, models=1
+    *,
+    chains=2,
+    stages=2,
+    layers=32,
+    customers=10,
+    services=1,
+    models=1,
+    zones=USUAL_ZONES,
 ):
     """Return a scope of any size as plain data.
 
@@ -32,10 +40,15 @@
         Ranges that the layers are cut into.
     layers, customers, services, models : int
         Their numbers; the service has one server each.
+    zones : int
+        Availability zones, at most seven.
     """
     names = [f"model-{number}" for number in range(models)]
-    groups = [_engine_group(name, chains, stages, layers) for name in names]
-    groups.append(_service_group(services))
+    groups = [
+        _engine_group(name, chains, stages, layers, ZONES[:zones])
+        for name in names
+    ]
+    groups.append(_service_group(services, ZONES[:zones]))
     return {
         "scope": "measured",
         "models": [
@@ -65,7 +78,7 @@
     return yaml.dump(scope, Dumper=dumper, sort_keys=False)
 
 
-def _engine_group(model, chains, stages, layers):
+def _engine_group(model, chains, stages, layers, zones):
     width = layers // stages
     targets = []
     for chain in range(chains):
@@ -77,7 +90,7 @@
                 {
                     "name": f"{model}-engine-{number}",
                     "address": _address(1, number),
-                    "availability_zone": ZONES[chain % len(ZONES)],
+                    "availability_zone": zones[chain % len(zones)],
                     "layers": {"first": first, "last": last},
                 }
             )
@@ -89,12 +102,12 @@
     }
 
 
-def _service_group(count):
+def _service_group(count, zones):
     targets = [
         {
             "name": f"server-{number}",
             "address": _address(2, number),
-            "availability_zone": ZONES[number % len(ZONES)],
+            "availability_zone": zones[number % len(zones)],
         }
         for number in range(count)
     ]
--- a/measure/slopes/_service.py
+++ b/measure/slopes/_service.py
@@ -12,6 +12,7 @@
 
 WATCHED_SECONDS = 4.0
 SETTLE_SECONDS = 2.0
+HOSTS_A_ZONE = 2
 IN_FORCE_TIMEOUT_SECONDS = 10.0
 
 
@@ -21,7 +22,7 @@
 
 
 @functools.lru_cache
-def _idle(hosts):
+def _idle(hosts, zones=1):
     """Return what a system spends a second while nothing happens.
 
     Returns
@@ -30,7 +31,8 @@
         Calls to each part, and the share of a core of a host in percent.
     """
     parts = ("key-value", "host-list", "model-0-engine-0")
-    with System(synthetic_scope(chains=1, stages=1), hosts=hosts) as system:
+    scope = synthetic_scope(chains=zones, stages=1, zones=zones)
+    with System(scope, hosts=hosts) as system:
         time.sleep(SETTLE_SECONDS)
         pids = [system.pid(host) for host in system.hosts]
         calls = {part: _calls(system, part) for part in parts}
@@ -49,6 +51,10 @@
     return _idle(hosts)[name]
 
 
+def _rate_of_zones(name, zones):
+    return _idle(HOSTS_A_ZONE * zones, zones)[name]
+
+
 def _change_calls(changes):
     """Return the calls to the key-value service of a number of changes."""
     scope = synthetic_scope(chains=1, stages=1)
@@ -112,6 +118,18 @@
         per="host",
         measure=functools.partial(_idle_rate, "host-list"),
     ),
+    Slope(
+        name="calls a second to the key-value service by zones",
+        unit="1/s",
+        per="availability zone",
+        measure=functools.partial(_rate_of_zones, "key-value"),
+    ),
+    Slope(
+        name="calls a second to the host list by zones",
+        unit="1/s",
+        per="availability zone",
+        measure=functools.partial(_rate_of_zones, "host-list"),
+    ),
     Slope(
         name="calls a second to an engine",
         unit="1/s",
