--- a/apricotseam/execution/_claims.py
+++ b/apricotseam/execution/_claims.py
@@ -12,6 +12,8 @@
 from apricotseam.errors import ApricotseamError
 from apricotseam.errors import ServiceUnavailableError
 from apricotseam.execution._messages import ASK_TIMEOUT_SECONDS
+from apricotseam.execution._metrics import CLAIM_BATCHES
+from apricotseam.execution._metrics import CLAIMS
 from apricotseam.execution._shards import decode_shard
 from apricotseam.execution._shards import encode_shard
 from apricotseam.execution._shards import Entry
@@ -177,6 +179,8 @@
             batch = self._take(number)
             if not batch:
                 return
+            CLAIM_BATCHES.inc()
+            CLAIMS.inc(len(batch))
             try:
                 holders = self._store.claim(number, [e for e, _ in batch])
             except Exception as error:
--- a/apricotseam/execution/_execution.py
+++ b/apricotseam/execution/_execution.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from apricotseam.errors import InvalidRequestError
+from apricotseam.errors import OutcomeUnknownError
+from apricotseam.execution._metrics import REQUESTS
 
 
 class ExecutionRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -93,7 +95,28 @@
                 "send one of the two with each copy",
             )
         if request.ticket:
-            return self._tickets.run_once(request, run)
+            return _counted("ticket", self._tickets, request, run)
         if request.key:
-            return self._keys.run_once(request, run)
+            return _counted("key", self._keys, request, run)
+        REQUESTS.labels("neither", "run").inc()
         return run()
+
+
+def _counted(way, runs, request, run):
+    """Run a request once and count how this copy was settled."""
+    settled = "refused"
+
+    def run_here():
+        nonlocal settled
+        settled = "run"
+        return run()
+
+    try:
+        response = runs.run_once(request, run_here)
+        settled = "copy" if settled == "refused" else settled
+        return response
+    except OutcomeUnknownError:
+        settled = "unknown"
+        raise
+    finally:
+        REQUESTS.labels(way, settled).inc()
