--- a/apricotseam/admission/_flows.py
+++ b/apricotseam/admission/_flows.py
@@ -24,7 +24,8 @@
     The flow with the lowest tag goes next and its tag rises by the cost
     over the weight. A flow that was idle keeps a credit of a few requests
     at most, so that short gaps between a small customer's requests do not
-    cost it its share, and begins anew after that.
+    cost it its share. When nothing waits, virtual time rises to the highest
+    tag, so that all flows begin alike and none has to be kept.
 
     Parameters
     ----------
--- a/apricotseam/operators/_status.py
+++ b/apricotseam/operators/_status.py
@@ -4,6 +4,7 @@
 import prometheus_client
 
 from apricotseam.config import Role
+from apricotseam.errors import InvalidRequestError
 from apricotseam.operators._context import require_role
 from apricotseam.web import Response
 
@@ -16,6 +17,7 @@
     availability_zone: str
     state: str
     revision: int
+    peers_address: str = ""
 
 
 class Status(msgspec.Struct, frozen=True, kw_only=True):
@@ -26,6 +28,14 @@
     targets: list[dict]
 
 
+class SpreadState(msgspec.Struct, frozen=True, kw_only=True):
+    """Which hosts have a revision in force and which lag behind."""
+
+    revision: int
+    hosts: int
+    lagging: list[HostStatus]
+
+
 class StatusCalls:
     """Status, drain and metrics.
 
@@ -64,6 +74,16 @@
             )
         )
 
+    def wait(self, request):
+        """Answer ``GET /v1/admin/revisions/{revision}``."""
+        require_role(request, self._context.settings, Role.READ)
+        value = request.arguments["revision"]
+        if not value.isdigit():
+            raise InvalidRequestError(
+                f"revision {value!r} is no number", "send a revision number"
+            )
+        return Response.of(self._context.spread_state(int(value)))
+
     def drain(self, request):
         """Answer ``POST /v1/admin/drain``."""
         require_role(request, self._context.settings, Role.OPERATE)
