--- a/apricotseam/orders/_placed.py
+++ b/apricotseam/orders/_placed.py
@@ -1,9 +1,22 @@
 """Layers of engines for which the operators' file names none."""
 
+import functools
+
+import msgspec
+
 from apricotseam.pipelines import Holder
 from apricotseam.pipelines import plan_placement
 
 
+MAX_CACHED = 16
+
+
+class _Size(msgspec.Struct, frozen=True):
+    """Number of layers of a model."""
+
+    layers: int
+
+
 def placed_layers(scope_file, group, model, states):
     """Return the layers of engines that the file leaves to the planner.
 
@@ -37,22 +50,29 @@
         if state is None or kind is None or state.leaving or state.suspect:
             continue
         holders.append(_holder(target, state, kind, model))
-    links = {
-        frozenset(link.between): link.tokens_per_second
+    links = tuple(
+        (*sorted(link.between), link.tokens_per_second)
         for link in scope_file.links
-    }
+    )
     limit = scope_file.weight_store.loads_per_minute
-    moves = plan_placement(model, holders, links, limit, 0.0).moves
+    moves = _first_move(_Size(model.layers), tuple(holders), links, limit)
     placed = {
         holder.target: (holder.first, holder.last)
         for holder in holders
         if holder.target in open_names and holder.first is not None
     }
-    for move in moves[:1]:
+    for move in moves:
         placed[move.target] = (move.first, move.last)
     return placed
 
 
+@functools.lru_cache(MAX_CACHED)
+def _first_move(size, holders, links, limit):
+    """Return the first move or none; computed once for equal inputs."""
+    pairs = {frozenset((a, b)): rate for a, b, rate in links}
+    return plan_placement(size, holders, pairs, limit, 0.0, 1).moves
+
+
 def _holder(target, state, kind, model):
     """Return the accelerator of a target with the layers it holds."""
     first = last = None
--- a/apricotseam/pipelines/_placement.py
+++ b/apricotseam/pipelines/_placement.py
@@ -51,7 +51,9 @@
     after: float
 
 
-def plan_placement(model, holders, links, loads_per_minute, now):
+def plan_placement(
+    model, holders, links, loads_per_minute, now, max_moves=MAX_MOVES
+):
     """Return the moves that raise the flow by more than they cost.
 
     Holders without layers are given some first. A holder that serves is
@@ -71,6 +73,8 @@
         Limit of the weight store.
     now : float
         Monotonic time in seconds.
+    max_moves : int
+        Bound on the number of moves.
 
     Returns
     -------
@@ -80,7 +84,7 @@
     before = search.flow()
     load_seconds = SECONDS_PER_MINUTE / loads_per_minute
     moves = []
-    while len(moves) < MAX_MOVES:
+    while len(moves) < max_moves:
         wait = load_seconds * len(moves)
         found = search.best_move(wait + load_seconds)
         if found is None:
@@ -132,14 +136,21 @@
     def best_move(self, cost_seconds):
         """Return holder, layers and gain of the best move, or None."""
         before = self.flow()
-        spread = self._spread(None)
+        _, spread = self._layers(None)
         best = None
         for holder in self._representatives():
-            lost = before - self.flow(_placed(holder, (None, None)))
+            lost = None
             for layers in self._ranges(holder):
                 changed = _placed(holder, layers)
-                gain = self.flow(changed) - before
-                evenness = self._spread(changed) - spread
+                scarcest, evenness = self._layers(changed)
+                evenness -= spread
+                if not _may_be_worth(holder, scarcest, before):
+                    continue
+                gain = 0.0
+                if scarcest > before:
+                    gain = self.flow(changed) - before
+                if lost is None:
+                    lost = before - self.flow(_placed(holder, (None, None)))
                 if not _is_worth(
                     holder, gain, evenness, before, lost * cost_seconds
                 ):
@@ -175,8 +186,8 @@
             and (first, end - 1) != (holder.first, holder.last)
         ]
 
-    def _spread(self, changed):
-        """Return how evenly layers are held; more is better."""
+    def _layers(self, changed):
+        """Return the scarcest layer's rate and how evenly all are held."""
         rates = [0.0] * self._model.layers
         for holder in self._holders.values():
             if changed is not None and holder.target == changed.target:
@@ -185,7 +196,14 @@
                 continue
             for layer in range(holder.first, holder.last + 1):
                 rates[layer] += _rate(holder)
-        return sum(math.log1p(rate) for rate in rates)
+        return min(rates), sum(math.log1p(rate) for rate in rates)
+
+
+def _may_be_worth(holder, scarcest, before):
+    """Return whether a move can be worth it; no flow is computed."""
+    if holder.first is None or before <= 0.0:
+        return True
+    return scarcest >= (1.0 + MIN_GAIN_SHARE) * before
 
 
 def _is_worth(holder, gain, evenness, before, cost):
