--- a/apricotseam/pipelines/_recovery.py
+++ b/apricotseam/pipelines/_recovery.py
@@ -1,66 +1,20 @@
 """Brings a stream on after one of its stages failed."""
 
-import abc
 import logging
 
 from apricotseam.errors import ApricotseamError
 from apricotseam.errors import FailedError
 from apricotseam.errors import NoTargetError
-from apricotseam.errors import TargetError
+from apricotseam.pipelines._detection import Detection
 from apricotseam.pipelines._metrics import RECOVERIES
 from apricotseam.pipelines._metrics import RECOVERY_SECONDS
-from apricotseam.pipelines._progress import decide
 from apricotseam.pipelines._progress import Decision
-from apricotseam.pipelines._progress import Evidence
-from apricotseam.pipelines._progress import read_word
-from apricotseam.pipelines._progress import Word
 from apricotseam.pipelines._stages import RecoveryTimes
 from apricotseam.pipelines._stages import StepFailure
 
 _LOG = logging.getLogger(__name__)
 
 MAX_REPLACEMENTS = 8
-POLL_SECONDS = 0.02
-OUTWAIT_BOUNDS = 8
-OUTWAIT_POLL_SECONDS = 0.1
-_REUSABLE = (Word.UNKNOWN_STREAM, Word.ELSEWHERE)
-
-
-class StageChooser(abc.ABC):
-    """Chooses what takes the place of a stage that failed."""
-
-    @abc.abstractmethod
-    def replace(self, chain, stage, excluded):
-        """Return stages of the chain's version that cover the layers.
-
-        Parameters
-        ----------
-        chain : Chain
-            Chain with model and version.
-        stage : Stage
-            The stage that is given up.
-        excluded : frozenset of str
-            Names of targets that must not be used.
-
-        Returns
-        -------
-        tuple of Stage
-
-        Raises
-        ------
-        NoTargetError
-            If no targets cover just these layers.
-        """
-
-
-class NoReplacement(StageChooser):
-    """Never finds a replacement."""
-
-    def replace(self, chain, stage, excluded):
-        """Raise `NoTargetError`."""
-        raise NoTargetError(
-            f"nothing replaces stage {stage.target}", "send the request again"
-        )
 
 
 class RestartNeeded(Exception):
@@ -93,10 +47,9 @@
         self._calls = calls
         self._times = times
         self._clock = clock
-        self._wait = wait
+        self._detection = Detection(engine, calls, times, clock, wait, plan)
         self._plan = plan
         self._chooser = chooser
-        self._is_reusable = False
         self.abandoned = []
 
     def settle(self, progress, index, position, failure, started):
@@ -128,7 +81,7 @@
         RestartNeeded
             If the inputs of the stage are not recorded any more.
         """
-        decision, result = self._detect(
+        decision, result = self._detection.detect(
             progress, index, position, failure, started
         )
         if decision is Decision.TAKE:
@@ -150,13 +103,11 @@
         progress.excluded.add(old.target)
         for _ in range(MAX_REPLACEMENTS):
             started = self._clock.monotonic()
-            try:
-                stages = self._choose(progress, old, failure)
-            except FailedError:
-                if decision is not Decision.IMPORT:
-                    raise
-                result = self._outwait(progress, index, position, failure)
-                return index, [result]
+            stages = self._choose(progress, old)
+            if stages is None and decision is Decision.IMPORT:
+                return index, [self._outwait(progress, index, position)]
+            if stages is None:
+                break
             spent.choose += self._clock.monotonic() - started
             started = self._clock.monotonic()
             try:
@@ -170,89 +121,28 @@
                 self.abandoned.append(old)
                 self._observe(old, spent)
                 return index + len(stages) - 1, results
-        raise _given_up(old, failure)
-
-    def _detect(self, progress, index, position, failure, started):
-        stage = progress.stages[index]
-        stall_deadline = started + self._times.stall(stage.address)
-        word = Word.NOT_ASKED
-        result = None
-        symptom = failure.symptom
-        while True:
-            evidence = Evidence(
-                symptom=symptom, stall_deadline=stall_deadline, word=word
-            )
-            decision = decide(evidence, self._clock.monotonic())
-            if decision is Decision.WAIT:
-                self._wait(POLL_SECONDS)
-                word = Word.NOT_ASKED
-            elif decision is Decision.ASK:
-                word, result = self._ask(progress, index, position)
-                self._is_reusable = word in _REUSABLE
-            elif decision is Decision.SEND:
-                try:
-                    return Decision.TAKE, self._send_again(
-                        progress, index, position
-                    )
-                except StepFailure as again:
-                    symptom = again.symptom
-                    if self._clock.monotonic() >= stall_deadline:
-                        return Decision.REPLAY, None
-                    word = Word.NOT_ASKED
-            else:
-                return decision, result
+        RECOVERIES.labels("none").inc()
+        raise _given_up(old, failure.found)
 
-    def _send_again(self, progress, index, position):
-        """Send a step that provably was not sent before."""
-        return self._calls.send(
-            progress.stages[index],
-            self._plan.stream,
-            progress.attempt(index),
-            position,
-            progress.last_input(index),
-        )
-
-    def _ask(self, progress, index, position):
-        stage = progress.stages[index]
-        try:
-            answer = self._engine.position(
-                stage.address, self._plan.stream, self._deadline(stage)
-            )
-        except TargetError:
-            if position == 0:
-                return Word.BEFORE, None
-            return Word.UNKNOWN_STREAM, None
-        except ApricotseamError:
-            return Word.SILENT, None
-        attempt = progress.attempt(index)
-        return read_word(answer, attempt, position), answer.last
-
-    def _choose(self, progress, old, failure):
+    def _choose(self, progress, old):
+        """Return stages that take over, or None if there are none."""
         excluded = frozenset(progress.excluded)
         try:
             return self._chooser.replace(self._plan.chain, old, excluded)
         except NoTargetError:
-            if not self._is_reusable:
-                RECOVERIES.labels("none").inc()
-                raise _given_up(old, failure) from None
-        self._is_reusable = False
+            if not self._detection.is_reusable:
+                return None
+        self._detection.is_reusable = False
         self._forget(old)
         return (old,)
 
-    def _outwait(self, progress, index, position, failure):
-        """Wait for a stage that is slow when nothing can replace it."""
-        stage = progress.stages[index]
-        seconds = OUTWAIT_BOUNDS * self._times.bound_seconds
-        deadline = self._clock.monotonic() + seconds
-        while self._clock.monotonic() < deadline:
-            word, result = self._ask(progress, index, position)
-            if word is Word.DONE:
-                RECOVERIES.labels("outwait").inc()
-                return result
-            if word is not Word.BEFORE:
-                break
-            self._wait(OUTWAIT_POLL_SECONDS)
-        raise _given_up(stage, failure)
+    def _outwait(self, progress, index, position):
+        result = self._detection.outwait(progress, index, position)
+        if result is None:
+            RECOVERIES.labels("none").inc()
+            raise _given_up(progress.stages[index], "it does not go on")
+        RECOVERIES.labels("outwait").inc()
+        return result
 
     def _forget(self, stage):
         """Have a stage that lost its place drop the stream."""
@@ -348,9 +238,9 @@
         _LOG.info("stage_recovered", extra=fields)
 
 
-def _given_up(stage, failure):
+def _given_up(stage, found):
     return FailedError(
-        f"stage {stage.target} failed ({failure.found}) and no other target"
+        f"stage {stage.target} failed ({found}) and no other target"
         " holds its layers",
         "send the request again with the resume handle",
     )
--- a/apricotseam/pipelines/_runner.py
+++ b/apricotseam/pipelines/_runner.py
@@ -8,10 +8,10 @@
 from apricotseam.pipelines._cancel import Canceller
 from apricotseam.pipelines._carrier import StepCarrier
 from apricotseam.pipelines._chain import Chain
+from apricotseam.pipelines._choosing import NoReplacement
 from apricotseam.pipelines._progress import Decision
 from apricotseam.pipelines._progress import RECORDED_BYTES
 from apricotseam.pipelines._progress import StreamProgress
-from apricotseam.pipelines._recovery import NoReplacement
 from apricotseam.pipelines._recovery import Recovery
 from apricotseam.pipelines._recovery import RestartNeeded
 from apricotseam.pipelines._stages import StageCalls
