--- a/apricotseam/admission/_fair.py
+++ b/apricotseam/admission/_fair.py
@@ -15,6 +15,7 @@
 CAPACITY_SECONDS = 1.0
 SPARE_SHARE = 8
 MIN_SPARE_THREADS = 2
+FIRST_TOKEN_STEPS = 2.0
 
 
 class FairPermit(Permit):
@@ -121,7 +122,7 @@
             self._show(key, pool)
         if entry.is_started:
             return entry
-        decided.wait(max(0.0, work.deadline - now))
+        decided.wait(max(0.0, entry.start_deadline - now))
         with self._lock:
             if entry.is_started:
                 return entry
@@ -163,6 +164,7 @@
         capacity = pool_capacity(self._table().usable(*key))
         if capacity is not None:
             pool.limit.resize(capacity.streams, self._hosts())
+            pool.first_seconds = FIRST_TOKEN_STEPS * capacity.token_seconds
 
     def _show(self, key, pool):
         self._metrics.show(key, pool)
--- a/measure/_decisions.py
+++ b/measure/_decisions.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from apricotseam.admission import pool_capacity
 from apricotseam.admission import PoolScheduler
 from apricotseam.admission import QueueBounds
 from apricotseam.admission import Work
@@ -220,9 +221,10 @@
         self._order = itertools.count()
         self._waiting = []
         self.results = []
-        streams = sum(s.max_batch for s in specs) * len(RANGES) * 1.5
+        capacity = pool_capacity(self._table.usable("s", "g"))
         for host in self.hosts:
-            host.pool.limit.resize(streams, hosts)
+            host.pool.limit.resize(capacity.streams, hosts)
+            host.pool.first_seconds = 2.0 * capacity.token_seconds
 
     @property
     def bound(self):
@@ -272,7 +274,7 @@
             return
         entry.on_decision = lambda: self._displaced(result)
         self._waiting.append((host, entry, result))
-        self._at(work.deadline, self._expire, host, entry, result)
+        self._at(entry.start_deadline, self._expire, host, entry, result)
         self._take(host)
 
     def _displaced(self, result):
