--- a/apricotseam/pipelines/_maxflow.py
+++ b/apricotseam/pipelines/_maxflow.py
@@ -49,15 +49,13 @@
         """Return the flow on an edge."""
         return self._capacity[edge ^ 1]
 
-    def solve(self, source, sink, cost_bound=float("inf")):
+    def solve(self, source, sink):
         """Send the maximum flow of least cost and return its value.
 
         Parameters
         ----------
         source, sink : hashable
             Nodes; at least one edge on every path must be bounded.
-        cost_bound : float
-            Paths that cost as much or more are not used.
         """
         if source not in self._nodes or sink not in self._nodes:
             return 0.0
@@ -67,8 +65,6 @@
             path = self._cheapest_path(start, end)
             if path is None:
                 return total
-            if sum(self._cost[edge] for edge in path) >= cost_bound:
-                return total
             amount = min(self._capacity[edge] for edge in path)
             for edge in path:
                 self._capacity[edge] -= amount
--- a/apricotseam/pipelines/_planner.py
+++ b/apricotseam/pipelines/_planner.py
@@ -5,19 +5,18 @@
 from apricotseam.pipelines._chain import Chain
 from apricotseam.pipelines._decompose import decompose
 from apricotseam.pipelines._decompose import expand
+from apricotseam.pipelines._maxflow import EPSILON
 from apricotseam.pipelines._maxflow import FlowNetwork
 
-PRICE_ROUNDS = 24
-FIT_EVERY = 4
-_OVER = 1.0 + 1e-6
+LINK_ROUNDS = 8
 UNBOUNDED = float("inf")
 
 
 class ChainPlan(msgspec.Struct, frozen=True, kw_only=True):
     """Chains with their weights in tokens per second.
 
-    ``bound`` is at least the highest flow that the hardware allows; it is
-    exact unless boundaries share a scarce link.
+    ``bound`` is the maximum flow when each layer boundary may use a link
+    wholly; it is reached unless boundaries share a scarce link.
     """
 
     chains: tuple[tuple[Chain, float], ...] = ()
@@ -56,7 +55,8 @@
     """
     groups = _groups(stages, rates)
     solver = _Solver(model.layers, groups, links)
-    bound, flows = solver.within_links()
+    bound = solver.solve({})
+    flows = solver.within_links(bound)
     paths = decompose(flows, groups, model.layers)
     chains = expand(model.name, version, paths, groups)
     return ChainPlan(chains=tuple(chains), bound=bound)
@@ -91,7 +91,7 @@
         self._boundaries = sorted(starts & ends)
         self._flows = {}
 
-    def solve(self, shares, prices=None):
+    def solve(self, shares):
         """Return the flow when boundaries have these shares of links.
 
         Parameters
@@ -99,8 +99,6 @@
         shares : dict
             Capacity by boundary and pair of zones, both ways together;
             the whole link where it is left out.
-        prices : dict of frozenset to float, optional
-            Price of a crossing in tokens, by pair of zones.
         """
         network = FlowNetwork()
         edges = {}
@@ -111,17 +109,16 @@
                 ("in", first, zone), ("out", last + 1, zone), rate
             )
         for boundary in self._boundaries:
-            self._add_links(network, edges, boundary, shares, prices)
+            self._add_links(network, edges, boundary, shares)
         for zone in self._zones:
             network.add_edge("source", ("in", 0, zone), UNBOUNDED)
             end = ("out", self._layers, zone)
             network.add_edge(end, "sink", UNBOUNDED)
-        highest = UNBOUNDED if prices is None else 1.0
-        total = network.solve("source", "sink", highest)
+        total = network.solve("source", "sink")
         self._flows = {key: network.flow(edge) for key, edge in edges.items()}
         return total
 
-    def _add_links(self, network, edges, boundary, shares, prices):
+    def _add_links(self, network, edges, boundary, shares):
         for zone in self._zones:
             out = ("out", boundary, zone)
             network.add_edge(out, ("in", boundary, zone), UNBOUNDED)
@@ -133,66 +130,31 @@
                 share = shares.get((boundary, zone, other), whole)
                 if share <= 0.0:
                     continue
-                cost = _price(whole)
-                if prices is not None:
-                    cost = prices.get(pair, 0.0)
                 edges[(boundary, zone, other)] = network.add_edge(
-                    out, ("in", boundary, other), share, cost
+                    out, ("in", boundary, other), share, _price(whole)
                 )
 
-    def within_links(self):
-        """Return a bound and flows that share links within bounds.
+    def within_links(self, bound):
+        """Return flows in which boundaries share links within bounds.
 
-        Where boundaries together use a link too much, prices of crossings
-        are raised by subgradient steps. Each round's dual value bounds the
-        flow; the mean of the rounds' flows says how boundaries share.
+        Shares follow the use of the round before; the best round is
+        kept.
         """
-        bound = self.solve({})
-        flows = self._flows
-        used = self._used(flows)
-        if all(used[p] <= self._links[p] * _OVER for p in used):
-            return bound, flows
-        total, flows = self._fit(flows)
-        prices = dict.fromkeys(used, 0.0)
-        mean = {}
-        for number in range(1, PRICE_ROUNDS + 1):
-            dual = self._dual(prices)
-            bound = min(bound, dual)
-            if total >= bound / _OVER:
-                break
-            current = self._flows
-            for key, flow in current.items():
-                old = mean.get(key, 0.0)
-                mean[key] = old + (flow - old) * 2.0 / (number + 1)
-            self._raise_prices(prices, self._used(current), dual - total)
-            if number % FIT_EVERY == 0:
-                fitted, fitted_flows = self._fit(mean)
-                if fitted > total:
-                    total, flows = fitted, fitted_flows
-        return bound, flows
-
-    def _dual(self, prices):
-        """Return the flow's value less prices, plus the links' worth."""
-        total = self.solve({}, prices)
-        used = self._used(self._flows)
-        return total + sum(
-            price * (self._links[pair] - used.get(pair, 0.0))
-            for pair, price in prices.items()
-        )
-
-    def _raise_prices(self, prices, used, gap):
-        over = {p: used.get(p, 0.0) - self._links[p] for p in prices}
-        norm = sum(excess * excess for excess in over.values())
-        if norm <= 0.0:
-            return
-        step = max(gap, 0.0) / norm
-        for pair, excess in over.items():
-            prices[pair] = min(1.0, max(0.0, prices[pair] + step * excess))
-
-    def _fit(self, flows):
-        """Return value and flows when shares follow given flows."""
-        total = self.solve(self._shares(flows, self._used(flows)))
-        return total, self._flows
+        best, best_flows = -1.0, {}
+        total = bound
+        for _ in range(LINK_ROUNDS):
+            flows = self._flows
+            used = self._used(flows)
+            over = max(
+                (used[pair] / self._links[pair] for pair in used), default=0.0
+            )
+            if over <= 1.0 + EPSILON:
+                if total > best * (1.0 + EPSILON):
+                    best, best_flows = total, flows
+                if total >= bound * (1.0 - EPSILON) or best > total:
+                    break
+            total = self.solve(self._shares(flows, used))
+        return best_flows
 
     def _used(self, flows):
         used = {}
