--- a/apricotseam/config/_settings.py
+++ b/apricotseam/config/_settings.py
@@ -57,6 +57,7 @@
     step_timeout_seconds: Positive = 0.5
     report_lag_seconds: Annotated[float, msgspec.Meta(ge=0, le=60)] = 0.0
     address_valid_seconds: Positive = 30.0
+    leaving_margin_seconds: Positive = 5.0
     stop_timeout_seconds: Positive = 120.0
 
 
--- a/apricotseam/demo/_system.py
+++ b/apricotseam/demo/_system.py
@@ -72,7 +72,9 @@
         self._tls = tls
         self._load_seconds = load_seconds
         self._bounds = bounds or Bounds(
-            caller_threads=16, address_valid_seconds=1.0
+            caller_threads=16,
+            address_valid_seconds=1.0,
+            leaving_margin_seconds=1.0,
         )
         self.texts = [self._with_standins(text) for text in files]
         self._zones = list(zones)
@@ -142,6 +144,8 @@
         new = self.add_host(f"{name}-next", zone)
         self.wait_until(lambda: new.is_ready)
         del self.hosts[name]
+        old.request_stop()
+        old.wait()
         old.stop()
         self.host_list.remove(name)
         return new
--- a/apricotseam/operators/_context.py
+++ b/apricotseam/operators/_context.py
@@ -26,16 +26,28 @@
         Configuration, targets and members in force.
     drain : callable
         Starts a planned stop of this host.
+    spread_state : callable
+        Returns the `SpreadState` of a revision over all hosts.
     """
 
-    __slots__ = ("clock", "drain", "settings", "snapshots", "store")
+    __slots__ = (
+        "clock",
+        "drain",
+        "settings",
+        "snapshots",
+        "spread_state",
+        "store",
+    )
 
-    def __init__(self, settings, clock, store, snapshots, drain):
+    def __init__(
+        self, settings, clock, store, snapshots, drain, spread_state=None
+    ):
         self.settings = settings
         self.clock = clock
         self.store = store
         self.snapshots = snapshots
         self.drain = drain
+        self.spread_state = spread_state
 
 
 def require_role(request, settings, role):
