--- a/apricotseam/platform/_engine.py
+++ b/apricotseam/platform/_engine.py
@@ -72,6 +72,7 @@
     versions: list[str] = []
     adapters: list[str] = []
     role: str = "both"
+    leaving: bool = False
     loading: str | None = None
 
 
--- a/apricotseam/routing/_merge.py
+++ b/apricotseam/routing/_merge.py
@@ -40,6 +40,7 @@
 def _declared(scope, group, target, listed, reports):
     host = listed.get(target.address)
     leaving = target.leaving or (host is not None and host.state == LEAVING)
+    leaving = leaving or _says_leaving(reports.get(target.address))
     report = reports.get(target.address)
     layers = target.layers
     return TargetState(
@@ -72,6 +73,10 @@
     return report.version
 
 
+def _says_leaving(report):
+    return report is not None and report.leaving
+
+
 def _joined(scope, group, host, reports):
     report = reports.get(host.address)
     is_engine = group.kind is TargetKind.ENGINE
@@ -82,7 +87,7 @@
         scope=scope,
         group=group.name,
         kind=group.kind,
-        leaving=host.state == LEAVING,
+        leaving=host.state == LEAVING or _says_leaving(report),
         suspect=is_engine and report is None,
         accelerator=report.accelerator if report else None,
         first=report.first if report else None,
--- a/apricotseam/standins/_engine.py
+++ b/apricotseam/standins/_engine.py
@@ -43,6 +43,7 @@
     checks_fencing: bool = False
     event_gap_every: int = 0
     end_after: int = 0
+    leaving: bool = False
     load_seconds: float = 0.0
     weight_store: str | None = None
     adapters: list[str] = []
@@ -291,6 +292,7 @@
                     adapters=list(options.adapters),
                     role=options.role,
                     loading=self._loads.version,
+                    leaving=options.leaving,
                 )
             )
 
