Let first requests wait for a share that is being asked for, and clients for refusals

Cause: after a host's death the demonstration's customers came to hosts that held no share of their limit; one request asked the owner, the others that came meanwhile were refused within their limit, and the client did not take the remedy that a refusal names. Change: requests wait for the question that is under way, at most its timeout; the client waits as told, up to 2 s, and goes on; the demonstration's callers turn over the hosts as address answers do. Conclusion: a customer within its limit is not refused for arriving together.

--- a/apricotseam/admission/_shared.py
+++ b/apricotseam/admission/_shared.py
@@ -40,6 +40,7 @@
         self._fleet = fleet
         self._lock = threading.Lock()
         self._asks = {}
+        self._under_way = {}
         name = f"{transport.address}/{transport.incarnation}"
         now = clock.monotonic()
         self._holder = ShareHolder(name, now)
@@ -112,20 +113,45 @@
     def _ask_first(self, customer):
         """Ask for a share if there is none yet; return whether there is.
 
-        Only the first requests of a customer at this host wait for this,
-        not more than one of them at a time.
+        One of the first requests of a customer at this host asks; the
+        others that come meanwhile wait for its answer.
         """
         with self._lock:
             now = self._refresh()
-            if self._holder.has_loan(customer, now):
-                return False
-            if self._asks.get(customer, 0.0) > now:
-                return False
-            if len(self._asks) >= MAX_ASKS:
-                self._asks.clear()
-            self._asks[customer] = now + ASK_AGAIN_SECONDS
-            owner = self._owner.owners.owner(customer)
-            report = self._holder.report_of(customer, now)
+            under_way = self._under_way.get(customer)
+            if under_way is None:
+                report = self._begin_ask(customer, now)
+        if under_way is not None:
+            under_way.wait(ASK_TIMEOUT_SECONDS)
+            return self._has_loan(customer)
+        if report is None:
+            return False
+        try:
+            return self._ask_owner(customer, report, now)
+        finally:
+            with self._lock:
+                under_way = self._under_way.pop(customer)
+            under_way.set()
+
+    def _begin_ask(self, customer, now):
+        """Return the report to ask with, or None; called with the lock."""
+        if self._holder.has_loan(customer, now):
+            return None
+        if self._asks.get(customer, 0.0) > now:
+            return None
+        if len(self._asks) >= MAX_ASKS:
+            self._asks.clear()
+        self._asks[customer] = now + ASK_AGAIN_SECONDS
+        self._under_way[customer] = threading.Event()
+        return self._holder.report_of(customer, now)
+
+    def _has_loan(self, customer):
+        with self._lock:
+            now = self._clock.monotonic()
+            return self._holder.has_loan(customer, now)
+
+    def _ask_owner(self, customer, report, now):
+        owner = self._owner.owners.owner(customer)
         if owner is None:
             return False
         if owner == self._transport.address:
--- a/apricotseam/client/_ask.py
+++ b/apricotseam/client/_ask.py
@@ -15,6 +15,8 @@
 IDLE_SECONDS = 5.0
 ROUNDS = 3
 PAUSE_SECONDS = 0.2
+# Seconds after which a refusal that names a longer time is passed on.
+MAX_WAIT_SECONDS = 2.0
 RESUME_HEADER = "Apricotseam-Resume"
 PATH = "/v1/chat/completions"
 TRY_ELSEWHERE = ("not_configured", "host_leaving", "no_target", "failed")
@@ -104,8 +106,14 @@
             self._handle = got.get(RESUME_HEADER, self._handle)
             yield from self._read_lines(lines)
         except RemoteError as error:
-            if error.code not in TRY_ELSEWHERE:
+            if error.code in TRY_ELSEWHERE:
+                return
+            if (
+                error.retry_after is None
+                or error.retry_after > MAX_WAIT_SECONDS
+            ):
                 raise
+            time.sleep(error.retry_after)
         except (UnreachableError, *_LOST):
             return
 
--- a/apricotseam/demo/_checks.py
+++ b/apricotseam/demo/_checks.py
@@ -1,6 +1,7 @@
 """Checks of the demonstration: each shows one promise under a fault."""
 
 import concurrent.futures
+import itertools
 import uuid
 
 import msgspec
@@ -16,6 +17,7 @@
 from apricotseam.web import HttpClient
 
 LAYERS = 32
+_TURN = itertools.count()
 COPIES = 3
 
 
@@ -196,7 +198,12 @@
 
 
 def _addresses(system):
-    return [host.settings.callers_address for host in system.hosts.values()]
+    """Return the callers' addresses, each time from another one on."""
+    addresses = [
+        host.settings.callers_address for host in system.hosts.values()
+    ]
+    first = next(_TURN) % len(addresses)
+    return addresses[first:] + addresses[:first]
 
 
 def _book(address, key, headers):
