Bound the recorded inputs of all answers of a host

Cause: the bound held for one answer, so that a full host could keep gigabytes. Conclusion: a test with eight answers over the bound finds them whole after a death, and the budget empty at the end.

--- a/apricotseam/pipelines/_progress.py
+++ b/apricotseam/pipelines/_progress.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from apricotseam.pipelines._budget import RecordBudget
+
 RECORDED_BYTES = 4 << 20
 ASK_FIRST_CODES = frozenset({"stopped", "wrong_position"})
 
@@ -120,11 +122,14 @@
         Stages of the chain in layer order.
     bound_bytes : int
         Bound on the recorded inputs of later stages.
+    budget : RecordBudget, optional
+        Bound on those of all streams.
     """
 
     __slots__ = (
         "_attempts",
         "_bound_bytes",
+        "_budget",
         "_bytes",
         "_highest_attempt",
         "_last_inputs",
@@ -133,11 +138,12 @@
         "excluded",
     )
 
-    def __init__(self, stages, bound_bytes=RECORDED_BYTES):
+    def __init__(self, stages, bound_bytes=RECORDED_BYTES, budget=None):
         self._stages = list(stages)
         self._attempts = [1] * len(self._stages)
         self._inputs = [[] for _ in self._stages]
         self._bound_bytes = bound_bytes
+        self._budget = budget or RecordBudget()
         self._bytes = 0
         self._highest_attempt = 1
         self._last_inputs = [None] * len(self._stages)
@@ -176,9 +182,8 @@
         if index > 0:
             if not self.is_complete:
                 return
-            self._bytes += sum(map(len, payloads))
-            if self._bytes > self._bound_bytes:
-                self._drop()
+            if not self._take(sum(map(len, payloads))):
+                self.drop()
                 return
         self._inputs[index].extend(payloads)
 
@@ -221,7 +226,17 @@
         """Return whether a stage's first inputs were dropped."""
         return len(self._inputs[index]) < count
 
-    def _drop(self):
+    def _take(self, count):
+        if self._bytes + count > self._bound_bytes:
+            return False
+        if not self._budget.take(count):
+            return False
+        self._bytes += count
+        return True
+
+    def drop(self):
+        """Drop the inputs of later stages and record no more of them."""
+        self._budget.give_back(self._bytes)
         self._bound_bytes = -1
         self._bytes = 0
         for index in range(1, len(self._inputs)):
--- a/apricotseam/pipelines/_runner.py
+++ b/apricotseam/pipelines/_runner.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from apricotseam.delivery import ReorderBuffer
+from apricotseam.pipelines._budget import RecordBudget
+from apricotseam.pipelines._budget import TOTAL_RECORDED_BYTES
 from apricotseam.pipelines._cancel import Canceller
 from apricotseam.pipelines._carrier import StepCarrier
 from apricotseam.pipelines._chain import Chain
@@ -63,6 +65,8 @@
         Waits for a number of seconds.
     recorded_bytes : int, optional
         Bound on the recorded inputs of one stream in bytes.
+    total_recorded_bytes : int, optional
+        Bound on those of all streams in bytes.
     """
 
     def __init__(
@@ -73,6 +77,7 @@
         carrier=None,
         wait=time.sleep,
         recorded_bytes=RECORDED_BYTES,
+        total_recorded_bytes=TOTAL_RECORDED_BYTES,
     ):
         self._engine = engine
         self._clock = clock
@@ -81,6 +86,7 @@
         self._canceller = Canceller(engine, clock)
         self._wait = wait
         self._recorded_bytes = recorded_bytes
+        self.budget = RecordBudget(total_recorded_bytes)
 
     def step_seconds(self, address):
         """Return the observed seconds of a step at a stage, or None."""
@@ -132,7 +138,7 @@
 
     def progress(self, stages):
         """Return an empty `StreamProgress` over stages."""
-        return StreamProgress(stages, self._recorded_bytes)
+        return StreamProgress(stages, self._recorded_bytes, self.budget)
 
     def now(self):
         """Return the monotonic time in seconds."""
@@ -174,7 +180,8 @@
             return []
 
     def close(self):
-        """Have all stages drop the stream."""
+        """Have all stages drop the stream; forget its inputs."""
+        self._progress.drop()
         stages = [*self._progress.stages, *self._recovery.abandoned]
         self._runner.cancel(stages, self._plan.stream)
 
--- a/apricotseam/pipelines/tests/test_runner.py
+++ b/apricotseam/pipelines/tests/test_runner.py
@@ -1,5 +1,6 @@
 """Answers over chains whose stages fail."""
 
+import msgspec
 import pytest
 
 from apricotseam.clock import ManualClock
@@ -26,7 +27,12 @@
 class System:
     """An engine with a runner over targets ``a`` and ``b``."""
 
-    def __init__(self, recorded_bytes=1 << 20, **changes):
+    def __init__(
+        self,
+        recorded_bytes=1 << 20,
+        total_recorded_bytes=1 << 20,
+        **changes,
+    ):
         self.engine = LayerEngine(RANGES, LAYERS)
         self.clock = ManualClock()
         self.runner = ChainRunner(
@@ -35,6 +41,7 @@
             0.5,
             wait=self.clock.advance,
             recorded_bytes=recorded_bytes,
+            total_recorded_bytes=total_recorded_bytes,
         )
         stages = (self.engine.stage("a"), self.engine.stage("b"))
         self.plan = StreamPlan(
@@ -89,6 +96,26 @@
     check_whole(system, system.run())
 
 
+def test_recorded_inputs_of_all_streams_are_bounded():
+    system = System(total_recorded_bytes=100)
+    tokens = [
+        system.runner.run(
+            msgspec.structs.replace(system.plan, stream=f"s{number}"),
+            RangeChooser(system.engine),
+        )
+        for number in range(8)
+    ]
+    for _ in range(TOKENS // 2):
+        for one in tokens:
+            next(one)
+        assert system.runner.budget.used_bytes <= 100
+    assert system.runner.budget.used_bytes > 0
+    system.engine.dead.add("b")
+    whole = answer(LAYERS, "hello", TOKENS)[TOKENS // 2 :]
+    assert [[t.text for t in one] for one in tokens] == [whole] * 8
+    assert system.runner.budget.used_bytes == 0
+
+
 def test_every_replacement_fails_too():
     system = System()
     faults = {"b": ["", "die"], "b2": ["die"], "b3": ["lose"]}
