--- a/apricotseam/host/_reports.py
+++ b/apricotseam/host/_reports.py
@@ -5,7 +5,7 @@
 import time
 
 from apricotseam.errors import ApricotseamError
-from apricotseam.routing import merge_targets
+from apricotseam.routing import TargetMerger
 from apricotseam.supervision import Child
 
 _LOG = logging.getLogger(__name__)
@@ -75,7 +75,7 @@
         self._snapshots = snapshots
         self._plan = plan
         self._reports = {}
-        self._built_from = None
+        self._merger = TargetMerger()
         self._asked = set()
         self._pool = concurrent.futures.ThreadPoolExecutor(
             MAX_PARALLEL_REPORTS, thread_name_prefix="reports"
@@ -109,12 +109,9 @@
                 self._pool.submit(self._ask, address)
 
     def _swap(self, configuration):
-        reports = dict(self._reports)
-        sources = (configuration, self._snapshots.listed, reports)
-        if sources == self._built_from:
-            return
-        self._built_from = sources
-        self._snapshots.targets = merge_targets(*sources)
+        self._snapshots.targets = self._merger.merge(
+            configuration, self._snapshots.listed, self._reports
+        )
 
     def _ask(self, address):
         deadline = time.monotonic() + REPORT_TIMEOUT_SECONDS
--- a/apricotseam/routing/_merge.py
+++ b/apricotseam/routing/_merge.py
@@ -2,6 +2,7 @@
 
 from apricotseam.config import TargetKind
 from apricotseam.platform import LEAVING
+from apricotseam.platform import ListedHost
 from apricotseam.routing._table import TargetState
 from apricotseam.routing._table import TargetTable
 
@@ -25,21 +26,60 @@
     -------
     TargetTable
     """
-    states = []
+    states = [
+        make_state(source, listed, reports)
+        for source in _all_sources(configuration, listed)
+    ]
+    return TargetTable(states)
+
+
+def make_state(source, listed, reports):
+    """Return the state of a target from one of its sources."""
+    scope, group, target = source
+    if isinstance(target, ListedHost):
+        return _joined(scope, group, target, reports)
+    return _declared(scope, group, target, listed, reports)
+
+
+def sources_of(configuration, listed, addresses):
+    """Return the sources of targets by address.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The configuration in force.
+    listed : dict of str to ListedHost
+        Host list by address.
+    addresses : set of str
+        Addresses that are looked for.
+
+    Returns
+    -------
+    dict of str to list of (str, Group, Target or ListedHost)
+    """
+    found = {}
+    for source in _all_sources(configuration, listed):
+        address = source[2].address
+        if address in addresses:
+            found.setdefault(address, []).append(source)
+    return found
+
+
+def _all_sources(configuration, listed):
     for scope, scope_file in configuration.scopes.items():
         for group in scope_file.groups:
             declared = {target.address for target in group.targets}
             for target in group.targets:
-                states.append(_declared(scope, group, target, listed, reports))
+                yield scope, group, target
             for host in listed.values():
                 if host.group == group.name and host.address not in declared:
-                    states.append(_joined(scope, group, host, reports))
-    return TargetTable(states)
+                    yield scope, group, host
 
 
 def _declared(scope, group, target, listed, reports):
     host = listed.get(target.address)
     leaving = target.leaving or (host is not None and host.state == LEAVING)
+    leaving = leaving or _says_leaving(reports.get(target.address))
     report = reports.get(target.address)
     layers = target.layers
     return TargetState(
@@ -72,6 +112,10 @@
     return report.version
 
 
+def _says_leaving(report):
+    return report is not None and report.leaving
+
+
 def _joined(scope, group, host, reports):
     report = reports.get(host.address)
     is_engine = group.kind is TargetKind.ENGINE
@@ -82,7 +126,7 @@
         scope=scope,
         group=group.name,
         kind=group.kind,
-        leaving=host.state == LEAVING,
+        leaving=host.state == LEAVING or _says_leaving(report),
         suspect=is_engine and report is None,
         accelerator=report.accelerator if report else None,
         first=report.first if report else None,
