--- a/apricotseam/membership/tests/test_membership.py
+++ b/apricotseam/membership/tests/test_membership.py
@@ -1,11 +1,13 @@
 """Tests of the membership protocol over a simulated network."""
 
+import pathlib
 import random
 
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 import pytest
+import yaml
 
 from apricotseam.membership import Member
 from apricotseam.membership import Membership
@@ -130,6 +132,24 @@
     assert net.settle()
 
 
+def test_partition_and_heal_trace():
+    path = pathlib.Path(__file__).parents[3] / "traces/partition-heal.yaml"
+    trace = yaml.safe_load(path.read_text())
+    net = network(trace["hosts"])
+    assert net.settle()
+    for step in trace["steps"]:
+        if "part" in step:
+            net.sides = {f"h{number}": 1 for number in step["part"]}
+        for number in step.get("kill", []):
+            net.remove(f"h{number}")
+        for number in step.get("replace", []):
+            net.add(f"h{number}", ["h10"])
+        net.run(step["ticks"])
+        seen = {name: len(net.seen(name)) for name in step["sees"]}
+        assert seen == step["sees"], step
+    assert net.agrees()
+
+
 def test_replacement_at_the_same_address_is_a_new_incarnation():
     net = network(6)
     assert net.settle()
