Score rendezvous hashing in one place

Cause: three functions hashed a pair of names, each in its own form. Change: execution and orders call the one of routing. Conclusion: one form of the same decision.

--- a/apricotseam/execution/_claims.py
+++ b/apricotseam/execution/_claims.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import concurrent.futures
-import hashlib
 import threading
 
 import msgspec
@@ -20,6 +19,7 @@
 from apricotseam.execution._shards import Holder
 from apricotseam.execution._shards import merge_claims
 from apricotseam.execution._shards import Shard
+from apricotseam.routing import rendezvous_score
 
 MAX_SWAP_ATTEMPTS = 8
 MAX_BATCH_CLAIMS = 256
@@ -267,9 +267,4 @@
 
     def _host_of(self, number):
         members = self._members() or [self._link.address]
-        return max(members, key=lambda address: _score(address, number))
-
-
-def _score(address, number):
-    text = f"{address}/{number}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
+        return max(members, key=lambda a: rendezvous_score(a, number))
--- a/apricotseam/orders/_intent.py
+++ b/apricotseam/orders/_intent.py
@@ -1,11 +1,10 @@
 """Declared state of each group of engines, from the configuration."""
 
-import hashlib
-
 from apricotseam.config import TargetKind
 from apricotseam.orders._orderer import GroupIntent
 from apricotseam.orders._placed import placed_layers
 from apricotseam.orders._reconcile import Wanted
+from apricotseam.routing import rendezvous_score
 
 RANKS_ON_DUTY = 2
 
@@ -59,15 +58,11 @@
     >>> sorted(rank_of(h, ["a", "b", "c"], "s", "g") for h in "abc")
     [0, 1, 2]
     """
-    ranked = sorted(hosts, key=lambda name: _score(name, scope, group))
+    duty = f"{scope}/{group}"
+    ranked = sorted(hosts, key=lambda name: rendezvous_score(name, duty))
     return ranked.index(host) if host in ranked else len(ranked)
 
 
-def _score(host, scope, group):
-    text = f"{host}/{scope}/{group}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
-
-
 def _wanted(scope_file, group, model, table):
     pool = table.group(scope_file.scope, group.name)
     states = {state.name: state for state in pool}
