--- a/apricotseam/host/_hostlist.py
+++ b/apricotseam/host/_hostlist.py
@@ -22,6 +22,7 @@
 HOSTS = "hosts"
 READ_PERIOD_SECONDS = 0.5
 RANK_DELAY_SECONDS = 1.0
+READER_CHECK_SECONDS = 1.0
 MAX_DELAY_SECONDS = 5.0
 MILLISECONDS = 1000
 
@@ -76,7 +77,7 @@
             members = self._snapshots.members
             rank = reader_rank(members)
             if rank is None and self._history.revision:
-                stopping.wait(READ_PERIOD_SECONDS)
+                stopping.wait(READER_CHECK_SECONDS)
                 continue
             try:
                 self._read(rank or 0)
--- a/apricotseam/membership/_readers.py
+++ b/apricotseam/membership/_readers.py
@@ -1,5 +1,7 @@
 """Which hosts read the platform's services on behalf of all."""
 
+import heapq
+
 from apricotseam.membership._member import Health
 from apricotseam.membership._ring import ring_position
 
@@ -23,19 +25,18 @@
     -------
     list of str
     """
-    alive = [
-        member
-        for member in table.all
-        if member.health == Health.ALIVE and not member.is_leaving
-    ]
-    alive.sort(key=lambda member: ring_position(member.peers_address))
     zones = {}
-    for member in alive:
-        zones.setdefault(member.availability_zone, member)
-    chosen = list(zones.values())
-    others = [member for member in alive if member not in chosen]
-    chosen.extend(others[: max(0, MIN_READERS - len(chosen))])
-    return [member.peers_address for member in chosen]
+    for member in table.all:
+        if member.health != Health.ALIVE or member.is_leaving:
+            continue
+        address = member.peers_address
+        zone = zones.setdefault(member.availability_zone, [])
+        zone.append((ring_position(address), address))
+    chosen = [min(zone) for zone in zones.values()]
+    if len(chosen) < MIN_READERS:
+        everyone = (pair for zone in zones.values() for pair in zone)
+        chosen = heapq.nsmallest(MIN_READERS, everyone)
+    return [address for _, address in sorted(chosen)]
 
 
 def reader_rank(table):
--- a/apricotseam/membership/_ring.py
+++ b/apricotseam/membership/_ring.py
@@ -1,10 +1,13 @@
 """Ring of members that fixes with whom each one keeps contact."""
 
+import functools
 import hashlib
 
 SUCCESSORS = 3
+MAX_CACHED_POSITIONS = 16_384
 
 
+@functools.lru_cache(MAX_CACHED_POSITIONS)
 def ring_position(address):
     """Return the position of an address on the ring.
 
