--- a/measure/slopes/_membership.py
+++ b/measure/slopes/_membership.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from apricotseam import membership
+from apricotseam.membership import Facts
 from apricotseam.membership import Membership
 from measure.slopes import _objects
 from measure.slopes._slope import Slope
@@ -44,7 +44,7 @@
             self._now += TICK_SECONDS
             for address, node in self._nodes.items():
                 load = self._random.randrange(40)
-                node.set_facts(*_facts(load))
+                node.set_facts(Facts(revision=1, load=load))
                 self._pass(address, node.tick(self._now))
 
     def know_all(self):
@@ -66,14 +66,6 @@
             pending.extend((address, *answer) for answer in answers)
 
 
-def _facts(load):
-    """Return the arguments of `Membership.set_facts`."""
-    record_type = getattr(membership, "Facts", None)
-    if record_type is None:
-        return 1, load
-    return (record_type(revision=1, load=load),)
-
-
 @functools.lru_cache
 def _settled(size):
     """Return messages, bytes and milliseconds a host and second."""
