List the peers' addresses of measured hosts, and let the membership settle

Cause: hosts started by the measuring tool were listed without their peers' addresses, so that each stood alone and read for itself; and the bytes of the membership were counted while the fleet still joined. Change: the address is listed; twenty simulated seconds pass before the count; the slope is by doublings of the fleet, as its growth is no line over hosts.

--- a/measure/_processes.py
+++ b/measure/_processes.py
@@ -114,6 +114,7 @@
             "address": settings.callers_address,
             "role": "entry",
             "availability_zone": zone,
+            "peers_address": settings.peers_address,
         }
         path = f"/v1/hosts/{name}"
         self.call(self.addresses["host-list"], "PUT", path, listed)
--- a/measure/_roles.py
+++ b/measure/_roles.py
@@ -1,5 +1,7 @@
 """What each role of a host costs, worked out from measured slopes."""
 
+import math
+
 import msgspec
 
 from measure._capacity import request_cores
@@ -78,9 +80,10 @@
 
 def _membership(fleet, costs):
     name = "slopes-membership"
-    rate = costs.line(name, "membership messages of a host", fleet.hosts)
-    body = costs.line(name, "membership bytes of a host", fleet.hosts)
-    decisions = costs.line(name, "membership decisions of a host", fleet.hosts)
+    doublings = math.log2(fleet.hosts)
+    rate = costs.line(name, "membership messages of a host", doublings)
+    body = costs.line(name, "membership bytes of a host", doublings)
+    decisions = costs.line(name, "membership decisions of a host", doublings)
     message = costs.get(
         "slopes-messages", "processor time of a message, both sides"
     )
--- a/measure/slopes/_membership.py
+++ b/measure/slopes/_membership.py
@@ -14,6 +14,7 @@
 TICK_SECONDS = 0.2
 DELAY_SECONDS = 0.001
 JOIN_SECONDS = 30.0
+SETTLE_SECONDS = 20.0
 WATCHED_SECONDS = 10.0
 SEEDS = 8
 SEED = 1
@@ -76,6 +77,7 @@
             break
     else:
         raise TimeoutError(f"{size} members do not all know each other")
+    network.run(SETTLE_SECONDS)
     messages, sent = network.messages, network.bytes
     before = time.process_time()
     network.run(WATCHED_SECONDS)
@@ -88,27 +90,27 @@
     )
 
 
-def _rate(index, size):
-    return _settled(size)[index]
+def _rate(index, doublings):
+    return _settled(2**doublings)[index]
 
 
 MEMBERSHIP_SLOPES = [
     Slope(
         name="membership messages of a host",
         unit="1/s",
-        per="host",
+        per="doubling of hosts",
         measure=functools.partial(_rate, 0),
     ),
     Slope(
         name="membership bytes of a host",
         unit="B/s",
-        per="host",
+        per="doubling of hosts",
         measure=functools.partial(_rate, 1),
     ),
     Slope(
         name="membership decisions of a host",
         unit="ms/s",
-        per="host",
+        per="doubling of hosts",
         measure=functools.partial(_rate, 2),
     ),
 ]
