Give each call on a kept connection its own deadline

Cause: urllib3 sets the socket's timeout again from the connection when it reads the answer, so that a reused connection waited as long as the call that had opened it. Change: the connection's own timeout is set for each call; a test that times out only with it.

--- a/apricotseam/web/_connections.py
+++ b/apricotseam/web/_connections.py
@@ -72,7 +72,9 @@
         if connection is None:
             connection = self._connect(address, deadline)
         try:
-            connection.sock.settimeout(_seconds_left(deadline))
+            # `getresponse` sets the socket's timeout from the attribute.
+            connection.timeout = _seconds_left(deadline)
+            connection.sock.settimeout(connection.timeout)
             connection.request(method, path, body=body, headers=headers)
             response = connection.getresponse()
         except (
