--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 test: lint
 	$(PY) -m pytest
+	@cat KNOWN-RED.txt
 
 demo: setup
 	$(PY) -m apricotseam demo
