Build an entry host in named steps, and keep a stand-in's records apart

Change: request path, agreement and children are built by functions of their own; options, streams and waiting steps of the stand-in are a module. Conclusion: a newcomer reads the parts one at a time.

--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -70,98 +70,22 @@
         self._ended = threading.Event()
         self.snapshots = Snapshots(settings)
         self._tls = HostTls(settings)
-        http = HttpClient(tls=self._tls.platform_context)
-        loop = ControlLoop()
+        self._http = HttpClient(tls=self._tls.platform_context)
+        self._service = EtcdService(self._http, settings.key_value_service)
+        self._store = ConfigurationStore(self._service, settings.key_prefix)
+        self._loop = ControlLoop()
         self.transport = PeerTransport(
-            loop,
+            self._loop,
             settings.peers_address,
             int(self._clock.wall() * MILLISECONDS),
             self._tls.peer_context,
         )
-        plans = ChainPlans(lambda address: runner.step_seconds(address))
-        policy = RequestPolicy(
-            settings,
-            self._clock,
-            self.snapshots,
-            http,
-            plans,
-            self.transport,
-        )
-        service = EtcdService(http, settings.key_value_service)
-        store = ConfigurationStore(service, settings.key_prefix)
-        runner = ChainRunner(
-            policy.engine,
-            self._clock,
-            settings.bounds.step_timeout_seconds,
-            StepCarrier(policy.engine, batch=self.snapshots.max_batch),
-        )
-        execution, claim_batches = build_execution(
-            settings,
-            self._clock,
-            service,
-            TransportLink(self.transport, loop),
-            self._claim_hosts,
-        )
-        callers = CallerContext(
-            settings=settings,
-            clock=self._clock,
-            http=http,
-            runner=runner,
-            snapshots=self.snapshots,
-            admission=policy.admission,
-            chooser=policy.chooser,
-            execution=execution,
-            retries=policy.retries,
-        )
-        revisions = Revisions(loop, self.transport, self.snapshots)
-        operators = OperatorContext(
-            settings,
-            self._clock,
-            store,
-            self.snapshots,
-            self.request_stop,
-            revisions.state,
-        )
-        host_list = HttpHostList(http, settings.host_list)
-        self.membership = self._membership(loop)
-        self._spread = spread = Spread(
-            loop, self.transport, lambda: self.membership.partners
-        )
-        self._configuration = ConfigurationChild(
-            service, store, spread, self.snapshots, self._clock
-        )
-        self._host_list = HostListChild(
-            host_list, spread, self.snapshots, self.membership, self._clock
-        )
-        self._gate = Gate(build_callers_application(callers))
+        self._build_request_path()
+        self._build_agreement()
         self._leaving = self._planned_stop()
         self._callers_listener = self._callers()
         self._supervisor = Supervisor(
-            settings.host,
-            [
-                self._tls,
-                PeersChild(loop, self.transport),
-                ClaimsChild(claim_batches),
-                self.membership,
-                self._configuration,
-                self._host_list,
-                TargetsChild(
-                    policy.engine,
-                    self.snapshots,
-                    ReportPlan(),
-                    policy.chooser.watched,
-                    plans,
-                ),
-                SharesChild(loop, policy.limits),
-                build_orders(
-                    settings, self._clock, http, service, self.snapshots
-                ),
-                LoadsChild(http, policy, self.snapshots, self._clock),
-                self._leaving,
-                ListenerChild("operators", self._operators(operators)),
-                ListenerChild("callers", self._callers_listener),
-            ],
-            self._fail,
+            settings.host, self._children(), self._fail
         )
 
     @property
@@ -200,6 +124,109 @@
         self._callers_listener.abort()
         self._supervisor.stop(time.monotonic())
 
+    def _build_request_path(self):
+        """Build what a caller's request passes through."""
+        settings = self.settings
+        self._plans = ChainPlans(lambda address: runner.step_seconds(address))
+        self._policy = policy = RequestPolicy(
+            settings,
+            self._clock,
+            self.snapshots,
+            self._http,
+            self._plans,
+            self.transport,
+        )
+        runner = ChainRunner(
+            policy.engine,
+            self._clock,
+            settings.bounds.step_timeout_seconds,
+            StepCarrier(policy.engine, batch=self.snapshots.max_batch),
+        )
+        execution, self._claim_batches = build_execution(
+            settings,
+            self._clock,
+            self._service,
+            TransportLink(self.transport, self._loop),
+            self._claim_hosts,
+        )
+        callers = CallerContext(
+            settings=settings,
+            clock=self._clock,
+            http=self._http,
+            runner=runner,
+            snapshots=self.snapshots,
+            admission=policy.admission,
+            chooser=policy.chooser,
+            execution=execution,
+            retries=policy.retries,
+        )
+        self._gate = Gate(build_callers_application(callers))
+
+    def _build_agreement(self):
+        """Build what hosts agree on: members, configuration, host list."""
+        self.membership = self._membership(self._loop)
+        self._spread = Spread(
+            self._loop, self.transport, lambda: self.membership.partners
+        )
+        self._configuration = ConfigurationChild(
+            self._service,
+            self._store,
+            self._spread,
+            self.snapshots,
+            self._clock,
+        )
+        self._host_list = HostListChild(
+            HttpHostList(self._http, self.settings.host_list),
+            self._spread,
+            self.snapshots,
+            self.membership,
+            self._clock,
+        )
+
+    def _children(self):
+        """Return the children of the supervisor in their order of start."""
+        policy = self._policy
+        targets = TargetsChild(
+            policy.engine,
+            self.snapshots,
+            ReportPlan(),
+            policy.chooser.watched,
+            self._plans,
+        )
+        orders = build_orders(
+            self.settings,
+            self._clock,
+            self._http,
+            self._service,
+            self.snapshots,
+        )
+        return [
+            self._tls,
+            PeersChild(self._loop, self.transport),
+            ClaimsChild(self._claim_batches),
+            self.membership,
+            self._configuration,
+            self._host_list,
+            targets,
+            SharesChild(self._loop, policy.limits),
+            orders,
+            LoadsChild(self._http, policy, self.snapshots, self._clock),
+            self._leaving,
+            ListenerChild("operators", self._operators()),
+            ListenerChild("callers", self._callers_listener),
+        ]
+
+    def _operators_context(self):
+        revisions = Revisions(self._loop, self.transport, self.snapshots)
+        return OperatorContext(
+            self.settings,
+            self._clock,
+            self._store,
+            self.snapshots,
+            self.request_stop,
+            revisions.state,
+        )
+
     def _membership(self, loop):
         settings = self.settings
         own = Member(
@@ -268,9 +295,9 @@
             tls=self._tls.listener_context,
         )
 
-    def _operators(self, context):
+    def _operators(self):
         return Listener(
-            build_operators_application(context),
+            build_operators_application(self._operators_context()),
             self.settings.operators_address,
             tls=self._tls.listener_context,
         )
--- a/apricotseam/standins/__init__.py
+++ b/apricotseam/standins/__init__.py
@@ -1,7 +1,7 @@
 """Small stand-ins of the platform's parts, with real sockets."""
 
-from apricotseam.standins._engine import EngineOptions
 from apricotseam.standins._engine import EngineStandIn
+from apricotseam.standins._enginerecords import EngineOptions
 from apricotseam.standins._faults import FaultOrder
 from apricotseam.standins._faults import Faults
 from apricotseam.standins._hostlist import HostListStandIn
--- a/apricotseam/standins/_engine.py
+++ b/apricotseam/standins/_engine.py
@@ -7,8 +7,6 @@
 import time
 import urllib.parse
 
-import msgspec
-
 from apricotseam.errors import InvalidRequestError
 from apricotseam.errors import UnknownNameError
 from apricotseam.platform import CacheEvent
@@ -17,6 +15,9 @@
 from apricotseam.platform import Step
 from apricotseam.platform import StepResult
 from apricotseam.platform import StreamPosition
+from apricotseam.standins._enginerecords import ExportedCache
+from apricotseam.standins._enginerecords import PendingSteps
+from apricotseam.standins._enginerecords import Stream
 from apricotseam.standins._loads import EngineLoads
 from apricotseam.standins._loads import held_by
 from apricotseam.standins._model import LayerStates
@@ -28,61 +29,6 @@
 MAX_CACHED_PREFIXES = 64
 
 
-class EngineOptions(msgspec.Struct, kw_only=True):
-    """What a stand-in engine is made of."""
-
-    name: str
-    model: str
-    version: str
-    layers: int
-    first: int
-    last: int
-    accelerator: str = "standard"
-    step_seconds: float = 0.02
-    max_batch: int = 16
-    checks_fencing: bool = False
-    event_gap_every: int = 0
-    end_after: int = 0
-    leaving: bool = False
-    load_seconds: float = 0.0
-    weight_store: str | None = None
-    adapters: list[str] = []
-    role: str = "both"
-
-
-class _Stream:
-    """State of one stream at a stage."""
-
-    __slots__ = (
-        "attempt",
-        "held",
-        "last",
-        "next_position",
-        "states",
-        "version",
-    )
-
-    def __init__(self, attempt, version, states, held):
-        self.attempt = attempt
-        self.held = held
-        self.version = version
-        self.states = states
-        self.next_position = 0
-        self.last = None
-
-
-class _Pending:
-    """A batch of steps of one call that waits for its results."""
-
-    __slots__ = ("done", "left", "results", "steps")
-
-    def __init__(self, steps):
-        self.steps = steps
-        self.results = [None] * len(steps)
-        self.left = len(steps)
-        self.done = threading.Event()
-
-
 class EngineStandIn(StandIn):
     """An engine that batches continuously and honours priorities.
 
@@ -148,7 +94,7 @@
         route("PUT", "/engine/v1/streams/{stream}/cache", self._import)
 
     def _run_steps(self, request):
-        pending = _Pending(request.json(list[Step]))
+        pending = PendingSteps(request.json(list[Step]))
         with self._lock:
             for index, step in enumerate(pending.steps):
                 entry = (step.priority, next(self._order), pending, index)
@@ -239,7 +185,7 @@
             states = LayerStates(
                 self._options.version, self._options.first, self._options.last
             )
-            stream = _Stream(
+            stream = Stream(
                 step.attempt,
                 self._options.version,
                 states,
@@ -341,7 +287,7 @@
         states = LayerStates(
             options.version, options.first, options.last, cache.states
         )
-        stream = _Stream(
+        stream = Stream(
             int(query["attempt"][0]),
             options.version,
             states,
@@ -371,16 +317,6 @@
         return stream
 
 
-class ExportedCache(msgspec.Struct, kw_only=True):
-    """KV cache of one stream as a stand-in exports it."""
-
-    version: str
-    first: int
-    states: list[str]
-    next_position: int
-    last: StepResult | None = None
-
-
 def _failed(step, error):
     return StepResult(
         stream=step.stream,
