Show chains and limits in the status, and propose names everywhere

Cause: status lacked chains and customers' limits and used bare maps; only two places proposed the nearest name, each in its own way. Change: typed rows for targets, chains and limits, cut at 1,000; one function proposes names for commands, files, models, services, priorities and scopes. Conclusion: what the operators declared can be read back in one place.

--- a/apricotseam/callers/_completions.py
+++ b/apricotseam/callers/_completions.py
@@ -9,6 +9,7 @@
 from apricotseam.callers._resume import Resumption
 from apricotseam.callers._work import describe_work
 from apricotseam.errors import ApricotseamError
+from apricotseam.errors import unknown_name
 from apricotseam.errors import UnknownNameError
 from apricotseam.pipelines import StreamPlan
 from apricotseam.routing import Demand
@@ -174,8 +175,9 @@
     for pipeline in caller.scope_file.pipelines:
         if pipeline.name == name:
             return pipeline
+    known = [pipeline.name for pipeline in caller.scope_file.pipelines]
     raise UnknownNameError(
-        f"unknown model {name!r}", "read the names at GET /v1/models"
+        unknown_name("model", name, known), "read the names at GET /v1/models"
     )
 
 
--- a/apricotseam/callers/_services.py
+++ b/apricotseam/callers/_services.py
@@ -14,6 +14,7 @@
 from apricotseam.errors import ApricotseamError
 from apricotseam.errors import Outcome
 from apricotseam.errors import OutcomeUnknownError
+from apricotseam.errors import unknown_name
 from apricotseam.errors import UnknownNameError
 from apricotseam.execution import ExecutionRequest
 from apricotseam.routing import Demand
@@ -225,8 +226,9 @@
     for service in caller.scope_file.services:
         if service.name == name:
             return service
+    known = [service.name for service in caller.scope_file.services]
     raise UnknownNameError(
-        f"unknown service {name!r}", "ask your operator for its name"
+        unknown_name("service", name, known), "ask your operator for its name"
     )
 
 
--- a/apricotseam/callers/_work.py
+++ b/apricotseam/callers/_work.py
@@ -5,6 +5,7 @@
 from apricotseam.admission import Work
 from apricotseam.errors import ForbiddenError
 from apricotseam.errors import InvalidRequestError
+from apricotseam.errors import unknown_name
 from apricotseam.errors import UnknownNameError
 
 PRIORITY_HEADER = "Apricotseam-Priority"
@@ -97,8 +98,9 @@
     for declared in caller.scope_file.priorities:
         if declared.name == name:
             return declared
+    known = [declared.name for declared in caller.scope_file.priorities]
     raise UnknownNameError(
-        f"unknown priority {name!r}", "leave the header out"
+        unknown_name("priority", name, known), "leave the header out"
     )
 
 
--- a/apricotseam/cli/_main.py
+++ b/apricotseam/cli/_main.py
@@ -1,6 +1,5 @@
 """Entry point of the program."""
 
-import difflib
 import sys
 
 import defopt
@@ -8,6 +7,7 @@
 import apricotseam
 from apricotseam.cli import _commands
 from apricotseam.errors import ApricotseamError
+from apricotseam.errors import unknown_name
 from apricotseam.errors import UnknownNameError
 
 COMMANDS = [
@@ -91,8 +91,7 @@
         return
     if arguments[0] in names:
         return
-    near = difflib.get_close_matches(arguments[0], names, 1, 0.4)
-    hint = f", nearest known is {near[0]!r}" if near else ""
     raise UnknownNameError(
-        f"unknown command {arguments[0]!r}{hint}", "see apricotseam --help"
+        unknown_name("command", arguments[0], names),
+        "see apricotseam --help",
     )
--- a/apricotseam/config/_load.py
+++ b/apricotseam/config/_load.py
@@ -5,17 +5,13 @@
 and the remedy.
 """
 
-import difflib
-
 import msgspec
 
 from apricotseam.config import _schema
 from apricotseam.config import _settings
 from apricotseam.config._yaml import Document
 from apricotseam.errors import InvalidFileError
-
-# Names less alike than this are not proposed, from 0 to 1.
-MIN_LIKENESS = 0.4
+from apricotseam.errors import unknown_name
 
 
 def load_scope_file(text, source="<file>"):
@@ -211,9 +207,7 @@
     def _known(self, path, name, known):
         if name in known:
             return
-        near = difflib.get_close_matches(name, list(known), 1, MIN_LIKENESS)
-        hint = f", nearest known is {near[0]!r}" if near else ""
-        self._fail(path, f"unknown name {name!r}{hint}")
+        self._fail(path, unknown_name("name", name, known))
 
     def _fail(self, path, problem):
         raise _invalid(self._document, self._source, problem, f"$.{path}")
--- a/apricotseam/demo/tests/test_system.py
+++ b/apricotseam/demo/tests/test_system.py
@@ -79,3 +79,9 @@
     )
     assert status["revision"] == 1
     assert len(status["targets"]) == 33
+    assert status["customers"] == len(status["limits"]) == 10
+    names = {target["name"] for target in status["targets"]}
+    assert status["chains"]
+    for chain in status["chains"]:
+        assert set(chain["targets"]) <= names
+        assert chain["tokens_per_second"] > 0
--- a/apricotseam/errors/__init__.py
+++ b/apricotseam/errors/__init__.py
@@ -22,6 +22,7 @@
 from apricotseam.errors._errors import ServiceUnavailableError
 from apricotseam.errors._errors import TargetError
 from apricotseam.errors._errors import UnknownNameError
+from apricotseam.errors._names import unknown_name
 
 __all__ = [
     "AccessError",
@@ -46,4 +47,5 @@
     "ServiceUnavailableError",
     "TargetError",
     "UnknownNameError",
+    "unknown_name",
 ]
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -225,6 +225,7 @@
             self.snapshots,
             self.request_stop,
             revisions.state,
+            self._plans,
         )
 
     def _membership(self, loop):
--- a/apricotseam/operators/_configuration.py
+++ b/apricotseam/operators/_configuration.py
@@ -12,6 +12,7 @@
 from apricotseam.errors import ApricotseamError
 from apricotseam.errors import ConflictError
 from apricotseam.errors import InvalidRequestError
+from apricotseam.errors import unknown_name
 from apricotseam.errors import UnknownNameError
 from apricotseam.operators._attempts import RefusedAttempts
 from apricotseam.operators._context import require_role
@@ -78,7 +79,7 @@
         root, _ = self._context.store.read_root()
         if scope not in root.scopes:
             raise UnknownNameError(
-                f"unknown scope {scope!r}",
+                unknown_name("scope", scope, root.scopes),
                 f"known scopes are {sorted(root.scopes)}",
             )
         text = self._context.store.read_text(root.scopes[scope])
--- a/apricotseam/operators/_context.py
+++ b/apricotseam/operators/_context.py
@@ -28,11 +28,14 @@
         Starts a planned stop of this host.
     spread_state : callable
         Returns the `SpreadState` of a revision over all hosts.
+    plans : callable
+        ``plans(scope, group, model)`` returns pairs of `Chain` and weight.
     """
 
     __slots__ = (
         "clock",
         "drain",
+        "plans",
         "settings",
         "snapshots",
         "spread_state",
@@ -40,7 +43,14 @@
     )
 
     def __init__(
-        self, settings, clock, store, snapshots, drain, spread_state=None
+        self,
+        settings,
+        clock,
+        store,
+        snapshots,
+        drain,
+        spread_state=None,
+        plans=None,
     ):
         self.settings = settings
         self.clock = clock
@@ -48,6 +58,7 @@
         self.snapshots = snapshots
         self.drain = drain
         self.spread_state = spread_state
+        self.plans = plans or (lambda scope, group, model: ())
 
 
 def require_role(request, settings, role):
--- a/apricotseam/operators/_status.py
+++ b/apricotseam/operators/_status.py
@@ -8,6 +8,9 @@
 from apricotseam.operators._context import require_role
 from apricotseam.web import Response
 
+# Rows of each list of a status; a scope may have thousands.
+MAX_ROWS = 1000
+
 
 class HostStatus(msgspec.Struct, frozen=True, kw_only=True):
     """One entry host: where it is and which revision is in force."""
@@ -20,12 +23,55 @@
     peers_address: str = ""
 
 
+class TargetStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """One target as the asked host knows it."""
+
+    name: str
+    group: str
+    address: str
+    availability_zone: str
+    leaving: bool
+    suspect: bool
+    version: str | None
+    layers: tuple[int | None, int | None]
+
+
+class ChainStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """One chain of the asked host's plan.
+
+    ``tokens_per_second`` is the part of the flow that goes over it.
+    """
+
+    scope: str
+    group: str
+    version: str
+    targets: list[str]
+    tokens_per_second: float
+
+
+class LimitStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Declared limits of one customer over all hosts together."""
+
+    scope: str
+    customer: str
+    weight: float
+    requests_per_second: float
+    tokens_per_second: float
+    max_streams: int
+
+
 class Status(msgspec.Struct, frozen=True, kw_only=True):
-    """What an operator reads of the whole system."""
+    """What an operator reads of the whole system.
+
+    Lists are cut at `MAX_ROWS`; ``customers`` is the number of all.
+    """
 
     revision: int
+    customers: int
     hosts: list[HostStatus]
-    targets: list[dict]
+    targets: list[TargetStatus]
+    chains: list[ChainStatus]
+    limits: list[LimitStatus]
 
 
 class SpreadState(msgspec.Struct, frozen=True, kw_only=True):
@@ -53,27 +99,32 @@
         require_role(request, self._context.settings, Role.READ)
         snapshots = self._context.snapshots
         configuration = snapshots.configuration
-        targets = [
-            {
-                "name": target.name,
-                "group": target.group,
-                "address": target.address,
-                "availability_zone": target.availability_zone,
-                "leaving": target.leaving,
-                "suspect": target.suspect,
-                "version": target.version,
-                "layers": [target.first, target.last],
-            }
-            for target in snapshots.targets.all
-        ]
+        limits = list(_limits(configuration))
         return Response.of(
             Status(
                 revision=configuration.revision if configuration else 0,
+                customers=len(limits),
                 hosts=snapshots.host_statuses(),
-                targets=targets,
+                targets=[_target(t) for t in snapshots.targets.all[:MAX_ROWS]],
+                chains=self._chains(configuration)[:MAX_ROWS],
+                limits=limits[:MAX_ROWS],
             )
         )
 
+    def _chains(self, configuration):
+        rows = []
+        for scope, group, model in _served(configuration):
+            for chain, weight in self._context.plans(scope, group, model):
+                row = ChainStatus(
+                    scope=scope,
+                    group=group,
+                    version=chain.version,
+                    targets=[stage.target for stage in chain.stages],
+                    tokens_per_second=round(weight, 1),
+                )
+                rows.append(row)
+        return rows
+
     def wait(self, request):
         """Answer ``GET /v1/admin/revisions/{revision}``."""
         require_role(request, self._context.settings, Role.READ)
@@ -102,3 +153,40 @@
             body=prometheus_client.generate_latest(),
             content_type=prometheus_client.CONTENT_TYPE_LATEST,
         )
+
+
+def _target(target):
+    return TargetStatus(
+        name=target.name,
+        group=target.group,
+        address=target.address,
+        availability_zone=target.availability_zone,
+        leaving=target.leaving,
+        suspect=target.suspect,
+        version=target.version,
+        layers=(target.first, target.last),
+    )
+
+
+def _served(configuration):
+    """Yield scope, group and model of every group of engines."""
+    scopes = configuration.scopes if configuration else {}
+    for scope, scope_file in scopes.items():
+        models = {model.name: model for model in scope_file.models}
+        for group in scope_file.groups:
+            if group.model is not None:
+                yield scope, group.name, models[group.model]
+
+
+def _limits(configuration):
+    scopes = configuration.scopes if configuration else {}
+    for scope, scope_file in scopes.items():
+        for customer in scope_file.customers:
+            yield LimitStatus(
+                scope=scope,
+                customer=customer.name,
+                weight=customer.weight,
+                requests_per_second=customer.requests_per_second,
+                tokens_per_second=customer.tokens_per_second,
+                max_streams=customer.max_streams,
+            )
