Name the targets of a request in its log event

Cause: the field stood in the event and was never filled. Change: the stages of the chain, or the targets a call was sent to. Conclusion: a log line leads to the engines.

--- a/apricotseam/callers/_completions.py
+++ b/apricotseam/callers/_completions.py
@@ -80,6 +80,8 @@
         permit = self._context.admission.admit(work)
         try:
             plan = self._plan(caller, pipeline, body, work, point)
+            if request.record is not None:
+                request.record.targets = [s.target for s in plan.chain.stages]
         except BaseException:
             permit.close()
             raise
--- a/apricotseam/callers/_journal.py
+++ b/apricotseam/callers/_journal.py
@@ -60,7 +60,7 @@
         self.begun = begun
         self.last_token = None
         self.tokens = 0
-        self.targets = ()
+        self.targets = []
         self.identifier = self.scope = self.customer = ""
         self.priority = self.pool = ""
         self.revision = 0
@@ -164,7 +164,7 @@
                 "class": record.priority,
                 "pool": record.pool,
                 "revision": record.revision,
-                "targets": list(record.targets),
+                "targets": record.targets,
                 "code": code,
                 "tokens": record.tokens,
                 "seconds": round(self._now() - record.begun, 6),
--- a/apricotseam/callers/_services.py
+++ b/apricotseam/callers/_services.py
@@ -72,7 +72,10 @@
             group=service.group,
             customer=caller.customer.name,
         )
-        return PreparedCall(demand, forward, work, declared.idempotent)
+        targets = [] if request.record is None else request.record.targets
+        return PreparedCall(
+            demand, forward, work, declared.idempotent, targets
+        )
 
     def _admit_and_send(self, call):
         permit = self._context.admission.admit(call.work)
@@ -103,6 +106,7 @@
         chooser = self._context.chooser
         target = chooser.choose_target(self._context.snapshots.targets, demand)
         tried.append(target.name)
+        call.targets.append(target.name)
         begun = self._context.clock.monotonic()
         is_success = False
         chooser.started(target.address)
@@ -141,15 +145,18 @@
         The call as admission sees it.
     idempotent : bool
         Whether it may be repeated.
+    targets : list of str
+        Takes the names of the targets that it is sent to.
     """
 
-    __slots__ = ("demand", "forward", "idempotent", "work")
+    __slots__ = ("demand", "forward", "idempotent", "targets", "work")
 
-    def __init__(self, demand, forward, work, idempotent):
+    def __init__(self, demand, forward, work, idempotent, targets):
         self.demand = demand
         self.forward = forward
         self.work = work
         self.idempotent = idempotent
+        self.targets = targets
 
     @property
     def once(self):
--- a/apricotseam/demo/tests/test_bounds.py
+++ b/apricotseam/demo/tests/test_bounds.py
@@ -16,6 +16,7 @@
 EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
 SMALL = "demo-key-colegio-sur"
 LARGE = "demo-key-colegio-central"
+BOOKS = "/v1/services/librarian-portal/books"
 QUESTION = {
     "model": "student-assistant",
     "max_tokens": 3,
@@ -129,9 +130,12 @@
 def test_log_names_the_request_but_not_its_text(address, caplog):
     with caplog.at_level(logging.INFO):
         ask(address, SMALL)
+        HostClient(address, SMALL).call("GET", BOOKS, dict)
     events = [r for r in caplog.records if r.message == "request_ended"]
     assert events[-1].customer == "colegio-sur"
     assert events[-1].revision == 1
+    assert all(event.targets for event in events[-2:])
+    assert events[-1].targets[0].endswith("portal-server")
     text = json.dumps([str(vars(record)) for record in caplog.records])
     assert "secret" not in text
     assert SMALL not in text
