--- /dev/null
+++ b/apricotseam/chains/__init__.py
@@ -0,0 +1,29 @@
+"""Chains that the targets run themselves: layout, choice, memory."""
+
+from apricotseam.chains._cost import ChainModel
+from apricotseam.chains._layout import Card
+from apricotseam.chains._layout import plan_zone
+from apricotseam.chains._ledger import Booking
+from apricotseam.chains._ledger import Ledger
+from apricotseam.chains._ledger import PeerUsage
+from apricotseam.chains._ledger import Usage
+from apricotseam.chains._paths import ChainStage
+from apricotseam.chains._paths import find_chain
+from apricotseam.chains._paths import Holder
+from apricotseam.chains._repair import choose_orders
+from apricotseam.chains._repair import LayerOrder
+
+__all__ = [
+    "Booking",
+    "Card",
+    "ChainModel",
+    "ChainStage",
+    "Holder",
+    "LayerOrder",
+    "Ledger",
+    "PeerUsage",
+    "Usage",
+    "choose_orders",
+    "find_chain",
+    "plan_zone",
+]
--- /dev/null
+++ b/apricotseam/chains/_ledger.py
@@ -0,0 +1,141 @@
+"""Memory that requests hold on targets, over all hosts."""
+
+import msgspec
+
+# Share of the room that is given out; answers may be longer than expected.
+FILL_SHARE = 0.95
+# What a peer said is forgotten after this time without a word of it.
+PEER_SECONDS = 2.0
+
+
+class Usage(msgspec.Struct, array_like=True):
+    """What one host has in progress on one target."""
+
+    units: float = 0.0
+    requests: int = 0
+
+
+class PeerUsage(msgspec.Struct, frozen=True, array_like=True):
+    """What a host has in progress, by target identity."""
+
+    host: str
+    number: int
+    usages: dict[str, Usage]
+
+
+class Booking:
+    """Room that one request holds along its chain.
+
+    Parameters
+    ----------
+    tokens : float
+        Tokens that it is expected to hold.
+    shares : list of tuple
+        Target identities and the layers that each runs.
+    ends_at : float
+        Monotonic time at which it is expected to be over.
+    """
+
+    __slots__ = ("ends_at", "shares", "tokens")
+
+    def __init__(self, tokens, shares, ends_at):
+        self.tokens = tokens
+        self.shares = shares
+        self.ends_at = ends_at
+
+
+class Ledger:
+    """Books room on targets and adds up what peers booked."""
+
+    def __init__(self):
+        self._own = {}
+        self._peers = {}
+        self._peer_totals = {}
+        self._bookings = set()
+        self.changes = 0
+
+    @property
+    def own(self):
+        """What this host has in progress, by target identity."""
+        return self._own
+
+    def used_units(self, identity):
+        """Return tokens times layers in use at a target."""
+        units = 0.0
+        for usages in (self._own, self._peer_totals):
+            usage = usages.get(identity)
+            if usage is not None:
+                units += usage.units
+        return units
+
+    def running(self, identity):
+        """Return the number of requests in progress at a target."""
+        count = 0
+        for usages in (self._own, self._peer_totals):
+            usage = usages.get(identity)
+            if usage is not None:
+                count += usage.requests
+        return count
+
+    def book(self, tokens, shares, ends_at):
+        """Take room for a request and return its `Booking`."""
+        booking = Booking(tokens, shares, ends_at)
+        self._bookings.add(booking)
+        self._add(booking, 1)
+        return booking
+
+    def release(self, booking):
+        """Give the room of a request back; a second time does nothing."""
+        if booking in self._bookings:
+            self._bookings.discard(booking)
+            self._add(booking, -1)
+
+    def take_peer(self, usage, now):
+        """Take what a peer has in progress.
+
+        Parameters
+        ----------
+        usage : PeerUsage
+            The newest message of that peer.
+        now : float
+            Monotonic time in seconds.
+        """
+        known = self._peers.get(usage.host)
+        if known is not None and known[0].number >= usage.number:
+            return
+        self._peers[usage.host] = (usage, now + PEER_SECONDS)
+        self._sum_up()
+
+    def expire(self, now):
+        """Forget peers that have not been heard for a while."""
+        silent = [h for h, (_, until) in self._peers.items() if now >= until]
+        for host in silent:
+            del self._peers[host]
+        if silent:
+            self._sum_up()
+
+    def next_ends(self, count):
+        """Return the times at which the next requests should be over."""
+        return sorted(b.ends_at for b in self._bookings)[:count]
+
+    def _add(self, booking, sign):
+        self.changes += 1
+        for identity, layers in booking.shares:
+            usage = self._own.get(identity)
+            if usage is None:
+                usage = self._own[identity] = Usage()
+            usage.units += sign * booking.tokens * layers
+            usage.requests += sign
+            if usage.requests <= 0:
+                del self._own[identity]
+
+    def _sum_up(self):
+        totals = {}
+        for peer, _ in self._peers.values():
+            for identity, usage in peer.usages.items():
+                total = totals.get(identity)
+                if total is None:
+                    total = totals[identity] = Usage()
+                total.units += usage.units
+                total.requests += usage.requests
+        self._peer_totals = totals
--- a/apricotseam/config/tests/fakes.py
+++ b/apricotseam/config/tests/fakes.py
@@ -2,8 +2,8 @@
 
 from apricotseam.errors import AnswerLostError
 from apricotseam.errors import ServiceUnavailableError
-from apricotseam.platform import KeyValueService
-from apricotseam.platform import Versioned
+from apricotseam.external import KeyValueService
+from apricotseam.external import Versioned
 
 FAULTS = ("none", "before", "after", "late", "lost", "race")
 
--- /dev/null
+++ b/apricotseam/coordination/__init__.py
@@ -0,0 +1,25 @@
+"""What hosts share: the store's items, who is there, who gives orders."""
+
+from apricotseam.coordination._election import Election
+from apricotseam.coordination._hosts import Hosts
+from apricotseam.coordination._keeper import MirrorKeeper
+from apricotseam.coordination._messages import Changes
+from apricotseam.coordination._messages import ChangesRequest
+from apricotseam.coordination._messages import HostRecord
+from apricotseam.coordination._messages import MirrorItem
+from apricotseam.coordination._mirror import Mirror
+from apricotseam.coordination._registration import Registration
+from apricotseam.coordination._suspension import SuspensionDetector
+
+__all__ = [
+    "Changes",
+    "ChangesRequest",
+    "Election",
+    "HostRecord",
+    "Hosts",
+    "Mirror",
+    "MirrorItem",
+    "MirrorKeeper",
+    "Registration",
+    "SuspensionDetector",
+]
--- /dev/null
+++ b/apricotseam/coordination/_keeper.py
@@ -0,0 +1,148 @@
+"""Keeps a mirror fresh from the store, or from peers where it is away."""
+
+import asyncio
+import logging
+import random
+
+from apricotseam.coordination._messages import MirrorItem
+from apricotseam.platform import HistoryLostError
+from apricotseam.platform import StoreError
+
+_LOG = logging.getLogger(__name__)
+
+WATCH_SECONDS = 8.0
+# Changes that come in quick succession share a call.
+COALESCE_SECONDS = 0.1
+FIRST_BACKOFF_SECONDS = 0.1
+MAX_BACKOFF_SECONDS = 0.8
+# Targets whose entries lapsed are back within this time after an outage.
+SETTLE_SECONDS = 2.5
+PEERS_ASKED = 2
+
+
+class MirrorKeeper:
+    """Follows the store's changes.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The store.
+    mirror : Mirror
+        What is kept fresh.
+    ask_peers : callable
+        Coroutine function ``ask_peers(revision, count)`` that returns a
+        list of `Changes` of peers.
+    now : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(self, store, mirror, ask_peers, now):
+        self._store = store
+        self._mirror = mirror
+        self._ask_peers = ask_peers
+        self._now = now
+        self._must_list = True
+        self._away_since = None
+        self._settles_at = 0.0
+        self._backoff = FIRST_BACKOFF_SECONDS
+        self._heard_at = None
+
+    @property
+    def is_away(self):
+        """Whether the store is out of reach of this host."""
+        return self._away_since is not None
+
+    @property
+    def was_away(self):
+        """Whether entries may have lapsed because of an outage."""
+        return self.is_away or self._now() < self._settles_at
+
+    @property
+    def heard_at(self):
+        """Time at which the store or a peer told its items, or None."""
+        return self._heard_at
+
+    async def run(self):
+        """Follow the store for ever."""
+        while True:
+            try:
+                await self._follow()
+            except HistoryLostError as error:
+                _LOG.info("store_history_lost", extra={"error": str(error)})
+                self._must_list = True
+            except StoreError as error:
+                self._lose(error)
+                await self._follow_peers()
+                await self._pause()
+
+    async def _follow(self):
+        if self._must_list:
+            await self._list()
+        watched = await self._store.watch(
+            "", self._mirror.revision, WATCH_SECONDS
+        )
+        self._regain()
+        for item in watched.items:
+            self._mirror.apply(MirrorItem(item.key, item.value, item.revision))
+        self._mirror.advance(watched.revision)
+        if watched.items:
+            await asyncio.sleep(COALESCE_SECONDS)
+
+    async def _list(self):
+        items = []
+        after = ""
+        first = None
+        while True:
+            page = await self._store.list_page("", after)
+            if first is None:
+                first = page.revision
+            items.extend(
+                MirrorItem(i.key, i.value, i.revision) for i in page.items
+            )
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        self._regain()
+        self._mirror.reconcile(items, first, page.revision)
+        self._must_list = False
+        _LOG.info(
+            "store_listed",
+            extra={"items": len(items), "revision": page.revision},
+        )
+
+    def _lose(self, error):
+        if self._away_since is None:
+            self._away_since = self._now()
+            _LOG.warning("store_lost", extra={"error": str(error)})
+
+    def _regain(self):
+        now = self._now()
+        self._heard_at = now
+        self._backoff = FIRST_BACKOFF_SECONDS
+        if self._away_since is None:
+            return
+        _LOG.info(
+            "store_regained",
+            extra={"away_seconds": round(now - self._away_since, 3)},
+        )
+        self._away_since = None
+        self._settles_at = now + SETTLE_SECONDS
+
+    async def _follow_peers(self):
+        """Learn from peers what the store does not tell this host."""
+        answers = await self._ask_peers(self._mirror.revision, PEERS_ASKED)
+        for changes in answers:
+            self._heard_at = self._now()
+            if changes.is_whole:
+                self._mirror.reconcile(
+                    changes.items, changes.revision, changes.revision
+                )
+                continue
+            for item in changes.items:
+                self._mirror.apply(item)
+            # The store's own watch goes on from what the peer knew.
+            self._mirror.advance(changes.revision)
+
+    async def _pause(self):
+        await asyncio.sleep(self._backoff * random.uniform(0.7, 1.0))
+        self._backoff = min(MAX_BACKOFF_SECONDS, 2 * self._backoff)
--- a/apricotseam/demo/_system.py
+++ b/apricotseam/demo/_system.py
@@ -13,8 +13,8 @@
 from apricotseam.config import Role
 from apricotseam.config import Settings
 from apricotseam.config import TargetKind
+from apricotseam.external import ListedHost
 from apricotseam.host import EntryHost
-from apricotseam.platform import ListedHost
 from apricotseam.standins import EngineOptions
 from apricotseam.standins import EngineStandIn
 from apricotseam.standins import HostListStandIn
--- a/apricotseam/execution/tests/fakes.py
+++ b/apricotseam/execution/tests/fakes.py
@@ -10,10 +10,10 @@
 from apricotseam.execution import TicketRuns
 from apricotseam.execution import TicketSigner
 from apricotseam.execution import Waiter
+from apricotseam.external import KeyValueService
+from apricotseam.external import Versioned
 from apricotseam.peers import PeerAnswerLostError
 from apricotseam.peers import PeerUnreachableError
-from apricotseam.platform import KeyValueService
-from apricotseam.platform import Versioned
 
 SIGNER = TicketSigner(["key"])
 
--- a/apricotseam/platform/_etcd.py
+++ b/apricotseam/external/_etcd.py
@@ -8,8 +8,8 @@
 
 from apricotseam.errors import AnswerLostError
 from apricotseam.errors import ServiceUnavailableError
-from apricotseam.platform._keyvalue import KeyValueService
-from apricotseam.platform._keyvalue import Versioned
+from apricotseam.external._keyvalue import KeyValueService
+from apricotseam.external._keyvalue import Versioned
 from apricotseam.web import UnreachableError
 
 CALL_TIMEOUT_SECONDS = 2.0
--- /dev/null
+++ b/apricotseam/fleet/__init__.py
@@ -0,0 +1,9 @@
+"""What a host believes of the targets."""
+
+from apricotseam.fleet._fleet import Fleet
+from apricotseam.fleet._health import Health
+from apricotseam.fleet._target import LayerRange
+from apricotseam.fleet._target import Target
+from apricotseam.fleet._target import TargetRecord
+
+__all__ = ["Fleet", "Health", "LayerRange", "Target", "TargetRecord"]
--- /dev/null
+++ b/apricotseam/fleet/_health.py
@@ -0,0 +1,68 @@
+"""Health of one target by the outcomes of real requests."""
+
+FIRST_BACKOFF_SECONDS = 0.5
+MAX_BACKOFF_SECONDS = 4.0
+# Weight of the newest outcome in the moving average.
+OUTCOME_WEIGHT = 0.15
+# A target with at least this share of failures gets less work.
+FAILING_SHARE = 0.25
+
+
+class Health:
+    """Moving average of failures, and a backoff after lost contact."""
+
+    __slots__ = (
+        "_backoff",
+        "failure_share",
+        "latency_seconds",
+        "suspect_until",
+    )
+
+    def __init__(self):
+        self.failure_share = 0.0
+        self.latency_seconds = 0.0
+        self.suspect_until = 0.0
+        self._backoff = FIRST_BACKOFF_SECONDS
+
+    def is_suspect(self, now):
+        """Return whether work should go elsewhere for a while."""
+        return now < self.suspect_until
+
+    def succeed(self, latency=None):
+        """Take a request that was answered, with its latency in seconds."""
+        self.failure_share *= 1 - OUTCOME_WEIGHT
+        self._backoff = FIRST_BACKOFF_SECONDS
+        if latency is not None:
+            if not self.latency_seconds:
+                self.latency_seconds = latency
+            change = latency - self.latency_seconds
+            self.latency_seconds += OUTCOME_WEIGHT * change
+
+    def fail(self):
+        """Take a request that the target failed or did not take."""
+        self.failure_share += OUTCOME_WEIGHT * (1 - self.failure_share)
+
+    def lose_contact(self, now):
+        """Take a connection that could not be made or fell silent.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        self.fail()
+        if now >= self.suspect_until:
+            self.suspect_until = now + self._backoff
+            self._backoff = min(MAX_BACKOFF_SECONDS, 2 * self._backoff)
+
+    def penalty(self):
+        """Return by which factor the target looks worse than it is fast.
+
+        Examples
+        --------
+        >>> Health().penalty()
+        1.0
+        """
+        if self.failure_share < FAILING_SHARE:
+            return 1.0 + self.failure_share
+        return 1.0 + 8.0 * self.failure_share
--- /dev/null
+++ b/apricotseam/forwarding/__init__.py
@@ -0,0 +1,19 @@
+"""The life of one caller's request: choice, forwarding, repeats, refusal."""
+
+from apricotseam.forwarding._allowance import RetryAllowance
+from apricotseam.forwarding._call import Call
+from apricotseam.forwarding._choice import Choice
+from apricotseam.forwarding._choice import Chooser
+from apricotseam.forwarding._gateway import Gateway
+from apricotseam.forwarding._gateway import Scene
+from apricotseam.forwarding._metrics import RequestMetrics
+
+__all__ = [
+    "Call",
+    "Choice",
+    "Chooser",
+    "Gateway",
+    "RequestMetrics",
+    "RetryAllowance",
+    "Scene",
+]
--- /dev/null
+++ b/apricotseam/forwarding/_choice.py
@@ -0,0 +1,176 @@
+"""Which targets take a request."""
+
+import msgspec
+
+from apricotseam.chains import ChainModel
+from apricotseam.chains import find_chain
+from apricotseam.chains import Holder
+from apricotseam.fleet import LayerRange
+from apricotseam.fleet import Target
+from apricotseam.platform import call_path
+from apricotseam.platform import Stage
+
+FILL_SHARE = 0.95
+# Added cost of a target in another availability zone, in requests.
+FAR_REQUESTS = 1.0
+DEFAULT_ANSWER_TOKENS = 200
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """Where a request goes.
+
+    ``chain`` is the text that names the parts, empty for one target.
+    ``token_ms`` is the estimated time of one token.
+    """
+
+    head: Target
+    stages: tuple[tuple[Target, int], ...]
+    chain: str
+    tokens: float
+    token_ms: float = 0.0
+
+    @property
+    def shares(self):
+        """Identities and numbers of layers, for the ledger."""
+        return [(target.identity, n) for target, n in self.stages]
+
+
+class Chooser:
+    """Chooses targets by memory, speed, load, health and distance.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The targets.
+    ledger : Ledger
+        What is in progress on them.
+    zone : str
+        Availability zone of this host.
+    """
+
+    def __init__(self, fleet, ledger, zone):
+        self._fleet = fleet
+        self._ledger = ledger
+        self._zone = zone
+
+    def expected_tokens(self, call):
+        """Return the tokens that a request is expected to hold at its end."""
+        facts = call.facts
+        profile = call.service.engine
+        prompt = facts.prompt_tokens or 0
+        usual = DEFAULT_ANSWER_TOKENS
+        if profile is not None:
+            usual = profile.usual_answer_tokens
+        answer = facts.expected_answer_tokens or usual
+        if facts.max_answer_tokens:
+            answer = min(answer, facts.max_answer_tokens)
+        return prompt + answer
+
+    def choose_chain(self, call, now):
+        """Return the best `Choice` of a chain, or None if none has room.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        now : float
+            Monotonic time in seconds.
+        """
+        profile = call.service.engine
+        tokens = self.expected_tokens(call)
+        by_zone = {}
+        for target in self._fleet.of_service(call.service.name):
+            holder = self._holder(target, profile, call, now)
+            if holder is not None:
+                by_zone.setdefault(holder.zone, []).append(holder)
+        best = None
+        for zone, holders in by_zone.items():
+            stages = find_chain(holders, profile.layers, tokens)
+            if stages is None:
+                continue
+            cost = _cost(stages)
+            if zone != self._zone:
+                cost = cost * 1.5 + 5.0
+            if best is None or cost < best[0]:
+                best = (cost, stages)
+        if best is None:
+            everyone = [h for holders in by_zone.values() for h in holders]
+            stages = find_chain(everyone, profile.layers, tokens)
+            if stages is None:
+                return None
+            best = (_cost(stages), stages)
+        return self._as_choice(best[1], tokens)
+
+    def choose_target(self, call, now):
+        """Return the best `Choice` of one target, or None."""
+        candidates = self._candidates(call, now)
+        if not candidates:
+            return None
+        target = min(candidates, key=self._target_cost)
+        return Choice(target, ((target, 1),), "", 1.0)
+
+    def has_layers(self, service):
+        """Return whether any chain covers all layers, loaded or not."""
+        profile = service.engine
+        holders = [
+            Holder("", "", "", t.record.layers, 1.0, 1.0)
+            for t in self._fleet.of_service(service.name)
+            if t.record.layers is not None
+        ]
+        return find_chain(holders, profile.layers, 0.0) is not None
+
+    def _candidates(self, call, now):
+        targets = self._fleet.of_service(call.service.name)
+        fresh = [t for t in targets if t.identity not in call.tried]
+        sound = [t for t in fresh if not t.health.is_suspect(now)]
+        return sound or fresh
+
+    def _target_cost(self, target):
+        running = self._ledger.running(target.identity)
+        far = 0.0 if target.record.zone == self._zone else FAR_REQUESTS
+        load = (running + 1 + far) / target.record.slots
+        return load * target.health.penalty()
+
+    def _holder(self, target, profile, call, now):
+        """Return a target as a part of chains, or None if it can't be."""
+        record = target.record
+        kind = profile.kind(record.kind)
+        if record.layers is None or kind is None:
+            return None
+        if target.health.is_suspect(now) or target.identity in call.tried:
+            return None
+        capacity = FILL_SHARE * profile.capacity_units(
+            kind.memory_mb, record.layers.size
+        )
+        free = capacity - self._ledger.used_units(record.identity)
+        running = self._ledger.running(record.identity)
+        if running >= record.slots or free <= 0 or not capacity:
+            return None
+        model = ChainModel(profile)
+        step = model.step_ms(kind.step_factor, profile.layers, running)
+        pressure = 1.0 + (1.0 - free / capacity) ** 2
+        cost = step / profile.layers * pressure * target.health.penalty()
+        return Holder(
+            record.identity,
+            record.address,
+            record.zone,
+            record.layers,
+            cost,
+            free,
+        )
+
+    def _as_choice(self, stages, tokens):
+        targets = tuple(
+            (self._fleet.get(s.holder.identity), s.layers.size) for s in stages
+        )
+        chain = call_path([Stage(s.holder.address, s.layers) for s in stages])
+        return Choice(targets[0][0], targets, chain, tokens, _cost(stages))
+
+
+def _cost(stages):
+    return sum(s.holder.layer_cost * s.layers.size + 0.6 for s in stages)
+
+
+def whole_model(profile):
+    """Return the range of all layers of a model."""
+    return LayerRange(0, profile.layers)
--- /dev/null
+++ b/apricotseam/forwarding/_gateway.py
@@ -0,0 +1,160 @@
+"""Takes callers' requests and sends each on its way."""
+
+import asyncio
+import logging
+
+from apricotseam.forwarding._call import Call
+from apricotseam.forwarding._plain import PlainRunner
+from apricotseam.forwarding._streams import StreamRunner
+from apricotseam.platform import decode_call
+from apricotseam.platform import refusal_headers
+from apricotseam.routes import Repeat
+
+_LOG = logging.getLogger(__name__)
+
+UNREADY_RETRY_SECONDS = 0.3
+LEAVING_RETRY_SECONDS = 0.0
+
+
+class Scene:
+    """What requests read: one configuration, targets, room, connections.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The targets.
+    ledger : Ledger
+        What is in progress on them.
+    chooser : Chooser
+        Chooses targets.
+    pool : Pool
+        Connections to targets.
+    allowance : RetryAllowance
+        Repeats that this host may send.
+    metrics : RequestMetrics
+        Counters.
+    """
+
+    __slots__ = (
+        "allowance",
+        "chooser",
+        "fleet",
+        "is_refusing",
+        "ledger",
+        "metrics",
+        "pool",
+        "table",
+    )
+
+    def __init__(self, fleet, ledger, chooser, pool, allowance, metrics):
+        self.fleet = fleet
+        self.ledger = ledger
+        self.chooser = chooser
+        self.pool = pool
+        self.allowance = allowance
+        self.metrics = metrics
+        # The `RouteTable` in force; None before the first one.
+        self.table = None
+        # Set late in a planned stop.
+        self.is_refusing = False
+
+
+class Gateway:
+    """Handler of the callers' listener.
+
+    Parameters
+    ----------
+    scene : Scene
+        What requests read.
+    """
+
+    def __init__(self, scene):
+        self._scene = scene
+        self._streams = StreamRunner(scene)
+        self._plain = PlainRunner(scene)
+
+    async def handle(self, request, exchange):
+        """Answer one request of a caller."""
+        facts = decode_call(request)
+        call, refusal = self._admit(request, exchange, facts)
+        if call is None:
+            self._refuse(exchange, facts, *refusal)
+            return
+        scene = self._scene
+        loop = asyncio.get_running_loop()
+        scene.allowance.count(call.service.name, loop.time())
+        status = "cut"
+        try:
+            if call.route.repeat is Repeat.STREAM:
+                status = await self._streams.run(call)
+            else:
+                status = await self._plain.run(call)
+        except asyncio.CancelledError:
+            status = "caller_left"
+            raise
+        finally:
+            self._finish(call, status, loop.time())
+
+    def _admit(self, request, exchange, facts):
+        """Return the `Call`, or None and why there is none."""
+        scene = self._scene
+        table = scene.table
+        if table is None:
+            return None, (503, "no configuration", UNREADY_RETRY_SECONDS)
+        route = table.find_route(facts.host, request.path)
+        if route is None:
+            return None, (404, "no route", None)
+        customer = ""
+        if table.has_customers and not route.is_public:
+            found = table.find_customer(facts.key)
+            if found is None:
+                return None, (401, "unknown key", None)
+            customer = found.name
+        if scene.is_refusing:
+            exchange.must_close = True
+            return None, (503, "leaving", LEAVING_RETRY_SECONDS)
+        service = table.pick_service(route, facts.request_id)
+        if service is None:
+            return None, (503, "no such service", 1.0)
+        call = Call(request, exchange, facts, route, service, customer, table)
+        return call, None
+
+    def _refuse(self, exchange, facts, status, cause, retry_after):
+        self._scene.metrics.refusals.labels(cause).inc()
+        _LOG.info(
+            "request_refused",
+            extra={
+                "request": facts.request_id,
+                "status": status,
+                "cause": cause,
+                "retry_after": retry_after,
+                "revision": self._revision(),
+            },
+        )
+        exchange.answer(
+            status, headers=refusal_headers(facts.request_id, retry_after)
+        )
+
+    def _revision(self):
+        table = self._scene.table
+        return table.revision if table is not None else 0
+
+    def _finish(self, call, status, now):
+        kind = call.route.repeat.value
+        metrics = self._scene.metrics
+        seconds = now - call.request.received_at
+        metrics.requests.labels(kind, str(status)).inc()
+        metrics.duration.labels(kind).observe(seconds)
+        _LOG.info(
+            "request_done",
+            extra={
+                "request": call.request_id,
+                "route": call.route.name,
+                "customer": call.customer,
+                "revision": call.table.revision,
+                "status": status,
+                "sends": call.outcome,
+                "milliseconds": round(seconds * 1000),
+                "last_event": call.last_event,
+            },
+        )
--- /dev/null
+++ b/apricotseam/forwarding/_metrics.py
@@ -0,0 +1,49 @@
+"""Counters and histograms of requests."""
+
+import prometheus_client
+
+LATENCY_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 20.0)
+
+
+class RequestMetrics:
+    """Metrics of one process.
+
+    Parameters
+    ----------
+    registry : prometheus_client.CollectorRegistry
+        Where they are registered.
+    """
+
+    def __init__(self, registry):
+        self.requests = prometheus_client.Counter(
+            "apricotseam_requests",
+            "Answered requests by kind of route and status.",
+            ["kind", "status"],
+            registry=registry,
+        )
+        self.sends = prometheus_client.Counter(
+            "apricotseam_sends",
+            "Sends to targets by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+        self.refusals = prometheus_client.Counter(
+            "apricotseam_refusals",
+            "Requests that were refused, by cause.",
+            ["cause"],
+            registry=registry,
+        )
+        self.first_byte = prometheus_client.Histogram(
+            "apricotseam_first_byte_seconds",
+            "Time from a request's first byte to its answer's.",
+            ["kind"],
+            buckets=LATENCY_BUCKETS,
+            registry=registry,
+        )
+        self.duration = prometheus_client.Histogram(
+            "apricotseam_request_seconds",
+            "Time from a request's first byte to its answer's last.",
+            ["kind"],
+            buckets=LATENCY_BUCKETS,
+            registry=registry,
+        )
--- /dev/null
+++ b/apricotseam/forwarding/_streams.py
@@ -0,0 +1,197 @@
+"""Requests whose answers are streams of events."""
+
+import asyncio
+import logging
+
+from apricotseam.forwarding._refusal import refuse
+from apricotseam.forwarding._sending import Sender
+from apricotseam.http1 import ConnectError
+from apricotseam.http1 import EventSplitter
+from apricotseam.http1 import MalformedAnswerError
+from apricotseam.http1 import TransportError
+from apricotseam.http1 import TransportTimeoutError
+from apricotseam.platform import refusal_headers
+from apricotseam.platform import returned_headers
+
+_LOG = logging.getLogger(__name__)
+
+MAX_SENDS = 5
+MAX_ERROR_BYTES = 1 << 20
+# Silence before the first event and between events after which a stream
+# goes on elsewhere; callers give up after two seconds.
+FIRST_EVENT_SECONDS = 1.2
+NEXT_EVENT_SECONDS = 0.6
+MIN_RETRY_AFTER_SECONDS = 0.3
+MAX_RETRY_AFTER_SECONDS = 4.0
+
+
+class StreamRunner:
+    """Runs requests that are answered event by event.
+
+    Parameters
+    ----------
+    scene : Scene
+        What requests read.
+    """
+
+    def __init__(self, scene):
+        self._scene = scene
+        self._sender = Sender(scene)
+
+    async def run(self, call):
+        """Answer a call; return its status."""
+        status = 503
+        while call.attempts < MAX_SENDS:
+            choice = self._choose(call)
+            if choice is None:
+                break
+            call.attempts += 1
+            status = await self._attempt(call, choice)
+            if call.exchange.is_ended:
+                return status
+        if call.exchange.is_started:
+            call.exchange.cut()
+            return "cut"
+        if call.runs == 0:
+            return refuse(
+                self._scene, call, "no room", self._retry_after(call)
+            )
+        call.exchange.answer(status, headers=refusal_headers(call.request_id))
+        return status
+
+    def _choose(self, call):
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        if call.seconds_left() <= 0:
+            return None
+        if call.runs and not self._may_repeat(call):
+            return None
+        scene = self._scene
+        if call.service.engine is not None:
+            choice = scene.chooser.choose_chain(call, now)
+        else:
+            choice = scene.chooser.choose_target(call, now)
+        if choice is None or not call.attempts:
+            return choice
+        if not scene.allowance.spend(call.service.name, now):
+            return None
+        return choice
+
+    def _may_repeat(self, call):
+        route = call.route
+        return route.is_repeatable and call.runs < route.max_attempts
+
+    def _retry_after(self, call):
+        """Return when there should be room, in seconds from now."""
+        now = asyncio.get_running_loop().time()
+        ends = self._scene.ledger.next_ends(2)
+        wait = ends[-1] - now if ends else MIN_RETRY_AFTER_SECONDS
+        return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait))
+
+    async def _attempt(self, call, choice):
+        """Send a call along a chain; return a status."""
+        loop = asyncio.get_running_loop()
+        scene = self._scene
+        answer_tokens = choice.tokens - (call.facts.prompt_tokens or 0)
+        seconds = answer_tokens * choice.token_ms / 1000.0
+        booking = scene.ledger.book(
+            choice.tokens, choice.shares, loop.time() + seconds
+        )
+        connection = None
+        try:
+            connection = await self._sender.open(call, choice.head)
+            self._sender.send(call, connection, choice, call.last_event)
+            call.runs += 1
+            status = await self._relay(call, connection, choice)
+            connection = None
+            return status
+        except ConnectError:
+            self._blame(call, choice.head, "no_connection", True)
+            return 502
+        except TransportError as error:
+            is_silent = isinstance(error, TransportTimeoutError)
+            self._blame(call, choice.head, error.code, is_silent)
+            return 504 if is_silent else 502
+        finally:
+            scene.ledger.release(booking)
+            if connection is not None:
+                connection.close()
+
+    async def _relay(self, call, connection, choice):
+        """Pass events on until the answer's end."""
+        deadline = self._deadline(call, FIRST_EVENT_SECONDS)
+        answer, facts = await self._sender.head(call, connection, deadline)
+        if answer.status != 200 or facts.was_not_run:
+            return await self._take_failure(
+                call, connection, choice, answer, facts
+            )
+        if facts.is_encoded or not facts.is_signed:
+            raise MalformedAnswerError(
+                f"{connection.address} sent bytes of another origin",
+                "repeat the request if it may be resumed",
+            )
+        splitter = EventSplitter()
+        while data := await connection.read(deadline):
+            for event in splitter.feed(data):
+                await self._pass_on(call, answer, event)
+            deadline = self._deadline(call, NEXT_EVENT_SECONDS)
+        if splitter.has_rest:
+            raise MalformedAnswerError(
+                f"{connection.address} ended within an event",
+                "repeat the request if it may be resumed",
+            )
+        if not call.exchange.is_started:
+            call.exchange.start(200, returned_headers(answer), answer.reason)
+        call.exchange.end()
+        choice.head.health.succeed()
+        call.note(choice.chain or choice.head.identity, "200")
+        self._scene.pool.release(choice.head.incarnation, connection, answer)
+        return 200
+
+    async def _pass_on(self, call, answer, event):
+        if event.number is not None:
+            last = call.last_event
+            if last is not None and event.number <= last:
+                return
+            call.last_event = event.number
+        exchange = call.exchange
+        if not exchange.is_started:
+            exchange.start(200, returned_headers(answer), answer.reason)
+            now = asyncio.get_running_loop().time()
+            kind = call.route.repeat.value
+            seconds = now - call.request.received_at
+            self._scene.metrics.first_byte.labels(kind).observe(seconds)
+        await exchange.write(event.data)
+
+    async def _take_failure(self, call, connection, choice, answer, facts):
+        """Take an answer that is no stream; return its status."""
+        deadline = self._deadline(call, NEXT_EVENT_SECONDS)
+        body = await connection.read_all(deadline, MAX_ERROR_BYTES)
+        self._scene.pool.release(choice.head.incarnation, connection, answer)
+        at_fault = self._scene.fleet.at(facts.target_at_fault) or choice.head
+        if facts.was_not_run:
+            call.runs -= 1
+            self._blame(call, at_fault, f"not_run_{answer.status}", False)
+            return 503
+        self._blame(call, at_fault, str(answer.status), False)
+        if call.exchange.is_started or self._may_repeat(call):
+            return 502
+        call.exchange.answer(
+            answer.status, body, returned_headers(answer), answer.reason
+        )
+        return answer.status
+
+    def _blame(self, call, target, outcome, is_silent):
+        """Note that a target failed a call and keep the call off it."""
+        now = asyncio.get_running_loop().time()
+        call.tried.add(target.identity)
+        call.note(target.identity, outcome)
+        self._scene.metrics.sends.labels(outcome).inc()
+        if is_silent:
+            target.health.lose_contact(now)
+        else:
+            target.health.fail()
+
+    def _deadline(self, call, seconds):
+        now = asyncio.get_running_loop().time()
+        return min(call.deadline, now + seconds)
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -9,6 +9,8 @@
 from apricotseam.clock import SystemClock
 from apricotseam.config import ConfigurationStore
 from apricotseam.execution import TransportLink
+from apricotseam.external import EtcdService
+from apricotseam.external import HttpHostList
 from apricotseam.host._children import ListenerChild
 from apricotseam.host._children import PeersChild
 from apricotseam.host._configuration import ConfigurationChild
@@ -40,8 +42,6 @@
 from apricotseam.peers import PeerTransport
 from apricotseam.pipelines import ChainRunner
 from apricotseam.pipelines import StepCarrier
-from apricotseam.platform import EtcdService
-from apricotseam.platform import HttpHostList
 from apricotseam.routing import ChainPlans
 from apricotseam.supervision import Supervisor
 from apricotseam.web import HttpClient
--- a/apricotseam/host/_hostlist.py
+++ b/apricotseam/host/_hostlist.py
@@ -12,9 +12,9 @@
 from apricotseam.config import make_reference
 from apricotseam.config import split_text
 from apricotseam.errors import ApricotseamError
+from apricotseam.external import ListedHost
 from apricotseam.host._listing import Listing
 from apricotseam.membership import reader_rank
-from apricotseam.platform import ListedHost
 from apricotseam.supervision import Child
 
 _LOG = logging.getLogger(__name__)
--- a/apricotseam/host/_listing.py
+++ b/apricotseam/host/_listing.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from apricotseam.platform import LEAVING
-from apricotseam.platform import LIVE
+from apricotseam.external import LEAVING
+from apricotseam.external import LIVE
 
 ABSENCE_SECONDS = 10.0
 LEAVING_HOLD_SECONDS = 30.0
--- a/apricotseam/host/_orders.py
+++ b/apricotseam/host/_orders.py
@@ -1,8 +1,8 @@
 """Builds the orders to targets of one entry host."""
 
+from apricotseam.external import HttpModelEngine
+from apricotseam.external import HttpWeightStore
 from apricotseam.orders import OrdersChild
-from apricotseam.platform import HttpModelEngine
-from apricotseam.platform import HttpWeightStore
 
 
 def build_orders(settings, clock, http, service, snapshots):
--- a/apricotseam/host/_policy.py
+++ b/apricotseam/host/_policy.py
@@ -2,7 +2,7 @@
 
 from apricotseam.admission import FairAdmission
 from apricotseam.admission import SharedLimits
-from apricotseam.platform import HttpModelEngine
+from apricotseam.external import HttpModelEngine
 from apricotseam.routing import build_chooser
 from apricotseam.routing import count_retry
 from apricotseam.routing import LinkDistances
--- a/apricotseam/host/_snapshots.py
+++ b/apricotseam/host/_snapshots.py
@@ -2,10 +2,10 @@
 
 import random
 
+from apricotseam.external import LEAVING
 from apricotseam.membership import MemberTable
 from apricotseam.membership import order_addresses
 from apricotseam.operators import HostStatus
-from apricotseam.platform import LEAVING
 from apricotseam.routing import TargetTable
 
 # Entry hosts that are assumed while no host list was ever read.
--- a/apricotseam/host/tests/test_drain.py
+++ b/apricotseam/host/tests/test_drain.py
@@ -9,12 +9,12 @@
 import pytest
 import yaml
 
+from apricotseam.external import ListedHost
 from apricotseam.host._drain import Drain
 from apricotseam.host._drain import DrainPhase
 from apricotseam.host._gate import Gate
 from apricotseam.host._listing import Listing
 from apricotseam.host._reports import ReportPlan
-from apricotseam.platform import ListedHost
 
 TRACES = pathlib.Path(__file__).parents[3] / "traces"
 
--- /dev/null
+++ b/apricotseam/http1/__init__.py
@@ -0,0 +1,37 @@
+"""HTTP/1.1 connections on one asyncio loop, parsed by `h11`."""
+
+from apricotseam.http1._client import Answer
+from apricotseam.http1._client import connect
+from apricotseam.http1._client import Connection
+from apricotseam.http1._errors import ConnectError
+from apricotseam.http1._errors import LostConnectionError
+from apricotseam.http1._errors import MalformedAnswerError
+from apricotseam.http1._errors import TransportError
+from apricotseam.http1._errors import TransportTimeoutError
+from apricotseam.http1._message import is_hop_header
+from apricotseam.http1._message import Request
+from apricotseam.http1._pool import Pool
+from apricotseam.http1._server import Exchange
+from apricotseam.http1._server import Limits
+from apricotseam.http1._server import Server
+from apricotseam.http1._sse import Event
+from apricotseam.http1._sse import EventSplitter
+
+__all__ = [
+    "Answer",
+    "ConnectError",
+    "Connection",
+    "Event",
+    "EventSplitter",
+    "Exchange",
+    "Limits",
+    "LostConnectionError",
+    "MalformedAnswerError",
+    "Pool",
+    "Request",
+    "Server",
+    "TransportError",
+    "TransportTimeoutError",
+    "connect",
+    "is_hop_header",
+]
--- /dev/null
+++ b/apricotseam/http1/_errors.py
@@ -0,0 +1,35 @@
+"""Errors of connections."""
+
+from apricotseam.errors import ApricotseamError
+
+
+class TransportError(ApricotseamError):
+    """A call over a connection did not come to its end."""
+
+    code = "transport_failed"
+    http_status = 502
+
+
+class ConnectError(TransportError):
+    """No connection was made, so nothing was sent."""
+
+    code = "connect_failed"
+
+
+class LostConnectionError(TransportError):
+    """The connection ended before the answer did."""
+
+    code = "connection_lost"
+
+
+class MalformedAnswerError(TransportError):
+    """The peer sent bytes that are no answer to this call."""
+
+    code = "malformed_answer"
+
+
+class TransportTimeoutError(TransportError):
+    """The peer sent nothing by the deadline."""
+
+    code = "transport_timeout"
+    http_status = 504
--- /dev/null
+++ b/apricotseam/http1/_server.py
@@ -0,0 +1,343 @@
+"""A listener for HTTP/1.1: each request whole, answers piece by piece."""
+
+import asyncio
+import logging
+
+import h11
+import msgspec
+
+from apricotseam.http1._message import Request
+from apricotseam.http1._sockets import watch_for_silence
+
+_LOG = logging.getLogger(__name__)
+
+BACKLOG = 512
+LINGER_SECONDS = 0.5
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """What a caller may send and how long it may take.
+
+    Sizes are in bytes, times in seconds.
+    """
+
+    head_bytes: int = 16384
+    body_bytes: int = 4 << 20
+    head_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+class Exchange:
+    """The answer to one request.
+
+    Parameters
+    ----------
+    connection : _ServerConnection
+        Where the answer goes.
+    """
+
+    __slots__ = ("_connection", "is_ended", "is_started", "must_close")
+
+    def __init__(self, connection):
+        self._connection = connection
+        self.is_started = False
+        self.is_ended = False
+        self.must_close = False
+
+    def start(self, status, headers, reason=b""):
+        """Send the head of the answer.
+
+        Parameters
+        ----------
+        status : int
+            Status code.
+        headers : list of tuple
+            Names and values, both bytes.
+        reason : bytes
+            Reason phrase.
+        """
+        self.is_started = True
+        if self.must_close:
+            headers = [*headers, (b"Connection", b"close")]
+        self._connection.send(
+            h11.Response(status_code=status, headers=headers, reason=reason)
+        )
+
+    async def write(self, data):
+        """Send a piece of the body; waits while the caller reads slowly."""
+        self._connection.send(h11.Data(data=data))
+        await self._connection.drained()
+
+    def end(self):
+        """Send the end of the answer."""
+        self.is_ended = True
+        self._connection.send(h11.EndOfMessage())
+
+    def answer(self, status, body=b"", headers=(), reason=b""):
+        """Send a whole answer."""
+        length = (b"Content-Length", str(len(body)).encode())
+        self.start(status, [*headers, length], reason)
+        if body:
+            self._connection.send(h11.Data(data=body))
+        self.end()
+
+    def cut(self):
+        """Close the connection, so that the answer is visibly cut off."""
+        self.is_ended = True
+        self._connection.cut()
+
+
+class Server:
+    """Listens on an address and gives each request to a handler.
+
+    Parameters
+    ----------
+    handler : callable
+        Coroutine function of a `Request` and an `Exchange`. It is
+        cancelled when the caller closes its connection.
+    limits : callable
+        Returns the `Limits` that apply now.
+    """
+
+    def __init__(self, handler, limits=Limits):
+        self.handler = handler
+        self.limits = limits
+        self.is_closing = False
+        self.connections = set()
+        self._server = None
+
+    @property
+    def in_progress(self):
+        """Number of requests that are not answered yet."""
+        return sum(c.is_busy for c in self.connections)
+
+    async def start(self, address):
+        """Listen on ``ip:port``."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _ServerConnection(self), host, int(port), backlog=BACKLOG
+        )
+
+    def announce_close(self):
+        """Close each kept connection with its next answer."""
+        self.is_closing = True
+
+    def stop_listening(self):
+        """Accept no more connections and close the idle ones."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            if not connection.is_busy:
+                connection.close()
+
+    def abort(self):
+        """Close all connections at once."""
+        self.stop_listening()
+        for connection in list(self.connections):
+            connection.cut()
+
+
+class _ServerConnection(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, server):
+        self._server = server
+        self._parser = None
+        self._transport = None
+        self._timer = None
+        self._task = None
+        self._head = None
+        self._body = []
+        self._size = 0
+        self._began = 0.0
+        self._can_write = None
+        self._is_rejected = False
+
+    @property
+    def is_busy(self):
+        """Whether a request is in progress."""
+        return self._task is not None
+
+    def connection_made(self, transport):
+        self._transport = transport
+        watch_for_silence(transport)
+        limits = self._server.limits()
+        self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.head_bytes
+        )
+        self._server.connections.add(self)
+        self._set_timer(limits.idle_seconds)
+
+    def data_received(self, data):
+        if self._is_rejected:
+            return
+        if self._head is None and self._task is None and not self._began:
+            self._begin()
+        try:
+            self._parser.receive_data(data)
+            if self._task is None:
+                self._parse()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint)
+
+    def eof_received(self):
+        return False
+
+    def connection_lost(self, error):
+        self._server.connections.discard(self)
+        self._cancel_timer()
+        if self._can_write is not None and not self._can_write.done():
+            self._can_write.set_result(None)
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self):
+        self._can_write = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self):
+        if self._can_write is not None and not self._can_write.done():
+            self._can_write.set_result(None)
+        self._can_write = None
+
+    def send(self, event):
+        """Send one event of the answer."""
+        if self._transport.is_closing():
+            return
+        data = self._parser.send(event)
+        if data:
+            self._transport.write(data)
+
+    async def drained(self):
+        """Wait while the caller does not read."""
+        if self._can_write is not None:
+            await self._can_write
+
+    def close(self):
+        """Close after what was written."""
+        self._transport.close()
+
+    def cut(self):
+        """Close at once; the answer stays incomplete."""
+        self._transport.abort()
+
+    def _begin(self):
+        self._began = asyncio.get_running_loop().time()
+        self._set_timer(self._server.limits().head_seconds)
+
+    def _parse(self):
+        while True:
+            event = self._parser.next_event()
+            if event in (h11.NEED_DATA, h11.PAUSED):
+                if self._parser.they_are_waiting_for_100_continue:
+                    self.send(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                return
+            if isinstance(event, h11.Request):
+                self._take_head(event)
+            elif isinstance(event, h11.Data):
+                if not self._take_body(event.data):
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._dispatch()
+                return
+            else:
+                self.close()
+                return
+
+    def _take_head(self, event):
+        self._head = event
+        self._body = []
+        self._size = 0
+
+    def _take_body(self, data):
+        self._size += len(data)
+        if self._size > self._server.limits().body_bytes:
+            self._reject(413)
+            return False
+        self._body.append(bytes(data))
+        return True
+
+    def _dispatch(self):
+        self._cancel_timer()
+        head = self._head
+        request = Request(
+            head.method,
+            head.target,
+            head.headers.raw_items(),
+            b"".join(self._body),
+            self._began,
+        )
+        self._body = []
+        exchange = Exchange(self)
+        exchange.must_close = self._server.is_closing
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(self._handle(request, exchange))
+
+    async def _handle(self, request, exchange):
+        try:
+            await self._server.handler(request, exchange)
+        except asyncio.CancelledError:
+            exchange.cut()
+            return
+        except Exception:
+            _LOG.exception("request_handler_failed")
+            if not exchange.is_started:
+                exchange.must_close = True
+                exchange.answer(500)
+        finally:
+            self._task = None
+        if not exchange.is_ended:
+            exchange.cut()
+            return
+        self._next_request(exchange)
+
+    def _next_request(self, exchange):
+        """Get ready for the next request of a kept connection."""
+        parser = self._parser
+        is_reusable = (
+            parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        )
+        if self._transport.is_closing():
+            return
+        if exchange.must_close or not is_reusable:
+            self.close()
+            return
+        parser.start_next_cycle()
+        self._head = None
+        self._began = 0.0
+        self._set_timer(self._server.limits().idle_seconds)
+        if parser.trailing_data[0]:
+            self._begin()
+            try:
+                self._parse()
+            except h11.RemoteProtocolError as error:
+                self._reject(error.error_status_hint)
+
+    def _reject(self, status):
+        """Answer what cannot be a proper request and close."""
+        self._is_rejected = True
+        self._cancel_timer()
+        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            exchange = Exchange(self)
+            exchange.must_close = True
+            exchange.answer(status)
+        self._transport.close()
+
+    def _set_timer(self, seconds):
+        self._cancel_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds, self._expire)
+
+    def _cancel_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire(self):
+        """End a connection that is idle or sends its request too slowly."""
+        if self._began:
+            self._reject(408)
+        else:
+            self.close()
--- a/apricotseam/logs/__init__.py
+++ b/apricotseam/logs/__init__.py
@@ -1,5 +1,11 @@
 """Structured logs: one JSON event a line."""
 
+from apricotseam.logs._bounded import BoundedHandler
+from apricotseam.logs._bounded import configure_bounded_logging
 from apricotseam.logs._logging import configure_logging
 
-__all__ = ["configure_logging"]
+__all__ = [
+    "BoundedHandler",
+    "configure_bounded_logging",
+    "configure_logging",
+]
--- a/apricotseam/logs/_logging.py
+++ b/apricotseam/logs/_logging.py
@@ -17,10 +17,13 @@
         Where to; standard error without it.
     """
     handler = logging.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(
-        JsonFormatter(
-            "%(asctime)s %(levelname)s %(name)s %(message)s",
-            rename_fields={"message": "event", "asctime": "time"},
-        )
-    )
+    handler.setFormatter(make_formatter())
     logging.basicConfig(level=level, handlers=[handler], force=True)
+
+
+def make_formatter():
+    """Return the formatter of all events."""
+    return JsonFormatter(
+        "%(asctime)s %(levelname)s %(name)s %(message)s",
+        rename_fields={"message": "event", "asctime": "time"},
+    )
--- a/apricotseam/membership/__init__.py
+++ b/apricotseam/membership/__init__.py
@@ -7,6 +7,7 @@
 from apricotseam.membership._member import MemberState
 from apricotseam.membership._member import MemberTable
 from apricotseam.membership._membership import Membership
+from apricotseam.membership._messages import MESSAGE_TYPES
 from apricotseam.membership._readers import choose_readers
 from apricotseam.membership._readers import reader_rank
 from apricotseam.membership._ring import ring_position
@@ -16,6 +17,7 @@
 __all__ = [
     "Facts",
     "Health",
+    "MESSAGE_TYPES",
     "Member",
     "MemberState",
     "MemberTable",
--- /dev/null
+++ b/apricotseam/node/_main.py
@@ -0,0 +1,49 @@
+"""Start and end of the process."""
+
+import asyncio
+import gc
+import logging
+import os
+import pathlib
+
+from apricotseam.errors import ApricotseamError
+from apricotseam.logs import configure_bounded_logging
+from apricotseam.node._node import Node
+from apricotseam.node._settings import load_node_settings
+
+_LOG = logging.getLogger(__name__)
+
+SETTINGS_VARIABLE = "APRICOTSEAM_SETTINGS"
+# Fewer collections of young objects: requests leave few cycles behind.
+GC_THRESHOLD = 20000
+
+
+def main(arguments):
+    """Run one host until it is told to stop; return the exit code.
+
+    Parameters
+    ----------
+    arguments : list of str
+        The settings file; without it, the file that the variable
+        ``APRICOTSEAM_SETTINGS`` names.
+    """
+    configure_bounded_logging()
+    gc.set_threshold(GC_THRESHOLD)
+    path = arguments[0] if arguments else os.environ.get(SETTINGS_VARIABLE)
+    try:
+        if not path:
+            raise ApricotseamError(
+                "no settings file was named",
+                f"name one or set {SETTINGS_VARIABLE}",
+            )
+        settings = load_node_settings(pathlib.Path(path).read_text(), path)
+    except (ApricotseamError, OSError) as error:
+        _LOG.critical("start_failed", extra={"error": str(error)})
+        return 2
+    return asyncio.run(_run(settings, path))
+
+
+async def _run(settings, path):
+    node = Node(settings, path)
+    await node.start()
+    return await node.wait()
--- a/apricotseam/orders/_orderer.py
+++ b/apricotseam/orders/_orderer.py
@@ -4,10 +4,10 @@
 
 from apricotseam.config import Fencing
 from apricotseam.errors import ApricotseamError
+from apricotseam.external import Order
 from apricotseam.orders._budget import LoadBudget
 from apricotseam.orders._reconcile import Plan
 from apricotseam.orders._reconcile import reconcile
-from apricotseam.platform import Order
 
 ORDER_SECONDS = 2.0
 READ_SECONDS = 1.0
--- a/apricotseam/orders/tests/fakes.py
+++ b/apricotseam/orders/tests/fakes.py
@@ -3,11 +3,11 @@
 from apricotseam.errors import AnswerLostError
 from apricotseam.errors import ServiceUnavailableError
 from apricotseam.errors import TargetError
+from apricotseam.external import EngineReport
+from apricotseam.external import KeyValueService
+from apricotseam.external import ModelEngine
+from apricotseam.external import Versioned
 from apricotseam.orders._lease import LEASE_SECONDS
-from apricotseam.platform import EngineReport
-from apricotseam.platform import KeyValueService
-from apricotseam.platform import ModelEngine
-from apricotseam.platform import Versioned
 
 
 class Chaos:
--- a/apricotseam/orders/tests/test_reconcile.py
+++ b/apricotseam/orders/tests/test_reconcile.py
@@ -5,9 +5,9 @@
 import msgspec
 import pytest
 
+from apricotseam.external import EngineReport
 from apricotseam.orders import reconcile
 from apricotseam.orders import Wanted
-from apricotseam.platform import EngineReport
 
 LAYERS = 4
 RANGES = {"w": (0, 3), "a": (0, 1), "b": (2, 3)}
--- a/apricotseam/peers/_transport.py
+++ b/apricotseam/peers/_transport.py
@@ -123,12 +123,12 @@
 
     def start(self):
         """Listen on the address."""
-        self._loop.run(self._start(), CALL_TIMEOUT_SECONDS)
+        self._loop.run(self.open(), CALL_TIMEOUT_SECONDS)
 
     def stop(self):
         """Close the listener and all connections."""
         with contextlib.suppress(Exception):
-            self._loop.run(self._stop(), STOP_TIMEOUT_SECONDS)
+            self._loop.run(self.close(), STOP_TIMEOUT_SECONDS)
 
     def ask(self, address, record, timeout=CALL_TIMEOUT_SECONDS):
         """Ask a peer and wait for its answer (not on the control loop).
@@ -189,7 +189,8 @@
         """
         self._channels.close(address)
 
-    async def _start(self):
+    async def open(self):
+        """Listen on the address; for callers on the control loop."""
         host, port = self._address.rsplit(":", 1)
         self._server = ClosingServer(
             [Servant(self.dispatch)], config=make_configuration()
@@ -197,7 +198,8 @@
         context = self._tls_context("server")
         await self._server.start(host, int(port), ssl=context)
 
-    async def _stop(self):
+    async def close(self):
+        """Close all connections; for callers on the control loop."""
         for pump in list(self._pumps):
             pump.cancel()
         self._channels.close_all()
--- a/apricotseam/pipelines/_stages.py
+++ b/apricotseam/pipelines/_stages.py
@@ -4,10 +4,10 @@
 
 from apricotseam.errors import AnswerLostError
 from apricotseam.errors import ApricotseamError
+from apricotseam.external import Step
 from apricotseam.pipelines._metrics import LATE_ANSWERS
 from apricotseam.pipelines._progress import ASK_FIRST_CODES
 from apricotseam.pipelines._progress import Symptom
-from apricotseam.platform import Step
 from apricotseam.web import UnreachableError
 
 BATCH_STEPS = 16
--- a/apricotseam/pipelines/tests/_layers.py
+++ b/apricotseam/pipelines/tests/_layers.py
@@ -6,11 +6,11 @@
 from apricotseam.errors import AnswerLostError
 from apricotseam.errors import NoTargetError
 from apricotseam.errors import TargetError
+from apricotseam.external import ModelEngine
+from apricotseam.external import StepResult
+from apricotseam.external import StreamPosition
 from apricotseam.pipelines import Stage
 from apricotseam.pipelines import StageChooser
-from apricotseam.platform import ModelEngine
-from apricotseam.platform import StepResult
-from apricotseam.platform import StreamPosition
 from apricotseam.web import UnreachableError
 
 
--- a/apricotseam/pipelines/tests/test_carrier.py
+++ b/apricotseam/pipelines/tests/test_carrier.py
@@ -5,9 +5,9 @@
 import pytest
 
 from apricotseam.errors import AnswerLostError
+from apricotseam.external import Step
+from apricotseam.external import StepResult
 from apricotseam.pipelines import StepCarrier
-from apricotseam.platform import Step
-from apricotseam.platform import StepResult
 from apricotseam.web import UnreachableError
 
 
--- /dev/null
+++ b/apricotseam/platform/_configuration.py
@@ -0,0 +1,231 @@
+"""The operators' configuration."""
+
+import msgspec
+
+from apricotseam.errors import InvalidFileError
+from apricotseam.http1 import Limits
+from apricotseam.routes import AcceleratorKind
+from apricotseam.routes import Customer
+from apricotseam.routes import EngineProfile
+from apricotseam.routes import Repeat
+from apricotseam.routes import Route
+from apricotseam.routes import RouteTable
+from apricotseam.routes import Service
+from apricotseam.routes import ServiceShare
+
+MILLISECONDS = 1000.0
+DEFAULT_TIMEOUT_MS = 30000.0
+
+_REPEATS = {
+    "safe": Repeat.IDEMPOTENT,
+    "unsafe": Repeat.ONCE,
+    "streaming": Repeat.STREAM,
+}
+
+
+class _Record(msgspec.Struct, rename="pascal", kw_only=True):
+    """Base of records whose names are in Pascal case; more may come."""
+
+
+class _Share(_Record, kw_only=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(_Record, kw_only=True):
+    name: str = ""
+    host: str
+    prefix: str
+    # On a route this says what may be repeated.
+    route_kind: str
+    timeout_ms: float = DEFAULT_TIMEOUT_MS
+    target_latency_ms: float = MILLISECONDS
+    gap_aim_ms: float = MILLISECONDS
+    priority: int = 0
+    service: str = ""
+    split: list[_Share] | None = None
+    max_attempts: int = 1
+    public: bool = False
+    # Set on routes whose requests carry a prompt.
+    sticky: bool = False
+    resumable: bool = False
+
+
+class _Kind(_Record, kw_only=True):
+    name: str
+    size_mb: float
+    read_factor: float = 1.0
+    pace: float = msgspec.field(name="pace", default=1.0)
+
+
+class _Model(_Record, kw_only=True):
+    name: str = ""
+    load_s: float = 0.0
+
+
+class _Usual(msgspec.Struct):
+    prompt: float = 1.0
+    answer: float = 1.0
+
+
+class _Engine(_Record, kw_only=True):
+    slots: int = 1
+    # Bytes of one token over all layers.
+    kv_token_bytes: float = 0.0
+    stride: int = 1
+    models: list[_Model] = []
+    layers: int = 0
+    layer_mb: float = 0.0
+    activation_bytes: float = 0.0
+    kinds: list[_Kind] = []
+    step_ms: float = msgspec.field(name="step_ms", default=1.0)
+    per_seq_ms: float = msgspec.field(name="per_seq_ms", default=0.0)
+    context_per_k: float = msgspec.field(name="context_per_k", default=0.0)
+    read_per_s: float = msgspec.field(name="read_per_s", default=1e5)
+    pairs_per_m: float = msgspec.field(name="pairs_per_m", default=0.0)
+    chunk: int = msgspec.field(name="chunk", default=512)
+    loads_at_once: int = msgspec.field(name="loads_at_once", default=1)
+    usual: _Usual = msgspec.field(name="usual", default_factory=_Usual)
+
+
+class _Service(_Record, kw_only=True):
+    name: str
+    health_path: str = "/"
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(_Record, kw_only=True):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 << 20
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Tenant(_Record, kw_only=True):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Configuration(_Record, kw_only=True):
+    version: int = 0
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+_DECODER = msgspec.json.Decoder(_Configuration)
+
+
+def decode_configuration(value, revision):
+    """Return the `RouteTable` of a stored configuration.
+
+    Parameters
+    ----------
+    value : bytes
+        The stored bytes.
+    revision : int
+        Revision of the entry.
+
+    Raises
+    ------
+    InvalidFileError
+        If the bytes are no configuration.
+    """
+    try:
+        found = _DECODER.decode(value)
+        return RouteTable(
+            revision=revision,
+            version=found.version,
+            routes=[_route(route) for route in found.routes],
+            services=[_service(service) for service in found.services],
+            customers=[_customer(tenant) for tenant in found.tenants],
+            limits=_limits(found.limits),
+        )
+    except (msgspec.DecodeError, UnicodeDecodeError, KeyError) as error:
+        raise InvalidFileError(
+            f"the stored configuration is not readable ({error})",
+            "write the configuration again; the last good one stays",
+        ) from None
+
+
+def _route(route):
+    if route.split:
+        shares = [ServiceShare(s.service, s.weight) for s in route.split]
+    else:
+        shares = [ServiceShare(route.service, 1.0)]
+    return Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        repeat=_REPEATS[route.route_kind],
+        shares=tuple(shares),
+        timeout_seconds=route.timeout_ms / MILLISECONDS,
+        objective_seconds=route.target_latency_ms / MILLISECONDS,
+        pause_seconds=route.gap_aim_ms / MILLISECONDS,
+        priority=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        is_public=route.public,
+        is_generation=route.sticky,
+        is_resumable=route.resumable,
+    )
+
+
+def _service(service):
+    engine = service.engine
+    return Service(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.max_conns,
+        engine=_engine(engine) if engine and engine.layers else None,
+    )
+
+
+def _engine(engine):
+    kinds = tuple(
+        AcceleratorKind(
+            name=kind.name,
+            memory_mb=kind.size_mb,
+            step_factor=kind.pace,
+            read_factor=kind.read_factor,
+        )
+        for kind in engine.kinds
+    )
+    return EngineProfile(
+        layers=engine.layers,
+        layer_mb=engine.layer_mb,
+        token_bytes=engine.kv_token_bytes,
+        kinds=kinds,
+        slots=engine.slots,
+        step_ms=engine.step_ms,
+        step_ms_per_request=engine.per_seq_ms,
+        step_ms_per_1000_tokens=engine.context_per_k,
+        read_tokens_per_second=engine.read_per_s,
+        read_ms_per_million_pairs=engine.pairs_per_m,
+        chunk_tokens=engine.chunk,
+        tokens_per_event=engine.stride,
+        load_seconds=max((m.load_s for m in engine.models), default=0.0),
+        usual_prompt_tokens=engine.usual.prompt,
+        usual_answer_tokens=engine.usual.answer,
+        simultaneous_loads=engine.loads_at_once,
+        activation_bytes=engine.activation_bytes,
+    )
+
+
+def _customer(tenant):
+    return Customer(
+        name=tenant.name,
+        keys=frozenset(tenant.api_keys),
+        priority=tenant.priority,
+    )
+
+
+def _limits(limits):
+    return Limits(
+        head_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        head_seconds=limits.header_timeout_ms / MILLISECONDS,
+        idle_seconds=limits.idle_timeout_ms / MILLISECONDS,
+    )
--- /dev/null
+++ b/apricotseam/platform/_orders.py
@@ -0,0 +1,186 @@
+"""Orders to targets, their reports, and chains as they are written."""
+
+import enum
+
+import msgspec
+
+from apricotseam.errors import InvalidInputError
+from apricotseam.fleet import LayerRange
+
+REPORT_PATH = b"/v1/report"
+ORDER_PATH = b"/v1/order"
+
+
+class OrderOutcome(enum.Enum):
+    """What a target said to an order."""
+
+    BEGUN = 202
+    HOLDS = 200
+    CONFLICT = 409
+    FENCED = 412
+    WRONG_TARGET = 421
+    UNKNOWN = 404
+    UNSUPPORTED = 400
+    FAILED = 0
+
+    @classmethod
+    def of_status(cls, status):
+        """Return the outcome of a status code."""
+        try:
+            return cls(status)
+        except ValueError:
+            return cls.FAILED
+
+
+class Placement(msgspec.Struct, frozen=True, kw_only=True):
+    """Order to hold a range of layers and no other.
+
+    ``fence`` is the orderer's fencing number. ``after_orders`` is the
+    number of orders that the target must have accepted before.
+    """
+
+    layers: LayerRange
+    fence: int
+    after_orders: int | None = None
+
+    def encode(self):
+        """Return the body of the order."""
+        return msgspec.json.encode(
+            _Order(
+                op="place",
+                from_=self.layers.first,
+                target=self.layers.last,
+                mode="queue",
+                fencing_token=self.fence,
+                expected=self.after_orders,
+            )
+        )
+
+
+class Stage(msgspec.Struct, frozen=True):
+    """One part of a chain: a target's address and the layers it runs."""
+
+    address: str
+    layers: LayerRange
+
+
+class Reroute(msgspec.Struct, frozen=True, kw_only=True):
+    """Order to the first target of a chain to go on over another one."""
+
+    request_id: str
+    chain: tuple[Stage, ...]
+
+    def encode(self):
+        """Return the body of the order."""
+        return msgspec.json.encode(
+            _Order(op="repath", id=self.request_id, path=call_path(self.chain))
+        )
+
+
+class StalledRequest(msgspec.Struct, frozen=True):
+    """A request that waits for a target that does not answer."""
+
+    request_id: str
+    address: str
+
+
+class TargetReport(msgspec.Struct, frozen=True, kw_only=True):
+    """State of a target as of some hundred milliseconds ago.
+
+    Units are tokens times layers. ``slowness`` over 1 is a slow target.
+    """
+
+    is_busy: bool = False
+    orders: int = 0
+    running: int = 0
+    queued: int = 0
+    used_units: float = 0.0
+    total_units: float = 0.0
+    slowness: float = 1.0
+    born_ms: int = 0
+    layers: LayerRange | None = None
+    stalled: tuple[StalledRequest, ...] = ()
+
+
+class _Order(msgspec.Struct, rename="pascal", omit_defaults=True):
+    op: str
+    from_: int | None = msgspec.field(name="From", default=None)
+    target: int | None = None
+    mode: str | None = None
+    fencing_token: int | None = None
+    expected: int | None = None
+    id: str | None = None
+    path: str | None = None
+
+
+class _Stalled(msgspec.Struct, rename="pascal"):
+    id: str = ""
+    address: str = ""
+
+
+class _Layers(msgspec.Struct, rename="pascal"):
+    from_: int = msgspec.field(name="From", default=0)
+    target: int = 0
+
+
+class _Report(msgspec.Struct, rename="pascal"):
+    busy: bool = False
+    sequence: int = 0
+    queued: int = 0
+    active: int = 0
+    kv_used: float = 0.0
+    kv_total: float = 0.0
+    layers: _Layers | None = None
+    stalled: list[_Stalled] = []
+    pace: float = msgspec.field(name="pace", default=1.0)
+    born: int = msgspec.field(name="born", default=0)
+
+
+_DECODER = msgspec.json.Decoder(_Report)
+
+
+def decode_report(body):
+    """Return the `TargetReport` of a report's body.
+
+    Raises
+    ------
+    InvalidInputError
+        If the body is no report.
+    """
+    try:
+        report = _DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InvalidInputError(
+            f"the report is not readable ({error})", "ask again later"
+        ) from None
+    layers = report.layers
+    return TargetReport(
+        is_busy=report.busy,
+        orders=report.sequence,
+        running=report.active,
+        queued=report.queued,
+        used_units=report.kv_used,
+        total_units=report.kv_total,
+        slowness=report.pace,
+        born_ms=report.born,
+        layers=(
+            LayerRange(layers.from_, layers.target)
+            if layers and layers.target > layers.from_
+            else None
+        ),
+        stalled=tuple(StalledRequest(s.id, s.address) for s in report.stalled),
+    )
+
+
+def call_path(stages):
+    """Return a chain as text.
+
+    Examples
+    --------
+    >>> call_path([Stage("10.0.0.1:80", LayerRange(0, 20))])
+    '10.0.0.1:80=0-20'
+    """
+    return ",".join(
+        f"{stage.address}={stage.layers.first}-{stage.layers.last}"
+        for stage in stages
+    )
--- /dev/null
+++ b/apricotseam/routes/__init__.py
@@ -0,0 +1,21 @@
+"""Routes, services and customers that operators declared."""
+
+from apricotseam.routes._engine import AcceleratorKind
+from apricotseam.routes._engine import EngineProfile
+from apricotseam.routes._routes import Customer
+from apricotseam.routes._routes import Repeat
+from apricotseam.routes._routes import Route
+from apricotseam.routes._routes import Service
+from apricotseam.routes._routes import ServiceShare
+from apricotseam.routes._table import RouteTable
+
+__all__ = [
+    "AcceleratorKind",
+    "Customer",
+    "EngineProfile",
+    "Repeat",
+    "Route",
+    "RouteTable",
+    "Service",
+    "ServiceShare",
+]
--- a/apricotseam/routing/_merge.py
+++ b/apricotseam/routing/_merge.py
@@ -1,8 +1,8 @@
 """Merges operators' files, the host list and reports into one table."""
 
 from apricotseam.config import TargetKind
-from apricotseam.platform import LEAVING
-from apricotseam.platform import ListedHost
+from apricotseam.external import LEAVING
+from apricotseam.external import ListedHost
 from apricotseam.routing._table import TargetState
 from apricotseam.routing._table import TargetTable
 
--- a/apricotseam/routing/_observed.py
+++ b/apricotseam/routing/_observed.py
@@ -4,7 +4,7 @@
 import threading
 
 from apricotseam.errors import ApricotseamError
-from apricotseam.platform import ModelEngine
+from apricotseam.external import ModelEngine
 from apricotseam.routing._chooser import TargetLoad
 
 MAX_STREAMS = 8192
--- a/apricotseam/routing/tests/test_merger.py
+++ b/apricotseam/routing/tests/test_merger.py
@@ -9,8 +9,8 @@
 from apricotseam.config import ScopeFile
 from apricotseam.config import Target
 from apricotseam.config import TargetKind
-from apricotseam.platform import EngineReport
-from apricotseam.platform import ListedHost
+from apricotseam.external import EngineReport
+from apricotseam.external import ListedHost
 from apricotseam.routing import merge_targets
 from apricotseam.routing import TargetMerger
 
--- a/apricotseam/routing/tests/test_observed.py
+++ b/apricotseam/routing/tests/test_observed.py
@@ -4,8 +4,8 @@
 
 from apricotseam.clock import ManualClock
 from apricotseam.errors import AnswerLostError
-from apricotseam.platform import EngineReport
-from apricotseam.platform import Step
+from apricotseam.external import EngineReport
+from apricotseam.external import Step
 from apricotseam.routing._observed import IDLE_STREAM_SECONDS
 from apricotseam.routing._observed import SAMPLE_SECONDS
 from apricotseam.routing import Chooser
--- a/apricotseam/standins/_engine.py
+++ b/apricotseam/standins/_engine.py
@@ -9,12 +9,12 @@
 
 from apricotseam.errors import InvalidRequestError
 from apricotseam.errors import UnknownNameError
-from apricotseam.platform import CacheEvent
-from apricotseam.platform import EngineReport
-from apricotseam.platform import Order
-from apricotseam.platform import Step
-from apricotseam.platform import StepResult
-from apricotseam.platform import StreamPosition
+from apricotseam.external import CacheEvent
+from apricotseam.external import EngineReport
+from apricotseam.external import Order
+from apricotseam.external import Step
+from apricotseam.external import StepResult
+from apricotseam.external import StreamPosition
 from apricotseam.standins._enginerecords import ExportedCache
 from apricotseam.standins._enginerecords import PendingSteps
 from apricotseam.standins._enginerecords import Stream
--- a/apricotseam/standins/_enginerecords.py
+++ b/apricotseam/standins/_enginerecords.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from apricotseam.platform import StepResult
+from apricotseam.external import StepResult
 
 
 class EngineOptions(msgspec.Struct, kw_only=True):
--- a/apricotseam/standins/_hostlist.py
+++ b/apricotseam/standins/_hostlist.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from apricotseam.platform import ListedHost
+from apricotseam.external import ListedHost
 from apricotseam.standins._server import StandIn
 from apricotseam.web import Response
 
--- a/apricotseam/standins/_weights.py
+++ b/apricotseam/standins/_weights.py
@@ -4,7 +4,7 @@
 import time
 
 from apricotseam.errors import LimitExceededError
-from apricotseam.platform import LoadRoom
+from apricotseam.external import LoadRoom
 from apricotseam.standins._server import StandIn
 from apricotseam.web import Response
 
--- a/apricotseam/supervision/__init__.py
+++ b/apricotseam/supervision/__init__.py
@@ -2,5 +2,6 @@
 
 from apricotseam.supervision._supervisor import Child
 from apricotseam.supervision._supervisor import Supervisor
+from apricotseam.supervision._tasks import TaskSupervisor
 
-__all__ = ["Child", "Supervisor"]
+__all__ = ["Child", "Supervisor", "TaskSupervisor"]
--- a/measure/_decisions.py
+++ b/measure/_decisions.py
@@ -20,7 +20,7 @@
 from apricotseam.config import Model
 from apricotseam.config import TargetKind
 from apricotseam.errors import ApricotseamError
-from apricotseam.platform import CacheEvent
+from apricotseam.external import CacheEvent
 from apricotseam.routing import build_chooser
 from apricotseam.routing import Demand
 from apricotseam.routing import TargetLoad
--- a/measure/_engines.py
+++ b/measure/_engines.py
@@ -17,8 +17,8 @@
 from apricotseam.demo import LocalSystem
 from apricotseam.demo import OPERATOR_KEY
 from apricotseam.errors import ApricotseamError
+from apricotseam.external import HttpModelEngine
 from apricotseam.host import EntryHost
-from apricotseam.platform import HttpModelEngine
 from apricotseam.standins import EngineOptions
 from apricotseam.web import free_address
 from apricotseam.web import HttpClient
--- a/measure/kinds/agreement.py
+++ b/measure/kinds/agreement.py
@@ -20,11 +20,11 @@
 from apricotseam.demo import OPERATOR_KEY
 from apricotseam.errors import ApricotseamError
 from apricotseam.errors import Outcome
+from apricotseam.external import LEAVING
+from apricotseam.external import ListedHost
 from apricotseam.membership import Facts
 from apricotseam.membership import Member
 from apricotseam.membership import Membership
-from apricotseam.platform import LEAVING
-from apricotseam.platform import ListedHost
 from apricotseam.standins import FaultOrder
 from apricotseam.web import UnreachableError
 from measure._figure import Figure
--- a/measure/kinds/chain_throughput.py
+++ b/measure/kinds/chain_throughput.py
@@ -7,10 +7,10 @@
 
 from apricotseam.config import Choice
 from apricotseam.errors import ApricotseamError
+from apricotseam.external import HttpModelEngine
 from apricotseam.host import _policy
 from apricotseam.pipelines import plan_chains
 from apricotseam.pipelines import Stage
-from apricotseam.platform import HttpModelEngine
 from apricotseam.routing import ChainPlans
 from apricotseam.standins import EngineOptions
 from measure._engines import Cluster
--- a/measure/kinds/claims.py
+++ b/measure/kinds/claims.py
@@ -12,7 +12,7 @@
 from apricotseam.execution._shards import shard_of
 from apricotseam.execution import ClaimBatches
 from apricotseam.execution import ShardStore
-from apricotseam.platform import EtcdService
+from apricotseam.external import EtcdService
 from apricotseam.standins import FaultOrder
 from apricotseam.standins import KeyValueStandIn
 from apricotseam.web import HttpClient
--- a/measure/kinds/rollout.py
+++ b/measure/kinds/rollout.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from apricotseam.config import Fencing
-from apricotseam.platform import EtcdService
-from apricotseam.platform import HttpModelEngine
+from apricotseam.external import EtcdService
+from apricotseam.external import HttpModelEngine
 from measure._figure import Figure
 from measure._processes import System
 from measure._scope import dump_scope
--- a/measure/kinds/token_overhead.py
+++ b/measure/kinds/token_overhead.py
@@ -4,9 +4,9 @@
 import resource
 import time
 
+from apricotseam.external import HttpModelEngine
+from apricotseam.external import Step
 from apricotseam.pipelines import _carrier
-from apricotseam.platform import HttpModelEngine
-from apricotseam.platform import Step
 from apricotseam.web import HttpClient
 from measure._engines import Cluster
 from measure._engines import even_engines
--- a/measure/slopes/_memory.py
+++ b/measure/slopes/_memory.py
@@ -16,8 +16,8 @@
 
 _CODE = """
 import json
-import sys
 from measure.slopes import _memory
+import sys
 print(json.dumps(_memory.grow(sys.argv[1], int(sys.argv[2]))))
 """
 
--- a/measure/slopes/_objects.py
+++ b/measure/slopes/_objects.py
@@ -5,10 +5,10 @@
 from apricotseam.config._load import load_scope_data
 from apricotseam.config import Configuration
 from apricotseam.config import ScopeFile
+from apricotseam.external import EngineReport
+from apricotseam.external import ListedHost
 from apricotseam.membership import Member
 from apricotseam.membership import MemberTable
-from apricotseam.platform import EngineReport
-from apricotseam.platform import ListedHost
 from apricotseam.routing import merge_targets
 from measure._scope import dump_scope
 from measure._scope import synthetic_scope
