Let requests wait a moment for room, and keep places for those that return

Cause: a request that no chain had room for was refused although room comes free every few tens of milliseconds. Change: a queue by urgency with a bound of half the latency objective; who was refused once goes first and may use the last of the room.

--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -2,8 +2,6 @@
 
 import msgspec
 
-# Share of the room that is given out; answers may be longer than expected.
-FILL_SHARE = 0.95
 # What a peer said is forgotten after this time without a word of it.
 PEER_SECONDS = 2.0
 
@@ -45,9 +43,17 @@
 
 
 class Ledger:
-    """Books room on targets and adds up what peers booked."""
+    """Books room on targets and adds up what peers booked.
 
-    def __init__(self):
+    Parameters
+    ----------
+    on_free : callable, optional
+        Called when this host gave room back, with True, or when peers
+        did, with False.
+    """
+
+    def __init__(self, on_free=None):
+        self._on_free = on_free or (lambda is_own: None)
         self._own = {}
         self._peers = {}
         self._peer_totals = {}
@@ -89,6 +95,7 @@
         if booking in self._bookings:
             self._bookings.discard(booking)
             self._add(booking, -1)
+            self._on_free(True)
 
     def take_peer(self, usage, now):
         """Take what a peer has in progress.
@@ -139,3 +146,4 @@
                 total.units += usage.units
                 total.requests += usage.requests
         self._peer_totals = totals
+        self._on_free(False)
--- a/apricotseam/forwarding/__init__.py
+++ b/apricotseam/forwarding/__init__.py
@@ -7,6 +7,7 @@
 from apricotseam.forwarding._gateway import Gateway
 from apricotseam.forwarding._gateway import Scene
 from apricotseam.forwarding._metrics import RequestMetrics
+from apricotseam.forwarding._waiting import WaitingRoom
 
 __all__ = [
     "Call",
@@ -16,4 +17,5 @@
     "RequestMetrics",
     "RetryAllowance",
     "Scene",
+    "WaitingRoom",
 ]
--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -66,6 +66,21 @@
         # What became of each send, for the log.
         self.outcome = []
 
+    @property
+    def urgency(self):
+        """Rank of the request; 0 goes first."""
+        found = self.table.find_customer(self.facts.key)
+        if found is not None and found.priority is not None:
+            return found.priority
+        return self.route.priority
+
+    @property
+    def return_id(self):
+        """What a repeat of this request by its caller has in common."""
+        if not self.facts.prompt_id:
+            return ""
+        return f"{self.customer}/{self.facts.prompt_id}"
+
     @property
     def request_id(self):
         """Identifier that the caller gave."""
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -10,7 +10,9 @@
 from apricotseam.platform import call_path
 from apricotseam.platform import Stage
 
-FILL_SHARE = 0.95
+# Share of a target's room that is given out, and to those who come back.
+FILL_SHARE = 0.92
+RETURN_FILL_SHARE = 1.0
 # Added cost of a target in another availability zone, in requests.
 FAR_REQUESTS = 1.0
 DEFAULT_ANSWER_TOKENS = 200
@@ -66,7 +68,7 @@
             answer = min(answer, facts.max_answer_tokens)
         return prompt + answer
 
-    def choose_chain(self, call, now):
+    def choose_chain(self, call, now, is_preferred=False):
         """Return the best `Choice` of a chain, or None if none has room.
 
         Parameters
@@ -75,12 +77,15 @@
             The request.
         now : float
             Monotonic time in seconds.
+        is_preferred : bool
+            Whether it may use the room that is kept free for some.
         """
         profile = call.service.engine
         tokens = self.expected_tokens(call)
+        fill = RETURN_FILL_SHARE if is_preferred else FILL_SHARE
         by_zone = {}
         for target in self._fleet.of_service(call.service.name):
-            holder = self._holder(target, profile, call, now)
+            holder = self._holder(target, profile, call, now, fill)
             if holder is not None:
                 by_zone.setdefault(holder.zone, []).append(holder)
         best = None
@@ -131,7 +136,7 @@
         load = (running + 1 + far) / target.record.slots
         return load * target.health.penalty()
 
-    def _holder(self, target, profile, call, now):
+    def _holder(self, target, profile, call, now, fill):
         """Return a target as a part of chains, or None if it can't be."""
         record = target.record
         kind = profile.kind(record.kind)
@@ -139,7 +144,7 @@
             return None
         if target.health.is_suspect(now) or target.identity in call.tried:
             return None
-        capacity = FILL_SHARE * profile.capacity_units(
+        capacity = fill * profile.capacity_units(
             kind.memory_mb, record.layers.size
         )
         free = capacity - self._ledger.used_units(record.identity)
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -33,6 +33,8 @@
         Repeats that this host may send.
     metrics : RequestMetrics
         Counters.
+    waiting : WaitingRoom
+        Requests that no chain has room for.
     """
 
     __slots__ = (
@@ -44,9 +46,13 @@
         "metrics",
         "pool",
         "table",
+        "waiting",
     )
 
-    def __init__(self, fleet, ledger, chooser, pool, allowance, metrics):
+    def __init__(
+        self, fleet, ledger, chooser, pool, allowance, metrics, waiting
+    ):
+        self.waiting = waiting
         self.fleet = fleet
         self.ledger = ledger
         self.chooser = chooser
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -5,6 +5,7 @@
 
 from apricotseam.forwarding._refusal import refuse
 from apricotseam.forwarding._sending import Sender
+from apricotseam.forwarding._waiting import WAIT_SHARE
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import EventSplitter
 from apricotseam.http1 import MalformedAnswerError
@@ -21,6 +22,8 @@
 # goes on elsewhere; callers give up after two seconds.
 FIRST_EVENT_SECONDS = 1.2
 NEXT_EVENT_SECONDS = 0.6
+# How long an answer that broke off may wait for room to go on.
+RESUME_WAIT_SECONDS = 0.8
 MIN_RETRY_AFTER_SECONDS = 0.3
 MAX_RETRY_AFTER_SECONDS = 4.0
 
@@ -42,7 +45,7 @@
         """Answer a call; return its status."""
         status = 503
         while call.attempts < MAX_SENDS:
-            choice = self._choose(call)
+            choice = await self._choose(call)
             if choice is None:
                 break
             call.attempts += 1
@@ -59,33 +62,65 @@
         call.exchange.answer(status, headers=refusal_headers(call.request_id))
         return status
 
-    def _choose(self, call):
-        loop = asyncio.get_running_loop()
-        now = loop.time()
+    async def _choose(self, call):
+        """Return the next `Choice`, or None if no attempt may follow."""
         if call.seconds_left() <= 0:
             return None
         if call.runs and not self._may_repeat(call):
             return None
-        scene = self._scene
-        if call.service.engine is not None:
-            choice = scene.chooser.choose_chain(call, now)
-        else:
-            choice = scene.chooser.choose_target(call, now)
-        if choice is None or not call.attempts:
-            return choice
-        if not scene.allowance.spend(call.service.name, now):
-            return None
+        if call.attempts:
+            now = asyncio.get_running_loop().time()
+            if not self._scene.allowance.spend(call.service.name, now):
+                return None
+        waiting = self._scene.waiting
+        rank = waiting.rank(call)
+        choice = self._try(call) if waiting.is_first(rank) else None
+        until = self._wait_until(call)
+        while choice is None and self._may_wait(call, until):
+            if not await waiting.wait(rank, until):
+                return None
+            choice = self._try(call)
+            if choice is not None:
+                waiting.wake()
         return choice
 
+    def _try(self, call):
+        """Return a `Choice` that has room now, or None."""
+        now = asyncio.get_running_loop().time()
+        chooser = self._scene.chooser
+        if call.service.engine is None:
+            return chooser.choose_target(call, now)
+        is_preferred = call.runs > 0 or self._scene.waiting.has_returned(call)
+        return chooser.choose_chain(call, now, is_preferred)
+
+    def _wait_until(self, call):
+        """Return the time until which a call may wait for room."""
+        now = asyncio.get_running_loop().time()
+        if call.exchange.is_started:
+            return min(call.deadline, now + RESUME_WAIT_SECONDS)
+        share = WAIT_SHARE * call.route.objective_seconds
+        return min(call.deadline, call.request.received_at + share)
+
+    def _may_wait(self, call, until):
+        """Return whether there should be room before a time."""
+        now = asyncio.get_running_loop().time()
+        if call.service.engine is None or now >= until:
+            return False
+        if not self._scene.chooser.has_layers(call.service):
+            return False
+        if call.exchange.is_started:
+            return True
+        return now + self._scene.waiting.expected_seconds() <= until
+
     def _may_repeat(self, call):
         route = call.route
         return route.is_repeatable and call.runs < route.max_attempts
 
     def _retry_after(self, call):
         """Return when there should be room, in seconds from now."""
-        now = asyncio.get_running_loop().time()
-        ends = self._scene.ledger.next_ends(2)
-        wait = ends[-1] - now if ends else MIN_RETRY_AFTER_SECONDS
+        waiting = self._scene.waiting
+        waiting.remember_refused(call)
+        wait = waiting.expected_seconds()
         return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait))
 
     async def _attempt(self, call, choice):
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -26,6 +26,7 @@
 from apricotseam.forwarding import RequestMetrics
 from apricotseam.forwarding import RetryAllowance
 from apricotseam.forwarding import Scene
+from apricotseam.forwarding import WaitingRoom
 from apricotseam.http1 import Limits
 from apricotseam.http1 import Pool
 from apricotseam.http1 import Server
@@ -136,7 +137,10 @@
         settings = self._settings
         bounds = settings.bounds
         self._pool = Pool()
-        self._ledger = Ledger()
+        waiting = WaitingRoom(self._now)
+        self._ledger = Ledger(
+            lambda is_own: waiting.count_end() if is_own else waiting.wake()
+        )
         self._fleet = Fleet(lambda t: self._pool.drop(t.incarnation))
         allowance = RetryAllowance(
             bounds.retry_ratio,
@@ -151,6 +155,7 @@
             self._pool,
             allowance,
             RequestMetrics(self._registry),
+            waiting,
         )
         gateway = Gateway(self._scene)
         self.callers = Server(gateway.handle, self._limits)
