Fill gaps in layers also where no target is left over, with stand-ins and tests

Cause: a state machine over placement found zones in which no target was left whose layers others hold, so a gap stayed for ever. Change: such a group is laid out anew if that covers all layers. Stand-ins of the users' store and targets, tests of connections, decoding, layout.

--- a/apricotseam/chains/_repair.py
+++ b/apricotseam/chains/_repair.py
@@ -64,19 +64,46 @@
 
 def _choose_for_group(records, profile):
     empty = [r for r in records if r.layers is None]
-    if not empty:
-        return _fill_gaps(records, profile)
     held = [r for r in records if r.layers is not None]
     plan = plan_zone(
         [_card(r, profile) for r in records], profile, ChainModel(profile)
     )
     if not held:
-        return [
-            LayerOrder(r.identity, plan[r.identity], "first layout")
-            for r in empty
-            if r.identity in plan
-        ]
-    return _fill_with_empty(empty, held, plan, profile)
+        return _lay_out(records, plan, "first layout")
+    orders = _fill_with_empty(empty, held, plan, profile)
+    ordered = {order.identity: order.layers for order in orders}
+    after = [
+        msgspec.structs.replace(r, layers=ordered.get(r.identity, r.layers))
+        for r in records
+    ]
+    after = [r for r in after if r.layers is not None]
+    if 0 not in _coverage(after, profile):
+        return orders
+    moves = _fill_gap(after, profile)
+    if moves:
+        return [*orders, *(m for m in moves if m.identity not in ordered)]
+    return _lay_out_again(records, plan, profile) or orders
+
+
+def _lay_out(records, plan, cause):
+    """Order all targets to what a plan says, where they differ from it."""
+    return [
+        LayerOrder(r.identity, plan[r.identity], cause)
+        for r in records
+        if r.identity in plan and plan[r.identity] != r.layers
+    ]
+
+
+def _lay_out_again(records, plan, profile):
+    """Lay out a group anew that serves no chain as it is."""
+    planned = [
+        msgspec.structs.replace(r, layers=plan[r.identity])
+        for r in records
+        if r.identity in plan
+    ]
+    if 0 in _coverage(planned, profile):
+        return []
+    return _lay_out(records, plan, "no whole chain")
 
 
 def _fill_with_empty(empty, held, plan, profile):
@@ -102,11 +129,9 @@
     return orders
 
 
-def _fill_gaps(records, profile):
+def _fill_gap(records, profile):
     """Let a target whose layers others hold too take over a gap."""
     coverage = _coverage(records, profile)
-    if 0 not in coverage:
-        return []
     counts = _holder_counts(records, profile)
     candidates = [
         r
@@ -120,10 +145,7 @@
     )
     memory = profile.kind(chosen.kind).memory_mb
     most = int(memory * REPAIR_WEIGHT_SHARE / profile.layer_mb)
-    layers = _around_gap(coverage, most)
-    if layers == chosen.layers:
-        return []
-    return [LayerOrder(chosen.identity, layers, "gap")]
+    return [LayerOrder(chosen.identity, _around_gap(coverage, most), "gap")]
 
 
 def _around_gap(coverage, most):
--- /dev/null
+++ b/apricotseam/chains/tests/test_layout.py
@@ -0,0 +1,72 @@
+"""Layout of layers in one availability zone."""
+
+import pytest
+
+from apricotseam.chains import choose_orders
+from apricotseam.chains.tests.profiles import KINDS
+from apricotseam.chains.tests.profiles import make_records
+from apricotseam.chains.tests.profiles import PROFILE
+
+# Counts of large, middle and small accelerators of one zone, and the least
+# number of holders that each layer should have.
+ZONES = [
+    ((1, 3, 8), 2),
+    ((1, 6, 5), 2),
+    ((2, 2, 5), 1),
+    ((2, 9, 22), 4),
+    ((0, 0, 12), 1),
+    ((4, 0, 0), 1),
+    ((0, 5, 0), 1),
+    ((0, 20, 0), 4),
+]
+MAX_WEIGHT_SHARE = 0.9
+
+
+def order_all(records):
+    """Return the layers that all targets are ordered to hold."""
+    orders = choose_orders(records, PROFILE)
+    return {order.identity: order.layers for order in orders}
+
+
+def holders_by_layer(plan):
+    """Return the number of holders of each layer."""
+    counts = [0] * PROFILE.layers
+    for layers in plan.values():
+        for layer in range(layers.first, layers.last):
+            counts[layer] += 1
+    return counts
+
+
+@pytest.mark.parametrize(("counts", "least"), ZONES)
+def test_each_layer_is_held_and_memory_stays_for_requests(counts, least):
+    records = make_records(dict(zip(KINDS, counts)))
+    plan = order_all(records)
+    assert min(holders_by_layer(plan)) >= least
+    for record in records:
+        layers = plan.get(record.identity)
+        if layers is not None:
+            memory = KINDS[record.kind].memory_mb
+            weights = layers.size * PROFILE.layer_mb
+            assert weights <= MAX_WEIGHT_SHARE * memory
+
+
+def test_zones_too_small_for_a_copy_are_laid_out_together():
+    records = make_records({"middle": 2}, "a") + make_records(
+        {"middle": 3}, "b"
+    )
+    plan = order_all(records)
+    assert min(holders_by_layer(plan)) >= 1
+
+
+@pytest.mark.parametrize("kind", list(KINDS))
+def test_too_few_targets_are_never_overfilled(kind):
+    records = make_records({kind: 1})
+    for layers in order_all(records).values():
+        weights = layers.size * PROFILE.layer_mb
+        assert weights <= KINDS[kind].memory_mb
+
+
+def test_fast_targets_form_a_chain_of_their_own():
+    plan = order_all(make_records({"large": 1, "middle": 3, "small": 8}))
+    fast = {k: v for k, v in plan.items() if "small" not in k}
+    assert min(holders_by_layer(fast)) == 1
--- /dev/null
+++ b/apricotseam/chains/tests/test_repair_machine.py
@@ -0,0 +1,108 @@
+"""Placement under crashes, restarts, lost and late orders."""
+
+import msgspec
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis import strategies
+
+from apricotseam.chains import choose_orders
+from apricotseam.chains.tests.profiles import KINDS
+from apricotseam.chains.tests.profiles import make_records
+from apricotseam.chains.tests.profiles import PROFILE
+
+MAX_ROUNDS = 12
+
+
+class Placement(RuleBasedStateMachine):
+    """One availability zone whose targets come and go."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = {}
+        self.late = []
+
+    @initialize(
+        counts=strategies.sampled_from([(1, 3, 8), (1, 6, 5), (2, 2, 5)])
+    )
+    def start(self, counts):
+        for record in make_records(dict(zip(KINDS, counts))):
+            self.records[record.identity] = record
+        self.settle()
+
+    @rule(data=strategies.data())
+    def crash_and_restart(self, data):
+        record = self.pick(data)
+        if record is not None:
+            self.records[record.identity] = msgspec.structs.replace(
+                record, layers=None, born_ms=record.born_ms + 1
+            )
+
+    @rule(data=strategies.data())
+    def lose(self, data):
+        record = self.pick(data)
+        if record is not None and len(self.records) > 8:
+            del self.records[record.identity]
+
+    @rule(data=strategies.data())
+    def order_comes_late(self, data):
+        record = self.pick(data)
+        if record is not None and record.layers is not None:
+            self.late.append((record.incarnation, record.layers))
+
+    @rule()
+    def late_orders_apply(self):
+        for incarnation, layers in self.late:
+            record = self.records.get(incarnation[0])
+            if record is not None and record.incarnation == incarnation:
+                self.apply(record.identity, layers)
+        self.late.clear()
+
+    @rule()
+    def settle(self):
+        """Apply orders until none is left; they must not go in circles."""
+        for _ in range(MAX_ROUNDS):
+            orders = choose_orders(list(self.records.values()), PROFILE)
+            if not orders:
+                return
+            for order in orders:
+                self.apply(order.identity, order.layers)
+        raise AssertionError(f"orders do not end: {orders}")
+
+    @invariant()
+    def no_target_is_overfilled(self):
+        for record in self.records.values():
+            if record.layers is not None:
+                weights = record.layers.size * PROFILE.layer_mb
+                assert weights <= KINDS[record.kind].memory_mb
+
+    def teardown(self):
+        if self.records:
+            self.settle()
+            self.check_covered()
+
+    def check_covered(self):
+        """While memory suffices twice over, no layer stays unheld."""
+        memory = sum(KINDS[r.kind].memory_mb for r in self.records.values())
+        if memory < 2 * PROFILE.layers * PROFILE.layer_mb:
+            return
+        counts = [0] * PROFILE.layers
+        for record in self.records.values():
+            if record.layers is not None:
+                for layer in range(record.layers.first, record.layers.last):
+                    counts[layer] += 1
+        assert min(counts) >= 1, counts
+
+    def pick(self, data):
+        if not self.records:
+            return None
+        identity = data.draw(strategies.sampled_from(sorted(self.records)))
+        return self.records[identity]
+
+    def apply(self, identity, layers):
+        record = self.records[identity]
+        self.records[identity] = msgspec.structs.replace(record, layers=layers)
+
+
+TestPlacement = Placement.TestCase
--- /dev/null
+++ b/apricotseam/platform/tests/test_decoding.py
@@ -0,0 +1,269 @@
+"""What comes over the wire, proper and malformed."""
+
+import json
+
+import pytest
+
+from apricotseam.errors import InvalidFileError
+from apricotseam.fleet import LayerRange
+from apricotseam.http1 import Answer
+from apricotseam.http1 import Request
+from apricotseam.platform import decode_address_question
+from apricotseam.platform import decode_answer
+from apricotseam.platform import decode_call
+from apricotseam.platform import decode_configuration
+from apricotseam.platform import decode_report
+from apricotseam.platform import decode_target
+from apricotseam.platform import encode_addresses
+from apricotseam.platform import forwarded_headers
+from apricotseam.platform import Forwarding
+from apricotseam.platform import Placement
+from apricotseam.platform import refusal_headers
+from apricotseam.platform import Reroute
+from apricotseam.platform import returned_headers
+from apricotseam.platform import Stage
+from apricotseam.routes import Repeat
+
+ENTRY = {
+    "Service": "s",
+    "Address": "10.0.0.1:80",
+    "Zone": "a",
+    "Slots": 4,
+    "State": "ready",
+    "Sequence": 3,
+    "RouteKind": "l4",
+    "Layers": {"From": 0, "Target": 8, "Version": 1},
+    "born": 17,
+}
+
+# Name and what replaces fields of a good entry.
+MALFORMED = [
+    ("no address", {"Address": None}),
+    ("address of another type", {"Address": 7}),
+    ("address without a port", {"Address": "10.0.0.1"}),
+    ("port that is no number", {"Address": "10.0.0.1:x"}),
+    ("unknown state", {"State": "resting"}),
+    ("no slots", {"Slots": 0}),
+    ("slots of another type", {"Slots": "many"}),
+    ("start that is no whole number", {"born": 1.5}),
+    ("layers of another type", {"Layers": [0, 8]}),
+]
+
+
+def encode(changes):
+    """Return the bytes of an entry with some fields replaced."""
+    fields = {**ENTRY, **changes}
+    return json.dumps(
+        {name: value for name, value in fields.items() if value is not None}
+    ).encode()
+
+
+def test_entry_of_a_target():
+    record = decode_target("servers/i-1", encode({"Extra": 1}), 9)
+    assert record.identity == "i-1"
+    assert record.layers == LayerRange(0, 8)
+    assert record.incarnation == ("i-1", 17)
+    assert not record.is_draining
+    assert decode_target(
+        "servers/i-1", encode({"State": "draining"}), 9
+    ).is_draining
+
+
+@pytest.mark.parametrize(
+    "changes", [case[1] for case in MALFORMED], ids=[c[0] for c in MALFORMED]
+)
+def test_malformed_entry_names_no_target(changes):
+    assert decode_target("servers/i-1", encode(changes), 9) is None
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"null", b"{"])
+def test_unreadable_entry_names_no_target(value):
+    assert decode_target("servers/i-1", value, 9) is None
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"[]",
+        b'{"Routes":[{"Host":"h","Prefix":"/","RouteKind":"new"}]}',
+        b'{"Routes":[{"Prefix":"/"}]}',
+    ],
+)
+def test_unreadable_configuration(value):
+    with pytest.raises(InvalidFileError):
+        decode_configuration(value, 1)
+
+
+def test_configuration():
+    value = {
+        "Version": 7,
+        "Routes": [
+            {
+                "Name": "r",
+                "Host": "h",
+                "Prefix": "/a/",
+                "RouteKind": "streaming",
+                "TimeoutMs": 500,
+                "Resumable": True,
+                "Split": [
+                    {"Service": "s", "Weight": 90},
+                    {"Service": "t", "Weight": 10},
+                ],
+            }
+        ],
+        "Services": [{"Name": "s"}, {"Name": "t"}],
+        "Limits": {"IdleTimeoutMs": 1500},
+        "Tenants": [{"Name": "c", "ApiKeys": ["k1", "k2"], "Priority": 1}],
+    }
+    table = decode_configuration(json.dumps(value).encode(), 12)
+    route = table.find_route("h", "/a/b/c")
+    assert (route.repeat, route.timeout_seconds) == (Repeat.STREAM, 0.5)
+    assert route.is_repeatable
+    assert [share.weight for share in route.shares] == [90, 10]
+    assert table.find_customer("k2").name == "c"
+    assert table.limits.idle_seconds == 1.5
+    assert (table.revision, table.version) == (12, 7)
+
+
+def make_request(extra=()):
+    """Return a caller's request."""
+    headers = [
+        (b"Host", b"h.example"),
+        (b"Apricotseam-Request-Id", b"r1"),
+        (b"Apricotseam-Key", b"secret"),
+        (b"Apricotseam-Deadline-Ms", b"1500"),
+        (b"Apricotseam-Token-Count", b"760,80"),
+        (b"Apricotseam-Length-Hint", b"64"),
+        (b"Apricotseam-Prefix-Hash", b"5c1e07a2:800,e4402b7d:250"),
+        (b"Content-Length", b"2"),
+        *extra,
+    ]
+    return Request(b"POST", b"/a/b?c=d", headers, b"xy", 1.0)
+
+
+def test_call():
+    facts = decode_call(make_request([(b"Last-Event-Id", b"12")]))
+    assert facts.request_id == "r1"
+    assert facts.seconds_left == 1.5
+    assert (facts.prompt_tokens, facts.max_answer_tokens) == (760, 80)
+    assert facts.expected_answer_tokens == 64
+    assert facts.prompt_id == "e4402b7d"
+    assert facts.last_event == 12
+
+
+@pytest.mark.parametrize("value", [b"", b"x", b"-1", b"1.5", b"\xb2"])
+def test_bad_numbers_say_nothing(value):
+    headers = [
+        (b"Apricotseam-Deadline-Ms", value),
+        (b"Apricotseam-Token-Count", value),
+        (b"Last-Event-Id", value),
+    ]
+    facts = decode_call(Request(b"GET", b"/", headers))
+    assert facts.seconds_left is None
+    assert facts.prompt_tokens is None
+    assert facts.last_event is None
+
+
+def test_forwarded_headers():
+    request = make_request(
+        [
+            (b"Connection", b"close, X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"X-Kept", b"1"),
+            (b"Apricotseam-Tenant", b"forged"),
+            (b"Apricotseam-Expect-Instance", b"forged"),
+            (b"Apricotseam-Hop-Count", b"forged"),
+        ]
+    )
+    forwarding = Forwarding(
+        seconds_left=0.9004, target="i-1", customer="c", chain="a:1=0-2"
+    )
+    found = forwarded_headers(request, forwarding)
+    names = [name.lower() for name, _ in found]
+    assert len(names) == len(set(names))
+    values = {name.decode().lower(): value.decode() for name, value in found}
+    assert "apricotseam-key" not in values
+    assert "x-hop" not in values
+    assert "connection" not in values
+    assert values["x-kept"] == "1"
+    assert values["apricotseam-tenant"] == "c"
+    assert values["apricotseam-expect-instance"] == "i-1"
+    assert values["apricotseam-hop-count"] == "a:1=0-2"
+    assert values["apricotseam-deadline-ms"] == "900"
+    assert values["apricotseam-request-id"] == "r1"
+    assert values["content-length"] == "2"
+
+
+# Status, headers, whether the request was not run.
+NOT_RUN = [
+    (503, [(b"Apricotseam-Not-Executed", b"1")], True),
+    (421, [(b"Apricotseam-Instance-Id", b"i-2")], True),
+    (503, [], False),
+    (500, [], False),
+    (429, [], False),
+]
+
+
+@pytest.mark.parametrize(("status", "headers", "expected"), NOT_RUN)
+def test_proof_that_a_request_was_not_run(status, headers, expected):
+    assert decode_answer(Answer(status, b"", headers)).was_not_run is expected
+
+
+def test_answer_facts():
+    headers = [
+        (b"Apricotseam-Server-Load", b"3,0,8"),
+        (b"At-Server", b"10.0.0.2:80"),
+        (b"Content-Encoding", b"gzip"),
+        (b"Content-Length", b"3"),
+        (b"Keep-Alive", b"timeout=5"),
+    ]
+    answer = Answer(200, b"OK", headers)
+    facts = decode_answer(answer)
+    assert facts.load == (3, 0, 8)
+    assert facts.target_at_fault == "10.0.0.2:80"
+    assert facts.is_encoded and not facts.is_signed
+    names = [name for name, _ in returned_headers(answer)]
+    assert b"Content-Length" not in names and b"Keep-Alive" not in names
+
+
+def test_refusal_says_when_to_come_back():
+    assert refusal_headers("r", 0.456)[1] == (b"Retry-After", b"0.46")
+    assert refusal_headers("") == []
+
+
+def test_orders():
+    layers = LayerRange(0, 8)
+    placed = json.loads(Placement(layers=layers, fence=4).encode())
+    assert placed == {
+        "Op": "place",
+        "From": 0,
+        "Target": 8,
+        "Mode": "queue",
+        "FencingToken": 4,
+    }
+    reroute = Reroute(request_id="r", chain=(Stage("h:1", layers),))
+    assert json.loads(reroute.encode()) == {
+        "Op": "repath",
+        "Id": "r",
+        "Path": "h:1=0-8",
+    }
+
+
+def test_report():
+    report = decode_report(
+        b'{"Busy":true,"Sequence":2,"Active":3,"KvUsed":10,"KvTotal":20,'
+        b'"pace":2.5,"Layers":{"From":1,"Target":3},'
+        b'"Stalled":[{"Id":"r","Address":"h:1"}]}'
+    )
+    assert report.is_busy and report.slowness == 2.5
+    assert report.layers == LayerRange(1, 3)
+    assert report.stalled[0].address == "h:1"
+
+
+def test_addresses():
+    question = decode_address_question(b"/v1/resolve?Name=h&Region=r&Zone=z")
+    assert (question.host, question.zone) == ("h", "z")
+    assert decode_address_question(b"/other") is None
+    found = json.loads(encode_addresses(["h:1"], 5.0))
+    assert found == {"Addresses": ["h:1"], "TtlS": 5.0}
--- a/apricotseam/standins/__init__.py
+++ b/apricotseam/standins/__init__.py
@@ -9,6 +9,8 @@
 from apricotseam.standins._model import reference_answer
 from apricotseam.standins._server import StandIn
 from apricotseam.standins._service import ServiceStandIn
+from apricotseam.standins._users_store import UsersStore
+from apricotseam.standins._users_target import UsersTarget
 from apricotseam.standins._weights import WeightStoreStandIn
 
 __all__ = [
@@ -19,7 +21,9 @@
     "HostListStandIn",
     "KeyValueStandIn",
     "ServiceStandIn",
-    "WeightStoreStandIn",
     "StandIn",
+    "UsersStore",
+    "UsersTarget",
+    "WeightStoreStandIn",
     "reference_answer",
 ]
--- /dev/null
+++ b/apricotseam/standins/_users_store.py
@@ -0,0 +1,174 @@
+"""A stand-in for the users' store, on the running asyncio loop."""
+
+import asyncio
+import base64
+import json
+import urllib.parse
+
+from apricotseam.http1 import Server
+
+MILLISECONDS = 1000.0
+JSON_HEADERS = ((b"Content-Type", b"application/json"),)
+
+
+class UsersStore:
+    """Keys with revisions, leases and watches, in memory.
+
+    ``is_down`` makes all calls fail with 503; ``refused`` holds the local
+    addresses of callers that are turned away; ``lost_answers`` counts the
+    changes that are made and not answered.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` to listen on.
+    """
+
+    def __init__(self, address):
+        self.address = address
+        self.is_down = False
+        self.lost_answers = 0
+        self.calls = 0
+        self.revision = 1
+        self._items = {}
+        self._history = []
+        self._oldest = 0
+        self._leases = {}
+        self._next_lease = 1
+        self._changed = asyncio.Event()
+        self._server = Server(self._handle)
+
+    async def start(self):
+        """Listen; return the stand-in."""
+        await self._server.start(self.address)
+        return self
+
+    def stop(self):
+        """Close all connections."""
+        self._server.abort()
+
+    def put(self, key, value, lease=0):
+        """Write a key as the operator or a target does."""
+        self.revision += 1
+        item = {
+            "Key": key,
+            "Value": base64.b64encode(value).decode(),
+            "Revision": self.revision,
+            "Created": self.revision,
+            "LeaseId": lease,
+        }
+        self._items[key] = item
+        self._record(item)
+
+    def delete(self, key):
+        """Remove a key."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            self._record(
+                {"Key": key, "Revision": self.revision, "Deleted": True}
+            )
+
+    def get(self, key):
+        """Return the bytes of a key, or None."""
+        item = self._items.get(key)
+        return base64.b64decode(item["Value"]) if item else None
+
+    def keys(self):
+        """Return all keys."""
+        return sorted(self._items)
+
+    def end_lease(self, lease):
+        """End a lease with its keys, as a lapse does."""
+        self._leases.pop(lease, None)
+        for key, item in list(self._items.items()):
+            if item["LeaseId"] == lease:
+                self.delete(key)
+
+    def forget_history(self):
+        """Drop the history and wake all watches."""
+        self._oldest = self.revision
+        self._history.clear()
+        self._changed.set()
+
+    def _record(self, event):
+        self._history.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(self, request, exchange):
+        self.calls += 1
+        if self.is_down:
+            exchange.answer(503)
+            return
+        path, _, query = request.target.decode().partition("?")
+        fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        body = json.loads(request.body) if request.body else {}
+        if path == "/v1/kv-watch":
+            status, found = await self._watch(fields)
+        else:
+            status, found = self._answer(path, fields, body)
+        if path == "/v1/kv-txn" and self.lost_answers:
+            self.lost_answers -= 1
+            exchange.cut()
+            return
+        exchange.answer(status, json.dumps(found).encode(), JSON_HEADERS)
+
+    def _answer(self, path, fields, body):
+        if path == "/v1/kv-range":
+            return 200, self._range(fields)
+        if path == "/v1/kv-txn":
+            return self._change(body)
+        if path == "/v1/kv-lease":
+            lease = self._next_lease
+            self._next_lease += 1
+            self._leases[lease] = body["TtlMs"]
+            return 200, {"LeaseId": lease, "TtlMs": body["TtlMs"]}
+        lease = int(path.rpartition("/")[2])
+        if lease not in self._leases:
+            return 404, {}
+        if path.startswith("/v1/kv-lease-end/"):
+            self.end_lease(lease)
+            return 200, {}
+        return 200, {"TtlMs": self._leases[lease]}
+
+    def _range(self, fields):
+        prefix = fields.get("Prefix", "")
+        after = fields.get("After", "")
+        entries = [
+            item
+            for key, item in sorted(self._items.items())
+            if key.startswith(prefix) and key > after
+        ]
+        return {"Entries": entries, "HasMore": False, "At": self.revision}
+
+    def _change(self, body):
+        for row in body["Expected"]:
+            item = self._items.get(row["Key"])
+            found = item["Revision"] if item else 0
+            if found != row["Revision"]:
+                return 412, {"Entries": []}
+        for row in body["Puts"]:
+            if row["LeaseId"] and row["LeaseId"] not in self._leases:
+                return 404, {}
+        for row in body["Puts"]:
+            value = base64.b64decode(row["Value"])
+            self.put(row["Key"], value, row["LeaseId"])
+        for key in body["Deletes"]:
+            self.delete(key)
+        return 200, {"Revision": self.revision}
+
+    async def _watch(self, fields):
+        after = int(fields["After"])
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + int(fields["WaitMs"]) / MILLISECONDS
+        while True:
+            if after < self._oldest:
+                return 410, {}
+            events = [e for e in self._history if e["Revision"] > after]
+            if events or loop.time() >= deadline:
+                return 200, {"events": events, "At": self.revision}
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
--- /dev/null
+++ b/apricotseam/standins/_users_target.py
@@ -0,0 +1,130 @@
+"""A stand-in for a target of the users' platform."""
+
+import asyncio
+import json
+
+from apricotseam.http1 import Server
+
+MILLISECONDS = 1000.0
+SIGNATURE = (b"Apricotseam-Server-Signature", b"stand-in")
+
+
+class UsersTarget:
+    """Answers requests as an engine or a plain service does.
+
+    Attributes change its behaviour while it runs: ``behaviour`` is one of
+    ``good``, ``shed``, ``silent``, ``cut``, ``truncate``, ``error`` and
+    ``stray``; ``events`` is the length of a stream, ``event_seconds`` the
+    time between its events.
+
+    Parameters
+    ----------
+    identity : str
+        Its identity.
+    address : str
+        ``ip:port`` to listen on.
+    is_engine : bool
+        Whether answers are streams of events.
+    """
+
+    def __init__(self, identity, address, is_engine=False):
+        self.identity = identity
+        self.address = address
+        self.is_engine = is_engine
+        self.behaviour = "good"
+        self.events = 4
+        self.event_seconds = 0.0
+        self.cut_after = None
+        self.layers = None
+        self.orders = []
+        self.requests = []
+        self.ended = []
+        self._server = Server(self._handle)
+
+    async def start(self):
+        """Listen; return the stand-in."""
+        await self._server.start(self.address)
+        return self
+
+    def stop(self):
+        """Close all connections."""
+        self._server.abort()
+
+    def entry(self, service, zone, kind="", state="ready", born=1):
+        """Return the bytes of its entry in the store."""
+        fields = {
+            "Service": service,
+            "Address": self.address,
+            "Zone": zone,
+            "Version": "v1",
+            "Slots": 8,
+            "State": state,
+            "ColdLeftMs": 0,
+            "Sequence": len(self.orders),
+            "born": born,
+        }
+        if kind:
+            fields["RouteKind"] = kind
+        if self.layers is not None:
+            first, last = self.layers
+            fields["Layers"] = {"From": first, "Target": last, "Version": 1}
+        return json.dumps(fields).encode()
+
+    async def _handle(self, request, exchange):
+        if request.target == b"/v1/order":
+            self._order(request, exchange)
+        elif request.target == b"/v1/report":
+            exchange.answer(200, json.dumps({"Sequence": 0}).encode())
+        else:
+            await self._serve(request, exchange)
+
+    def _order(self, request, exchange):
+        order = json.loads(request.body)
+        self.orders.append(order)
+        if order["Op"] == "place":
+            self.layers = (order["From"], order["Target"])
+        exchange.answer(202)
+
+    async def _serve(self, request, exchange):
+        self.requests.append(request)
+        request_id = request.header(b"apricotseam-request-id").encode()
+        headers = [(b"Apricotseam-Request-Id", request_id), SIGNATURE]
+        if self.behaviour == "silent":
+            await asyncio.sleep(3600)
+        if self.behaviour == "cut":
+            exchange.cut()
+            return
+        if self.behaviour == "shed":
+            exchange.answer(503, b"", [(b"Apricotseam-Not-Executed", b"1")])
+            return
+        if self.behaviour == "error":
+            exchange.answer(500, b"failed", headers)
+            return
+        if self.behaviour == "stray":
+            headers[0] = (b"Apricotseam-Request-Id", b"another")
+        if self.is_engine:
+            await self._stream(request, exchange, headers)
+        else:
+            exchange.answer(200, request.body or b"answer", headers)
+
+    async def _stream(self, request, exchange, headers):
+        try:
+            exchange.start(200, headers)
+            after = int(request.header(b"last-event-id") or 0)
+            for number in range(after + 1, self.events + 1):
+                if self.event_seconds:
+                    await asyncio.sleep(self.event_seconds)
+                if self.cut_after is not None and number > self.cut_after:
+                    await exchange.write(b"id: 9")
+                    exchange.cut()
+                    return
+                text = f"id: {number}\ndata: t{number}\n\n"
+                await exchange.write(text.encode())
+            exchange.end()
+        finally:
+            self.ended.append(request_id_of(request))
+
+
+def request_id_of(request):
+    """Return the identifier of a request."""
+    return request.header(b"apricotseam-request-id")
