--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -14,11 +14,17 @@
 
 
 class PeerUsage(msgspec.Struct, frozen=True, array_like=True):
-    """What a host has in progress, by target identity."""
+    """What a host has in progress, by target identity.
+
+    ``suspects`` are targets that it has no contact with, ``refused`` the
+    requests that it refused a short while ago.
+    """
 
     host: str
     number: int
     usages: dict[str, Usage]
+    suspects: list[str] = []
+    refused: list[str] = []
 
 
 class Booking:
--- a/apricotseam/chains/_paths.py
+++ b/apricotseam/chains/_paths.py
@@ -34,7 +34,7 @@
     layers: LayerRange
 
 
-def find_chain(holders, layers, tokens):
+def find_chain(holders, layers, tokens, first=0):
     """Return the cheapest chain that has room, or None.
 
     Parameters
@@ -45,6 +45,8 @@
         Number of layers of the model.
     tokens : float
         Tokens that the request will hold.
+    first : int
+        Layer at which the chain begins.
 
     Returns
     -------
@@ -64,7 +66,7 @@
         | {holder.layers.last for holder in holders}
     )
     # Cost, next layer, holder that ran the part before, way back.
-    queue = [(0.0, 0, 0, -1, None)]
+    queue = [(0.0, first, 0, -1, None)]
     best = {}
     count = 0
     while queue:
--- a/apricotseam/chains/tests/test_repair_machine.py
+++ b/apricotseam/chains/tests/test_repair_machine.py
@@ -1,11 +1,11 @@
 """Placement under crashes, restarts, lost and late orders."""
 
-import msgspec
 from hypothesis.stateful import initialize
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis import strategies
+import msgspec
 
 from apricotseam.chains import choose_orders
 from apricotseam.chains.tests.profiles import KINDS
--- a/apricotseam/fleet/_health.py
+++ b/apricotseam/fleet/_health.py
@@ -13,6 +13,7 @@
 
     __slots__ = (
         "_backoff",
+        "_heard_until",
         "failure_share",
         "latency_seconds",
         "suspect_until",
@@ -22,12 +23,21 @@
         self.failure_share = 0.0
         self.latency_seconds = 0.0
         self.suspect_until = 0.0
+        self._heard_until = 0.0
         self._backoff = FIRST_BACKOFF_SECONDS
 
     def is_suspect(self, now):
         """Return whether work should go elsewhere for a while."""
+        return now < self.suspect_until or now < self._heard_until
+
+    def is_suspect_here(self, now):
+        """Return whether this host itself lost contact."""
         return now < self.suspect_until
 
+    def hear_suspect(self, until):
+        """Take a peer's word that it has no contact, up to a time."""
+        self._heard_until = max(self._heard_until, until)
+
     def succeed(self, latency=None):
         """Take a request that was answered, with its latency in seconds."""
         self.failure_share *= 1 - OUTCOME_WEIGHT
--- a/apricotseam/forwarding/_allowance.py
+++ b/apricotseam/forwarding/_allowance.py
@@ -3,7 +3,7 @@
 import collections
 
 # What is kept back for requests that peers count differently.
-USED_SHARE = 0.7
+USED_SHARE = 0.6
 
 
 class RetryAllowance:
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -5,7 +5,6 @@
 from apricotseam.chains import ChainModel
 from apricotseam.chains import find_chain
 from apricotseam.chains import Holder
-from apricotseam.fleet import LayerRange
 from apricotseam.fleet import Target
 from apricotseam.platform import call_path
 from apricotseam.platform import Stage
@@ -21,16 +20,21 @@
 class Choice(msgspec.Struct, frozen=True):
     """Where a request goes.
 
-    ``chain`` is the text that names the parts, empty for one target.
+    ``path`` names the parts of a chain; it is empty for one target.
     ``token_ms`` is the estimated time of one token.
     """
 
     head: Target
     stages: tuple[tuple[Target, int], ...]
-    chain: str
+    path: tuple[Stage, ...]
     tokens: float
     token_ms: float = 0.0
 
+    @property
+    def chain(self):
+        """The path as text."""
+        return call_path(self.path)
+
     @property
     def shares(self):
         """Identities and numbers of layers, for the ledger."""
@@ -106,13 +110,54 @@
             best = (_cost(stages), stages)
         return self._as_choice(best[1], tokens)
 
+    def rechoose(self, call, choice, now):
+        """Return a chain with the same first part, or None.
+
+        Only targets of the head's availability zone are taken.
+
+        Parameters
+        ----------
+        call : Call
+            The request; the targets that failed it are left out.
+        choice : Choice
+            The chain that broke.
+        now : float
+            Monotonic time in seconds.
+        """
+        profile = call.service.engine
+        head = choice.head
+        first = choice.path[0].layers
+        if head.identity in call.tried or first.last >= profile.layers:
+            return None
+        holders = []
+        for target in self._fleet.of_service(call.service.name):
+            is_near = target.record.zone == head.record.zone
+            if target is head or not is_near:
+                continue
+            holder = self._holder(
+                target, profile, call, now, RETURN_FILL_SHARE
+            )
+            if holder is not None:
+                holders.append(holder)
+        rest = find_chain(holders, profile.layers, choice.tokens, first.last)
+        if rest is None:
+            return None
+        tail = self._as_choice(rest, choice.tokens)
+        return Choice(
+            head,
+            (choice.stages[0], *tail.stages),
+            (choice.path[0], *tail.path),
+            choice.tokens,
+            choice.token_ms,
+        )
+
     def choose_target(self, call, now):
         """Return the best `Choice` of one target, or None."""
         candidates = self._candidates(call, now)
         if not candidates:
             return None
         target = min(candidates, key=self._target_cost)
-        return Choice(target, ((target, 1),), "", 1.0)
+        return Choice(target, ((target, 1),), (), 1.0)
 
     def has_layers(self, service):
         """Return whether any chain covers all layers, loaded or not."""
@@ -168,14 +213,9 @@
         targets = tuple(
             (self._fleet.get(s.holder.identity), s.layers.size) for s in stages
         )
-        chain = call_path([Stage(s.holder.address, s.layers) for s in stages])
-        return Choice(targets[0][0], targets, chain, tokens, _cost(stages))
+        path = tuple(Stage(s.holder.address, s.layers) for s in stages)
+        return Choice(targets[0][0], targets, path, tokens, _cost(stages))
 
 
 def _cost(stages):
     return sum(s.holder.layer_cost * s.layers.size + 0.6 for s in stages)
-
-
-def whole_model(profile):
-    """Return the range of all layers of a model."""
-    return LayerRange(0, profile.layers)
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -3,12 +3,11 @@
 import asyncio
 import logging
 
+from apricotseam.forwarding._passage import Passage
 from apricotseam.forwarding._refusal import refuse
 from apricotseam.forwarding._sending import Sender
 from apricotseam.forwarding._waiting import WAIT_SHARE
 from apricotseam.http1 import ConnectError
-from apricotseam.http1 import EventSplitter
-from apricotseam.http1 import MalformedAnswerError
 from apricotseam.http1 import TransportError
 from apricotseam.http1 import TransportTimeoutError
 from apricotseam.platform import refusal_headers
@@ -17,11 +16,6 @@
 _LOG = logging.getLogger(__name__)
 
 MAX_SENDS = 5
-MAX_ERROR_BYTES = 1 << 20
-# Silence before the first event and between events after which a stream
-# goes on elsewhere; callers give up after two seconds.
-FIRST_EVENT_SECONDS = 1.2
-NEXT_EVENT_SECONDS = 0.6
 # How long an answer that broke off may wait for room to go on.
 RESUME_WAIT_SECONDS = 0.8
 MIN_RETRY_AFTER_SECONDS = 0.3
@@ -125,90 +119,43 @@
 
     async def _attempt(self, call, choice):
         """Send a call along a chain; return a status."""
-        loop = asyncio.get_running_loop()
-        scene = self._scene
-        answer_tokens = choice.tokens - (call.facts.prompt_tokens or 0)
-        seconds = answer_tokens * choice.token_ms / 1000.0
-        booking = scene.ledger.book(
-            choice.tokens, choice.shares, loop.time() + seconds
-        )
-        connection = None
+        passage = Passage(self._scene, self._sender, call, choice)
         try:
-            connection = await self._sender.open(call, choice.head)
-            self._sender.send(call, connection, choice, call.last_event)
-            call.runs += 1
-            status = await self._relay(call, connection, choice)
-            connection = None
-            return status
+            failure = await passage.run()
         except ConnectError:
             self._blame(call, choice.head, "no_connection", True)
             return 502
         except TransportError as error:
-            is_silent = isinstance(error, TransportTimeoutError)
-            self._blame(call, choice.head, error.code, is_silent)
-            return 504 if is_silent else 502
-        finally:
-            scene.ledger.release(booking)
-            if connection is not None:
-                connection.close()
-
-    async def _relay(self, call, connection, choice):
-        """Pass events on until the answer's end."""
-        deadline = self._deadline(call, FIRST_EVENT_SECONDS)
-        answer, facts = await self._sender.head(call, connection, deadline)
-        if answer.status != 200 or facts.was_not_run:
-            return await self._take_failure(
-                call, connection, choice, answer, facts
-            )
-        if facts.is_encoded or not facts.is_signed:
-            raise MalformedAnswerError(
-                f"{connection.address} sent bytes of another origin",
-                "repeat the request if it may be resumed",
-            )
-        splitter = EventSplitter()
-        while data := await connection.read(deadline):
-            for event in splitter.feed(data):
-                await self._pass_on(call, answer, event)
-            deadline = self._deadline(call, NEXT_EVENT_SECONDS)
-        if splitter.has_rest:
-            raise MalformedAnswerError(
-                f"{connection.address} ended within an event",
-                "repeat the request if it may be resumed",
-            )
-        if not call.exchange.is_started:
-            call.exchange.start(200, returned_headers(answer), answer.reason)
-        call.exchange.end()
-        choice.head.health.succeed()
-        call.note(choice.chain or choice.head.identity, "200")
-        self._scene.pool.release(choice.head.incarnation, connection, answer)
+            return self._take_error(call, passage.choice, error)
+        if failure is not None:
+            return self._take_failure(call, choice, *failure)
+        for target, _ in passage.choice.stages:
+            target.health.succeed()
+        call.note(passage.choice.chain or choice.head.identity, "200")
         return 200
 
-    async def _pass_on(self, call, answer, event):
-        if event.number is not None:
-            last = call.last_event
-            if last is not None and event.number <= last:
-                return
-            call.last_event = event.number
-        exchange = call.exchange
-        if not exchange.is_started:
-            exchange.start(200, returned_headers(answer), answer.reason)
-            now = asyncio.get_running_loop().time()
-            kind = call.route.repeat.value
-            seconds = now - call.request.received_at
-            self._scene.metrics.first_byte.labels(kind).observe(seconds)
-        await exchange.write(event.data)
+    def _take_error(self, call, choice, error):
+        """Take an answer that broke off; return a status."""
+        is_silent = isinstance(error, TransportTimeoutError)
+        now = asyncio.get_running_loop().time()
+        known = [t for t, _ in choice.stages if t.health.is_suspect(now)]
+        call.note(choice.chain or choice.head.identity, error.code)
+        if known:
+            call.tried.update(target.identity for target in known)
+        else:
+            self._blame(call, choice.head, error.code, is_silent)
+        return 504 if is_silent else 502
 
-    async def _take_failure(self, call, connection, choice, answer, facts):
+    def _take_failure(self, call, choice, answer, facts, body):
         """Take an answer that is no stream; return its status."""
-        deadline = self._deadline(call, NEXT_EVENT_SECONDS)
-        body = await connection.read_all(deadline, MAX_ERROR_BYTES)
-        self._scene.pool.release(choice.head.incarnation, connection, answer)
-        at_fault = self._scene.fleet.at(facts.target_at_fault) or choice.head
+        at_fault = self._scene.fleet.at(facts.target_at_fault)
+        is_part = at_fault is not None and at_fault is not choice.head
         if facts.was_not_run:
             call.runs -= 1
-            self._blame(call, at_fault, f"not_run_{answer.status}", False)
+            outcome = f"not_run_{answer.status}"
+            self._blame(call, at_fault or choice.head, outcome, is_part)
             return 503
-        self._blame(call, at_fault, str(answer.status), False)
+        self._blame(call, at_fault or choice.head, str(answer.status), False)
         if call.exchange.is_started or self._may_repeat(call):
             return 502
         call.exchange.answer(
@@ -226,7 +173,3 @@
             target.health.lose_contact(now)
         else:
             target.health.fail()
-
-    def _deadline(self, call, seconds):
-        now = asyncio.get_running_loop().time()
-        return min(call.deadline, now + seconds)
--- a/apricotseam/forwarding/_waiting.py
+++ b/apricotseam/forwarding/_waiting.py
@@ -28,6 +28,7 @@
         self._numbers = itertools.count()
         self._ends = collections.deque()
         self._refused = collections.OrderedDict()
+        self._told = collections.deque(maxlen=MAX_REMEMBERED)
 
     def __len__(self):
         return len(self._queue)
@@ -93,6 +94,7 @@
     def remember_refused(self, call):
         """Keep that a call was refused, for when it comes back."""
         self.remember(call.return_id)
+        self._told.append((self._now(), call.return_id))
 
     def remember(self, return_id):
         """Keep an identifier of a refused request, also of a peer's."""
@@ -107,9 +109,10 @@
         return self._refused.get(call.return_id, 0.0) > self._now()
 
     def recently_refused(self, since):
-        """Return the identifiers that were refused after a time."""
-        limit = since + RETURN_SECONDS
-        return [key for key, until in self._refused.items() if until > limit]
+        """Return what this host refused after a time."""
+        while self._told and self._told[0][0] < since:
+            self._told.popleft()
+        return [return_id for _, return_id in self._told if return_id]
 
 
 def _settle(future, result):
--- a/apricotseam/http1/_pool.py
+++ b/apricotseam/http1/_pool.py
@@ -9,6 +9,9 @@
 # A server may close a little before the time that it announced.
 KEEPALIVE_MARGIN_SECONDS = 0.5
 MAX_IDLE_EACH = 24
+# A connection that was idle longer may die with a short call on it.
+CALL_IDLE_SECONDS = 0.25
+MAX_CALL_BYTES = 1 << 20
 
 
 class Pool:
@@ -72,6 +75,44 @@
         connection.expires_at = now + _kept_seconds(answer)
         idle.append(connection)
 
+    async def call(self, key, address, method, path, body, deadline):
+        """Make one short call and return its answer and body.
+
+        Parameters
+        ----------
+        key : object
+            Identity of the server.
+        address : str
+            ``ip:port`` of the server.
+        method, path : bytes
+            First line of the request.
+        body : bytes
+            JSON, or nothing.
+        deadline : float
+            Time of the loop's clock.
+
+        Raises
+        ------
+        TransportError
+            If no whole answer came by the deadline.
+        """
+        headers = [(b"Host", address.encode())]
+        if body:
+            headers.append((b"Content-Type", b"application/json"))
+            headers.append((b"Content-Length", str(len(body)).encode()))
+        connection = await self.acquire(
+            key, address, deadline, CALL_IDLE_SECONDS
+        )
+        try:
+            connection.send(method, path, headers, body)
+            answer = await connection.head(deadline)
+            found = await connection.read_all(deadline, MAX_CALL_BYTES)
+        except BaseException:
+            connection.close()
+            raise
+        self.release(key, connection, answer)
+        return answer, found
+
     def drop(self, key):
         """Close the idle connections to a server."""
         for connection in self._idle.pop(key, ()):
--- a/apricotseam/http1/tests/test_connections.py
+++ b/apricotseam/http1/tests/test_connections.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from apricotseam.http1 import ConnectError
 from apricotseam.http1 import connect
+from apricotseam.http1 import ConnectError
 from apricotseam.http1 import LostConnectionError
 from apricotseam.http1 import MalformedAnswerError
 from apricotseam.http1 import Pool
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -146,7 +146,7 @@
             bounds.retry_ratio,
             bounds.retry_slack,
             bounds.retry_window_seconds,
-            lambda: len(self._hosts.table.live()),
+            lambda: len(self._hosts.table),
         )
         self._scene = Scene(
             self._fleet,
@@ -202,7 +202,7 @@
         )
         self._placer = Placer(self._scene, self._election, self._now)
         name = f"{settings.host}/{self._started_ms}"
-        self._usage = UsageSpread(self._hosts, self._ledger, name, self._now)
+        self._usage = UsageSpread(self._hosts, self._scene, name, self._now)
         self._directory = Directory(
             self._hosts, settings.bounds.address_valid_seconds
         )
--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -23,7 +23,6 @@
 SETTLE_SECONDS = 0.3
 # An order without a sign of it in the store is looked into after this.
 PENDING_SECONDS = 4.0
-MAX_BODY_BYTES = 1 << 20
 
 
 class _Pending:
@@ -162,23 +161,14 @@
 
     async def _call(self, target, method, path, body=b""):
         """Call a target outside of requests; return answer and body."""
-        pool = self._scene.pool
-        key = target.incarnation
-        deadline = self._now() + CALL_SECONDS
-        headers = [(b"Host", target.address.encode())]
-        if body:
-            headers.append((b"Content-Type", b"application/json"))
-            headers.append((b"Content-Length", str(len(body)).encode()))
-        connection = await pool.acquire(key, target.address, deadline, 0.25)
-        try:
-            connection.send(method, path, headers, body)
-            answer = await connection.head(deadline)
-            found = await connection.read_all(deadline, MAX_BODY_BYTES)
-        except TransportError:
-            connection.close()
-            raise
-        pool.release(key, connection, answer)
-        return answer, found
+        return await self._scene.pool.call(
+            target.incarnation,
+            target.address,
+            method,
+            path,
+            body,
+            self._now() + CALL_SECONDS,
+        )
 
 
 def _with_layers(record, layers):
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -8,6 +8,9 @@
 PERIOD_SECONDS = 0.2
 # Without a change it is told this often, so that peers don't forget it.
 QUIET_PERIODS = 4
+# How long a peer's suspicion holds, and a refusal is told.
+HEARD_SECONDS = 0.5
+REFUSED_SECONDS = 0.5
 
 
 class UsageSpread:
@@ -17,17 +20,18 @@
     ----------
     hosts : Hosts
         The other hosts.
-    ledger : Ledger
-        What is in progress.
+    scene : Scene
+        What is in progress, and the targets.
     name : str
         Name of this process, different for each start.
     now : callable
         Monotonic time in seconds.
     """
 
-    def __init__(self, hosts, ledger, name, now):
+    def __init__(self, hosts, scene, name, now):
         self._hosts = hosts
-        self._ledger = ledger
+        self._scene = scene
+        self._ledger = scene.ledger
         self._name = name
         self._now = now
         self._number = 0
@@ -40,22 +44,43 @@
         while True:
             await asyncio.sleep(PERIOD_SECONDS)
             self._ledger.expire(self._now())
+            suspects = self._suspects()
             quiet += 1
-            if self._ledger.changes == sent_changes and quiet < QUIET_PERIODS:
+            is_same = self._ledger.changes == sent_changes and not suspects
+            if is_same and quiet < QUIET_PERIODS:
                 continue
             sent_changes = self._ledger.changes
             quiet = 0
-            self._send()
+            self._send(suspects)
 
-    def _send(self):
+    def _suspects(self):
+        now = self._now()
+        return [
+            target.identity
+            for target in self._scene.fleet
+            if target.health.is_suspect_here(now)
+        ]
+
+    def _send(self, suspects):
         self._number += 1
         usages = {
             identity: Usage(round(usage.units), usage.requests)
             for identity, usage in self._ledger.own.items()
         }
-        message = PeerUsage(self._name, self._number, usages)
+        since = self._now() - REFUSED_SECONDS
+        refused = self._scene.waiting.recently_refused(since)
+        message = PeerUsage(
+            self._name, self._number, usages, suspects, refused
+        )
         for address in self._hosts.partners:
             self._hosts.transport.send(address, message)
 
     def _receive(self, sender, message):
-        self._ledger.take_peer(message, self._now())
+        now = self._now()
+        self._ledger.take_peer(message, now)
+        for identity in message.suspects:
+            target = self._scene.fleet.get(identity)
+            if target is not None:
+                target.health.hear_suspect(now + HEARD_SECONDS)
+        for return_id in message.refused:
+            self._scene.waiting.remember(return_id)
