--- a/apricotseam/fleet/_fleet.py
+++ b/apricotseam/fleet/_fleet.py
@@ -18,13 +18,16 @@
     ----------
     on_end : callable, optional
         Called with each `Target` whose process is gone or replaced.
+    on_drain : callable, optional
+        Called with each `Target` that begins to leave.
     """
 
-    def __init__(self, on_end=None):
+    def __init__(self, on_end=None, on_drain=None):
         self._targets = {}
         self._by_service = collections.defaultdict(dict)
         self._by_address = {}
         self._on_end = on_end or (lambda target: None)
+        self._on_drain = on_drain or (lambda target: None)
         self.changes = 0
 
     def __iter__(self):
@@ -57,12 +60,15 @@
         self.changes += 1
         known = self._targets.get(record.identity)
         if known is not None and known.incarnation == record.incarnation:
+            was_working = known.takes_work
             self._log_change(known.record, record)
             self._unlink(known)
             known.record = record
             known.held_until = None
             known.is_present = True
             self._link(known)
+            if was_working and not known.takes_work:
+                self._on_drain(known)
             return
         if known is not None:
             self._end(known, "replaced")
--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -34,6 +34,7 @@
         "exchange",
         "facts",
         "last_event",
+        "longest_pause",
         "outcome",
         "request",
         "route",
@@ -58,6 +59,8 @@
             seconds = min(seconds, facts.seconds_left)
         self.deadline = request.received_at + seconds - ANSWER_MARGIN_SECONDS
         self.last_event = facts.last_event
+        # Longest time between two events, in seconds.
+        self.longest_pause = 0.0
         # Sends of any kind, and those that a target may have run.
         self.attempts = 0
         self.runs = 0
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import logging
+import time
 
 from apricotseam.forwarding._call import Call
 from apricotseam.forwarding._plain import PlainRunner
+from apricotseam.forwarding._probes import Probes
+from apricotseam.forwarding._registry import PassageRegistry
 from apricotseam.forwarding._streams import StreamRunner
 from apricotseam.platform import decode_call
 from apricotseam.platform import refusal_headers
@@ -44,7 +47,9 @@
         "is_refusing",
         "ledger",
         "metrics",
+        "passages",
         "pool",
+        "probes",
         "table",
         "waiting",
     )
@@ -53,6 +58,8 @@
         self, fleet, ledger, chooser, pool, allowance, metrics, waiting
     ):
         self.waiting = waiting
+        self.passages = PassageRegistry()
+        self.probes = Probes(pool, time.monotonic)
         self.fleet = fleet
         self.ledger = ledger
         self.chooser = chooser
@@ -162,5 +169,6 @@
                 "sends": call.outcome,
                 "milliseconds": round(seconds * 1000),
                 "last_event": call.last_event,
+                "longest_pause_ms": round(call.longest_pause * 1000),
             },
         )
--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -5,6 +5,7 @@
 
 from apricotseam.errors import InvalidInputError
 from apricotseam.http1 import EventSplitter
+from apricotseam.http1 import InterruptedReadError
 from apricotseam.http1 import MalformedAnswerError
 from apricotseam.http1 import TransportError
 from apricotseam.http1 import TransportTimeoutError
@@ -17,15 +18,19 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Silence before the first event and between events after which a stream
-# goes on elsewhere; callers give up after two seconds.
-FIRST_EVENT_SECONDS = 0.9
-NEXT_EVENT_SECONDS = 0.5
-# The same where a target of the chain is known to be out of contact.
-SUSPECT_SECONDS = 0.25
-# The same after the head was asked and is at work.
-RESCUED_SECONDS = 1.2
+# Silence after which a stream goes on elsewhere, whatever the targets say;
+# callers give up after two seconds.
+SILENCE_SECONDS = 1.3
+# Silence after which the targets of the chain are asked: before the first
+# event, between events, and each further time.
+FIRST_LOOK_SECONDS = 0.2
+NEXT_LOOK_SECONDS = 0.07
+FURTHER_LOOK_SECONDS = 0.4
+# The same as a multiple of the usual pause of the stream.
+USUAL_PAUSES = 3.0
+PAUSE_WEIGHT = 0.2
 REPORT_SECONDS = 0.25
+ERROR_BODY_SECONDS = 0.5
 MAX_BODY_BYTES = 1 << 20
 
 
@@ -51,8 +56,10 @@
         self._choice = choice
         self._booking = None
         self._connection = None
-        # A stall is looked into once.
-        self._was_rescued = False
+        self._heard_at = 0.0
+        self._usual_pause = NEXT_LOOK_SECONDS / USUAL_PAUSES
+        self._is_streaming = False
+        self._is_reading = False
 
     @property
     def choice(self):
@@ -78,7 +85,7 @@
             self._connection = None
             return found
         finally:
-            self._scene.ledger.release(self._booking)
+            self._forget()
             if self._connection is not None:
                 self._connection.close()
 
@@ -92,7 +99,7 @@
         answer, facts = await self._head()
         if answer.status != 200 or facts.was_not_run:
             body = await connection.read_all(
-                self._deadline(NEXT_EVENT_SECONDS), MAX_BODY_BYTES
+                self._deadline(ERROR_BODY_SECONDS), MAX_BODY_BYTES
             )
             self._keep(answer)
             return answer, facts, body
@@ -106,26 +113,21 @@
         return None
 
     async def _head(self):
-        """Return the answer's head; a chain that stalls is changed once."""
-        while True:
-            deadline = self._deadline(FIRST_EVENT_SECONDS)
-            try:
-                return await self._sender.head(
-                    self._call, self._connection, deadline
-                )
-            except TransportTimeoutError:
-                if not await self._rescue():
-                    raise
+        """Return the answer's head."""
+        connection = self._connection
+        return await self._patiently(
+            lambda deadline: self._sender.head(
+                self._call, connection, deadline
+            )
+        )
 
     async def _relay(self, answer):
         """Pass events on until the answer's end."""
         exchange = self._call.exchange
         splitter = EventSplitter()
-        seconds = FIRST_EVENT_SECONDS
-        while data := await self._read(seconds):
+        while data := await self._patiently(self._connection.read):
             for event in splitter.feed(data):
                 await self._pass_on(answer, event)
-            seconds = NEXT_EVENT_SECONDS
         if splitter.has_rest:
             raise MalformedAnswerError(
                 f"{self._connection.address} ended within an event",
@@ -135,17 +137,47 @@
             exchange.start(200, returned_headers(answer), answer.reason)
         exchange.end()
 
-    async def _read(self, seconds):
+    async def _patiently(self, read):
+        """Read; look into silence, and give up when it lasts.
+
+        Parameters
+        ----------
+        read : callable
+            Coroutine function of a deadline.
+
+        Raises
+        ------
+        TransportError
+            If nothing more is to be expected.
+        """
+        loop = asyncio.get_running_loop()
+        self._heard_at = loop.time()
+        patience = self._first_patience()
         while True:
-            if self._was_rescued:
-                seconds = RESCUED_SECONDS
-            elif self._has_suspect():
-                seconds = SUSPECT_SECONDS
+            self._is_reading = True
             try:
-                return await self._connection.read(self._deadline(seconds))
-            except TransportTimeoutError:
-                if not await self._rescue():
+                found = await read(self._deadline(patience))
+            except (TransportTimeoutError, InterruptedReadError):
+                if not await self._look_into_silence():
                     raise
+                patience = FURTHER_LOOK_SECONDS
+                continue
+            finally:
+                self._is_reading = False
+            self._learn_pause(loop.time() - self._heard_at)
+            return found
+
+    def _first_patience(self):
+        if not self._is_streaming:
+            return FIRST_LOOK_SECONDS
+        return max(NEXT_LOOK_SECONDS, USUAL_PAUSES * self._usual_pause)
+
+    def _learn_pause(self, seconds):
+        call = self._call
+        if self._is_streaming:
+            change = seconds - self._usual_pause
+            self._usual_pause += PAUSE_WEIGHT * change
+            call.longest_pause = max(call.longest_pause, seconds)
 
     async def _pass_on(self, answer, event):
         call = self._call
@@ -154,6 +186,7 @@
             if last is not None and event.number <= last:
                 return
             call.last_event = event.number
+        self._is_streaming = True
         exchange = call.exchange
         if not exchange.is_started:
             exchange.start(200, returned_headers(answer), answer.reason)
@@ -163,43 +196,49 @@
             self._scene.metrics.first_byte.labels(kind).observe(seconds)
         await exchange.write(event.data)
 
-    async def _rescue(self):
-        """Find out why the chain is silent; return whether it goes on.
-
-        The head of the chain says which target it waits for. If another
-        one can take that part, the head is ordered to go on over it.
-        """
+    async def _look_into_silence(self):
+        """Find out why the chain is silent; return whether it goes on."""
         call = self._call
         choice = self._choice
-        if self._was_rescued or not choice.chain or call.seconds_left() <= 0:
+        now = asyncio.get_running_loop().time()
+        silent_seconds = now - self._heard_at
+        if call.seconds_left() <= 0 or silent_seconds >= SILENCE_SECONDS:
+            return False
+        targets = [target for target, _ in choice.stages]
+        dead = await self._scene.probes.find_dead(targets)
+        leaving = [t for t in targets[1:] if not t.takes_work]
+        if not dead and silent_seconds >= FURTHER_LOOK_SECONDS:
+            dead = await self._stalled_targets()
+        if not dead and not leaving:
+            return True
+        for target in dead:
+            call.tried.add(target.identity)
+            call.note(target.identity, "silent")
+            self._scene.passages.alert(target.identity)
+        if choice.head in dead:
             return False
-        self._was_rescued = True
+        return await self._reroute() or not dead
+
+    async def _stalled_targets(self):
+        """Return the targets that the head of the chain waits for."""
+        call = self._call
         try:
-            report = await self._ask(b"GET", REPORT_PATH)
-            found = decode_report(report[1])
+            _, body = await self._ask(b"GET", REPORT_PATH)
+            report = decode_report(body)
         except (TransportError, InvalidInputError) as error:
             _LOG.info(
                 "stall_unexplained",
                 extra={"request": call.request_id, "error": str(error)},
             )
-            return False
-        addresses = [
-            s.address for s in found.stalled if s.request_id == call.request_id
-        ]
-        if not addresses:
-            # The head is at work: the chain is slow, not broken.
-            return True
-        self._suspect(addresses)
-        return await self._reroute()
-
-    def _suspect(self, addresses):
+            return [self._choice.head]
         now = asyncio.get_running_loop().time()
-        for address in addresses:
-            target = self._scene.fleet.at(address)
-            if target is not None:
+        found = []
+        for stalled in report.stalled:
+            target = self._scene.fleet.at(stalled.address)
+            if stalled.request_id == call.request_id and target is not None:
                 target.health.lose_contact(now)
-                self._call.tried.add(target.identity)
-                self._call.note(target.identity, "stalled")
+                found.append(target)
+        return found
 
     async def _reroute(self):
         """Order the head to go on over another chain."""
@@ -228,7 +267,7 @@
             },
         )
         if is_done:
-            self._scene.ledger.release(self._booking)
+            self._forget()
             self._choice = choice
             self._book()
         return is_done
@@ -242,10 +281,19 @@
             head.incarnation, head.address, method, path, body, deadline
         )
 
-    def _has_suspect(self):
-        now = asyncio.get_running_loop().time()
-        stages = self._choice.stages
-        return any(t.health.is_suspect(now) for t, _ in stages)
+    def alert(self):
+        """Look up at once: a target of the chain may be gone."""
+        if self._is_reading:
+            self._connection.interrupt()
+
+    def _forget(self):
+        """Give back the room of the present chain."""
+        scene = self._scene
+        scene.ledger.release(self._booking)
+        scene.passages.remove(self, self._identities())
+
+    def _identities(self):
+        return [target.identity for target, _ in self._choice.stages]
 
     def _book(self):
         choice = self._choice
@@ -255,6 +303,7 @@
         self._booking = self._scene.ledger.book(
             choice.tokens, choice.shares, now + seconds
         )
+        self._scene.passages.add(self, self._identities())
 
     def _keep(self, answer):
         head = self._choice.head
--- /dev/null
+++ b/apricotseam/forwarding/_probes.py
@@ -0,0 +1,110 @@
+"""Asks targets whether they are there, when a chain falls silent."""
+
+import asyncio
+import logging
+
+from apricotseam.http1 import TransportError
+from apricotseam.platform import REPORT_PATH
+
+_LOG = logging.getLogger(__name__)
+
+# Two tries, since the first packet of one may be lost.
+TRY_SECONDS = 0.025
+TRIES = 2
+# An answer serves all streams that ask within this time.
+FRESH_SECONDS = 0.15
+PROBES_PER_SECOND = 15
+BURST_PROBES = 60
+
+
+class Probes:
+    """Finds out which targets of a chain do not answer.
+
+    Parameters
+    ----------
+    pool : Pool
+        Connections to targets.
+    now : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(self, pool, now):
+        self._pool = pool
+        self._now = now
+        self._running = {}
+        self._alive_until = {}
+        self._room = float(BURST_PROBES)
+        self._refilled_at = now()
+
+    async def find_dead(self, targets):
+        """Return the targets that do not answer; their health is told.
+
+        Parameters
+        ----------
+        targets : list of Target
+            The targets of a chain.
+        """
+        found = await asyncio.gather(*(self._check(t) for t in targets))
+        return [t for t, is_alive in zip(targets, found) if not is_alive]
+
+    async def _check(self, target):
+        """Return whether a target answers; questions are shared."""
+        now = self._now()
+        if target.health.is_suspect_here(now):
+            return False
+        if self._alive_until.get(target.identity, 0.0) > now:
+            return True
+        task = self._running.get(target.identity)
+        if task is None:
+            if not self._spend():
+                return True
+            loop = asyncio.get_running_loop()
+            task = loop.create_task(self._ask(target))
+            self._running[target.identity] = task
+            task.add_done_callback(
+                lambda _: self._running.pop(target.identity, None)
+            )
+        return await asyncio.shield(task)
+
+    async def _ask(self, target):
+        for _ in range(TRIES):
+            if await self._try(target):
+                until = self._now() + FRESH_SECONDS
+                self._alive_until[target.identity] = until
+                return True
+        target.health.lose_contact(self._now())
+        _LOG.warning(
+            "target_silent",
+            extra={"target": target.identity, "address": target.address},
+        )
+        return False
+
+    def _spend(self):
+        """Take one probe; return whether there was one."""
+        now = self._now()
+        refill = (now - self._refilled_at) * PROBES_PER_SECOND
+        self._room = min(BURST_PROBES, self._room + refill)
+        self._refilled_at = now
+        if self._room < 1:
+            return False
+        self._room -= 1
+        return True
+
+    async def _try(self, target):
+        deadline = self._now() + TRY_SECONDS
+        try:
+            await self._pool.call(
+                target.incarnation,
+                target.address,
+                b"GET",
+                REPORT_PATH,
+                b"",
+                deadline,
+            )
+        except TransportError:
+            return False
+        return True
+
+    def forget(self, target):
+        """Drop what is known of a target that is gone."""
+        self._alive_until.pop(target.identity, None)
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -126,7 +126,7 @@
             self._blame(call, choice.head, "no_connection", True)
             return 502
         except TransportError as error:
-            return self._take_error(call, passage.choice, error)
+            return await self._take_error(call, passage.choice, error)
         if failure is not None:
             return self._take_failure(call, choice, *failure)
         for target, _ in passage.choice.stages:
@@ -134,14 +134,17 @@
         call.note(passage.choice.chain or choice.head.identity, "200")
         return 200
 
-    def _take_error(self, call, choice, error):
+    async def _take_error(self, call, choice, error):
         """Take an answer that broke off; return a status."""
         is_silent = isinstance(error, TransportTimeoutError)
-        now = asyncio.get_running_loop().time()
-        known = [t for t, _ in choice.stages if t.health.is_suspect(now)]
         call.note(choice.chain or choice.head.identity, error.code)
-        if known:
-            call.tried.update(target.identity for target in known)
+        targets = [target for target, _ in choice.stages]
+        if not is_silent:
+            await self._scene.probes.find_dead(targets)
+        now = asyncio.get_running_loop().time()
+        suspects = [t for t in targets if t.health.is_suspect(now)]
+        if suspects:
+            call.tried.update(target.identity for target in suspects)
         else:
             self._blame(call, choice.head, error.code, is_silent)
         return 504 if is_silent else 502
--- a/apricotseam/http1/__init__.py
+++ b/apricotseam/http1/__init__.py
@@ -4,6 +4,7 @@
 from apricotseam.http1._client import connect
 from apricotseam.http1._client import Connection
 from apricotseam.http1._errors import ConnectError
+from apricotseam.http1._errors import InterruptedReadError
 from apricotseam.http1._errors import LostConnectionError
 from apricotseam.http1._errors import MalformedAnswerError
 from apricotseam.http1._errors import TransportError
@@ -24,6 +25,7 @@
     "Event",
     "EventSplitter",
     "Exchange",
+    "InterruptedReadError",
     "Limits",
     "LostConnectionError",
     "MalformedAnswerError",
--- a/apricotseam/http1/_client.py
+++ b/apricotseam/http1/_client.py
@@ -6,6 +6,7 @@
 import h11
 
 from apricotseam.http1._errors import ConnectError
+from apricotseam.http1._errors import InterruptedReadError
 from apricotseam.http1._errors import LostConnectionError
 from apricotseam.http1._errors import MalformedAnswerError
 from apricotseam.http1._errors import TransportTimeoutError
@@ -192,6 +193,17 @@
             parts.append(data)
         return b"".join(parts)
 
+    def interrupt(self):
+        """Make the one that waits for bytes look up."""
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(
+                InterruptedReadError(
+                    f"reading from {self.address} was interrupted",
+                    "read again",
+                )
+            )
+
     def close(self):
         """Close the connection at once, with whatever is in progress."""
         self._is_closed = True
--- a/apricotseam/http1/_errors.py
+++ b/apricotseam/http1/_errors.py
@@ -33,3 +33,9 @@
 
     code = "transport_timeout"
     http_status = 504
+
+
+class InterruptedReadError(TransportError):
+    """Another part of the process asked the reader to look up."""
+
+    code = "read_interrupted"
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -141,7 +141,7 @@
         self._ledger = Ledger(
             lambda is_own: waiting.count_end() if is_own else waiting.wake()
         )
-        self._fleet = Fleet(lambda t: self._pool.drop(t.incarnation))
+        self._fleet = Fleet(self._end_target, self._drain_target)
         allowance = RetryAllowance(
             bounds.retry_ratio,
             bounds.retry_slack,
@@ -160,6 +160,14 @@
         gateway = Gateway(self._scene)
         self.callers = Server(gateway.handle, self._limits)
 
+    def _end_target(self, target):
+        self._pool.drop(target.incarnation)
+        self._scene.probes.forget(target)
+        self._scene.passages.alert(target.identity)
+
+    def _drain_target(self, target):
+        self._scene.passages.alert(target.identity)
+
     def _build_agreement(self):
         settings = self._settings
         own = Member(
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -82,5 +82,6 @@
             target = self._scene.fleet.get(identity)
             if target is not None:
                 target.health.hear_suspect(now + HEARD_SECONDS)
+                self._scene.passages.alert(identity)
         for return_id in message.refused:
             self._scene.waiting.remember(return_id)
