--- a/apricotseam/fleet/_health.py
+++ b/apricotseam/fleet/_health.py
@@ -6,6 +6,8 @@
 OUTCOME_WEIGHT = 0.15
 # A target with at least this share of failures gets less work.
 FAILING_SHARE = 0.25
+# How long a target's word on its slowness holds.
+SLOWNESS_SECONDS = 3.0
 
 
 class Health:
@@ -14,6 +16,8 @@
     __slots__ = (
         "_backoff",
         "_heard_until",
+        "_slow_until",
+        "_slowness",
         "failure_share",
         "latency_seconds",
         "suspect_until",
@@ -24,6 +28,8 @@
         self.latency_seconds = 0.0
         self.suspect_until = 0.0
         self._heard_until = 0.0
+        self._slowness = 1.0
+        self._slow_until = 0.0
         self._backoff = FIRST_BACKOFF_SECONDS
 
     def is_suspect(self, now):
@@ -38,6 +44,15 @@
         """Take a peer's word that it has no contact, up to a time."""
         self._heard_until = max(self._heard_until, until)
 
+    def slowness(self, now):
+        """Return by which factor the target said to be slow of late."""
+        return self._slowness if now < self._slow_until else 1.0
+
+    def note_slowness(self, factor, now):
+        """Take by which factor a target says to be slow."""
+        self._slowness = max(1.0, factor)
+        self._slow_until = now + SLOWNESS_SECONDS
+
     def succeed(self, latency=None):
         """Take a request that was answered, with its latency in seconds."""
         self.failure_share *= 1 - OUTCOME_WEIGHT
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -15,6 +15,8 @@
 # Added cost of a target in another availability zone, in requests.
 FAR_REQUESTS = 1.0
 DEFAULT_ANSWER_TOKENS = 200
+# Latencies below this make no difference between targets.
+MIN_LATENCY_SECONDS = 0.05
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -110,7 +112,7 @@
             best = (_cost(stages), stages)
         return self._as_choice(best[1], tokens)
 
-    def rechoose(self, call, choice, now):
+    def rechoose(self, call, choice, now, avoided):
         """Return a chain with the same first part, or None.
 
         Only targets of the head's availability zone are taken.
@@ -123,6 +125,8 @@
             The chain that broke.
         now : float
             Monotonic time in seconds.
+        avoided : list of Target
+            Targets that are not to be in the new chain.
         """
         profile = call.service.engine
         head = choice.head
@@ -132,7 +136,7 @@
         holders = []
         for target in self._fleet.of_service(call.service.name):
             is_near = target.record.zone == head.record.zone
-            if target is head or not is_near:
+            if target is head or not is_near or target in avoided:
                 continue
             holder = self._holder(
                 target, profile, call, now, RETURN_FILL_SHARE
@@ -179,7 +183,8 @@
         running = self._ledger.running(target.identity)
         far = 0.0 if target.record.zone == self._zone else FAR_REQUESTS
         load = (running + 1 + far) / target.record.slots
-        return load * target.health.penalty()
+        expected = max(MIN_LATENCY_SECONDS, target.health.latency_seconds)
+        return load * target.health.penalty() * expected
 
     def _holder(self, target, profile, call, now, fill):
         """Return a target as a part of chains, or None if it can't be."""
@@ -200,6 +205,7 @@
         step = model.step_ms(kind.step_factor, profile.layers, running)
         pressure = 1.0 + (1.0 - free / capacity) ** 2
         cost = step / profile.layers * pressure * target.health.penalty()
+        cost *= target.health.slowness(now)
         return Holder(
             record.identity,
             record.address,
--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -31,6 +31,8 @@
 PAUSE_WEIGHT = 0.2
 REPORT_SECONDS = 0.25
 ERROR_BODY_SECONDS = 0.5
+# A target that is slower by this factor is left in the middle of a stream.
+SLOW_FACTOR = 2.5
 MAX_BODY_BYTES = 1 << 20
 
 
@@ -206,7 +208,7 @@
             return False
         targets = [target for target, _ in choice.stages]
         dead = await self._scene.probes.find_dead(targets)
-        leaving = [t for t in targets[1:] if not t.takes_work]
+        leaving = [t for t in targets[1:] if self._should_avoid(t)]
         if not dead and silent_seconds >= FURTHER_LOOK_SECONDS:
             dead = await self._stalled_targets()
         if not dead and not leaving:
@@ -217,7 +219,14 @@
             self._scene.passages.alert(target.identity)
         if choice.head in dead:
             return False
-        return await self._reroute() or not dead
+        return await self._reroute([*dead, *leaving]) or not dead
+
+    def _should_avoid(self, target):
+        """Return whether the rest of a stream is better off elsewhere."""
+        now = asyncio.get_running_loop().time()
+        if not target.takes_work:
+            return True
+        return target.health.slowness(now) >= SLOW_FACTOR
 
     async def _stalled_targets(self):
         """Return the targets that the head of the chain waits for."""
@@ -240,11 +249,11 @@
                 found.append(target)
         return found
 
-    async def _reroute(self):
-        """Order the head to go on over another chain."""
+    async def _reroute(self, avoided):
+        """Order the head to go on over a chain without some targets."""
         call = self._call
         now = asyncio.get_running_loop().time()
-        choice = self._scene.chooser.rechoose(call, self._choice, now)
+        choice = self._scene.chooser.rechoose(call, self._choice, now, avoided)
         if choice is None:
             return False
         order = Reroute(request_id=call.request_id, chain=choice.path)
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -17,6 +17,8 @@
 # Share of the time left that an attempt gets if another may follow.
 ATTEMPT_SHARE = 0.45
 BUSY_RETRY_SECONDS = 0.25
+# Silence after which a target is asked whether it is there.
+LOOK_SECONDS = 0.4
 
 
 class PlainRunner:
@@ -92,6 +94,7 @@
             call.note(target.identity, "no_connection")
             return _Result(was_run=False)
         except TransportError as error:
+            await self._scene.probes.find_dead([target])
             return self._take_error(call, target, error)
         finally:
             self._scene.ledger.release(booking)
@@ -100,7 +103,7 @@
 
     async def _read(self, call, connection, target):
         deadline = self._attempt_deadline(call)
-        answer, facts = await self._sender.head(call, connection, deadline)
+        answer, facts = await self._head(call, connection, target, deadline)
         body = await connection.read_all(deadline, MAX_ANSWER_BYTES)
         if facts.was_not_run:
             call.runs -= 1
@@ -121,14 +124,25 @@
                 return _Result(was_run=True, status=502)
         return _Result(was_run=True, answer=answer, body=body)
 
-    def _take_error(self, call, target, error):
+    async def _head(self, call, connection, target, deadline):
+        """Return the answer's head; leave a target that is gone early."""
         loop = asyncio.get_running_loop()
+        while True:
+            look_at = min(deadline, loop.time() + LOOK_SECONDS)
+            try:
+                return await self._sender.head(call, connection, look_at)
+            except TransportTimeoutError:
+                if loop.time() >= deadline:
+                    raise
+                dead = await self._scene.probes.find_dead([target])
+                if dead and self._may_repeat(call):
+                    raise
+
+    def _take_error(self, call, target, error):
         call.note(target.identity, error.code)
-        if isinstance(error, TransportTimeoutError):
-            target.health.lose_contact(loop.time())
-            return _Result(was_run=True, status=504)
         target.health.fail()
-        return _Result(was_run=True, status=502)
+        is_late = isinstance(error, TransportTimeoutError)
+        return _Result(was_run=True, status=504 if is_late else 502)
 
     def _may_repeat(self, call):
         route = call.route
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -3,7 +3,10 @@
 import asyncio
 import logging
 
+from apricotseam.errors import InvalidInputError
+from apricotseam.http1 import connect
 from apricotseam.http1 import TransportError
+from apricotseam.platform import decode_report
 from apricotseam.platform import REPORT_PATH
 
 _LOG = logging.getLogger(__name__)
@@ -15,6 +18,7 @@
 FRESH_SECONDS = 0.15
 PROBES_PER_SECOND = 15
 BURST_PROBES = 60
+OK_STATUS = 200
 
 
 class Probes:
@@ -91,20 +95,40 @@
         return True
 
     async def _try(self, target):
-        deadline = self._now() + TRY_SECONDS
+        """Return whether a target answers once."""
         try:
-            await self._pool.call(
-                target.incarnation,
-                target.address,
-                b"GET",
-                REPORT_PATH,
-                b"",
-                deadline,
-            )
+            if target.record.is_placeable:
+                await self._read_report(target)
+            else:
+                await self._connect(target)
         except TransportError:
             return False
+        except InvalidInputError as error:
+            _LOG.info(
+                "report_refused",
+                extra={"target": target.identity, "error": str(error)},
+            )
         return True
 
+    async def _read_report(self, target):
+        deadline = self._now() + TRY_SECONDS
+        answer, body = await self._pool.call(
+            target.incarnation,
+            target.address,
+            b"GET",
+            REPORT_PATH,
+            b"",
+            deadline,
+        )
+        if answer.status == OK_STATUS:
+            report = decode_report(body)
+            target.health.note_slowness(report.slowness, self._now())
+
+    async def _connect(self, target):
+        """Open a connection; a question would wait for a free slot."""
+        connection = await connect(target.address, self._now() + TRY_SECONDS)
+        self._pool.release(target.incarnation, connection)
+
     def forget(self, target):
         """Drop what is known of a target that is gone."""
         self._alive_until.pop(target.identity, None)
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -87,6 +87,11 @@
         """Whether this host should get requests."""
         return self._scene.table is not None and not self._is_leaving
 
+    @property
+    def configuration(self):
+        """The `RouteTable` in force, or None."""
+        return self._scene.table
+
     async def start(self):
         """Start all parts."""
         settings = self._settings
@@ -115,11 +120,18 @@
     async def wait(self):
         """Wait until the process should end; return its exit code."""
         code = await self._exit_code
+        await self.abort()
+        return code
+
+    async def abort(self):
+        """End all parts at once."""
         self.callers.abort()
+        for server in self._servers:
+            server.abort()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(WITHDRAW_SECONDS):
                 await self._supervisor.stop()
-        return code
+                await self._hosts.transport.close()
 
     def withdraw(self):
         """Take this host out of the addresses that callers are told."""
--- /dev/null
+++ b/apricotseam/node/tests/harness.py
@@ -0,0 +1,182 @@
+"""Whole processes on one loop, before stand-ins of the platform."""
+
+import asyncio
+import contextlib
+import json
+
+from apricotseam.http1 import connect
+from apricotseam.node import Node
+from apricotseam.node import NodeSettings
+from apricotseam.standins import UsersStore
+from apricotseam.standins import UsersTarget
+from apricotseam.web import free_address
+
+HOST = "h.example"
+KEY = "secret"
+LAYERS = 4
+WAIT_SECONDS = 5.0
+STEP_SECONDS = 0.02
+
+ENGINE = {
+    "Slots": 8,
+    "KvTokenBytes": 4000,
+    "Stride": 1,
+    "Models": [{"Name": "m", "LoadS": 0.1}],
+    "step_ms": 1.0,
+    "read_per_s": 1e6,
+    "usual": {"prompt": 10, "answer": 10},
+    "Layers": LAYERS,
+    "LayerMb": 10.0,
+    "Kinds": [{"Name": "k", "SizeMb": 40.0, "pace": 1.0}],
+}
+
+
+def route(prefix, kind, service, **fields):
+    """Return a route as the operator writes it."""
+    return {
+        "Name": prefix.strip("/"),
+        "Host": HOST,
+        "Prefix": prefix,
+        "RouteKind": kind,
+        "TimeoutMs": 4000,
+        "TargetLatencyMs": 500,
+        "Service": service,
+        "MaxAttempts": 2,
+        **fields,
+    }
+
+
+def configuration(version=1):
+    """Return the operator's configuration."""
+    return {
+        "Version": version,
+        "Routes": [
+            route("/chat/", "streaming", "llm", Resumable=True, Sticky=True),
+            route("/once/", "unsafe", "plain", MaxAttempts=1),
+            route("/read/", "safe", "plain"),
+        ],
+        "Services": [{"Name": "llm", "Engine": ENGINE}, {"Name": "plain"}],
+        "Tenants": [{"Name": "c", "ApiKeys": [KEY]}],
+    }
+
+
+class Platform:
+    """A store, targets and hosts.
+
+    Parameters
+    ----------
+    engines, plains : int
+        Number of targets of each service.
+    hosts : int
+        Number of hosts.
+    """
+
+    def __init__(self, engines=2, plains=2, hosts=1):
+        self.doors = [free_address() for _ in range(hosts)]
+        self.store = UsersStore(self.doors)
+        self.engines = [
+            UsersTarget(f"e{n}", free_address(), is_engine=True)
+            for n in range(engines)
+        ]
+        self.plains = [
+            UsersTarget(f"p{n}", free_address()) for n in range(plains)
+        ]
+        self.nodes = []
+        self.settings = [self._settings(n) for n in range(hosts)]
+
+    async def __aenter__(self):
+        await self.store.start()
+        for target in [*self.engines, *self.plains]:
+            await target.start()
+        self.declare(configuration())
+        for target in self.plains:
+            self.register(target)
+        halves = [(0, LAYERS // 2), (LAYERS // 2, LAYERS)]
+        for number, target in enumerate(self.engines):
+            target.layers = halves[number % 2]
+            self.register(target)
+        for settings in self.settings:
+            node = Node(settings)
+            await node.start()
+            self.nodes.append(node)
+        await self.until(lambda: all(n.is_ready for n in self.nodes))
+        await asyncio.sleep(STEP_SECONDS)
+        return self
+
+    async def __aexit__(self, *_):
+        for node in self.nodes:
+            await node.abort()
+        for part in [self.store, *self.engines, *self.plains]:
+            part.stop()
+
+    def declare(self, found):
+        """Write a configuration."""
+        self.store.put("op/config", json.dumps(found).encode())
+
+    def register(self, target, **changes):
+        """Write a target's entry."""
+        service, kind = ("llm", "k") if target.is_engine else ("plain", "")
+        entry = target.entry(service, "a", kind, **changes)
+        self.store.put(f"servers/{target.identity}", entry)
+
+    async def until(self, condition):
+        """Wait until a condition holds."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not condition():
+                await asyncio.sleep(STEP_SECONDS)
+
+    async def ask(self, path, number=0, **headers):
+        """Send a request to a host; return status, headers and body.
+
+        A body that broke off ends with ``None``.
+        """
+        address = self.settings[number].callers_address
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + WAIT_SECONDS
+        connection = await connect(address, deadline)
+        try:
+            connection.send(b"POST", path.encode(), make_headers(headers))
+            answer = await connection.head(deadline)
+            body = b""
+            with contextlib.suppress(Exception):
+                while data := await connection.read(deadline):
+                    body += data
+                return answer.status, answer, body
+            return answer.status, answer, None
+        finally:
+            connection.close()
+
+    def _settings(self, number):
+        return NodeSettings(
+            host=f"host-{number}",
+            zone="a",
+            callers_address=free_address(),
+            readiness_address=free_address(),
+            directory_address=free_address(),
+            peers_address=free_address(),
+            store_address=self.doors[number],
+        )
+
+
+def make_headers(changes):
+    """Return the headers of a caller, some replaced."""
+    values = {
+        "Host": HOST,
+        "Apricotseam-Request-Id": "r1",
+        "Apricotseam-Key": KEY,
+        "Apricotseam-Deadline-Ms": "3000",
+        "Apricotseam-Token-Count": "10,10",
+        "Content-Length": "0",
+        **{name.replace("_", "-"): value for name, value in changes.items()},
+    }
+    return [(name.encode(), value.encode()) for name, value in values.items()]
+
+
+def run(scenario, **options):
+    """Run a coroutine function of a `Platform`; return its result."""
+
+    async def whole():
+        async with Platform(**options) as platform:
+            return await scenario(platform)
+
+    return asyncio.run(whole())
--- /dev/null
+++ b/apricotseam/node/tests/test_agreement.py
@@ -0,0 +1,75 @@
+"""What hosts share: configuration in outages, planned stops, addresses."""
+
+import asyncio
+import json
+
+from apricotseam.http1 import connect
+from apricotseam.node.tests.harness import configuration
+from apricotseam.node.tests.harness import run
+
+
+async def addresses(platform, number):
+    """Return the addresses that a host tells callers."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + 2
+    address = platform.settings[number].directory_address
+    connection = await connect(address, deadline)
+    path = b"/v1/resolve?Name=h.example&Region=r&Zone=a"
+    connection.send(b"GET", path, [(b"Host", b"a")])
+    await connection.head(deadline)
+    body = await connection.read_all(deadline, 10000)
+    connection.close()
+    return json.loads(body)["Addresses"]
+
+
+def test_hosts_tell_each_others_addresses_and_withdraw_them():
+    async def scenario(platform):
+        first, second = platform.nodes
+        async with asyncio.timeout(8):
+            while len(await addresses(platform, 0)) < 2:
+                await asyncio.sleep(0.05)
+        second.withdraw()
+        async with asyncio.timeout(3):
+            while len(await addresses(platform, 0)) > 1:
+                await asyncio.sleep(0.05)
+        return await addresses(platform, 0), platform.settings
+
+    found, settings = run(scenario, hosts=2)
+    assert found == [settings[0].callers_address]
+
+
+def test_host_that_the_store_turns_away_learns_from_its_peer():
+    async def scenario(platform):
+        first, second = platform.nodes
+        async with asyncio.timeout(8):
+            while len(await addresses(platform, 1)) < 2:
+                await asyncio.sleep(0.05)
+        platform.store.refused.add(platform.doors[1])
+        platform.declare(configuration(version=7))
+        await platform.until(lambda: second.configuration.version == 7)
+        return first.configuration.version
+
+    assert run(scenario, hosts=2) == 7
+
+
+def test_history_that_is_gone_is_listed_again():
+    async def scenario(platform):
+        platform.store.forget_history()
+        platform.declare(configuration(version=8))
+        node = platform.nodes[0]
+        await platform.until(lambda: node.configuration.version == 8)
+
+    run(scenario)
+
+
+def test_empty_targets_are_ordered_to_hold_layers():
+    async def scenario(platform):
+        engine = platform.engines[0]
+        engine.layers = None
+        platform.register(engine, born=2)
+        await platform.until(lambda: engine.orders)
+        return engine.orders[0]
+
+    order = run(scenario)
+    assert (order["From"], order["Target"]) == (0, 2)
+    assert order["FencingToken"] > 0
--- a/apricotseam/standins/_users_store.py
+++ b/apricotseam/standins/_users_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import functools
 import json
 import urllib.parse
 
@@ -14,19 +15,17 @@
 class UsersStore:
     """Keys with revisions, leases and watches, in memory.
 
-    ``is_down`` makes all calls fail with 503; ``refused`` holds the local
-    addresses of callers that are turned away; ``lost_answers`` counts the
-    changes that are made and not answered.
+    ``refused`` holds the addresses at which calls get 503;
+    ``lost_answers`` counts the changes that are made and not answered.
 
     Parameters
     ----------
-    address : str
-        ``ip:port`` to listen on.
+    addresses : list of str
+        ``ip:port`` to listen on, one for each host.
     """
 
-    def __init__(self, address):
-        self.address = address
-        self.is_down = False
+    def __init__(self, addresses):
+        self.refused = set()
         self.lost_answers = 0
         self.calls = 0
         self.revision = 1
@@ -36,16 +35,21 @@
         self._leases = {}
         self._next_lease = 1
         self._changed = asyncio.Event()
-        self._server = Server(self._handle)
+        self._servers = {
+            address: Server(functools.partial(self._handle, address))
+            for address in addresses
+        }
 
     async def start(self):
         """Listen; return the stand-in."""
-        await self._server.start(self.address)
+        for address, server in self._servers.items():
+            await server.start(address)
         return self
 
     def stop(self):
         """Close all connections."""
-        self._server.abort()
+        for server in self._servers.values():
+            server.abort()
 
     def put(self, key, value, lease=0):
         """Write a key as the operator or a target does."""
@@ -95,16 +99,16 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _handle(self, request, exchange):
+    async def _handle(self, address, request, exchange):
         self.calls += 1
-        if self.is_down:
+        if address in self.refused:
             exchange.answer(503)
             return
         path, _, query = request.target.decode().partition("?")
         fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         body = json.loads(request.body) if request.body else {}
         if path == "/v1/kv-watch":
-            status, found = await self._watch(fields)
+            status, found = await self._watch(address, fields)
         else:
             status, found = self._answer(path, fields, body)
         if path == "/v1/kv-txn" and self.lost_answers:
@@ -157,11 +161,13 @@
             self.delete(key)
         return 200, {"Revision": self.revision}
 
-    async def _watch(self, fields):
+    async def _watch(self, address, fields):
         after = int(fields["After"])
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(fields["WaitMs"]) / MILLISECONDS
         while True:
+            if address in self.refused:
+                return 503, {}
             if after < self._oldest:
                 return 410, {}
             events = [e for e in self._history if e["Revision"] > after]
