--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -13,18 +13,12 @@
     requests: int = 0
 
 
-class PeerUsage(msgspec.Struct, frozen=True, array_like=True):
-    """What a host has in progress, by target identity.
-
-    ``suspects`` are targets that it has no contact with, ``refused`` the
-    requests that it refused a short while ago.
-    """
+class PeerUsage(msgspec.Struct, frozen=True):
+    """What a host has in progress, by target identity."""
 
     host: str
     number: int
     usages: dict[str, Usage]
-    suspects: list[str] = []
-    refused: list[str] = []
 
 
 class Booking:
--- a/apricotseam/forwarding/__init__.py
+++ b/apricotseam/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """The life of one caller's request: choice, forwarding, repeats, refusal."""
 
+from apricotseam.forwarding._allowance import RepeatCount
 from apricotseam.forwarding._allowance import RetryAllowance
 from apricotseam.forwarding._call import Call
 from apricotseam.forwarding._choice import Choice
@@ -14,6 +15,7 @@
     "Choice",
     "Chooser",
     "Gateway",
+    "RepeatCount",
     "RequestMetrics",
     "RetryAllowance",
     "Scene",
--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -204,22 +204,34 @@
         choice = self._choice
         now = asyncio.get_running_loop().time()
         silent_seconds = now - self._heard_at
-        if call.seconds_left() <= 0 or silent_seconds >= SILENCE_SECONDS:
+        if call.seconds_left() <= 0:
             return False
         targets = [target for target, _ in choice.stages]
         dead = await self._scene.probes.find_dead(targets)
         leaving = [t for t in targets[1:] if self._should_avoid(t)]
         if not dead and silent_seconds >= FURTHER_LOOK_SECONDS:
             dead = await self._stalled_targets()
-        if not dead and not leaving:
-            return True
         for target in dead:
             call.tried.add(target.identity)
             call.note(target.identity, "silent")
             self._scene.passages.alert(target.identity)
         if choice.head in dead:
             return False
-        return await self._reroute([*dead, *leaving]) or not dead
+        if (dead or leaving) and await self._reroute([*dead, *leaving]):
+            return True
+        # A chain that is only slow is left if another one has room.
+        is_over = dead or silent_seconds >= SILENCE_SECONDS
+        return not (is_over and self._can_move())
+
+    def _can_move(self):
+        """Return whether the call could go on at another chain."""
+        call = self._call
+        route = call.route
+        if not route.is_repeatable or call.runs >= route.max_attempts:
+            return False
+        now = asyncio.get_running_loop().time()
+        chooser = self._scene.chooser
+        return chooser.choose_chain(call, now, True) is not None
 
     def _should_avoid(self, target):
         """Return whether the rest of a stream is better off elsewhere."""
--- a/apricotseam/forwarding/_sending.py
+++ b/apricotseam/forwarding/_sending.py
@@ -7,7 +7,7 @@
 from apricotseam.platform import forwarded_headers
 from apricotseam.platform import Forwarding
 
-CONNECT_SECONDS = 0.5
+CONNECT_SECONDS = 0.2
 # An idle connection older than this may die with the next request on it.
 SAFE_IDLE_SECONDS = 0.25
 
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import msgspec
+
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
+from apricotseam.forwarding import RepeatCount
 
 PERIOD_SECONDS = 0.2
 # Without a change it is told this often, so that peers don't forget it.
@@ -13,6 +16,22 @@
 REFUSED_SECONDS = 0.5
 
 
+class HostState(msgspec.Struct, frozen=True, array_like=True):
+    """What a host tells its peers several times a second.
+
+    ``suspects`` are targets that it has no contact with, ``refused`` the
+    requests that it refused a short while ago, ``repeats`` its counts by
+    service.
+    """
+
+    host: str
+    number: int
+    usages: dict[str, Usage]
+    suspects: list[str]
+    refused: list[str]
+    repeats: dict[str, RepeatCount]
+
+
 class UsageSpread:
     """Sends this host's usage to its partners and takes theirs.
 
@@ -35,7 +54,7 @@
         self._name = name
         self._now = now
         self._number = 0
-        hosts.transport.handle(PeerUsage, self._receive)
+        hosts.transport.handle(HostState, self._receive)
 
     async def run(self):
         """Send for ever."""
@@ -69,15 +88,22 @@
         }
         since = self._now() - REFUSED_SECONDS
         refused = self._scene.waiting.recently_refused(since)
-        message = PeerUsage(
-            self._name, self._number, usages, suspects, refused
+        message = HostState(
+            self._name,
+            self._number,
+            usages,
+            suspects,
+            refused,
+            self._scene.allowance.counts(self._now()),
         )
         for address in self._hosts.partners:
             self._hosts.transport.send(address, message)
 
     def _receive(self, sender, message):
         now = self._now()
-        self._ledger.take_peer(message, now)
+        usage = PeerUsage(message.host, message.number, message.usages)
+        self._ledger.take_peer(usage, now)
+        self._scene.allowance.take_peer(message.host, message.repeats, now)
         for identity in message.suspects:
             target = self._scene.fleet.get(identity)
             if target is not None:
