--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -19,6 +19,8 @@
 PROBES_PER_SECOND = 15
 BURST_PROBES = 60
 OK_STATUS = 200
+# Changes of slowness that are logged.
+TOLD_CHANGE = 0.2
 
 
 class Probes:
@@ -121,8 +123,24 @@
             deadline,
         )
         if answer.status == OK_STATUS:
-            report = decode_report(body)
-            target.health.note_slowness(report.slowness, self._now())
+            self._take_report(target, decode_report(body))
+
+    def _take_report(self, target, report):
+        now = self._now()
+        before = target.health.slowness(now)
+        target.health.note_slowness(report.slowness, now)
+        if abs(report.slowness - before) >= TOLD_CHANGE:
+            _LOG.info(
+                "target_slowness",
+                extra={
+                    "target": target.identity,
+                    "kind": target.record.kind,
+                    "slowness": report.slowness,
+                    "before": before,
+                    "running": report.running,
+                    "queued": report.queued,
+                },
+            )
 
     async def _connect(self, target):
         """Open a connection; a question would wait for a free slot."""
