--- a/apricotseam/fleet/_health.py
+++ b/apricotseam/fleet/_health.py
@@ -11,38 +11,43 @@
 
 
 class Health:
-    """Moving average of failures, and a backoff after lost contact."""
+    """What this host saw of one target, and what it heard of it.
+
+    A target is silent when it does not answer this host at all. It is
+    avoided for a short while when it refuses work or peers say that it is
+    silent.
+    """
 
     __slots__ = (
+        "_avoided_until",
         "_backoff",
-        "_heard_until",
+        "_silent_until",
         "_slow_until",
         "_slowness",
         "failure_share",
         "latency_seconds",
-        "suspect_until",
     )
 
     def __init__(self):
         self.failure_share = 0.0
         self.latency_seconds = 0.0
-        self.suspect_until = 0.0
-        self._heard_until = 0.0
+        self._silent_until = 0.0
+        self._avoided_until = 0.0
         self._slowness = 1.0
         self._slow_until = 0.0
         self._backoff = FIRST_BACKOFF_SECONDS
 
     def is_suspect(self, now):
-        """Return whether work should go elsewhere for a while."""
-        return now < self.suspect_until or now < self._heard_until
+        """Return whether new work should go elsewhere for a while."""
+        return now < self._silent_until or now < self._avoided_until
 
-    def is_suspect_here(self, now):
-        """Return whether this host itself lost contact."""
-        return now < self.suspect_until
+    def is_silent(self, now):
+        """Return whether this host lost contact a short while ago."""
+        return now < self._silent_until
 
-    def hear_suspect(self, until):
-        """Take a peer's word that it has no contact, up to a time."""
-        self._heard_until = max(self._heard_until, until)
+    def avoid(self, until):
+        """Give the target no new work up to a monotonic time."""
+        self._avoided_until = max(self._avoided_until, until)
 
     def slowness(self, now):
         """Return by which factor the target said to be slow of late."""
@@ -76,8 +81,8 @@
             Monotonic time in seconds.
         """
         self.fail()
-        if now >= self.suspect_until:
-            self.suspect_until = now + self._backoff
+        if now >= self._silent_until:
+            self._silent_until = now + self._backoff
             self._backoff = min(MAX_BACKOFF_SECONDS, 2 * self._backoff)
 
     def penalty(self):
--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -33,6 +33,7 @@
 ERROR_BODY_SECONDS = 0.5
 # A target that is slower by this factor is left in the middle of a stream.
 SLOW_FACTOR = 2.5
+MAX_REROUTES = 3
 MAX_BODY_BYTES = 1 << 20
 
 
@@ -62,6 +63,7 @@
         self._usual_pause = NEXT_LOOK_SECONDS / USUAL_PAUSES
         self._is_streaming = False
         self._is_reading = False
+        self._reroutes = 0
 
     @property
     def choice(self):
@@ -214,7 +216,6 @@
         for target in dead:
             call.tried.add(target.identity)
             call.note(target.identity, "silent")
-            self._scene.passages.alert(target.identity)
         if choice.head in dead:
             return False
         if (dead or leaving) and await self._reroute([*dead, *leaving]):
@@ -252,12 +253,11 @@
                 extra={"request": call.request_id, "error": str(error)},
             )
             return [self._choice.head]
-        now = asyncio.get_running_loop().time()
         found = []
         for stalled in report.stalled:
             target = self._scene.fleet.at(stalled.address)
             if stalled.request_id == call.request_id and target is not None:
-                target.health.lose_contact(now)
+                target.health.fail()
                 found.append(target)
         return found
 
@@ -265,6 +265,9 @@
         """Order the head to go on over a chain without some targets."""
         call = self._call
         now = asyncio.get_running_loop().time()
+        if self._reroutes >= MAX_REROUTES:
+            return False
+        self._reroutes += 1
         choice = self._scene.chooser.rechoose(call, self._choice, now, avoided)
         if choice is None:
             return False
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -32,9 +32,12 @@
         Connections to targets.
     now : callable
         Monotonic time in seconds.
+    on_silent : callable
+        Called with the identity of each target found silent.
     """
 
-    def __init__(self, pool, now):
+    def __init__(self, pool, now, on_silent):
+        self._on_silent = on_silent
         self._pool = pool
         self._now = now
         self._running = {}
@@ -56,7 +59,7 @@
     async def _check(self, target):
         """Return whether a target answers; questions are shared."""
         now = self._now()
-        if target.health.is_suspect_here(now):
+        if target.health.is_silent(now):
             return False
         if self._alive_until.get(target.identity, 0.0) > now:
             return True
@@ -83,6 +86,7 @@
             "target_silent",
             extra={"target": target.identity, "address": target.address},
         )
+        self._on_silent(target.identity)
         return False
 
     def _spend(self):
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -18,6 +18,8 @@
 MAX_SENDS = 5
 # How long an answer that broke off may wait for room to go on.
 RESUME_WAIT_SECONDS = 0.8
+# How long a target that refused work gets no more.
+FULL_SECONDS = 0.25
 MIN_RETRY_AFTER_SECONDS = 0.3
 MAX_RETRY_AFTER_SECONDS = 4.0
 
@@ -128,7 +130,7 @@
         except TransportError as error:
             return await self._take_error(call, passage.choice, error)
         if failure is not None:
-            return self._take_failure(call, choice, *failure)
+            return await self._take_failure(call, choice, *failure)
         for target, _ in passage.choice.stages:
             target.health.succeed()
         call.note(passage.choice.chain or choice.head.identity, "200")
@@ -149,16 +151,17 @@
             self._blame(call, choice.head, error.code, is_silent)
         return 504 if is_silent else 502
 
-    def _take_failure(self, call, choice, answer, facts, body):
+    async def _take_failure(self, call, choice, answer, facts, body):
         """Take an answer that is no stream; return its status."""
-        at_fault = self._scene.fleet.at(facts.target_at_fault)
-        is_part = at_fault is not None and at_fault is not choice.head
+        at_fault = self._scene.fleet.at(facts.target_at_fault) or choice.head
         if facts.was_not_run:
             call.runs -= 1
-            outcome = f"not_run_{answer.status}"
-            self._blame(call, at_fault or choice.head, outcome, is_part)
+            self._blame(call, at_fault, f"not_run_{answer.status}", False)
+            if not await self._scene.probes.find_dead([at_fault]):
+                now = asyncio.get_running_loop().time()
+                at_fault.health.avoid(now + FULL_SECONDS)
             return 503
-        self._blame(call, at_fault or choice.head, str(answer.status), False)
+        self._blame(call, at_fault, str(answer.status), False)
         if call.exchange.is_started or self._may_repeat(call):
             return 502
         call.exchange.answer(
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -77,7 +77,7 @@
         return [
             target.identity
             for target in self._scene.fleet
-            if target.health.is_suspect_here(now)
+            if target.health.is_silent(now)
         ]
 
     def _send(self, suspects):
@@ -106,8 +106,11 @@
         self._scene.allowance.take_peer(message.host, message.repeats, now)
         for identity in message.suspects:
             target = self._scene.fleet.get(identity)
-            if target is not None:
-                target.health.hear_suspect(now + HEARD_SECONDS)
+            if target is None:
+                continue
+            is_news = not target.health.is_suspect(now)
+            target.health.avoid(now + HEARD_SECONDS)
+            if is_news:
                 self._scene.passages.alert(identity)
         for return_id in message.refused:
             self._scene.waiting.remember(return_id)
