--- a/apricotseam/forwarding/_allowance.py
+++ b/apricotseam/forwarding/_allowance.py
@@ -6,6 +6,8 @@
 
 # What is kept back for repeats that peers have sent and not told yet.
 USED_SHARE = 0.85
+# A peer that was not heard for this long may be cut off.
+SILENT_SECONDS = 1.2
 
 
 class RepeatCount(msgspec.Struct, array_like=True):
@@ -36,6 +38,7 @@
     Examples
     --------
     >>> allowance = RetryAllowance(0.0, 4.8, 10.0, lambda: 2)
+    >>> allowance.take_peer("b", {}, 0.0)
     >>> [allowance.spend("a", 0.0) for _ in range(3)]
     [True, True, False]
     >>> allowance.spend("a", 11.0)
@@ -114,8 +117,15 @@
             elif service in counts:
                 requests += counts[service].requests
                 repeats += counts[service].repeats
-        allowed = USED_SHARE * (self._ratio * requests + self._slack)
-        return (allowed - repeats) / max(1, self._hosts())
+        hosts = max(1, self._hosts())
+        heard = 1 + sum(
+            now < until - self._window_seconds + SILENT_SECONDS
+            for _, until in self._peers.values()
+        )
+        # Hosts out of contact may be using their share at the same time.
+        slack = self._slack * min(1.0, heard / hosts)
+        allowed = USED_SHARE * (self._ratio * requests + slack)
+        return (allowed - repeats) / hosts
 
     def _recent(self, times, now):
         while times and times[0] <= now:
--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -33,6 +33,7 @@
         "deadline",
         "exchange",
         "facts",
+        "first_event_at",
         "last_event",
         "longest_pause",
         "outcome",
@@ -42,6 +43,7 @@
         "service",
         "table",
         "tried",
+        "waited_seconds",
     )
 
     def __init__(
@@ -59,6 +61,9 @@
             seconds = min(seconds, facts.seconds_left)
         self.deadline = request.received_at + seconds - ANSWER_MARGIN_SECONDS
         self.last_event = facts.last_event
+        # Loop time of the first event, and the time spent waiting for room.
+        self.first_event_at = None
+        self.waited_seconds = 0.0
         # Longest time between two events, in seconds.
         self.longest_pause = 0.0
         # Sends of any kind, and those that a target may have run.
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -167,8 +167,16 @@
                 "revision": call.table.revision,
                 "status": status,
                 "sends": call.outcome,
-                "milliseconds": round(seconds * 1000),
+                "milliseconds": _milliseconds(seconds),
                 "last_event": call.last_event,
-                "longest_pause_ms": round(call.longest_pause * 1000),
+                "first_event_ms": _milliseconds(
+                    (call.first_event_at or now) - call.request.received_at
+                ),
+                "waited_ms": _milliseconds(call.waited_seconds),
+                "longest_pause_ms": _milliseconds(call.longest_pause),
             },
         )
+
+
+def _milliseconds(seconds):
+    return round(seconds * 1000)
--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -23,7 +23,7 @@
 SILENCE_SECONDS = 1.3
 # Silence after which the targets of the chain are asked: before the first
 # event, between events, and each further time.
-FIRST_LOOK_SECONDS = 0.2
+FIRST_LOOK_SECONDS = 0.3
 NEXT_LOOK_SECONDS = 0.07
 FURTHER_LOOK_SECONDS = 0.4
 # The same as a multiple of the usual pause of the stream.
@@ -195,6 +195,7 @@
         if not exchange.is_started:
             exchange.start(200, returned_headers(answer), answer.reason)
             now = asyncio.get_running_loop().time()
+            call.first_event_at = now
             kind = call.route.repeat.value
             seconds = now - call.request.received_at
             self._scene.metrics.first_byte.labels(kind).observe(seconds)
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -15,7 +15,7 @@
 TRY_SECONDS = 0.025
 TRIES = 2
 # An answer serves all streams that ask within this time.
-FRESH_SECONDS = 0.15
+FRESH_SECONDS = 0.3
 PROBES_PER_SECOND = 15
 BURST_PROBES = 60
 OK_STATUS = 200
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -72,8 +72,12 @@
         rank = waiting.rank(call)
         choice = self._try(call) if waiting.is_first(rank) else None
         until = self._wait_until(call)
+        loop = asyncio.get_running_loop()
         while choice is None and self._may_wait(call, until):
-            if not await waiting.wait(rank, until):
+            began = loop.time()
+            has_turn = await waiting.wait(rank, until)
+            call.waited_seconds += loop.time() - began
+            if not has_turn:
                 return None
             choice = self._try(call)
             if choice is not None:
