--- a/apricotseam/fleet/_health.py
+++ b/apricotseam/fleet/_health.py
@@ -1,7 +1,5 @@
 """Health of one target by the outcomes of real requests."""
 
-FIRST_BACKOFF_SECONDS = 0.5
-MAX_BACKOFF_SECONDS = 4.0
 # Weight of the newest outcome in the moving average.
 OUTCOME_WEIGHT = 0.15
 # A target with at least this share of failures gets less work.
@@ -20,8 +18,7 @@
 
     __slots__ = (
         "_avoided_until",
-        "_backoff",
-        "_silent_until",
+        "_is_silent",
         "_slow_until",
         "_slowness",
         "failure_share",
@@ -31,19 +28,19 @@
     def __init__(self):
         self.failure_share = 0.0
         self.latency_seconds = 0.0
-        self._silent_until = 0.0
+        self._is_silent = False
         self._avoided_until = 0.0
         self._slowness = 1.0
         self._slow_until = 0.0
-        self._backoff = FIRST_BACKOFF_SECONDS
+
+    @property
+    def is_silent(self):
+        """Whether the target did not answer when it was last asked."""
+        return self._is_silent
 
     def is_suspect(self, now):
         """Return whether new work should go elsewhere for a while."""
-        return now < self._silent_until or now < self._avoided_until
-
-    def is_silent(self, now):
-        """Return whether this host lost contact a short while ago."""
-        return now < self._silent_until
+        return self._is_silent or now < self._avoided_until
 
     def avoid(self, until):
         """Give the target no new work up to a monotonic time."""
@@ -61,7 +58,6 @@
     def succeed(self, latency=None):
         """Take a request that was answered, with its latency in seconds."""
         self.failure_share *= 1 - OUTCOME_WEIGHT
-        self._backoff = FIRST_BACKOFF_SECONDS
         if latency is not None:
             if not self.latency_seconds:
                 self.latency_seconds = latency
@@ -72,18 +68,14 @@
         """Take a request that the target failed or did not take."""
         self.failure_share += OUTCOME_WEIGHT * (1 - self.failure_share)
 
-    def lose_contact(self, now):
-        """Take a connection that could not be made or fell silent.
-
-        Parameters
-        ----------
-        now : float
-            Monotonic time in seconds.
-        """
+    def lose_contact(self):
+        """Take that the target did not answer at all."""
         self.fail()
-        if now >= self._silent_until:
-            self._silent_until = now + self._backoff
-            self._backoff = min(MAX_BACKOFF_SECONDS, 2 * self._backoff)
+        self._is_silent = True
+
+    def regain_contact(self):
+        """Take that the target answers again."""
+        self._is_silent = False
 
     def penalty(self):
         """Return by which factor the target looks worse than it is fast.
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -90,7 +90,7 @@
             connection = None
             return result
         except ConnectError:
-            target.health.lose_contact(loop.time())
+            target.health.lose_contact()
             call.note(target.identity, "no_connection")
             return _Result(was_run=False)
         except TransportError as error:
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -16,6 +16,7 @@
 TRIES = 2
 # An answer serves all streams that ask within this time.
 FRESH_SECONDS = 0.3
+AGAIN_SECONDS = 0.4
 PROBES_PER_SECOND = 15
 BURST_PROBES = 60
 OK_STATUS = 200
@@ -56,10 +57,30 @@
         found = await asyncio.gather(*(self._check(t) for t in targets))
         return [t for t, is_alive in zip(targets, found) if not is_alive]
 
+    async def watch_silent(self, targets):
+        """Ask silent targets again; for ever.
+
+        Parameters
+        ----------
+        targets : callable
+            Returns the targets that are known.
+        """
+        while True:
+            await asyncio.sleep(AGAIN_SECONDS)
+            silent = [t for t in targets() if t.health.is_silent]
+            await asyncio.gather(*(self._ask_again(t) for t in silent))
+
+    async def _ask_again(self, target):
+        if self._spend() and await self._try(target):
+            target.health.regain_contact()
+            _LOG.info(
+                "target_answers_again", extra={"target": target.identity}
+            )
+
     async def _check(self, target):
         """Return whether a target answers; questions are shared."""
         now = self._now()
-        if target.health.is_silent(now):
+        if target.health.is_silent:
             return False
         if self._alive_until.get(target.identity, 0.0) > now:
             return True
@@ -80,8 +101,9 @@
             if await self._try(target):
                 until = self._now() + FRESH_SECONDS
                 self._alive_until[target.identity] = until
+                target.health.regain_contact()
                 return True
-        target.health.lose_contact(self._now())
+        target.health.lose_contact()
         _LOG.warning(
             "target_silent",
             extra={"target": target.identity, "address": target.address},
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -175,11 +175,10 @@
 
     def _blame(self, call, target, outcome, is_silent):
         """Note that a target failed a call and keep the call off it."""
-        now = asyncio.get_running_loop().time()
         call.tried.add(target.identity)
         call.note(target.identity, outcome)
         self._scene.metrics.sends.labels(outcome).inc()
         if is_silent:
-            target.health.lose_contact(now)
+            target.health.lose_contact()
         else:
             target.health.fail()
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -235,9 +235,13 @@
             ("election", self._election.run),
             ("placer", self._placer.run),
             ("usage", self._usage.run),
+            ("probes", self._watch_silent),
             ("care", self._care),
         ]
 
+    async def _watch_silent(self):
+        await self._scene.probes.watch_silent(lambda: self._fleet)
+
     async def _care(self):
         """Do what is due from time to time."""
         while True:
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -73,11 +73,10 @@
             self._send(suspects)
 
     def _suspects(self):
-        now = self._now()
         return [
             target.identity
             for target in self._scene.fleet
-            if target.health.is_silent(now)
+            if target.health.is_silent
         ]
 
     def _send(self, suspects):
