--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -59,7 +59,7 @@
     ):
         self.waiting = waiting
         self.passages = PassageRegistry()
-        self.probes = Probes(pool, time.monotonic, self.passages.alert)
+        self.probes = Probes(pool, ledger, time.monotonic, self.passages.alert)
         self.fleet = fleet
         self.ledger = ledger
         self.chooser = chooser
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -20,8 +20,6 @@
 PROBES_PER_SECOND = 15
 BURST_PROBES = 60
 OK_STATUS = 200
-# Changes of slowness that are logged.
-TOLD_CHANGE = 0.2
 
 
 class Probes:
@@ -31,13 +29,16 @@
     ----------
     pool : Pool
         Connections to targets.
+    ledger : Ledger
+        What is in progress on them.
     now : callable
         Monotonic time in seconds.
     on_silent : callable
         Called with the identity of each target found silent.
     """
 
-    def __init__(self, pool, now, on_silent):
+    def __init__(self, pool, ledger, now, on_silent):
+        self._ledger = ledger
         self._on_silent = on_silent
         self._pool = pool
         self._now = now
@@ -152,21 +153,23 @@
             self._take_report(target, decode_report(body))
 
     def _take_report(self, target, report):
-        now = self._now()
-        before = target.health.slowness(now)
-        target.health.note_slowness(report.slowness, now)
-        if abs(report.slowness - before) >= TOLD_CHANGE:
-            _LOG.info(
-                "target_slowness",
-                extra={
-                    "target": target.identity,
-                    "kind": target.record.kind,
-                    "slowness": report.slowness,
-                    "before": before,
-                    "running": report.running,
-                    "queued": report.queued,
-                },
-            )
+        """Take what a target says of itself."""
+        target.health.note_slowness(report.slowness, self._now())
+        _LOG.info(
+            "target_report",
+            extra={
+                "target": target.identity,
+                "kind": target.record.kind,
+                "slowness": report.slowness,
+                "running": report.running,
+                "queued": report.queued,
+                "used_units": round(report.used_units),
+                "total_units": round(report.total_units),
+                "booked_units": round(
+                    self._ledger.used_units(target.identity)
+                ),
+            },
+        )
 
     async def _connect(self, target):
         """Open a connection; a question would wait for a free slot."""
