--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -3,7 +3,7 @@
 import msgspec
 
 # What a peer said is forgotten after this time without a word of it.
-PEER_SECONDS = 2.0
+PEER_SECONDS = 4.0
 
 
 class Usage(msgspec.Struct, array_like=True):
--- a/apricotseam/fleet/_target.py
+++ b/apricotseam/fleet/_target.py
@@ -5,6 +5,12 @@
 from apricotseam.fleet._health import Health
 
 
+# How long a target's word on its load holds.
+REPORT_SECONDS = 0.5
+# Fewer requests than this may be between arrival and start.
+MIN_QUEUED = 3
+
+
 class LayerRange(msgspec.Struct, frozen=True, order=True):
     """Layers ``first`` to ``last``, the latter exclusive."""
 
@@ -56,12 +62,23 @@
         What it says of itself.
     """
 
-    __slots__ = ("health", "held_until", "is_present", "record")
+    __slots__ = (
+        "_queued",
+        "_report_until",
+        "_used_units",
+        "health",
+        "held_until",
+        "is_present",
+        "record",
+    )
 
     def __init__(self, record):
         self.record = record
         self.health = Health()
         self.is_present = True
+        self._used_units = 0.0
+        self._queued = 0
+        self._report_until = 0.0
         # Set while its entry is missing but may come back.
         self.held_until = None
 
@@ -84,3 +101,17 @@
     def takes_work(self):
         """Whether new work may be sent to it."""
         return self.is_present and not self.record.is_draining
+
+    def note_load(self, used_units, queued, now):
+        """Take what the target said of its memory and its queue."""
+        self._used_units = used_units
+        self._queued = queued
+        self._report_until = now + REPORT_SECONDS
+
+    def reported_units(self, now):
+        """Return tokens times layers in use by the target's own word."""
+        return self._used_units if now < self._report_until else 0.0
+
+    def has_queue(self, now):
+        """Return whether requests wait at the target for its memory."""
+        return now < self._report_until and self._queued >= MIN_QUEUED
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -197,7 +197,10 @@
         capacity = fill * profile.capacity_units(
             kind.memory_mb, record.layers.size
         )
-        free = capacity - self._ledger.used_units(record.identity)
+        if target.has_queue(now):
+            return None
+        booked = self._ledger.used_units(record.identity)
+        free = capacity - max(booked, target.reported_units(now))
         running = self._ledger.running(record.identity)
         if running >= record.slots or free <= 0 or not capacity:
             return None
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -154,7 +154,9 @@
 
     def _take_report(self, target, report):
         """Take what a target says of itself."""
-        target.health.note_slowness(report.slowness, self._now())
+        now = self._now()
+        target.health.note_slowness(report.slowness, now)
+        target.note_load(report.used_units, report.queued, now)
         _LOG.info(
             "target_report",
             extra={
--- a/apricotseam/http1/__init__.py
+++ b/apricotseam/http1/__init__.py
@@ -15,6 +15,7 @@
 from apricotseam.http1._server import Exchange
 from apricotseam.http1._server import Limits
 from apricotseam.http1._server import Server
+from apricotseam.http1._sockets import watch_for_silence
 from apricotseam.http1._sse import Event
 from apricotseam.http1._sse import EventSplitter
 
@@ -36,4 +37,5 @@
     "TransportTimeoutError",
     "connect",
     "is_hop_header",
+    "watch_for_silence",
 ]
--- a/apricotseam/peers/_channels.py
+++ b/apricotseam/peers/_channels.py
@@ -6,6 +6,7 @@
 import grpclib.client
 import grpclib.config
 
+from apricotseam.http1 import watch_for_silence
 from apricotseam.peers._errors import PeerUnreachableError
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -21,6 +22,21 @@
     )
 
 
+class WatchedChannel(grpclib.client.Channel):
+    """Channel whose connection ends when the peer falls silent for good."""
+
+    def _protocol_factory(self):
+        protocol = super()._protocol_factory()
+        connection_made = protocol.connection_made
+
+        def connection_made_and_watched(transport):
+            connection_made(transport)
+            watch_for_silence(transport)
+
+        protocol.connection_made = connection_made_and_watched
+        return protocol
+
+
 class Channels:
     """Connections by address; the least recently used one is closed.
 
@@ -48,7 +64,7 @@
         channel = self._channels.get(address)
         if channel is None:
             host, port = address.rsplit(":", 1)
-            channel = grpclib.client.Channel(
+            channel = WatchedChannel(
                 host,
                 int(port),
                 ssl=self._make_context(),
