--- a/apricotseam/fleet/_health.py
+++ b/apricotseam/fleet/_health.py
@@ -4,8 +4,11 @@
 OUTCOME_WEIGHT = 0.15
 # A target with at least this share of failures gets less work.
 FAILING_SHARE = 0.25
-# How long a target's word on its slowness holds.
+# How long a target's word on its slowness holds, and a peer's.
 SLOWNESS_SECONDS = 3.0
+HEARD_SLOWNESS_SECONDS = 1.0
+# Factor from which a target counts as slow.
+SLOW_FACTOR = 1.5
 
 
 class Health:
@@ -21,6 +24,7 @@
         "_is_silent",
         "_slow_until",
         "_slowness",
+        "_told_slow",
         "failure_share",
         "latency_seconds",
     )
@@ -32,6 +36,7 @@
         self._avoided_until = 0.0
         self._slowness = 1.0
         self._slow_until = 0.0
+        self._told_slow = False
 
     @property
     def is_silent(self):
@@ -47,14 +52,27 @@
         self._avoided_until = max(self._avoided_until, until)
 
     def slowness(self, now):
-        """Return by which factor the target said to be slow of late."""
+        """Return by which factor the target is said to be slow."""
         return self._slowness if now < self._slow_until else 1.0
 
+    def is_slow_here(self, now):
+        """Return whether the target itself told this host that it is slow."""
+        return self._told_slow and self.slowness(now) >= SLOW_FACTOR
+
     def note_slowness(self, factor, now):
         """Take by which factor a target says to be slow."""
+        self._told_slow = True
         self._slowness = max(1.0, factor)
         self._slow_until = now + SLOWNESS_SECONDS
 
+    def hear_slowness(self, factor, now):
+        """Take a peer's word on a target that told this host nothing."""
+        if self._told_slow and now < self._slow_until:
+            return
+        self._told_slow = False
+        self._slowness = max(1.0, factor)
+        self._slow_until = now + HEARD_SLOWNESS_SECONDS
+
     def succeed(self, latency=None):
         """Take a request that was answered, with its latency in seconds."""
         self.failure_share *= 1 - OUTCOME_WEIGHT
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -16,7 +16,8 @@
 TRIES = 2
 # An answer serves all streams that ask within this time.
 FRESH_SECONDS = 0.3
-AGAIN_SECONDS = 0.4
+# How often silent and slow targets are asked.
+AGAIN_SECONDS = 0.5
 PROBES_PER_SECOND = 15
 BURST_PROBES = 60
 OK_STATUS = 200
@@ -58,8 +59,8 @@
         found = await asyncio.gather(*(self._check(t) for t in targets))
         return [t for t, is_alive in zip(targets, found) if not is_alive]
 
-    async def watch_silent(self, targets):
-        """Ask silent targets again; for ever.
+    async def watch(self, targets):
+        """Ask silent and slow targets again; for ever.
 
         Parameters
         ----------
@@ -68,12 +69,20 @@
         """
         while True:
             await asyncio.sleep(AGAIN_SECONDS)
-            silent = [t for t in targets() if t.health.is_silent]
-            await asyncio.gather(*(self._ask_again(t) for t in silent))
+            now = self._now()
+            asked = [
+                target
+                for target in targets()
+                if target.health.is_silent or target.health.is_slow_here(now)
+            ]
+            await asyncio.gather(*(self._ask_again(t) for t in asked))
 
     async def _ask_again(self, target):
-        if self._spend() and await self._try(target):
-            target.health.regain_contact()
+        was_silent = target.health.is_silent
+        if not self._spend() or not await self._try(target):
+            return
+        target.health.regain_contact()
+        if was_silent:
             _LOG.info(
                 "target_answers_again", extra={"target": target.identity}
             )
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -235,12 +235,12 @@
             ("election", self._election.run),
             ("placer", self._placer.run),
             ("usage", self._usage.run),
-            ("probes", self._watch_silent),
+            ("probes", self._watch_targets),
             ("care", self._care),
         ]
 
-    async def _watch_silent(self):
-        await self._scene.probes.watch_silent(lambda: self._fleet)
+    async def _watch_targets(self):
+        await self._scene.probes.watch(lambda: self._fleet)
 
     async def _care(self):
         """Do what is due from time to time."""
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -19,15 +19,16 @@
 class HostState(msgspec.Struct, frozen=True, array_like=True):
     """What a host tells its peers several times a second.
 
-    ``suspects`` are targets that it has no contact with, ``refused`` the
-    requests that it refused a short while ago, ``repeats`` its counts by
-    service.
+    ``suspects`` are targets that it has no contact with, ``slow`` those
+    that said to be slow, with the factor, ``refused`` the requests that
+    it refused a short while ago, ``repeats`` its counts by service.
     """
 
     host: str
     number: int
     usages: dict[str, Usage]
     suspects: list[str]
+    slow: dict[str, float]
     refused: list[str]
     repeats: dict[str, RepeatCount]
 
@@ -64,13 +65,16 @@
             await asyncio.sleep(PERIOD_SECONDS)
             self._ledger.expire(self._now())
             suspects = self._suspects()
+            slow = self._slow()
             quiet += 1
-            is_same = self._ledger.changes == sent_changes and not suspects
+            is_same = self._ledger.changes == sent_changes and not (
+                suspects or slow
+            )
             if is_same and quiet < QUIET_PERIODS:
                 continue
             sent_changes = self._ledger.changes
             quiet = 0
-            self._send(suspects)
+            self._send(suspects, slow)
 
     def _suspects(self):
         return [
@@ -79,7 +83,15 @@
             if target.health.is_silent
         ]
 
-    def _send(self, suspects):
+    def _slow(self):
+        now = self._now()
+        return {
+            target.identity: target.health.slowness(now)
+            for target in self._scene.fleet
+            if target.health.is_slow_here(now)
+        }
+
+    def _send(self, suspects, slow):
         self._number += 1
         usages = {
             identity: Usage(round(usage.units), usage.requests)
@@ -92,6 +104,7 @@
             self._number,
             usages,
             suspects,
+            slow,
             refused,
             self._scene.allowance.counts(self._now()),
         )
@@ -111,5 +124,9 @@
             target.health.avoid(now + HEARD_SECONDS)
             if is_news:
                 self._scene.passages.alert(identity)
+        for identity, factor in message.slow.items():
+            target = self._scene.fleet.get(identity)
+            if target is not None:
+                target.health.hear_slowness(factor, now)
         for return_id in message.refused:
             self._scene.waiting.remember(return_id)
