Make late orders harmless, explain a request from logs, tests of beliefs

Cause: an order that a target carries out seconds later could undo a newer one; a refused order was given again three times a second; hosts' logs had no way from a request's id to what decided it. Change: an order names the number of orders accepted before it; what was not begun is looked into after 0.8 s. `apricotseam explain ID LOGS` shows the events of a request and of its targets.

--- a/apricotseam/cli/_commands.py
+++ b/apricotseam/cli/_commands.py
@@ -1,6 +1,7 @@
 """Commands of the program."""
 
 import difflib
+import json
 import logging
 import os
 import pathlib
@@ -21,6 +22,9 @@
 from apricotseam.errors import InvalidInputError
 from apricotseam.host import EntryHost
 from apricotseam.logs import configure_logging
+from apricotseam.logs import explain as explain_request
+from apricotseam.node import is_node_settings
+from apricotseam.node import main as run_node
 from apricotseam.operators import ScopeAnswer
 from apricotseam import standins
 from apricotseam.web import HttpClient
@@ -40,13 +44,17 @@
 def serve(settings):
     """Run one entry host until it is told to stop.
 
+    Settings with a `store_address` start a host on the users' platform.
+
     Parameters
     ----------
     settings : str
         File with the settings of the process.
     """
-    configure_logging()
     text = pathlib.Path(settings).read_text()
+    if is_node_settings(text):
+        return run_node([settings])
+    configure_logging()
     entry = EntryHost(load_settings(text, settings))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: entry.request_stop())
@@ -232,6 +240,23 @@
     print()
 
 
+def explain(request_id, *logs):
+    """Show what decided the fate of a request, from hosts' logs.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier of the request.
+    logs : str
+        Files with the logs of any number of hosts.
+    """
+    lines = []
+    for path in logs:
+        lines.extend(pathlib.Path(path).read_text().splitlines())
+    for event in explain_request(lines, request_id):
+        print(json.dumps(event))
+
+
 def standin(kind, *, address="127.0.0.1:0", options="{}"):
     """Run one stand-in of the platform until interrupted.
 
--- a/apricotseam/cli/_main.py
+++ b/apricotseam/cli/_main.py
@@ -21,6 +21,7 @@
     _commands.drain,
     _commands.address,
     _commands.ask,
+    _commands.explain,
     _commands.standin,
     _commands.demo,
 ]
--- /dev/null
+++ b/apricotseam/coordination/tests/test_mirror_machine.py
@@ -0,0 +1,93 @@
+"""A mirror fed by listings, watches and peers in any order."""
+
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis import strategies
+
+from apricotseam.coordination import Mirror
+from apricotseam.coordination import MirrorItem
+
+KEYS = ["a", "b", "c"]
+
+
+class MirrorMachine(RuleBasedStateMachine):
+    """A store that changes, and two hosts that follow it."""
+
+    def __init__(self):
+        super().__init__()
+        self.revision = 1
+        self.items = {}
+        self.history = []
+        self.seen = {}
+        self.mirrors = [Mirror(self.note), Mirror(lambda item: None)]
+
+    def note(self, item):
+        """Revisions of a key never go back."""
+        assert item.revision > self.seen.get(item.key, 0)
+        self.seen[item.key] = item.revision
+
+    @rule(key=strategies.sampled_from(KEYS), is_deleted=strategies.booleans())
+    def change(self, key, is_deleted):
+        if is_deleted and key not in self.items:
+            return
+        self.revision += 1
+        value = None if is_deleted else b"v"
+        item = MirrorItem(key, value, self.revision)
+        self.history.append(item)
+        if is_deleted:
+            del self.items[key]
+        else:
+            self.items[key] = item
+
+    @rule(number=strategies.sampled_from([0, 1]))
+    def watch(self, number):
+        mirror = self.mirrors[number]
+        for item in self.history:
+            if item.revision > mirror.revision:
+                mirror.apply(item)
+        mirror.advance(self.revision)
+
+    @rule(number=strategies.sampled_from([0, 1]))
+    def list_all(self, number):
+        mirror = self.mirrors[number]
+        mirror.reconcile(
+            list(self.items.values()), self.revision, self.revision
+        )
+
+    @rule(number=strategies.sampled_from([0, 1]))
+    def learn_from_peer(self, number):
+        mirror = self.mirrors[number]
+        changes = self.mirrors[1 - number].changes_since(mirror.revision)
+        if changes.is_whole:
+            mirror.reconcile(changes.items, changes.revision, changes.revision)
+            return
+        for item in changes.items:
+            mirror.apply(item)
+        mirror.advance(changes.revision)
+
+    @rule(data=strategies.data())
+    def stale_item_comes_late(self, data):
+        if self.history:
+            item = data.draw(strategies.sampled_from(self.history))
+            if item.revision <= self.mirrors[0].revision:
+                self.mirrors[0].apply(item)
+
+    @invariant()
+    def mirror_is_the_store_at_its_revision(self):
+        for mirror in self.mirrors:
+            expected = {}
+            for item in self.history:
+                if item.revision <= mirror.revision:
+                    expected[item.key] = item
+            for key in KEYS:
+                found = mirror.get(key)
+                wanted = expected.get(key)
+                if wanted is None or wanted.value is None:
+                    assert found is None or found.revision > mirror.revision
+                else:
+                    assert found is not None
+                    assert found.revision >= wanted.revision
+
+
+TestMirror = MirrorMachine.TestCase
--- /dev/null
+++ b/apricotseam/fleet/tests/test_fleet.py
@@ -0,0 +1,98 @@
+"""Incarnations, lapsed entries, addresses that are used again."""
+
+import msgspec
+import pytest
+
+from apricotseam.fleet import Fleet
+from apricotseam.fleet import Health
+from apricotseam.fleet import TargetRecord
+
+RECORD = TargetRecord(
+    identity="i-1", service="s", address="10.0.0.1:80", zone="a", born_ms=1
+)
+
+
+def change(**fields):
+    """Return the record with some fields replaced."""
+    return msgspec.structs.replace(RECORD, **fields)
+
+
+def make_fleet():
+    """Return a fleet with one target, and lists of what it tells."""
+    ended, drained = [], []
+    fleet = Fleet(ended.append, drained.append)
+    fleet.update(RECORD)
+    return fleet, ended, drained
+
+
+def test_new_start_of_the_same_identity_is_another_target():
+    fleet, ended, _ = make_fleet()
+    old = fleet.get("i-1")
+    old.health.lose_contact()
+    fleet.update(change(born_ms=2))
+    new = fleet.get("i-1")
+    assert new is not old and ended == [old]
+    assert not new.health.is_silent and not old.takes_work
+
+
+def test_drain_is_told_once():
+    fleet, _, drained = make_fleet()
+    fleet.update(change(is_draining=True, revision=2))
+    fleet.update(change(is_draining=True, revision=3))
+    assert [t.identity for t in drained] == ["i-1"]
+    assert fleet.of_service("s") == []
+
+
+# Whether the store was away, whether the target drains, seconds until it is
+# looked at, whether it is still there.
+REMOVALS = [
+    (False, False, 0.0, False),
+    (True, False, 1.9, True),
+    (True, False, 2.0, False),
+    (True, True, 0.0, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("was_away", "is_draining", "seconds", "expected"), REMOVALS
+)
+def test_entries_that_lapse(was_away, is_draining, seconds, expected):
+    fleet, _, _ = make_fleet()
+    fleet.update(change(is_draining=is_draining, revision=2))
+    fleet.remove("i-1", 100.0, was_away)
+    fleet.expire(100.0 + seconds)
+    assert (fleet.get("i-1") is not None) is expected
+
+
+def test_entry_that_returns_is_kept():
+    fleet, ended, _ = make_fleet()
+    fleet.remove("i-1", 100.0, True)
+    fleet.update(change(revision=9))
+    fleet.expire(110.0)
+    assert fleet.get("i-1") is not None and ended == []
+
+
+def test_address_that_is_used_again_leads_to_the_new_target():
+    fleet, _, _ = make_fleet()
+    fleet.update(change(identity="i-2", service="t"))
+    fleet.remove("i-1", 0.0)
+    assert fleet.at("10.0.0.1:80").identity == "i-2"
+
+
+def test_silence_holds_until_contact():
+    health = Health()
+    health.lose_contact()
+    assert health.is_suspect(1e9)
+    health.regain_contact()
+    assert not health.is_suspect(0.0)
+
+
+def test_peers_word_does_not_replace_the_targets_own():
+    health = Health()
+    health.note_slowness(12.0, 0.0)
+    health.hear_slowness(2.0, 0.5)
+    assert health.slowness(1.0) == 12.0
+    assert health.slowness(10.0) == 1.0
+    health.hear_slowness(2.0, 10.0)
+    assert health.slowness(10.5) == 2.0
+    assert not health.is_slow_here(10.5)
--- /dev/null
+++ b/apricotseam/forwarding/tests/test_allowance_machine.py
@@ -0,0 +1,83 @@
+"""Repeats of all hosts together stay within the shared budget."""
+
+import collections
+
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis import strategies
+
+from apricotseam.forwarding import RetryAllowance
+
+HOSTS = 4
+RATIO = 0.2
+SLACK = 40.0
+WINDOW_SECONDS = 10.0
+SERVICE = "s"
+
+hosts = strategies.integers(0, HOSTS - 1)
+
+
+class Budget(RuleBasedStateMachine):
+    """Hosts that repeat in bursts, are cut off and restart."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.names = [f"h{n}" for n in range(HOSTS)]
+        self.cut = set()
+        self.allowances = [self.start() for _ in range(HOSTS)]
+        self.requests = collections.deque()
+        self.repeats = collections.deque()
+        self.exchange()
+
+    def start(self):
+        return RetryAllowance(RATIO, SLACK, WINDOW_SECONDS, lambda: HOSTS)
+
+    @rule(host=hosts, count=strategies.integers(1, 20))
+    def take_requests(self, host, count):
+        for _ in range(count):
+            self.allowances[host].count(SERVICE, self.now)
+            self.requests.append(self.now)
+
+    @rule(host=hosts, wanted=strategies.integers(1, 60))
+    def repeat(self, host, wanted):
+        for _ in range(wanted):
+            if self.allowances[host].spend(SERVICE, self.now):
+                self.repeats.append(self.now)
+
+    @rule()
+    def all_repeat_at_once(self):
+        for host in range(HOSTS):
+            self.repeat(host, 60)
+
+    @rule(seconds=strategies.sampled_from([0.2, 0.4, 2.0]))
+    def exchange_after(self, seconds):
+        self.now += seconds
+        self.exchange()
+
+    @rule(host=hosts)
+    def cut_off(self, host):
+        self.cut.add(host)
+
+    @rule()
+    def heal(self):
+        self.cut.clear()
+        self.exchange()
+
+    def exchange(self):
+        for host, allowance in enumerate(self.allowances):
+            counts = allowance.counts(self.now)
+            for other, peer in enumerate(self.allowances):
+                if other != host and not {host, other} & self.cut:
+                    peer.take_peer(self.names[host], counts, self.now)
+
+    @invariant()
+    def budget_is_kept(self):
+        start = self.now - WINDOW_SECONDS
+        repeats = sum(at > start for at in self.repeats)
+        requests = sum(at > start - WINDOW_SECONDS for at in self.requests)
+        assert repeats <= RATIO * requests + SLACK
+
+
+TestBudget = Budget.TestCase
--- /dev/null
+++ b/apricotseam/forwarding/tests/test_waiting.py
@@ -0,0 +1,63 @@
+"""Order and bounds of the queue for room."""
+
+import asyncio
+
+import pytest
+
+from apricotseam.forwarding import WaitingRoom
+
+# Ranks in the order of arrival, and the order in which they get room.
+ORDERS = [
+    ("by arrival", [(1, 0), (1, 1), (1, 2)], [0, 1, 2]),
+    ("urgent first", [(1, 0), (0, 1), (1, 2)], [1, 0, 2]),
+    ("latest is most urgent", [(2, 0), (1, 1), (0, 2)], [2, 1, 0]),
+]
+
+
+@pytest.mark.parametrize(
+    ("ranks", "expected"), [c[1:] for c in ORDERS], ids=[c[0] for c in ORDERS]
+)
+def test_order(ranks, expected):
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        room = WaitingRoom(loop.time)
+        served = []
+
+        async def wait(number, rank):
+            if await room.wait(rank, loop.time() + 5):
+                served.append(number)
+
+        tasks = [
+            loop.create_task(wait(number, rank))
+            for number, rank in enumerate(ranks)
+        ]
+        await asyncio.sleep(0)
+        for _ in ranks:
+            room.count_end()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        await asyncio.gather(*tasks)
+        return served
+
+    assert asyncio.run(scenario()) == expected
+
+
+def test_wait_ends_at_its_time():
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        room = WaitingRoom(loop.time)
+        has_turn = await room.wait((0,), loop.time() + 0.01)
+        return has_turn, len(room)
+
+    assert asyncio.run(scenario()) == (False, 0)
+
+
+def test_expected_wait_follows_the_rate_of_ends():
+    now = [0.0]
+    room = WaitingRoom(lambda: now[0])
+    for _ in range(20):
+        now[0] += 0.1
+        room.count_end()
+    assert room.expected_seconds() == pytest.approx(0.1, rel=0.1)
+    now[0] += 10
+    assert room.expected_seconds() == 2.0
--- a/apricotseam/logs/__init__.py
+++ b/apricotseam/logs/__init__.py
@@ -2,10 +2,12 @@
 
 from apricotseam.logs._bounded import BoundedHandler
 from apricotseam.logs._bounded import configure_bounded_logging
+from apricotseam.logs._explain import explain
 from apricotseam.logs._logging import configure_logging
 
 __all__ = [
     "BoundedHandler",
     "configure_bounded_logging",
     "configure_logging",
+    "explain",
 ]
--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -7,7 +7,6 @@
 
 from apricotseam.chains import choose_orders
 from apricotseam.errors import ApricotseamError
-from apricotseam.http1 import TransportError
 from apricotseam.platform import decode_report
 from apricotseam.platform import ORDER_PATH
 from apricotseam.platform import OrderOutcome
@@ -23,6 +22,8 @@
 SETTLE_SECONDS = 0.3
 # An order without a sign of it in the store is looked into after this.
 PENDING_SECONDS = 4.0
+# The same for an order that was refused or not answered.
+UNSURE_SECONDS = 0.8
 
 
 class _Pending:
@@ -109,7 +110,7 @@
         pending.check_at = self._now() + PENDING_SECONDS
         try:
             report = await self._report(target)
-        except (TransportError, ApricotseamError) as error:
+        except ApricotseamError as error:
             _LOG.info(
                 "report_failed",
                 extra={"target": target.identity, "error": str(error)},
@@ -132,22 +133,15 @@
 
     async def _order(self, order):
         target = self._scene.fleet.get(order.identity)
-        if target is None or not self._election.is_holder:
+        if target is None:
             return
-        placement = Placement(layers=order.layers, fence=self._election.fence)
-        self._pending[order.identity] = _Pending(
+        pending = _Pending(
             target.incarnation, order.layers, self._now() + PENDING_SECONDS
         )
-        try:
-            answer, _ = await self._call(
-                target, b"POST", ORDER_PATH, placement.encode()
-            )
-            outcome = OrderOutcome.of_status(answer.status)
-        except TransportError as error:
-            outcome = OrderOutcome.FAILED
-            _LOG.info("order_unanswered", extra={"error": str(error)})
-        if outcome in (OrderOutcome.CONFLICT, OrderOutcome.FENCED):
-            self._pending.pop(order.identity, None)
+        self._pending[order.identity] = pending
+        outcome = await self._give(target, order)
+        if outcome not in (OrderOutcome.BEGUN, OrderOutcome.HOLDS):
+            pending.check_at = self._now() + UNSURE_SECONDS
         _LOG.info(
             "layers_ordered",
             extra={
@@ -159,6 +153,36 @@
             },
         )
 
+    async def _give(self, target, order):
+        """Send an order; return its outcome.
+
+        It carries the number of orders that the target accepted before, so
+        that of two orders given for the same state only one is begun,
+        however late they arrive.
+        """
+        try:
+            accepted = 0
+            if target.record.layers is not None:
+                report = await self._report(target)
+                accepted = report.orders
+            if not self._election.is_holder:
+                return OrderOutcome.FAILED
+            placement = Placement(
+                layers=order.layers,
+                fence=self._election.fence,
+                after_orders=accepted,
+            )
+            answer, _ = await self._call(
+                target, b"POST", ORDER_PATH, placement.encode()
+            )
+            return OrderOutcome.of_status(answer.status)
+        except ApricotseamError as error:
+            _LOG.info(
+                "order_unanswered",
+                extra={"target": target.identity, "error": str(error)},
+            )
+            return OrderOutcome.FAILED
+
     async def _call(self, target, method, path, body=b""):
         """Call a target outside of requests; return answer and body."""
         return await self._scene.pool.call(
--- a/apricotseam/node/_settings.py
+++ b/apricotseam/node/_settings.py
@@ -60,3 +60,20 @@
         raise InvalidFileError(
             f"{source}: {error}", "correct the settings and start again"
         ) from None
+
+
+def is_node_settings(text):
+    """Return whether settings are of a host on the users' platform.
+
+    Examples
+    --------
+    >>> is_node_settings("store_address: 10.0.0.1:80")
+    True
+    >>> is_node_settings("a: 1")
+    False
+    """
+    try:
+        data = yaml.load(text, Loader=_Loader)
+    except yaml.YAMLError:
+        return False
+    return isinstance(data, dict) and "store_address" in data
