Tell a host's load to all others, not to its partners only

Cause: the usage of targets went to the partners of the membership ring, four of seven others in a fleet of eight. Change: in fleets of up to 25 hosts each one hears of all, in larger ones of those in its availability zone and of its partners.

--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -15,6 +15,8 @@
 
 TICK_SECONDS = 0.2
 ASK_SECONDS = 0.5
+# Up to this many other hosts, each one hears of the load of all.
+SMALL_FLEET = 24
 
 
 class Hosts:
@@ -53,6 +55,28 @@
         """Peers' addresses of the hosts that this one keeps contact with."""
         return self._membership.partners
 
+    @property
+    def audience(self):
+        """Peers' addresses of the hosts that should know this one's load.
+
+        In a small fleet these are all, in a large one those of the own
+        availability zone and the partners.
+        """
+        own = self._membership.own
+        members = [
+            m
+            for m in self.table.present()
+            if m.peers_address != own.peers_address
+        ]
+        if len(members) <= SMALL_FLEET:
+            return [m.peers_address for m in members]
+        near = {
+            m.peers_address
+            for m in members
+            if m.availability_zone == own.availability_zone
+        }
+        return sorted(near.union(self.partners))
+
     def set_seeds(self, addresses):
         """Take addresses at which hosts may be found."""
         self._membership.set_seeds(addresses)
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -108,7 +108,7 @@
             refused,
             self._scene.allowance.counts(self._now()),
         )
-        for address in self._hosts.partners:
+        for address in self._hosts.audience:
             self._hosts.transport.send(address, message)
 
     def _receive(self, sender, message):
