Let spare accelerators cover the most members of a chain whole

Change: spares are laid from the last layer to the first, where the smallest members stand, with 0.82 of their memory for weights.

--- a/apricotseam/chains/_layout.py
+++ b/apricotseam/chains/_layout.py
@@ -14,7 +14,7 @@
 
 # Share of memory that weights may take in a whole copy, and in a spare.
 MAX_WEIGHT_SHARE = 0.85
-SPARE_WEIGHT_SHARE = 0.72
+SPARE_WEIGHT_SHARE = 0.82
 # A copy on few accelerators is lost with any of them.
 MIN_SERVED_SHARE = 0.02
 
@@ -133,17 +133,21 @@
 
 
 def _place_spares(cards, profile):
-    """Lay spare cards end to end over the layers, the largest first."""
+    """Lay spare cards end to end, from the last layer to the first.
+
+    The last layers are on the smallest members of a group, so that the
+    most members are covered whole.
+    """
     plan = {}
-    first = 0
+    last = profile.layers
     for card in sorted(cards, key=lambda c: -c.memory_mb):
         layers = int(card.memory_mb * SPARE_WEIGHT_SHARE / profile.layer_mb)
         layers = min(layers, profile.layers)
         if layers < 1:
             continue
-        if first >= profile.layers:
-            first = 0
-        last = min(profile.layers, first + layers)
-        plan[card.identity] = LayerRange(last - layers, last)
-        first = last
+        if last <= 0:
+            last = profile.layers
+        first = max(0, last - layers)
+        plan[card.identity] = LayerRange(first, first + layers)
+        last = first
     return plan
--- a/apricotseam/chains/tests/test_layout.py
+++ b/apricotseam/chains/tests/test_layout.py
@@ -70,3 +70,13 @@
     plan = order_all(make_records({"large": 1, "middle": 3, "small": 8}))
     fast = {k: v for k, v in plan.items() if "small" not in k}
     assert min(holders_by_layer(fast)) == 1
+
+
+def test_spares_cover_the_most_members_whole():
+    records = make_records({"large": 2, "middle": 2, "small": 5})
+    plan = order_all(records)
+    spares = [plan[k] for k in plan if "small" in k]
+    covered = {n for r in spares for n in range(r.first, r.last)}
+    members = [plan[k] for k in plan if "small" not in k]
+    whole = [r for r in members if set(range(r.first, r.last)) <= covered]
+    assert len(whole) >= 2
