--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -60,19 +60,35 @@
 
     async def _choose(self, call):
         """Return the next `Choice`, or None if no attempt may follow."""
+        cause = self._why_not(call)
+        if cause is None:
+            choice = await self._wait_for_room(call)
+            if choice is not None:
+                return choice
+            cause = "no_room"
+        call.note("end", cause)
+        return None
+
+    def _why_not(self, call):
+        """Return why no attempt may follow, or None if one may."""
         if call.seconds_left() <= 0:
-            return None
+            return "deadline"
         if call.runs and not self._may_repeat(call):
-            return None
-        if call.attempts:
-            now = asyncio.get_running_loop().time()
-            if not self._scene.allowance.spend(call.service.name, now):
-                return None
+            return "attempts"
+        now = asyncio.get_running_loop().time()
+        if call.attempts and not self._scene.allowance.spend(
+            call.service.name, now
+        ):
+            return "retry_budget"
+        return None
+
+    async def _wait_for_room(self, call):
+        """Return a `Choice`, after a wait if there may soon be room."""
+        loop = asyncio.get_running_loop()
         waiting = self._scene.waiting
         rank = waiting.rank(call)
         choice = self._try(call) if waiting.is_first(rank) else None
         until = self._wait_until(call)
-        loop = asyncio.get_running_loop()
         while choice is None and self._may_wait(call, until):
             began = loop.time()
             has_turn = await waiting.wait(rank, until)
--- a/apricotseam/logs/_explain.py
+++ b/apricotseam/logs/_explain.py
@@ -41,7 +41,7 @@
     own = [event for event in events if event.get("request") == request_id]
     if not own:
         return []
-    targets = {name for event in own for name in _targets(event)}
+    names = {name for event in own for name in _targets(event)}
     end = max(_seconds(event) for event in own)
     start = min(_seconds(event) for event in own) - LOOK_BACK_SECONDS
     found = [
@@ -49,7 +49,7 @@
         for event in events
         if event.get("request") == request_id
         or (
-            event.get("target") in targets
+            names.intersection((event.get("target"), event.get("address")))
             and "request" not in event
             and start <= _seconds(event) <= end
         )
@@ -75,5 +75,12 @@
 
 
 def _targets(event):
-    """Return the names before the outcomes of a request's sends."""
-    return [send.rpartition(":")[0] for send in event.get("sends", [])]
+    """Return identities and addresses of the targets of a request's sends.
+
+    A send is named by a target's identity or by a chain of addresses.
+    """
+    names = []
+    for send in event.get("sends", []):
+        where = send.rpartition(":")[0]
+        names.extend(part.partition("=")[0] for part in where.split(","))
+    return names
