Book what requests hold together, not each one's end

Change: a booking holds the prompt and 0.6 of the expected answer; 0.98 of the room is given out, 1.05 to those that come back; the queue may use 0.65 of the objective.

--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -30,16 +30,13 @@
         Tokens that it is expected to hold.
     shares : list of tuple
         Target identities and the layers that each runs.
-    ends_at : float
-        Monotonic time at which it is expected to be over.
     """
 
-    __slots__ = ("ends_at", "shares", "tokens")
+    __slots__ = ("shares", "tokens")
 
-    def __init__(self, tokens, shares, ends_at):
+    def __init__(self, tokens, shares):
         self.tokens = tokens
         self.shares = shares
-        self.ends_at = ends_at
 
 
 class Ledger:
@@ -83,9 +80,9 @@
                 count += usage.requests
         return count
 
-    def book(self, tokens, shares, ends_at):
+    def book(self, tokens, shares):
         """Take room for a request and return its `Booking`."""
-        booking = Booking(tokens, shares, ends_at)
+        booking = Booking(tokens, shares)
         self._bookings.add(booking)
         self._add(booking, 1)
         return booking
@@ -121,10 +118,6 @@
         if silent:
             self._sum_up()
 
-    def next_ends(self, count):
-        """Return the times at which the next requests should be over."""
-        return sorted(b.ends_at for b in self._bookings)[:count]
-
     def _add(self, booking, sign):
         self.changes += 1
         for identity, layers in booking.shares:
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -10,8 +10,11 @@
 from apricotseam.platform import Stage
 
 # Share of a target's room that is given out, and to those who come back.
-FILL_SHARE = 0.92
-RETURN_FILL_SHARE = 1.0
+FILL_SHARE = 0.98
+RETURN_FILL_SHARE = 1.05
+# Requests are at different points of their answers, so that together they
+# hold this share of what the answers add in the end.
+ANSWER_SHARE = 0.6
 # Added cost of a target in another availability zone, in requests.
 FAR_REQUESTS = 1.0
 DEFAULT_ANSWER_TOKENS = 200
@@ -62,7 +65,7 @@
         self._zone = zone
 
     def expected_tokens(self, call):
-        """Return the tokens that a request is expected to hold at its end."""
+        """Return the tokens that a request is expected to hold."""
         facts = call.facts
         profile = call.service.engine
         prompt = facts.prompt_tokens or 0
@@ -72,7 +75,7 @@
         answer = facts.expected_answer_tokens or usual
         if facts.max_answer_tokens:
             answer = min(answer, facts.max_answer_tokens)
-        return prompt + answer
+        return prompt + ANSWER_SHARE * answer
 
     def choose_chain(self, call, now, is_preferred=False):
         """Return the best `Choice` of a chain, or None if none has room.
--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -322,12 +322,7 @@
 
     def _book(self):
         choice = self._choice
-        now = asyncio.get_running_loop().time()
-        answer_tokens = choice.tokens - (self._call.facts.prompt_tokens or 0)
-        seconds = answer_tokens * choice.token_ms / 1000.0
-        self._booking = self._scene.ledger.book(
-            choice.tokens, choice.shares, now + seconds
-        )
+        self._booking = self._scene.ledger.book(choice.tokens, choice.shares)
         self._scene.passages.add(self, self._identities())
 
     def _keep(self, answer):
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -77,7 +77,7 @@
     async def _attempt(self, call, choice):
         loop = asyncio.get_running_loop()
         target = choice.head
-        booking = self._scene.ledger.book(1.0, choice.shares, call.deadline)
+        booking = self._scene.ledger.book(1.0, choice.shares)
         began = loop.time()
         connection = None
         try:
--- a/apricotseam/forwarding/_waiting.py
+++ b/apricotseam/forwarding/_waiting.py
@@ -8,7 +8,7 @@
 # Span over which the rate of ends is taken.
 RATE_SECONDS = 2.0
 # Share of the latency objective that a request may spend waiting.
-WAIT_SHARE = 0.5
+WAIT_SHARE = 0.65
 RETURN_SECONDS = 12.0
 MAX_REMEMBERED = 2000
 
