Let a few hosts of each zone read the store in a large fleet

Cause: with 83 hosts every change of a target's entry woke 83 watches, each a call that is priced, and the sums over peers were made again with each of their messages. Change: in fleets over 25 hosts two hosts of each availability zone follow the store and push changes to the others, which follow it themselves while the readers are silent. Sums are made with the next question.

--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -53,7 +53,8 @@
         self._on_free = on_free or (lambda is_own: None)
         self._own = {}
         self._peers = {}
-        self._peer_totals = {}
+        # Sums over peers; None when they have to be made again.
+        self._peer_totals = None
         self._bookings = set()
         self.changes = 0
 
@@ -64,21 +65,11 @@
 
     def used_units(self, identity):
         """Return tokens times layers in use at a target."""
-        units = 0.0
-        for usages in (self._own, self._peer_totals):
-            usage = usages.get(identity)
-            if usage is not None:
-                units += usage.units
-        return units
+        return sum(usage.units for usage in self._usages(identity))
 
     def running(self, identity):
         """Return the number of requests in progress at a target."""
-        count = 0
-        for usages in (self._own, self._peer_totals):
-            usage = usages.get(identity)
-            if usage is not None:
-                count += usage.requests
-        return count
+        return sum(usage.requests for usage in self._usages(identity))
 
     def book(self, tokens, shares):
         """Take room for a request and return its `Booking`."""
@@ -108,7 +99,7 @@
         if known is not None and known[0].number >= usage.number:
             return
         self._peers[usage.host] = (usage, now + PEER_SECONDS)
-        self._sum_up()
+        self._forget_totals()
 
     def expire(self, now):
         """Forget peers that have not been heard for a while."""
@@ -116,7 +107,7 @@
         for host in silent:
             del self._peers[host]
         if silent:
-            self._sum_up()
+            self._forget_totals()
 
     def _add(self, booking, sign):
         self.changes += 1
@@ -129,14 +120,23 @@
             if usage.requests <= 0:
                 del self._own[identity]
 
+    def _usages(self, identity):
+        """Return what this host and all peers have at a target."""
+        if self._peer_totals is None:
+            self._peer_totals = self._sum_up()
+        found = (self._own.get(identity), self._peer_totals.get(identity))
+        return [usage for usage in found if usage is not None]
+
+    def _forget_totals(self):
+        """Let peers' usage be summed up with the next question."""
+        self._peer_totals = None
+        self._on_free(False)
+
     def _sum_up(self):
         totals = {}
         for peer, _ in self._peers.values():
             for identity, usage in peer.usages.items():
-                total = totals.get(identity)
-                if total is None:
-                    total = totals[identity] = Usage()
+                total = totals.setdefault(identity, Usage())
                 total.units += usage.units
                 total.requests += usage.requests
-        self._peer_totals = totals
-        self._on_free(False)
+        return totals
--- a/apricotseam/coordination/__init__.py
+++ b/apricotseam/coordination/__init__.py
@@ -7,6 +7,7 @@
 from apricotseam.coordination._messages import ChangesRequest
 from apricotseam.coordination._messages import HostRecord
 from apricotseam.coordination._messages import MirrorItem
+from apricotseam.coordination._messages import Push
 from apricotseam.coordination._mirror import Mirror
 from apricotseam.coordination._registration import Registration
 from apricotseam.coordination._suspension import SuspensionDetector
@@ -20,6 +21,7 @@
     "Mirror",
     "MirrorItem",
     "MirrorKeeper",
+    "Push",
     "Registration",
     "SuspensionDetector",
 ]
--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -17,6 +17,7 @@
 ASK_SECONDS = 0.5
 # Up to this many other hosts, each one hears of the load of all.
 SMALL_FLEET = 24
+READERS_A_ZONE = 2
 
 
 class Hosts:
@@ -77,6 +78,36 @@
         }
         return sorted(near.union(self.partners))
 
+    @property
+    def is_large(self):
+        """Whether the fleet is too large for each host to read the store."""
+        return len(self.table.live()) > SMALL_FLEET + 1
+
+    @property
+    def reads_store(self):
+        """Whether this host should follow the store itself.
+
+        In a small fleet all do, in a large one the first few of each
+        availability zone by name.
+        """
+        if not self.is_large:
+            return True
+        own = self._membership.own
+        names = sorted(
+            m.name
+            for m in self.table.live()
+            if m.availability_zone == own.availability_zone
+        )
+        return own.name in names[:READERS_A_ZONE] or own.name not in names
+
+    def push(self, message):
+        """Send a message to the other hosts of the availability zone."""
+        own = self._membership.own
+        for member in self.table.present():
+            is_near = member.availability_zone == own.availability_zone
+            if is_near and member.peers_address != own.peers_address:
+                self._transport.send(member.peers_address, message)
+
     def set_seeds(self, addresses):
         """Take addresses at which hosts may be found."""
         self._membership.set_seeds(addresses)
--- a/apricotseam/coordination/_keeper.py
+++ b/apricotseam/coordination/_keeper.py
@@ -5,6 +5,7 @@
 import random
 
 from apricotseam.coordination._messages import MirrorItem
+from apricotseam.coordination._messages import Push
 from apricotseam.platform import HistoryLostError
 from apricotseam.platform import StoreError
 
@@ -18,6 +19,10 @@
 # Targets whose entries lapsed are back within this time after an outage.
 SETTLE_SECONDS = 2.5
 PEERS_ASKED = 2
+# How often readers tell that they are there, and when they count as silent.
+PUSH_SECONDS = 0.4
+READER_SILENCE_SECONDS = 1.2
+READER_CHECK_SECONDS = 0.1
 
 
 class MirrorKeeper:
@@ -34,9 +39,21 @@
         list of `Changes` of peers.
     now : callable
         Monotonic time in seconds.
+    is_reader : callable, optional
+        Returns whether this host follows the store itself; if not, it
+        takes what the readers of its availability zone push, and follows
+        the store only while they are silent.
+    push : callable, optional
+        Sends a `Push` to the other hosts of the availability zone.
     """
 
-    def __init__(self, store, mirror, ask_peers, now):
+    def __init__(
+        self, store, mirror, ask_peers, now, is_reader=None, push=None
+    ):
+        self._is_reader = is_reader or (lambda: True)
+        self._push = push or (lambda message: None)
+        self._pushed_at = None
+        self._must_ask = False
         self._store = store
         self._mirror = mirror
         self._ask_peers = ask_peers
@@ -66,7 +83,10 @@
         """Follow the store for ever."""
         while True:
             try:
-                await self._follow()
+                if self._has_reader():
+                    await self._follow_reader()
+                else:
+                    await self._follow()
             except HistoryLostError as error:
                 _LOG.info("store_history_lost", extra={"error": str(error)})
                 self._must_list = True
@@ -75,6 +95,39 @@
                 await self._follow_peers()
                 await self._pause()
 
+    async def run_pushes(self):
+        """Tell the other hosts for ever that this one follows the store."""
+        while True:
+            await asyncio.sleep(PUSH_SECONDS)
+            if self._is_reader() and not self.is_away:
+                revision = self._mirror.revision
+                self._push(Push(revision, revision, []))
+
+    def take_push(self, message):
+        """Take what a reader of the store pushed."""
+        self._pushed_at = self._now()
+        self._heard_at = self._pushed_at
+        if message.base > self._mirror.revision:
+            self._must_ask = True
+            return
+        for item in message.items:
+            self._mirror.apply(item)
+        self._mirror.advance(message.revision)
+
+    def _has_reader(self):
+        """Return whether another host follows the store for this one."""
+        if self._must_list or self._is_reader():
+            return False
+        if self._pushed_at is None:
+            return False
+        return self._now() - self._pushed_at < READER_SILENCE_SECONDS
+
+    async def _follow_reader(self):
+        if self._must_ask:
+            self._must_ask = False
+            await self._follow_peers()
+        await asyncio.sleep(READER_CHECK_SECONDS)
+
     async def _follow(self):
         if self._must_list:
             await self._list()
@@ -82,9 +135,16 @@
             "", self._mirror.revision, WATCH_SECONDS
         )
         self._regain()
-        for item in watched.items:
-            self._mirror.apply(MirrorItem(item.key, item.value, item.revision))
+        base = self._mirror.revision
+        items = [
+            MirrorItem(item.key, item.value, item.revision)
+            for item in watched.items
+        ]
+        for item in items:
+            self._mirror.apply(item)
         self._mirror.advance(watched.revision)
+        if items and self._is_reader():
+            self._push(Push(base, self._mirror.revision, items))
         if watched.items:
             await asyncio.sleep(COALESCE_SECONDS)
 
--- a/apricotseam/coordination/_messages.py
+++ b/apricotseam/coordination/_messages.py
@@ -29,6 +29,18 @@
     is_whole: bool = False
 
 
+class Push(msgspec.Struct, frozen=True, array_like=True):
+    """What a reader of the store tells the hosts of its availability zone.
+
+    The items are all changes after ``base`` up to ``revision``; without
+    items it says that the reader still follows the store.
+    """
+
+    base: int
+    revision: int
+    items: list[MirrorItem]
+
+
 class HostRecord(msgspec.Struct, frozen=True, kw_only=True):
     """What a host writes of itself into the store."""
 
--- /dev/null
+++ b/apricotseam/coordination/tests/test_keeper.py
@@ -0,0 +1,118 @@
+"""Following the store, its readers, and peers."""
+
+import asyncio
+
+import pytest
+
+from apricotseam.coordination import Changes
+from apricotseam.coordination import Mirror
+from apricotseam.coordination import MirrorItem
+from apricotseam.coordination import MirrorKeeper
+from apricotseam.coordination import Push
+from apricotseam.platform import HistoryLostError
+from apricotseam.platform import Item
+from apricotseam.platform import Listing
+from apricotseam.platform import StoreError
+from apricotseam.platform import Watched
+
+
+class FakeStore:
+    """Answers with what a test put in; then there are no changes."""
+
+    def __init__(self, watches, listing=()):
+        self.watches = list(watches)
+        self.listing = [Item(k, b"v", r) for k, r in listing]
+        self.lists = 0
+
+    async def list_page(self, prefix, after=""):
+        """Return all items."""
+        self.lists += 1
+        revision = max((i.revision for i in self.listing), default=1)
+        return Listing(self.listing, False, revision)
+
+    async def watch(self, prefix, after, wait_seconds):
+        """Return or raise the next answer."""
+        if not self.watches:
+            await asyncio.sleep(0.02)
+            return Watched([], after)
+        answer = self.watches.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def follow(store, changes=(), is_reader=True, pushes=(), seconds=0.3):
+    """Run a keeper for a moment; return its mirror, pushes and state."""
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        mirror = Mirror(lambda item: None)
+        sent = []
+
+        async def ask_peers(revision, count):
+            return list(changes)
+
+        keeper = MirrorKeeper(
+            store,
+            mirror,
+            ask_peers,
+            loop.time,
+            lambda: is_reader or not mirror.revision,
+            sent.append,
+        )
+        task = loop.create_task(keeper.run())
+        await asyncio.sleep(0.05)
+        for push in pushes:
+            keeper.take_push(push)
+        await asyncio.sleep(seconds)
+        task.cancel()
+        return mirror, sent, keeper.is_away
+
+    return asyncio.run(scenario())
+
+
+def test_changes_are_applied_and_pushed():
+    changed = Watched([Item("a", b"w", 5)], 5)
+    mirror, sent, _ = follow(FakeStore([changed], [("a", 3)]))
+    assert mirror.get("a").value == b"w"
+    assert [(push.base, push.revision) for push in sent] == [(3, 5)]
+
+
+def test_lost_history_is_listed_again():
+    store = FakeStore([HistoryLostError("gone", "list")], [("a", 3)])
+    follow(store)
+    assert store.lists == 2
+
+
+def test_peers_tell_what_the_store_does_not():
+    error = StoreError("down", "wait")
+    found = Changes(9, [MirrorItem("a", b"new", 9)])
+    mirror, _, is_away = follow(
+        FakeStore([error] * 50, [("a", 3)]), changes=[found]
+    )
+    assert mirror.get("a").value == b"new"
+    assert (mirror.revision, is_away) == (9, True)
+
+
+# Pushed changes, value and revision that come of them.
+PUSHES = [
+    ("next", [Push(3, 5, [MirrorItem("a", b"w", 5)])], b"w", 5),
+    ("alive", [Push(3, 3, [])], b"v", 3),
+    ("old", [Push(1, 2, [MirrorItem("a", b"o", 2)])], b"v", 3),
+    ("gap", [Push(8, 9, [])], b"new", 9),
+]
+
+
+@pytest.mark.parametrize(
+    ("pushes", "value", "revision"),
+    [case[1:] for case in PUSHES],
+    ids=[case[0] for case in PUSHES],
+)
+def test_pushes_of_a_reader(pushes, value, revision):
+    store = FakeStore([], [("a", 3)])
+    answer = Changes(9, [MirrorItem("a", b"new", 9)])
+    mirror, sent, _ = follow(
+        store, changes=[answer], is_reader=False, pushes=pushes
+    )
+    assert (mirror.get("a").value, mirror.revision) == (value, revision)
+    assert sent == []
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -17,6 +17,7 @@
 from apricotseam.coordination import Hosts
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import MirrorKeeper
+from apricotseam.coordination import Push
 from apricotseam.coordination import Registration
 from apricotseam.coordination import SuspensionDetector
 from apricotseam.errors import ApricotseamError
@@ -198,8 +199,14 @@
         self._store = StoreClient(settings.store_address)
         self._mirror = Mirror(lambda item: self._beliefs.take(item))
         self._keeper = MirrorKeeper(
-            self._store, self._mirror, self._hosts.ask_changes, self._now
+            self._store,
+            self._mirror,
+            self._hosts.ask_changes,
+            self._now,
+            lambda: self._hosts.reads_store,
+            self._push,
         )
+        transport.handle(Push, lambda _, push: self._keeper.take_push(push))
         self._beliefs = Beliefs(
             self._scene, lambda: self._keeper.was_away, self._now
         )
@@ -230,6 +237,7 @@
     def _children(self):
         return [
             ("store", self._keeper.run),
+            ("pushes", self._keeper.run_pushes),
             ("hosts", self._hosts.run),
             ("registration", self._registration.run),
             ("election", self._election.run),
@@ -255,6 +263,10 @@
             self._fleet.expire(self._now())
             self._pool.sweep()
 
+    def _push(self, message):
+        if self._hosts.is_large:
+            self._hosts.push(message)
+
     def _answer_changes(self, sender, request):
         return self._mirror.changes_since(request.after)
 
--- a/release/shares.py
+++ b/release/shares.py
@@ -12,12 +12,17 @@
 GENERATED = ("_pb2.py", "_grpc.py")
 DECISIONS = (
     "admission",
+    "chains",
     "config",
+    "coordination",
     "delivery",
     "execution",
+    "fleet",
+    "forwarding",
     "membership",
     "orders",
     "pipelines",
+    "routes",
     "routing",
 )
 MAX_TESTS = 1 / 3
