Test chains that are changed in the middle of a stream

Change: the stand-in of a target stalls until it is ordered to go on; tests of a silent and of a draining target.

--- a/apricotseam/node/tests/test_requests.py
+++ b/apricotseam/node/tests/test_requests.py
@@ -110,6 +110,42 @@
     assert run(scenario, engines=4) == (200, WHOLE, "2")
 
 
+def test_silent_target_is_replaced_in_the_middle_of_a_stream():
+    async def scenario(platform):
+        head, second, _, spare = platform.engines
+        head.stalls_after = 2
+        task = asyncio.create_task(platform.ask("/chat/x"))
+        await platform.until(lambda: head.requests)
+        chain = head.requests[0].header(b"apricotseam-hop-count")
+        # The other part of the chain is on whichever of the two was chosen.
+        lost = second if second.address in chain else spare
+        lost.stop()
+        status, _, body = await task
+        rerouted = [o["Path"] for o in head.orders if o["Op"] == "repath"]
+        kept = spare if lost is second else second
+        return status, body, len(head.requests), rerouted, (head, kept)
+
+    status, body, sends, rerouted, (head, kept) = run(scenario, engines=4)
+    assert (status, body, sends) == (200, WHOLE, 1)
+    assert rerouted == [f"{head.address}=0-2,{kept.address}=2-4"]
+
+
+def test_draining_target_is_left_by_streams_under_way():
+    async def scenario(platform):
+        head = platform.engines[0]
+        head.stalls_after = 2
+        task = asyncio.create_task(platform.ask("/chat/x"))
+        await platform.until(lambda: head.requests)
+        chain = head.requests[0].header(b"apricotseam-hop-count")
+        for target in platform.engines[1:]:
+            if target.address in chain:
+                platform.register(target, state="draining")
+        status, _, body = await task
+        return status, body, len(head.requests), len(head.orders)
+
+    assert run(scenario, engines=4) == (200, WHOLE, 1, 1)
+
+
 def test_stream_that_cannot_go_on_is_visibly_cut():
     async def scenario(platform):
         platform.engines[0].cut_after = 2
--- a/apricotseam/standins/_users_target.py
+++ b/apricotseam/standins/_users_target.py
@@ -35,6 +35,9 @@
         self.events = 4
         self.event_seconds = 0.0
         self.cut_after = None
+        # Event after which a stream waits for an order to change its chain.
+        self.stalls_after = None
+        self._was_rerouted = asyncio.Event()
         self.layers = None
         self.orders = []
         self.requests = []
@@ -81,8 +84,11 @@
     def _order(self, request, exchange):
         order = json.loads(request.body)
         self.orders.append(order)
-        if order["Op"] == "place":
-            self.layers = (order["From"], order["Target"])
+        if order["Op"] == "repath":
+            self._was_rerouted.set()
+            exchange.answer(200)
+            return
+        self.layers = (order["From"], order["Target"])
         exchange.answer(202)
 
     async def _serve(self, request, exchange):
@@ -118,6 +124,10 @@
                     await exchange.write(b"id: 9")
                     exchange.cut()
                     return
+                if self.stalls_after is not None and (
+                    number > self.stalls_after
+                ):
+                    await self._was_rerouted.wait()
                 text = f"id: {number}\ndata: t{number}\n\n"
                 await exchange.write(text.encode())
             exchange.end()
