Look into silence also on services without engines

Cause: a silent stream of a service that runs no layers raised AttributeError in the choice of a chain (found by reading; the new test failed first with it). Change: such streams move to another target; the head of a chain is only avoided if no other part is at fault, and a slow head is not taken as silent.

--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -212,7 +212,8 @@
         targets = [target for target, _ in choice.stages]
         dead = await self._scene.probes.find_dead(targets)
         leaving = [t for t in targets[1:] if self._should_avoid(t)]
-        if not dead and silent_seconds >= FURTHER_LOOK_SECONDS:
+        is_long = silent_seconds >= FURTHER_LOOK_SECONDS
+        if is_long and choice.path and not dead:
             dead = await self._stalled_targets()
         for target in dead:
             call.tried.add(target.identity)
@@ -222,8 +223,10 @@
         if (dead or leaving) and await self._reroute([*dead, *leaving]):
             return True
         # A chain that is only slow is left if another one has room.
-        is_over = dead or silent_seconds >= SILENCE_SECONDS
-        return not (is_over and self._can_move())
+        is_slow = silent_seconds >= SILENCE_SECONDS
+        if is_slow and not dead:
+            call.tried.add(choice.head.identity)
+        return not ((dead or is_slow) and self._can_move())
 
     def _can_move(self):
         """Return whether the call could go on at another chain."""
@@ -233,6 +236,8 @@
             return False
         now = asyncio.get_running_loop().time()
         chooser = self._scene.chooser
+        if call.service.engine is None:
+            return chooser.choose_target(call, now) is not None
         return chooser.choose_chain(call, now, True) is not None
 
     def _should_avoid(self, target):
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -168,7 +168,7 @@
         if suspects:
             call.tried.update(target.identity for target in suspects)
         else:
-            self._blame(call, choice.head, error.code, is_silent)
+            self._blame(call, choice.head, error.code, False)
         return 504 if is_silent else 502
 
     async def _take_failure(self, call, choice, answer, facts, body):
--- a/apricotseam/node/tests/harness.py
+++ b/apricotseam/node/tests/harness.py
@@ -52,6 +52,7 @@
         "Version": version,
         "Routes": [
             route("/chat/", "streaming", "llm", Resumable=True, Sticky=True),
+            route("/feed/", "streaming", "plain", Resumable=True),
             route("/once/", "unsafe", "plain", MaxAttempts=1),
             route("/read/", "safe", "plain"),
         ],
--- a/apricotseam/node/tests/test_requests.py
+++ b/apricotseam/node/tests/test_requests.py
@@ -146,6 +146,23 @@
     assert run(scenario, engines=4) == (200, WHOLE, 1, 1)
 
 
+def test_silent_stream_of_a_plain_service_goes_on_elsewhere():
+    async def scenario(platform):
+        for target in platform.plains:
+            target.is_engine = True
+            target.stalls_after = 2
+        task = asyncio.create_task(platform.ask("/feed/x"))
+        await platform.until(lambda: any(t.requests for t in platform.plains))
+        for target in platform.plains:
+            if not target.requests:
+                target.stalls_after = None
+        status, _, body = await task
+        asked = [r for t in platform.plains for r in t.requests]
+        return status, body, [r.target for r in asked]
+
+    assert run(scenario) == (200, WHOLE, [b"/feed/x", b"/feed/x"])
+
+
 def test_stream_that_cannot_go_on_is_visibly_cut():
     async def scenario(platform):
         platform.engines[0].cut_after = 2
