Let a target's address belong to its newest process only

Change: of two entries with one address the newer one stands; the target at fault is looked up in the chain that was sent.

--- a/apricotseam/fleet/_fleet.py
+++ b/apricotseam/fleet/_fleet.py
@@ -72,6 +72,8 @@
             return
         if known is not None:
             self._end(known, "replaced")
+        if self._is_outdated(record):
+            return
         _LOG.info(
             "target_found",
             extra={
@@ -85,6 +87,20 @@
         )
         self._link(Target(record))
 
+    def _is_outdated(self, record):
+        """Settle which of two targets has an address; the newer one has.
+
+        The entry of a process that is gone may stay for some seconds after
+        another one has started at its address.
+        """
+        other = self._by_address.get(record.address)
+        if other is None or other.identity == record.identity:
+            return False
+        if other.record.revision > record.revision:
+            return True
+        self._end(other, "another target has its address")
+        return False
+
     def remove(self, identity, now, was_store_away=False):
         """Take that a target's entry is gone.
 
--- a/apricotseam/fleet/tests/test_fleet.py
+++ b/apricotseam/fleet/tests/test_fleet.py
@@ -74,11 +74,21 @@
 
 def test_address_that_is_used_again_leads_to_the_new_target():
     fleet, _, _ = make_fleet()
-    fleet.update(change(identity="i-2", service="t"))
+    fleet.update(change(identity="i-2", service="t", revision=5))
     fleet.remove("i-1", 0.0)
     assert fleet.at("10.0.0.1:80").identity == "i-2"
 
 
+def test_target_whose_address_was_taken_over_gets_no_work():
+    fleet, ended, _ = make_fleet()
+    fleet.update(change(identity="i-2", revision=5))
+    assert [t.identity for t in fleet.of_service("s")] == ["i-2"]
+    assert [t.identity for t in ended] == ["i-1"]
+    # The old entry is listed again before it lapses.
+    fleet.update(change(identity="i-1", revision=3))
+    assert [t.identity for t in fleet.of_service("s")] == ["i-2"]
+
+
 def test_silence_holds_until_contact():
     health = Health()
     health.lose_contact()
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -45,6 +45,13 @@
         """Identities and numbers of layers, for the ledger."""
         return [(target.identity, n) for target, n in self.stages]
 
+    def part_at(self, address):
+        """Return the target of the chain at an address, or None."""
+        for target, _ in self.stages:
+            if target.address == address:
+                return target
+        return None
+
 
 class Chooser:
     """Chooses targets by memory, speed, load, health and distance.
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -173,7 +173,7 @@
 
     async def _take_failure(self, call, choice, answer, facts, body):
         """Take an answer that is no stream; return its status."""
-        at_fault = self._scene.fleet.at(facts.target_at_fault) or choice.head
+        at_fault = choice.part_at(facts.target_at_fault) or choice.head
         if facts.was_not_run:
             call.runs -= 1
             self._blame(call, at_fault, f"not_run_{answer.status}", False)
