--- a/apricotseam/node/_leaving.py
+++ b/apricotseam/node/_leaving.py
@@ -7,8 +7,9 @@
 
 # Callers keep addresses this long at most after they were withdrawn.
 LINGER_SECONDS = 3.0
-# From this share of the time on new requests are refused.
-REFUSE_SHARE = 0.45
+# A request that comes later than this might not end before the process.
+MAX_TAKING_SECONDS = 2.8
+MAX_TAKING_SHARE = 0.35
 # Kept free at the end, so that the platform need not kill the process.
 END_MARGIN_SECONDS = 0.4
 CHECK_SECONDS = 0.05
@@ -44,7 +45,7 @@
         while loop.time() < end:
             await asyncio.sleep(CHECK_SECONDS)
             elapsed = loop.time() - began
-            if elapsed >= REFUSE_SHARE * self._seconds:
+            if elapsed >= refuse_after(self._seconds):
                 self._node.refuse_new()
             is_idle = self._node.callers.in_progress == 0
             if is_idle and elapsed >= LINGER_SECONDS:
@@ -56,3 +57,19 @@
                 "seconds": round(loop.time() - began, 3),
             },
         )
+
+
+def refuse_after(seconds):
+    """Return how long after the signal new requests are still taken.
+
+    Parameters
+    ----------
+    seconds : float
+        Time from the signal until the platform kills the process.
+
+    Examples
+    --------
+    >>> refuse_after(4.0)
+    1.4
+    """
+    return min(MAX_TAKING_SECONDS, MAX_TAKING_SHARE * seconds)
