--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -89,6 +89,12 @@
             return ""
         return f"{self.customer}/{self.facts.prompt_id}"
 
+    @property
+    def may_run_again(self):
+        """Whether another target may run it beside those that may have."""
+        route = self.route
+        return route.is_repeatable and self.runs < route.max_attempts
+
     @property
     def request_id(self):
         """Identifier that the caller gave."""
--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -231,8 +231,7 @@
     def _can_move(self):
         """Return whether the call could go on at another chain."""
         call = self._call
-        route = call.route
-        if not route.is_repeatable or call.runs >= route.max_attempts:
+        if not call.may_run_again:
             return False
         now = asyncio.get_running_loop().time()
         chooser = self._scene.chooser
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -62,10 +62,8 @@
         loop = asyncio.get_running_loop()
         if call.seconds_left() <= 0 or unrun > MAX_UNRUN_SENDS:
             return None
-        if call.runs:
-            may_repeat = call.route.is_repeatable
-            if not may_repeat or call.runs >= call.route.max_attempts:
-                return None
+        if call.runs and not call.may_run_again:
+            return None
         scene = self._scene
         choice = scene.chooser.choose_target(call, loop.time())
         if choice is None or not call.attempts:
@@ -120,7 +118,7 @@
         call.note(target.identity, str(answer.status))
         if answer.status >= 500:
             target.health.fail()
-            if self._may_repeat(call):
+            if call.may_run_again:
                 return _Result(was_run=True, status=502)
         return _Result(was_run=True, answer=answer, body=body)
 
@@ -135,7 +133,7 @@
                 if loop.time() >= deadline:
                     raise
                 dead = await self._scene.probes.find_dead([target])
-                if dead and self._may_repeat(call):
+                if dead and call.may_run_again:
                     raise
 
     def _take_error(self, call, target, error):
@@ -144,12 +142,8 @@
         is_late = isinstance(error, TransportTimeoutError)
         return _Result(was_run=True, status=504 if is_late else 502)
 
-    def _may_repeat(self, call):
-        route = call.route
-        return route.is_repeatable and call.runs < route.max_attempts
-
     def _attempt_deadline(self, call):
-        if not self._may_repeat(call):
+        if not call.may_run_again:
             return call.deadline
         loop = asyncio.get_running_loop()
         return loop.time() + ATTEMPT_SHARE * call.seconds_left()
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -73,7 +73,7 @@
         """Return why no attempt may follow, or None if one may."""
         if call.seconds_left() <= 0:
             return "deadline"
-        if call.runs and not self._may_repeat(call):
+        if call.runs and not call.may_run_again:
             return "attempts"
         now = asyncio.get_running_loop().time()
         if call.attempts and not self._scene.allowance.spend(
@@ -128,10 +128,6 @@
             return True
         return now + self._scene.waiting.expected_seconds() <= until
 
-    def _may_repeat(self, call):
-        route = call.route
-        return route.is_repeatable and call.runs < route.max_attempts
-
     def _retry_after(self, call):
         """Return when there should be room, in seconds from now."""
         waiting = self._scene.waiting
@@ -182,7 +178,7 @@
                 at_fault.health.avoid(now + FULL_SECONDS)
             return 503
         self._blame(call, at_fault, str(answer.status), False)
-        if call.exchange.is_started or self._may_repeat(call):
+        if call.exchange.is_started or call.may_run_again:
             return 502
         call.exchange.answer(
             answer.status, body, returned_headers(answer), answer.reason
