Leave streams alone when a host reaches nothing, and push no large change

Cause: a reader of the store pushed a large configuration to 27 hosts over a link of 10 Mbit/s. The link was full for some tenths of a second, all probes of that host timed out, it took every target for silent and cut its streams.

Change: a change of more than 4 KB is only named; each host then reads it from the store, or from peers where the store turns it away. Targets that do not answer count as silent only if this host reaches any other one. Versions that were overwritten at once are skipped by a listing.

--- a/apricotseam/coordination/_keeper.py
+++ b/apricotseam/coordination/_keeper.py
@@ -23,6 +23,14 @@
 PUSH_SECONDS = 0.4
 READER_SILENCE_SECONDS = 1.2
 READER_CHECK_SECONDS = 0.1
+# Larger changes each host reads from the store, whose link is wider than
+# that of a reader.
+MAX_PUSHED_BYTES = 4096
+# How long a host that missed a push waits for the store to tell the change.
+GAP_SECONDS = 0.5
+# Bytes of overwritten versions after which a listing is cheaper.
+MAX_WASTED_BYTES = 128 << 10
+LARGE_PAUSE_SECONDS = 0.5
 
 
 class MirrorKeeper:
@@ -125,15 +133,27 @@
     async def _follow_reader(self):
         if self._must_ask:
             self._must_ask = False
-            await self._follow_peers()
+            await self._fill_gap()
         await asyncio.sleep(READER_CHECK_SECONDS)
 
+    async def _fill_gap(self):
+        """Learn what the reader's pushes left out."""
+        try:
+            await self._watch(GAP_SECONDS)
+        except HistoryLostError:
+            raise
+        except StoreError as error:
+            _LOG.info("gap_asked_of_peers", extra={"error": str(error)})
+            await self._follow_peers()
+
     async def _follow(self):
         if self._must_list:
             await self._list()
-        watched = await self._store.watch(
-            "", self._mirror.revision, WATCH_SECONDS
-        )
+        await self._watch(WATCH_SECONDS)
+
+    async def _watch(self, seconds):
+        """Take the changes that the store tells within a time."""
+        watched = await self._store.watch("", self._mirror.revision, seconds)
         self._regain()
         base = self._mirror.revision
         items = [
@@ -144,10 +164,20 @@
             self._mirror.apply(item)
         self._mirror.advance(watched.revision)
         if items and self._is_reader():
-            self._push(Push(base, self._mirror.revision, items))
-        if watched.items:
+            self._push(self._as_push(base, items))
+        if _wasted_bytes(items) > MAX_WASTED_BYTES:
+            self._must_list = True
+            await asyncio.sleep(LARGE_PAUSE_SECONDS)
+        elif items:
             await asyncio.sleep(COALESCE_SECONDS)
 
+    def _as_push(self, base, items):
+        """Return the message that tells of changes, or that there are some."""
+        revision = self._mirror.revision
+        if sum(_size(item) for item in items) > MAX_PUSHED_BYTES:
+            return Push(revision, revision, [])
+        return Push(base, revision, items)
+
     async def _list(self):
         items = []
         after = ""
@@ -206,3 +236,13 @@
     async def _pause(self):
         await asyncio.sleep(self._backoff * random.uniform(0.7, 1.0))
         self._backoff = min(MAX_BACKOFF_SECONDS, 2 * self._backoff)
+
+
+def _size(item):
+    return len(item.value or b"")
+
+
+def _wasted_bytes(items):
+    """Return the bytes of versions that later ones among them replace."""
+    last = {item.key: item for item in items}
+    return sum(map(_size, items)) - sum(map(_size, last.values()))
--- a/apricotseam/coordination/tests/test_keeper.py
+++ b/apricotseam/coordination/tests/test_keeper.py
@@ -4,6 +4,10 @@
 
 import pytest
 
+from apricotseam.coordination._keeper import GAP_SECONDS
+from apricotseam.coordination._keeper import LARGE_PAUSE_SECONDS
+from apricotseam.coordination._keeper import MAX_PUSHED_BYTES
+from apricotseam.coordination._keeper import MAX_WASTED_BYTES
 from apricotseam.coordination import Changes
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import MirrorItem
@@ -19,8 +23,9 @@
 class FakeStore:
     """Answers with what a test put in; then there are no changes."""
 
-    def __init__(self, watches, listing=()):
+    def __init__(self, watches, listing=(), gap=None):
         self.watches = list(watches)
+        self.gap = gap
         self.listing = [Item(k, b"v", r) for k, r in listing]
         self.lists = 0
 
@@ -32,6 +37,8 @@
 
     async def watch(self, prefix, after, wait_seconds):
         """Return or raise the next answer."""
+        if wait_seconds == GAP_SECONDS:
+            self.watches.append(self.gap)
         if not self.watches:
             await asyncio.sleep(0.02)
             return Watched([], after)
@@ -101,6 +108,7 @@
     ("old", [Push(1, 2, [MirrorItem("a", b"o", 2)])], b"v", 3),
     ("gap", [Push(8, 9, [])], b"new", 9),
 ]
+LARGE = b"x" * (MAX_PUSHED_BYTES + 1)
 
 
 @pytest.mark.parametrize(
@@ -109,10 +117,34 @@
     ids=[case[0] for case in PUSHES],
 )
 def test_pushes_of_a_reader(pushes, value, revision):
-    store = FakeStore([], [("a", 3)])
+    store = FakeStore([], [("a", 3)], gap=StoreError("down", "wait"))
     answer = Changes(9, [MirrorItem("a", b"new", 9)])
     mirror, sent, _ = follow(
         store, changes=[answer], is_reader=False, pushes=pushes
     )
     assert (mirror.get("a").value, mirror.revision) == (value, revision)
     assert sent == []
+
+
+def test_a_large_change_is_not_pushed_but_named():
+    changed = Watched([Item("a", LARGE, 5)], 5)
+    mirror, sent, _ = follow(FakeStore([changed], [("a", 3)]))
+    assert mirror.get("a").value == LARGE
+    assert sent == [Push(5, 5, [])]
+
+
+def test_a_gap_is_filled_from_the_store():
+    changed = Watched([Item("a", LARGE, 5)], 5)
+    store = FakeStore([], [("a", 3)], gap=changed)
+    mirror, _, _ = follow(store, is_reader=False, pushes=[Push(5, 5, [])])
+    assert mirror.get("a").value == LARGE
+    assert mirror.revision == 5
+
+
+def test_many_large_versions_are_listed_instead():
+    """Versions that were overwritten at once need not be read."""
+    size = MAX_WASTED_BYTES
+    versions = [Item("a", bytes([n]) * size, 4 + n) for n in range(3)]
+    store = FakeStore([Watched(versions, 6)], [("a", 3)])
+    follow(store, seconds=LARGE_PAUSE_SECONDS + 0.2)
+    assert store.lists == 2
--- a/apricotseam/forwarding/__init__.py
+++ b/apricotseam/forwarding/__init__.py
@@ -8,6 +8,7 @@
 from apricotseam.forwarding._gateway import Gateway
 from apricotseam.forwarding._gateway import Scene
 from apricotseam.forwarding._metrics import RequestMetrics
+from apricotseam.forwarding._probes import Probes
 from apricotseam.forwarding._waiting import WaitingRoom
 
 __all__ = [
@@ -15,6 +16,7 @@
     "Choice",
     "Chooser",
     "Gateway",
+    "Probes",
     "RepeatCount",
     "RequestMetrics",
     "RetryAllowance",
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -59,7 +59,9 @@
     ):
         self.waiting = waiting
         self.passages = PassageRegistry()
-        self.probes = Probes(pool, ledger, time.monotonic, self.passages.alert)
+        self.probes = Probes(
+            pool, ledger, time.monotonic, self.passages.alert, fleet
+        )
         self.fleet = fleet
         self.ledger = ledger
         self.chooser = chooser
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -4,6 +4,7 @@
 import logging
 
 from apricotseam.errors import InvalidInputError
+from apricotseam.forwarding._contact import ContactCheck
 from apricotseam.http1 import connect
 from apricotseam.http1 import TransportError
 from apricotseam.platform import decode_report
@@ -36,9 +37,13 @@
         Monotonic time in seconds.
     on_silent : callable
         Called with the identity of each target found silent.
+    targets : iterable of Target
+        All targets, of which some are asked where a host that hears
+        nothing doubts its own connections.
     """
 
-    def __init__(self, pool, ledger, now, on_silent):
+    def __init__(self, pool, ledger, now, on_silent, targets):
+        self._contact = ContactCheck(targets, self._try_within_budget, now)
         self._ledger = ledger
         self._on_silent = on_silent
         self._pool = pool
@@ -107,12 +112,16 @@
         return await asyncio.shield(task)
 
     async def _ask(self, target):
+        began = self._now()
         for _ in range(TRIES):
             if await self._try(target):
                 until = self._now() + FRESH_SECONDS
                 self._alive_until[target.identity] = until
+                self._contact.note()
                 target.health.regain_contact()
                 return True
+        if not await self._contact.holds(began, self._running):
+            return True
         target.health.lose_contact()
         _LOG.warning(
             "target_silent",
@@ -132,6 +141,9 @@
         self._room -= 1
         return True
 
+    async def _try_within_budget(self, target):
+        return self._spend() and await self._try(target)
+
     async def _try(self, target):
         """Return whether a target answers once."""
         try:
--- /dev/null
+++ b/apricotseam/forwarding/tests/test_probes.py
@@ -0,0 +1,102 @@
+"""Which targets count as silent, and when the host doubts itself."""
+
+import asyncio
+
+import pytest
+
+from apricotseam.chains import Ledger
+from apricotseam.fleet import Fleet
+from apricotseam.fleet import TargetRecord
+from apricotseam.forwarding import Probes
+from apricotseam.http1 import ConnectError
+
+
+class FakePool:
+    """Connects to some addresses only, after they were asked."""
+
+    def __init__(self, answering):
+        self.answering = answering
+        self.asked = []
+
+    async def call(self, key, address, method, path, body, deadline):
+        """Answer with a report that says nothing, or not at all."""
+        self.asked.append(address)
+        await asyncio.sleep(0)
+        if address not in self.answering:
+            raise ConnectError("no answer", "ask again")
+        return FakeAnswer(), b"{}"
+
+
+class FakeAnswer:
+    """Head of an answer that holds no report."""
+
+    status = 503
+
+
+def a_fleet(count):
+    """Return a fleet of language model targets ``t0``, ``t1``, ..."""
+    fleet = Fleet()
+    for number in range(count):
+        fleet.update(
+            TargetRecord(
+                identity=f"t{number}",
+                address=f"10.0.0.{number}:80",
+                service="model",
+                zone="a",
+                kind="l4",
+                is_placeable=True,
+                revision=number + 1,
+            )
+        )
+    return fleet
+
+
+# Targets there are, those asked about, those that answer, those found dead.
+CASES = [
+    ("one of three", 6, [0, 1, 2], [0, 1, 3, 4, 5], [2]),
+    ("a whole chain", 6, [0, 1, 2], [3, 4, 5], [0, 1, 2]),
+    ("nothing answers", 6, [0, 1, 2], [], []),
+    ("none but one witness", 12, [0, 1, 2], [3, 4, 5, 6, 7, 8], [0, 1, 2]),
+    ("no witnesses", 3, [0, 1, 2], [], [0, 1, 2]),
+    ("all answer", 3, [0, 1, 2], [0, 1, 2], []),
+]
+
+
+@pytest.mark.parametrize(
+    ("count", "asked", "answering", "dead"),
+    [case[1:] for case in CASES],
+    ids=[case[0] for case in CASES],
+)
+def test_dead_targets(count, asked, answering, dead):
+    fleet = a_fleet(count)
+    pool = FakePool({f"10.0.0.{n}:80" for n in answering})
+    told = []
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        ledger = Ledger(lambda is_own: None)
+        probes = Probes(pool, ledger, loop.time, told.append, fleet)
+        chain = [fleet.get(f"t{n}") for n in asked]
+        return await probes.find_dead(chain)
+
+    found = [target.identity for target in asyncio.run(scenario())]
+    expected = [f"t{n}" for n in dead]
+    assert found == expected
+    assert sorted(told) == expected
+    silent = [t.identity for t in fleet if t.health.is_silent]
+    assert sorted(silent) == expected
+
+
+def test_a_host_that_hears_nothing_asks_few_witnesses():
+    fleet = a_fleet(40)
+    pool = FakePool(set())
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        ledger = Ledger(lambda is_own: None)
+        probes = Probes(pool, ledger, loop.time, lambda _: None, fleet)
+        await probes.find_dead([fleet.get(f"t{n}") for n in range(4)])
+
+    asyncio.run(scenario())
+    witnesses = set(pool.asked) - {f"10.0.0.{n}:80" for n in range(4)}
+    assert len(witnesses) <= 3
