Take no duty and write no record after a host has begun to leave

Cause: resign and withdraw cleared the lease while the loops that renew it went on. They renewed a lease of None, got 404, took a new lease and claimed the duty or wrote the record again, while the host was leaving.

--- a/apricotseam/coordination/_election.py
+++ b/apricotseam/coordination/_election.py
@@ -44,16 +44,19 @@
         self._rank = rank
         self._lease = None
         self._held_until = 0.0
+        self._has_resigned = False
         self.fence = 0
 
     @property
     def is_holder(self):
         """Whether this host holds the duty, also after a suspension."""
+        if self._has_resigned:
+            return False
         return self.fence > 0 and _boot_time() < self._held_until
 
     async def run(self):
-        """Take part for ever."""
-        while True:
+        """Take part until this host resigns."""
+        while not self._has_resigned:
             try:
                 await self._take_part()
             except (StoreError, ConflictError) as error:
@@ -61,7 +64,8 @@
                 await asyncio.sleep(CHECK_SECONDS)
 
     async def resign(self):
-        """Give the duty up at once."""
+        """Give the duty up at once, and take it no more."""
+        self._has_resigned = True
         lease, self._lease = self._lease, None
         if self.fence:
             _LOG.info("duty_resigned", extra={"duty": self._key})
@@ -85,12 +89,15 @@
             await asyncio.sleep(CHECK_SECONDS)
             return
         await asyncio.sleep(self._rank() * CANDIDATE_DELAY_SECONDS)
-        if self._mirror.get(self._key) is None:
+        if self._mirror.get(self._key) is None and not self._has_resigned:
             await self._claim()
 
     async def _claim(self):
         asked_at = _boot_time()
         lease = await self._store.grant_lease(LEASE_SECONDS)
+        if self._has_resigned:
+            await self._store.end_lease(lease)
+            return
         self._lease = lease
         item = Item(self._key, self._name.encode(), 0, lease)
         self.fence = await self._store.change([(self._key, 0)], [item])
--- a/apricotseam/coordination/_registration.py
+++ b/apricotseam/coordination/_registration.py
@@ -35,15 +35,13 @@
         self._key = key
         self._record = record
         self._lease = None
+        self._is_withdrawn = False
 
     async def run(self):
-        """Keep the record there for ever."""
-        while True:
+        """Keep the record there until it is withdrawn."""
+        while not self._is_withdrawn:
             try:
-                await self._register()
-                while True:
-                    await asyncio.sleep(RENEW_SECONDS)
-                    await self._store.keep_lease(self._lease)
+                await self._keep()
             except LeaseEndedError:
                 self._lease = None
             except (StoreError, ConflictError) as error:
@@ -51,15 +49,28 @@
                 await asyncio.sleep(RETRY_SECONDS)
 
     async def withdraw(self):
-        """Take the record away."""
+        """Take the record away for good."""
+        self._is_withdrawn = True
         lease, self._lease = self._lease, None
         if lease is not None:
             await self._store.end_lease(lease)
 
-    async def _register(self):
+    async def _keep(self):
+        if self._lease is None:
+            await self._register()
+        await asyncio.sleep(RENEW_SECONDS)
         if self._lease is not None:
-            return
+            await self._store.keep_lease(self._lease)
+
+    async def _register(self):
         lease = await self._store.grant_lease(LEASE_SECONDS)
+        if self._is_withdrawn:
+            await self._store.end_lease(lease)
+            return
         value = msgspec.json.encode(self._record)
-        await self._store.change(puts=[Item(self._key, value, 0, lease)])
         self._lease = lease
+        try:
+            await self._store.change(puts=[Item(self._key, value, 0, lease)])
+        except (StoreError, ConflictError):
+            self._lease = None
+            raise
