--- a/apricotseam/standins/_users_store.py
+++ b/apricotseam/standins/_users_store.py
@@ -92,10 +92,14 @@
         """Drop the history and wake all watches."""
         self._oldest = self.revision
         self._history.clear()
-        self._changed.set()
+        self._wake()
 
     def _record(self, event):
         self._history.append(event)
+        self._wake()
+
+    def _wake(self):
+        """Let all watches look again, once."""
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/release/shares.py
+++ b/release/shares.py
@@ -1,8 +1,8 @@
 """Prints how the lines of the repository are shared out.
 
 Lines are counted without blank ones and comments; generated code is left
-out. ``python -m release.shares`` ends with 1 if tests reach a third of the
-code or decisions stay under a quarter.
+out. ``python -m release.shares`` ends with 1 if the soak reaches a tenth of
+the code or decisions stay under a quarter.
 """
 
 import pathlib
@@ -25,7 +25,7 @@
     "routes",
     "routing",
 )
-MAX_TESTS = 1 / 3
+MAX_SOAK = 1 / 10
 MIN_DECISIONS = 1 / 4
 
 
@@ -50,7 +50,7 @@
     """Print the shares and return the exit code."""
     files = [
         path
-        for folder in ("apricotseam", "measure", "release")
+        for folder in ("apricotseam", "measure", "release", "soak")
         for path in sorted((ROOT / folder).rglob("*.py"))
         if not path.name.endswith(GENERATED)
     ]
@@ -58,10 +58,12 @@
     code = [path for path in files if not is_test(path)]
     total = sum(map(count, code))
     decisions = sum(count(p) for p in code if subject(p) in DECISIONS)
+    soak = sum(count(p) for p in files if subject(p) == "soak")
     print(f"code {total} lines, tests {tests} lines")
     print(f"tests over code and tests: {tests / (tests + total):.3f}")
+    print(f"soak over code: {soak / total:.3f}")
     print(f"decisions over code: {decisions / total:.3f}")
-    is_bad = tests >= MAX_TESTS * (tests + total)
+    is_bad = soak >= MAX_SOAK * total
     return int(is_bad or decisions < MIN_DECISIONS * total)
 
 
