Share the retry budget out among the hosts in contact

Cause: in a fleet of 83 hosts each one hears of its own availability zone only. It took a third of the slack, as it should, and then a share of one in 83 of that: most hosts had no repeat at all while a target was gone, and streams ended with retry_budget. Requests of hosts out of contact counted as well, although these may use what they allow.

Change: slack and requests of the hosts in contact, shared among these. The state machine now splits the fleet in groups; in one order of events it found 44 repeats where 40 are allowed (a host that is cut off goes on sharing), so peers that were not heard since an exchange in which this host repeated count as if they had done the same. 2,500 examples without a failure.

--- a/apricotseam/forwarding/_allowance.py
+++ b/apricotseam/forwarding/_allowance.py
@@ -17,12 +17,39 @@
     repeats: int = 0
 
 
+_NOTHING = RepeatCount()
+
+
+class _Peer:
+    """What a peer told last, and what it may have sent since."""
+
+    __slots__ = ("assumed", "counts", "heard_at")
+
+    def __init__(self, counts, heard_at):
+        self.counts = counts
+        self.heard_at = heard_at
+        # Repeats by service that it has not told of.
+        self.assumed = collections.Counter()
+
+
+class _Quota:
+    """Repeats that this host may send until the next exchange."""
+
+    __slots__ = ("ends_at", "left", "spent")
+
+    def __init__(self, left, ends_at):
+        self.left = left
+        self.spent = 0
+        self.ends_at = ends_at
+
+
 class RetryAllowance:
     """Counts requests and repeats to each service in a sliding window.
 
-    What is left over all hosts is shared out evenly at each exchange of
-    counts, so that all together stay within it also when they repeat at
-    the same moment.
+    What the hosts in contact have left is shared out evenly among them at
+    each exchange of counts, so that all together stay within it also when
+    they repeat at the same moment. After an exchange in which this host
+    repeated, peers that were not heard count as if they had done the same.
 
     Parameters
     ----------
@@ -54,6 +81,7 @@
         self._repeats = collections.defaultdict(collections.deque)
         self._peers = {}
         self._quotas = {}
+        self._exchanged_at = float("-inf")
 
     def count(self, service, now):
         """Take a request for a service, at a monotonic time."""
@@ -61,14 +89,15 @@
 
     def spend(self, service, now):
         """Take one repeat; return whether there was one."""
-        quota, until = self._quotas.get(service, (0.0, 0.0))
-        if now >= until:
-            quota = self._quota(service, now)
-            until = now + self._window_seconds
-        if quota < 1:
-            self._quotas[service] = (quota, until)
+        quota = self._quotas.get(service)
+        if quota is None or now >= quota.ends_at:
+            left = self._share(service, now)
+            quota = _Quota(left, now + self._window_seconds)
+            self._quotas[service] = quota
+        if quota.left < 1:
             return False
-        self._quotas[service] = (quota - 1, until)
+        quota.left -= 1
+        quota.spent += 1
         self._repeats[service].append(now + self._window_seconds)
         return True
 
@@ -84,7 +113,9 @@
         -------
         dict of str to RepeatCount
         """
+        self._assume_repeats()
         self._quotas.clear()
+        self._exchanged_at = now
         return {
             service: RepeatCount(
                 self._recent(self._requests[service], now),
@@ -105,27 +136,39 @@
         now : float
             Monotonic time in seconds.
         """
-        self._peers[host] = (counts, now + self._window_seconds)
-
-    def _quota(self, service, now):
-        """Return this host's share of what is left over all hosts."""
+        self._peers[host] = _Peer(counts, now)
+
+    def _assume_repeats(self):
+        """Take that peers which were not heard used their share as well."""
+        for service, quota in self._quotas.items():
+            if not quota.spent:
+                continue
+            for peer in self._peers.values():
+                if peer.heard_at <= self._exchanged_at:
+                    peer.assumed[service] += quota.spent + quota.left
+
+    def _share(self, service, now):
+        """Return this host's share of what the hosts in contact have left.
+
+        Hosts out of contact may be using their share at the same time:
+        neither their part of the slack nor their requests count here.
+        """
         requests = self._recent(self._requests[service], now)
         repeats = self._recent(self._repeats[service], now)
-        for host, (counts, until) in list(self._peers.items()):
-            if now >= until:
+        heard = 1
+        for host, peer in list(self._peers.items()):
+            silent_seconds = now - peer.heard_at
+            if silent_seconds >= self._window_seconds:
                 del self._peers[host]
-            elif service in counts:
-                requests += counts[service].requests
-                repeats += counts[service].repeats
-        hosts = max(1, self._hosts())
-        heard = 1 + sum(
-            now < until - self._window_seconds + SILENT_SECONDS
-            for _, until in self._peers.values()
-        )
-        # Hosts out of contact may be using their share at the same time.
-        slack = self._slack * min(1.0, heard / hosts)
-        allowed = USED_SHARE * (self._ratio * requests + slack)
-        return (allowed - repeats) / hosts
+                continue
+            count = peer.counts.get(service, _NOTHING)
+            repeats += count.repeats + peer.assumed[service]
+            if silent_seconds < SILENT_SECONDS:
+                heard += 1
+                requests += count.requests
+        hosts = max(heard, self._hosts())
+        allowed = self._ratio * requests + self._slack * heard / hosts
+        return (USED_SHARE * allowed - repeats) / heard
 
     def _recent(self, times, now):
         while times and times[0] <= now:
--- a/apricotseam/forwarding/tests/test_allowance_machine.py
+++ b/apricotseam/forwarding/tests/test_allowance_machine.py
@@ -26,6 +26,7 @@
         self.now = 0.0
         self.names = [f"h{n}" for n in range(HOSTS)]
         self.cut = set()
+        self.groups = [0] * HOSTS
         self.allowances = [self.start() for _ in range(HOSTS)]
         self.requests = collections.deque()
         self.repeats = collections.deque()
@@ -60,18 +61,27 @@
     def cut_off(self, host):
         self.cut.add(host)
 
+    @rule(size=strategies.integers(1, HOSTS - 1))
+    def split(self, size):
+        self.groups = [int(n < size) for n in range(HOSTS)]
+
     @rule()
     def heal(self):
         self.cut.clear()
+        self.groups = [0] * HOSTS
         self.exchange()
 
     def exchange(self):
         for host, allowance in enumerate(self.allowances):
             counts = allowance.counts(self.now)
             for other, peer in enumerate(self.allowances):
-                if other != host and not {host, other} & self.cut:
+                if other != host and self.hears(host, other):
                     peer.take_peer(self.names[host], counts, self.now)
 
+    def hears(self, host, other):
+        is_cut = {host, other} & self.cut
+        return not is_cut and self.groups[host] == self.groups[other]
+
     @invariant()
     def budget_is_kept(self):
         start = self.now - WINDOW_SECONDS
