Tell the availability zones of a large fleet what each has in progress

Cause: hosts of a fleet over 25 tell their use of targets to their own zone and some partners.

Change: the first live host of each zone by name sends its zone's sum to two hosts of each other zone every 0.4 s, and these pass it on. Hosts tell nothing across zones besides.

--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -14,11 +14,15 @@
 
 
 class PeerUsage(msgspec.Struct, frozen=True):
-    """What a host has in progress, by target identity."""
+    """What a host has in progress, by target identity.
+
+    ``is_summary`` says that it is the sum of an availability zone.
+    """
 
     host: str
     number: int
     usages: dict[str, Usage]
+    is_summary: bool = False
 
 
 class Booking:
@@ -101,6 +105,16 @@
         self._peers[usage.host] = (usage, now + PEER_SECONDS)
         self._forget_totals()
 
+    def near_totals(self):
+        """Return what this host and its peers have, without summaries.
+
+        Returns
+        -------
+        dict of str to Usage
+        """
+        peers = [p for p, _ in self._peers.values() if not p.is_summary]
+        return _sum_up([self._own, *(peer.usages for peer in peers)])
+
     def expire(self, now):
         """Forget peers that have not been heard for a while."""
         silent = [h for h, (_, until) in self._peers.items() if now >= until]
@@ -123,7 +137,8 @@
     def _usages(self, identity):
         """Return what this host and all peers have at a target."""
         if self._peer_totals is None:
-            self._peer_totals = self._sum_up()
+            peers = (peer.usages for peer, _ in self._peers.values())
+            self._peer_totals = _sum_up(peers)
         found = (self._own.get(identity), self._peer_totals.get(identity))
         return [usage for usage in found if usage is not None]
 
@@ -132,11 +147,13 @@
         self._peer_totals = None
         self._on_free(False)
 
-    def _sum_up(self):
-        totals = {}
-        for peer, _ in self._peers.values():
-            for identity, usage in peer.usages.items():
-                total = totals.setdefault(identity, Usage())
-                total.units += usage.units
-                total.requests += usage.requests
-        return totals
+
+def _sum_up(parts):
+    """Return the sum of usages by target identity."""
+    totals = {}
+    for usages in parts:
+        for identity, usage in usages.items():
+            total = totals.setdefault(identity, Usage())
+            total.units += usage.units
+            total.requests += usage.requests
+    return totals
--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -18,6 +18,7 @@
 # Up to this many other hosts, each one hears of the load of all.
 SMALL_FLEET = 24
 READERS_A_ZONE = 2
+DELEGATES_A_ZONE = 2
 
 
 class Hosts:
@@ -61,7 +62,7 @@
         """Peers' addresses of the hosts that should know this one's load.
 
         In a small fleet these are all, in a large one those of the own
-        availability zone and the partners.
+        availability zone.
         """
         own = self._membership.own
         members = [
@@ -69,14 +70,43 @@
             for m in self.table.present()
             if m.peers_address != own.peers_address
         ]
-        if len(members) <= SMALL_FLEET:
-            return [m.peers_address for m in members]
-        near = {
-            m.peers_address
-            for m in members
-            if m.availability_zone == own.availability_zone
-        }
-        return sorted(near.union(self.partners))
+        if len(members) > SMALL_FLEET:
+            members = [
+                m
+                for m in members
+                if m.availability_zone == own.availability_zone
+            ]
+        return [m.peers_address for m in members]
+
+    @property
+    def is_delegate(self):
+        """Whether this host speaks for its availability zone.
+
+        In a large fleet the first live one by name does; in a small one
+        nobody has to.
+        """
+        if not self.is_large:
+            return False
+        own = self._membership.own
+        return self._first_of_zone(own.availability_zone) == [own]
+
+    @property
+    def foreign_delegates(self):
+        """Peers' addresses of those that speak for the other zones.
+
+        Two of each, so that one that has just ended is no loss.
+        """
+        own = self._membership.own.availability_zone
+        zones = {m.availability_zone for m in self.table.live()} - {own}
+        return [
+            member.peers_address
+            for zone in sorted(zones)
+            for member in self._first_of_zone(zone, DELEGATES_A_ZONE)
+        ]
+
+    def _first_of_zone(self, zone, count=1):
+        members = [m for m in self.table.live() if m.availability_zone == zone]
+        return sorted(members, key=lambda m: m.name)[:count]
 
     @property
     def is_large(self):
@@ -93,12 +123,11 @@
         if not self.is_large:
             return True
         own = self._membership.own
-        names = sorted(
-            m.name
-            for m in self.table.live()
-            if m.availability_zone == own.availability_zone
-        )
-        return own.name in names[:READERS_A_ZONE] or own.name not in names
+        zone = own.availability_zone
+        first = [m.name for m in self._first_of_zone(zone, READERS_A_ZONE)]
+        if own.name in first:
+            return True
+        return own.name not in [m.name for m in self.table.live()]
 
     def push(self, message):
         """Send a message to the other hosts of the availability zone."""
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -43,6 +43,7 @@
 from apricotseam.node._placer import Placer
 from apricotseam.node._settings import load_node_settings
 from apricotseam.node._usage import UsageSpread
+from apricotseam.node._zones import ZoneSpread
 from apricotseam.peers import PeerTransport
 from apricotseam.platform import OWN_PREFIX
 from apricotseam.platform import StoreClient
@@ -205,6 +206,7 @@
             self._now,
             lambda: self._hosts.reads_store,
             self._push,
+            lambda item: not item.key.startswith(HOSTS_PREFIX),
         )
         transport.handle(Push, lambda _, push: self._keeper.take_push(push))
         self._beliefs = Beliefs(
@@ -212,6 +214,7 @@
         )
         self._registration = Registration(
             self._store,
+            self._mirror,
             HOSTS_PREFIX + settings.host,
             HostRecord(
                 peers_address=settings.peers_address,
@@ -229,7 +232,13 @@
         )
         self._placer = Placer(self._scene, self._election, self._now)
         name = f"{settings.host}/{self._started_ms}"
-        self._usage = UsageSpread(self._hosts, self._scene, name, self._now)
+        zone = settings.zone
+        self._usage = UsageSpread(
+            self._hosts, self._scene, name, zone, self._now
+        )
+        self._zones = ZoneSpread(
+            self._hosts, self._ledger, name, zone, self._now
+        )
         self._directory = Directory(
             self._hosts, settings.bounds.address_valid_seconds
         )
@@ -243,6 +252,7 @@
             ("election", self._election.run),
             ("placer", self._placer.run),
             ("usage", self._usage.run),
+            ("zones", self._zones.run),
             ("probes", self._watch_targets),
             ("care", self._care),
         ]
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -25,6 +25,7 @@
     """
 
     host: str
+    zone: str
     number: int
     usages: dict[str, Usage]
     suspects: list[str]
@@ -44,11 +45,14 @@
         What is in progress, and the targets.
     name : str
         Name of this process, different for each start.
+    zone : str
+        Availability zone of this host.
     now : callable
         Monotonic time in seconds.
     """
 
-    def __init__(self, hosts, scene, name, now):
+    def __init__(self, hosts, scene, name, zone, now):
+        self._zone = zone
         self._hosts = hosts
         self._scene = scene
         self._ledger = scene.ledger
@@ -101,6 +105,7 @@
         refused = self._scene.waiting.recently_refused(since)
         message = HostState(
             self._name,
+            self._zone,
             self._number,
             usages,
             suspects,
@@ -112,6 +117,9 @@
             self._hosts.transport.send(address, message)
 
     def _receive(self, sender, message):
+        # In a large fleet the other zones' sums hold it already.
+        if self._hosts.is_large and message.zone != self._zone:
+            return
         now = self._now()
         usage = PeerUsage(message.host, message.number, message.usages)
         self._ledger.take_peer(usage, now)
