Give each run of the soak a block of ports of its own

Cause: ports of hosts that were down were taken by other runs and by near ends of connections, so callers and hosts met strangers; loopback addresses of their own made hosts refuse each other's messages, as the sender's address did not match. An exception in a run ends its hosts as well.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -62,34 +62,12 @@
             for host in self._random.sample(
                 self._world.hosts, len(self._world.hosts)
             ):
-                found = await self._ask_addresses(host)
+                found = await ask_addresses(host)
                 if found:
                     self._addresses = found
                     break
             await asyncio.sleep(ADDRESSES_SECONDS)
 
-    async def _ask_addresses(self, host):
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + CONNECT_SECONDS
-        query = urllib.parse.urlencode(
-            {"Name": HOST, "Region": "", "Zone": "a"}
-        )
-        try:
-            address = host.settings.directory_address
-            connection = await connect(address, deadline)
-            path = f"/v1/resolve?{query}".encode()
-            connection.send(b"GET", path, [(b"Host", address.encode())])
-            answer = await connection.head(deadline)
-            body = await connection.read_all(deadline, MAX_ANSWER_BYTES)
-            connection.close()
-        except TransportError:
-            # A host that is away names nobody.
-            return []
-        # A host that knows no configuration answers 503.
-        if answer.status != OK_STATUS:
-            return []
-        return json.loads(body)["Addresses"]
-
     async def _call_on(self):
         connection = None
         while not self._is_stopping:
@@ -174,3 +152,25 @@
 
     def _closes(self, answer):
         return (answer.header(b"connection") or "").lower() == "close"
+
+
+async def ask_addresses(host):
+    """Return the callers' addresses that a host tells, if it is there."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + CONNECT_SECONDS
+    query = urllib.parse.urlencode({"Name": HOST, "Region": "", "Zone": "a"})
+    try:
+        address = host.settings.directory_address
+        connection = await connect(address, deadline)
+        path = f"/v1/resolve?{query}".encode()
+        connection.send(b"GET", path, [(b"Host", address.encode())])
+        answer = await connection.head(deadline)
+        body = await connection.read_all(deadline, MAX_ANSWER_BYTES)
+        connection.close()
+    except TransportError:
+        # A host that is away names nobody.
+        return []
+    # A host that knows no configuration answers 503.
+    if answer.status != OK_STATUS:
+        return []
+    return json.loads(body)["Addresses"]
--- a/soak/_hosts.py
+++ b/soak/_hosts.py
@@ -79,6 +79,8 @@
     def kill(self):
         """End the process at once."""
         self.is_wanted = False
+        if self._process is None:
+            return
         if self._process.poll() is None:
             at = time.monotonic()
             self._records.kills.append(Kill(self.number, at))
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -5,6 +5,7 @@
 
 from apricotseam.http1 import connect
 from apricotseam.http1 import TransportError
+from soak._callers import ask_addresses
 from soak._callers import Callers
 from soak._faults import draw_faults
 from soak._promises import broken_promises
@@ -44,20 +45,18 @@
 async def _play(source, folder, faults):
     world = World(folder)
     callers = Callers(world, source)
-    load = None
     try:
         await world.start()
         await _until_ready(world)
-        load = asyncio.get_running_loop().create_task(callers.run())
-        await asyncio.sleep(CALM_SECONDS)
-        await asyncio.gather(*(fault.strike(world) for fault in faults))
-        world.records.healed_at = asyncio.get_running_loop().time()
-        await asyncio.sleep(RECOVERY_SECONDS + LAST_SECONDS)
-        _note_ends(world)
-    finally:
-        if load is not None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(callers.run())
+            await asyncio.sleep(CALM_SECONDS)
+            await asyncio.gather(*(fault.strike(world) for fault in faults))
+            world.records.healed_at = asyncio.get_running_loop().time()
+            await asyncio.sleep(RECOVERY_SECONDS + LAST_SECONDS)
+            _note_ends(world)
             callers.stop()
-            await load
+    finally:
         world.stop()
         # Connections that were reset end on the next rounds of the loop.
         await asyncio.sleep(CLOSE_SECONDS)
@@ -65,12 +64,14 @@
 
 
 async def _until_ready(world):
-    """Wait until all hosts know a configuration."""
+    """Wait until all hosts know a configuration and each other."""
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(READY_SECONDS):
         for host in world.hosts:
             while not await _is_ready(host, loop):
                 await asyncio.sleep(READY_STEP_SECONDS)
+            while len(await ask_addresses(host)) < len(world.hosts):
+                await asyncio.sleep(READY_STEP_SECONDS)
 
 
 async def _is_ready(host, loop):
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -64,7 +64,7 @@
     """
 
     def __init__(self, folder, hosts=3, engines=6, plains=3):
-        addresses = Addresses()
+        self._addresses = addresses = Addresses()
         self.records = Records()
         self.version = 1
         doors = [addresses.take() for _ in range(hosts)]
@@ -113,6 +113,7 @@
         for link in self.store_links:
             link.stop()
         self.store.stop()
+        self._addresses.release()
 
     def declare(self):
         """Write a configuration with a route of its own."""
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -34,6 +34,7 @@
             proxy.stop()
             server.close()
             await asyncio.sleep(WAIT_SECONDS)
+            addresses.release()
 
     return asyncio.run(whole())
 
