--- a/apricotseam/coordination/_keeper.py
+++ b/apricotseam/coordination/_keeper.py
@@ -14,6 +14,7 @@
 WATCH_SECONDS = 8.0
 # Changes that come in quick succession share a call.
 COALESCE_SECONDS = 0.1
+CALM_COALESCE_SECONDS = 0.6
 FIRST_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 0.8
 # Targets whose entries lapsed are back within this time after an outage.
@@ -28,6 +29,8 @@
 MAX_PUSHED_BYTES = 4096
 # How long a host that missed a push waits for the store to tell the change.
 GAP_SECONDS = 0.5
+# How long further gaps may come together.
+GAP_PAUSE_SECONDS = 0.3
 # Bytes of overwritten versions after which a listing is cheaper.
 MAX_WASTED_BYTES = 128 << 10
 LARGE_PAUSE_SECONDS = 0.5
@@ -53,11 +56,22 @@
         the store only while they are silent.
     push : callable, optional
         Sends a `Push` to the other hosts of the availability zone.
+    is_urgent : callable, optional
+        Returns whether requests depend on a `MirrorItem`; after changes
+        of others only, the next ones are let come together.
     """
 
     def __init__(
-        self, store, mirror, ask_peers, now, is_reader=None, push=None
+        self,
+        store,
+        mirror,
+        ask_peers,
+        now,
+        is_reader=None,
+        push=None,
+        is_urgent=None,
     ):
+        self._is_urgent = is_urgent or (lambda item: True)
         self._is_reader = is_reader or (lambda: True)
         self._push = push or (lambda message: None)
         self._pushed_at = None
@@ -134,6 +148,7 @@
         if self._must_ask:
             self._must_ask = False
             await self._fill_gap()
+            await asyncio.sleep(GAP_PAUSE_SECONDS)
         await asyncio.sleep(READER_CHECK_SECONDS)
 
     async def _fill_gap(self):
@@ -168,8 +183,10 @@
         if _wasted_bytes(items) > MAX_WASTED_BYTES:
             self._must_list = True
             await asyncio.sleep(LARGE_PAUSE_SECONDS)
-        elif items:
+        elif any(map(self._is_urgent, items)):
             await asyncio.sleep(COALESCE_SECONDS)
+        elif items:
+            await asyncio.sleep(CALM_COALESCE_SECONDS)
 
     def _as_push(self, base, items):
         """Return the message that tells of changes, or that there are some."""
--- a/apricotseam/coordination/tests/test_keeper.py
+++ b/apricotseam/coordination/tests/test_keeper.py
@@ -48,7 +48,14 @@
         return answer
 
 
-def follow(store, changes=(), is_reader=True, pushes=(), seconds=0.3):
+def follow(
+    store,
+    changes=(),
+    is_reader=True,
+    pushes=(),
+    seconds=0.3,
+    is_urgent=None,
+):
     """Run a keeper for a moment; return its mirror, pushes and state."""
 
     async def scenario():
@@ -66,6 +73,7 @@
             loop.time,
             lambda: is_reader or not mirror.revision,
             sent.append,
+            is_urgent,
         )
         task = loop.create_task(keeper.run())
         await asyncio.sleep(0.05)
@@ -148,3 +156,20 @@
     store = FakeStore([Watched(versions, 6)], [("a", 3)])
     follow(store, seconds=LARGE_PAUSE_SECONDS + 0.2)
     assert store.lists == 2
+
+
+# Whether requests depend on what changes, watches within 0.3 s.
+CHANGES = [("targets", True, 3), ("hosts", False, 1)]
+
+
+@pytest.mark.parametrize(
+    ("is_urgent", "watches"),
+    [case[1:] for case in CHANGES],
+    ids=[case[0] for case in CHANGES],
+)
+def test_changes_that_nobody_waits_for_come_together(is_urgent, watches):
+    answers = [Watched([Item("a", b"w", 4 + n)], 4 + n) for n in range(9)]
+    store = FakeStore(answers, [("a", 3)])
+    follow(store, is_urgent=lambda item: is_urgent)
+    assert 9 - len(store.watches) <= watches + 1
+    assert 9 - len(store.watches) >= watches
--- /dev/null
+++ b/apricotseam/coordination/tests/test_registration.py
@@ -0,0 +1,84 @@
+"""How often a host's record costs a call, and when it is written again."""
+
+import asyncio
+
+import pytest
+
+from apricotseam.coordination import HostRecord
+from apricotseam.coordination import Mirror
+from apricotseam.coordination import MirrorItem
+from apricotseam.coordination import Registration
+from apricotseam.platform import StoreError
+
+KEY = "own/key"
+RECORD = HostRecord(
+    peers_address="a:1", callers_address="a:2", zone="z", started_ms=1
+)
+
+
+class FakeStore:
+    """Writes into a mirror, or refuses every call."""
+
+    def __init__(self, mirror, is_away):
+        self.mirror = mirror
+        self.is_away = is_away
+        self.calls = []
+        self.revision = 1
+
+    async def grant_lease(self, seconds):
+        """Return a lease."""
+        self._note("grant")
+        return len(self.calls)
+
+    async def change(self, expected=(), puts=(), deletes=()):
+        """Write the record."""
+        self._note("change")
+        self.revision += 1
+        for item in puts:
+            self.mirror.apply(MirrorItem(item.key, item.value, self.revision))
+
+    async def keep_lease(self, lease):
+        """Renew a lease."""
+        self._note("keep")
+
+    def _note(self, call):
+        self.calls.append(call)
+        if self.is_away:
+            raise StoreError("away", "wait")
+
+
+# Whether the store is away, whether the record lapses, calls in 0.3 s.
+CASES = [
+    ("calm", False, False, ["grant", "change", "keep"]),
+    ("lapsed", False, True, ["grant", "change", "grant", "change"]),
+    ("away", True, False, ["grant"] * 4),
+]
+
+
+@pytest.mark.parametrize(
+    ("is_away", "lapses", "expected"),
+    [case[1:] for case in CASES],
+    ids=[case[0] for case in CASES],
+)
+def test_calls(is_away, lapses, expected, monkeypatch):
+    module = "apricotseam.coordination._registration"
+    monkeypatch.setattr(f"{module}.RENEW_SECONDS", 0.2)
+    monkeypatch.setattr(f"{module}.LOOK_SECONDS", 0.02)
+    monkeypatch.setattr(f"{module}.FIRST_RETRY_SECONDS", 0.02)
+
+    async def scenario():
+        mirror = Mirror(lambda item: None)
+        store = FakeStore(mirror, is_away)
+        part = Registration(store, mirror, KEY, RECORD)
+        task = asyncio.get_running_loop().create_task(part.run())
+        await asyncio.sleep(0.02)
+        if lapses:
+            mirror.apply(MirrorItem(KEY, None, 9))
+            store.revision = 9
+        await asyncio.sleep(0.25)
+        task.cancel()
+        return store.calls
+
+    calls = asyncio.run(scenario())
+    assert calls[: len(expected)] == expected
+    assert len(calls) <= len(expected) + 1
--- a/apricotseam/coordination/tests/test_withdrawal.py
+++ b/apricotseam/coordination/tests/test_withdrawal.py
@@ -42,11 +42,16 @@
         self.calls.append(f"end {lease}")
 
 
-def an_election(store):
-    """Return an election that sees no holder."""
+def a_mirror():
+    """Return a mirror that has seen the store, but no key."""
     mirror = Mirror(lambda item: None)
     mirror.advance(1)
-    return Election(store, mirror, KEY, "h", lambda: 0)
+    return mirror
+
+
+def an_election(store):
+    """Return an election that sees no holder."""
+    return Election(store, a_mirror(), KEY, "h", lambda: 0)
 
 
 # Part, its way to leave.
@@ -54,7 +59,7 @@
     ("election", an_election, Election.resign),
     (
         "registration",
-        lambda store: Registration(store, KEY, RECORD),
+        lambda store: Registration(store, a_mirror(), KEY, RECORD),
         Registration.withdraw,
     ),
 ]
@@ -72,9 +77,8 @@
     for module in ("_election", "_registration"):
         name = f"apricotseam.coordination.{module}.RENEW_SECONDS"
         monkeypatch.setattr(name, 0.01)
-    monkeypatch.setattr(
-        "apricotseam.coordination._election.CHECK_SECONDS", 0.01
-    )
+    for name in ("_election.CHECK_SECONDS", "_registration.LOOK_SECONDS"):
+        monkeypatch.setattr(f"apricotseam.coordination.{name}", 0.005)
 
     async def scenario():
         store = FakeStore(grant_seconds)
