Encode a message for several hosts once

Cause: a host of a fleet of 83 tells its use of targets to 28 others; the message was encoded 28 times, and each wait for the next one made a task.

--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -131,11 +131,7 @@
 
     def push(self, message):
         """Send a message to the other hosts of the availability zone."""
-        own = self._membership.own
-        for member in self.table.present():
-            is_near = member.availability_zone == own.availability_zone
-            if is_near and member.peers_address != own.peers_address:
-                self._transport.send(member.peers_address, message)
+        self._transport.send_all(self.audience, message)
 
     def set_seeds(self, addresses):
         """Take addresses at which hosts may be found."""
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -69,8 +69,8 @@
             for identity, usage in self._ledger.near_totals().items()
         }
         message = ZoneState(self._zone, self._name, self._number, usages)
-        for address in self._hosts.foreign_delegates:
-            self._hosts.transport.send(address, message)
+        addresses = self._hosts.foreign_delegates
+        self._hosts.transport.send_all(addresses, message)
 
     def _receive(self, sender, message):
         if message.zone == self._zone or not self._is_news(message):
@@ -82,8 +82,7 @@
         )
         self._ledger.take_peer(usage, self._now())
         if self._hosts.is_delegate:
-            for address in self._hosts.audience:
-                self._hosts.transport.send(address, message)
+            self._hosts.transport.send_all(self._hosts.audience, message)
 
     def _is_news(self, message):
         known = self._newest.get(message.zone)
--- a/apricotseam/node/tests/test_zones.py
+++ b/apricotseam/node/tests/test_zones.py
@@ -23,9 +23,9 @@
         """Take the handler."""
         self.handler = handler
 
-    def send(self, address, message):
-        """Note a message."""
-        self.sent.append((address, message))
+    def send_all(self, addresses, message):
+        """Note a message for each address."""
+        self.sent.extend((address, message) for address in addresses)
 
 
 def told(zone, sender, number, units):
--- a/apricotseam/peers/_transport.py
+++ b/apricotseam/peers/_transport.py
@@ -145,6 +145,7 @@
     async def ask_async(self, address, record, timeout=CALL_TIMEOUT_SECONDS):
         """Ask a peer and wait for its answer on the control loop."""
         envelope = self._pack(record)
+        self._count_sent(envelope)
         channel = await self._channels.connect(address, timeout)
         stub = _peers_grpc.PeersStub(channel)
         try:
@@ -166,9 +167,21 @@
     def send(self, address, record):
         """Queue a one-way message; the oldest is dropped when full.
 
+        Must be called on the control loop.
+        """
+        self.send_all([address], record)
+
+    def send_all(self, addresses, record):
+        """Queue one message for several peers; it is encoded once.
+
         Must be called on the control loop.
         """
         envelope = self._pack(record)
+        for address in addresses:
+            self._count_sent(envelope)
+            self._queue(address, envelope)
+
+    def _queue(self, address, envelope):
         queue = self._queues.get(address)
         if queue is None:
             if len(self._queues) >= MAX_QUEUES:
@@ -231,12 +244,14 @@
     async def _send_queued(self, stream, queue):
         """Send what is queued until nothing comes for a while."""
         while True:
-            try:
-                envelope = await asyncio.wait_for(
-                    queue.get(), IDLE_STREAM_SECONDS
-                )
-            except asyncio.TimeoutError:
-                return
+            if queue.empty():
+                try:
+                    async with asyncio.timeout(IDLE_STREAM_SECONDS):
+                        envelope = await queue.get()
+                except TimeoutError:
+                    return
+            else:
+                envelope = queue.get_nowait()
             await stream.send_message(envelope)
 
     def _pack(self, record):
@@ -246,8 +261,6 @@
                 f"a message of {len(body)} bytes, {MAX_MESSAGE_BYTES} allowed",
                 "send it in pieces",
             )
-        self.traffic.messages_sent += 1
-        self.traffic.bytes_sent += len(body)
         return _peers_pb2.Envelope(
             kind=type(record).__name__,
             sender=self._address,
@@ -279,4 +292,10 @@
         answer = handler(envelope.sender, record)
         if asyncio.iscoroutine(answer):
             answer = await answer
-        return self._pack(Nothing() if answer is None else answer)
+        packed = self._pack(Nothing() if answer is None else answer)
+        self._count_sent(packed)
+        return packed
+
+    def _count_sent(self, envelope):
+        self.traffic.messages_sent += 1
+        self.traffic.bytes_sent += len(envelope.body)
