Search the chains of other zones only below the cost of the own one's

Cause: a profile of one host of 83 over ten calm seconds: of 2.7 s, 0.45 s went to the choice of 23 chains (0.34 s in the search of three zones each) and 0.17 s to listing live members anew with each question.

Change: the own zone is searched first and bounds the search of the others; a table of members lists its live ones once. Not measured alone.

--- a/apricotseam/chains/_paths.py
+++ b/apricotseam/chains/_paths.py
@@ -1,6 +1,7 @@
 """The cheapest chain over targets that hold ranges of layers."""
 
 import heapq
+import math
 
 import msgspec
 
@@ -34,7 +35,7 @@
     layers: LayerRange
 
 
-def find_chain(holders, layers, tokens, first=0):
+def find_chain(holders, layers, tokens, first=0, most_cost=math.inf):
     """Return the cheapest chain that has room, or None.
 
     Parameters
@@ -47,6 +48,8 @@
         Tokens that the request will hold.
     first : int
         Layer at which the chain begins.
+    most_cost : float
+        Cost in milliseconds above which no chain is wanted.
 
     Returns
     -------
@@ -60,6 +63,8 @@
     [2, 4]
     >>> find_chain([a], 4, 1.0) is None
     True
+    >>> find_chain([a, b], 4, 1.0, most_cost=4.0) is None
+    True
     """
     cuts = sorted(
         {holder.layers.first for holder in holders}
@@ -71,6 +76,8 @@
     count = 0
     while queue:
         cost, position, _, last, back = heapq.heappop(queue)
+        if cost > most_cost:
+            return None
         if position >= layers:
             return _trace(back)
         if best.get((position, last), cost + 1) <= cost:
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -1,5 +1,7 @@
 """Which targets take a request."""
 
+import math
+
 import msgspec
 
 from apricotseam.chains import ChainModel
@@ -17,6 +19,9 @@
 ANSWER_SHARE = 0.6
 # Added cost of a target in another availability zone, in requests.
 FAR_REQUESTS = 1.0
+# By how much a chain of another zone has to be cheaper.
+FAR_COST_FACTOR = 1.5
+FAR_COST_MS = 5.0
 DEFAULT_ANSWER_TOKENS = 200
 # Latencies below this make no difference between targets.
 MIN_LATENCY_SECONDS = 0.05
@@ -104,23 +109,33 @@
             holder = self._holder(target, profile, call, now, fill)
             if holder is not None:
                 by_zone.setdefault(holder.zone, []).append(holder)
-        best = None
-        for zone, holders in by_zone.items():
-            stages = find_chain(holders, profile.layers, tokens)
-            if stages is None:
-                continue
-            cost = _cost(stages)
-            if zone != self._zone:
-                cost = cost * 1.5 + 5.0
-            if best is None or cost < best[0]:
-                best = (cost, stages)
+        best = self._cheapest(by_zone, profile.layers, tokens)
         if best is None:
             everyone = [h for holders in by_zone.values() for h in holders]
             stages = find_chain(everyone, profile.layers, tokens)
             if stages is None:
                 return None
-            best = (_cost(stages), stages)
-        return self._as_choice(best[1], tokens)
+            best = stages
+        return self._as_choice(best, tokens)
+
+    def _cheapest(self, by_zone, layers, tokens):
+        """Return the cheapest chain within one availability zone, or None.
+
+        That of another zone has to be cheaper by far; the own zone is
+        searched first, which bounds the search of the others.
+        """
+        own = by_zone.get(self._zone, [])
+        best = find_chain(own, layers, tokens)
+        bound = _cost(best) if best is not None else math.inf
+        for zone, holders in by_zone.items():
+            if zone == self._zone:
+                continue
+            most = (bound - FAR_COST_MS) / FAR_COST_FACTOR
+            stages = find_chain(holders, layers, tokens, most_cost=most)
+            if stages is not None:
+                best = stages
+                bound = _cost(stages) * FAR_COST_FACTOR + FAR_COST_MS
+        return best
 
     def rechoose(self, call, choice, now, avoided):
         """Return a chain with the same first part, or None.
--- a/apricotseam/membership/_member.py
+++ b/apricotseam/membership/_member.py
@@ -87,10 +87,12 @@
         Peers' address of this host.
     """
 
-    __slots__ = ("_by_address", "own_address")
+    __slots__ = ("_by_address", "_live", "own_address")
 
     def __init__(self, members=(), own_address=""):
         self._by_address = {m.peers_address: m for m in members}
+        # Made with the first question, since it is asked often.
+        self._live = None
         self.own_address = own_address
 
     def __len__(self):
@@ -108,7 +110,11 @@
 
     def live(self):
         """Return the members that may get new work."""
-        return [m for m in self.all if m.state is MemberState.LIVE]
+        if self._live is None:
+            self._live = tuple(
+                m for m in self.all if m.state is MemberState.LIVE
+            )
+        return list(self._live)
 
     def present(self):
         """Return the members that are not dead."""
