Let hosts that start together assume that the others do as they do

Cause: after a power failure of all hosts, each one knew nothing of the others for a second and sent its callers to the same cheapest chains: their memory was full (1.00) where the sender had booked 0.16 to 0.41, and 150 of 600 first events came late, while other chains had room.

--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -13,6 +13,9 @@
     requests: int = 0
 
 
+_NONE = Usage()
+
+
 class PeerUsage(msgspec.Struct, frozen=True):
     """What a host has in progress, by target identity.
 
@@ -51,10 +54,15 @@
     on_free : callable, optional
         Called when this host gave room back, with True, or when peers
         did, with False.
+    expected_peers : callable, optional
+        Returns how many peers should tell what they have in progress.
+        Those that have not been heard count as having as much as this
+        host, so that hosts which start together do not all choose alike.
     """
 
-    def __init__(self, on_free=None):
+    def __init__(self, on_free=None, expected_peers=None):
         self._on_free = on_free or (lambda is_own: None)
+        self._expected_peers = expected_peers or (lambda: 0)
         self._own = {}
         self._peers = {}
         # Sums over peers; None when they have to be made again.
@@ -68,13 +76,18 @@
         return self._own
 
     def used_units(self, identity):
-        """Return tokens times layers in use at a target."""
-        return sum(usage.units for usage in self._usages(identity))
+        """Return tokens times layers that should be in use at a target."""
+        own, peers = self._usages(identity)
+        return own.units * (1 + self._unheard_peers()) + peers.units
 
     def running(self, identity):
         """Return the number of requests in progress at a target."""
         return sum(usage.requests for usage in self._usages(identity))
 
+    def _unheard_peers(self):
+        heard = sum(not p.is_summary for p, _ in self._peers.values())
+        return max(0, self._expected_peers() - heard)
+
     def book(self, tokens, shares):
         """Take room for a request and return its `Booking`."""
         booking = Booking(tokens, shares)
@@ -139,8 +152,8 @@
         if self._peer_totals is None:
             peers = (peer.usages for peer, _ in self._peers.values())
             self._peer_totals = _sum_up(peers)
-        found = (self._own.get(identity), self._peer_totals.get(identity))
-        return [usage for usage in found if usage is not None]
+        totals = self._peer_totals
+        return self._own.get(identity, _NONE), totals.get(identity, _NONE)
 
     def _forget_totals(self):
         """Let peers' usage be summed up with the next question."""
--- a/apricotseam/chains/tests/test_ledger.py
+++ b/apricotseam/chains/tests/test_ledger.py
@@ -1,5 +1,7 @@
 """Bookings of this host and of its peers."""
 
+import pytest
+
 from apricotseam.chains import Ledger
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
@@ -39,3 +41,27 @@
     ledger.release(ledger.book(1.0, [("a", 1)]))
     ledger.take_peer(PeerUsage("h2", 1, {}), 0.0)
     assert told == [True, False]
+
+
+# Peers that there should be, peers heard, units that count.
+FLEETS = [
+    ("just started", 9, [], 200.0),
+    ("some heard", 9, ["h1", "h2"], 160.0),
+    ("all heard", 2, ["h1", "h2"], 20.0),
+    ("more than expected", 1, ["h1", "h2"], 20.0),
+]
+
+
+@pytest.mark.parametrize(
+    ("expected", "heard", "units"),
+    [case[1:] for case in FLEETS],
+    ids=[case[0] for case in FLEETS],
+)
+def test_peers_that_were_not_heard_count_as_this_host(expected, heard, units):
+    """Hosts that start together would else all choose the same chain."""
+    ledger = Ledger(expected_peers=lambda: expected)
+    ledger.take_peer(PeerUsage("zone b", 1, {}, True), 0.0)
+    for name in heard:
+        ledger.take_peer(PeerUsage(name, 1, {}), 0.0)
+    ledger.book(10.0, [("a", 2)])
+    assert ledger.used_units("a") == units
--- a/apricotseam/node/_beliefs.py
+++ b/apricotseam/node/_beliefs.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from apricotseam.coordination import HostRecord
+from apricotseam.coordination import SMALL_FLEET
 from apricotseam.errors import InvalidFileError
 from apricotseam.platform import CONFIGURATION_KEY
 from apricotseam.platform import decode_configuration
@@ -42,6 +43,19 @@
         """Peers' addresses of the hosts that registered."""
         return [record.peers_address for record in self._hosts.values()]
 
+    def count_peers(self, zone):
+        """Return how many other hosts' usage should come to this one.
+
+        Parameters
+        ----------
+        zone : str
+            Availability zone of this host.
+        """
+        records = list(self._hosts.values())
+        if len(records) > SMALL_FLEET:
+            records = [r for r in records if r.zone == zone]
+        return max(0, len(records) - 1)
+
     def take(self, item):
         """Take one `MirrorItem`."""
         if item.key == CONFIGURATION_KEY:
