--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 
 from apricotseam.errors import InvalidInputError
 from apricotseam.forwarding._contact import ContactCheck
@@ -15,10 +16,16 @@
 # Two tries, since the first packet of one may be lost.
 TRY_SECONDS = 0.025
 TRIES = 2
+# A try that ended later than this after its time says nothing of the
+# target: the host itself stood still.
+STALL_SECONDS = 0.02
+MAX_STALLED_TRIES = 4
 # An answer serves all streams that ask within this time.
 FRESH_SECONDS = 0.3
 # How often silent and slow targets are asked.
 AGAIN_SECONDS = 0.5
+# Hosts that ask a slow target each time, about, of those that share it.
+ASKERS = 6
 PROBES_PER_SECOND = 15
 BURST_PROBES = 60
 OK_STATUS = 200
@@ -64,24 +71,38 @@
         found = await asyncio.gather(*(self._check(t) for t in targets))
         return [t for t, is_alive in zip(targets, found) if not is_alive]
 
-    async def watch(self, targets):
+    async def watch(self, targets, hosts):
         """Ask silent and slow targets again; for ever.
 
         Parameters
         ----------
         targets : callable
             Returns the targets that are known.
+        hosts : callable
+            Returns how many hosts tell each other of slow targets.
         """
         while True:
             await asyncio.sleep(AGAIN_SECONDS)
-            now = self._now()
-            asked = [
-                target
-                for target in targets()
-                if target.health.is_silent or target.health.is_slow_here(now)
-            ]
+            asked = self._due(targets(), ASKERS / max(1, hosts()))
             await asyncio.gather(*(self._ask_again(t) for t in asked))
 
+    def _due(self, targets, slow_share):
+        """Return the targets to ask again now.
+
+        Each host finds out itself which targets it reaches; what a slow
+        one says of itself holds for all.
+        """
+        now = self._now()
+        return [
+            target
+            for target in targets
+            if target.health.is_silent
+            or (
+                target.health.is_slow_here(now)
+                and random.random() < slow_share
+            )
+        ]
+
     async def _ask_again(self, target):
         was_silent = target.health.is_silent
         if not self._spend() or not await self._try(target):
@@ -113,13 +134,12 @@
 
     async def _ask(self, target):
         began = self._now()
-        for _ in range(TRIES):
-            if await self._try(target):
-                until = self._now() + FRESH_SECONDS
-                self._alive_until[target.identity] = until
-                self._contact.note()
-                target.health.regain_contact()
-                return True
+        if await self._try_some(target):
+            until = self._now() + FRESH_SECONDS
+            self._alive_until[target.identity] = until
+            self._contact.note()
+            target.health.regain_contact()
+            return True
         if not await self._contact.holds(began, self._running):
             return True
         target.health.lose_contact()
@@ -130,6 +150,20 @@
         self._on_silent(target.identity)
         return False
 
+    async def _try_some(self, target):
+        """Return whether a target answers within some tries."""
+        tries = 0
+        stalled = 0
+        while tries < TRIES and stalled < MAX_STALLED_TRIES:
+            late_at = self._now() + TRY_SECONDS + STALL_SECONDS
+            if await self._try(target):
+                return True
+            if self._now() >= late_at:
+                stalled += 1
+            else:
+                tries += 1
+        return False
+
     def _spend(self):
         """Take one probe; return whether there was one."""
         now = self._now()
--- a/apricotseam/forwarding/tests/test_probes.py
+++ b/apricotseam/forwarding/tests/test_probes.py
@@ -1,12 +1,17 @@
 """Which targets count as silent, and when the host doubts itself."""
 
 import asyncio
+import random
+import time
 
 import pytest
 
 from apricotseam.chains import Ledger
 from apricotseam.fleet import Fleet
 from apricotseam.fleet import TargetRecord
+from apricotseam.forwarding._probes import ASKERS
+from apricotseam.forwarding._probes import STALL_SECONDS
+from apricotseam.forwarding._probes import TRY_SECONDS
 from apricotseam.forwarding import Probes
 from apricotseam.http1 import ConnectError
 
@@ -27,6 +32,22 @@
         return FakeAnswer(), b"{}"
 
 
+class StallingPool(FakePool):
+    """Stands still with the whole host for some questions."""
+
+    def __init__(self, answering, stalls):
+        super().__init__(answering)
+        self.stalls = stalls
+
+    async def call(self, key, address, method, path, body, deadline):
+        """Answer when the host does not stand still any more."""
+        if self.stalls:
+            self.stalls -= 1
+            time.sleep(2 * (TRY_SECONDS + STALL_SECONDS))
+            raise ConnectError("too late", "ask again")
+        return await super().call(key, address, method, path, body, deadline)
+
+
 class FakeAnswer:
     """Head of an answer that holds no report."""
 
@@ -100,3 +121,43 @@
     asyncio.run(scenario())
     witnesses = set(pool.asked) - {f"10.0.0.{n}:80" for n in range(4)}
     assert len(witnesses) <= 3
+
+
+@pytest.mark.parametrize(("stalls", "dead"), [(3, []), (9, ["t0"])])
+def test_a_host_that_stood_still_asks_again(stalls, dead):
+    fleet = a_fleet(1)
+    pool = StallingPool({"10.0.0.0:80"}, stalls)
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        ledger = Ledger(lambda is_own: None)
+        probes = Probes(pool, ledger, loop.time, lambda _: None, fleet)
+        return await probes.find_dead(list(fleet))
+
+    found = [target.identity for target in asyncio.run(scenario())]
+    assert found == dead
+
+
+# Hosts that share what they know, the least and most slow targets asked of
+# 100; two more are silent.
+SHARES = [("alone", 1, 100, 100), ("six", 6, 100, 100), ("many", 60, 2, 30)]
+
+
+@pytest.mark.parametrize(
+    ("hosts", "least", "most"),
+    [case[1:] for case in SHARES],
+    ids=[case[0] for case in SHARES],
+)
+def test_hosts_share_the_questions_to_slow_targets(hosts, least, most):
+    fleet = a_fleet(102)
+    for number, target in enumerate(fleet):
+        if number < 2:
+            target.health.lose_contact()
+        else:
+            target.health.note_slowness(4.0, 0.0)
+    random.seed(1)
+    probes = Probes(None, None, lambda: 0.0, lambda _: None, fleet)
+    due = probes._due(fleet, ASKERS / hosts)
+    silent = [target for target in due if target.health.is_silent]
+    assert len(silent) == 2
+    assert least <= len(due) - 2 <= most
--- a/apricotseam/node/_listeners.py
+++ b/apricotseam/node/_listeners.py
@@ -21,10 +21,14 @@
         Membership.
     valid_seconds : float
         How long callers may keep an answer.
+    silent : callable
+        Returns the peers' addresses of hosts that should have been heard
+        and were not.
     """
 
-    def __init__(self, hosts, valid_seconds):
+    def __init__(self, hosts, valid_seconds, silent):
         self._hosts = hosts
+        self._silent = silent
         self._valid_seconds = valid_seconds
 
     async def handle(self, request, exchange):
@@ -33,7 +37,9 @@
         if question is None:
             exchange.answer(404)
             return
-        addresses = choose_addresses(self._hosts.table, question.zone)
+        addresses = choose_addresses(
+            self._hosts.table, question.zone, self._silent()
+        )
         if not addresses:
             exchange.answer(503)
             return
@@ -41,12 +47,12 @@
         exchange.answer(200, body, JSON_HEADERS)
 
 
-def choose_addresses(table, zone):
+def choose_addresses(table, zone, silent=()):
     """Return the callers' addresses that a caller of a zone should use.
 
     Hosts of the caller's availability zone, if there are two at least;
-    else all. Hosts that are leaving or suspect are left out unless no
-    other is known.
+    else all. Hosts that are leaving, suspect or silent are left out unless
+    no other is known.
 
     Parameters
     ----------
@@ -54,8 +60,10 @@
         The known hosts.
     zone : str
         Availability zone of the caller.
+    silent : container of str
+        Peers' addresses of hosts that were not heard for a while.
     """
-    live = table.live()
+    live = [m for m in table.live() if m.peers_address not in silent]
     if not live:
         live = [m for m in table.present() if not m.is_leaving]
     near = [m for m in live if m.availability_zone == zone]
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -56,6 +56,8 @@
 PLACER_KEY = OWN_PREFIX + "placer"
 CARE_SECONDS = 0.25
 WITHDRAW_SECONDS = 0.5
+# Time after the start in which peers make themselves heard.
+SETTLE_SECONDS = 3.0
 
 
 class Node:
@@ -74,6 +76,7 @@
         self._settings_path = settings_path
         self._now = time.monotonic
         self._started_ms = int(time.time() * MILLISECONDS)
+        self._settled_at = self._now() + SETTLE_SECONDS
         self._registry = prometheus_client.CollectorRegistry()
         self._exit_code = asyncio.get_running_loop().create_future()
         self._supervisor = TaskSupervisor(self._fail)
@@ -153,7 +156,8 @@
         self._pool = Pool()
         waiting = WaitingRoom(self._now)
         self._ledger = Ledger(
-            lambda is_own: waiting.count_end() if is_own else waiting.wake()
+            lambda is_own: waiting.count_end() if is_own else waiting.wake(),
+            self._expected_peers,
         )
         self._fleet = Fleet(self._end_target, self._drain_target)
         allowance = RetryAllowance(
@@ -174,6 +178,15 @@
         gateway = Gateway(self._scene)
         self.callers = Server(gateway.handle, self._limits)
 
+    def _expected_peers(self):
+        """Return how many peers should tell their usage, after a start.
+
+        Later on, hosts whose records stay for a while may be gone.
+        """
+        if self._now() >= self._settled_at:
+            return 0
+        return self._beliefs.count_peers(self._settings.zone)
+
     def _end_target(self, target):
         self._pool.drop(target.incarnation)
         self._scene.probes.forget(target)
@@ -240,7 +253,9 @@
             self._hosts, self._ledger, name, zone, self._now
         )
         self._directory = Directory(
-            self._hosts, settings.bounds.address_valid_seconds
+            self._hosts,
+            settings.bounds.address_valid_seconds,
+            self._usage.silent_peers,
         )
 
     def _children(self):
@@ -258,7 +273,9 @@
         ]
 
     async def _watch_targets(self):
-        await self._scene.probes.watch(lambda: self._fleet)
+        await self._scene.probes.watch(
+            lambda: self._fleet, lambda: 1 + len(self._hosts.audience)
+        )
 
     async def _care(self):
         """Do what is due from time to time."""
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -9,8 +9,16 @@
 from apricotseam.forwarding import RepeatCount
 
 PERIOD_SECONDS = 0.2
+# Each host of a large fleet gets dozens of such messages a period.
+LARGE_PERIOD_SECONDS = 0.35
 # Without a change it is told this often, so that peers don't forget it.
 QUIET_PERIODS = 4
+# A host of which nothing came for so long may be gone; one message may
+# have been late.
+SILENT_SECONDS = 1.1
+LARGE_SILENT_SECONDS = 1.8
+# How long it is remembered that there was one.
+FORGOTTEN_SECONDS = 10.0
 # How long a peer's suspicion holds, and a refusal is told.
 HEARD_SECONDS = 0.5
 REFUSED_SECONDS = 0.5
@@ -59,6 +67,8 @@
         self._name = name
         self._now = now
         self._number = 0
+        # Monotonic time of the last message, by peers' address.
+        self._heard_at = {}
         hosts.transport.handle(HostState, self._receive)
 
     async def run(self):
@@ -66,7 +76,7 @@
         sent_changes = -1
         quiet = 0
         while True:
-            await asyncio.sleep(PERIOD_SECONDS)
+            await asyncio.sleep(self._period())
             self._ledger.expire(self._now())
             suspects = self._suspects()
             slow = self._slow()
@@ -80,6 +90,28 @@
             quiet = 0
             self._send(suspects, slow)
 
+    def silent_peers(self):
+        """Return the addresses of peers that should have been heard."""
+        now = self._now()
+        allowed = SILENT_SECONDS
+        if self._hosts.is_large:
+            allowed = LARGE_SILENT_SECONDS
+        self._heard_at = {
+            address: heard_at
+            for address, heard_at in self._heard_at.items()
+            if now - heard_at < FORGOTTEN_SECONDS
+        }
+        return {
+            address
+            for address, heard_at in self._heard_at.items()
+            if now - heard_at > allowed
+        }
+
+    def _period(self):
+        if self._hosts.is_large:
+            return LARGE_PERIOD_SECONDS
+        return PERIOD_SECONDS
+
     def _suspects(self):
         return [
             target.identity
@@ -113,14 +145,14 @@
             refused,
             self._scene.allowance.counts(self._now()),
         )
-        for address in self._hosts.audience:
-            self._hosts.transport.send(address, message)
+        self._hosts.transport.send_all(self._hosts.audience, message)
 
     def _receive(self, sender, message):
         # In a large fleet the other zones' sums hold it already.
         if self._hosts.is_large and message.zone != self._zone:
             return
         now = self._now()
+        self._heard_at[sender] = now
         usage = PeerUsage(message.host, message.number, message.usages)
         self._ledger.take_peer(usage, now)
         self._scene.allowance.take_peer(message.host, message.repeats, now)
