Ask a silent chain once more beside its witnesses; take short late requests

For 100 ms no answer came in; all targets of its chains failed two tries of 25 ms, and the witnesses, asked when the link was free again, answered. Its streams were cut. Now a target of which nobody answered is tried again at the same time as the witnesses. The table of a link that was full for a moment failed before.

--- a/apricotseam/forwarding/_contact.py
+++ b/apricotseam/forwarding/_contact.py
@@ -37,13 +37,15 @@
         """Take that a target has answered a question just now."""
         self._heard_at = self._now()
 
-    async def holds(self, since, silent):
-        """Return whether a target has answered since a time.
+    def was_noted(self, since):
+        """Return whether a target has answered since a monotonic time."""
+        return self._heard_at >= since
+
+    async def holds(self, silent):
+        """Ask some targets; return whether one answers.
 
         Parameters
         ----------
-        since : float
-            Monotonic time in seconds.
         silent : container of str
             Identities of the targets that are being asked already.
 
@@ -52,8 +54,6 @@
         bool
             True also where there is nobody else to ask.
         """
-        if self._heard_at >= since:
-            return True
         if self._check is None:
             witnesses = self._choose(silent)
             if not witnesses:
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -44,7 +44,7 @@
         "allowance",
         "chooser",
         "fleet",
-        "is_refusing",
+        "leaves_at",
         "ledger",
         "metrics",
         "passages",
@@ -70,8 +70,8 @@
         self.metrics = metrics
         # The `RouteTable` in force; None before the first one.
         self.table = None
-        # Set late in a planned stop.
-        self.is_refusing = False
+        # Loop time at which this host ends; set late in a planned stop.
+        self.leaves_at = None
 
 
 class Gateway:
@@ -125,13 +125,14 @@
             if found is None:
                 return None, (401, "unknown key", None)
             customer = found.name
-        if scene.is_refusing:
-            exchange.must_close = True
-            return None, (503, "leaving", LEAVING_RETRY_SECONDS)
         service = table.pick_service(route, facts.request_id)
         if service is None:
             return None, (503, "no such service", 1.0)
         call = Call(request, exchange, facts, route, service, customer, table)
+        if scene.leaves_at is not None:
+            exchange.must_close = True
+            if not _ends_before(call, scene.leaves_at):
+                return None, (503, "leaving", LEAVING_RETRY_SECONDS)
         return call, None
 
     def _refuse(self, exchange, facts, status, cause, retry_after):
@@ -180,5 +181,14 @@
         )
 
 
+def _ends_before(call, time):
+    """Return whether a call is sure to end before a loop time.
+
+    Nobody knows how long a stream lasts.
+    """
+    is_stream = call.route.repeat is Repeat.STREAM
+    return not is_stream and call.deadline <= time
+
+
 def _milliseconds(seconds):
     return round(seconds * 1000)
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -134,14 +134,11 @@
 
     async def _ask(self, target):
         began = self._now()
-        if await self._try_some(target):
+        if await self._answers(target, began):
             until = self._now() + FRESH_SECONDS
             self._alive_until[target.identity] = until
-            self._contact.note()
             target.health.regain_contact()
             return True
-        if not await self._contact.holds(began, self._running):
-            return True
         target.health.lose_contact()
         _LOG.warning(
             "target_silent",
@@ -150,6 +147,21 @@
         self._on_silent(target.identity)
         return False
 
+    async def _answers(self, target, began):
+        """Return whether a target answers, or nobody does.
+
+        Where nobody has answered since the first try, the target is tried
+        once more beside others: what kept its answers back may be over.
+        """
+        if await self._try_some(target):
+            return True
+        if self._contact.was_noted(began):
+            return False
+        answers, holds = await asyncio.gather(
+            self._try(target), self._contact.holds(self._running)
+        )
+        return answers or not holds
+
     async def _try_some(self, target):
         """Return whether a target answers within some tries."""
         tries = 0
@@ -157,6 +169,7 @@
         while tries < TRIES and stalled < MAX_STALLED_TRIES:
             late_at = self._now() + TRY_SECONDS + STALL_SECONDS
             if await self._try(target):
+                self._contact.note()
                 return True
             if self._now() >= late_at:
                 stalled += 1
--- a/apricotseam/forwarding/tests/test_probes.py
+++ b/apricotseam/forwarding/tests/test_probes.py
@@ -48,6 +48,23 @@
         return await super().call(key, address, method, path, body, deadline)
 
 
+class BusyLink(FakePool):
+    """Lets no answer through until a time; some targets never answer."""
+
+    def __init__(self, answering, opens_at):
+        super().__init__(answering)
+        self.opens_at = opens_at
+
+    async def call(self, key, address, method, path, body, deadline):
+        """Answer if the link is free before the deadline."""
+        loop = asyncio.get_running_loop()
+        if deadline < self.opens_at:
+            await asyncio.sleep(deadline - loop.time())
+            raise ConnectError("no answer", "ask again")
+        await asyncio.sleep(max(0.0, self.opens_at - loop.time()))
+        return await super().call(key, address, method, path, body, deadline)
+
+
 class FakeAnswer:
     """Head of an answer that holds no report."""
 
@@ -161,3 +178,27 @@
     silent = [target for target in due if target.health.is_silent]
     assert len(silent) == 2
     assert least <= len(due) - 2 <= most
+
+
+# Targets of the chain that answer once the link is free; those found dead.
+LINKS = [("all", [0, 1], []), ("one", [0], ["t1"]), ("none", [], [])]
+
+
+@pytest.mark.parametrize(
+    ("answering", "dead"), [c[1:] for c in LINKS], ids=[c[0] for c in LINKS]
+)
+def test_a_link_that_was_full_for_a_moment(answering, dead):
+    """Where none of the chain answers, the link may be full still."""
+    fleet = a_fleet(4 if answering else 2)
+    addresses = {f"10.0.0.{n}:80" for n in [*answering, 2, 3]}
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        opens_at = loop.time() + 2.2 * TRY_SECONDS
+        pool = BusyLink(addresses, opens_at)
+        ledger = Ledger(lambda is_own: None)
+        probes = Probes(pool, ledger, loop.time, lambda _: None, fleet)
+        return await probes.find_dead([fleet.get("t0"), fleet.get("t1")])
+
+    found = [target.identity for target in asyncio.run(scenario())]
+    assert found == dead if answering else len(found) == 2
--- a/apricotseam/node/_leaving.py
+++ b/apricotseam/node/_leaving.py
@@ -7,7 +7,7 @@
 
 # Callers keep addresses this long at most after they were withdrawn.
 LINGER_SECONDS = 3.0
-# A request that comes later than this might not end before the process.
+# A stream that comes later than this might not end before the process.
 MAX_TAKING_SECONDS = 2.8
 MAX_TAKING_SHARE = 0.35
 # Kept free at the end, so that the platform need not kill the process.
@@ -46,7 +46,7 @@
             await asyncio.sleep(CHECK_SECONDS)
             elapsed = loop.time() - began
             if elapsed >= refuse_after(self._seconds):
-                self._node.refuse_new()
+                self._node.refuse_late(end)
             is_idle = self._node.callers.in_progress == 0
             if is_idle and elapsed >= LINGER_SECONDS:
                 break
@@ -60,7 +60,7 @@
 
 
 def refuse_after(seconds):
-    """Return how long after the signal new requests are still taken.
+    """Return how long after the signal all new requests are still taken.
 
     Parameters
     ----------
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -146,9 +146,9 @@
         loop = asyncio.get_running_loop()
         self._withdrawing = loop.create_task(self._withdraw())
 
-    def refuse_new(self):
-        """Refuse requests that come from now on."""
-        self._scene.is_refusing = True
+    def refuse_late(self, ends_at):
+        """Refuse requests that might not end before a loop time."""
+        self._scene.leaves_at = ends_at
 
     def _build_requests(self):
         settings = self._settings
