--- a/apricotseam/node/_settings.py
+++ b/apricotseam/node/_settings.py
@@ -14,9 +14,6 @@
 
     address_valid_seconds: float = 2.0
     stop_seconds: float = 8.0
-    stall_seconds: float = 3.0
-    drain_seconds: float = 2.0
-    configuration_seconds: float = 2.0
     retry_ratio: float = 0.2
     retry_slack: float = 100.0
     retry_window_seconds: float = 10.0
--- a/apricotseam/node/tests/test_settings.py
+++ b/apricotseam/node/tests/test_settings.py
@@ -36,7 +36,7 @@
     text = re.sub(placeholder, fill, TEMPLATE.read_text())
     settings = load_node_settings(text)
     assert settings.host == "edge-1"
-    assert settings.bounds.stall_seconds == 3.0
+    assert settings.bounds.stop_seconds == 8.0
     assert settings.bounds.retry_slack == 200.0
     assert settings.seeds == ["10.0.0.1:90"]
 
