Keep a reload that comes while a host is still starting

Cause: SIGHUP without a handler ends a process, and imports take some tenths of a second.

Change: hosts start by `python -m apricotseam.start`, which notes the signal before it imports the program; the host reloads once it is ready. The test holds a real process at its settings file and sends the signal; without the note it fails. What the interpreter needs before its first line is left.

--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -9,6 +9,7 @@
 
 import prometheus_client
 
+from apricotseam import _early_signals
 from apricotseam.chains import Ledger
 from apricotseam.coordination import Changes
 from apricotseam.coordination import ChangesRequest
@@ -313,6 +314,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        if _early_signals.take(signal.SIGHUP):
+            self._reload()
 
     def _request_stop(self):
         if not self._departure.is_under_way:
--- a/apricotseam/node/tests/test_main.py
+++ b/apricotseam/node/tests/test_main.py
@@ -2,11 +2,14 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
 
 import pytest
 
+from apricotseam.web import free_address
+
 GOOD = """
 host: h
 zone: a
@@ -40,7 +43,7 @@
     if text is not None:
         path.write_text(text)
     done = subprocess.run(
-        [sys.executable, "-m", "apricotseam.node", str(path)],
+        [sys.executable, "-m", "apricotseam.start", str(path)],
         capture_output=True,
         env=os.environ,
         timeout=60,
@@ -55,7 +58,7 @@
     environment = dict(os.environ)
     environment.pop("APRICOTSEAM_SETTINGS", None)
     done = subprocess.run(
-        [sys.executable, "-m", "apricotseam.node"],
+        [sys.executable, "-m", "apricotseam.start"],
         capture_output=True,
         env=environment,
         timeout=60,
@@ -63,3 +66,42 @@
     line = json.loads(done.stdout.splitlines()[-1])
     assert done.returncode == 2
     assert "APRICOTSEAM_SETTINGS" in line["error"]
+
+
+def test_a_reload_that_comes_during_the_start_is_kept(tmp_path):
+    """Without a handler this signal ends a process."""
+    fields = {
+        name: free_address()
+        for name in (
+            "callers_address",
+            "readiness_address",
+            "directory_address",
+            "peers_address",
+            "store_address",
+        )
+    }
+    text = json.dumps({"host": "h", "zone": "a", **fields})
+    path = tmp_path / "settings.yaml"
+    os.mkfifo(path)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "apricotseam.start", str(path)],
+        stdout=subprocess.PIPE,
+    )
+    try:
+        # Opens as soon as the process begins to read its settings.
+        with path.open("w") as settings:
+            process.send_signal(signal.SIGHUP)
+            whole = tmp_path / "whole.yaml"
+            whole.write_text(text)
+            whole.replace(path)
+            settings.write(text)
+        events = []
+        for line in process.stdout:
+            events.append(json.loads(line)["event"])
+            if events[-1] in ("reloaded", "start_failed"):
+                break
+        assert events[-1] == "reloaded"
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
--- a/soak/_hosts.py
+++ b/soak/_hosts.py
@@ -64,7 +64,7 @@
         self._path.write_text(yaml.safe_dump(data))
         self._log = (self._folder / f"host-{self.number}.log").open("ab")
         self._process = subprocess.Popen(
-            [sys.executable, "-m", "apricotseam.node", str(self._path)],
+            [sys.executable, "-m", "apricotseam.start", str(self._path)],
             stdout=self._log,
             stderr=self._log,
             env={**os.environ, "PYTHONUNBUFFERED": "1"},
--- a/soak/tests/test_runs.py
+++ b/soak/tests/test_runs.py
@@ -15,6 +15,8 @@
     # The stand-in of the store let its watches spin after it had lost its
     # history.
     pytest.param(8, id="history-lost-under-a-silent-store"),
+    # A request to reload ended a host that was just starting.
+    pytest.param(3544840101, id="reload-during-a-start"),
 ]
 
 
