Ask a store that was away with short calls, and watch it for 2.5 s at a time

The store was silent from 18 to 26 s. A host that had lost it sent its next watch of 8 s into the silence; the store never answered that call, and the host waited for it until 31 s, five seconds after the store was back for all others.

Change: watches of 2.5 s with a margin of 0.75 s, so that a call that is lost ends before the host counts as in touch again (4 s); of 0.3 s while the store is away.

--- a/apricotseam/coordination/_keeper.py
+++ b/apricotseam/coordination/_keeper.py
@@ -11,7 +11,11 @@
 
 _LOG = logging.getLogger(__name__)
 
-WATCH_SECONDS = 8.0
+# A store that falls silent may never answer the calls it has: they must
+# not hold a host up for long after its return.
+WATCH_SECONDS = 2.5
+# The same for a store that was away just before.
+AWAY_SECONDS = 0.3
 # Changes that come in quick succession share a call.
 COALESCE_SECONDS = 0.1
 CALM_COALESCE_SECONDS = 0.6
@@ -164,7 +168,7 @@
     async def _follow(self):
         if self._must_list:
             await self._list()
-        await self._watch(WATCH_SECONDS)
+        await self._watch(AWAY_SECONDS if self.is_away else WATCH_SECONDS)
 
     async def _watch(self, seconds):
         """Take the changes that the store tells within a time."""
--- a/apricotseam/coordination/tests/test_keeper.py
+++ b/apricotseam/coordination/tests/test_keeper.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from apricotseam.coordination._keeper import AWAY_SECONDS
 from apricotseam.coordination._keeper import GAP_SECONDS
 from apricotseam.coordination._keeper import LARGE_PAUSE_SECONDS
 from apricotseam.coordination._keeper import MAX_PUSHED_BYTES
 from apricotseam.coordination._keeper import MAX_WASTED_BYTES
+from apricotseam.coordination._keeper import WATCH_SECONDS
 from apricotseam.coordination import Changes
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import MirrorItem
@@ -17,14 +19,19 @@
 from apricotseam.platform import Item
 from apricotseam.platform import Listing
 from apricotseam.platform import StoreError
+from apricotseam.platform import WATCH_MARGIN_SECONDS
 from apricotseam.platform import Watched
 
+# Time after an outage of the store within which all hosts know its items.
+IN_TOUCH_SECONDS = 4.0
+
 
 class FakeStore:
     """Answers with what a test put in; then there are no changes."""
 
     def __init__(self, watches, listing=(), gap=None):
         self.watches = list(watches)
+        self.waits = []
         self.gap = gap
         self.listing = [Item(k, b"v", r) for k, r in listing]
         self.lists = 0
@@ -37,7 +44,8 @@
 
     async def watch(self, prefix, after, wait_seconds):
         """Return or raise the next answer."""
-        if wait_seconds == GAP_SECONDS:
+        self.waits.append(wait_seconds)
+        if wait_seconds == GAP_SECONDS and self.gap is not None:
             self.watches.append(self.gap)
         if not self.watches:
             await asyncio.sleep(0.02)
@@ -173,3 +181,20 @@
     follow(store, is_urgent=lambda item: is_urgent)
     assert 9 - len(store.watches) <= watches + 1
     assert 9 - len(store.watches) >= watches
+
+
+def test_a_store_that_was_away_is_asked_shortly_until_it_answers():
+    """A call that it never answers would hold the host up meanwhile."""
+    error = StoreError("down", "wait")
+    store = FakeStore([error, error, Watched([], 3)], [("a", 3)])
+    follow(store, seconds=0.6)
+    assert store.waits[:4] == [
+        WATCH_SECONDS,
+        AWAY_SECONDS,
+        AWAY_SECONDS,
+        WATCH_SECONDS,
+    ]
+
+
+def test_a_call_that_is_lost_ends_before_the_host_counts_as_in_touch():
+    assert WATCH_SECONDS + WATCH_MARGIN_SECONDS < IN_TOUCH_SECONDS
--- a/apricotseam/platform/__init__.py
+++ b/apricotseam/platform/__init__.py
@@ -35,6 +35,7 @@
 from apricotseam.platform._store import StoreClient
 from apricotseam.platform._store import StoreConflictError
 from apricotseam.platform._store import StoreError
+from apricotseam.platform._store import WATCH_MARGIN_SECONDS
 from apricotseam.platform._store import Watched
 from apricotseam.platform._targets import decode_target
 
@@ -62,6 +63,7 @@
     "StoreError",
     "TARGETS_PREFIX",
     "TargetReport",
+    "WATCH_MARGIN_SECONDS",
     "Watched",
     "AddressQuestion",
     "call_path",
--- a/apricotseam/platform/_store.py
+++ b/apricotseam/platform/_store.py
@@ -13,7 +13,7 @@
 from apricotseam.http1 import TransportError
 
 CALL_SECONDS = 1.0
-WATCH_MARGIN_SECONDS = 1.0
+WATCH_MARGIN_SECONDS = 0.75
 MAX_BODY_BYTES = 16 << 20
 MILLISECONDS = 1000
 
