--- a/apricotseam/demo/tests/test_rollout.py
+++ b/apricotseam/demo/tests/test_rollout.py
@@ -1,6 +1,7 @@
 """Rollout of a version over real sockets while answers are streamed."""
 
 import pathlib
+import re
 import threading
 
 import msgspec
@@ -15,6 +16,7 @@
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
 TOKENS = 5
+UNLIMITED = r"\1_per_second: 1000000"
 QUESTION = "Is my book due?"
 
 
@@ -27,6 +29,8 @@
     scope = request.param
     text = (EXAMPLES / f"{scope}.yaml").read_text()
     text = text.replace("loads_per_minute: 6", "loads_per_minute: 6000")
+    # The test asks as fast as it can; limits are not what it is about.
+    text = re.sub(r"(requests|tokens)_per_second: \d+", UNLIMITED, text)
     zone = "sala-milano" if "padana" in scope else "quito-a"
     system = LocalSystem([text], [zone] * 2, load_seconds=2.0).start()
 
