Say each thing once on the request path

Cause, found on reading the whole change again: - a refusal was counted, logged and answered by the gateway and, the same way, by the runners; a target's whole answer and a failure stood twice as well. The one change of behaviour: at just 25 hosts, a host that starts expects word of all 24 others, as they tell it.

--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -67,6 +67,8 @@
         self._peers = {}
         # Sums over peers; None when they have to be made again.
         self._peer_totals = None
+        # Peers among them that are single hosts.
+        self._heard = 0
         self._bookings = set()
         self.changes = 0
 
@@ -85,8 +87,7 @@
         return sum(usage.requests for usage in self._usages(identity))
 
     def _unheard_peers(self):
-        heard = sum(not p.is_summary for p, _ in self._peers.values())
-        return max(0, self._expected_peers() - heard)
+        return max(0, self._expected_peers() - self._heard)
 
     def book(self, tokens, shares):
         """Take room for a request and return its `Booking`."""
@@ -125,8 +126,11 @@
         -------
         dict of str to Usage
         """
-        peers = [p for p, _ in self._peers.values() if not p.is_summary]
-        return _sum_up([self._own, *(peer.usages for peer in peers)])
+        peers = (peer.usages for peer in self._near_peers())
+        return _sum_up([self._own, *peers])
+
+    def _near_peers(self):
+        return [p for p, _ in self._peers.values() if not p.is_summary]
 
     def expire(self, now):
         """Forget peers that have not been heard for a while."""
@@ -152,6 +156,7 @@
         if self._peer_totals is None:
             peers = (peer.usages for peer, _ in self._peers.values())
             self._peer_totals = _sum_up(peers)
+            self._heard = len(self._near_peers())
         totals = self._peer_totals
         return self._own.get(identity, _NONE), totals.get(identity, _NONE)
 
--- a/apricotseam/coordination/__init__.py
+++ b/apricotseam/coordination/__init__.py
@@ -2,7 +2,7 @@
 
 from apricotseam.coordination._election import Election
 from apricotseam.coordination._hosts import Hosts
-from apricotseam.coordination._hosts import SMALL_FLEET
+from apricotseam.coordination._hosts import is_large_fleet
 from apricotseam.coordination._keeper import MirrorKeeper
 from apricotseam.coordination._messages import Changes
 from apricotseam.coordination._messages import ChangesRequest
@@ -24,6 +24,6 @@
     "MirrorKeeper",
     "Push",
     "Registration",
-    "SMALL_FLEET",
     "SuspensionDetector",
+    "is_large_fleet",
 ]
--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -15,12 +15,27 @@
 
 TICK_SECONDS = 0.2
 ASK_SECONDS = 0.5
-# Up to this many other hosts, each one hears of the load of all.
-SMALL_FLEET = 24
+MAX_SMALL_FLEET = 25
 READERS_A_ZONE = 2
 DELEGATES_A_ZONE = 2
 
 
+def is_large_fleet(hosts):
+    """Return whether hosts tell their load to their own zone only.
+
+    Parameters
+    ----------
+    hosts : int
+        Number of hosts, with the one that asks.
+
+    Examples
+    --------
+    >>> is_large_fleet(25), is_large_fleet(26)
+    (False, True)
+    """
+    return hosts > MAX_SMALL_FLEET
+
+
 class Hosts:
     """Membership of this host, driven on the running loop.
 
@@ -70,7 +85,7 @@
             for m in self.table.present()
             if m.peers_address != own.peers_address
         ]
-        if len(members) > SMALL_FLEET:
+        if is_large_fleet(1 + len(members)):
             members = [
                 m
                 for m in members
@@ -111,7 +126,7 @@
     @property
     def is_large(self):
         """Whether the fleet is too large for each host to read the store."""
-        return len(self.table.live()) > SMALL_FLEET + 1
+        return is_large_fleet(len(self.table.live()))
 
     @property
     def reads_store(self):
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -4,19 +4,22 @@
 import logging
 import time
 
+from apricotseam.forwarding._answering import Refusal
+from apricotseam.forwarding._answering import refuse
 from apricotseam.forwarding._call import Call
 from apricotseam.forwarding._plain import PlainRunner
 from apricotseam.forwarding._probes import Probes
 from apricotseam.forwarding._registry import PassageRegistry
 from apricotseam.forwarding._streams import StreamRunner
 from apricotseam.platform import decode_call
-from apricotseam.platform import refusal_headers
 from apricotseam.routes import Repeat
 
 _LOG = logging.getLogger(__name__)
 
 UNREADY_RETRY_SECONDS = 0.3
 LEAVING_RETRY_SECONDS = 0.0
+# An operator's next version may name the service.
+NO_SERVICE_RETRY_SECONDS = 1.0
 
 
 class Scene:
@@ -93,7 +96,13 @@
         facts = decode_call(request)
         call, refusal = self._admit(request, exchange, facts)
         if call is None:
-            self._refuse(exchange, facts, *refusal)
+            refuse(
+                self._scene,
+                exchange,
+                facts.request_id,
+                self._revision(),
+                refusal,
+            )
             return
         scene = self._scene
         loop = asyncio.get_running_loop()
@@ -111,46 +120,36 @@
             self._finish(call, status, loop.time())
 
     def _admit(self, request, exchange, facts):
-        """Return the `Call`, or None and why there is none."""
+        """Return the `Call`, or None and the `Refusal`."""
         scene = self._scene
         table = scene.table
         if table is None:
-            return None, (503, "no configuration", UNREADY_RETRY_SECONDS)
+            return None, Refusal(
+                cause="no configuration", retry_after=UNREADY_RETRY_SECONDS
+            )
         route = table.find_route(facts.host, request.path)
         if route is None:
-            return None, (404, "no route", None)
+            return None, Refusal(status=404, cause="no route")
         customer = ""
         if table.has_customers and not route.is_public:
             found = table.find_customer(facts.key)
             if found is None:
-                return None, (401, "unknown key", None)
+                return None, Refusal(status=401, cause="unknown key")
             customer = found.name
         service = table.pick_service(route, facts.request_id)
         if service is None:
-            return None, (503, "no such service", 1.0)
+            return None, Refusal(
+                cause="no such service", retry_after=NO_SERVICE_RETRY_SECONDS
+            )
         call = Call(request, exchange, facts, route, service, customer, table)
         if scene.leaves_at is not None:
             exchange.must_close = True
             if not _ends_before(call, scene.leaves_at):
-                return None, (503, "leaving", LEAVING_RETRY_SECONDS)
+                return None, Refusal(
+                    cause="leaving", retry_after=LEAVING_RETRY_SECONDS
+                )
         return call, None
 
-    def _refuse(self, exchange, facts, status, cause, retry_after):
-        self._scene.metrics.refusals.labels(cause).inc()
-        _LOG.info(
-            "request_refused",
-            extra={
-                "request": facts.request_id,
-                "status": status,
-                "cause": cause,
-                "retry_after": retry_after,
-                "revision": self._revision(),
-            },
-        )
-        exchange.answer(
-            status, headers=refusal_headers(facts.request_id, retry_after)
-        )
-
     def _revision(self):
         table = self._scene.table
         return table.revision if table is not None else 0
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -2,14 +2,14 @@
 
 import asyncio
 
-from apricotseam.forwarding._refusal import refuse
+from apricotseam.forwarding._answering import deliver
+from apricotseam.forwarding._answering import fail
+from apricotseam.forwarding._answering import refuse_call
 from apricotseam.forwarding._sending import Sender
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import MalformedAnswerError
 from apricotseam.http1 import TransportError
 from apricotseam.http1 import TransportTimeoutError
-from apricotseam.platform import refusal_headers
-from apricotseam.platform import returned_headers
 
 MAX_ANSWER_BYTES = 8 << 20
 # Sends that no target ran, beside those that the route allows.
@@ -45,17 +45,17 @@
             call.attempts += 1
             result = await self._attempt(call, choice)
             if result.is_final:
-                return self._deliver(call, result)
+                return deliver(call, result.answer, result.body)
             if result.was_run:
                 failure = result.status
             else:
                 unrun += 1
             call.tried.add(choice.head.identity)
         if call.runs == 0:
-            return refuse(
+            return refuse_call(
                 self._scene, call, "no target took it", BUSY_RETRY_SECONDS
             )
-        return self._fail(call, failure)
+        return fail(call, failure)
 
     def _choose(self, call, unrun):
         """Return the next `Choice`, or None if no attempt may follow."""
@@ -148,20 +148,6 @@
         loop = asyncio.get_running_loop()
         return loop.time() + ATTEMPT_SHARE * call.seconds_left()
 
-    def _deliver(self, call, result):
-        answer = result.answer
-        call.exchange.answer(
-            answer.status,
-            result.body,
-            returned_headers(answer),
-            answer.reason,
-        )
-        return answer.status
-
-    def _fail(self, call, status):
-        call.exchange.answer(status, headers=refusal_headers(call.request_id))
-        return status
-
 
 class _Result:
     """What became of one attempt."""
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -45,11 +45,12 @@
     on_silent : callable
         Called with the identity of each target found silent.
     targets : iterable of Target
-        All targets, of which some are asked where a host that hears
-        nothing doubts its own connections.
+        All targets: silent and slow ones are asked again, and some
+        others where a host that hears nothing doubts its connections.
     """
 
     def __init__(self, pool, ledger, now, on_silent, targets):
+        self._targets = targets
         self._contact = ContactCheck(targets, self._try_within_budget, now)
         self._ledger = ledger
         self._on_silent = on_silent
@@ -71,22 +72,20 @@
         found = await asyncio.gather(*(self._check(t) for t in targets))
         return [t for t, is_alive in zip(targets, found) if not is_alive]
 
-    async def watch(self, targets, hosts):
+    async def watch(self, hosts):
         """Ask silent and slow targets again; for ever.
 
         Parameters
         ----------
-        targets : callable
-            Returns the targets that are known.
         hosts : callable
             Returns how many hosts tell each other of slow targets.
         """
         while True:
             await asyncio.sleep(AGAIN_SECONDS)
-            asked = self._due(targets(), ASKERS / max(1, hosts()))
+            asked = self._due(ASKERS / max(1, hosts()))
             await asyncio.gather(*(self._ask_again(t) for t in asked))
 
-    def _due(self, targets, slow_share):
+    def _due(self, slow_share):
         """Return the targets to ask again now.
 
         Each host finds out itself which targets it reaches; what a slow
@@ -95,7 +94,7 @@
         now = self._now()
         return [
             target
-            for target in targets
+            for target in self._targets
             if target.health.is_silent
             or (
                 target.health.is_slow_here(now)
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -3,15 +3,15 @@
 import asyncio
 import logging
 
+from apricotseam.forwarding._answering import deliver
+from apricotseam.forwarding._answering import fail
+from apricotseam.forwarding._answering import refuse_call
 from apricotseam.forwarding._passage import Passage
-from apricotseam.forwarding._refusal import refuse
 from apricotseam.forwarding._sending import Sender
 from apricotseam.forwarding._waiting import WAIT_SHARE
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import TransportError
 from apricotseam.http1 import TransportTimeoutError
-from apricotseam.platform import refusal_headers
-from apricotseam.platform import returned_headers
 
 _LOG = logging.getLogger(__name__)
 
@@ -52,11 +52,10 @@
             call.exchange.cut()
             return "cut"
         if call.runs == 0:
-            return refuse(
+            return refuse_call(
                 self._scene, call, "no room", self._retry_after(call)
             )
-        call.exchange.answer(status, headers=refusal_headers(call.request_id))
-        return status
+        return fail(call, status)
 
     async def _choose(self, call):
         """Return the next `Choice`, or None if no attempt may follow."""
@@ -180,10 +179,7 @@
         self._blame(call, at_fault, str(answer.status), False)
         if call.exchange.is_started or call.may_run_again:
             return 502
-        call.exchange.answer(
-            answer.status, body, returned_headers(answer), answer.reason
-        )
-        return answer.status
+        return deliver(call, answer, body)
 
     def _blame(self, call, target, outcome, is_silent):
         """Note that a target failed a call and keep the call off it."""
--- a/apricotseam/forwarding/tests/test_probes.py
+++ b/apricotseam/forwarding/tests/test_probes.py
@@ -174,7 +174,7 @@
             target.health.note_slowness(4.0, 0.0)
     random.seed(1)
     probes = Probes(None, None, lambda: 0.0, lambda _: None, fleet)
-    due = probes._due(fleet, ASKERS / hosts)
+    due = probes._due(ASKERS / hosts)
     silent = [target for target in due if target.health.is_silent]
     assert len(silent) == 2
     assert least <= len(due) - 2 <= most
--- a/apricotseam/node/_beliefs.py
+++ b/apricotseam/node/_beliefs.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from apricotseam.coordination import HostRecord
-from apricotseam.coordination import SMALL_FLEET
+from apricotseam.coordination import is_large_fleet
 from apricotseam.errors import InvalidFileError
 from apricotseam.platform import CONFIGURATION_KEY
 from apricotseam.platform import decode_configuration
@@ -52,7 +52,7 @@
             Availability zone of this host.
         """
         records = list(self._hosts.values())
-        if len(records) > SMALL_FLEET:
+        if is_large_fleet(len(records)):
             records = [r for r in records if r.zone == zone]
         return max(0, len(records) - 1)
 
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -274,9 +274,7 @@
         ]
 
     async def _watch_targets(self):
-        await self._scene.probes.watch(
-            lambda: self._fleet, lambda: 1 + len(self._hosts.audience)
-        )
+        await self._scene.probes.watch(lambda: 1 + len(self._hosts.audience))
 
     async def _care(self):
         """Do what is due from time to time."""
