Lay out a fleet for the first time only when no target shows up any more

Whether a pause fell among the arrivals was chance.

Change: until there is a layout, and at the first look of a host that takes the duty over, the placer waits 1.2 s after the last change; after that 0.3 s as before. The table of arrivals failed before.

--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -17,8 +17,9 @@
 
 CYCLE_SECONDS = 0.3
 CALL_SECONDS = 1.0
-# All targets of a first start show up within this time of each other.
-FIRST_SETTLE_SECONDS = 0.8
+# A first layout waits until no target has shown up for this time, which is
+# longer than the store is left unread between changes.
+FIRST_SETTLE_SECONDS = 1.2
 SETTLE_SECONDS = 0.3
 # An order without a sign of it in the store is looked into after this.
 PENDING_SECONDS = 4.0
@@ -79,12 +80,18 @@
         now = self._now()
         changes = self._scene.fleet.changes
         if changes != self._seen_changes:
-            is_first = self._seen_changes < 0
+            is_new = self._seen_changes < 0 or not self._has_layout()
             self._seen_changes = changes
-            wait = FIRST_SETTLE_SECONDS if is_first else SETTLE_SECONDS
+            wait = FIRST_SETTLE_SECONDS if is_new else SETTLE_SECONDS
             self._changed_at = now + wait
         return now >= self._changed_at
 
+    def _has_layout(self):
+        """Return whether any target holds layers or was ordered to."""
+        if self._pending:
+            return True
+        return any(t.record.layers is not None for t in self._scene.fleet)
+
     async def _place(self, service):
         targets = self._scene.fleet.of_service(service.name)
         records = [await self._as_ordered(target) for target in targets]
--- /dev/null
+++ b/apricotseam/node/tests/test_placer.py
@@ -0,0 +1,67 @@
+"""When the placer takes the known targets for all there are."""
+
+import types
+
+import pytest
+
+from apricotseam.fleet import Fleet
+from apricotseam.fleet import LayerRange
+from apricotseam.fleet import TargetRecord
+from apricotseam.node._placer import Placer
+
+
+def a_record(number, layers=None):
+    """Return a target that may hold layers."""
+    return TargetRecord(
+        identity=f"t{number}",
+        address=f"10.0.0.{number}:80",
+        service="model",
+        zone="a",
+        kind="k",
+        layers=layers,
+        is_placeable=True,
+        revision=number + 1,
+    )
+
+
+# Layers of the first target, times at which targets show up, times of
+# looks and whether the fleet has settled then.
+CASES = [
+    (
+        "first layout, targets come in batches",
+        None,
+        [0.0, 0.7, 1.5],
+        [(0.6, False), (1.4, False), (2.2, False), (3.0, True)],
+    ),
+    ("first layout, one batch", None, [0.0], [(0.9, False), (1.3, True)]),
+    (
+        "with a layout",
+        LayerRange(0, 4),
+        [0.0, 2.0],
+        [(1.0, False), (1.3, True), (2.1, False), (2.35, True)],
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("layers", "arrivals", "looks"),
+    [case[1:] for case in CASES],
+    ids=[case[0] for case in CASES],
+)
+def test_settled(layers, arrivals, looks):
+    now = [0.0]
+    fleet = Fleet()
+    scene = types.SimpleNamespace(fleet=fleet)
+    placer = Placer(scene, None, lambda: now[0])
+    found = []
+    waiting = list(arrivals)
+    for step in range(1, 400):
+        now[0] = step / 100
+        while waiting and waiting[0] <= now[0]:
+            first = len(waiting) == len(arrivals)
+            fleet.update(a_record(step, layers if first else None))
+            waiting.pop(0)
+        has_settled = placer._has_settled()
+        if now[0] in [at for at, _ in looks]:
+            found.append((now[0], has_settled))
+    assert found == looks
