Keep all stand-ins of the users' platform in platform/, and say them once

Cause, found on reading the whole change again: the users' wire names stood outside platform/, in the stand-ins, in the soak and in the tests' harness; the soak and the harness both wrote entries and configurations by hand, the soak had two clients for short questions, and read the headers of answers that platform/ decodes already.

Change: the stand-ins move to platform/standins (mostly renames), with the store's declare, register and remove and the callers' question; the soak asks through one function and decodes answers with platform/. The test of wire names now covers the stand-ins outside platform/ and the soak as well.

No process that serves is changed.

--- a/apricotseam/node/tests/harness.py
+++ b/apricotseam/node/tests/harness.py
@@ -2,16 +2,15 @@
 
 import asyncio
 import contextlib
-import json
 
 from apricotseam.http1 import connect
 from apricotseam.node import Node
 from apricotseam.node import NodeSettings
-from apricotseam.standins import LAYERS
-from apricotseam.standins import users_configuration
-from apricotseam.standins import users_headers
-from apricotseam.standins import UsersStore
-from apricotseam.standins import UsersTarget
+from apricotseam.platform.standins import LAYERS
+from apricotseam.platform.standins import users_configuration
+from apricotseam.platform.standins import users_headers
+from apricotseam.platform.standins import UsersStore
+from apricotseam.platform.standins import UsersTarget
 from apricotseam.web import free_address
 
 WAIT_SECONDS = 5.0
@@ -69,13 +68,11 @@
 
     def declare(self, found):
         """Write a configuration."""
-        self.store.put("op/config", json.dumps(found).encode())
+        self.store.declare(found)
 
     def register(self, target, **changes):
         """Write a target's entry."""
-        service, kind = ("llm", "k") if target.is_engine else ("plain", "")
-        entry = target.entry(service, "a", kind, **changes)
-        self.store.put(f"servers/{target.identity}", entry)
+        self.store.register(target, **changes)
 
     async def until(self, condition):
         """Wait until a condition holds."""
--- a/apricotseam/node/tests/test_agreement.py
+++ b/apricotseam/node/tests/test_agreement.py
@@ -1,11 +1,12 @@
 """What hosts share: configuration in outages, planned stops, addresses."""
 
 import asyncio
-import json
 
 from apricotseam.http1 import connect
 from apricotseam.node.tests.harness import run
-from apricotseam.standins import users_configuration
+from apricotseam.platform.standins import address_question
+from apricotseam.platform.standins import told_addresses
+from apricotseam.platform.standins import users_configuration
 
 
 async def addresses(platform, number):
@@ -14,12 +15,11 @@
     deadline = loop.time() + 2
     address = platform.settings[number].directory_address
     connection = await connect(address, deadline)
-    path = b"/v1/resolve?Name=h.example&Region=r&Zone=a"
-    connection.send(b"GET", path, [(b"Host", b"a")])
+    connection.send(b"GET", address_question("a"), [(b"Host", b"a")])
     await connection.head(deadline)
     body = await connection.read_all(deadline, 10000)
     connection.close()
-    return json.loads(body)["Addresses"]
+    return told_addresses(body)
 
 
 def test_hosts_tell_each_others_addresses_and_withdraw_them():
--- a/apricotseam/node/tests/test_requests.py
+++ b/apricotseam/node/tests/test_requests.py
@@ -6,7 +6,7 @@
 
 from apricotseam.http1 import connect
 from apricotseam.node.tests.harness import run
-from apricotseam.standins import users_headers
+from apricotseam.platform.standins import users_headers
 
 EVENTS = [f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, 5)]
 WHOLE = b"".join(EVENTS)
--- a/apricotseam/standins/_users_configuration.py
+++ b/apricotseam/platform/standins/_configuration.py
@@ -4,6 +4,9 @@
 KEY = "secret"
 CUSTOMER = "c"
 LAYERS = 4
+ENGINE_SERVICE = "llm"
+PLAIN_SERVICE = "plain"
+ENGINE_KIND = "k"
 
 ENGINE = {
     "Slots": 8,
@@ -15,7 +18,7 @@
     "usual": {"prompt": 10, "answer": 10},
     "Layers": LAYERS,
     "LayerMb": 10.0,
-    "Kinds": [{"Name": "k", "SizeMb": 40.0, "pace": 1.0}],
+    "Kinds": [{"Name": ENGINE_KIND, "SizeMb": 40.0, "pace": 1.0}],
 }
 
 
@@ -48,34 +51,20 @@
         "Version": version,
         "Routes": [
             users_route(
-                "/chat/", "streaming", "llm", Resumable=True, Sticky=True
+                "/chat/",
+                "streaming",
+                ENGINE_SERVICE,
+                Resumable=True,
+                Sticky=True,
             ),
-            users_route("/feed/", "streaming", "plain", Resumable=True),
-            users_route("/once/", "unsafe", "plain", MaxAttempts=1),
-            users_route("/read/", "safe", "plain"),
+            users_route("/feed/", "streaming", PLAIN_SERVICE, Resumable=True),
+            users_route("/once/", "unsafe", PLAIN_SERVICE, MaxAttempts=1),
+            users_route("/read/", "safe", PLAIN_SERVICE),
             *routes,
         ],
-        "Services": [{"Name": "llm", "Engine": ENGINE}, {"Name": "plain"}],
+        "Services": [
+            {"Name": ENGINE_SERVICE, "Engine": ENGINE},
+            {"Name": PLAIN_SERVICE},
+        ],
         "Tenants": [{"Name": CUSTOMER, "ApiKeys": [KEY]}],
     }
-
-
-def users_headers(changes=()):
-    """Return the headers of a caller, some replaced.
-
-    Parameters
-    ----------
-    changes : mapping
-        Values by name; underscores stand for hyphens.
-    """
-    values = {
-        "Host": HOST,
-        "Apricotseam-Request-Id": "r1",
-        "Apricotseam-Key": KEY,
-        "Apricotseam-Deadline-Ms": "3000",
-        "Apricotseam-Token-Count": "10,10",
-        "Content-Length": "0",
-    }
-    for name, value in dict(changes).items():
-        values[name.replace("_", "-")] = value
-    return [(name.encode(), value.encode()) for name, value in values.items()]
--- a/apricotseam/standins/_users_store.py
+++ b/apricotseam/platform/standins/_store.py
@@ -7,6 +7,8 @@
 import urllib.parse
 
 from apricotseam.http1 import Server
+from apricotseam.platform._keys import CONFIGURATION_KEY
+from apricotseam.platform._keys import TARGETS_PREFIX
 
 MILLISECONDS = 1000.0
 JSON_HEADERS = ((b"Content-Type", b"application/json"),)
@@ -51,8 +53,20 @@
         for server in self._servers.values():
             server.abort()
 
+    def declare(self, configuration):
+        """Write a configuration as the operator does."""
+        self.put(CONFIGURATION_KEY, json.dumps(configuration).encode())
+
+    def register(self, target, **changes):
+        """Write the entry of a `UsersTarget`, some fields changed."""
+        self.put(TARGETS_PREFIX + target.identity, target.entry(**changes))
+
+    def remove(self, target):
+        """Take the entry of a `UsersTarget` away, as a lapse does."""
+        self.delete(TARGETS_PREFIX + target.identity)
+
     def put(self, key, value, lease=0):
-        """Write a key as the operator or a target does."""
+        """Write a key."""
         self.revision += 1
         item = {
             "Key": key,
--- a/apricotseam/standins/_users_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -4,6 +4,9 @@
 import json
 
 from apricotseam.http1 import Server
+from apricotseam.platform.standins._configuration import ENGINE_KIND
+from apricotseam.platform.standins._configuration import ENGINE_SERVICE
+from apricotseam.platform.standins._configuration import PLAIN_SERVICE
 
 MILLISECONDS = 1000.0
 STREAM_PREFIX = b"/feed/"
@@ -33,6 +36,8 @@
     def __init__(self, identity, address, is_engine=False):
         self.identity = identity
         self.address = address
+        # What its entry says; another address where a proxy stands before it.
+        self.reached_at = address
         self.is_engine = is_engine
         self.behaviour = "good"
         self.events = 4
@@ -64,12 +69,13 @@
         """Close all connections."""
         self._server.abort()
 
-    def entry(self, service, zone, kind="", state="ready", born=None):
+    def entry(self, state="ready", born=None):
         """Return the bytes of its entry in the store."""
+        service = ENGINE_SERVICE if self.is_engine else PLAIN_SERVICE
         fields = {
             "Service": service,
-            "Address": self.address,
-            "Zone": zone,
+            "Address": self.reached_at,
+            "Zone": "a",
             "Version": "v1",
             "Slots": 8,
             "State": state,
@@ -77,8 +83,8 @@
             "Sequence": len(self.orders),
             "born": self.born if born is None else born,
         }
-        if kind:
-            fields["RouteKind"] = kind
+        if self.is_engine:
+            fields["RouteKind"] = ENGINE_KIND
         if self.layers is not None:
             first, last = self.layers
             fields["Layers"] = {"From": first, "Target": last, "Version": 1}
--- a/apricotseam/platform/tests/test_wire_names.py
+++ b/apricotseam/platform/tests/test_wire_names.py
@@ -5,7 +5,7 @@
 
 import apricotseam
 
-ROOT = pathlib.Path(apricotseam.__file__).parent
+ROOT = pathlib.Path(apricotseam.__file__).parent.parent
 WIRE_NAMES = re.compile(
     r"[Aa]pricotseam-(Request-Id|Key|Tenant|Deadline-Ms|Token-Count"
     r"|Length-Hint|Prefix-Hash|Expect-|Hop-Count|Not-Executed|Server-)"
@@ -13,15 +13,14 @@
     r"|(?<![a-z])/v1/(resolve|readyz|report|order)\b",
     re.IGNORECASE,
 )
-# Stand-ins speak as the platform does.
-ALLOWED = ("platform", "standins")
+FOLDER = ROOT / "apricotseam" / "platform"
 
 
 def test_wire_names_stay_inside():
     found = []
-    for path in sorted(ROOT.rglob("*.py")):
-        parts = path.relative_to(ROOT).parts
-        if parts[0] in ALLOWED or "tests" in parts:
+    paths = [*ROOT.glob("apricotseam/**/*.py"), *ROOT.glob("soak/**/*.py")]
+    for path in sorted(paths):
+        if path.is_relative_to(FOLDER) or "tests" in path.parts:
             continue
         for number, line in enumerate(path.read_text().splitlines(), 1):
             if WIRE_NAMES.search(line):
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import itertools
-import json
-import urllib.parse
 
 from apricotseam.http1 import connect
 from apricotseam.http1 import TransportError
 from apricotseam.http1 import TransportTimeoutError
-from apricotseam.standins import HOST
-from apricotseam.standins import users_headers
+from apricotseam.platform import decode_answer
+from apricotseam.platform.standins import users_headers
+from soak._questions import ask_addresses
 from soak._records import Attempt
 from soak._records import Ending
 from soak._records import Kind
@@ -20,8 +19,6 @@
 CONNECT_SECONDS = 1.0
 PAUSE_SECONDS = 0.02
 ADDRESSES_SECONDS = 0.5
-OK_STATUS = 200
-MAX_ANSWER_BYTES = 1 << 16
 
 
 class Callers:
@@ -96,11 +93,9 @@
         attempt = self._new_attempt(connection)
         self._world.records.attempts.append(attempt)
         headers = users_headers(
-            {
-                "Apricotseam_Request_Id": attempt.request_id,
-                "Apricotseam_Deadline_Ms": str(int(DEADLINE_SECONDS * 1000)),
-                "Content_Length": str(len(attempt.body)),
-            }
+            request_id=attempt.request_id,
+            deadline_seconds=DEADLINE_SECONDS,
+            content=attempt.body,
         )
         loop = asyncio.get_running_loop()
         deadline = attempt.sent_at + DEADLINE_SECONDS + HANG_SECONDS
@@ -145,32 +140,10 @@
 
     def _take_head(self, attempt, answer):
         attempt.status = answer.status
-        signature = answer.header(b"apricotseam-server-signature")
-        attempt.is_signed = signature is not None
-        attempt.answered_id = answer.header(b"apricotseam-request-id")
+        facts = decode_answer(answer)
+        attempt.is_signed = facts.is_signed
+        attempt.answered_id = facts.request_id
         attempt.retry_after = answer.header(b"retry-after")
 
     def _closes(self, answer):
         return (answer.header(b"connection") or "").lower() == "close"
-
-
-async def ask_addresses(host):
-    """Return the callers' addresses that a host tells, if it is there."""
-    loop = asyncio.get_running_loop()
-    deadline = loop.time() + CONNECT_SECONDS
-    query = urllib.parse.urlencode({"Name": HOST, "Region": "", "Zone": "a"})
-    try:
-        address = host.settings.directory_address
-        connection = await connect(address, deadline)
-        path = f"/v1/resolve?{query}".encode()
-        connection.send(b"GET", path, [(b"Host", address.encode())])
-        answer = await connection.head(deadline)
-        body = await connection.read_all(deadline, MAX_ANSWER_BYTES)
-        connection.close()
-    except TransportError:
-        # A host that is away names nobody.
-        return []
-    # A host that knows no configuration answers 503.
-    if answer.status != OK_STATUS:
-        return []
-    return json.loads(body)["Addresses"]
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -3,7 +3,7 @@
 import collections
 import re
 
-from apricotseam.standins import LAYERS
+from apricotseam.platform.standins import LAYERS
 from soak._records import Ending
 from soak._records import Kind
 from soak._records import Violation
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -3,13 +3,12 @@
 import asyncio
 import random
 
-from apricotseam.http1 import connect
-from apricotseam.http1 import TransportError
-from soak._callers import ask_addresses
 from soak._callers import Callers
 from soak._faults import draw_faults
 from soak._promises import broken_promises
 from soak._promises import RECOVERY_SECONDS
+from soak._questions import ask_addresses
+from soak._questions import is_ready
 from soak._world import World
 
 READY_SECONDS = 10.0
@@ -65,29 +64,14 @@
 
 async def _until_ready(world):
     """Wait until all hosts know a configuration and each other."""
-    loop = asyncio.get_running_loop()
     async with asyncio.timeout(READY_SECONDS):
         for host in world.hosts:
-            while not await _is_ready(host, loop):
+            while not await is_ready(host):
                 await asyncio.sleep(READY_STEP_SECONDS)
             while len(await ask_addresses(host)) < len(world.hosts):
                 await asyncio.sleep(READY_STEP_SECONDS)
 
 
-async def _is_ready(host, loop):
-    deadline = loop.time() + 1.0
-    try:
-        address = host.settings.readiness_address
-        connection = await connect(address, deadline)
-        connection.send(b"GET", b"/v1/readyz", [(b"Host", address.encode())])
-        answer = await connection.head(deadline)
-        connection.close()
-    except TransportError:
-        # It has not begun to listen.
-        return False
-    return answer.status == 200
-
-
 def _note_ends(world):
     for host in world.hosts:
         code = host.own_end()
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -1,13 +1,12 @@
 """The platform's stand-ins, the links to them, and the hosts."""
 
 import asyncio
-import json
 
-from apricotseam.standins import LAYERS
-from apricotseam.standins import users_configuration
-from apricotseam.standins import users_route
-from apricotseam.standins import UsersStore
-from apricotseam.standins import UsersTarget
+from apricotseam.platform.standins import LAYERS
+from apricotseam.platform.standins import users_configuration
+from apricotseam.platform.standins import users_route
+from apricotseam.platform.standins import UsersStore
+from apricotseam.platform.standins import UsersTarget
 from soak._addresses import Addresses
 from soak._hosts import HostProcess
 from soak._promises import EVENTS
@@ -38,19 +37,10 @@
         self.target.events = EVENTS
         self.target.event_seconds = EVENT_SECONDS
         self.link = Proxy(addresses.take(), self.target.address)
+        self.target.reached_at = self.link.address
         self.is_up = False
         self.is_draining = False
 
-    def entry(self):
-        """Return the bytes of its entry, which names the link."""
-        service, kind = (
-            ("llm", "k") if self.target.is_engine else ("plain", "")
-        )
-        state = "draining" if self.is_draining else "ready"
-        fields = json.loads(self.target.entry(service, "a", kind, state))
-        fields["Address"] = self.link.address
-        return json.dumps(fields).encode()
-
 
 class World:
     """All parts of a run.
@@ -122,13 +112,13 @@
         found = users_configuration(
             self.version, [users_route(prefix, "safe", "plain")]
         )
-        self.store.put("op/config", json.dumps(found).encode())
+        self.store.declare(found)
         self.records.newest_path = f"{prefix}x"
 
     def register(self, backend):
         """Write a target's entry."""
-        key = f"servers/{backend.target.identity}"
-        self.store.put(key, backend.entry())
+        state = "draining" if backend.is_draining else "ready"
+        self.store.register(backend.target, state=state)
 
     async def raise_up(self, backend):
         """Start a target and enter it."""
@@ -157,7 +147,7 @@
 
     def _lapse(self, backend):
         if not backend.is_up:
-            self.store.delete(f"servers/{backend.target.identity}")
+            self.store.remove(backend.target)
 
     def _load(self, target):
         """Enter a target's new layers when they are loaded."""
