Reject late items of keys that a mirror knows to be absent

Cause: apply() compared an item only with the known item or tombstone of its key. A key that was deleted before the mirror knew it has neither, so a late item of it was taken, and the deleted key was back until the next listing. The same holds once a tombstone was evicted. Change: a key of which nothing is known counts as known at the mirror's revision. A listing at that revision or above still brings keys back, so that a fault heals.

--- a/apricotseam/coordination/_mirror.py
+++ b/apricotseam/coordination/_mirror.py
@@ -49,10 +49,16 @@
         bool
             Whether the change was applied.
         """
-        known = self._items.get(item.key)
-        if known is not None and known.revision >= item.revision:
-            return False
-        if self._tombstones.get(item.key, 0) >= item.revision:
+        # A key that is unknown up to `revision` was deleted or never existed,
+        # so an item of it at a lower revision is late.
+        return self._apply_newer(item, self.revision)
+
+    def _apply_newer(self, item, unknown_revision):
+        """Apply a change above the revision at which its key is known.
+
+        ``unknown_revision`` is that of keys of which nothing is known.
+        """
+        if self._revision_of(item.key, unknown_revision) >= item.revision:
             return False
         if item.value is None:
             self._items.pop(item.key, None)
@@ -80,8 +86,9 @@
             revision above that of the first page.
         """
         listed = {item.key for item in items}
+        is_older = first_revision < self.revision
         for item in items:
-            self.apply(item)
+            self._apply_newer(item, self.revision if is_older else 0)
         for key, item in list(self._items.items()):
             if key not in listed and item.revision <= first_revision:
                 self.apply(MirrorItem(key, None, first_revision))
@@ -105,6 +112,13 @@
         )
         return Changes(self.revision, items, False)
 
+    def _revision_of(self, key, unknown_revision):
+        """Return the revision at which a key was changed or deleted last."""
+        known = self._items.get(key)
+        if known is not None:
+            return known.revision
+        return max(self._tombstones.get(key, 0), unknown_revision)
+
     def _add_tombstone(self, item):
         self._tombstones[item.key] = item.revision
         self._tombstones.move_to_end(item.key)
