Give the prober its random generator

Cause: the sample of targets that tells a silent chain from a host without network was drawn from the module's generator, so a test of it failed in one of 84 runs, when all three sampled targets were silent ones. No check was changed. Result: the tests of the package pass.

--- a/apricotseam/forwarding/_contact.py
+++ b/apricotseam/forwarding/_contact.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import random
 
 _LOG = logging.getLogger(__name__)
 
@@ -24,9 +23,12 @@
         Coroutine function that returns whether a target responds.
     now : callable
         Returns monotonic time in seconds.
+    generator : random.Random
+        Chooses the sample.
     """
 
-    def __init__(self, targets, probe, now):
+    def __init__(self, targets, probe, now, generator):
+        self._random = generator
         self._targets = targets
         self._probe = probe
         self._now = now
@@ -69,7 +71,7 @@
             for target in self._targets
             if target.identity not in probed and not target.health.is_silent
         ]
-        return random.sample(others, min(SAMPLE_SIZE, len(others)))
+        return self._random.sample(others, min(SAMPLE_SIZE, len(others)))
 
     async def _probe_sample(self, sampled):
         answers = await asyncio.gather(*(self._probe(t) for t in sampled))
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -51,12 +51,15 @@
         All known targets. Silent and slow ones are probed periodically. A
         few others are probed when no target responds, to tell whether this
         host itself has lost its network connection.
+    generator : random.Random, optional
+        Chooses the targets of samples.
     """
 
-    def __init__(self, pool, ledger, now, on_silent, targets):
+    def __init__(self, pool, ledger, now, on_silent, targets, generator=None):
         self._targets = targets
+        self._random = generator or random.Random()
         self._connectivity = ConnectivityCheck(
-            targets, self._probe_within_budget, now
+            targets, self._probe_within_budget, now, self._random
         )
         self._ledger = ledger
         self._on_silent = on_silent
@@ -111,7 +114,7 @@
             if target.health.is_silent
             or (
                 target.health.is_self_reported_slow(now)
-                and random.random() < slow_fraction
+                and self._random.random() < slow_fraction
             )
         ]
 
