Keep a shard usable after a claim was given up

Cause: a peer's question that waits too long cancels the future of its claim. The batch in progress then ended with InvalidStateError, and since the shard still counted as busy no later claim of it was ever sent. Change: claims are marked as running when their batch is taken, which makes a later cancellation ineffective; those cancelled before are left out.

--- a/apricotseam/execution/_claims.py
+++ b/apricotseam/execution/_claims.py
@@ -204,8 +204,10 @@
     def _flush(self, number):
         while True:
             batch = self._take(number)
-            if not batch:
+            if batch is None:
                 return
+            if not batch:
+                continue
             CLAIM_BATCHES.inc()
             CLAIMS.inc(len(batch))
             try:
@@ -218,13 +220,23 @@
                 future.set_result(holder)
 
     def _take(self, number):
+        """Return the next batch, or None if no claim of the shard waits.
+
+        Claims that were cancelled are left out. The others can no longer be
+        cancelled: the store may have the claim when its caller gives up.
+        """
         with self._lock:
             waiting = self._waiting[number]
-            batch = waiting[:MAX_BATCH_CLAIMS]
-            del waiting[:MAX_BATCH_CLAIMS]
-            if not batch:
+            if not waiting:
                 del self._waiting[number]
-            return batch
+                return None
+            taken = waiting[:MAX_BATCH_CLAIMS]
+            del waiting[:MAX_BATCH_CLAIMS]
+        return [
+            (entry, future)
+            for entry, future in taken
+            if future.set_running_or_notify_cancel()
+        ]
 
 
 class ShardClaims:
