Restore the whole stage when its replacement fails

Cause: a replacement by two stages that failed was merged to the first of them, which holds half of the layers. If the failed stage was then waited for or reused, the result of that half was taken for both. Change: the replaced stage is restored with its attempt and inputs.

--- a/apricotseam/pipelines/_progress.py
+++ b/apricotseam/pipelines/_progress.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from apricotseam.pipelines._budget import RecordedInputBudget
+from apricotseam.pipelines._chain import Stage
 
 MAX_RECORDED_BYTES = 4 << 20
 # Step errors after which the stage is asked for its position.
@@ -125,6 +126,14 @@
     return StageStatus.DONE if last.error is None else StageStatus.ELSEWHERE
 
 
+class ChainEntry(msgspec.Struct, frozen=True):
+    """A stage of a stream, its attempt and its recorded inputs."""
+
+    stage: Stage
+    attempt: int
+    inputs: list[str]
+
+
 class StreamProgress:
     """Stages, attempts and recorded inputs of one stream.
 
@@ -222,22 +231,30 @@
         self._inputs[index : index + 1] = [recorded, *([] for _ in stages[1:])]
         self._last_inputs[index + 1 : index + 1] = [None] * (count - 1)
 
-    def merge(self, index, count, inputs):
-        """Merge stages into one entry again after a rebuild failed.
+    def entry(self, index):
+        """Return the `ChainEntry` of a stage, to `restore` it later."""
+        return ChainEntry(
+            self._stages[index],
+            self._attempts[index],
+            list(self._inputs[index]),
+        )
+
+    def restore(self, index, count, entry):
+        """Undo `replace` after its stages could not be rebuilt.
 
         Parameters
         ----------
         index : int
-            Index of the first of them.
+            Index of the first of the stages that replaced the entry.
         count : int
-            Number of stages to merge.
-        inputs : list of str
-            Recorded inputs of the merged entry.
+            Number of these stages.
+        entry : ChainEntry
+            The stage that they replaced.
         """
-        del self._stages[index + 1 : index + count]
-        del self._attempts[index + 1 : index + count]
+        self._stages[index : index + count] = [entry.stage]
+        self._attempts[index : index + count] = [entry.attempt]
         del self._last_inputs[index + 1 : index + count]
-        self._inputs[index : index + count] = [inputs]
+        self._inputs[index : index + count] = [entry.inputs]
 
     def lacks_inputs(self, index, count):
         """Return whether fewer than ``count`` inputs are recorded."""
--- a/apricotseam/pipelines/_recovery.py
+++ b/apricotseam/pipelines/_recovery.py
@@ -171,7 +171,7 @@
             return
 
     def _rebuild(self, progress, index, position, stages, cache):
-        recorded = list(progress.inputs(index))
+        replaced = progress.entry(index)
         progress.replace(index, stages)
         try:
             if cache is not None and len(stages) == 1:
@@ -182,12 +182,14 @@
             if progress.lacks_inputs(index, position + 1):
                 RECOVERIES.labels("restart").inc()
                 raise RestartNeeded
-            results = self._replay(progress, index, recorded, len(stages))
+            results = self._replay(
+                progress, index, replaced.inputs, len(stages)
+            )
             RECOVERIES.labels("replay").inc()
             return results
         except StepFailure:
             self.abandoned.extend(stages)
-            progress.merge(index, len(stages), recorded)
+            progress.restore(index, len(stages), replaced)
             raise
 
     def _import(self, progress, index, position, cache):
--- a/apricotseam/pipelines/tests/test_recovery_machine.py
+++ b/apricotseam/pipelines/tests/test_recovery_machine.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+import pytest
 
 from apricotseam.clock import ManualClock
 from apricotseam.errors import FailedError
@@ -105,6 +106,36 @@
                 tokens.close()
 
 
+# Targets that are dead from the start, and the fault of "a1" in the first
+# step. "a2" holds both layers of "a1", "a3" and "a4" one each.
+PARTIAL_REPLACEMENTS = [
+    ("second-half-dead", ["a2", "a4"], "lose_before"),
+    ("first-half-dead", ["a2", "a3"], "lose_before"),
+    ("second-half-dead-and-wrong", ["a2", "a4"], "wrong"),
+    ("second-half-dead-and-late", ["a2", "a4"], "late"),
+]
+
+
+@pytest.mark.parametrize(
+    ("dead", "fault"),
+    [case[1:] for case in PARTIAL_REPLACEMENTS],
+    ids=[case[0] for case in PARTIAL_REPLACEMENTS],
+)
+@pytest.mark.parametrize("max_recorded_bytes", [0, 1 << 20])
+def test_a_replacement_that_failed_leaves_the_stage_whole(
+    dead, fault, max_recorded_bytes
+):
+    machine = RecoveryMachine()
+    machine.begin(max_recorded_bytes)
+    for name in dead:
+        machine.die(name)
+    machine.fail("a1", fault)
+    machine.read("s", TOKENS)
+    machine.tokens_match_the_expected_answer()
+    machine.a_stage_sees_positions_once_in_order()
+    machine.teardown()
+
+
 TestRecovery = RecoveryMachine.TestCase
 TestRecovery.settings = hypothesis.settings(
     max_examples=120, stateful_step_count=25
