Refuse requests that are late as overloaded, not for a limit

Cause: a customer's limit was asked for before the deadline was looked at. If the share had to be requested from its owner, a deadline of 1 ms ended before the answer came, and the caller was told limit_exceeded. Change: the deadline is checked before the limit and again when the limit refuses.

--- a/apricotseam/admission/_fair.py
+++ b/apricotseam/admission/_fair.py
@@ -9,6 +9,7 @@
 from apricotseam.admission._metrics import PoolMetrics
 from apricotseam.admission._pool import PoolScheduler
 from apricotseam.admission._pool import QueueBounds
+from apricotseam.errors import LimitExceededError
 from apricotseam.errors import RefusedError
 from apricotseam.routing import TargetTable
 
@@ -79,7 +80,7 @@
         """Wait until the request may start and return its `Permit`."""
         key = (work.scope, work.pool)
         try:
-            self._limits.acquire(work)
+            self._acquire_limits(key, work)
             try:
                 entry = self._wait_for_start(key, work)
             except BaseException:
@@ -116,6 +117,24 @@
             pool.limit.observed(seconds, expected, pool.running, now)
             self._start_ready(pool)
 
+    def _acquire_limits(self, key, work):
+        """Count a request against its customer's limits.
+
+        A request whose deadline cannot be met is refused for that reason,
+        even if it passes while the customer's share is asked for.
+        """
+        self._check_deadline(key, work)
+        try:
+            self._limits.acquire(work)
+        except LimitExceededError:
+            self._check_deadline(key, work)
+            raise
+
+    def _check_deadline(self, key, work):
+        with self._lock:
+            now = self._clock.monotonic()
+            self._pool(key, now).check_deadline(work, now)
+
     def _wait_for_start(self, key, work):
         decided = threading.Event()
         with self._lock:
--- a/apricotseam/admission/_pool.py
+++ b/apricotseam/admission/_pool.py
@@ -82,12 +82,9 @@
         OverloadedError
             If the queue is full or the deadline cannot be met.
         """
-        wait = self._rates.estimate_wait(
-            work.rank, self._queue.cost_ahead(work)
-        )
-        start_deadline = work.deadline - self.first_token_delay_seconds
-        if start_deadline <= now:
-            raise _overloaded("the deadline cannot be met", wait)
+        self.check_deadline(work, now)
+        wait = self._estimate_wait(work)
+        start_deadline = self._start_deadline(work)
         if self._queue.count and now + wait >= start_deadline:
             raise _overloaded("the deadline cannot be met", wait)
         self._make_room(work, wait, max_waiting)
@@ -95,6 +92,27 @@
         self._queue.push(entry)
         return entry
 
+    def check_deadline(self, work, now):
+        """Refuse a request that would be late even if it started now.
+
+        Raises
+        ------
+        OverloadedError
+            If the first token cannot be there by the deadline.
+        """
+        if self._start_deadline(work) <= now:
+            raise _overloaded(
+                "the deadline cannot be met", self._estimate_wait(work)
+            )
+
+    def _start_deadline(self, work):
+        return work.deadline - self.first_token_delay_seconds
+
+    def _estimate_wait(self, work):
+        return self._rates.estimate_wait(
+            work.rank, self._queue.cost_ahead(work)
+        )
+
     def _make_room(self, work, wait, max_waiting):
         requests = self._bounds.requests
         if max_waiting is not None:
--- a/apricotseam/admission/tests/test_fair.py
+++ b/apricotseam/admission/tests/test_fair.py
@@ -6,9 +6,12 @@
 import pytest
 
 from apricotseam.admission import FairAdmission
+from apricotseam.admission import UnlimitedCustomers
 from apricotseam.admission.tests.factories import make_work
+from apricotseam.clock import ManualClock
 from apricotseam.clock import SystemClock
 from apricotseam.config import Bounds
+from apricotseam.errors import LimitExceededError
 from apricotseam.errors import OverloadedError
 
 CLOCK = SystemClock()
@@ -76,3 +79,40 @@
     refused = [e for e in errors if e is not None]
     assert all(isinstance(e, OverloadedError) for e in refused)
     assert len(surge) - len(refused) <= 14
+
+
+class SlowLimits(UnlimitedCustomers):
+    """Refuses each request after it has waited for an answer."""
+
+    def __init__(self, clock, wait_seconds):
+        self._clock = clock
+        self._wait_seconds = wait_seconds
+
+    def acquire(self, work):
+        """Let time pass, then refuse."""
+        self._clock.advance(self._wait_seconds)
+        raise LimitExceededError("over the limit", "retry", 1.0)
+
+
+# Seconds until the deadline, seconds that the customer's limit takes to
+# refuse, and the error. The deadline decides if it passes before the answer.
+LATE_LIMITS = [
+    ("deadline-passes-during-the-question", 0.001, 0.05, OverloadedError),
+    ("deadline-passed-before", -0.001, 0.0, OverloadedError),
+    ("deadline-is-far", 10.0, 0.05, LimitExceededError),
+]
+
+
+@pytest.mark.parametrize(
+    ("left", "wait", "error"),
+    [case[1:] for case in LATE_LIMITS],
+    ids=[case[0] for case in LATE_LIMITS],
+)
+def test_error_of_a_request_whose_limit_is_asked_for(left, wait, error):
+    clock = ManualClock()
+    admission = FairAdmission(
+        Bounds(caller_threads=16), clock, SlowLimits(clock, wait)
+    )
+    work = make_work(1, deadline=clock.monotonic() + left)
+    with pytest.raises(error):
+        admission.admit(work)
