Count messages between hosts by kind, and connections

Change: Traffic counts messages and bytes by kind and direction, and opened and evicted connections.

--- a/apricotseam/host/_configuration.py
+++ b/apricotseam/host/_configuration.py
@@ -95,6 +95,7 @@
         self._root_version = None
         self._next_poll = clock.monotonic()
         self._last_read = clock.monotonic()
+        self._last_peer_contact = 0.0
         replicator.add(self._history, store.cache, self._load_document)
         store.on_accepted(self._on_root_accepted)
 
@@ -137,19 +138,22 @@
         Parameters
         ----------
         last_peer_contact : float, optional
-            Monotonic time in seconds at which a peer was last heard from.
+            Monotonic time in seconds at which a peer was last heard from;
+            by default that of the last call.
         """
+        if last_peer_contact is not None:
+            self._last_peer_contact = last_peer_contact
         with self._lock:
             peer_count = len(self._snapshots.members.present()) - 1
             if self._join_gate.update(self._history.revision, peer_count):
                 self._snapshots.configuration = self._configuration
-        self._snapshots.is_isolated = self._is_isolated(last_peer_contact)
+        self._snapshots.is_isolated = self._is_isolated()
 
-    def _is_isolated(self, last_peer_contact):
+    def _is_isolated(self):
         """Return whether neither service nor peers were reached recently."""
         if len(self._snapshots.members) < 2:
             return False
-        last_contact = max(self._last_read, last_peer_contact or 0.0)
+        last_contact = max(self._last_read, self._last_peer_contact)
         return self._clock.monotonic() > last_contact + ISOLATED_AFTER_SECONDS
 
     def _check_service(self, stopping):
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -43,6 +43,8 @@
 from apricotseam.node._listeners import start_server
 from apricotseam.node._placer import Placer
 from apricotseam.node._settings import load_node_settings
+from apricotseam.node._traffic import log_traffic
+from apricotseam.node._traffic import TrafficCollector
 from apricotseam.node._usage import UsageExchange
 from apricotseam.node._zones import ZoneUsageExchange
 from apricotseam.peers import PeerTransport
@@ -222,6 +224,7 @@
         transport = PeerTransport(
             None, settings.peers_address, self._started_ms
         )
+        self._registry.register(TrafficCollector(transport.traffic))
         self._hosts = Hosts(own, transport, self._facts, self._now)
         transport.handle(ChangesRequest, self._answer_changes, Changes)
         self._store = StoreClient(settings.store_address)
@@ -286,6 +289,7 @@
             ("zones", self._zone_exchange.run),
             ("probes", self._run_probes),
             ("care", self._run_maintenance),
+            ("traffic", self._log_traffic),
         ]
 
     async def _run_probes(self):
@@ -293,6 +297,9 @@
             lambda: 1 + len(self._hosts.load_recipients)
         )
 
+    async def _log_traffic(self):
+        await log_traffic(self._hosts.transport.traffic)
+
     async def _run_maintenance(self):
         """Run periodic housekeeping."""
         while True:
--- a/apricotseam/peers/_channels.py
+++ b/apricotseam/peers/_channels.py
@@ -47,10 +47,13 @@
     ----------
     make_context : callable
         Returns the `ssl.SSLContext` for clients, or None for plain text.
+    traffic : Traffic
+        Counts the connections.
     """
 
-    def __init__(self, make_context):
+    def __init__(self, make_context, traffic):
         self._make_context = make_context
+        self._traffic = traffic
         self._channels = collections.OrderedDict()
 
     def __len__(self):
@@ -85,6 +88,7 @@
                 config=make_configuration(),
             )
             self._channels[address] = channel
+            self._traffic.connections_opened += 1
             self._evict_least_recently_used()
         self._channels.move_to_end(address)
         try:
@@ -111,4 +115,5 @@
 
     def _evict_least_recently_used(self):
         if len(self._channels) > MAX_CHANNELS:
+            self._traffic.connections_evicted += 1
             self.close(next(iter(self._channels)))
--- a/apricotseam/peers/_transport.py
+++ b/apricotseam/peers/_transport.py
@@ -17,6 +17,7 @@
 from apricotseam.peers import _peers_pb2
 from apricotseam.peers._servant import ClosingServer
 from apricotseam.peers._servant import PeerService
+from apricotseam.peers._traffic import Traffic
 
 _LOG = logging.getLogger(__name__)
 
@@ -34,23 +35,6 @@
     """Empty answer, sent if a handler returns None."""
 
 
-class Traffic:
-    """Counters of sent and received messages and body bytes."""
-
-    __slots__ = (
-        "bytes_received",
-        "bytes_sent",
-        "messages_received",
-        "messages_sent",
-    )
-
-    def __init__(self):
-        self.bytes_received = 0
-        self.bytes_sent = 0
-        self.messages_received = 0
-        self.messages_sent = 0
-
-
 class PeerTransport:
     """Sends and receives typed messages between hosts.
 
@@ -79,11 +63,13 @@
         self._tls_context = tls_context or (lambda side: None)
         self._record_types = {"Nothing": Nothing}
         self._handlers = {}
-        self._channels = Channels(lambda: self._tls_context("client"))
+        self.traffic = Traffic()
+        self._channels = Channels(
+            lambda: self._tls_context("client"), self.traffic
+        )
         self._queues = {}
         self._sender_tasks = set()
         self._server = None
-        self.traffic = Traffic()
 
     @property
     def address(self):
@@ -297,8 +283,6 @@
         )
 
     def _unpack(self, envelope):
-        self.traffic.messages_received += 1
-        self.traffic.bytes_received += len(envelope.body)
         record_type = self._record_types.get(envelope.kind)
         if record_type is None or len(envelope.body) > MAX_MESSAGE_BYTES:
             raise PeerMessageError(
@@ -306,6 +290,7 @@
                 f" {len(envelope.body)} bytes is of unknown kind or too large",
                 "run the same version on all hosts",
             )
+        self.traffic.received[envelope.kind].count(len(envelope.body))
         return msgspec.msgpack.decode(envelope.body, type=record_type)
 
     async def dispatch(self, envelope):
@@ -337,5 +322,4 @@
         return packed
 
     def _count_sent(self, envelope):
-        self.traffic.messages_sent += 1
-        self.traffic.bytes_sent += len(envelope.body)
+        self.traffic.sent[envelope.kind].count(len(envelope.body))
