Keep a host's regular connections open

Cause: a host of the large site exchanges messages regularly with 51 others (74 if it is the delegate of its zone) and could have 48 connections. Each further one closed the connection that was opened first, used or not, with the messages in its queue: 72 to 262 evictions a host in 10 s, and the acknowledgements of probes among what was lost. Change: 128 connections, and the one that was unused for the longest time is closed. One-way messages are no longer answered by an envelope that nobody sends.

--- a/apricotseam/peers/_channels.py
+++ b/apricotseam/peers/_channels.py
@@ -10,7 +10,9 @@
 from apricotseam.peers._errors import PeerUnreachableError
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-MAX_CHANNELS = 48
+# More than a host contacts regularly, since an evicted connection loses the
+# messages in its queue and has to be opened again.
+MAX_CHANNELS = 128
 HTTP2_WINDOW_BYTES = 1 << 20
 
 
@@ -102,6 +104,11 @@
             ) from None
         return channel
 
+    def mark_used(self, address):
+        """Record that a message is being sent to an address."""
+        if address in self._channels:
+            self._channels.move_to_end(address)
+
     def close(self, address):
         """Close the connection to an address, if any."""
         channel = self._channels.pop(address, None)
--- a/apricotseam/peers/_servant.py
+++ b/apricotseam/peers/_servant.py
@@ -39,19 +39,22 @@
 
     Parameters
     ----------
+    answer : callable
+        Coroutine function that takes the envelope of a request and returns
+        that of its answer.
     dispatch : callable
-        Coroutine function that takes an envelope and returns the envelope
-        of its answer.
+        Coroutine function that takes the envelope of a one-way message.
     """
 
-    def __init__(self, dispatch):
+    def __init__(self, answer, dispatch):
+        self._answer = answer
         self._dispatch = dispatch
         self._open_streams = 0
 
     async def Ask(self, stream):
         """Answer one request; the gRPC method ``Ask``."""
         envelope = await stream.recv_message()
-        answer = await self._answer(stream, envelope)
+        answer = await self._handle(self._answer, stream, envelope)
         if answer is None:
             raise grpclib.exceptions.GRPCError(
                 grpclib.const.Status.INVALID_ARGUMENT
@@ -70,14 +73,16 @@
         self._open_streams += 1
         try:
             async for envelope in stream:
-                await self._answer(stream, envelope)
+                await self._handle(self._dispatch, stream, envelope)
         finally:
             self._open_streams -= 1
 
-    async def _answer(self, stream, envelope):
+    @staticmethod
+    async def _handle(handler, stream, envelope):
+        """Return the result of a handler, or None if it failed."""
         try:
             _check_sender(stream, envelope)
-            return await self._dispatch(envelope)
+            return await handler(envelope)
         except Exception as error:
             _LOG.debug(
                 "peer_message_refused",
--- a/apricotseam/peers/_transport.py
+++ b/apricotseam/peers/_transport.py
@@ -205,6 +205,7 @@
             task = asyncio.ensure_future(self._send_loop(address, queue))
             self._sender_tasks.add(task)
             task.add_done_callback(self._sender_tasks.discard)
+        self._channels.mark_used(address)
         if queue.full():
             queue.get_nowait()
         queue.put_nowait(envelope)
@@ -220,7 +221,8 @@
         """Start to listen; like `start`, but awaited on the control loop."""
         host, port = self._address.rsplit(":", 1)
         self._server = ClosingServer(
-            [PeerService(self.dispatch)], config=make_configuration()
+            [PeerService(self.answer, self.dispatch)],
+            config=make_configuration(),
         )
         context = self._tls_context("server")
         await self._server.start(host, int(port), ssl=context)
@@ -293,14 +295,32 @@
         self.traffic.received[envelope.kind].count(len(envelope.body))
         return msgspec.msgpack.decode(envelope.body, type=record_type)
 
-    async def dispatch(self, envelope):
-        """Pass an envelope's message to its handler.
+    async def answer(self, envelope):
+        """Pass a request to its handler and pack the answer.
 
         Returns
         -------
         Envelope
             The answer, which contains `Nothing` if the handler gave none.
 
+        Raises
+        ------
+        PeerMessageError
+            As `dispatch`.
+        """
+        answer = await self.dispatch(envelope)
+        packed = self._pack(Nothing() if answer is None else answer)
+        self._count_sent(packed)
+        return packed
+
+    async def dispatch(self, envelope):
+        """Pass an envelope's message to its handler.
+
+        Returns
+        -------
+        msgspec.Struct or None
+            What the handler returned.
+
         Raises
         ------
         PeerMessageError
@@ -317,9 +337,7 @@
         answer = handler(envelope.sender, record)
         if asyncio.iscoroutine(answer):
             answer = await answer
-        packed = self._pack(Nothing() if answer is None else answer)
-        self._count_sent(packed)
-        return packed
+        return answer
 
     def _count_sent(self, envelope):
         self.traffic.sent[envelope.kind].count(len(envelope.body))
--- a/apricotseam/peers/tests/test_transport.py
+++ b/apricotseam/peers/tests/test_transport.py
@@ -119,3 +119,41 @@
         loop.run(ask())
     assert received == []
     assert first.ask(second.address, Text("a")) == Text("A")
+
+
+def test_connection_in_use_is_not_the_one_that_is_evicted(monkeypatch):
+    """The limit closes the connection that was unused for the longest time."""
+    monkeypatch.setattr("apricotseam.peers._channels.MAX_CHANNELS", 2)
+    loop = ControlLoop()
+    loop.start()
+    transports = [PeerTransport(loop, free_address(), 1) for _ in range(4)]
+    for transport in transports:
+        transport.handle(Text, lambda sender, record: None, Text)
+        transport.start()
+    first, *others = transports
+    addresses = [transport.address for transport in others]
+
+    async def send_in_turn():
+        for address in addresses:
+            await first._channels.connect(address, 1.0)
+            first.send(addresses[0], Text("a"))
+
+    loop.run(send_in_turn())
+    assert list(first._channels._channels) == [addresses[2], addresses[0]]
+    assert first.traffic.connections_opened == 3
+    assert first.traffic.connections_evicted == 1
+    for transport in transports:
+        transport.stop()
+    loop.stop()
+
+
+def test_one_way_message_is_not_answered(pair):
+    _, first, second, _, arrived = pair
+    loop = first._loop
+    loop.run(_send(first, second.address))
+    assert arrived.wait(10)
+    assert second.traffic.messages_sent == 0
+
+
+async def _send(transport, address):
+    transport.send(address, Text("a"))
