Let delegates report the states of a zone to its hosts

Change: hosts send their state to the two delegates of their zone, and each delegate reports to all hosts every 0.6 s: sums of usage and retries, what is suspect, slow or refused, which hosts are silent, now and then the usage by other zones, and the store's revision in place of heartbeats. A host takes its own part out of the sums by the number of its last state that they include. A delegate whose reports are overdue is replaced in 1.8 s without the membership; a new one reports after 2 s. Result: test_zone_reports.py (26, 39 and 60 hosts, and a state machine with loss, deaths, suspension and restart): a host sends at most 7 messages a second, a delegate at most 130; all agree within 10 s of the last fault.

--- a/apricotseam/admission/tests/test_fair.py
+++ b/apricotseam/admission/tests/test_fair.py
@@ -6,8 +6,8 @@
 import pytest
 
 from apricotseam.admission import FairAdmission
-from apricotseam.admission import UnlimitedCustomers
 from apricotseam.admission.tests.factories import make_work
+from apricotseam.admission import UnlimitedCustomers
 from apricotseam.clock import ManualClock
 from apricotseam.clock import SystemClock
 from apricotseam.config import Bounds
--- a/apricotseam/chains/__init__.py
+++ b/apricotseam/chains/__init__.py
@@ -6,6 +6,7 @@
 from apricotseam.chains._ledger import Booking
 from apricotseam.chains._ledger import Ledger
 from apricotseam.chains._ledger import PeerUsage
+from apricotseam.chains._ledger import sum_usages
 from apricotseam.chains._ledger import Usage
 from apricotseam.chains._paths import ChainStage
 from apricotseam.chains._paths import find_chain
@@ -26,4 +27,5 @@
     "choose_orders",
     "find_chain",
     "plan_zone",
+    "sum_usages",
 ]
--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -21,16 +21,17 @@
 
 
 class PeerUsage(msgspec.Struct, frozen=True):
-    """Message with a host's usage by target identity.
+    """Message with the usage by target identity of one or more hosts.
 
-    ``number`` grows with each message of a host. ``is_summary`` is set if
-    the usage is the sum over the hosts of an availability zone.
+    ``number`` grows with each message of a host. ``hosts`` is the number of
+    hosts of this host's availability zone that the usage covers; 0 stands
+    for the hosts of other zones.
     """
 
     host: str
     number: int
     usages: dict[str, Usage]
-    is_summary: bool = False
+    hosts: int = 1
 
 
 class Booking:
@@ -73,7 +74,7 @@
         self._peers = {}
         # Sums over all peers; None if they have to be recomputed.
         self._peer_totals = None
-        # Number of peers that are single hosts, not zones.
+        # Number of peers of the own zone whose usage is known.
         self._peer_host_count = 0
         self._bookings = set()
         # Number of bookings made and released so far.
@@ -134,20 +135,31 @@
         self._peers[usage.host] = (usage, now + PEER_EXPIRY_SECONDS)
         self._invalidate_totals()
 
-    def direct_totals(self):
-        """Return the usage by this host and its peers, without summaries.
+    def forget_peers(self):
+        """Discard the usage by all peers."""
+        self._peers.clear()
+        self._invalidate_totals()
+
+    def zone_totals(self):
+        """Return the usage by all hosts of this host's availability zone.
 
         Returns
         -------
         dict of str to Usage
             Usage by target identity.
         """
-        peers = (peer.usages for peer in self._host_messages())
-        return _sum_usages([self._own, *peers])
+        peers = (peer.usages for peer in self._zone_messages())
+        return sum_usages([self._own, *peers])
+
+    def other_zones_totals(self):
+        """Return the usage by hosts of other zones, by target identity."""
+        return sum_usages(
+            peer.usages for peer, _ in self._peers.values() if not peer.hosts
+        )
 
-    def _host_messages(self):
-        """Return the latest message of each peer that is a single host."""
-        return [p for p, _ in self._peers.values() if not p.is_summary]
+    def _zone_messages(self):
+        """Return the latest messages about hosts of this host's zone."""
+        return [p for p, _ in self._peers.values() if p.hosts]
 
     def expire(self, now):
         """Discard the usage by peers that have sent no message recently.
@@ -179,8 +191,10 @@
         """Return the usage of a target by this host and by all peers."""
         if self._peer_totals is None:
             peers = (peer.usages for peer, _ in self._peers.values())
-            self._peer_totals = _sum_usages(peers)
-            self._peer_host_count = len(self._host_messages())
+            self._peer_totals = sum_usages(peers)
+            self._peer_host_count = sum(
+                peer.hosts for peer in self._zone_messages()
+            )
         totals = self._peer_totals
         return self._own.get(identity, _NO_USAGE), totals.get(
             identity, _NO_USAGE
@@ -192,7 +206,7 @@
         self._on_release(False)
 
 
-def _sum_usages(usage_maps):
+def sum_usages(usage_maps):
     """Return the sum of usages by target identity."""
     totals = {}
     for usages in usage_maps:
--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -17,7 +17,6 @@
 REQUEST_TIMEOUT_SECONDS = 0.5
 # Larger fleets exchange loads and watch the store by availability zone.
 MAX_SMALL_FLEET = 25
-READERS_PER_ZONE = 2
 # Two, so that a message still reaches a zone of which one delegate has just
 # failed.
 DELEGATES_PER_ZONE = 2
@@ -62,6 +61,8 @@
         self._now = now
         self._membership = Membership(own, random.Random(), now())
         self._logged_states = {}
+        # Addresses of delegates of the own zone whose reports are overdue.
+        self.unheard_delegates = set()
         self.table = self._membership.snapshot()
         self._published_changes = self._membership.changes
         for message in MESSAGE_TYPES:
@@ -72,6 +73,11 @@
         """Transport for messages to other hosts."""
         return self._transport
 
+    @property
+    def own_address(self):
+        """Peer address of this host."""
+        return self._membership.own.peers_address
+
     @property
     def partners(self):
         """Peer addresses of the hosts that this one keeps in contact with."""
@@ -98,17 +104,30 @@
             ]
         return [m.peers_address for m in members]
 
+    @property
+    def zone_delegates(self):
+        """Peer addresses of the delegates of this host's availability zone.
+
+        These are the first `DELEGATES_PER_ZONE` live hosts by name whose
+        reports are not overdue. A small fleet has no delegates.
+        """
+        if not self.is_large:
+            return []
+        zone = self._membership.own.availability_zone
+        heard = [
+            m
+            for m in self._first_of_zone(zone)
+            if m.peers_address not in self.unheard_delegates
+        ]
+        return [m.peers_address for m in heard[:DELEGATES_PER_ZONE]]
+
     @property
     def is_delegate(self):
         """Whether this host reports to other zones on behalf of its zone.
 
-        In a large fleet the first live host of each availability zone by
-        name does. A small fleet has no delegates.
+        The first of the zone's delegates does.
         """
-        if not self.is_large:
-            return False
-        own = self._membership.own
-        return self._first_of_zone(own.availability_zone) == [own]
+        return self.zone_delegates[:1] == [self.own_address]
 
     @property
     def other_zone_delegates(self):
@@ -124,7 +143,8 @@
             for member in self._first_of_zone(zone, DELEGATES_PER_ZONE)
         ]
 
-    def _first_of_zone(self, zone, count=1):
+    def _first_of_zone(self, zone, count=None):
+        """Return the first live hosts of a zone by name; all by default."""
         members = [m for m in self.table.live() if m.availability_zone == zone]
         return sorted(members, key=lambda m: m.name)[:count]
 
@@ -137,18 +157,15 @@
     def reads_store(self):
         """Whether this host should watch the store itself.
 
-        In a small fleet all hosts do, in a large one the first
-        `READERS_PER_ZONE` live hosts of each availability zone by name. A
-        host that is not in the table of live hosts does, too.
+        In a small fleet all hosts do, in a large one the delegates of each
+        availability zone. A host that is not in the table of live hosts
+        does, too.
         """
-        if not self.is_large:
-            return True
-        own = self._membership.own
-        zone = own.availability_zone
-        first = [m.name for m in self._first_of_zone(zone, READERS_PER_ZONE)]
-        if own.name in first:
+        if not self.is_large or self.own_address in self.zone_delegates:
             return True
-        return own.name not in [m.name for m in self.table.live()]
+        return all(
+            m.peers_address != self.own_address for m in self.table.live()
+        )
 
     def push(self, message):
         """Send a message to the hosts that receive this host's load."""
--- a/apricotseam/coordination/_keeper.py
+++ b/apricotseam/coordination/_keeper.py
@@ -70,6 +70,9 @@
     is_urgent : callable, optional
         Returns whether requests depend on a `MirrorItem`. If none of the
         changes is urgent, the pause before the next call is longer.
+    reports_revision : callable, optional
+        Returns whether other messages of this host repeat its revision to
+        the availability zone, which makes heartbeats needless.
     """
 
     def __init__(
@@ -81,7 +84,9 @@
         is_reader=None,
         push=None,
         is_urgent=None,
+        reports_revision=None,
     ):
+        self._reports_revision = reports_revision or (lambda: False)
         self._is_urgent = is_urgent or (lambda item: True)
         self._is_reader = is_reader or (lambda: True)
         self._push = push or (lambda message: None)
@@ -110,6 +115,16 @@
         """
         return self.is_store_unreachable or self._now() < self._settled_at
 
+    @property
+    def followed_revision(self):
+        """Revision of the store that this reader follows.
+
+        0 if this host is not a reader or cannot reach the store.
+        """
+        if not self._is_reader() or self.is_store_unreachable:
+            return 0
+        return self._mirror.revision
+
     @property
     def updated_at(self):
         """Monotonic time in seconds of the last update, None if there is none.
@@ -138,10 +153,14 @@
         """Send heartbeats while this host is a reader, until cancelled."""
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
-            if self._is_reader() and not self.is_store_unreachable:
-                revision = self._mirror.revision
+            revision = self.followed_revision
+            if revision and not self._reports_revision():
                 self._push(Push(revision, revision, []))
 
+    def receive_heartbeat(self, revision):
+        """Note that a reader follows the store at a revision."""
+        self.receive_push(Push(revision, revision, []))
+
     def receive_push(self, message):
         """Apply the changes in a push of a reader.
 
--- a/apricotseam/forwarding/_retry_budget.py
+++ b/apricotseam/forwarding/_retry_budget.py
@@ -25,12 +25,16 @@
 
 
 class _Peer:
-    """Last counts reported by a peer, and the retries assumed since then."""
+    """Last counts reported of peers, and the retries assumed since then.
 
-    __slots__ = ("assumed_repeats", "counts", "reported_at")
+    ``hosts`` is the number of hosts that the counts cover.
+    """
+
+    __slots__ = ("assumed_repeats", "counts", "hosts", "reported_at")
 
-    def __init__(self, counts, reported_at):
+    def __init__(self, counts, hosts, reported_at):
         self.counts = counts
+        self.hosts = hosts
         self.reported_at = reported_at
         # Retries by service that it may have sent but has not reported.
         self.assumed_repeats = collections.Counter()
@@ -111,7 +115,14 @@
         return True
 
     def counts(self, now):
-        """Return the counts of this host and start a new quota interval.
+        """Return `own_counts` and start a new quota interval."""
+        self._add_assumed_repeats()
+        self._quotas.clear()
+        self._exchanged_at = now
+        return self.own_counts(now)
+
+    def own_counts(self, now):
+        """Return the counts of this host.
 
         Parameters
         ----------
@@ -123,9 +134,6 @@
         dict of str to RepeatCount
             Requests and retries within the window, by service.
         """
-        self._add_assumed_repeats()
-        self._quotas.clear()
-        self._exchanged_at = now
         return {
             service: RepeatCount(
                 self._recent(self._requests[service], now),
@@ -134,19 +142,25 @@
             for service in list(self._requests)
         }
 
-    def update_peer(self, host, counts, now):
-        """Store the counts that a peer reported.
+    def update_peer(self, host, counts, now, hosts=1):
+        """Store the counts of one peer, or the sums of several.
 
         Parameters
         ----------
         host : str
-            Name of the peer's process.
+            Name of the peer's process, or of the group.
         counts : dict of str to RepeatCount
             Counts of the peer, by service.
         now : float
             Monotonic time in seconds.
+        hosts : int
+            Number of hosts that the counts cover.
         """
-        self._peers[host] = _Peer(counts, now)
+        self._peers[host] = _Peer(counts, hosts, now)
+
+    def forget_peers(self):
+        """Discard the counts of all peers."""
+        self._peers.clear()
 
     def _add_assumed_repeats(self):
         """Assume that peers which did not report used up their share.
@@ -158,7 +172,7 @@
                 continue
             for peer in self._peers.values():
                 if peer.reported_at <= self._exchanged_at:
-                    peer.assumed_repeats[service] += (
+                    peer.assumed_repeats[service] += peer.hosts * (
                         quota.spent + quota.remaining
                     )
 
@@ -181,7 +195,7 @@
             peer_count = peer.counts.get(service, _NO_COUNT)
             repeats += peer_count.repeats + peer.assumed_repeats[service]
             if seconds_since_report < PEER_TIMEOUT_SECONDS:
-                reachable_hosts += 1
+                reachable_hosts += peer.hosts
                 requests += peer_count.requests
         hosts = max(reachable_hosts, self._host_count())
         allowed = (
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -237,6 +237,7 @@
             lambda: self._hosts.reads_store,
             self._push_if_large,
             lambda item: not item.key.startswith(HOSTS_PREFIX),
+            lambda: self._usage_exchange.reports_zone,
         )
         transport.handle(Push, lambda _, push: self._keeper.receive_push(push))
         self._item_handler = StoreItemHandler(
@@ -266,10 +267,21 @@
         instance = f"{settings.host}/{self._started_ms}"
         zone = settings.zone
         self._usage_exchange = UsageExchange(
-            self._hosts, self._context, instance, zone, self._now
+            self._hosts,
+            self._context,
+            instance,
+            zone,
+            self._now,
+            lambda: self._keeper.followed_revision,
+            self._keeper.receive_heartbeat,
         )
         self._zone_exchange = ZoneUsageExchange(
-            self._hosts, self._ledger, instance, zone, self._now
+            self._hosts,
+            self._ledger,
+            instance,
+            zone,
+            self._now,
+            lambda: self._usage_exchange.uses_reports,
         )
         self._address_directory = AddressDirectory(
             self._hosts,
@@ -286,6 +298,7 @@
             ("election", self._election.run),
             ("placer", self._placer.run),
             ("usage", self._usage_exchange.run),
+            ("reports", self._usage_exchange.run_reports),
             ("zones", self._zone_exchange.run),
             ("probes", self._run_probes),
             ("care", self._run_maintenance),
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -6,11 +6,22 @@
 
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
-from apricotseam.forwarding import RepeatCount
+from apricotseam.node._zone_reports import FORGET_AFTER_SECONDS
+from apricotseam.node._zone_reports import HostState
+from apricotseam.node._zone_reports import SentStates
+from apricotseam.node._zone_reports import ZoneCollector
+from apricotseam.node._zone_reports import ZoneReport
 
 SEND_PERIOD_SECONDS = 0.2
-# Longer, as each host of a large fleet gets dozens of messages per period.
+# Longer, as the delegates of a zone get the states of all its hosts.
 LARGE_FLEET_SEND_PERIOD_SECONDS = 0.35
+# Each of the two delegates of a zone reports at this period.
+REPORT_PERIOD_SECONDS = 0.6
+# Limit on the states that a delegate receives and on the reports that it
+# sends; the periods grow with larger zones.
+MAX_MESSAGES_PER_SECOND = 120
+# Only every n-th report repeats the usage by hosts of other zones.
+OTHER_ZONES_REPORTS = 2
 # Unchanged usage is sent again after this many periods, so that peers do not
 # expire it.
 HEARTBEAT_PERIODS = 4
@@ -18,37 +29,24 @@
 # time between two messages, as one message may be late.
 SILENT_AFTER_SECONDS = 1.1
 LARGE_FLEET_SILENT_AFTER_SECONDS = 1.8
-# A peer that sent nothing for this long is no longer reported as silent.
-FORGET_AFTER_SECONDS = 10.0
 # How long a target is avoided after a peer reported it unreachable.
 SUSPICION_SECONDS = 0.5
 # Age up to which refusals of requests are reported to peers.
 REFUSED_REPORT_SECONDS = 0.5
-
-
-class HostState(msgspec.Struct, frozen=True, array_like=True):
-    """State that a host sends its peers several times per second.
-
-    ``usages`` is its work in progress by target, ``suspects`` are targets
-    that it cannot reach, ``slow`` holds the slowness factors of targets that
-    reported themselves slow, ``refused`` the retry keys of requests that it
-    refused recently, and ``repeats`` its counts of retries by service.
-    ``number`` counts its messages.
-    """
-
-    host: str
-    zone: str
-    number: int
-    usages: dict[str, Usage]
-    suspects: list[str]
-    slow: dict[str, float]
-    refused: list[str]
-    repeats: dict[str, RepeatCount]
+# Names under which the sums in reports are recorded.
+OWN_ZONE = "own zone"
+OTHER_ZONES = "other zones"
+# A new delegate reports only after each host of the zone has sent it a state.
+TAKEOVER_SECONDS = 2.0
 
 
 class UsageExchange:
     """Sends this host's usage to its peers and applies theirs.
 
+    In a small fleet each host sends its `HostState` to all others. In a
+    large one it sends it to the delegates of its availability zone, whose
+    `ZoneReport` tells it about the other hosts.
+
     Parameters
     ----------
     hosts : Hosts
@@ -61,27 +59,67 @@
         Availability zone of this host.
     now : callable
         Monotonic time in seconds.
+    store_revision : callable, optional
+        Returns the revision of the store that this host follows, 0 if it
+        does not follow the store.
+    on_store_revision : callable, optional
+        Called with the revision that a delegate of the zone follows.
     """
 
-    def __init__(self, hosts, context, instance, zone, now):
+    def __init__(
+        self,
+        hosts,
+        context,
+        instance,
+        zone,
+        now,
+        store_revision=None,
+        on_store_revision=None,
+    ):
         self._zone = zone
         self._hosts = hosts
         self._context = context
         self._ledger = context.ledger
         self._instance = instance
         self._now = now
+        self._store_revision = store_revision or (lambda: 0)
+        self._on_store_revision = on_store_revision or (lambda revision: None)
         self._number = 0
-        # Monotonic time of the last message, by peer address.
-        self._received_at = {}
+        self._report_number = 0
+        # Number of reports applied, as each delegate numbers its own.
+        self._applied_count = 0
+        self._collector = ZoneCollector()
+        self._sent = SentStates()
+        # Time since when this host has been a delegate of its zone, or None.
+        self._delegate_since = None
+        # Whether the ledger has the states of single hosts, not their sum.
+        self._is_direct = True
+        # Last `ZoneReport` of each delegate and the time of its receipt, by
+        # peer address.
+        self._reports = {}
+        # Time since when each delegate of the zone is known as one.
+        self._known_delegates = {}
         hosts.transport.handle(HostState, self._receive)
+        hosts.transport.handle(ZoneReport, self._receive_report)
+
+    @property
+    def reports_zone(self):
+        """Whether this host reports to the other hosts of its zone."""
+        return self._hosts.is_large and self._is_direct
+
+    @property
+    def uses_reports(self):
+        """Whether this host knows of the others by the delegates' reports."""
+        return not self._is_direct and bool(self._reports)
 
     async def run(self):
-        """Send periodically, forever."""
+        """Send states periodically, forever."""
         sent_changes = -1
         unsent_periods = 0
         while True:
             await asyncio.sleep(self._send_period())
             self._ledger.expire(self._now())
+            self._update_delegates()
             suspects = self._suspect_targets()
             slow = self._slow_targets()
             unsent_periods += 1
@@ -94,27 +132,109 @@
             unsent_periods = 0
             self._send(suspects, slow)
 
+    async def run_reports(self):
+        """Report periodically while this host is a delegate, forever."""
+        while True:
+            await asyncio.sleep(self._period(REPORT_PERIOD_SECONDS))
+            if self.reports_zone:
+                self._send_report()
+
     def silent_peers(self):
         """Return the addresses of peers whose messages are overdue."""
+        if not self._hosts.is_large:
+            return set(self._silent_senders())
+        if self.reports_zone:
+            return set(self._silent_senders()) | self._hosts.unheard_delegates
         now = self._now()
-        silent_after = SILENT_AFTER_SECONDS
+        silent = [
+            set(report.silent)
+            for report, received_at in self._reports.values()
+            if now - received_at <= self._silent_after()
+        ]
+        # A delegate that is cut off itself reports all others as silent.
+        found = set.intersection(*silent) if silent else set()
+        return found | self._hosts.unheard_delegates
+
+    def _silent_senders(self):
+        return self._collector.silent(self._silent_after(), self._now())
+
+    def _silent_after(self):
+        if not self._hosts.is_large:
+            return SILENT_AFTER_SECONDS
+        heartbeat = HEARTBEAT_PERIODS * self._send_period()
+        return max(LARGE_FLEET_SILENT_AFTER_SECONDS, 1.25 * heartbeat)
+
+    def _send_period(self):
         if self._hosts.is_large:
-            silent_after = LARGE_FLEET_SILENT_AFTER_SECONDS
-        self._received_at = {
-            address: received_at
-            for address, received_at in self._received_at.items()
+            return self._period(LARGE_FLEET_SEND_PERIOD_SECONDS)
+        return SEND_PERIOD_SECONDS
+
+    def _period(self, least_seconds):
+        """Return a period that bounds the messages of a delegate."""
+        peers = len(self._hosts.load_recipients)
+        return max(least_seconds, peers / MAX_MESSAGES_PER_SECOND)
+
+    def _update_delegates(self):
+        """Update which delegates are heard, and whether this host is one."""
+        now = self._now()
+        if not self._hosts.is_large:
+            self._delegate_since = None
+            self._set_direct(True, now)
+            return
+        self._reports = {
+            address: (report, received_at)
+            for address, (report, received_at) in self._reports.items()
             if now - received_at < FORGET_AFTER_SECONDS
         }
+        self._hosts.unheard_delegates = self._unheard_delegates(now)
+        delegates = self._hosts.zone_delegates
+        for address in delegates:
+            self._known_delegates.setdefault(address, now)
+        is_delegate = self._hosts.own_address in delegates
+        if is_delegate and self._delegate_since is None:
+            self._delegate_since = now
+        elif not is_delegate:
+            self._delegate_since = None
+        since = self._delegate_since
+        self._set_direct(
+            since is not None and now - since >= TAKEOVER_SECONDS, now
+        )
+
+    def _set_direct(self, is_direct, now):
+        """Set whether to use the states of single hosts or their sum."""
+        if self._is_direct is is_direct:
+            return
+        self._is_direct = is_direct
+        self._ledger.forget_peers()
+        self._context.retry_budget.forget_peers()
+        if is_direct:
+            for state in self._collector.states(now):
+                self._apply_state(state, now)
+
+    def _unheard_delegates(self, now):
+        """Return the delegates whose reports are overdue.
+
+        A delegate that is heard again counts as one again, as it reports to
+        all hosts of the zone.
+        """
+        recipients = set(self._hosts.load_recipients)
+        self._known_delegates = {
+            address: since
+            for address, since in self._known_delegates.items()
+            if address in recipients
+        }
         return {
             address
-            for address, received_at in self._received_at.items()
-            if now - received_at > silent_after
+            for address, since in self._known_delegates.items()
+            if now >= self._report_deadline(address, since)
         }
 
-    def _send_period(self):
-        if self._hosts.is_large:
-            return LARGE_FLEET_SEND_PERIOD_SECONDS
-        return SEND_PERIOD_SECONDS
+    def _report_deadline(self, address, known_since):
+        """Return the time at which a delegate's next report is overdue."""
+        _, received_at = self._reports.get(address, (None, 0.0))
+        return self._silent_after() + max(
+            received_at, known_since + TAKEOVER_SECONDS
+        )
 
     def _suspect_targets(self):
         return [
@@ -131,25 +251,54 @@
             if target.health.is_self_reported_slow(now)
         }
 
-    def _send(self, suspects, slow):
-        self._number += 1
+    def _make_state(self, suspects, slow, repeats):
         usages = {
             identity: Usage(round(usage.units), usage.requests)
             for identity, usage in self._ledger.own.items()
         }
         since = self._now() - REFUSED_REPORT_SECONDS
-        refused = self._context.request_queue.recently_refused(since)
-        message = HostState(
+        return HostState(
             self._instance,
             self._zone,
             self._number,
             usages,
             suspects,
             slow,
-            refused,
-            self._context.retry_budget.counts(self._now()),
+            self._context.request_queue.recently_refused(since),
+            repeats,
         )
-        self._hosts.transport.send_all(self._hosts.load_recipients, message)
+
+    def _send(self, suspects, slow):
+        self._number += 1
+        repeats = self._context.retry_budget.counts(self._now())
+        message = self._make_state(suspects, slow, repeats)
+        self._sent.add(message)
+        recipients = self._hosts.load_recipients
+        if self._hosts.is_large:
+            own = self._hosts.own_address
+            recipients = [a for a in self._hosts.zone_delegates if a != own]
+        self._hosts.transport.send_all(recipients, message)
+
+    def _send_report(self):
+        self._report_number += 1
+        now = self._now()
+        own = self._make_state(
+            self._suspect_targets(),
+            self._slow_targets(),
+            self._context.retry_budget.own_counts(now),
+        )
+        report = self._collector.make_report(
+            own, self._report_number, self._silent_after(), now
+        )
+        others = None
+        if self._report_number % OTHER_ZONES_REPORTS == 0:
+            others = self._ledger.other_zones_totals()
+        report = msgspec.structs.replace(
+            report,
+            other_zones=others,
+            store_revision=self._store_revision(),
+        )
+        self._hosts.transport.send_all(self._hosts.load_recipients, report)
 
     def _receive(self, sender, message):
         # In a large fleet, the totals received as `ZoneState` already include
@@ -157,12 +306,53 @@
         if self._hosts.is_large and message.zone != self._zone:
             return
         now = self._now()
-        self._received_at[sender] = now
-        usage = PeerUsage(message.host, message.number, message.usages)
+        if not self._collector.receive(sender, message, now):
+            return
+        if self._is_direct:
+            self._apply_state(message, now)
+        self._apply_notices(message, now)
+
+    def _apply_state(self, state, now):
+        usage = PeerUsage(state.host, state.number, state.usages)
         self._ledger.update_peer(usage, now)
+        self._context.retry_budget.update_peer(state.host, state.repeats, now)
+
+    def _receive_report(self, sender, report):
+        if report.zone != self._zone or not self._hosts.is_large:
+            return
+        known, _ = self._reports.get(sender, (None, 0.0))
+        if (
+            known is not None
+            and known.sender == report.sender
+            and known.number >= report.number
+        ):
+            return
+        now = self._now()
+        self._reports[sender] = (report, now)
+        if report.store_revision:
+            self._on_store_revision(report.store_revision)
+        self._apply_notices(report, now)
+        if not self._is_direct:
+            self._apply_sums(report, now)
+
+    def _apply_sums(self, report, now):
+        """Replace what is known of the other hosts by a report."""
+        others = self._sent.others(report, self._instance)
+        self._applied_count += 1
+        number = self._applied_count
+        self._ledger.update_peer(
+            PeerUsage(OWN_ZONE, number, others.usages, others.hosts), now
+        )
+        if report.other_zones is not None:
+            self._ledger.update_peer(
+                PeerUsage(OTHER_ZONES, number, report.other_zones, 0), now
+            )
         self._context.retry_budget.update_peer(
-            message.host, message.repeats, now
+            OWN_ZONE, others.repeats, now, others.hosts
         )
+
+    def _apply_notices(self, message, now):
+        """Apply what a `HostState` or `ZoneReport` says of targets."""
         for identity in message.suspects:
             target = self._context.fleet.get(identity)
             if target is None:
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -7,7 +7,7 @@
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
 
-SEND_PERIOD_SECONDS = 0.4
+SEND_PERIOD_SECONDS = 0.6
 
 
 class ZoneState(msgspec.Struct, frozen=True, array_like=True):
@@ -26,8 +26,9 @@
 class ZoneUsageExchange:
     """Exchanges usage totals between availability zones in large fleets.
 
-    The delegate host of a zone sends the zone's totals to the delegates of
-    the other zones, which forward them to the hosts of their own zones.
+    The first delegate of a zone sends the zone's totals to the delegates of
+    the other zones, whose reports repeat them to the hosts of their own
+    zones.
 
     Parameters
     ----------
@@ -41,9 +42,13 @@
         Availability zone of this host.
     now : callable
         Monotonic time in seconds.
+    uses_reports : callable, optional
+        Returns whether this host learns the usage by other zones from the
+        reports of its zone's delegates.
     """
 
-    def __init__(self, hosts, ledger, instance, zone, now):
+    def __init__(self, hosts, ledger, instance, zone, now, uses_reports=None):
+        self._uses_reports = uses_reports or (lambda: False)
         self._hosts = hosts
         self._ledger = ledger
         self._instance = instance
@@ -68,7 +73,7 @@
         self._number += 1
         usages = {
             identity: Usage(round(usage.units), usage.requests)
-            for identity, usage in self._ledger.direct_totals().items()
+            for identity, usage in self._ledger.zone_totals().items()
         }
         message = ZoneState(self._zone, self._instance, self._number, usages)
         addresses = self._hosts.other_zone_delegates
@@ -78,15 +83,13 @@
         if message.zone == self._zone or not self._is_newer(message):
             return
         self._latest[message.zone] = message
+        if self._uses_reports():
+            return
         self._applied_count += 1
         usage = PeerUsage(
-            f"zone {message.zone}", self._applied_count, message.usages, True
+            f"zone {message.zone}", self._applied_count, message.usages, 0
         )
         self._ledger.update_peer(usage, self._now())
-        if self._hosts.is_delegate:
-            self._hosts.transport.send_all(
-                self._hosts.load_recipients, message
-            )
 
     def _is_newer(self, message):
         latest = self._latest.get(message.zone)
--- /dev/null
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -0,0 +1,440 @@
+"""A zone whose hosts know one another by the reports of two delegates.
+
+The pattern is that of a fleet of hundreds of hosts: the number of messages
+of a host must not grow with its zone, and what a host believes of the others
+has to be right again soon after messages were lost, and after a delegate
+died, was suspended or started again.
+"""
+
+import random
+import types
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from apricotseam.chains import Ledger
+from apricotseam.coordination import Hosts
+from apricotseam.forwarding import HostRetryBudget
+from apricotseam.membership import Member
+from apricotseam.node._usage import UsageExchange
+from apricotseam.node._zone_reports import HostState
+from apricotseam.node._zone_reports import ZoneReport
+
+TICK_SECONDS = 0.05
+# Time in which all hosts of a zone agree after the last fault: a report is
+# overdue, its sender is replaced, and the new one reports.
+CONVERGENCE_SECONDS = 10.0
+TARGET = "t"
+LAYERS = 2
+
+
+class Targets:
+    """A fleet without targets."""
+
+    def __iter__(self):
+        return iter(())
+
+    def get(self, identity):
+        """Return None for each target."""
+        return None
+
+
+class Queue:
+    """Remembers the refusals that it is told of."""
+
+    def __init__(self):
+        self.remembered = []
+
+    def recently_refused(self, since):
+        """Return no own refusals."""
+        return []
+
+    def remember_refused(self, retry_key):
+        """Remember a refusal of another host."""
+        self.remembered.append(retry_key)
+
+
+class ZoneHost:
+    """One process: the real exchange, ledger and view of the fleet."""
+
+    def __init__(self, zone, number, incarnation):
+        self.zone = zone
+        self.address = f"10.0.0.{number}:1"
+        self.record = make_member(number, incarnation)
+        self.handlers = {}
+        transport = types.SimpleNamespace(
+            handle=self.handle, send_all=self.send_all
+        )
+        self.hosts = Hosts(
+            self.record, transport, lambda: None, lambda: zone.now
+        )
+        self.ledger = Ledger()
+        self.budget = HostRetryBudget(
+            0.2, 200.0, 10.0, lambda: len(self.hosts.table)
+        )
+        self.queue = Queue()
+        self.heartbeats = 0
+        context = types.SimpleNamespace(
+            ledger=self.ledger,
+            fleet=Targets(),
+            retry_budget=self.budget,
+            request_queue=self.queue,
+        )
+        self.exchange = UsageExchange(
+            self.hosts,
+            context,
+            f"h{number}/{incarnation}",
+            "a",
+            lambda: zone.now,
+            lambda: 7,
+            self.count_heartbeat,
+        )
+        self.tasks = [self.run_states(), self.run_reports()]
+
+    def count_heartbeat(self, revision):
+        """Count a store revision that a delegate reported."""
+        assert revision == 7
+        self.heartbeats += 1
+
+    def handle(self, record_type, handler, answer_type=None):
+        """Record the handler of a message type."""
+        self.handlers[record_type] = handler
+
+    def send_all(self, addresses, message):
+        """Send through the simulated network."""
+        for address in addresses:
+            self.zone.send(self.address, address, message)
+
+    def learn(self, members):
+        """Take over what the membership protocol would have told."""
+        table = self.hosts._membership._records
+        for member in members:
+            table.merge(member, self.zone.now)
+        self.hosts._publish()
+
+    def run_states(self):
+        """Run the loop of states as a generator of times to sleep."""
+        return drive(self.exchange.run())
+
+    def run_reports(self):
+        """Run the loop of reports as a generator of times to sleep."""
+        return drive(self.exchange.run_reports())
+
+
+def drive(coroutine):
+    """Yield how long a coroutine sleeps; its other awaits are not allowed."""
+    while True:
+        yield coroutine.send(None)
+
+
+def make_member(number, incarnation=1, health=0):
+    """Return the record of a host."""
+    return Member(
+        name=f"host-{number:03d}",
+        peers_address=f"10.0.0.{number}:1",
+        callers_address=f"10.0.0.{number}:2",
+        operators_address="",
+        availability_zone="a",
+        incarnation=incarnation,
+        health=health,
+    )
+
+
+class Zone:
+    """Simulated time and network of the hosts of one availability zone."""
+
+    def __init__(self, count, seed=1, loss=0.0):
+        self.now = 100.0
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.sent = {}
+        self.suspended = set()
+        self.dead = set()
+        self.hosts = {}
+        self.wakeups = {}
+        for number in range(count):
+            self.start(number, 1)
+
+    def start(self, number, incarnation):
+        """Start a process that knows all live hosts."""
+        host = ZoneHost(self, number, incarnation)
+        self.dead.discard(host.address)
+        self.hosts[host.address] = host
+        for task in host.tasks:
+            self.wakeups[task] = (host, self.now + self.random.random())
+        self.tell_members()
+
+    def tell_members(self):
+        """Give each host the record of each other one."""
+        members = [
+            make_member(
+                int(a.split(".")[-1].split(":")[0]),
+                host.record.incarnation,
+                2 if a in self.dead else 0,
+            )
+            for a, host in self.hosts.items()
+        ]
+        for host in self.hosts.values():
+            host.learn([m for m in members if m.peers_address != host.address])
+
+    def kill(self, address):
+        """Kill a process; the membership protocol notices it later."""
+        self.dead.add(address)
+
+    def send(self, source, address, message):
+        """Deliver a message, unless it is lost or its receiver is gone."""
+        self.sent[source] = self.sent.get(source, 0) + 1
+        gone = self.dead | self.suspended
+        if address in gone or self.random.random() < self.loss:
+            return
+        self.hosts[address].handlers[type(message)](source, message)
+
+    def run(self, seconds):
+        """Let time pass and run what is due on each host."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += TICK_SECONDS
+            for task, (host, wake_at) in list(self.wakeups.items()):
+                if self.hosts.get(host.address) is not host:
+                    del self.wakeups[task]
+                elif host.address in self.dead | self.suspended:
+                    continue
+                elif wake_at <= self.now:
+                    self.wakeups[task] = (host, self.now + next(task))
+
+    def live(self):
+        """Return the hosts that run."""
+        gone = self.dead | self.suspended
+        return [h for a, h in self.hosts.items() if a not in gone]
+
+    def beliefs(self):
+        """Return what each running host believes of the target's use."""
+        return {h.address: h.ledger.used_units(TARGET) for h in self.live()}
+
+    def truth(self):
+        """Return the units that the bookings of running hosts use."""
+        none = types.SimpleNamespace(units=0.0)
+        return sum(h.ledger.own.get(TARGET, none).units for h in self.live())
+
+
+@pytest.fixture(autouse=True)
+def sleep_by_simulation(monkeypatch):
+    """Let coroutines yield the time that they sleep."""
+    use_simulated_sleep(monkeypatch)
+
+
+def use_simulated_sleep(monkeypatch):
+    """Replace `asyncio.sleep` in the module under test."""
+    monkeypatch.setattr(
+        "apricotseam.node._usage.asyncio", types.SimpleNamespace(sleep=_Sleep)
+    )
+
+
+class _Sleep:
+    """Awaitable that yields its number of seconds to `drive`."""
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+
+    def __await__(self):
+        yield self._seconds
+
+
+@pytest.mark.parametrize("count", [26, 39, 60])
+def test_messages_of_a_host_do_not_grow_with_its_zone(count):
+    zone = Zone(count)
+    zone.run(6)
+    for host in zone.hosts.values():
+        host.ledger.book(10.0, [(TARGET, LAYERS)])
+    zone.sent.clear()
+    zone.run(10)
+    rates = sorted(sent / 10 for sent in zone.sent.values())
+    # Two delegates report to all others at most 120 times a second each.
+    assert rates[-3] <= 7.0
+    assert rates[-1] <= 130.0
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.2])
+@pytest.mark.parametrize("count", [26, 39, 60])
+def test_all_hosts_know_the_use_of_a_target(count, loss):
+    zone = Zone(count, loss=loss)
+    zone.run(6)
+    for number, host in enumerate(zone.hosts.values()):
+        host.ledger.book(10.0 + number, [(TARGET, LAYERS)])
+    zone.run(3)
+    zone.loss = 0.0
+    zone.run(3)
+    assert set(zone.beliefs().values()) == {zone.truth()}
+
+
+def test_released_bookings_are_taken_out_of_reports():
+    zone = Zone(39)
+    zone.run(6)
+    host = zone.hosts["10.0.0.20:1"]
+    bookings = [host.ledger.book(10.0, [(TARGET, LAYERS)]) for _ in range(5)]
+    zone.run(3)
+    for booking in bookings[1:]:
+        host.ledger.release(booking)
+    # The host itself knows at once; reports that still include the bookings
+    # must not bring them back.
+    for _ in range(40):
+        zone.run(TICK_SECONDS)
+        assert host.ledger.used_units(TARGET) == 10.0 * LAYERS
+    assert set(zone.beliefs().values()) == {10.0 * LAYERS}
+
+
+# What happens to the hosts with the numbers, and the hosts that others have
+# to leave out of their answers to callers afterwards.
+LOSSES = [
+    ("first-delegate-dies", [0], ["10.0.0.0:1"]),
+    ("both-delegates-die", [0, 1], ["10.0.0.0:1", "10.0.0.1:1"]),
+    ("another-host-dies", [20], ["10.0.0.20:1"]),
+]
+
+
+@pytest.mark.parametrize(
+    ("numbers", "silent"),
+    [case[1:] for case in LOSSES],
+    ids=[case[0] for case in LOSSES],
+)
+def test_hosts_that_die_are_noticed_without_the_membership(numbers, silent):
+    zone = Zone(39)
+    zone.run(6)
+    for host in zone.hosts.values():
+        host.ledger.book(10.0, [(TARGET, LAYERS)])
+    zone.run(3)
+    for number in numbers:
+        zone.kill(f"10.0.0.{number}:1")
+    zone.run(4)
+    for host in zone.live():
+        assert host.exchange.silent_peers() >= set(silent), host.address
+    zone.run(CONVERGENCE_SECONDS - 4)
+    assert set(zone.beliefs().values()) == {zone.truth()}
+
+
+def test_retries_and_refusals_reach_all_hosts():
+    zone = Zone(39)
+    zone.run(6)
+    teller = zone.hosts["10.0.0.30:1"]
+    teller.budget.count("s", zone.now)
+    assert teller.budget.try_acquire("s", zone.now)
+    teller.queue.recently_refused = lambda since: ["key"]
+    zone.run(3)
+    for host in zone.live():
+        if host is not teller:
+            assert "key" in host.queue.remembered
+    others = [h for h in zone.live() if h is not teller]
+    spent = [
+        sum(
+            peer.counts["s"].repeats
+            for peer in h.budget._peers.values()
+            if "s" in peer.counts
+        )
+        for h in others
+    ]
+    assert set(spent) == {1}
+
+
+def test_readers_need_no_heartbeats_of_their_own():
+    zone = Zone(39)
+    zone.run(6)
+    before = {a: h.heartbeats for a, h in zone.hosts.items()}
+    zone.run(6)
+    for address, host in zone.hosts.items():
+        # Followers look elsewhere if they hear nothing for 1.2 s.
+        assert host.heartbeats - before[address] >= 6 / 0.9, address
+
+
+def test_small_fleet_still_exchanges_all_to_all():
+    zone = Zone(6)
+    zone.run(3)
+    for host in zone.hosts.values():
+        host.ledger.book(10.0, [(TARGET, LAYERS)])
+    zone.run(0.5)
+    assert set(zone.beliefs().values()) == {zone.truth()}
+
+
+class ZoneMachine(stateful.RuleBasedStateMachine):
+    """Losses, deaths, suspensions and restarts in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self._patch = pytest.MonkeyPatch()
+        use_simulated_sleep(self._patch)
+        self.zone = Zone(28)
+        self.zone.run(6)
+        self.incarnation = 1
+        self.booked_units = 0
+
+    @stateful.rule(number=st.integers(0, 5), tokens=st.integers(1, 50))
+    def book(self, number, tokens):
+        host = self.zone.hosts[f"10.0.0.{number}:1"]
+        host.ledger.book(float(tokens), [(TARGET, LAYERS)])
+        self.booked_units += tokens * LAYERS
+
+    @stateful.rule(loss=st.sampled_from([0.0, 0.1, 0.5]))
+    def lose(self, loss):
+        self.zone.loss = loss
+
+    @stateful.rule(number=st.integers(0, 5))
+    def kill(self, number):
+        self.zone.kill(f"10.0.0.{number}:1")
+
+    @stateful.rule(number=st.integers(0, 5))
+    def suspend(self, number):
+        self.zone.suspended.add(f"10.0.0.{number}:1")
+
+    @stateful.rule(number=st.integers(0, 5))
+    def resume(self, number):
+        self.zone.suspended.discard(f"10.0.0.{number}:1")
+
+    @stateful.rule(number=st.integers(0, 5))
+    def restart(self, number):
+        """Start a process anew under the name that it had."""
+        self.incarnation += 1
+        self.zone.suspended.discard(f"10.0.0.{number}:1")
+        self.zone.start(number, self.incarnation)
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 1.0, 3.0]))
+    def wait(self, seconds):
+        self.zone.run(seconds)
+
+    @stateful.invariant()
+    def nobody_counts_twice(self):
+        """No host believes in more use than all bookings ever made."""
+        for address, units in self.zone.beliefs().items():
+            assert units <= self.booked_units, address
+
+    def teardown(self):
+        """Check that all agree soon after the last fault."""
+        zone = self.zone
+        zone.loss = 0.0
+        zone.suspended.clear()
+        zone.tell_members()
+        zone.run(CONVERGENCE_SECONDS)
+        beliefs = zone.beliefs()
+        assert set(beliefs.values()) <= {zone.truth()}, beliefs
+        self._patch.undo()
+
+
+TestZone = ZoneMachine.TestCase
+TestZone.settings = hypothesis.settings(max_examples=15, stateful_step_count=8)
+
+
+def test_reports_of_an_earlier_process_do_not_replace_later_ones():
+    zone = Zone(28)
+    host = zone.hosts["10.0.0.5:1"]
+    zone.run(6)
+    receive = host.handlers[ZoneReport]
+    report = ZoneReport(
+        "a", "x/1", 5, {}, {}, None, [], {}, [], {}, ["h:1"], 0
+    )
+    receive("10.0.0.0:1", report)
+    known = host.exchange._reports["10.0.0.0:1"]
+    receive("10.0.0.0:1", report)
+    assert host.exchange._reports["10.0.0.0:1"] is known
+    other = HostState("y/1", "b", 1, {}, [], {}, [], {})
+    host.handlers[HostState]("10.9.0.1:1", other)
+    assert not host.exchange._collector.states(zone.now)
--- a/apricotseam/peers/__init__.py
+++ b/apricotseam/peers/__init__.py
@@ -4,9 +4,9 @@
 from apricotseam.peers._errors import PeerMessageError
 from apricotseam.peers._errors import PeerUnreachableError
 from apricotseam.peers._loop import ControlLoop
+from apricotseam.peers._traffic import Traffic
 from apricotseam.peers._transport import Nothing
 from apricotseam.peers._transport import PeerTransport
-from apricotseam.peers._traffic import Traffic
 
 __all__ = [
     "ControlLoop",
