Make the cost of the membership independent of the number of hosts

Cause: each host probed five times a second whatever the size of the fleet, sent a page of record keys each 2 s, passed each new member on 24 times, and asked each first contact for its whole table. After evicted connections, this was what hosts sent to other zones. A host on a slow machine blamed others: in a trial of 200 simulated hosts, 10 of them with answers after 1.6 s and 1% loss, 17 live hosts were called dead. A suspect is told at once and again until it refutes; the time to refute grows with the logarithm of the members, and twice that for those who only heard of it; a host whose probes fail doubts itself and waits longer. Load is no longer published on the platform, where nothing reads it.

--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -6,6 +6,7 @@
 
 from apricotseam.coordination._messages import Changes
 from apricotseam.coordination._messages import ChangesRequest
+from apricotseam.membership import Member
 from apricotseam.membership import Membership
 from apricotseam.membership import MESSAGE_TYPES
 from apricotseam.peers import PeerAnswerLostError
@@ -14,6 +15,9 @@
 _LOG = logging.getLogger(__name__)
 
 TICK_INTERVAL_SECONDS = 0.2
+MS_PER_SECOND = 1000
+# A host that started within this time counts as live if the store lists it.
+RECENT_START_SECONDS = 10.0
 REQUEST_TIMEOUT_SECONDS = 0.5
 # Larger fleets exchange loads and watch the store by availability zone.
 MAX_SMALL_FLEET = 25
@@ -175,6 +179,35 @@
         """Set peer addresses at which other hosts may be found."""
         self._membership.set_seeds(addresses)
 
+    def add_listed(self, records, wall_now_ms):
+        """Add hosts that the store lists as just started.
+
+        Hosts that start together all read the same list, so that they need
+        not tell one another who is there. The record of a host that started
+        long ago may have outlived it; such hosts are looked for as seeds.
+
+        Parameters
+        ----------
+        records : dict of str to HostRecord
+            Records in the store by name of the host.
+        wall_now_ms : float
+            Current time in milliseconds since the epoch.
+        """
+        oldest_ms = wall_now_ms - RECENT_START_SECONDS * MS_PER_SECOND
+        self._membership.add_listed(
+            Member(
+                name=name,
+                peers_address=record.peers_address,
+                callers_address=record.callers_address,
+                operators_address="",
+                availability_zone=record.zone,
+                incarnation=record.started_ms,
+            )
+            for name, record in records.items()
+            if record.started_ms >= oldest_ms
+        )
+        self._publish()
+
     def announce_leaving(self):
         """Tell the others that this host is leaving."""
         self._send(self._membership.announce_leaving())
--- a/apricotseam/membership/_membership.py
+++ b/apricotseam/membership/_membership.py
@@ -12,6 +12,7 @@
 from apricotseam.membership._messages import RecordKey
 from apricotseam.membership._messages import Sync
 from apricotseam.membership._messages import SyncAnswer
+from apricotseam.membership._messages import TableDigest
 from apricotseam.membership._messages import TablePage
 from apricotseam.membership._messages import TableRequest
 from apricotseam.membership._table import RecordTable
@@ -19,7 +20,11 @@
 TICK_SECONDS = 0.2
 ACK_TIMEOUT_SECONDS = 0.6
 INDIRECT_TIMEOUT_SECONDS = 0.8
-SUSPICION_SECONDS = 3.0
+# Up to this number of members a host probes one of them at each tick.
+MAX_MEMBERS_AT_FULL_RATE = 25
+MAX_PROBE_PERIOD_SECONDS = 1.0
+# Longest time-outs of a host whose probes fail, in multiples of the regular.
+MAX_DOUBT = 3
 # A longer time between two ticks counts as a pause of this process.
 STALL_THRESHOLD_SECONDS = 1.0
 SYNC_PERIOD_SECONDS = 2.0
@@ -65,6 +70,10 @@
         self._relayed_probes = {}
         self._last_probe_number = 0
         self._partner_index = 0
+        # Number of recent probes without an answer, at most `MAX_DOUBT` - 1.
+        # If several fail, this host itself may be slow or cut off.
+        self._doubt = 0
+        self._next_probe = now
         self._sync_cursor = ""
         self._last_tick = now
         self._next_sync = now
@@ -117,6 +126,18 @@
             others = self._random.sample(others, MAX_SEEDS)
         self._seeds = others
 
+    def add_listed(self, records):
+        """Add members that all hosts learn of by themselves.
+
+        Parameters
+        ----------
+        records : iterable of Member
+            Records, for example from a list that each host reads. Those of
+            known members are ignored; none is sent on to other members.
+        """
+        for record in records:
+            self._records.add_listed(record)
+
     def set_facts(self, facts):
         """Set the `Facts` of this host.
 
@@ -165,7 +186,7 @@
             self._records.extend_suspicions(elapsed)
         self._publish_facts(now)
         outgoing = self._check_probes(now)
-        self._records.expire(now, SUSPICION_SECONDS)
+        self._records.expire(now)
         outgoing.extend(self._probe_next(now))
         outgoing.extend(self._sync(now))
         outgoing.extend(self._reconnect(now))
@@ -199,6 +220,8 @@
             return self._answer_sync(sender, message)
         if isinstance(message, SyncAnswer):
             return self._receive_sync_answer(sender, message, now)
+        if isinstance(message, TableDigest):
+            return self._compare_digest(sender, message)
         if isinstance(message, TableRequest):
             return self._answer_page(sender, message)
         self._merge_records(message.records, now)
@@ -247,6 +270,8 @@
                 )
             ]
         probe = self._probes.pop(message.number, None)
+        if probe is not None:
+            self._doubt = max(0, self._doubt - 1)
         known = self._records.get(probe.address) if probe else None
         self._merge_records(message.records, now)
         if probe is None:
@@ -317,14 +342,27 @@
                 continue
             if probe.is_indirect:
                 del self._probes[number]
-                self._records.observe(probe.address, int(Health.SUSPECT), now)
+                outgoing.extend(self._suspect(probe.address, now))
             else:
                 outgoing.extend(self._probe_indirectly(number, probe, now))
         return outgoing
 
+    def _suspect(self, address, now):
+        """Suspect a member, and tell it, so that it can refute at once.
+
+        A suspect that does not answer is told again until it counts as dead.
+        """
+        known = self._records.get(address)
+        if known is None or known.health == Health.DEAD:
+            return []
+        if known.health == Health.ALIVE:
+            self._doubt = min(MAX_DOUBT - 1, self._doubt + 1)
+            self._records.observe(address, int(Health.SUSPECT), now)
+        return [self._ping(address, now)]
+
     def _probe_indirectly(self, number, probe, now):
         probe.is_indirect = True
-        probe.deadline = now + INDIRECT_TIMEOUT_SECONDS
+        probe.deadline = now + INDIRECT_TIMEOUT_SECONDS * (1 + self._doubt)
         others = [a for a in self.partners if a != probe.address]
         count = min(INDIRECT_PROBES, len(others))
         request = PingRequest(number, probe.address)
@@ -332,18 +370,32 @@
 
     def _probe_next(self, now):
         partners = self.partners
-        if not partners:
+        if now < self._next_probe or not partners:
             return []
+        self._next_probe = now + self._probe_period()
         self._partner_index = (self._partner_index + 1) % len(partners)
         address = partners[self._partner_index]
         if any(probe.address == address for probe in self._probes.values()):
             return []
         return [self._ping(address, now)]
 
+    def _probe_period(self):
+        """Return the time between two probes in seconds.
+
+        It grows with the number of members up to a limit. Each member has
+        as many observers as partners, so that one of them still notices a
+        failure about as soon.
+        """
+        if self._records.size <= MAX_MEMBERS_AT_FULL_RATE:
+            return 0.0
+        period = TICK_SECONDS * self._records.size / MAX_MEMBERS_AT_FULL_RATE
+        # Half a tick less, since the ticks are a little late.
+        return min(MAX_PROBE_PERIOD_SECONDS, period) - TICK_SECONDS / 2
+
     def _ping(self, address, now):
         self._last_probe_number += 1
         self._probes[self._last_probe_number] = _Probe(
-            address, now + ACK_TIMEOUT_SECONDS
+            address, now + ACK_TIMEOUT_SECONDS * (1 + self._doubt)
         )
         records = self._records.take_updates()
         known = self._records.get(address)
@@ -367,6 +419,13 @@
             return []
         jitter = 0.5 + self._random.random()
         self._next_sync = now + SYNC_PERIOD_SECONDS * jitter
+        digest = TableDigest(self._records.digest())
+        return [(self._random.choice(partners), digest)]
+
+    def _compare_digest(self, sender, message):
+        """Return a `Sync` of the next page if the sender's table differs."""
+        if message.digest == self._records.digest():
+            return []
         records, last = self._records.page(self._sync_cursor, MAX_SYNC_RECORDS)
         keys = [
             RecordKey(r.peers_address, r.incarnation, r.sequence, r.health)
@@ -374,7 +433,7 @@
         ]
         sync = Sync(self._sync_cursor, last, keys)
         self._sync_cursor = last
-        return [(self._random.choice(partners), sync)]
+        return [(sender, sync)]
 
     def _reconnect(self, now):
         """Probe one seed that is not a known member, or one dead member."""
--- a/apricotseam/membership/_messages.py
+++ b/apricotseam/membership/_messages.py
@@ -49,6 +49,15 @@
         return (self.incarnation, self.sequence, self.health)
 
 
+class TableDigest(msgspec.Struct, frozen=True, array_like=True):
+    """Digest of the sender's member table.
+
+    A receiver whose table differs answers with a `Sync`.
+    """
+
+    digest: bytes
+
+
 class Sync(msgspec.Struct, frozen=True, array_like=True):
     """Record keys of an address range, to be compared by the receiver.
 
@@ -93,6 +102,7 @@
     PingRequest,
     Sync,
     SyncAnswer,
+    TableDigest,
     TableRequest,
     TablePage,
 )
--- a/apricotseam/membership/_table.py
+++ b/apricotseam/membership/_table.py
@@ -1,6 +1,8 @@
 """Mutable table of member records with their precedence rules."""
 
 import bisect
+import hashlib
+import math
 
 import msgspec
 
@@ -16,6 +18,13 @@
 # heal without seeds.
 DEAD_RETENTION_SECONDS = 900.0
 MAX_RECORDS_PER_MESSAGE = 24
+# Time to refute a suspicion, for up to ten members; it grows with the
+# logarithm of their number, as the hops of a refutation do.
+SUSPICION_SECONDS = 3.0
+# Members that only heard of a suspicion wait longer, so that they hear of its
+# refutation or of the death from those that watch the suspect.
+HEARSAY_FACTOR = 2.0
+DIGEST_BYTES = 16
 
 
 class RecordTable:
@@ -34,6 +43,9 @@
         self._suspected = {}
         self._dead = {}
         self._ring = None
+        # Digest of the table, and the number of changes when it was computed.
+        self._digest = b""
+        self._digest_changes = -1
         self.changes = 0
 
     @property
@@ -41,6 +53,16 @@
         """Addresses of dead members whose records are retained."""
         return list(self._dead)
 
+    @property
+    def size(self):
+        """Number of members, dead ones included."""
+        return len(self._by_address)
+
+    @property
+    def suspicion_seconds(self):
+        """Time for a member to refute the suspicion of this host."""
+        return SUSPICION_SECONDS * max(1.0, math.log10(self.size))
+
     @property
     def pending_updates(self):
         """Number of records that are still to be sent to others."""
@@ -54,6 +76,23 @@
         """Return the current members as a `MemberTable`."""
         return MemberTable(self._by_address.values(), self.own.peers_address)
 
+    def digest(self):
+        """Return a digest of the versions of all records.
+
+        Two tables with the same records have the same digest.
+        """
+        if self._digest_changes != self.changes:
+            keys = sorted(
+                (address, *record.order)
+                for address, record in self._by_address.items()
+            )
+            encoded = msgspec.msgpack.encode(keys)
+            self._digest = hashlib.blake2b(
+                encoded, digest_size=DIGEST_BYTES
+            ).digest()
+            self._digest_changes = self.changes
+        return self._digest
+
     def publish(self, **fields):
         """Change fields of this host's own record and disseminate it."""
         fields.setdefault("sequence", self.own.sequence + 1)
@@ -82,24 +121,39 @@
         self._store(record, now)
         return True
 
+    def add_listed(self, record):
+        """Add the record of a member that all hosts learn of by themselves.
+
+        Unlike a merged record it is not sent on to other members. A record
+        of a known address is ignored.
+        """
+        address = record.peers_address
+        if address in self._by_address or not self._has_capacity(record):
+            return
+        self._by_address[address] = record
+        self._ring = None
+        self.changes += 1
+
     def observe(self, address, health, now):
         """Record the health of a member as observed by this host.
 
         A health that is not worse than the known one is ignored.
         """
         known = self._by_address.get(address)
-        if known is not None and known.health < health:
-            self._store(msgspec.structs.replace(known, health=health), now)
+        if known is None or known.health >= health:
+            return
+        self._store(msgspec.structs.replace(known, health=health), now)
+        if health == Health.SUSPECT:
+            self._suspected[address] = now + self.suspicion_seconds
 
-    def expire(self, now, suspicion_seconds):
+    def expire(self, now):
         """Declare overdue suspects dead and remove old dead members.
 
-        A suspect is declared dead if the suspicion was not refuted within
-        `suspicion_seconds`. A dead member is removed after
-        `DEAD_RETENTION_SECONDS`.
+        A suspect is declared dead if the suspicion was not refuted by its
+        deadline. A dead member is removed after `DEAD_RETENTION_SECONDS`.
         """
-        for address, since in list(self._suspected.items()):
-            if now >= since + suspicion_seconds:
+        for address, deadline in list(self._suspected.items()):
+            if now >= deadline:
                 self.observe(address, int(Health.DEAD), now)
         for address, since in list(self._dead.items()):
             if now < since + DEAD_RETENTION_SECONDS:
@@ -217,15 +271,18 @@
         was_dead = known is None or known.health == Health.DEAD
         if was_dead != (record.health == Health.DEAD):
             self._ring = None
-        is_state_change = known is None or known.state is not record.state
-        is_state_change = (
-            is_state_change or known.incarnation != record.incarnation
+        # Comparisons of tables recover lost records of new members.
+        is_state_change = known is not None and (
+            known.state is not record.state
+            or known.incarnation != record.incarnation
         )
         self._updates.add(address, len(self._by_address), is_state_change)
         self._suspected.pop(address, None)
         self._dead.pop(address, None)
         if record.health == Health.SUSPECT:
-            self._suspected[address] = now
+            self._suspected[address] = (
+                now + HEARSAY_FACTOR * self.suspicion_seconds
+            )
         elif record.health == Health.DEAD:
             self._dead[address] = now
             self._evict_oldest_dead()
--- a/apricotseam/node/_beliefs.py
+++ b/apricotseam/node/_beliefs.py
@@ -40,9 +40,12 @@
         self._host_records = {}
 
     @property
-    def peer_addresses(self):
-        """Peer addresses of the hosts that are registered in the store."""
-        return [record.peers_address for record in self._host_records.values()]
+    def host_records(self):
+        """Records of the hosts that are registered in the store, by name."""
+        return {
+            key.removeprefix(HOSTS_PREFIX): record
+            for key, record in self._host_records.items()
+        }
 
     def count_peers(self, zone):
         """Return how many other hosts should report their usage to this one.
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -225,7 +225,7 @@
             None, settings.peers_address, self._started_ms
         )
         self._registry.register(TrafficCollector(transport.traffic))
-        self._hosts = Hosts(own, transport, self._facts, self._now)
+        self._hosts = Hosts(own, transport, Facts, self._now)
         transport.handle(ChangesRequest, self._answer_changes, Changes)
         self._store = StoreClient(settings.store_address)
         self._mirror = Mirror(lambda item: self._item_handler.apply(item))
@@ -322,12 +322,17 @@
                 _LOG.warning(
                     "host_was_suspended", extra={"seconds": suspended_seconds}
                 )
-            self._hosts.set_seeds(
-                [*self._settings.seeds, *self._item_handler.peer_addresses]
-            )
+            self._find_hosts()
             self._fleet.expire(self._now())
             self._pool.sweep()
 
+    def _find_hosts(self):
+        """Look for other hosts in the settings and in the store."""
+        records = self._item_handler.host_records
+        addresses = [record.peers_address for record in records.values()]
+        self._hosts.set_seeds([*self._settings.seeds, *addresses])
+        self._hosts.add_listed(records, time.time() * MS_PER_SECOND)
+
     def _push_if_large(self, message):
         if self._hosts.is_large:
             self._hosts.push(message)
@@ -335,13 +340,6 @@
     def _answer_changes(self, sender, request):
         return self._mirror.changes_since(request.after)
 
-    def _facts(self):
-        table = self._context.table
-        return Facts(
-            revision=table.revision if table is not None else 0,
-            load=self.caller_server.in_progress,
-        )
-
     def _limits(self):
         table = self._context.table
         return table.limits if table is not None else Limits()
