Count calls to the store by kind, and watches by reason

Cause: on the large site the start alone makes 2,741 calls to the store, 14 a host, and nothing told which. Change: the store client counts by kind, the mirror's synchronizer counts watches by reason; the metrics serve both, and the periodic log line, now named control_traffic, contains them.

--- a/apricotseam/coordination/_keeper.py
+++ b/apricotseam/coordination/_keeper.py
@@ -1,6 +1,7 @@
 """Updates a mirror from the store, or from peers if it is unreachable."""
 
 import asyncio
+import collections
 import logging
 import random
 
@@ -101,6 +102,9 @@
         self._settled_at = 0.0
         self._backoff = FIRST_BACKOFF_SECONDS
         self._updated_at = None
+        # Number of watches by reason: this host is a reader, it hears none,
+        # or pushes of a reader were lost or too large.
+        self.watches = collections.Counter()
 
     @property
     def is_store_unreachable(self):
@@ -193,7 +197,7 @@
     async def _fill_gap(self):
         """Fetch the changes that the pushes of the reader did not contain."""
         try:
-            await self._watch(GAP_WATCH_TIMEOUT_SECONDS)
+            await self._watch("gap", GAP_WATCH_TIMEOUT_SECONDS)
         except HistoryLostError:
             raise
         except StoreError as error:
@@ -204,13 +208,15 @@
         if self._needs_listing:
             await self._list()
         await self._watch(
+            "reader" if self._is_reader() else "no_reader",
             UNREACHABLE_WATCH_TIMEOUT_SECONDS
             if self.is_store_unreachable
-            else WATCH_TIMEOUT_SECONDS
+            else WATCH_TIMEOUT_SECONDS,
         )
 
-    async def _watch(self, seconds):
+    async def _watch(self, reason, seconds):
         """Apply the changes that the store reports within some seconds."""
+        self.watches[reason] += 1
         watched = await self._store.watch("", self._mirror.revision, seconds)
         self._mark_store_available()
         base = self._mirror.revision
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -224,7 +224,6 @@
         transport = PeerTransport(
             None, settings.peers_address, self._started_ms
         )
-        self._registry.register(TrafficCollector(transport.traffic))
         self._hosts = Hosts(own, transport, Facts, self._now)
         transport.handle(ChangesRequest, self._answer_changes, Changes)
         self._store = StoreClient(settings.store_address)
@@ -239,6 +238,10 @@
             lambda item: not item.key.startswith(HOSTS_PREFIX),
             lambda: self._usage_exchange.reports_zone,
         )
+        self._traffic = TrafficCollector(
+            transport.traffic, self._store.calls, self._keeper.watches
+        )
+        self._registry.register(self._traffic)
         transport.handle(Push, lambda _, push: self._keeper.receive_push(push))
         self._item_handler = StoreItemHandler(
             self._context,
@@ -311,7 +314,7 @@
         )
 
     async def _log_traffic(self):
-        await log_traffic(self._hosts.transport.traffic)
+        await log_traffic(self._traffic)
 
     async def _run_maintenance(self):
         """Run periodic housekeeping."""
--- a/apricotseam/node/_traffic.py
+++ b/apricotseam/node/_traffic.py
@@ -1,4 +1,7 @@
-"""Metrics and periodic log lines about messages between hosts."""
+"""Metrics and periodic log lines about traffic on the control path.
+
+These are the messages between hosts and the calls to the store.
+"""
 
 import asyncio
 import logging
@@ -12,16 +15,22 @@
 
 
 class TrafficCollector:
-    """Prometheus collector of a host's `Traffic`.
+    """Prometheus collector of a host's control path.
 
     Parameters
     ----------
     traffic : Traffic
-        Counts since the start of the process.
+        Messages between hosts since the start of the process.
+    store_calls : collections.Counter
+        Calls to the store by kind.
+    watches : collections.Counter
+        Watches of the store by reason.
     """
 
-    def __init__(self, traffic):
+    def __init__(self, traffic, store_calls, watches):
         self._traffic = traffic
+        self._store_calls = store_calls
+        self._watches = watches
 
     def collect(self):
         """Yield the metric families."""
@@ -47,40 +56,58 @@
         )
         connections.add_metric(["opened"], self._traffic.connections_opened)
         connections.add_metric(["evicted"], self._traffic.connections_evicted)
-        yield from (messages, size, connections)
+        calls = CounterMetricFamily(
+            "apricotseam_store_calls",
+            "Calls to the key-value store by kind.",
+            labels=["kind"],
+        )
+        for kind, count in self._store_calls.items():
+            calls.add_metric([kind], count)
+        watches = CounterMetricFamily(
+            "apricotseam_store_watches",
+            "Watches of the key-value store by reason.",
+            labels=["reason"],
+        )
+        for reason, count in self._watches.items():
+            watches.add_metric([reason], count)
+        yield from (messages, size, connections, calls, watches)
+
+    def totals(self):
+        """Return all counts by name, for example ``sent_Ping_bytes``."""
+        traffic = self._traffic
+        totals = {
+            "connections_opened": traffic.connections_opened,
+            "connections_evicted": traffic.connections_evicted,
+        }
+        for direction in _DIRECTIONS:
+            for kind, counted in getattr(traffic, direction).items():
+                totals[f"{direction}_{kind}_messages"] = counted.messages
+                totals[f"{direction}_{kind}_bytes"] = counted.bytes
+        for kind, count in self._store_calls.items():
+            totals[f"store_{kind}"] = count
+        for reason, count in self._watches.items():
+            totals[f"watch_{reason}"] = count
+        return totals
 
 
-async def log_traffic(traffic):
-    """Log the messages and connections of each period, forever.
+async def log_traffic(collector):
+    """Log the counts of each period, forever.
 
     Parameters
     ----------
-    traffic : Traffic
+    collector : TrafficCollector
         Counts since the start of the process.
     """
-    before = _totals(traffic)
+    before = collector.totals()
     while True:
         await asyncio.sleep(LOG_PERIOD_SECONDS)
-        after = _totals(traffic)
+        after = collector.totals()
         changed = {
             name: value - before.get(name, 0)
             for name, value in after.items()
             if value != before.get(name, 0)
         }
         _LOG.info(
-            "peer_traffic", extra={"seconds": LOG_PERIOD_SECONDS, **changed}
+            "control_traffic", extra={"seconds": LOG_PERIOD_SECONDS, **changed}
         )
         before = after
-
-
-def _totals(traffic):
-    """Return the counts by name, for example ``sent_Ping_bytes``."""
-    totals = {
-        "connections_opened": traffic.connections_opened,
-        "connections_evicted": traffic.connections_evicted,
-    }
-    for direction in _DIRECTIONS:
-        for kind, counted in getattr(traffic, direction).items():
-            totals[f"{direction}_{kind}_messages"] = counted.messages
-            totals[f"{direction}_{kind}_bytes"] = counted.bytes
-    return totals
--- a/apricotseam/platform/_store.py
+++ b/apricotseam/platform/_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+import collections
 import urllib.parse
 
 import msgspec
@@ -126,14 +127,14 @@
 
     Attributes
     ----------
-    calls : int
-        Number of calls so far, including failed ones.
+    calls : collections.Counter
+        Number of calls so far by kind, including failed ones.
     """
 
     def __init__(self, address):
         self._address = address
         self._pool = ConnectionPool()
-        self.calls = 0
+        self.calls = collections.Counter()
 
     async def list_page(self, prefix, after=""):
         """Return one page of the keys with a prefix.
@@ -152,7 +153,7 @@
         query = {"Prefix": prefix}
         if after:
             query["After"] = after
-        body = await self._call("GET", "/v1/kv-range", query)
+        body = await self._call("list", "GET", "/v1/kv-range", query)
         page = _decode(body, _Page)
         items = [_decode_item(item) for item in page.entries]
         return Listing(items, page.has_more, page.at)
@@ -184,7 +185,9 @@
             "WaitMs": str(int(wait_seconds * MILLISECONDS_PER_SECOND)),
         }
         seconds = wait_seconds + WATCH_MARGIN_SECONDS
-        body = await self._call("GET", "/v1/kv-watch", query, seconds=seconds)
+        body = await self._call(
+            "watch", "GET", "/v1/kv-watch", query, seconds=seconds
+        )
         result = _decode(body, _WatchResult)
         return WatchResult(
             [_decode_item(item) for item in result.events], result.at
@@ -225,7 +228,9 @@
             ],
             "Deletes": list(deletes),
         }
-        response_body = await self._call("POST", "/v1/kv-txn", body=body)
+        response_body = await self._call(
+            "change", "POST", "/v1/kv-txn", body=body
+        )
         return _decode(response_body, _ChangeResult).revision
 
     async def grant_lease(self, seconds):
@@ -241,7 +246,9 @@
         int
         """
         body = {"TtlMs": int(seconds * MILLISECONDS_PER_SECOND)}
-        response_body = await self._call("POST", "/v1/kv-lease", body=body)
+        response_body = await self._call(
+            "grant_lease", "POST", "/v1/kv-lease", body=body
+        )
         return _decode(response_body, _GrantedLease).lease_id
 
     async def keep_lease(self, lease):
@@ -252,14 +259,16 @@
         LeaseEndedError
             If the lease has ended.
         """
-        await self._call("POST", f"/v1/kv-keep/{lease}")
+        await self._call("keep_lease", "POST", f"/v1/kv-keep/{lease}")
 
     async def end_lease(self, lease):
         """End a lease and delete its keys."""
-        await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
+        await self._call("end_lease", "DELETE", f"/v1/kv-lease-end/{lease}")
 
-    async def _call(self, method, path, query=None, body=None, seconds=None):
-        self.calls += 1
+    async def _call(
+        self, kind, method, path, query=None, body=None, seconds=None
+    ):
+        self.calls[kind] += 1
         loop = asyncio.get_running_loop()
         deadline = loop.time() + (seconds or CALL_TIMEOUT_SECONDS)
         target = path
