Save calls to the store at the start and for registrations

Cause: at the start of the large site a host made 4.5 watches, since the changes of 0.1 s exceed the 4 KB that a reader pushes, and each host then read them itself; later all 195 hosts renewed a lease each 10 s for records by which new hosts find others. Change: larger pushes are compressed, up to 16 KB; once the fleet is known to be large, only the delegates of the zones keep their records, those of other hosts lapse 30 s after their start.

--- a/apricotseam/coordination/__init__.py
+++ b/apricotseam/coordination/__init__.py
@@ -8,6 +8,7 @@
 from apricotseam.coordination._messages import ChangesRequest
 from apricotseam.coordination._messages import HostRecord
 from apricotseam.coordination._messages import MirrorItem
+from apricotseam.coordination._messages import PackedPush
 from apricotseam.coordination._messages import Push
 from apricotseam.coordination._mirror import Mirror
 from apricotseam.coordination._registration import Registration
@@ -22,6 +23,7 @@
     "Mirror",
     "MirrorItem",
     "MirrorSynchronizer",
+    "PackedPush",
     "Push",
     "Registration",
     "SuspensionDetector",
--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -125,6 +125,14 @@
         ]
         return [m.peers_address for m in heard[:DELEGATES_PER_ZONE]]
 
+    @property
+    def is_contact(self):
+        """Whether new hosts should find this one in the store.
+
+        In a large fleet the delegates are enough.
+        """
+        return not self.is_large or self.own_address in self.zone_delegates
+
     @property
     def is_delegate(self):
         """Whether this host reports to other zones on behalf of its zone.
--- a/apricotseam/coordination/_keeper.py
+++ b/apricotseam/coordination/_keeper.py
@@ -7,6 +7,10 @@
 
 from apricotseam.coordination._messages import MirrorItem
 from apricotseam.coordination._messages import Push
+from apricotseam.coordination._packing import MAX_UNPACKED_BYTES
+from apricotseam.coordination._packing import pack_push
+from apricotseam.coordination._packing import unpack_push
+from apricotseam.errors import InvalidInputError
 from apricotseam.platform import HistoryLostError
 from apricotseam.platform import StoreError
 
@@ -31,9 +35,11 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 READER_TIMEOUT_SECONDS = 1.2
 READER_CHECK_INTERVAL_SECONDS = 0.1
-# Each host reads larger changes from the store itself, since the store has
-# more bandwidth than a reader.
-MAX_PUSHED_BYTES = 4096
+# Larger changes are compressed.
+MAX_PLAIN_PUSH_BYTES = 4096
+# Limit on compressed changes. Each host reads larger ones from the store
+# itself, since the store has more bandwidth than a reader.
+MAX_PUSHED_BYTES = 16 << 10
 # Timeout for reading from the store a change that no push contained.
 GAP_WATCH_TIMEOUT_SECONDS = 0.5
 # Pause after filling a gap, so that further gaps share the next call.
@@ -161,6 +167,18 @@
             if revision and not self._reports_revision():
                 self._push(Push(revision, revision, []))
 
+    def receive_packed_push(self, message):
+        """Apply the changes in a `PackedPush`, as `receive_push` does.
+
+        If they cannot be read, they are fetched later.
+        """
+        try:
+            push = unpack_push(message)
+        except InvalidInputError as error:
+            _LOG.warning("push_refused", extra={"error": str(error)})
+            push = Push(message.revision, message.revision, [])
+        self.receive_push(push)
+
     def receive_heartbeat(self, revision):
         """Note that a reader follows the store at a revision."""
         self.receive_push(Push(revision, revision, []))
@@ -243,10 +261,15 @@
         If they are too large to be pushed, it contains only the revision,
         from which the other hosts see that they miss changes.
         """
-        revision = self._mirror.revision
-        if sum(_size(item) for item in items) > MAX_PUSHED_BYTES:
-            return Push(revision, revision, [])
-        return Push(base, revision, items)
+        push = Push(base, self._mirror.revision, items)
+        size = sum(_size(item) for item in items)
+        if size <= MAX_PLAIN_PUSH_BYTES:
+            return push
+        if size <= MAX_UNPACKED_BYTES // 2:
+            packed = pack_push(push)
+            if len(packed.packed) <= MAX_PUSHED_BYTES:
+                return packed
+        return Push(push.revision, push.revision, [])
 
     async def _list(self):
         items = []
--- a/apricotseam/coordination/_messages.py
+++ b/apricotseam/coordination/_messages.py
@@ -41,6 +41,14 @@
     items: list[MirrorItem]
 
 
+class PackedPush(msgspec.Struct, frozen=True, array_like=True):
+    """A `Push` whose items are packed, see `pack_push`."""
+
+    base: int
+    revision: int
+    packed: bytes
+
+
 class HostRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Record that a host writes about itself to the store.
 
--- a/apricotseam/coordination/_registration.py
+++ b/apricotseam/coordination/_registration.py
@@ -35,9 +35,14 @@
         Key of the record.
     record : HostRecord
         The record to write.
+    is_needed : callable, optional
+        Returns whether other hosts need the record. If they do not, it
+        lapses after the start, which saves renewals of its lease.
     """
 
-    def __init__(self, store, mirror, key, record):
+    def __init__(self, store, mirror, key, record, is_needed=None):
+        self._is_needed = is_needed or (lambda: True)
+        self._was_registered = False
         self._store = store
         self._mirror = mirror
         self._key = key
@@ -68,8 +73,11 @@
 
     async def _run_once(self):
         if self._lease is None:
+            if self._was_registered and not self._is_needed():
+                await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+                return
             await self._register()
-        if await self._is_missing():
+        if await self._is_missing() or not self._is_needed():
             self._lease = None
         if self._lease is not None:
             await self._store.keep_lease(self._lease)
@@ -108,3 +116,4 @@
         except (StoreError, ConflictError):
             self._lease = None
             raise
+        self._was_registered = True
--- a/apricotseam/coordination/tests/test_keeper.py
+++ b/apricotseam/coordination/tests/test_keeper.py
@@ -1,11 +1,13 @@
 """Updates of a mirror from the store, from its readers and from peers."""
 
 import asyncio
+import random
 
 import pytest
 
 from apricotseam.coordination._keeper import GAP_WATCH_TIMEOUT_SECONDS
 from apricotseam.coordination._keeper import LARGE_PAUSE_SECONDS
+from apricotseam.coordination._keeper import MAX_PLAIN_PUSH_BYTES
 from apricotseam.coordination._keeper import MAX_PUSHED_BYTES
 from apricotseam.coordination._keeper import MAX_SUPERSEDED_BYTES
 from apricotseam.coordination._keeper import UNREACHABLE_WATCH_TIMEOUT_SECONDS
@@ -14,6 +16,7 @@
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import MirrorItem
 from apricotseam.coordination import MirrorSynchronizer
+from apricotseam.coordination import PackedPush
 from apricotseam.coordination import Push
 from apricotseam.platform import HistoryLostError
 from apricotseam.platform import Item
@@ -104,7 +107,10 @@
         task = loop.create_task(keeper.run())
         await asyncio.sleep(0.05)
         for push in pushes:
-            keeper.receive_push(push)
+            if isinstance(push, PackedPush):
+                keeper.receive_packed_push(push)
+            else:
+                keeper.receive_push(push)
         await asyncio.sleep(seconds)
         task.cancel()
         return mirror, sent, keeper.is_store_unreachable
@@ -142,7 +148,8 @@
     ("outdated change", [Push(1, 2, [MirrorItem("a", b"o", 2)])], b"v", 3),
     ("missing changes", [Push(8, 9, [])], b"new", 9),
 ]
-LARGE = b"x" * (MAX_PUSHED_BYTES + 1)
+# Random, as compressible bytes would fit in a push.
+LARGE = random.Random(1).randbytes(MAX_PUSHED_BYTES + 1)
 
 
 @pytest.mark.parametrize(
@@ -167,6 +174,36 @@
     assert sent == [Push(5, 5, [])]
 
 
+# Case, value of a change, whether its push is packed.
+PACKED = [
+    ("small", b"x" * MAX_PLAIN_PUSH_BYTES, False),
+    ("compressible", b"x" * (MAX_PLAIN_PUSH_BYTES + 1), True),
+]
+
+
+@pytest.mark.parametrize(
+    ("value", "is_packed"),
+    [case[1:] for case in PACKED],
+    ids=[case[0] for case in PACKED],
+)
+def test_pushed_changes_reach_the_other_hosts(value, is_packed):
+    changed = WatchResult([Item("a", value, 5)], 5)
+    _, sent, _ = follow(FakeStore([changed], [("a", 3)]))
+    assert [isinstance(push, PackedPush) for push in sent] == [is_packed]
+    store = FakeStore([], [("a", 3)])
+    mirror, _, _ = follow(store, is_reader=False, pushes=sent)
+    assert mirror.get("a").value == value
+
+
+@pytest.mark.parametrize("packed", [b"", b"not compressed"])
+def test_a_packed_push_that_cannot_be_read_is_fetched(packed):
+    changed = WatchResult([Item("a", b"w", 5)], 5)
+    store = FakeStore([], [("a", 3)], gap=changed)
+    push = PackedPush(3, 5, packed)
+    mirror, _, _ = follow(store, is_reader=False, pushes=[push])
+    assert mirror.get("a").value == b"w"
+
+
 def test_a_gap_is_filled_from_the_store():
     changed = WatchResult([Item("a", LARGE, 5)], 5)
     store = FakeStore([], [("a", 3)], gap=changed)
--- a/apricotseam/coordination/tests/test_registration.py
+++ b/apricotseam/coordination/tests/test_registration.py
@@ -11,6 +11,7 @@
 from apricotseam.platform import StoreError
 
 KEY = "own/key"
+REGISTERED = ["grant", "change"]
 RECORD = HostRecord(
     peers_address="a:1", callers_address="a:2", zone="z", started_ms=1
 )
@@ -47,21 +48,29 @@
             raise StoreError("away", "wait")
 
 
-# Case, whether the store is unreachable, whether the record expires, expected
-# first calls within 0.3 s.
+# Case, whether the store is unreachable, whether the record expires, whether
+# other hosts need it, expected first calls within 0.3 s.
 CASES = [
-    ("record present", False, False, ["grant", "change", "keep"]),
-    ("record expired", False, True, ["grant", "change", "grant", "change"]),
-    ("store unreachable", True, False, ["grant"] * 4),
+    ("record present", False, False, True, ["grant", "change", "keep"]),
+    (
+        "record expired",
+        False,
+        True,
+        True,
+        ["grant", "change", "grant", "change"],
+    ),
+    ("store unreachable", True, False, True, ["grant"] * 4),
+    ("record not needed after the start", False, False, False, REGISTERED),
+    ("record not needed has expired", False, True, False, REGISTERED),
 ]
 
 
 @pytest.mark.parametrize(
-    ("is_unreachable", "expires", "expected"),
+    ("is_unreachable", "expires", "is_needed", "expected"),
     [case[1:] for case in CASES],
     ids=[case[0] for case in CASES],
 )
-def test_calls(is_unreachable, expires, expected, monkeypatch):
+def test_calls(is_unreachable, expires, is_needed, expected, monkeypatch):
     module = "apricotseam.coordination._registration"
     monkeypatch.setattr(f"{module}.RENEW_INTERVAL_SECONDS", 0.2)
     monkeypatch.setattr(f"{module}.CHECK_INTERVAL_SECONDS", 0.02)
@@ -70,7 +79,9 @@
     async def scenario():
         mirror = Mirror(lambda item: None)
         store = FakeStore(mirror, is_unreachable)
-        registration = Registration(store, mirror, KEY, RECORD)
+        registration = Registration(
+            store, mirror, KEY, RECORD, lambda: is_needed
+        )
         task = asyncio.get_running_loop().create_task(registration.run())
         await asyncio.sleep(0.02)
         if expires:
@@ -82,4 +93,30 @@
 
     calls = asyncio.run(scenario())
     assert calls[: len(expected)] == expected
-    assert len(calls) <= len(expected) + 1
+    assert len(calls) <= len(expected) + is_needed
+
+
+def test_record_is_written_again_once_it_is_needed(monkeypatch):
+    """A host that becomes a contact of its zone registers once more."""
+    module = "apricotseam.coordination._registration"
+    monkeypatch.setattr(f"{module}.RENEW_INTERVAL_SECONDS", 0.04)
+    monkeypatch.setattr(f"{module}.CHECK_INTERVAL_SECONDS", 0.02)
+    needed = [False]
+
+    async def scenario():
+        mirror = Mirror(lambda item: None)
+        store = FakeStore(mirror, False)
+        registration = Registration(
+            store, mirror, KEY, RECORD, lambda: needed[0]
+        )
+        task = asyncio.get_running_loop().create_task(registration.run())
+        await asyncio.sleep(0.15)
+        before = list(store.calls)
+        needed[0] = True
+        await asyncio.sleep(0.15)
+        task.cancel()
+        return before, store.calls
+
+    before, calls = asyncio.run(scenario())
+    assert before == REGISTERED
+    assert calls[: len(REGISTERED) * 2 + 1] == [*REGISTERED * 2, "keep"]
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -18,6 +18,7 @@
 from apricotseam.coordination import Hosts
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import MirrorSynchronizer
+from apricotseam.coordination import PackedPush
 from apricotseam.coordination import Push
 from apricotseam.coordination import Registration
 from apricotseam.coordination import SuspensionDetector
@@ -201,7 +202,10 @@
         """
         if self._now() >= self._expect_peers_until:
             return 0
-        return self._item_handler.count_peers(self._settings.zone)
+        return max(
+            self._item_handler.count_peers(self._settings.zone),
+            len(self._hosts.load_recipients),
+        )
 
     def _on_target_removed(self, target):
         self._pool.drop(target.incarnation)
@@ -243,6 +247,9 @@
         )
         self._registry.register(self._traffic)
         transport.handle(Push, lambda _, push: self._keeper.receive_push(push))
+        transport.handle(
+            PackedPush, lambda _, push: self._keeper.receive_packed_push(push)
+        )
         self._item_handler = StoreItemHandler(
             self._context,
             lambda: self._keeper.was_store_unreachable,
@@ -258,6 +265,7 @@
                 zone=settings.zone,
                 started_ms=self._started_ms,
             ),
+            lambda: self._hosts.is_contact,
         )
         self._election = Election(
             self._store,
