Let what hosts tell of silent targets reach the placer

In a large fleet a silent target was known only in the zone whose hosts use it. Change: a target that this host or a peer has found silent for 0.6 s, and that does not answer the placer's own probe, no longer counts as a holder, unless over half of its zone is silent. Totals of zones name the targets that their hosts cannot reach, and reports repeat those of other zones.

--- a/apricotseam/fleet/_health.py
+++ b/apricotseam/fleet/_health.py
@@ -10,6 +10,8 @@
 PEER_SLOWNESS_VALID_SECONDS = 1.0
 # Slowdown factor from which a target counts as slow.
 SLOW_FACTOR = 1.5
+# A peer's report of silence is repeated at least this often while it lasts.
+PEER_SILENCE_VALID_SECONDS = 1.3
 
 
 class Health:
@@ -28,6 +30,8 @@
         "_slow_until",
         "_slowness",
         "_has_own_report",
+        "_peer_silence_until",
+        "_silent_since",
         "failure_share",
         "latency_seconds",
     )
@@ -36,6 +40,10 @@
         self.failure_share = 0.0
         self.latency_seconds = 0.0
         self._is_silent = False
+        # Time of the first report of the silence that lasts, by this host or
+        # by peers, and time until which the report of a peer is valid.
+        self._silent_since = None
+        self._peer_silence_until = 0.0
         self._avoided_until = 0.0
         self._slowness = 1.0
         self._slow_until = 0.0
@@ -92,14 +100,35 @@
         """Record a request that the target failed or refused."""
         self.failure_share += OUTCOME_WEIGHT * (1 - self.failure_share)
 
-    def mark_unreachable(self):
+    def mark_unreachable(self, now):
         """Record a failure and mark the target as silent."""
         self.record_failure()
+        self._begin_silence(now)
         self._is_silent = True
 
     def mark_reachable(self):
-        """Mark the target as responding."""
+        """Mark the target as responding, whatever peers reported."""
         self._is_silent = False
+        self._silent_since = None
+        self._peer_silence_until = 0.0
+
+    def record_peer_silence(self, now):
+        """Record that a peer finds the target silent."""
+        self._begin_silence(now)
+        self._peer_silence_until = now + PEER_SILENCE_VALID_SECONDS
+
+    def silent_seconds(self, now):
+        """Return for how long this host or a peer finds the target silent."""
+        if self._silent_since is None:
+            return 0.0
+        if not self._is_silent and now >= self._peer_silence_until:
+            return 0.0
+        return now - self._silent_since
+
+    def _begin_silence(self, now):
+        is_going_on = self._is_silent or now < self._peer_silence_until
+        if self._silent_since is None or not is_going_on:
+            self._silent_since = now
 
     def penalty(self):
         """Return the factor by which failures raise the cost of the target.
--- a/apricotseam/fleet/tests/test_fleet.py
+++ b/apricotseam/fleet/tests/test_fleet.py
@@ -28,7 +28,7 @@
 def test_restart_with_the_same_identity_is_another_target():
     fleet, ended, _ = make_fleet()
     old = fleet.get("i-1")
-    old.health.mark_unreachable()
+    old.health.mark_unreachable(0.0)
     fleet.update(replace_fields(born_ms=2))
     new = fleet.get("i-1")
     assert new is not old and ended == [old]
@@ -93,7 +93,7 @@
 
 def test_target_is_silent_until_marked_reachable():
     health = Health()
-    health.mark_unreachable()
+    health.mark_unreachable(0.0)
     assert health.is_suspect(1e9)
     health.mark_reachable()
     assert not health.is_suspect(0.0)
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -90,7 +90,7 @@
             connection = None
             return result
         except ConnectError:
-            target.health.mark_unreachable()
+            target.health.mark_unreachable(loop.time())
             call.record_outcome(target.identity, "no_connection")
             return _AttemptResult(was_run=False)
         except TransportError as error:
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -157,7 +157,7 @@
             self._responsive_until[target.identity] = until
             target.health.mark_reachable()
             return True
-        target.health.mark_unreachable()
+        target.health.mark_unreachable(self._now())
         _LOG.warning(
             "target_silent",
             extra={"target": target.identity, "address": target.address},
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -207,6 +207,7 @@
         call.record_outcome(target.identity, outcome)
         self._context.metrics.sends.labels(outcome).inc()
         if is_unreachable:
-            target.health.mark_unreachable()
+            now = asyncio.get_running_loop().time()
+            target.health.mark_unreachable(now)
         else:
             target.health.record_failure()
--- a/apricotseam/forwarding/tests/test_probes.py
+++ b/apricotseam/forwarding/tests/test_probes.py
@@ -192,7 +192,7 @@
     fleet = make_fleet(102)
     for number, target in enumerate(fleet):
         if number < 2:
-            target.health.mark_unreachable()
+            target.health.mark_unreachable(0.0)
         else:
             target.health.record_slowness(4.0, 0.0)
     prober = make_prober(None, lambda: 0.0, fleet)
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -292,7 +292,7 @@
             instance,
             zone,
             self._now,
-            lambda: self._usage_exchange.uses_reports,
+            self._usage_exchange,
         )
         self._address_directory = AddressDirectory(
             self._hosts,
--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -1,6 +1,7 @@
 """Assigns model layers to targets while this host is elected to do so."""
 
 import asyncio
+import collections
 import logging
 
 import msgspec
@@ -22,6 +23,12 @@
 FIRST_LAYOUT_SETTLE_SECONDS = 1.2
 # With a layout in place, targets must not have changed for this long.
 SETTLE_SECONDS = 0.3
+# A target that is silent for this long counts as lost, although its entry in
+# the store ends only with its lease.
+LOST_AFTER_SECONDS = 0.6
+# If more of the targets of an availability zone are silent, the cause is
+# likely the network, and layers are not moved.
+MAX_LOST_SHARE = 0.5
 # If the store does not show the effect of an order after this time, the
 # target is asked for its report.
 CONFIRM_TIMEOUT_SECONDS = 4.0
@@ -100,7 +107,9 @@
         return any(t.record.layers is not None for t in self._context.fleet)
 
     async def _place_service(self, service):
-        targets = self._context.fleet.of_service(service.name)
+        targets = await self._without_lost(
+            self._context.fleet.of_service(service.name)
+        )
         records = [await self._expected_record(target) for target in targets]
         orders = choose_orders(records, service.engine)
         if orders:
@@ -108,6 +117,31 @@
                 *(self._issue_order(order) for order in orders)
             )
 
+    async def _without_lost(self, targets):
+        """Return the targets that have not been silent for long.
+
+        A target that only peers report as silent has to be silent to a
+        probe of this host, too.
+        """
+        now = self._now()
+        silent = [
+            target
+            for target in targets
+            if target.health.silent_seconds(now) >= LOST_AFTER_SECONDS
+        ]
+        if not silent:
+            return targets
+        lost = await self._context.prober.find_unresponsive(silent)
+        lost_by_zone = collections.Counter(t.record.zone for t in lost)
+        totals = collections.Counter(t.record.zone for t in targets)
+        ignored = {
+            target.identity
+            for target in lost
+            if lost_by_zone[target.record.zone]
+            <= MAX_LOST_SHARE * totals[target.record.zone]
+        }
+        return [t for t in targets if t.identity not in ignored]
+
     async def _expected_record(self, target):
         """Return a target's record as if its pending order were done."""
         record = target.record
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -8,6 +8,7 @@
 from apricotseam.chains import Usage
 from apricotseam.node._zone_reports import FORGET_AFTER_SECONDS
 from apricotseam.node._zone_reports import HostState
+from apricotseam.node._zone_reports import NOTICE_SECONDS
 from apricotseam.node._zone_reports import SentStates
 from apricotseam.node._zone_reports import ZoneCollector
 from apricotseam.node._zone_reports import ZoneReport
@@ -94,6 +95,8 @@
         self._delegate_since = None
         # Whether the ledger has the states of single hosts, not their sum.
         self._is_direct = True
+        # Time of the last report by another zone, by suspect target.
+        self._other_suspects = {}
         # Last `ZoneReport` of each delegate and the time of its receipt, by
         # peer address.
         self._reports = {}
@@ -155,6 +158,18 @@
         found = set.intersection(*silent) if silent else set()
         return found | self._hosts.unheard_delegates
 
+    def zone_suspects(self):
+        """Return the targets that hosts of this zone report as silent."""
+        reported = self._collector.suspects(self._now())
+        return sorted({*reported, *self._suspect_targets()})
+
+    def notice_other_zone(self, suspects):
+        """Record targets that hosts of another zone report as silent."""
+        now = self._now()
+        for identity in suspects:
+            self._other_suspects[identity] = now
+        self._apply_suspects(suspects, now)
+
     def _silent_senders(self):
         return self._collector.silent(self._silent_after(), self._now())
 
@@ -293,8 +308,14 @@
         others = None
         if self._report_number % OTHER_ZONES_REPORTS == 0:
             others = self._ledger.other_zones_totals()
+        self._other_suspects = {
+            identity: reported_at
+            for identity, reported_at in self._other_suspects.items()
+            if now - reported_at < NOTICE_SECONDS
+        }
         report = msgspec.structs.replace(
             report,
+            suspects=sorted({*report.suspects, *self._other_suspects}),
             other_zones=others,
             store_revision=self._store_revision(),
         )
@@ -353,17 +374,21 @@
 
     def _apply_notices(self, message, now):
         """Apply what a `HostState` or `ZoneReport` says of targets."""
-        for identity in message.suspects:
+        self._apply_suspects(message.suspects, now)
+        for identity, factor in message.slow.items():
+            target = self._context.fleet.get(identity)
+            if target is not None:
+                target.health.record_peer_slowness(factor, now)
+        for retry_key in message.refused:
+            self._context.request_queue.remember_refused(retry_key)
+
+    def _apply_suspects(self, suspects, now):
+        for identity in suspects:
             target = self._context.fleet.get(identity)
             if target is None:
                 continue
             is_new_suspicion = not target.health.is_suspect(now)
+            target.health.record_peer_silence(now)
             target.health.avoid(now + SUSPICION_SECONDS)
             if is_new_suspicion:
                 self._context.active_streams.recheck(identity)
-        for identity, factor in message.slow.items():
-            target = self._context.fleet.get(identity)
-            if target is not None:
-                target.health.record_peer_slowness(factor, now)
-        for retry_key in message.refused:
-            self._context.request_queue.remember_refused(retry_key)
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -14,13 +14,15 @@
     """Work in progress of all hosts of an availability zone, by target.
 
     ``sender`` identifies the process that computed the totals, ``number``
-    counts its messages.
+    counts its messages. ``suspects`` are targets that hosts of the zone
+    cannot reach.
     """
 
     zone: str
     sender: str
     number: int
     usages: dict[str, Usage]
+    suspects: list[str] = []
 
 
 class ZoneUsageExchange:
@@ -42,13 +44,13 @@
         Availability zone of this host.
     now : callable
         Monotonic time in seconds.
-    uses_reports : callable, optional
-        Returns whether this host learns the usage by other zones from the
-        reports of its zone's delegates.
+    usage_exchange : UsageExchange
+        Knows what the hosts of this zone report, and whether this host
+        learns the usage by other zones from reports.
     """
 
-    def __init__(self, hosts, ledger, instance, zone, now, uses_reports=None):
-        self._uses_reports = uses_reports or (lambda: False)
+    def __init__(self, hosts, ledger, instance, zone, now, usage_exchange):
+        self._usage_exchange = usage_exchange
         self._hosts = hosts
         self._ledger = ledger
         self._instance = instance
@@ -75,7 +77,13 @@
             identity: Usage(round(usage.units), usage.requests)
             for identity, usage in self._ledger.zone_totals().items()
         }
-        message = ZoneState(self._zone, self._instance, self._number, usages)
+        message = ZoneState(
+            self._zone,
+            self._instance,
+            self._number,
+            usages,
+            self._usage_exchange.zone_suspects(),
+        )
         addresses = self._hosts.other_zone_delegates
         self._hosts.transport.send_all(addresses, message)
 
@@ -83,7 +91,8 @@
         if message.zone == self._zone or not self._is_newer(message):
             return
         self._latest[message.zone] = message
-        if self._uses_reports():
+        self._usage_exchange.notice_other_zone(message.suspects)
+        if self._usage_exchange.uses_reports:
             return
         self._applied_count += 1
         usage = PeerUsage(
--- a/apricotseam/node/tests/test_zones.py
+++ b/apricotseam/node/tests/test_zones.py
@@ -28,9 +28,26 @@
         self.sent.extend((address, message) for address in addresses)
 
 
+class FakeUsageExchange:
+    """Exchange within a zone that reports one suspect target."""
+
+    def __init__(self, uses_reports):
+        self.uses_reports = uses_reports
+        self.noticed = []
+
+    def zone_suspects(self):
+        """Return the suspect target."""
+        return ["silent-here"]
+
+    def notice_other_zone(self, suspects):
+        """Record suspects of another zone."""
+        self.noticed.extend(suspects)
+
+
 def make_state(zone, sender, number, units):
-    """Return a message with the usage of one target."""
-    return ZoneState(zone, sender, number, {"t": Usage(units, 1)})
+    """Return a message with the usage of one target, and a suspect one."""
+    usages = {"t": Usage(units, 1)}
+    return ZoneState(zone, sender, number, usages, ["silent-there"])
 
 
 # Description, whether this host knows the other zones by the reports of its
@@ -69,9 +86,8 @@
 def test_totals_of_other_zones(uses_reports, messages, expected_units):
     hosts = FakeHosts(True)
     ledger = Ledger()
-    ZoneUsageExchange(
-        hosts, ledger, "me", "a", lambda: 0.0, lambda: uses_reports
-    )
+    exchange = FakeUsageExchange(uses_reports)
+    ZoneUsageExchange(hosts, ledger, "me", "a", lambda: 0.0, exchange)
     for fields in messages:
         hosts.handler("b:1", make_state(*fields))
     assert ledger.used_units("t") == expected_units
@@ -82,10 +98,15 @@
     ledger = Ledger()
     ledger.book(10.0, [("t", 2)])
     hosts = FakeHosts(True)
-    exchange = ZoneUsageExchange(hosts, ledger, "me", "a", lambda: 0.0)
+    usage_exchange = FakeUsageExchange(False)
+    exchange = ZoneUsageExchange(
+        hosts, ledger, "me", "a", lambda: 0.0, usage_exchange
+    )
     hosts.handler("b:1", make_state("b", "x", 1, 50.0))
     hosts.sent.clear()
     exchange._send()
     address, message = hosts.sent[0]
     assert message.usages == {"t": Usage(20, 1)}
+    assert message.suspects == ["silent-here"]
+    assert usage_exchange.noticed == ["silent-there"]
     assert ledger.used_units("t") == 70.0
