--- a/apricotseam/coordination/_keeper.py
+++ b/apricotseam/coordination/_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import logging
 import random
 
@@ -34,7 +35,7 @@
 # which they count as failed.
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 READER_TIMEOUT_SECONDS = 1.2
-READER_CHECK_INTERVAL_SECONDS = 0.1
+READER_CHECK_INTERVAL_SECONDS = 0.4
 # Larger changes are compressed.
 MAX_PLAIN_PUSH_BYTES = 4096
 # Limit on compressed changes. Each host reads larger ones from the store
@@ -99,6 +100,8 @@
         self._push = push or (lambda message: None)
         self._pushed_at = None
         self._has_gap = False
+        # Wakes `run` if it waits for pushes.
+        self._gap_found = asyncio.Event()
         self._store = store
         self._mirror = mirror
         self._ask_peers = ask_peers
@@ -192,6 +195,7 @@
         self._updated_at = self._pushed_at
         if message.base > self._mirror.revision:
             self._has_gap = True
+            self._gap_found.set()
             return
         for item in message.items:
             self._mirror.apply(item)
@@ -210,7 +214,10 @@
             self._has_gap = False
             await self._fill_gap()
             await asyncio.sleep(GAP_PAUSE_SECONDS)
-        await asyncio.sleep(READER_CHECK_INTERVAL_SECONDS)
+        self._gap_found.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READER_CHECK_INTERVAL_SECONDS):
+                await self._gap_found.wait()
 
     async def _fill_gap(self):
         """Fetch the changes that the pushes of the reader did not contain."""
