--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -6,7 +6,8 @@
 
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
-from apricotseam.node._zone_reports import FORGET_AFTER_SECONDS
+from apricotseam.node._delegates import DelegateReports
+from apricotseam.node._delegates import TAKEOVER_SECONDS
 from apricotseam.node._zone_reports import HostState
 from apricotseam.node._zone_reports import NOTICE_SECONDS
 from apricotseam.node._zone_reports import SentStates
@@ -37,8 +38,6 @@
 # Names under which the sums in reports are recorded.
 OWN_ZONE = "own zone"
 OTHER_ZONES = "other zones"
-# A new delegate reports only after each host of the zone has sent it a state.
-TAKEOVER_SECONDS = 2.0
 
 
 class UsageExchange:
@@ -97,11 +96,7 @@
         self._is_direct = True
         # Time of the last report by another zone, by suspect target.
         self._other_suspects = {}
-        # Last `ZoneReport` of each delegate and the time of its receipt, by
-        # peer address.
-        self._reports = {}
-        # Time since when each delegate of the zone is known as one.
-        self._known_delegates = {}
+        self._delegate_reports = DelegateReports()
         hosts.transport.handle(HostState, self._receive)
         hosts.transport.handle(ZoneReport, self._receive_report)
 
@@ -113,7 +108,7 @@
     @property
     def uses_reports(self):
         """Whether this host knows of the others by the delegates' reports."""
-        return not self._is_direct and bool(self._reports)
+        return not self._is_direct and len(self._delegate_reports) > 0
 
     async def run(self):
         """Send states periodically, forever."""
@@ -148,15 +143,10 @@
             return set(self._silent_senders())
         if self.reports_zone:
             return set(self._silent_senders()) | self._hosts.unheard_delegates
-        now = self._now()
-        silent = [
-            set(report.silent)
-            for report, received_at in self._reports.values()
-            if now - received_at <= self._silent_after()
-        ]
-        # A delegate that is cut off itself reports all others as silent.
-        found = set.intersection(*silent) if silent else set()
-        return found | self._hosts.unheard_delegates
+        silent = self._delegate_reports.silent_hosts(
+            self._silent_after(), self._now()
+        )
+        return silent | self._hosts.unheard_delegates
 
     def zone_suspects(self):
         """Return the targets that hosts of this zone report as silent."""
@@ -196,15 +186,11 @@
             self._delegate_since = None
             self._set_direct(True, now)
             return
-        self._reports = {
-            address: (report, received_at)
-            for address, (report, received_at) in self._reports.items()
-            if now - received_at < FORGET_AFTER_SECONDS
-        }
-        self._hosts.unheard_delegates = self._unheard_delegates(now)
+        self._hosts.unheard_delegates = self._delegate_reports.unheard(
+            set(self._hosts.load_recipients), self._silent_after(), now
+        )
         delegates = self._hosts.zone_delegates
-        for address in delegates:
-            self._known_delegates.setdefault(address, now)
+        self._delegate_reports.expect(delegates, now)
         is_delegate = self._hosts.own_address in delegates
         if is_delegate and self._delegate_since is None:
             self._delegate_since = now
@@ -226,31 +212,6 @@
             for state in self._collector.states(now):
                 self._apply_state(state, now)
 
-    def _unheard_delegates(self, now):
-        """Return the delegates whose reports are overdue.
-
-        A delegate that is heard again counts as one again, as it reports to
-        all hosts of the zone.
-        """
-        recipients = set(self._hosts.load_recipients)
-        self._known_delegates = {
-            address: since
-            for address, since in self._known_delegates.items()
-            if address in recipients
-        }
-        return {
-            address
-            for address, since in self._known_delegates.items()
-            if now >= self._report_deadline(address, since)
-        }
-
-    def _report_deadline(self, address, known_since):
-        """Return the time at which a delegate's next report is overdue."""
-        _, received_at = self._reports.get(address, (None, 0.0))
-        return self._silent_after() + max(
-            received_at, known_since + TAKEOVER_SECONDS
-        )
-
     def _suspect_targets(self):
         return [
             target.identity
@@ -341,15 +302,9 @@
     def _receive_report(self, sender, report):
         if report.zone != self._zone or not self._hosts.is_large:
             return
-        known, _ = self._reports.get(sender, (None, 0.0))
-        if (
-            known is not None
-            and known.sender == report.sender
-            and known.number >= report.number
-        ):
-            return
         now = self._now()
-        self._reports[sender] = (report, now)
+        if not self._delegate_reports.receive(sender, report, now):
+            return
         if report.store_revision:
             self._on_store_revision(report.store_revision)
         self._apply_notices(report, now)
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -21,6 +21,7 @@
 NOTICE_SECONDS = 1.3
 # Own states that are kept until a report shows which of them it includes.
 MAX_SENT_STATES = 32
+_NO_COUNT = RepeatCount()
 
 
 class HostState(msgspec.Struct, frozen=True, array_like=True):
@@ -254,8 +255,8 @@
 def _subtract_repeats(total, part):
     return {
         service: RepeatCount(
-            max(0, count.requests - part.get(service, _NONE).requests),
-            max(0, count.repeats - part.get(service, _NONE).repeats),
+            max(0, count.requests - part.get(service, _NO_COUNT).requests),
+            max(0, count.repeats - part.get(service, _NO_COUNT).repeats),
         )
         for service, count in total.items()
     }
@@ -265,12 +266,9 @@
     total = {}
     for by_service in counts:
         for service, count in by_service.items():
-            known = total.get(service, _NONE)
+            known = total.get(service, _NO_COUNT)
             total[service] = RepeatCount(
                 known.requests + count.requests,
                 known.repeats + count.repeats,
             )
     return total
-
-
-_NONE = RepeatCount()
--- a/apricotseam/node/tests/test_addresses.py
+++ b/apricotseam/node/tests/test_addresses.py
@@ -7,10 +7,10 @@
 from apricotseam.membership import Member
 from apricotseam.membership import MemberTable
 from apricotseam.node._listeners import choose_addresses
-from apricotseam.node._usage import FORGET_AFTER_SECONDS
-from apricotseam.node._usage import HostState
 from apricotseam.node._usage import SILENT_AFTER_SECONDS
 from apricotseam.node._usage import UsageExchange
+from apricotseam.node._zone_reports import FORGET_AFTER_SECONDS
+from apricotseam.node._zone_reports import HostState
 
 # Description, availability zone of each host (one letter each), numbers of
 # the silent hosts, numbers of the hosts returned to a caller in zone ``a``.
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -12,6 +12,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from apricotseam.chains import Ledger
@@ -423,7 +424,7 @@
 TestZone.settings = hypothesis.settings(max_examples=15, stateful_step_count=8)
 
 
-def test_reports_of_an_earlier_process_do_not_replace_later_ones():
+def test_late_reports_and_states_of_other_zones_are_ignored():
     zone = Zone(28)
     host = zone.hosts["10.0.0.5:1"]
     zone.run(6)
@@ -432,9 +433,12 @@
         "a", "x/1", 5, {}, {}, None, [], {}, [], {}, ["h:1"], 0
     )
     receive("10.0.0.0:1", report)
-    known = host.exchange._reports["10.0.0.0:1"]
-    receive("10.0.0.0:1", report)
-    assert host.exchange._reports["10.0.0.0:1"] is known
+    reports = host.exchange._delegate_reports
+    assert not reports.receive("10.0.0.0:1", report, zone.now)
+    later = msgspec.structs.replace(report, number=6)
+    assert reports.receive("10.0.0.0:1", later, zone.now)
+    restarted = msgspec.structs.replace(report, sender="x/2", number=1)
+    assert reports.receive("10.0.0.0:1", restarted, zone.now)
     other = HostState("y/1", "b", 1, {}, [], {}, [], {})
     host.handlers[HostState]("10.9.0.1:1", other)
     assert not host.exchange._collector.states(zone.now)
