Decide in one place whether a message replaces the last one

Cause: states, reports and totals of zones each compared sender and number in a copy of their own. Change: is_newer serves all three; the behaviour is the same.

--- a/apricotseam/node/_delegates.py
+++ b/apricotseam/node/_delegates.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from apricotseam.node._zone_reports import FORGET_AFTER_SECONDS
+from apricotseam.node._zone_reports import is_newer
 from apricotseam.node._zone_reports import ZoneReport
 
 # A new delegate reports only after each host of the zone has sent it a state.
@@ -43,11 +44,7 @@
             Time of its receipt.
         """
         known = self._received.get(address)
-        if (
-            known is not None
-            and known.report.sender == report.sender
-            and known.report.number >= report.number
-        ):
+        if not is_newer(report, known.report if known else None):
             return False
         self._received[address] = _Received(report, now)
         return True
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -43,6 +43,11 @@
     refused: list[str]
     repeats: dict[str, RepeatCount]
 
+    @property
+    def sender(self):
+        """Process that the state is about, which sent it."""
+        return self.host
+
 
 class ZoneReport(msgspec.Struct, frozen=True, array_like=True):
     """State of all hosts of an availability zone together.
@@ -70,6 +75,23 @@
     store_revision: int
 
 
+def is_newer(message, known):
+    """Return whether a message replaces the last one of the same kind.
+
+    Each process numbers its own messages from 1.
+
+    Parameters
+    ----------
+    message : HostState, ZoneReport or ZoneState
+        The message, with the process that ``sender`` names.
+    known : HostState, ZoneReport, ZoneState or None
+        The last one, None if there is none.
+    """
+    if known is None or known.sender != message.sender:
+        return True
+    return known.number < message.number
+
+
 class ReceivedState(msgspec.Struct, frozen=True):
     """A `HostState`, its sender's peer address and the time of its receipt."""
 
@@ -101,11 +123,7 @@
             Time of its receipt.
         """
         known = self._received.get(address)
-        if (
-            known is not None
-            and known.state.host == state.host
-            and known.state.number >= state.number
-        ):
+        if not is_newer(state, known.state if known else None):
             return False
         self._received[address] = ReceivedState(address, state, now)
         for retry_key in state.refused:
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -6,6 +6,7 @@
 
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
+from apricotseam.node._zone_reports import is_newer
 
 SEND_PERIOD_SECONDS = 0.6
 
@@ -88,7 +89,8 @@
         self._hosts.transport.send_all(addresses, message)
 
     def _receive(self, sender, message):
-        if message.zone == self._zone or not self._is_newer(message):
+        known = self._latest.get(message.zone)
+        if message.zone == self._zone or not is_newer(message, known):
             return
         self._latest[message.zone] = message
         self._usage_exchange.notice_other_zone(message.suspects)
@@ -99,9 +101,3 @@
             f"zone {message.zone}", self._applied_count, message.usages, 0
         )
         self._ledger.update_peer(usage, self._now())
-
-    def _is_newer(self, message):
-        latest = self._latest.get(message.zone)
-        if latest is None or latest.sender != message.sender:
-            return True
-        return latest.number < message.number
