Log why the host itself leaves a request without a complete answer

Cause: a request that the host ended at its own exit was logged as caller_left, like one whose caller had closed the connection, and an answer that still stood in the send buffer left no line.

Change: each connection records its EndCause once; answer_incomplete names the request, the cause and the bytes that were not sent, and apricotseam_incomplete_answers counts them. request_done states the same cause.

--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -11,6 +11,7 @@
 from apricotseam.forwarding._plain import PlainRunner
 from apricotseam.forwarding._probes import TargetProber
 from apricotseam.forwarding._streams import StreamRunner
+from apricotseam.http1 import EndCause
 from apricotseam.platform import decode_request_metadata
 from apricotseam.routes import RepeatPolicy
 
@@ -102,6 +103,7 @@
     async def handle(self, request, exchange):
         """Admit, forward, answer and log one request of a caller."""
         metadata = decode_request_metadata(request)
+        exchange.request_id = metadata.request_id
         call, refusal = self._admit(request, exchange, metadata)
         if call is None:
             refuse(
@@ -122,7 +124,7 @@
             else:
                 status = await self._plain.run(call)
         except asyncio.CancelledError:
-            status = "caller_left"
+            status = str(exchange.end_cause or EndCause.HANDLER_CANCELLED)
             raise
         finally:
             self._finish(call, status, loop.time())
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -34,6 +34,12 @@
             ["cause"],
             registry=registry,
         )
+        self._incomplete = prometheus_client.Counter(
+            "apricotseam_incomplete_answers",
+            "Requests that this host left without a complete answer.",
+            ["cause"],
+            registry=registry,
+        )
         self.first_byte = prometheus_client.Histogram(
             "apricotseam_first_byte_seconds",
             "Time from a request's first byte to its answer's.",
@@ -48,3 +54,13 @@
             buckets=BUCKETS_SECONDS,
             registry=registry,
         )
+
+    def count_incomplete(self, cause):
+        """Count a request that this host left without a complete answer.
+
+        Parameters
+        ----------
+        cause : EndCause
+            Why its connection was closed.
+        """
+        self._incomplete.labels(str(cause)).inc()
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -192,7 +192,11 @@
             request_queue,
         )
         gateway = Gateway(self._context)
-        self.caller_server = Server(gateway.handle, self._limits)
+        self.caller_server = Server(
+            gateway.handle,
+            self._limits,
+            self._context.metrics.count_incomplete,
+        )
 
     def _expected_peers(self):
         """Return how many peers should report their usage after a start.
