Reproduce answers that are cut because a sound target is silent

Seen by callers: an answer ends in the middle, or a 504, though the target goes on after a second. Cause to be mended next: a silent target ends the attempt before a replacement is certain.

--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -101,6 +101,11 @@
         """The `RouteTable` in force, or None."""
         return self._context.table
 
+    @property
+    def forwarding(self):
+        """The `ForwardingContext` shared by all requests."""
+        return self._context
+
     async def start(self):
         """Start all components and listeners."""
         settings = self._settings
--- a/apricotseam/platform/standins/__init__.py
+++ b/apricotseam/platform/standins/__init__.py
@@ -8,6 +8,8 @@
 from apricotseam.platform.standins._configuration import KEY
 from apricotseam.platform.standins._configuration import LAYERS
 from apricotseam.platform.standins._configuration import sample_configuration
+from apricotseam.platform.standins._configuration import ENGINE_SERVICE
+from apricotseam.platform.standins._configuration import PLAIN_SERVICE
 from apricotseam.platform.standins._configuration import sample_route
 from apricotseam.platform.standins._store import StoreStandIn
 from apricotseam.platform.standins._target import TargetStandIn
@@ -23,5 +25,7 @@
     "decode_addresses",
     "sample_configuration",
     "caller_headers",
+    "ENGINE_SERVICE",
+    "PLAIN_SERVICE",
     "sample_route",
 ]
--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -43,6 +43,11 @@
     stalls_after : int or None
         Number of the event after which a stream waits for an order that
         changes its chain.
+    pauses_after : int or None
+        Number of the event after which the whole target falls silent for
+        `pause_seconds`, once: it accepts connections and sends nothing.
+    pause_seconds : float
+        Length of that silence.
     is_blocked : callable
         Takes the chain of a stream as text; the stream waits while it
         returns True.
@@ -76,6 +81,9 @@
         self.event_seconds = 0.0
         self.cut_after = None
         self.stalls_after = None
+        self.pauses_after = None
+        self.pause_seconds = 0.0
+        self._pauses_until = 0.0
         self._rerouted = asyncio.Event()
         self.is_blocked = lambda chain: False
         self.on_layers_changed = lambda target: None
@@ -126,7 +134,18 @@
             fields["Layers"] = {"From": first, "Target": last, "Version": 1}
         return json.dumps(fields).encode()
 
+    def pause(self):
+        """Fall silent for `pause_seconds` from now on."""
+        now = asyncio.get_running_loop().time()
+        self._pauses_until = now + self.pause_seconds
+
+    async def _wait_while_paused(self):
+        loop = asyncio.get_running_loop()
+        while (seconds := self._pauses_until - loop.time()) > 0:
+            await asyncio.sleep(seconds)
+
     async def _handle(self, request, exchange):
+        await self._wait_while_paused()
         if request.target == b"/v1/order":
             self._accept_order(request, exchange)
         elif request.target == b"/v1/report":
@@ -184,6 +203,10 @@
         if self.is_engine or request.target.startswith(STREAM_PREFIX):
             await self._stream(request, exchange, headers)
         else:
+            if self.pauses_after == 0:
+                self.pauses_after = None
+                self.pause()
+            await self._wait_while_paused()
             exchange.answer(200, request.body or b"answer", headers)
 
     async def _stream(self, request, exchange, headers):
@@ -201,6 +224,10 @@
                     await exchange.write(b"id: 9")
                     exchange.abort_response()
                     return
+                if number - 1 == self.pauses_after:
+                    self.pauses_after = None
+                    self.pause()
+                await self._wait_while_paused()
                 if self.stalls_after is not None and (
                     number > self.stalls_after
                 ):
