Leave a silent target only for a reserved replacement

Seen by callers: answers cut in the middle, or 504, although their target was sound and went on after a second; with many silent targets at once, all retries of the budget were gone, and later answers were cut for want of one.

Cause: break before make. 0.1 s without an event and two missed probes of 25 ms ended the attempt; only then did the host ask whether the route allows another run, whether the budget has a retry and whether a chain has room. A plain request was given up in the same way, also when its attempt had used 45 % of its time.

Change: ReplacementReserver secures the next attempt (run allowed, choice, retry) before the current one is left; without it the host goes on reading until the deadline of the call and asks again at each check. A reroute that finds no chain no longer counts as one of the three.

--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -4,6 +4,7 @@
 import logging
 
 from apricotseam.errors import InvalidInputError
+from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.http1 import EventSplitter
 from apricotseam.http1 import InterruptedReadError
 from apricotseam.http1 import MalformedAnswerError
@@ -18,8 +19,8 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Silence after which a stream moves to another chain even if the targets
-# respond to probes. It is below the two seconds after which callers give up.
+# Silence after which a stream moves to another chain, if one has capacity,
+# even if the targets respond to probes. It is below the two seconds after which callers give up.
 MAX_SILENCE_SECONDS = 1.3
 # Silence after which the targets of the chain are probed: before the first
 # event, between events, and between repeated checks.
@@ -58,6 +59,7 @@
     def __init__(self, context, sender, call, choice):
         self._context = context
         self._sender = sender
+        self._replacements = ReplacementReserver(context)
         self._call = call
         self._choice = choice
         self._booking = None
@@ -223,31 +225,23 @@
         is_long = silent_seconds >= REPEAT_CHECK_SECONDS
         if is_long and choice.path and not unresponsive:
             unresponsive = await self._stalled_targets()
-        for target in unresponsive:
-            call.failed_targets.add(target.identity)
-            call.record_outcome(target.identity, "silent")
-        if choice.head in unresponsive:
-            return False
-        if (unresponsive or to_avoid) and await self._reroute(
-            [*unresponsive, *to_avoid]
-        ):
-            return True
-        # A slow chain is abandoned only if another one has capacity.
+        if choice.head not in unresponsive and (unresponsive or to_avoid):
+            if await self._reroute([*unresponsive, *to_avoid]):
+                return True
+        if unresponsive:
+            return not self._leave_for_replacement(unresponsive)
         is_slow = silent_seconds >= MAX_SILENCE_SECONDS
-        if is_slow and not unresponsive:
-            call.failed_targets.add(choice.head.identity)
-        return not ((unresponsive or is_slow) and self._can_switch_chain())
+        return not (is_slow and self._leave_for_replacement([choice.head]))
 
-    def _can_switch_chain(self):
-        """Return whether another target or chain could continue the call."""
+    def _leave_for_replacement(self, targets):
+        """Reserve another attempt; return whether this one can be left."""
         call = self._call
-        if not call.may_run_again:
+        identities = [target.identity for target in targets]
+        if not self._replacements.reserve(call, identities):
             return False
-        now = asyncio.get_running_loop().time()
-        target_selector = self._context.target_selector
-        if call.service.engine is None:
-            return target_selector.choose_target(call, now) is not None
-        return target_selector.choose_chain(call, now, True) is not None
+        for identity in identities:
+            call.record_outcome(identity, "silent")
+        return True
 
     def _should_avoid(self, target):
         """Return whether a running stream should move off a target."""
@@ -291,12 +285,12 @@
         now = asyncio.get_running_loop().time()
         if self._reroutes >= MAX_REROUTES:
             return False
-        self._reroutes += 1
         choice = self._context.target_selector.choose_tail(
             call, self._choice, now, avoided
         )
         if choice is None:
             return False
+        self._reroutes += 1
         order = Reroute(request_id=call.request_id, chain=choice.path)
         try:
             answer, _ = await self._call_head(
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -5,6 +5,7 @@
 from apricotseam.forwarding._answering import deliver
 from apricotseam.forwarding._answering import fail
 from apricotseam.forwarding._answering import refuse_call
+from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._sender import Sender
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import MalformedAnswerError
@@ -14,7 +15,8 @@
 MAX_ANSWER_BYTES = 8 << 20
 # Attempts that no target ran, in addition to those that the route allows.
 MAX_UNRUN_ATTEMPTS = 3
-# Fraction of the remaining time that an attempt gets if it may be retried.
+# Fraction of the remaining time after which an attempt is left for another
+# target, if one can take the request.
 ATTEMPT_TIME_FRACTION = 0.45
 BUSY_RETRY_SECONDS = 0.25
 # Silence after which a target is probed.
@@ -59,6 +61,9 @@
 
     def _next_choice(self, call, unrun_attempts):
         """Return the `Choice` of the next attempt, or None to stop."""
+        reserved = call.take_reserved_choice()
+        if reserved is not None:
+            return reserved
         loop = asyncio.get_running_loop()
         if call.seconds_left() <= 0 or unrun_attempts > MAX_UNRUN_ATTEMPTS:
             return None
@@ -102,11 +107,11 @@
                 connection.close()
 
     async def _read_answer(self, call, connection, target):
-        deadline = self._attempt_deadline(call)
-        answer, metadata = await self._await_head(
-            call, connection, target, deadline
+        reader = _PatientReader(self._context, call, target)
+        answer, metadata = await reader.read(
+            lambda deadline: self._sender.read_head(call, connection, deadline)
         )
-        body = await connection.read_all(deadline, MAX_ANSWER_BYTES)
+        body = await self._read_body(reader, connection)
         if metadata.was_not_run:
             call.runs -= 1
             target.health.record_failure()
@@ -128,40 +133,83 @@
                 return _AttemptResult(was_run=True, status=502)
         return _AttemptResult(was_run=True, answer=answer, body=body)
 
-    async def _await_head(self, call, connection, target, deadline):
-        """Return the head of the answer and its `ResponseMetadata`.
+    async def _read_body(self, reader, connection):
+        parts = []
+        size = 0
+        while data := await reader.read(connection.read):
+            size += len(data)
+            if size > MAX_ANSWER_BYTES:
+                raise MalformedAnswerError(
+                    f"{connection.address} sent a body of more than"
+                    f" {MAX_ANSWER_BYTES} bytes",
+                    "ask for less at a time",
+                )
+            parts.append(data)
+        return b"".join(parts)
+
+    def _handle_broken_answer(self, call, target, error):
+        call.record_outcome(target.identity, error.code)
+        target.health.record_failure()
+        is_timeout = isinstance(error, TransportTimeoutError)
+        return _AttemptResult(was_run=True, status=504 if is_timeout else 502)
+
+
+class _PatientReader:
+    """Reads an answer; leaves a silent target only for another one.
+
+    Parameters
+    ----------
+    context : ForwardingContext
+        State shared by all requests.
+    call : Call
+        The request.
+    target : Target
+        The target that answers.
+    """
+
+    __slots__ = ("_call", "_context", "_leave_at", "_replacements", "_target")
+
+    def __init__(self, context, call, target):
+        self._context = context
+        self._replacements = ReplacementReserver(context)
+        self._call = call
+        self._target = target
+        # Loop time in seconds from which the attempt is left for another one
+        # even if the target responds to probes.
+        now = asyncio.get_running_loop().time()
+        self._leave_at = now + ATTEMPT_TIME_FRACTION * call.seconds_left()
+
+    async def read(self, read):
+        """Return the result of a read.
+
+        Parameters
+        ----------
+        read : callable
+            Coroutine function that takes a deadline in loop time.
 
         Raises
         ------
         TransportTimeoutError
-            At the deadline, or before if the target does not respond to
-            probes and the request may be run elsewhere.
+            At the deadline of the call, or once another attempt is reserved.
         """
         loop = asyncio.get_running_loop()
+        deadline = self._call.deadline
         while True:
             check_at = min(deadline, loop.time() + SILENCE_CHECK_SECONDS)
             try:
-                return await self._sender.read_head(call, connection, check_at)
+                return await read(check_at)
             except TransportTimeoutError:
-                if loop.time() >= deadline:
-                    raise
-                unresponsive = await self._context.prober.find_unresponsive(
-                    [target]
-                )
-                if unresponsive and call.may_run_again:
+                if loop.time() >= deadline or await self._can_leave():
                     raise
 
-    def _handle_broken_answer(self, call, target, error):
-        call.record_outcome(target.identity, error.code)
-        target.health.record_failure()
-        is_timeout = isinstance(error, TransportTimeoutError)
-        return _AttemptResult(was_run=True, status=504 if is_timeout else 502)
-
-    def _attempt_deadline(self, call):
-        if not call.may_run_again:
-            return call.deadline
-        loop = asyncio.get_running_loop()
-        return loop.time() + ATTEMPT_TIME_FRACTION * call.seconds_left()
+    async def _can_leave(self):
+        """Return whether another attempt is reserved."""
+        target = self._target
+        unresponsive = await self._context.prober.find_unresponsive([target])
+        now = asyncio.get_running_loop().time()
+        if not unresponsive and now < self._leave_at:
+            return False
+        return self._replacements.reserve(self._call, [target.identity])
 
 
 class _AttemptResult:
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -42,7 +42,7 @@
     async def run(self, call):
         """Answer a call; return the HTTP status, or ``cut`` if aborted."""
         status = 503
-        while call.attempts < MAX_ATTEMPTS:
+        while call.attempts < MAX_ATTEMPTS or call.reserved_choice:
             choice = await self._next_choice(call)
             if choice is None:
                 break
@@ -61,6 +61,9 @@
 
     async def _next_choice(self, call):
         """Return the `Choice` of the next attempt, or None to stop."""
+        reserved = call.take_reserved_choice()
+        if reserved is not None:
+            return reserved
         cause = self._stop_cause(call)
         if cause is None:
             choice = await self._wait_for_capacity(call)
