--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -20,7 +20,8 @@
 _LOG = logging.getLogger(__name__)
 
 # Silence after which a stream moves to another chain, if one has capacity,
-# even if the targets respond to probes. It is below the two seconds after which callers give up.
+# although the targets respond to probes. It is below the two seconds after
+# which callers give up.
 MAX_SILENCE_SECONDS = 1.3
 # Silence after which the targets of the chain are probed: before the first
 # event, between events, and between repeated checks.
--- a/apricotseam/http1/__init__.py
+++ b/apricotseam/http1/__init__.py
@@ -9,12 +9,12 @@
 from apricotseam.http1._errors import MalformedAnswerError
 from apricotseam.http1._errors import TransportError
 from apricotseam.http1._errors import TransportTimeoutError
-from apricotseam.http1._message import is_hop_by_hop_header
-from apricotseam.http1._message import Request
-from apricotseam.http1._pool import ConnectionPool
 from apricotseam.http1._exchange import EndCause
 from apricotseam.http1._exchange import Exchange
 from apricotseam.http1._limits import Limits
+from apricotseam.http1._message import is_hop_by_hop_header
+from apricotseam.http1._message import Request
+from apricotseam.http1._pool import ConnectionPool
 from apricotseam.http1._server import Server
 from apricotseam.http1._sockets import enable_keepalive
 from apricotseam.http1._sse import Event
--- a/apricotseam/platform/standins/__init__.py
+++ b/apricotseam/platform/standins/__init__.py
@@ -4,12 +4,12 @@
 from apricotseam.platform.standins._callers import caller_headers
 from apricotseam.platform.standins._callers import decode_addresses
 from apricotseam.platform.standins._configuration import CUSTOMER
+from apricotseam.platform.standins._configuration import ENGINE_SERVICE
 from apricotseam.platform.standins._configuration import HOST
 from apricotseam.platform.standins._configuration import KEY
 from apricotseam.platform.standins._configuration import LAYERS
-from apricotseam.platform.standins._configuration import sample_configuration
-from apricotseam.platform.standins._configuration import ENGINE_SERVICE
 from apricotseam.platform.standins._configuration import PLAIN_SERVICE
+from apricotseam.platform.standins._configuration import sample_configuration
 from apricotseam.platform.standins._configuration import sample_route
 from apricotseam.platform.standins._store import StoreStandIn
 from apricotseam.platform.standins._target import TargetStandIn
