Count received and unsent requests as unfinished when the server stops

Seen by callers: an answer ends in the middle, or a request isn't answered, as a host ends.

Cause: only running handlers counted as in progress. A connection with half a request was closed with the idle ones; an answer that stood in the send buffer was thrown away.

Evidence: two tests failed before: the half received request was reset, and the server had no notion of unsent answers.

--- a/apricotseam/http1/_server.py
+++ b/apricotseam/http1/_server.py
@@ -26,6 +26,8 @@
     ----------
     is_closing : bool
         Whether further responses announce that the connection is closed.
+    is_stopped : bool
+        Whether connections are closed after the answer in progress.
     connections : set of ServerConnection
         Open connections.
     """
@@ -35,6 +37,7 @@
         self.count_incomplete = count_incomplete or (lambda cause: None)
         self.limits = limits
         self.is_closing = False
+        self.is_stopped = False
         self.connections = set()
         self._server = None
 
@@ -43,6 +46,11 @@
         """Number of requests whose handlers are running."""
         return sum(c.is_busy for c in self.connections)
 
+    @property
+    def has_unfinished(self):
+        """Whether a request is being received, handled or answered."""
+        return any(c.is_unfinished for c in self.connections)
+
     async def start(self, address):
         """Listen on ``ip:port``."""
         host, _, port = address.rpartition(":")
@@ -59,11 +67,16 @@
         self.is_closing = True
 
     def stop_listening(self):
-        """Stop accepting connections and close the idle ones."""
+        """Stop accepting connections and close the idle ones.
+
+        The others close after their last answer, which announces it.
+        """
+        self.is_closing = True
+        self.is_stopped = True
         if self._server is not None:
             self._server.close()
         for connection in list(self.connections):
-            if not connection.is_busy:
+            if connection.is_idle:
                 connection.close()
 
     def abort(self):
--- a/apricotseam/http1/_server_connection.py
+++ b/apricotseam/http1/_server_connection.py
@@ -267,7 +267,8 @@
         )
         if self._transport.is_closing():
             return
-        if exchange.must_close or not is_reusable:
+        must_close = exchange.must_close or self._server.is_stopped
+        if must_close or not is_reusable:
             self._linger()
             return
         parser.start_next_cycle()
--- a/apricotseam/http1/tests/test_server_end.py
+++ b/apricotseam/http1/tests/test_server_end.py
@@ -94,3 +94,36 @@
             return await fixture.read_all()
 
     assert asyncio.run(scenario()).startswith(b"HTTP/1.1 500")
+
+
+def test_half_received_request_is_answered_after_the_listener_closed():
+    """Guards against a request that is cut while the process ends."""
+
+    async def scenario():
+        async with Fixture(answer_ok) as fixture:
+            fixture.writer.write(REQUEST[:10])
+            await asyncio.sleep(0.05)
+            fixture.server.stop_listening()
+            fixture.writer.write(REQUEST[10:])
+            return await fixture.read_all()
+
+    answer = asyncio.run(scenario()).lower()
+    assert answer.startswith(b"http/1.1 200")
+    assert b"connection: close" in answer
+
+
+def test_answer_that_is_not_sent_yet_counts_as_unfinished():
+    """Guards against an end of the process that discards an answer."""
+
+    async def scenario():
+        async with Fixture(answer_large) as fixture:
+            fixture.writer.write(REQUEST)
+            await fixture.read_head()
+            fixture.server.stop_listening()
+            before = fixture.server.has_unfinished
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                body = await fixture.reader.read()
+            await asyncio.sleep(0.05)
+            return before, len(body), fixture.server.has_unfinished
+
+    assert asyncio.run(scenario()) == (True, len(LARGE_BODY), False)
