Let the last answer of a connection arrive before it is closed

Seen by callers: a refusal (408, 413, 431) is lost, the connection reset.

Cause: the server closed a connection on which bytes of the client were unread or under way, which resets it and may destroy the answer.

Change: it closes its sending half and discards what arrives until the client has closed, for half a second at most.

Evidence: the test of a client that is still sending got ConnectionResetError before and 413 now.

--- a/apricotseam/http1/_server_connection.py
+++ b/apricotseam/http1/_server_connection.py
@@ -12,6 +12,11 @@
 
 _LOG = logging.getLogger(__name__)
 
+# Time for which bytes of the client are discarded after the last answer. A
+# close before they have arrived would reset the connection, which may destroy
+# the answer on its way.
+LINGER_SECONDS = 0.5
+
 
 class ServerConnection(asyncio.Protocol):
     """One connection of a client.
@@ -289,10 +294,11 @@
         self._linger()
 
     def _linger(self):
-        """Close the connection after its last answer."""
+        """Close after the client has closed its end, or after a while."""
         self._is_lingering = True
-        self._cancel_timer()
-        self._transport.close()
+        self._set_timer(LINGER_SECONDS, self.close)
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
 
     def _set_timer(self, seconds, callback):
         self._cancel_timer()
--- a/apricotseam/http1/tests/test_server_end.py
+++ b/apricotseam/http1/tests/test_server_end.py
@@ -127,3 +127,21 @@
             return before, len(body), fixture.server.has_unfinished
 
     assert asyncio.run(scenario()) == (True, len(LARGE_BODY), False)
+
+
+def test_refusal_arrives_although_the_client_is_still_sending():
+    """Guards against a reset that destroys a refusal on its way."""
+
+    async def scenario():
+        async with Fixture(answer_ok, body_bytes=16) as fixture:
+            fixture.writer.write(
+                b"POST /a HTTP/1.1\r\nHost: a\r\n"
+                b"Content-Length: 4000000\r\n\r\n"
+            )
+            for _ in range(40):
+                fixture.writer.write(b"x" * 100000)
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.1)
+            return await fixture.read_all()
+
+    assert asyncio.run(scenario()).startswith(b"HTTP/1.1 413")
