Apply limits that a configuration raises to open connections

Seen by callers: beside a change of the configuration, a connection that was idle for less than the new limit is closed under a request; a request within the new limit on the head is refused.

Cause: both limits were read when the connection was opened or became idle.

Change: the idle limit is read again when it is reached, the limit on the head at the first byte of each request.

Evidence: two tests failed before (closed connection, 431).

--- a/apricotseam/http1/_server_connection.py
+++ b/apricotseam/http1/_server_connection.py
@@ -35,6 +35,7 @@
     def __init__(self, server):
         self._server = server
         self._parser = None
+        self._head_bytes = 0
         self._transport = None
         self._timer = None
         self._handler_task = None
@@ -43,6 +44,7 @@
         self._body_parts = []
         self._body_size = 0
         self._received_at = 0.0
+        self._idle_since = 0.0
         self._write_resumed = None
         # Whether the last answer was sent and further bytes are discarded.
         self._is_lingering = False
@@ -73,10 +75,6 @@
         """Start to wait for a request; called by the event loop."""
         self._transport = transport
         enable_keepalive(transport)
-        self._parser = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self._server.limits().head_bytes,
-        )
         self._server.connections.add(self)
         self._become_idle()
 
@@ -173,14 +171,39 @@
         self._request_head = None
         self._exchange = None
         self._received_at = 0.0
-        self._set_timer(self._server.limits().idle_seconds, self.close)
+        self._idle_since = asyncio.get_running_loop().time()
+        self._set_timer(self._server.limits().idle_seconds, self._end_idle)
+
+    def _end_idle(self):
+        """Close an idle connection unless the limit was raised meanwhile."""
+        now = asyncio.get_running_loop().time()
+        due_at = self._idle_since + self._server.limits().idle_seconds
+        if now < due_at:
+            self._set_timer(due_at - now, self._end_idle)
+        else:
+            self.close()
 
     def _start_receiving(self):
+        """Begin a request under the limits that are in force now."""
         limits = self._server.limits()
         self._received_at = asyncio.get_running_loop().time()
         self._set_timer(
             limits.receive_timeout_seconds, lambda: self._reject(408)
         )
+        if self._parser is None or limits.head_bytes != self._head_bytes:
+            self._replace_parser(limits.head_bytes)
+
+    def _replace_parser(self, head_bytes):
+        """Use another limit on the head; keeps what was received."""
+        received = (
+            b"" if self._parser is None else self._parser.trailing_data[0]
+        )
+        self._head_bytes = head_bytes
+        self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=head_bytes
+        )
+        if received:
+            self._parser.receive_data(received)
 
     def _parse(self):
         while True:
--- a/apricotseam/http1/tests/test_server_end.py
+++ b/apricotseam/http1/tests/test_server_end.py
@@ -145,3 +145,31 @@
             return await fixture.read_all()
 
     assert asyncio.run(scenario()).startswith(b"HTTP/1.1 413")
+
+
+def test_idle_connection_follows_a_raised_limit():
+    """Guards against a close that crosses a request after a change."""
+
+    async def scenario():
+        async with Fixture(answer_ok, idle_seconds=0.2) as fixture:
+            fixture.limits = Limits(idle_seconds=5.0)
+            await asyncio.sleep(0.4)
+            fixture.writer.write(REQUEST)
+            return await fixture.read_head()
+
+    assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
+
+
+def test_kept_connection_follows_a_raised_size_limit():
+    """Guards against a refusal for a limit that is no longer in force."""
+
+    async def scenario():
+        async with Fixture(answer_ok, head_bytes=256) as fixture:
+            fixture.limits = Limits(head_bytes=4096)
+            head = REQUEST[:-2] + b"X: " + b"a" * 1000
+            fixture.writer.write(head)
+            await asyncio.sleep(0.05)
+            fixture.writer.write(b"\r\n\r\n")
+            return await fixture.read_head()
+
+    assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
