Give callers that read slowly time to take their answer

Seen by callers: an answer is cut in the middle when a caller takes nothing for three seconds, or its link is full for as long.

Cause: the kernel closed connections whose data is not accepted for 3 s, on the callers' side as on those to targets and other hosts. A target can be replaced, a caller can't.

Evidence: a client that reads nothing for 3.6 s got ConnectionResetError before and its 4 MB now.

--- a/apricotseam/http1/_server_connection.py
+++ b/apricotseam/http1/_server_connection.py
@@ -8,6 +8,7 @@
 from apricotseam.http1._exchange import EndCause
 from apricotseam.http1._exchange import Exchange
 from apricotseam.http1._message import Request
+from apricotseam.http1._sockets import CLIENT_USER_TIMEOUT_MILLISECONDS
 from apricotseam.http1._sockets import enable_keepalive
 
 _LOG = logging.getLogger(__name__)
@@ -74,7 +75,7 @@
     def connection_made(self, transport):
         """Start to wait for a request; called by the event loop."""
         self._transport = transport
-        enable_keepalive(transport)
+        enable_keepalive(transport, CLIENT_USER_TIMEOUT_MILLISECONDS)
         self._server.connections.add(self)
         self._become_idle()
 
--- a/apricotseam/http1/tests/test_server_end.py
+++ b/apricotseam/http1/tests/test_server_end.py
@@ -6,6 +6,7 @@
 
 from apricotseam.http1 import Limits
 from apricotseam.http1 import Server
+from apricotseam.http1._sockets import USER_TIMEOUT_MILLISECONDS
 from apricotseam.web import free_address
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -173,3 +174,17 @@
             return await fixture.read_head()
 
     assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
+
+
+def test_client_that_reads_nothing_for_seconds_gets_its_whole_answer():
+    """Guards against an answer that is cut as its client reads slowly."""
+
+    async def scenario():
+        async with Fixture(answer_large) as fixture:
+            fixture.writer.write(REQUEST)
+            await fixture.read_head()
+            await asyncio.sleep(1.2 * USER_TIMEOUT_MILLISECONDS / 1000)
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                return len(await fixture.reader.readexactly(len(LARGE_BODY)))
+
+    assert asyncio.run(scenario()) == len(LARGE_BODY)
