End the process only after what it has read is answered

Seen by callers: beside planned work, a request that was read ends without an answer, or its answer in the middle.

Cause: the shutdown ended once no handler ran, so it threw away answers in the send buffers; it accepted connections until the very end, so that a request could be read between the last check and the close; and a component that failed for good ended the process with no shutdown at all.

Change: the listener closes first, 0.3 s before the end at the latest, then idle connections, then the process waits for what is received, handled or not sent yet. A failed component shuts the host down in the same way, with exit code 1.

--- a/apricotseam/node/_leaving.py
+++ b/apricotseam/node/_leaving.py
@@ -16,6 +16,9 @@
 # The process exits this long before the platform would kill it.
 KILL_MARGIN_SECONDS = 0.4
 CHECK_PERIOD_SECONDS = 0.05
+# The process accepts no connection in this last part of its time, since a
+# request on it might be read and not answered.
+CLOSING_SECONDS = 0.3
 
 
 class GracefulShutdown:
@@ -40,27 +43,42 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         deadline = started_at + self._grace_seconds - KILL_MARGIN_SECONDS
-        _LOG.info(
-            "stop_requested",
-            extra={"in_progress": self._node.caller_server.in_progress},
-        )
+        server = self._node.caller_server
+        _LOG.info("stop_requested", extra={"in_progress": server.in_progress})
         self._node.withdraw()
-        while loop.time() < deadline:
+        await self._serve_until_idle(started_at, deadline)
+        # From here on no request is read that could not be answered.
+        server.stop_listening()
+        while server.has_unfinished and loop.time() < deadline:
             await asyncio.sleep(CHECK_PERIOD_SECONDS)
-            elapsed = loop.time() - started_at
-            if elapsed >= full_service_seconds(self._grace_seconds):
-                self._node.refuse_unfinishable(deadline)
-            is_idle = self._node.caller_server.in_progress == 0
-            if is_idle and elapsed >= MIN_SHUTDOWN_SECONDS:
-                break
         _LOG.info(
             "stopped",
             extra={
-                "in_progress": self._node.caller_server.in_progress,
+                "in_progress": server.in_progress,
                 "seconds": round(loop.time() - started_at, 3),
             },
         )
 
+    async def _serve_until_idle(self, started_at, deadline):
+        """Serve callers that still use the address of this host.
+
+        Parameters
+        ----------
+        started_at, deadline : float
+            Loop times in seconds of the signal and of the end of the process.
+        """
+        loop = asyncio.get_running_loop()
+        full_service_until = started_at + full_service_seconds(
+            self._grace_seconds
+        )
+        while loop.time() < deadline - CLOSING_SECONDS:
+            await asyncio.sleep(CHECK_PERIOD_SECONDS)
+            if loop.time() >= full_service_until:
+                self._node.refuse_unfinishable(deadline)
+            has_stayed = loop.time() >= started_at + MIN_SHUTDOWN_SECONDS
+            if has_stayed and not self._node.caller_server.has_unfinished:
+                return
+
 
 def full_service_seconds(grace_seconds):
     """Return how long after the signal every new request is still accepted.
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -149,6 +149,18 @@
                 await self._supervisor.stop()
                 await self._hosts.transport.close()
 
+    def leave(self, exit_code):
+        """Shut down gracefully, once; a later call has no effect.
+
+        Parameters
+        ----------
+        exit_code : int
+            Exit code of the process.
+        """
+        if not self._shutdown.is_in_progress:
+            loop = asyncio.get_running_loop()
+            self._shutdown_task = loop.create_task(self._shut_down(exit_code))
+
     def withdraw(self):
         """Stop advertising this host's address to callers."""
         self._is_leaving = True
@@ -367,19 +379,15 @@
     def _install_signal_handlers(self):
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._on_stop_signal)
+            loop.add_signal_handler(number, self.leave, 0)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         if _early_signals.take(signal.SIGHUP):
             self._reload()
 
-    def _on_stop_signal(self):
-        if not self._shutdown.is_in_progress:
-            loop = asyncio.get_running_loop()
-            self._shutdown_task = loop.create_task(self._shut_down())
-
-    async def _shut_down(self):
+    async def _shut_down(self, exit_code):
         await self._shutdown.run()
-        self._set_exit_code(0)
+        if not self._exit_code.done():
+            self._exit_code.set_result(exit_code)
 
     def _reload(self):
         """Reload the settings; only seeds take effect without a restart."""
@@ -401,8 +409,4 @@
 
     def _on_child_failed(self, name):
         _LOG.critical("child_gave_up", extra={"child": name})
-        self._set_exit_code(1)
-
-    def _set_exit_code(self, code):
-        if not self._exit_code.done():
-            self._exit_code.set_result(code)
+        self.leave(exit_code=1)
--- a/apricotseam/node/tests/test_leaving.py
+++ b/apricotseam/node/tests/test_leaving.py
@@ -1,11 +1,14 @@
-"""Which requests are accepted during a graceful shutdown."""
+"""Which requests are accepted during a graceful shutdown, and its end."""
 
 import asyncio
+import socket
 
 import pytest
 
 from apricotseam.node._leaving import full_service_seconds
+from apricotseam.node._leaving import MIN_SHUTDOWN_SECONDS
 from apricotseam.node.tests.harness import run
+from apricotseam.platform.standins import caller_headers
 
 # Seconds from the signal until the process is killed; latest time in seconds
 # after the signal until which every new request may be accepted.
@@ -40,3 +43,66 @@
         return status, answer.header(b"connection")
 
     assert run(scenario) == (expected, "close")
+
+
+LARGE_BODY = b"x" * 3_000_000
+
+
+async def send_and_read_slowly(address, path, body):
+    """Send a request on a connection with a small receive buffer.
+
+    Returns
+    -------
+    tuple of asyncio.StreamReader and asyncio.StreamWriter
+    """
+    host, _, port = address.rpartition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(sock, (host, int(port)))
+    reader, writer = await asyncio.open_connection(sock=sock)
+    head = b"POST " + path + b" HTTP/1.1\r\n"
+    for name, value in caller_headers({}, content=body):
+        head += name + b": " + value + b"\r\n"
+    writer.write(head + b"\r\n" + body)
+    return reader, writer
+
+
+def test_answer_in_the_send_buffer_arrives_before_the_process_ends():
+    """Guards against an answer that the end of the process cuts off."""
+
+    async def scenario(platform):
+        loop = asyncio.get_running_loop()
+        node = platform.nodes[0]
+        reader, writer = await send_and_read_slowly(
+            platform.settings[0].callers_address, b"/read/x", LARGE_BODY
+        )
+        await reader.readuntil(b"\r\n\r\n")
+        await platform.wait_until(lambda: not node.caller_server.in_progress)
+        ending = loop.create_task(node.wait())
+        node.leave(exit_code=0)
+        await asyncio.sleep(MIN_SHUTDOWN_SECONDS + 0.5)
+        async with asyncio.timeout(10):
+            body = await reader.read()
+        writer.close()
+        return len(body), await ending
+
+    assert run(scenario) == (len(LARGE_BODY), 0)
+
+
+def test_component_that_fails_for_good_cuts_no_answer():
+    """Guards against answers that are cut as a component gives up."""
+
+    async def scenario(platform):
+        for target in platform.engine_targets:
+            target.event_seconds = 0.2
+        node = platform.nodes[0]
+        ending = asyncio.create_task(node.wait())
+        stream = asyncio.create_task(platform.send_request("/chat/x"))
+        await platform.wait_until(lambda: node.caller_server.in_progress)
+        node.leave(exit_code=1)
+        status, _, body = await stream
+        return status, body is not None, await ending
+
+    assert run(scenario) == (200, True, 1)
