--- a/apricotseam/http1/tests/test_server_end.py
+++ b/apricotseam/http1/tests/test_server_end.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from apricotseam.http1._sockets import USER_TIMEOUT_MILLISECONDS
 from apricotseam.http1 import Limits
 from apricotseam.http1 import Server
-from apricotseam.http1._sockets import USER_TIMEOUT_MILLISECONDS
 from apricotseam.web import free_address
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
