Let callers' addresses lapse while a leaving host still serves them

Seen by callers: beside a rolling stop, one request in twelve is refused by a host that is leaving, many of them twice.

Cause: addresses were valid for 5 s, and some callers keep them three times as long, but a host refuses streams 2.8 s after its stop signal.

Change: the validity is a third of the time of full service at most, 0.93 s for a grace period of 8 s.

The test fails on the code before: 15 s against 2.8 s.

--- a/apricotseam/node/_leaving.py
+++ b/apricotseam/node/_leaving.py
@@ -16,6 +16,8 @@
 # The process exits this long before the platform would kill it.
 KILL_MARGIN_SECONDS = 0.4
 CHECK_PERIOD_SECONDS = 0.05
+# Some callers keep addresses for this multiple of the time that they are told.
+CACHE_OVERSTAY_FACTOR = 3.0
 # The process accepts no connection in this last part of its time, since a
 # request on it might be read and not answered.
 CLOSING_SECONDS = 0.3
@@ -98,3 +100,28 @@
     return min(
         MAX_FULL_SERVICE_SECONDS, MAX_FULL_SERVICE_FRACTION * grace_seconds
     )
+
+
+def address_lifetime_seconds(bounds):
+    """Return for how long callers may cache the address of a host.
+
+    An address that was given out just before the stop signal lapses, also
+    for callers that keep it longer than they are told, while the host still
+    accepts every request.
+
+    Parameters
+    ----------
+    bounds : NodeBounds
+        ``address_valid_seconds`` is the longest time to return.
+
+    Examples
+    --------
+    >>> from apricotseam.node._settings import NodeBounds
+    >>> bounds = NodeBounds(address_valid_seconds=5.0, stop_seconds=8.0)
+    >>> round(address_lifetime_seconds(bounds), 2)
+    0.93
+    """
+    return min(
+        bounds.address_valid_seconds,
+        full_service_seconds(bounds.stop_seconds) / CACHE_OVERSTAY_FACTOR,
+    )
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -37,6 +37,7 @@
 from apricotseam.membership import Member
 from apricotseam.node._beliefs import HOSTS_PREFIX
 from apricotseam.node._beliefs import StoreItemHandler
+from apricotseam.node._leaving import address_lifetime_seconds
 from apricotseam.node._leaving import GracefulShutdown
 from apricotseam.node._listeners import AddressDirectory
 from apricotseam.node._listeners import Metrics
@@ -317,7 +318,7 @@
         )
         self._address_directory = AddressDirectory(
             self._hosts,
-            settings.bounds.address_valid_seconds,
+            address_lifetime_seconds(settings.bounds),
             self._usage_exchange.silent_peers,
         )
 
--- a/apricotseam/node/tests/test_leaving.py
+++ b/apricotseam/node/tests/test_leaving.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from apricotseam.node._leaving import address_lifetime_seconds
 from apricotseam.node._leaving import full_service_seconds
 from apricotseam.node._leaving import MIN_SHUTDOWN_SECONDS
+from apricotseam.node._settings import NodeBounds
 from apricotseam.node.tests.harness import run
 from apricotseam.platform.standins import caller_headers
 
@@ -22,6 +24,16 @@
     assert 0 < full_service_seconds(seconds) <= latest - 0.05 * seconds / 8
 
 
+@pytest.mark.parametrize(("seconds", "latest"), GRACE_PERIODS)
+def test_addresses_lapse_before_a_leaving_host_refuses_requests(
+    seconds, latest
+):
+    """Guards against callers that are sent to a host that refuses them."""
+    bounds = NodeBounds(address_valid_seconds=5.0, stop_seconds=seconds)
+    longest_use = 3 * address_lifetime_seconds(bounds)
+    assert 0 < longest_use <= full_service_seconds(seconds) <= latest
+
+
 # Description, path, seconds until the host exits, expected status.
 LATE_REQUESTS = [
     ("short request with enough time left", "/read/x", 5.0, 200),
