--- a/apricotseam/http1/_exchange.py
+++ b/apricotseam/http1/_exchange.py
@@ -74,10 +74,23 @@
         )
         self.is_started = True
 
-    async def write(self, data):
-        """Send a part of the body; wait while the send buffer is full."""
+    async def write(self, data, deadline=None):
+        """Send a part of the body; wait while the send buffer is full.
+
+        Parameters
+        ----------
+        data : bytes
+            The part.
+        deadline : float, optional
+            Time on the event loop's clock until which to wait.
+
+        Raises
+        ------
+        TransportTimeoutError
+            If the client has not made room by the deadline.
+        """
         self._connection.send(h11.Data(data=data))
-        await self._connection.wait_until_writable()
+        await self._connection.wait_until_writable(deadline)
 
     def end(self):
         """Send the end of the response."""
--- a/apricotseam/http1/_server.py
+++ b/apricotseam/http1/_server.py
@@ -26,8 +26,6 @@
     ----------
     is_closing : bool
         Whether further responses announce that the connection is closed.
-    is_stopped : bool
-        Whether connections are closed after the answer in progress.
     connections : set of ServerConnection
         Open connections.
     """
@@ -37,7 +35,6 @@
         self.count_incomplete = count_incomplete or (lambda cause: None)
         self.limits = limits
         self.is_closing = False
-        self.is_stopped = False
         self.connections = set()
         self._server = None
 
@@ -72,9 +69,12 @@
         The others close after their last answer, which announces it.
         """
         self.is_closing = True
-        self.is_stopped = True
         if self._server is not None:
             self._server.close()
+        self.close_idle()
+
+    def close_idle(self):
+        """Close the connections that wait for a request."""
         for connection in list(self.connections):
             if connection.is_idle:
                 connection.close()
--- a/apricotseam/http1/_server_connection.py
+++ b/apricotseam/http1/_server_connection.py
@@ -5,11 +5,14 @@
 
 import h11
 
+from apricotseam.http1._errors import TransportTimeoutError
 from apricotseam.http1._exchange import EndCause
 from apricotseam.http1._exchange import Exchange
 from apricotseam.http1._message import Request
 from apricotseam.http1._sockets import CLIENT_USER_TIMEOUT_MILLISECONDS
 from apricotseam.http1._sockets import enable_keepalive
+from apricotseam.http1._sockets import set_user_timeout
+from apricotseam.http1._sockets import USER_TIMEOUT_MILLISECONDS
 
 _LOG = logging.getLogger(__name__)
 
@@ -58,16 +61,19 @@
 
     @property
     def is_idle(self):
-        """Whether no request is being received or handled."""
-        return not self.is_busy and (
-            not self._received_at or self._is_lingering
-        )
+        """Whether it waits for a request."""
+        return not (self.is_busy or self._received_at or self._is_lingering)
 
     @property
     def is_unfinished(self):
-        """Whether a request is being received, handled or answered."""
+        """Whether a request is received, handled, or its answer under way."""
         return not self.is_idle or self._unsent_bytes > 0
 
+    @property
+    def transport(self):
+        """The `asyncio.Transport` of the connection."""
+        return self._transport
+
     @property
     def _unsent_bytes(self):
         return self._transport.get_write_buffer_size()
@@ -75,7 +81,7 @@
     def connection_made(self, transport):
         """Start to wait for a request; called by the event loop."""
         self._transport = transport
-        enable_keepalive(transport, CLIENT_USER_TIMEOUT_MILLISECONDS)
+        enable_keepalive(transport)
         self._server.connections.add(self)
         self._become_idle()
 
@@ -100,7 +106,7 @@
         """Cancel the handler; called by the event loop."""
         self._server.connections.discard(self)
         self._cancel_timer()
-        self.resume_writing()
+        self._wake_writers()
         if self._handler_task is not None:
             self._record_end(EndCause.CLIENT_CLOSED)
             self._handler_task.cancel()
@@ -108,9 +114,14 @@
     def pause_writing(self):
         """Make writers wait; called while the send buffer is full."""
         self._write_resumed = asyncio.get_running_loop().create_future()
+        set_user_timeout(self._transport, CLIENT_USER_TIMEOUT_MILLISECONDS)
 
     def resume_writing(self):
         """Let writers go on; called when the send buffer has room."""
+        self._wake_writers()
+        set_user_timeout(self._transport, USER_TIMEOUT_MILLISECONDS)
+
+    def _wake_writers(self):
         if self._write_resumed is not None and not self._write_resumed.done():
             self._write_resumed.set_result(None)
         self._write_resumed = None
@@ -123,10 +134,29 @@
         if data:
             self._transport.write(data)
 
-    async def wait_until_writable(self):
-        """Wait until the transport's send buffer has room."""
-        if self._write_resumed is not None:
-            await self._write_resumed
+    async def wait_until_writable(self, deadline=None):
+        """Wait until the transport's send buffer has room.
+
+        Parameters
+        ----------
+        deadline : float, optional
+            Time on the event loop's clock.
+
+        Raises
+        ------
+        TransportTimeoutError
+            If the client has not made room by the deadline.
+        """
+        if self._write_resumed is None:
+            return
+        try:
+            async with asyncio.timeout_at(deadline):
+                await asyncio.shield(self._write_resumed)
+        except TimeoutError:
+            raise TransportTimeoutError(
+                "the client read nothing before the deadline",
+                "read the answer as it arrives",
+            ) from None
 
     def close(self):
         """Close the connection after all buffered data was sent."""
@@ -281,13 +311,19 @@
     def _finish(self, exchange):
         """Complete the response if the handler has not."""
         if not exchange.is_ended and not exchange.is_started:
-            exchange.must_close = True
-            exchange.answer(500)
+            self._answer_failure(exchange)
         if not exchange.is_ended:
             exchange.abort_response(EndCause.HANDLER_FAILED)
             return
         self._prepare_next_request(exchange)
 
+    def _answer_failure(self, exchange):
+        exchange.must_close = True
+        try:
+            exchange.answer(500)
+        except h11.LocalProtocolError:
+            self._log_failure(exchange)
+
     def _prepare_next_request(self, exchange):
         """Prepare a keep-alive connection for its next request."""
         parser = self._parser
@@ -296,8 +332,7 @@
         )
         if self._transport.is_closing():
             return
-        must_close = exchange.must_close or self._server.is_stopped
-        if must_close or not is_reusable:
+        if exchange.must_close or not is_reusable:
             self._linger()
             return
         parser.start_next_cycle()
@@ -320,10 +355,17 @@
     def _linger(self):
         """Close after the client has closed its end, or after a while."""
         self._is_lingering = True
-        self._set_timer(LINGER_SECONDS, self.close)
+        self._set_timer(LINGER_SECONDS, self._end_lingering)
         if self._transport.can_write_eof():
             self._transport.write_eof()
 
+    def _end_lingering(self):
+        """Close the connection once the answer has left the send buffer."""
+        if self._unsent_bytes:
+            self._set_timer(LINGER_SECONDS, self._end_lingering)
+        else:
+            self.close()
+
     def _set_timer(self, seconds, callback):
         self._cancel_timer()
         loop = asyncio.get_running_loop()
--- a/apricotseam/http1/_sockets.py
+++ b/apricotseam/http1/_sockets.py
@@ -6,16 +6,14 @@
 KEEPALIVE_IDLE_SECONDS = 2
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
-# The kernel closes a connection whose peer accepts no data for this long. A
-# client that reads slowly or sits behind a full link is still there, so it
-# gets more time than a server or another host, which can be replaced.
+# The kernel closes a connection whose peer accepts no data for this long.
 USER_TIMEOUT_MILLISECONDS = 3000
+# The same while bytes wait for a client: one that reads slowly, or sits behind
+# a full link, is still there.
 CLIENT_USER_TIMEOUT_MILLISECONDS = 15000
 
 
-def enable_keepalive(
-    transport, user_timeout_milliseconds=USER_TIMEOUT_MILLISECONDS
-):
+def enable_keepalive(transport):
     """Let the kernel close a connection whose peer is unreachable.
 
     Sets TCP keep-alive probes for idle connections and a user timeout for
@@ -25,8 +23,6 @@
     ----------
     transport : asyncio.Transport
         Transport of an open connection.
-    user_timeout_milliseconds : int
-        Longest time for which the peer may accept no data.
     """
     sock = transport.get_extra_info("socket")
     if sock is None:
@@ -38,6 +34,26 @@
             (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
             (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
             (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-            (socket.TCP_USER_TIMEOUT, user_timeout_milliseconds),
+            (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS),
         ):
             sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def set_user_timeout(transport, milliseconds):
+    """Set for how long the peer of a connection may accept no data.
+
+    Parameters
+    ----------
+    transport : asyncio.Transport
+        Transport of the connection; ignored if it is closing.
+    milliseconds : int
+        Time after which the kernel closes the connection.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or transport.is_closing():
+        return
+    # If the peer has already closed the connection, the next write fails.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds
+        )
--- a/apricotseam/http1/tests/test_server_end.py
+++ b/apricotseam/http1/tests/test_server_end.py
@@ -1,12 +1,15 @@
 """A request that was read is answered before its connection ends."""
 
 import asyncio
+import socket
 
 import pytest
 
+from apricotseam.http1._sockets import CLIENT_USER_TIMEOUT_MILLISECONDS
 from apricotseam.http1._sockets import USER_TIMEOUT_MILLISECONDS
 from apricotseam.http1 import Limits
 from apricotseam.http1 import Server
+from apricotseam.http1 import TransportTimeoutError
 from apricotseam.web import free_address
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -188,3 +191,103 @@
                 return len(await fixture.reader.readexactly(len(LARGE_BODY)))
 
     assert asyncio.run(scenario()) == len(LARGE_BODY)
+
+
+def test_request_after_an_answer_that_announced_no_close_is_answered():
+    """Guards against a request that is read and thrown away."""
+    release = asyncio.Event()
+
+    async def stream(request, exchange):
+        exchange.start(200, [(b"Content-Length", b"1")])
+        await release.wait()
+        await exchange.write(b"a")
+        exchange.end()
+
+    async def scenario():
+        async with Fixture(stream) as fixture:
+            fixture.writer.write(REQUEST)
+            head = await fixture.read_head()
+            fixture.server.stop_listening()
+            release.set()
+            await fixture.reader.readexactly(1)
+            fixture.writer.write(REQUEST)
+            return head.lower(), (await fixture.read_head()).lower()
+
+    first, second = asyncio.run(scenario())
+    assert b"connection: close" not in first
+    assert second.startswith(b"http/1.1 200")
+    assert b"connection: close" in second
+
+
+def test_refusal_arrives_although_the_server_stops():
+    """Guards against a refusal that the end of the process destroys."""
+
+    async def scenario():
+        async with Fixture(answer_ok, body_bytes=16) as fixture:
+            fixture.writer.write(
+                b"POST /a HTTP/1.1\r\nHost: a\r\n"
+                b"Content-Length: 4000000\r\n\r\n"
+            )
+            for _ in range(20):
+                fixture.writer.write(b"x" * 100000)
+                await asyncio.sleep(0)
+            fixture.server.stop_listening()
+            for _ in range(20):
+                fixture.writer.write(b"x" * 100000)
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.1)
+            return await fixture.read_all()
+
+    assert asyncio.run(scenario()).startswith(b"HTTP/1.1 413")
+
+
+def test_write_to_a_client_that_reads_nothing_ends_at_its_deadline():
+    """Guards against a stream that outlives its request's time."""
+
+    async def stream(request, exchange):
+        deadline = asyncio.get_running_loop().time() + 0.3
+        exchange.start(200, [])
+        try:
+            while True:
+                await exchange.write(LARGE_BODY, deadline)
+        except TransportTimeoutError:
+            exchange.abort_response()
+            ended.append(request.path)
+
+    ended = []
+
+    async def scenario():
+        async with Fixture(stream) as fixture:
+            fixture.writer.write(REQUEST)
+            await fixture.read_head()
+            await asyncio.sleep(0.6)
+
+    asyncio.run(scenario())
+    assert ended == ["/a"]
+
+
+def test_vanished_client_is_noticed_soon_unless_bytes_wait_for_it():
+    """Guards against work for a caller that is gone without a word."""
+
+    async def scenario():
+        async with Fixture(answer_large) as fixture:
+            await asyncio.sleep(0.05)
+            (connection,) = fixture.server.connections
+            before = user_timeout(connection)
+            fixture.writer.write(REQUEST)
+            await fixture.read_head()
+            during = user_timeout(connection)
+            await fixture.reader.readexactly(len(LARGE_BODY))
+            return before, during, user_timeout(connection)
+
+    assert asyncio.run(scenario()) == (
+        USER_TIMEOUT_MILLISECONDS,
+        CLIENT_USER_TIMEOUT_MILLISECONDS,
+        USER_TIMEOUT_MILLISECONDS,
+    )
+
+
+def user_timeout(connection):
+    """Return the time after which the kernel gives up a connection in ms."""
+    sock = connection.transport.get_extra_info("socket")
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
