End a shutdown whose steps fail, and start it once

Seen by callers: none yet; found in review. A step that raises left the process running until the platform killed it with its requests, a second signal in the same turn started a second shutdown, and a conflict at the store skipped the withdrawal of the registration. A request whose deadline was the end of the process was accepted and its answer came after it.

Evidence: the tests that fail each step never ended before and pass; the test of a failed component now fails a real one.

--- a/apricotseam/node/_leaving.py
+++ b/apricotseam/node/_leaving.py
@@ -37,22 +37,21 @@
     def __init__(self, node, grace_seconds):
         self._node = node
         self._grace_seconds = grace_seconds
-        self.is_in_progress = False
 
     async def run(self):
         """Shut down; return once idle or when the grace period is over."""
-        self.is_in_progress = True
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         deadline = started_at + self._grace_seconds - KILL_MARGIN_SECONDS
         server = self._node.caller_server
         _LOG.info("stop_requested", extra={"in_progress": server.in_progress})
-        self._node.withdraw()
+        _run_step(self._node.withdraw)
         await self._serve_until_idle(started_at, deadline)
         # From here on no request is read that could not be answered.
         server.stop_listening()
         while server.has_unfinished and loop.time() < deadline:
             await asyncio.sleep(CHECK_PERIOD_SECONDS)
+            server.close_idle()
         _LOG.info(
             "stopped",
             extra={
@@ -73,15 +72,24 @@
         full_service_until = started_at + full_service_seconds(
             self._grace_seconds
         )
-        while loop.time() < deadline - CLOSING_SECONDS:
+        closing_at = deadline - CLOSING_SECONDS
+        while loop.time() < closing_at:
             await asyncio.sleep(CHECK_PERIOD_SECONDS)
             if loop.time() >= full_service_until:
-                self._node.refuse_unfinishable(deadline)
+                _run_step(self._node.refuse_unfinishable, closing_at)
             has_stayed = loop.time() >= started_at + MIN_SHUTDOWN_SECONDS
             if has_stayed and not self._node.caller_server.has_unfinished:
                 return
 
 
+def _run_step(step, *arguments):
+    """Run one step of the shutdown; the shutdown goes on if it fails."""
+    try:
+        step(*arguments)
+    except Exception:
+        _LOG.exception("shutdown_step_failed", extra={"step": str(step)})
+
+
 def full_service_seconds(grace_seconds):
     """Return how long after the signal every new request is still accepted.
 
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -52,7 +52,6 @@
 from apricotseam.peers import PeerTransport
 from apricotseam.platform import ROUTER_PREFIX
 from apricotseam.platform import StoreClient
-from apricotseam.platform import StoreError
 from apricotseam.supervision import TaskSupervisor
 
 _LOG = logging.getLogger(__name__)
@@ -91,6 +90,7 @@
         self._build_request_path()
         self._build_coordination()
         self._shutdown = GracefulShutdown(self, settings.bounds.stop_seconds)
+        self._shutdown_task = None
 
     @property
     def is_ready(self):
@@ -107,6 +107,11 @@
         """The `ForwardingContext` shared by all requests."""
         return self._context
 
+    @property
+    def supervisor(self):
+        """The `TaskSupervisor` of the components."""
+        return self._supervisor
+
     async def start(self):
         """Start all components and listeners."""
         settings = self._settings
@@ -158,7 +163,7 @@
         exit_code : int
             Exit code of the process.
         """
-        if not self._shutdown.is_in_progress:
+        if self._shutdown_task is None:
             loop = asyncio.get_running_loop()
             self._shutdown_task = loop.create_task(self._shut_down(exit_code))
 
@@ -386,9 +391,11 @@
             self._reload()
 
     async def _shut_down(self, exit_code):
-        await self._shutdown.run()
-        if not self._exit_code.done():
-            self._exit_code.set_result(exit_code)
+        try:
+            await self._shutdown.run()
+        finally:
+            if not self._exit_code.done():
+                self._exit_code.set_result(exit_code)
 
     def _reload(self):
         """Reload the settings; only seeds take effect without a restart."""
@@ -405,7 +412,7 @@
         for action in (self._election.resign, self._registration.withdraw):
             try:
                 await action()
-            except StoreError as error:
+            except ApricotseamError as error:
                 _LOG.info("withdraw_failed", extra={"error": str(error)})
 
     def _on_child_failed(self, name):
--- a/apricotseam/node/tests/test_leaving.py
+++ b/apricotseam/node/tests/test_leaving.py
@@ -103,18 +103,53 @@
     assert run(scenario) == (len(LARGE_BODY), 0)
 
 
+async def fail():
+    """Fail as a component does that cannot go on."""
+    raise RuntimeError("cannot go on")
+
+
 def test_component_that_fails_for_good_cuts_no_answer():
     """Guards against answers that are cut as a component gives up."""
 
     async def scenario(platform):
         for target in platform.engine_targets:
-            target.event_seconds = 0.2
+            target.event_seconds = 0.6
         node = platform.nodes[0]
         ending = asyncio.create_task(node.wait())
         stream = asyncio.create_task(platform.send_request("/chat/x"))
         await platform.wait_until(lambda: node.caller_server.in_progress)
-        node.leave(exit_code=1)
+        node.supervisor.start("failing", fail)
         status, _, body = await stream
         return status, body is not None, await ending
 
     assert run(scenario) == (200, True, 1)
+
+
+# Description, name of the method of the node that fails.
+SHUTDOWN_STEPS = [
+    ("the address cannot be withdrawn", "withdraw"),
+    ("requests cannot be refused", "refuse_unfinishable"),
+]
+
+
+@pytest.mark.parametrize(
+    "method",
+    [case[1] for case in SHUTDOWN_STEPS],
+    ids=[case[0] for case in SHUTDOWN_STEPS],
+)
+def test_shutdown_ends_although_a_step_fails(method, monkeypatch):
+    """Guards against a process that stays until the platform kills it."""
+
+    def fail_step(*_):
+        raise RuntimeError("cannot go on")
+
+    async def scenario(platform):
+        node = platform.nodes[0]
+        monkeypatch.setattr(node, method, fail_step)
+        ending = asyncio.create_task(node.wait())
+        node.leave(exit_code=0)
+        node.leave(exit_code=1)
+        async with asyncio.timeout(9):
+            return await ending
+
+    assert run(scenario) == 0
