Keep a silent attempt open until a second one has answered

Seen by callers: an answer is cut, or 502, 503 or 504, because the target that was to replace a silent one refuses, fails, is silent as well or can't be reached, while the silent one would have gone on; a plain request fails with 504 although its target works and only needs more than 45 % of the time; a 503 for a stream that a target has run; a target's own 500 replaced by a 502 where no other target can try.

The silent attempt was closed as soon as a replacement was chosen; an attempt that had failed decided about the call although the call had run; a failed answer was thrown away before there was another.

Change: the second attempt runs beside the first. Whichever sends the next event first goes on, a plain request takes the first answer; if the second fails, the first is read on, and its targets may be tried again. Retries are paid once there is a choice. Streams that have started don't wait behind new ones. A call that ran is never refused. Control requests to the head of a chain have a module of their own.

--- a/apricotseam/forwarding/_answering.py
+++ b/apricotseam/forwarding/_answering.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from apricotseam.http1 import ResponseHead
 from apricotseam.platform import refusal_headers
 from apricotseam.platform import returned_headers
 
@@ -69,8 +70,22 @@
     )
 
 
+class FailedAnswer(msgspec.Struct, frozen=True):
+    """A target's complete answer that reports a failure."""
+
+    answer: ResponseHead
+    body: bytes
+
+
 def fail(call, status):
-    """Report the failure of a call that may have run; return the status."""
+    """Report the failure of a call that may have run; return the status.
+
+    A target's own answer is passed on, if there is one. The status must not
+    be one that says that the call hasn't run.
+    """
+    failed = call.failed_answer
+    if failed is not None:
+        return deliver(call, failed.answer, failed.body)
     call.exchange.answer(status, headers=refusal_headers(call.request_id))
     return status
 
--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -39,11 +39,11 @@
         "longest_gap",
         "send_outcomes",
         "request",
-        "reserved_choice",
         "route",
         "runs",
         "service",
         "table",
+        "failed_answer",
         "failed_targets",
         "waited_seconds",
     )
@@ -71,8 +71,8 @@
         # Attempts in total, and attempts that a target may have run.
         self.attempts = 0
         self.runs = 0
-        # `Choice` of the next attempt, whose retry is already paid for.
-        self.reserved_choice = None
+        # `FailedAnswer` of a target, for the caller if no attempt succeeds.
+        self.failed_answer = None
         # Identities of the targets that failed this request.
         self.failed_targets = set()
         # Outcome of each attempt, as ``target:outcome``, for the log.
@@ -104,12 +104,6 @@
         """Request identifier from the request headers."""
         return self.metadata.request_id
 
-    def take_reserved_choice(self):
-        """Return the reserved `Choice` of the next attempt once, or None."""
-        choice = self.reserved_choice
-        self.reserved_choice = None
-        return choice
-
     def seconds_left(self):
         """Return the time until the deadline in seconds."""
         return self.deadline - asyncio.get_running_loop().time()
--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -1,25 +1,17 @@
 """One attempt to run a streaming request on a chain of targets."""
 
 import asyncio
-import logging
 
-from apricotseam.errors import InvalidInputError
+from apricotseam.forwarding._head_control import HeadControl
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.http1 import EventSplitter
 from apricotseam.http1 import InterruptedReadError
 from apricotseam.http1 import MalformedAnswerError
 from apricotseam.http1 import TransportError
 from apricotseam.http1 import TransportTimeoutError
-from apricotseam.platform import decode_report
-from apricotseam.platform import ORDER_PATH
-from apricotseam.platform import OrderOutcome
-from apricotseam.platform import REPORT_PATH
-from apricotseam.platform import Reroute
 from apricotseam.platform import returned_headers
 
-_LOG = logging.getLogger(__name__)
-
-# Silence after which a stream moves to another chain, if one has capacity,
+# Silence after which a second attempt is started, if a chain has capacity,
 # although the targets respond to probes. It is below the two seconds after
 # which callers give up.
 MAX_SILENCE_SECONDS = 1.3
@@ -33,7 +25,6 @@
 TYPICAL_GAP_FACTOR = 3.0
 # Weight of the newest gap in the moving average.
 GAP_WEIGHT = 0.2
-HEAD_CALL_TIMEOUT_SECONDS = 0.25
 ERROR_BODY_TIMEOUT_SECONDS = 0.5
 # A running stream is rerouted away from a target whose reported slowdown is at
 # least this factor.
@@ -42,9 +33,19 @@
 MAX_BODY_BYTES = 1 << 20
 
 
+class ReplacedError(TransportError):
+    """Another attempt has answered while this one was silent."""
+
+    code = "replaced"
+
+
 class StreamAttempt:
     """An attempt to run a call on a chain, including its reroutes.
 
+    While its chain is silent, a second attempt may be started beside it.
+    Whichever sends the next event first continues the answer; the other one
+    is closed.
+
     Parameters
     ----------
     context : ForwardingContext
@@ -55,26 +56,45 @@
         The request.
     choice : Choice
         The chain to start with.
+    record_result : callable
+        Coroutine function that takes an attempt and a coroutine of it, and
+        records its failure. It returns None if the coroutine succeeded, else
+        the HTTP status that results.
     """
 
-    def __init__(self, context, sender, call, choice):
+    def __init__(self, context, sender, call, choice, record_result):
         self._context = context
         self._sender = sender
         self._replacements = ReplacementReserver(context)
+        self._head_control = HeadControl(context, call)
+        self._record_result = record_result
         self._call = call
         self._choice = choice
         self._booking = None
         self._connection = None
+        self._answer = None
+        self._first_data = None
         self._last_read_at = 0.0
         self._typical_gap = EVENT_CHECK_SECONDS / TYPICAL_GAP_FACTOR
         self._has_events = False
         self._is_reading = False
         self._reroutes = 0
+        # Second attempt, the task that starts it, and the identities of the
+        # targets whose silence led to it.
+        self._second = None
+        self._second_task = None
+        self._silent_identities = frozenset()
+        self._is_replaced = False
+
+    @property
+    def call(self):
+        """The `Call` that is run."""
+        return self._call
 
     @property
     def choice(self):
-        """The current chain; it differs from the first after a reroute."""
-        return self._choice
+        """The chain that runs the call; it differs after a reroute."""
+        return self._second.choice if self._is_replaced else self._choice
 
     async def run(self):
         """Send the call and forward its events to the caller.
@@ -89,24 +109,95 @@
         TransportError
             If the answer was not received completely.
         """
-        self._book_capacity()
+        return await self._run_until_replaced(self._run())
+
+    async def prepare(self):
+        """Send the call and read the first data of its answer.
+
+        Returns
+        -------
+        tuple of ResponseHead and ResponseMetadata and bytes, or None
+            An answer that is not a stream; None if data was received, which
+            `continue_run` will forward.
+
+        Raises
+        ------
+        TransportError
+            If no data was received.
+        """
+        is_prepared = False
         try:
-            failure = await self._run()
-            self._connection = None
+            failure = await self._start(lambda read: read(self._call.deadline))
+            if failure is None:
+                self._first_data = await self._connection.read(
+                    self._call.deadline
+                )
+                is_prepared = True
             return failure
         finally:
-            self._release_capacity()
-            if self._connection is not None:
-                self._connection.close()
+            if not is_prepared:
+                self.close()
+
+    async def continue_run(self):
+        """Forward the answer of a prepared attempt; see `run`."""
+        return await self._run_until_replaced(self._relay(self._first_data))
+
+    def close(self):
+        """Release the capacity and close the connection."""
+        self._release_capacity()
+        if self._connection is not None:
+            self._connection.close()
+
+    async def _run_until_replaced(self, running):
+        """Await a coroutine that forwards; the second attempt takes over."""
+        error = None
+        failure = None
+        try:
+            failure = await running
+        except TransportError as caught:
+            error = caught
+        except BaseException:
+            self._drop_second()
+            raise
+        finally:
+            self.close()
+        is_incomplete = error is not None or failure is not None
+        if is_incomplete and await self._is_second_ready():
+            self._is_replaced = True
+            return await self._second.continue_run()
+        if error is not None:
+            raise error
+        return failure
 
     async def _run(self):
+        failure = await self._start(self._read_with_checks)
+        if failure is None:
+            await self._relay(await self._read_data())
+        return failure
+
+    async def _start(self, read_patiently):
+        """Send the call and read the head of its answer.
+
+        Parameters
+        ----------
+        read_patiently : callable
+            Coroutine function that runs a read, which takes a deadline.
+
+        Returns
+        -------
+        tuple of ResponseHead and ResponseMetadata and bytes, or None
+            An answer that is not a stream.
+        """
         call = self._call
-        choice = self._choice
-        self._connection = await self._sender.open(call, choice.head)
+        self._book_capacity()
+        head = self._choice.head
+        self._connection = await self._sender.open(call, head)
         connection = self._connection
-        self._sender.send(call, connection, choice, call.last_event)
+        self._sender.send(call, connection, self._choice, call.last_event)
         call.runs += 1
-        answer, metadata = await self._read_head()
+        answer, metadata = await read_patiently(
+            lambda deadline: self._sender.read_head(call, connection, deadline)
+        )
         if answer.status != 200 or metadata.was_not_run:
             body = await connection.read_all(
                 self._deadline(ERROR_BODY_TIMEOUT_SECONDS), MAX_BODY_BYTES
@@ -118,26 +209,24 @@
                 f"{connection.address} sent an encoded or unsigned answer",
                 "repeat the request if it can be resumed",
             )
-        await self._relay(answer)
-        self._return_connection(answer)
+        self._answer = answer
         return None
 
-    async def _read_head(self):
-        """Return the head of the answer and its `ResponseMetadata`."""
-        connection = self._connection
-        return await self._read_with_checks(
-            lambda deadline: self._sender.read_head(
-                self._call, connection, deadline
-            )
-        )
+    async def _relay(self, data):
+        """Forward events until the answer ends.
 
-    async def _relay(self, answer):
-        """Forward events until the answer ends."""
+        Parameters
+        ----------
+        data : bytes
+            The first data of the body.
+        """
+        answer = self._answer
         exchange = self._call.exchange
         splitter = EventSplitter()
-        while data := await self._read_with_checks(self._connection.read):
+        while data:
             for event in splitter.feed(data):
                 await self._forward_event(answer, event)
+            data = await self._read_data()
         if splitter.has_incomplete_event:
             raise MalformedAnswerError(
                 f"{self._connection.address} ended the stream within an event",
@@ -146,6 +235,10 @@
         if not exchange.is_started:
             exchange.start(200, returned_headers(answer), answer.reason)
         exchange.end()
+        self._return_connection(answer)
+
+    async def _read_data(self):
+        return await self._read_with_checks(self._connection.read)
 
     async def _read_with_checks(self, read):
         """Read, checking the chain whenever the read times out.
@@ -173,12 +266,14 @@
             try:
                 data = await read(self._deadline(timeout))
             except (TransportTimeoutError, InterruptedReadError):
-                if not await self._handle_silence():
+                if self._call.seconds_left() <= 0:
                     raise
+                await self._handle_silence()
                 timeout = REPEAT_CHECK_SECONDS
                 continue
             finally:
                 self._is_reading = False
+            self._drop_second()
             self._record_gap(loop.time() - self._last_read_at)
             return data
 
@@ -210,39 +305,89 @@
             kind = call.route.repeat.value
             seconds = now - call.request.received_at
             self._context.metrics.first_byte.labels(kind).observe(seconds)
-        await exchange.write(event.data)
+        await exchange.write(event.data, call.deadline)
 
     async def _handle_silence(self):
-        """Check a silent chain; return whether to keep reading from it."""
-        call = self._call
+        """Check a silent chain; reroute it or start a second attempt.
+
+        Raises
+        ------
+        ReplacedError
+            If a second attempt has received data.
+        """
+        if self._second_task is not None and not self._second_task.done():
+            return
+        if await self._is_second_ready():
+            raise ReplacedError(
+                f"{self._connection.address} was silent while another target"
+                " answered",
+                "read the answer of the other one",
+            )
         choice = self._choice
         now = asyncio.get_running_loop().time()
         silent_seconds = now - self._last_read_at
-        if call.seconds_left() <= 0:
-            return False
         targets = [target for target, _ in choice.stages]
         unresponsive = await self._context.prober.find_unresponsive(targets)
         to_avoid = [t for t in targets[1:] if self._should_avoid(t)]
         is_long = silent_seconds >= REPEAT_CHECK_SECONDS
         if is_long and choice.path and not unresponsive:
-            unresponsive = await self._stalled_targets()
-        if choice.head not in unresponsive and (unresponsive or to_avoid):
+            unresponsive = await self._head_control.stalled_targets(
+                choice.head
+            )
+        is_head_silent = choice.head in unresponsive
+        if not is_head_silent and (unresponsive or to_avoid):
             if await self._reroute([*unresponsive, *to_avoid]):
-                return True
+                return
         if unresponsive:
-            return not self._leave_for_replacement(unresponsive)
-        is_slow = silent_seconds >= MAX_SILENCE_SECONDS
-        return not (is_slow and self._leave_for_replacement([choice.head]))
+            self._start_second(unresponsive)
+        elif silent_seconds >= MAX_SILENCE_SECONDS:
+            self._start_second([choice.head])
 
-    def _leave_for_replacement(self, targets):
-        """Reserve another attempt; return whether this one can be left."""
+    def _start_second(self, targets):
+        """Start a second attempt without some targets, if possible."""
         call = self._call
-        identities = [target.identity for target in targets]
-        if not self._replacements.reserve(call, identities):
-            return False
+        identities = frozenset(target.identity for target in targets)
+        choice = self._replacements.reserve(call, identities)
+        if choice is None:
+            return
         for identity in identities:
             call.record_outcome(identity, "silent")
-        return True
+        self._silent_identities = identities
+        self._second = StreamAttempt(
+            self._context, self._sender, call, choice, self._record_result
+        )
+        loop = asyncio.get_running_loop()
+        self._second_task = loop.create_task(
+            self._record_result(self._second, self._second.prepare())
+        )
+        self._second_task.add_done_callback(lambda _: self.check_chain())
+
+    async def _is_second_ready(self):
+        """Wait for the second attempt; return whether it received data.
+
+        If there is none, or it failed, the result is False, and the silent
+        targets may be tried again.
+        """
+        task = self._second_task
+        if task is None:
+            return False
+        if await task is None:
+            return True
+        self._second_task = None
+        self._call.failed_targets -= self._silent_identities
+        return False
+
+    def _drop_second(self):
+        """Close the second attempt, since this one has gone on."""
+        task = self._second_task
+        if task is None:
+            return
+        self._second_task = None
+        self._call.failed_targets -= self._silent_identities
+        if task.done():
+            self._second.close()
+        else:
+            task.cancel()
 
     def _should_avoid(self, target):
         """Return whether a running stream should move off a target."""
@@ -251,89 +396,30 @@
             return True
         return target.health.slowness(now) >= REROUTE_SLOW_FACTOR
 
-    async def _stalled_targets(self):
-        """Return the targets that, by its report, the head waits for.
-
-        If the head does not report, it is itself returned.
-        """
-        call = self._call
-        try:
-            _, body = await self._call_head(b"GET", REPORT_PATH)
-            report = decode_report(body)
-        except (TransportError, InvalidInputError) as error:
-            _LOG.info(
-                "stall_unexplained",
-                extra={"request": call.request_id, "error": str(error)},
-            )
-            return [self._choice.head]
-        targets = []
-        for stalled in report.stalled:
-            target = self._context.fleet.at(stalled.address)
-            if stalled.request_id == call.request_id and target is not None:
-                target.health.record_failure()
-                targets.append(target)
-        return targets
-
     async def _reroute(self, avoided):
-        """Order the head to continue on a chain without some targets.
+        """Continue on a chain without some targets; return whether it does.
 
-        Returns
-        -------
-        bool
-            Whether the head continues on the new chain.
+        Parameters
+        ----------
+        avoided : list of Target
+            Targets that the chain must not use.
         """
-        call = self._call
         now = asyncio.get_running_loop().time()
         if self._reroutes >= MAX_REROUTES:
             return False
         choice = self._context.target_selector.choose_tail(
-            call, self._choice, now, avoided
+            self._call, self._choice, now, avoided
         )
         if choice is None:
             return False
         self._reroutes += 1
-        order = Reroute(request_id=call.request_id, chain=choice.path)
-        try:
-            answer, _ = await self._call_head(
-                b"POST", ORDER_PATH, order.encode()
-            )
-        except TransportError as error:
-            _LOG.info(
-                "reroute_unanswered",
-                extra={"request": call.request_id, "error": str(error)},
-            )
-            return False
-        outcome = OrderOutcome.of_status(answer.status)
-        is_done = outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS)
-        _LOG.info(
-            "rerouted",
-            extra={
-                "request": call.request_id,
-                "chain": choice.chain,
-                "outcome": outcome.name.lower(),
-            },
-        )
+        is_done = await self._head_control.reroute(choice)
         if is_done:
             self._release_capacity()
             self._choice = choice
             self._book_capacity()
         return is_done
 
-    async def _call_head(self, method, path, body=b""):
-        """Send a control request to the head, on another connection.
-
-        Returns
-        -------
-        tuple of ResponseHead and bytes
-            Head and body of the answer.
-        """
-        head = self._choice.head
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + HEAD_CALL_TIMEOUT_SECONDS
-        return await self._context.pool.call(
-            head.incarnation, head.address, method, path, body, deadline
-        )
-
     def check_chain(self):
         """Interrupt the current read so that the chain is checked now."""
         if self._is_reading:
@@ -343,6 +429,7 @@
         """Release the capacity that is booked on the current chain."""
         context = self._context
         context.ledger.release(self._booking)
+        self._booking = None
         context.active_streams.remove(self, self._identities())
 
     def _identities(self):
@@ -356,6 +443,7 @@
     def _return_connection(self, answer):
         head = self._choice.head
         self._context.pool.release(head.incarnation, self._connection, answer)
+        self._connection = None
 
     def _deadline(self, seconds):
         now = asyncio.get_running_loop().time()
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -4,6 +4,7 @@
 
 from apricotseam.forwarding._answering import deliver
 from apricotseam.forwarding._answering import fail
+from apricotseam.forwarding._answering import FailedAnswer
 from apricotseam.forwarding._answering import refuse_call
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._sender import Sender
@@ -15,9 +16,9 @@
 MAX_ANSWER_BYTES = 8 << 20
 # Attempts that no target ran, in addition to those that the route allows.
 MAX_UNRUN_ATTEMPTS = 3
-# Fraction of the remaining time after which an attempt is left for another
-# target, if one can take the request.
-ATTEMPT_TIME_FRACTION = 0.45
+# Fraction of the time of a request after which a second attempt is started
+# although the target responds to probes.
+SECOND_ATTEMPT_FRACTION = 0.45
 BUSY_RETRY_SECONDS = 0.25
 # Silence after which a target is probed.
 SILENCE_CHECK_SECONDS = 0.4
@@ -38,49 +39,115 @@
 
     async def run(self, call):
         """Answer a call; return the HTTP status."""
-        failure = 503
-        unrun_attempts = 0
-        while True:
-            choice = self._next_choice(call, unrun_attempts)
-            if choice is None:
-                break
-            call.attempts += 1
-            result = await self._attempt(call, choice)
-            if result.is_final:
-                return deliver(call, result.answer, result.body)
-            if result.was_run:
-                failure = result.status
-            else:
-                unrun_attempts += 1
-            call.failed_targets.add(choice.head.identity)
+        return await _PlainRun(self._context, self._sender, call).run()
+
+
+class _PlainRun:
+    """The attempts of one call.
+
+    While a target is silent, a second attempt may run beside the first; the
+    first answer is delivered.
+    """
+
+    def __init__(self, context, sender, call):
+        self._context = context
+        self._sender = sender
+        self._replacements = ReplacementReserver(context)
+        self._call = call
+        # Target of each attempt that is running, by its task.
+        self._targets = {}
+        self._unrun_attempts = 0
+        self._failure_status = 502
+        # Loop time in seconds of the second attempt beside a slow target.
+        now = asyncio.get_running_loop().time()
+        self._second_at = now + SECOND_ATTEMPT_FRACTION * call.seconds_left()
+
+    async def run(self):
+        """Answer the call; return the HTTP status."""
+        try:
+            answered = await self._find_answer()
+        finally:
+            for task in self._targets:
+                task.cancel()
+        call = self._call
+        if answered is not None:
+            return deliver(call, answered.answer, answered.body)
         if call.runs == 0:
             return refuse_call(
                 self._context, call, "no target took it", BUSY_RETRY_SECONDS
             )
-        return fail(call, failure)
+        return fail(call, self._failure_status)
 
-    def _next_choice(self, call, unrun_attempts):
-        """Return the `Choice` of the next attempt, or None to stop."""
-        reserved = call.take_reserved_choice()
-        if reserved is not None:
-            return reserved
+    async def _find_answer(self):
+        """Return the `_AttemptResult` to deliver, or None."""
+        while True:
+            if not self._targets:
+                choice = self._next_choice()
+                if choice is None:
+                    return None
+                self._call.attempts += 1
+                self._start(choice)
+            done, _ = await asyncio.wait(
+                self._targets,
+                timeout=SILENCE_CHECK_SECONDS,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                target = self._targets.pop(task)
+                result = task.result()
+                if result.is_final:
+                    return result
+                self._record(target, result)
+            if not done and len(self._targets) == 1:
+                await self._start_second()
+
+    def _start(self, choice):
         loop = asyncio.get_running_loop()
-        if call.seconds_left() <= 0 or unrun_attempts > MAX_UNRUN_ATTEMPTS:
+        task = loop.create_task(self._attempt(choice))
+        self._targets[task] = choice.head
+
+    def _record(self, target, result):
+        call = self._call
+        call.failed_targets.add(target.identity)
+        if result.was_run:
+            self._failure_status = result.status
+        else:
+            self._unrun_attempts += 1
+
+    async def _start_second(self):
+        """Start a second attempt if the target is silent or slow."""
+        (target,) = self._targets.values()
+        call = self._call
+        if not call.may_run_again:
+            return
+        unresponsive = await self._context.prober.find_unresponsive([target])
+        now = asyncio.get_running_loop().time()
+        if unresponsive or now >= self._second_at:
+            choice = self._replacements.reserve(call, [target.identity])
+            if choice is not None:
+                self._start(choice)
+
+    def _next_choice(self):
+        """Return the `Choice` of the next attempt, or None to stop."""
+        call = self._call
+        now = asyncio.get_running_loop().time()
+        if call.seconds_left() <= 0:
+            return None
+        if self._unrun_attempts > MAX_UNRUN_ATTEMPTS:
             return None
         if call.runs and not call.may_run_again:
             return None
         context = self._context
-        choice = context.target_selector.choose_target(call, loop.time())
+        choice = context.target_selector.choose_target(call, now)
         if choice is None or not call.attempts:
             return choice
-        if not context.retry_budget.try_acquire(
-            call.service.name, loop.time()
-        ):
+        if not context.retry_budget.try_acquire(call.service.name, now):
             return None
         return choice
 
-    async def _attempt(self, call, choice):
+    async def _attempt(self, choice):
         loop = asyncio.get_running_loop()
+        call = self._call
         target = choice.head
         booking = self._context.ledger.book(1.0, choice.shares)
         started_at = loop.time()
@@ -89,7 +156,7 @@
             connection = await self._sender.open(call, target)
             self._sender.send(call, connection, choice)
             call.runs += 1
-            result = await self._read_answer(call, connection, target)
+            result = await self._read_answer(connection, target)
             if result.is_final and result.answer.status < 500:
                 target.health.record_success(loop.time() - started_at)
             connection = None
@@ -100,18 +167,18 @@
             return _AttemptResult(was_run=False)
         except TransportError as error:
             await self._context.prober.find_unresponsive([target])
-            return self._handle_broken_answer(call, target, error)
+            return self._handle_broken_answer(target, error)
         finally:
             self._context.ledger.release(booking)
             if connection is not None:
                 connection.close()
 
-    async def _read_answer(self, call, connection, target):
-        reader = _PatientReader(self._context, call, target)
-        answer, metadata = await reader.read(
-            lambda deadline: self._sender.read_head(call, connection, deadline)
+    async def _read_answer(self, connection, target):
+        call = self._call
+        answer, metadata = await self._sender.read_head(
+            call, connection, call.deadline
         )
-        body = await self._read_body(reader, connection)
+        body = await connection.read_all(call.deadline, MAX_ANSWER_BYTES)
         if metadata.was_not_run:
             call.runs -= 1
             target.health.record_failure()
@@ -129,89 +196,17 @@
         call.record_outcome(target.identity, str(answer.status))
         if answer.status >= 500:
             target.health.record_failure()
-            if call.may_run_again:
-                return _AttemptResult(was_run=True, status=502)
+            call.failed_answer = FailedAnswer(answer, body)
+            return _AttemptResult(was_run=True)
         return _AttemptResult(was_run=True, answer=answer, body=body)
 
-    async def _read_body(self, reader, connection):
-        parts = []
-        size = 0
-        while data := await reader.read(connection.read):
-            size += len(data)
-            if size > MAX_ANSWER_BYTES:
-                raise MalformedAnswerError(
-                    f"{connection.address} sent a body of more than"
-                    f" {MAX_ANSWER_BYTES} bytes",
-                    "ask for less at a time",
-                )
-            parts.append(data)
-        return b"".join(parts)
-
-    def _handle_broken_answer(self, call, target, error):
-        call.record_outcome(target.identity, error.code)
+    def _handle_broken_answer(self, target, error):
+        self._call.record_outcome(target.identity, error.code)
         target.health.record_failure()
         is_timeout = isinstance(error, TransportTimeoutError)
         return _AttemptResult(was_run=True, status=504 if is_timeout else 502)
 
 
-class _PatientReader:
-    """Reads an answer; leaves a silent target only for another one.
-
-    Parameters
-    ----------
-    context : ForwardingContext
-        State shared by all requests.
-    call : Call
-        The request.
-    target : Target
-        The target that answers.
-    """
-
-    __slots__ = ("_call", "_context", "_leave_at", "_replacements", "_target")
-
-    def __init__(self, context, call, target):
-        self._context = context
-        self._replacements = ReplacementReserver(context)
-        self._call = call
-        self._target = target
-        # Loop time in seconds from which the attempt is left for another one
-        # even if the target responds to probes.
-        now = asyncio.get_running_loop().time()
-        self._leave_at = now + ATTEMPT_TIME_FRACTION * call.seconds_left()
-
-    async def read(self, read):
-        """Return the result of a read.
-
-        Parameters
-        ----------
-        read : callable
-            Coroutine function that takes a deadline in loop time.
-
-        Raises
-        ------
-        TransportTimeoutError
-            At the deadline of the call, or once another attempt is reserved.
-        """
-        loop = asyncio.get_running_loop()
-        deadline = self._call.deadline
-        while True:
-            check_at = min(deadline, loop.time() + SILENCE_CHECK_SECONDS)
-            try:
-                return await read(check_at)
-            except TransportTimeoutError:
-                if loop.time() >= deadline or await self._can_leave():
-                    raise
-
-    async def _can_leave(self):
-        """Return whether another attempt is reserved."""
-        target = self._target
-        unresponsive = await self._context.prober.find_unresponsive([target])
-        now = asyncio.get_running_loop().time()
-        if not unresponsive and now < self._leave_at:
-            return False
-        return self._replacements.reserve(self._call, [target.identity])
-
-
 class _AttemptResult:
     """Result of one attempt.
 
--- a/apricotseam/forwarding/_replacement.py
+++ b/apricotseam/forwarding/_replacement.py
@@ -1,14 +1,14 @@
-"""Replacement of an attempt whose targets are silent or slow."""
+"""Reservation of a second attempt while the first one is silent."""
 
 import asyncio
 
 
 class ReplacementReserver:
-    """Secures the next attempt of a call before the current one is left.
+    """Reserves a second attempt of a call beside a silent one.
 
-    A silent target may still answer. Its attempt is therefore given up only
-    for one that can take its place: the route allows another run, a target
-    or chain has capacity, and the retry is taken from the budget.
+    A silent target may still answer, so its attempt goes on until another
+    one has answered. A second attempt is started only if the route allows
+    another run, a target or chain has capacity, and the budget has a retry.
 
     Parameters
     ----------
@@ -19,27 +19,27 @@
     def __init__(self, context):
         self._context = context
 
-    def reserve(self, call, left):
-        """Reserve the next attempt of a call; return whether there is one.
+    def reserve(self, call, silent):
+        """Return the `Choice` of a second attempt, or None.
 
         Parameters
         ----------
         call : Call
-            The request; its `Call.reserved_choice` is set.
-        left : collection of str
-            Identities of the targets to be left. They count as failed for
-            this call only if the reservation succeeds.
+            The request. Its attempts are counted up if there is a choice.
+        silent : collection of str
+            Identities of the targets that the choice must not use. They
+            count as failed for this call if there is a choice.
         """
         if not call.may_run_again:
-            return False
-        added = set(left) - call.failed_targets
+            return None
+        added = set(silent) - call.failed_targets
         call.failed_targets |= added
         choice = self._choose(call)
         if choice is None or not self._acquire_retry(call):
             call.failed_targets -= added
-            return False
-        call.reserved_choice = choice
-        return True
+            return None
+        call.attempts += 1
+        return choice
 
     def _choose(self, call):
         now = asyncio.get_running_loop().time()
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -3,8 +3,8 @@
 import asyncio
 import logging
 
-from apricotseam.forwarding._answering import deliver
 from apricotseam.forwarding._answering import fail
+from apricotseam.forwarding._answering import FailedAnswer
 from apricotseam.forwarding._answering import refuse_call
 from apricotseam.forwarding._passage import StreamAttempt
 from apricotseam.forwarding._request_queue import WAIT_FRACTION
@@ -41,15 +41,17 @@
 
     async def run(self, call):
         """Answer a call; return the HTTP status, or ``cut`` if aborted."""
-        status = 503
-        while call.attempts < MAX_ATTEMPTS or call.reserved_choice:
+        status = 502
+        while call.attempts < MAX_ATTEMPTS:
             choice = await self._next_choice(call)
             if choice is None:
                 break
             call.attempts += 1
-            status = await self._attempt(call, choice)
-            if call.exchange.is_ended:
-                return status
+            attempt = self._make_attempt(call, choice)
+            failure = await self._record_result(attempt, attempt.run())
+            if failure is None:
+                return 200
+            status = failure
         if call.exchange.is_started:
             call.exchange.abort_response()
             return "cut"
@@ -59,19 +61,25 @@
             )
         return fail(call, status)
 
+    def _make_attempt(self, call, choice):
+        return StreamAttempt(
+            self._context, self._sender, call, choice, self._record_result
+        )
+
     async def _next_choice(self, call):
         """Return the `Choice` of the next attempt, or None to stop."""
-        reserved = call.take_reserved_choice()
-        if reserved is not None:
-            return reserved
+        choice = None
         cause = self._stop_cause(call)
         if cause is None:
             choice = await self._wait_for_capacity(call)
-            if choice is not None:
-                return choice
-            cause = "no_room"
-        call.record_outcome("end", cause)
-        return None
+            if choice is None:
+                cause = "no_room"
+            elif not self._acquire_retry(call):
+                choice = None
+                cause = "retry_budget"
+        if choice is None:
+            call.record_outcome("end", cause)
+        return choice
 
     def _stop_cause(self, call):
         """Return why no further attempt is allowed, or None if one is."""
@@ -79,21 +87,26 @@
             return "deadline"
         if call.runs and not call.may_run_again:
             return "attempts"
-        now = asyncio.get_running_loop().time()
-        if call.attempts and not self._context.retry_budget.try_acquire(
-            call.service.name, now
-        ):
-            return "retry_budget"
         return None
 
+    def _acquire_retry(self, call):
+        """Return whether the next attempt is within the retry budget."""
+        if not call.attempts:
+            return True
+        now = asyncio.get_running_loop().time()
+        return self._context.retry_budget.try_acquire(call.service.name, now)
+
     async def _wait_for_capacity(self, call):
-        """Return a `Choice`, waiting for capacity if need be, or None."""
+        """Return a `Choice`, waiting for capacity if need be, or None.
+
+        A stream that has started doesn't wait behind new requests.
+        """
         loop = asyncio.get_running_loop()
         request_queue = self._context.request_queue
         rank = request_queue.rank(call)
-        choice = (
-            self._choose_now(call) if request_queue.is_first(rank) else None
-        )
+        choice = None
+        if call.exchange.is_started or request_queue.is_first(rank):
+            choice = self._choose_now(call)
         until = self._wait_deadline(call)
         while choice is None and self._should_wait(call, until):
             started_at = loop.time()
@@ -151,26 +164,38 @@
         wait = request_queue.expected_wait_seconds()
         return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait))
 
-    async def _attempt(self, call, choice):
-        """Run one attempt; return the HTTP status that results."""
-        attempt = StreamAttempt(self._context, self._sender, call, choice)
+    async def _record_result(self, attempt, running):
+        """Await a coroutine of an attempt and record how it ended.
+
+        Returns
+        -------
+        int or None
+            The HTTP status that results; None if the coroutine succeeded.
+        """
+        call = attempt.call
         try:
-            failure = await attempt.run()
+            failure = await running
         except ConnectError:
-            self._record_failure(call, choice.head, "no_connection", True)
+            self._record_failure(
+                call, attempt.choice.head, "no_connection", True
+            )
             return 502
         except TransportError as error:
             return await self._handle_broken_answer(
                 call, attempt.choice, error
             )
         if failure is not None:
-            return await self._handle_error_answer(call, choice, *failure)
-        for target, _ in attempt.choice.stages:
+            return await self._handle_error_answer(
+                call, attempt.choice, *failure
+            )
+        if call.exchange.is_ended:
+            self._record_success(call, attempt.choice)
+        return None
+
+    def _record_success(self, call, choice):
+        for target, _ in choice.stages:
             target.health.record_success()
-        call.record_outcome(
-            attempt.choice.chain or choice.head.identity, "200"
-        )
-        return 200
+        call.record_outcome(choice.chain or choice.head.identity, "200")
 
     async def _handle_broken_answer(self, call, choice, error):
         """Record an incomplete answer; return the HTTP status."""
@@ -198,11 +223,10 @@
             if not await self._context.prober.find_unresponsive([at_fault]):
                 now = asyncio.get_running_loop().time()
                 at_fault.health.avoid(now + REFUSED_PAUSE_SECONDS)
-            return 503
-        self._record_failure(call, at_fault, str(answer.status), False)
-        if call.exchange.is_started or call.may_run_again:
             return 502
-        return deliver(call, answer, body)
+        self._record_failure(call, at_fault, str(answer.status), False)
+        call.failed_answer = FailedAnswer(answer, body)
+        return 502
 
     def _record_failure(self, call, target, outcome, is_unreachable):
         """Record that a target failed a call, and exclude it from retries."""
--- a/apricotseam/node/tests/test_silence.py
+++ b/apricotseam/node/tests/test_silence.py
@@ -107,3 +107,100 @@
         return status
 
     assert run(scenario, plain_targets=targets) == 200
+
+
+# Description, behaviour of the other head, number of events before it falls
+# silent as well or None, whether it is stopped.
+FAILED_REPLACEMENTS = [
+    ("refuses", "shed", None, False),
+    ("closes the connection", "cut", None, False),
+    ("fails", "error", None, False),
+    ("is silent as well", "good", 0, False),
+    ("accepts no connection", "good", None, True),
+]
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "events_before", "is_stopped"),
+    [case[1:] for case in FAILED_REPLACEMENTS],
+    ids=[case[0] for case in FAILED_REPLACEMENTS],
+)
+@pytest.mark.parametrize("events", [0, 2])
+def test_silent_target_is_kept_until_its_replacement_answers(
+    behaviour, events_before, is_stopped, events
+):
+    """Guards against a stream whose replacement fails too."""
+
+    async def scenario(platform):
+        first, _, other, _ = platform.engine_targets
+        for target in (first, other):
+            target.pause_seconds = PAUSE_SECONDS
+        first.pauses_after = events
+        other.pauses_after = events_before
+        other.behaviour = behaviour
+        # Only the first head is left to choose until the stream has begun.
+        platform.register(other, state="draining")
+        await asyncio.sleep(0.1)
+        stream = asyncio.create_task(platform.send_request("/chat/x"))
+        await platform.wait_until(lambda: first.requests)
+        platform.register(other)
+        if is_stopped:
+            other.stop()
+        status, _, body = await stream
+        return status, body
+
+    assert run(scenario, engine_targets=4) == (200, COMPLETE_BODY)
+
+
+def test_request_that_ran_is_never_refused():
+    """Guards against a promise of not having run that is untrue."""
+
+    async def scenario(platform):
+        first, _, other, _ = platform.engine_targets
+        first.pauses_after = 0
+        first.pause_seconds = 10.0
+        other.behaviour = "shed"
+        platform.register(other, state="draining")
+        await asyncio.sleep(0.1)
+        stream = asyncio.create_task(
+            platform.send_request(
+                "/chat/x", **{"Apricotseam_Deadline_Ms": "1500"}
+            )
+        )
+        await platform.wait_until(lambda: first.requests)
+        platform.register(other)
+        status, answer, _ = await stream
+        return status, answer.header(b"retry-after")
+
+    status, retry_after = run(scenario, engine_targets=4)
+    assert status in (502, 504)
+    assert retry_after is None
+
+
+def test_slow_target_is_kept_until_another_answers():
+    """Guards against a working target that is left for a slow one."""
+
+    async def scenario(platform):
+        platform.set_configuration(sample_configuration(2, ROUTES))
+        await platform.wait_until(
+            lambda: platform.nodes[0].configuration.version == 2
+        )
+        for target in platform.plain_targets:
+            target.answer_seconds = 1.4
+        status, _, _ = await platform.send_request("/slow/x")
+        return status
+
+    assert run(scenario) == 200
+
+
+def test_failure_of_a_target_is_passed_on_if_no_other_can_try():
+    """Guards against an answer of a target that this host throws away."""
+
+    async def scenario(platform):
+        exhaust_retries(platform)
+        for target in platform.plain_targets:
+            target.behaviour = "error"
+        status, answer, body = await platform.send_request("/read/x")
+        return status, answer.header(b"apricotseam-server-signature"), body
+
+    assert run(scenario) == (500, "stand-in", b"failed")
--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -46,6 +46,8 @@
     pauses_after : int or None
         Number of the event after which the whole target falls silent for
         `pause_seconds`, once: it accepts connections and sends nothing.
+    answer_seconds : float
+        Time that it takes for an answer that is not a stream.
     pause_seconds : float
         Length of that silence.
     is_blocked : callable
@@ -83,6 +85,7 @@
         self.stalls_after = None
         self.pauses_after = None
         self.pause_seconds = 0.0
+        self.answer_seconds = 0.0
         self._pauses_until = 0.0
         self._rerouted = asyncio.Event()
         self.is_blocked = lambda chain: False
@@ -207,6 +210,8 @@
                 self.pauses_after = None
                 self.pause()
             await self._wait_while_paused()
+            if self.answer_seconds:
+                await asyncio.sleep(self.answer_seconds)
             exchange.answer(200, request.body or b"answer", headers)
 
     async def _stream(self, request, exchange, headers):
