Pass on the turn of a queued request that cannot use it

Seen by callers: a request waits, or a stream that has started is cut, though there is room: the caller ahead of it left in the moment of its turn, or may not use the targets that have become free.

Evidence: both new tests failed before.

--- a/apricotseam/forwarding/_request_queue.py
+++ b/apricotseam/forwarding/_request_queue.py
@@ -86,6 +86,10 @@
         timer = loop.call_at(until, _set_result, future, False)
         try:
             return await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled() and future.result():
+                self.wake_next()
+            raise
         finally:
             timer.cancel()
             if entry in self._queue:
@@ -105,6 +109,25 @@
                 future.set_result(True)
                 return
 
+    def wake_behind(self, rank):
+        """Wake the first request behind one that could not use its turn.
+
+        Parameters
+        ----------
+        rank : tuple
+            Sort key of that request.
+        """
+        behind = [
+            entry
+            for entry in self._queue
+            if entry[0] > rank and not entry[2].done()
+        ]
+        if behind:
+            first = min(behind)
+            self._queue.remove(first)
+            heapq.heapify(self._queue)
+            first[2].set_result(True)
+
     def record_refusal(self, call):
         """Remember that this host refused a call, and tell its peers later.
 
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -117,6 +117,9 @@
             choice = self._choose_now(call)
             if choice is not None:
                 request_queue.wake_next()
+            elif call.failed_targets:
+                # Others may use what this call must not.
+                request_queue.wake_behind(rank)
         return choice
 
     def _choose_now(self, call):
--- a/apricotseam/forwarding/tests/test_request_queue.py
+++ b/apricotseam/forwarding/tests/test_request_queue.py
@@ -65,3 +65,41 @@
     assert queue.expected_wait_seconds() == pytest.approx(0.1, rel=0.1)
     now[0] += 10
     assert queue.expected_wait_seconds() == 2.0
+
+
+def test_turn_of_a_caller_that_leaves_goes_to_the_next():
+    """Guards against a request that waits although there is room."""
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        queue = RequestQueue(loop.time)
+        first = loop.create_task(queue.wait((0,), loop.time() + 5))
+        second = loop.create_task(queue.wait((1,), loop.time() + 0.2))
+        await asyncio.sleep(0)
+        queue.record_completion()
+        first.cancel()
+        return await second
+
+    assert asyncio.run(scenario())
+
+
+def test_turn_that_a_request_cannot_use_goes_to_those_behind_it():
+    """Guards against a request that blocks others which would fit."""
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        queue = RequestQueue(loop.time)
+        turns = []
+
+        async def wait(rank):
+            if await queue.wait(rank, loop.time() + 0.2):
+                turns.append(rank)
+                queue.wake_behind(rank)
+
+        tasks = [loop.create_task(wait((n,))) for n in (1, 0, 2)]
+        await asyncio.sleep(0)
+        queue.record_completion()
+        await asyncio.gather(*tasks)
+        return turns
+
+    assert asyncio.run(scenario()) == [(0,), (1,), (2,)]
