Search the table of hosts once per change for who receives the load

Cause: the addresses that receive a host's load, and the delegates of its zone, were searched in the table of all hosts at each use.

Change: both are kept with the table that they were found in, which is replaced whenever a host changes.

Result: 15 uses search the table once (test, 16 times before).

--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -67,6 +67,10 @@
         self._logged_states = {}
         # Addresses of delegates of the own zone whose reports are overdue.
         self.unheard_delegates = set()
+        # Addresses that receive this host's load, and the live hosts of its
+        # zone, each with the table that they were found in.
+        self._recipients = (None, ())
+        self._zone_members = (None, ())
         self.table = self._membership.snapshot()
         self._published_changes = self._membership.changes
         for message in MESSAGE_TYPES:
@@ -94,6 +98,13 @@
         In a small fleet these are all other hosts, in a large one those of
         the own availability zone.
         """
+        table, recipients = self._recipients
+        if table is not self.table:
+            recipients = tuple(self._find_recipients())
+            self._recipients = (self.table, recipients)
+        return list(recipients)
+
+    def _find_recipients(self):
         own = self._membership.own
         members = [
             m
@@ -117,10 +128,14 @@
         """
         if not self.is_large:
             return []
-        zone = self._membership.own.availability_zone
+        table, members = self._zone_members
+        if table is not self.table:
+            zone = self._membership.own.availability_zone
+            members = tuple(self._first_of_zone(zone))
+            self._zone_members = (self.table, members)
         heard = [
             m
-            for m in self._first_of_zone(zone)
+            for m in members
             if m.peers_address not in self.unheard_delegates
         ]
         return [m.peers_address for m in heard[:DELEGATES_PER_ZONE]]
--- a/apricotseam/coordination/tests/test_audience.py
+++ b/apricotseam/coordination/tests/test_audience.py
@@ -72,3 +72,29 @@
     assert own.is_delegate == is_delegate
     expected = [members[n].peers_address for n in delegates]
     assert sorted(own.other_zone_delegates) == sorted(expected)
+
+
+@pytest.mark.parametrize("hosts", [90, 900])
+def test_members_are_not_searched_again_before_the_table_changes(
+    hosts, monkeypatch
+):
+    members = [make_member(number, 3) for number in range(hosts)]
+    own = Hosts(members[0], SilentTransport(), Facts, lambda: 0.0)
+    own.table = MemberTable(members, members[0].peers_address)
+    searches = []
+    present = MemberTable.present
+
+    def count_search(table):
+        searches.append(table)
+        return present(table)
+
+    monkeypatch.setattr(MemberTable, "present", count_search)
+    for _ in range(15):
+        own.load_recipients.clear()
+        assert len(own.zone_delegates) == 2
+    assert len(own.load_recipients) == hosts // 3 - 1
+    own.unheard_delegates = {own.own_address}
+    assert own.own_address not in own.zone_delegates
+    assert len(searches) == 1
+    own.table = MemberTable(members[:60], members[0].peers_address)
+    assert len(own.load_recipients) == 19
