--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -134,9 +134,7 @@
             members = tuple(self._first_of_zone(zone))
             self._zone_members = (self.table, members)
         heard = [
-            m
-            for m in members
-            if m.peers_address not in self.unheard_delegates
+            m for m in members if m.peers_address not in self.unheard_delegates
         ]
         return [m.peers_address for m in heard[:DELEGATES_PER_ZONE]]
 
