Search chains first where they may end at the least cost

Cause: the search for a chain continued every path that costs less than the chain found in the end, also those through slow targets whose rest costs more than the whole chain.

Change: paths are ordered by their cost plus the least cost of the layers that remain, and are left out if that sum exceeds the limit.

--- a/apricotseam/chains/_paths.py
+++ b/apricotseam/chains/_paths.py
@@ -103,8 +103,9 @@
     usable = [h for h in holders if h.free_units >= tokens]
     if not covers_layers((h.layers for h in usable), layers, first):
         return None
+    least_cost = min((h.layer_cost_ms for h in usable), default=0.0)
     stages_by_position = {}
-    paths = _OpenPaths(max_cost_ms)
+    paths = _OpenPaths(max_cost_ms, layers, least_cost)
     paths.add(_Path(first, None, frozenset(), None, None), 0.0)
     while (cheapest := paths.pop()) is not None:
         cost, path = cheapest
@@ -141,9 +142,10 @@
 
 
 class _OpenPaths:
-    """Paths to be continued, the cheapest first.
+    """Paths to be continued, first the one that may end at the least cost.
 
-    A path replaces a dearer one to the same position and zone if it uses no
+    That is the cost so far plus that of the layers that remain, if all are
+    run by the cheapest target. A path replaces a dearer one to the same position and zone if it uses no
     further target that could still be needed. At most `MAX_PATHS` are
     continued from each position and zone, which bounds the work.
 
@@ -151,10 +153,16 @@
     ----------
     max_cost_ms : float
         Largest acceptable cost in milliseconds.
+    layers : int
+        Number of layers of the model.
+    layer_cost_ms : float
+        Cost of a layer on the cheapest target, in milliseconds.
     """
 
-    def __init__(self, max_cost_ms):
+    def __init__(self, max_cost_ms, layers, layer_cost_ms):
         self._max_cost_ms = max_cost_ms
+        self._layers = layers
+        self._layer_cost_ms = layer_cost_ms
         self._queue = []
         # Targets in use of the paths that were returned, by position and
         # zone, and the least cost of a path that no target excludes.
@@ -170,7 +178,8 @@
         if not path.in_use:
             self._least_cost[path.position, path.zone] = cost
         self._count += 1
-        heapq.heappush(self._queue, (cost, self._count, path))
+        end_cost = cost + self._remaining_cost(path.position)
+        heapq.heappush(self._queue, (end_cost, self._count, cost, path))
 
     def add_stage(self, path, stage, cost):
         """Add a path that continues another one by a stage."""
@@ -187,7 +196,7 @@
     def pop(self):
         """Remove the cheapest path; return its cost and it, or None."""
         while self._queue:
-            cost, _, path = heapq.heappop(self._queue)
+            _, _, cost, path = heapq.heappop(self._queue)
             continued = self._continued[path.position, path.zone]
             if len(continued) >= MAX_PATHS:
                 continue
@@ -200,11 +209,17 @@
         """Return whether a path to a position and zone may be continued."""
         place = (position, zone)
         return (
-            cost <= self._max_cost_ms
+            cost + self._remaining_cost(position) <= self._max_cost_ms
             and cost < self._least_cost.get(place, math.inf)
             and len(self._continued[place]) < MAX_PATHS
         )
 
+    def _remaining_cost(self, position):
+        """Return the least cost of a path from a position to the end."""
+        if position >= self._layers:
+            return 0.0
+        return (self._layers - position) * self._layer_cost_ms + HOP_COST_MS
+
 
 def _stages_from(position, holders, tokens):
     """Return the possible stages from a position on and their costs."""
