Leave out zones that can't have a cheaper chain before looking at them

Cause: each request estimated the cost of all targets of the service and searched all availability zones, although a chain of another zone counts only if it is clearly cheaper.

Change: the own zone is searched first; a zone is left out if even one idle target of the fastest kind would cost more than the limit. The same chain is chosen as before.

--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -1,5 +1,7 @@
 """Selection of the targets that run a request."""
 
+import collections
+import functools
 import math
 
 import msgspec
@@ -113,38 +115,45 @@
         max_utilization = (
             RETRY_MAX_UTILIZATION if may_use_reserve else MAX_UTILIZATION
         )
-        by_zone = {}
+        by_zone = collections.defaultdict(list)
         for target in self._fleet.of_service(call.service.name):
-            holder = self._holder(target, profile, call, now, max_utilization)
-            if holder is not None:
-                by_zone.setdefault(holder.zone, []).append(holder)
-        best = self._cheapest(by_zone, profile.layers, tokens)
+            by_zone[target.record.zone].append(target)
+
+        @functools.cache
+        def find_holders(zone):
+            found = (
+                self._holder(target, profile, call, now, max_utilization)
+                for target in by_zone[zone]
+            )
+            return [holder for holder in found if holder is not None]
+
+        best = self._cheapest(find_holders, list(by_zone), profile, tokens)
+        if best is None:
+            all_holders = [h for zone in by_zone for h in find_holders(zone)]
+            best = find_chain(all_holders, profile.layers, tokens)
         if best is None:
-            all_holders = [h for holders in by_zone.values() for h in holders]
-            stages = find_chain(all_holders, profile.layers, tokens)
-            if stages is None:
-                return None
-            best = stages
+            return None
         return self._make_choice(best, tokens)
 
-    def _cheapest(self, by_zone, layers, tokens):
+    def _cheapest(self, find_holders, zones, profile, tokens):
         """Return the cheapest chain within one availability zone, or None.
 
         A chain of another zone must be clearly cheaper than that of the own
         zone. The own zone is searched first, as its cost bounds the search
-        of the others.
+        of the others. These are left out if no chain costs that little.
         """
-        own = by_zone.get(self._zone, [])
-        best = find_chain(own, layers, tokens)
+        layers = profile.layers
+        best = find_chain(find_holders(self._zone), layers, tokens)
         bound = _cost(best) if best is not None else math.inf
-        for zone, holders in by_zone.items():
-            if zone == self._zone:
-                continue
+        least_cost = _least_cost(profile)
+        for zone in zones:
             cost_limit = (
                 bound - REMOTE_ZONE_COST_MS
             ) / REMOTE_ZONE_COST_FACTOR
+            if zone == self._zone or cost_limit < least_cost:
+                continue
             stages = find_chain(
-                holders, layers, tokens, max_cost_ms=cost_limit
+                find_holders(zone), layers, tokens, max_cost_ms=cost_limit
             )
             if stages is not None:
                 best = stages
@@ -277,6 +286,12 @@
         return Choice(targets[0][0], targets, path, tokens, _cost(stages))
 
 
+def _least_cost(profile):
+    """Return the cost of one idle target of the fastest kind."""
+    fastest = min((k.step_factor for k in profile.kinds), default=0.0)
+    return profile.step_ms * fastest
+
+
 def _cost(stages):
     """Return the cost of a chain in milliseconds per token.
 
--- a/apricotseam/forwarding/tests/test_choice.py
+++ b/apricotseam/forwarding/tests/test_choice.py
@@ -85,3 +85,30 @@
     choice = target_selector.choose_chain(make_call(), 0.0)
     found = choice.head.identity if choice is not None else None
     assert found == chosen
+
+
+# Accelerator kinds of the own zone and of four others, and the number of
+# targets that are looked at for a chain.
+SEARCHED = [
+    ("own zone is cheap enough", "fast", "fast", 1),
+    ("other zones may be much cheaper", "slow", "fast", 5),
+]
+
+
+@pytest.mark.parametrize(
+    ("own", "others", "searched"),
+    [case[1:] for case in SEARCHED],
+    ids=[case[0] for case in SEARCHED],
+)
+def test_targets_that_are_looked_at(own, others, searched):
+    looked_at = []
+
+    class CountingLedger(Ledger):
+        def running(self, identity):
+            looked_at.append(identity)
+            return super().running(identity)
+
+    kinds = {"b": others, "c": others, "a": own, "d": others, "e": others}
+    selector = TargetSelector(make_fleet(kinds), CountingLedger(), "a")
+    assert selector.choose_chain(make_call(), 0.0) is not None
+    assert len(looked_at) == searched
