--- a/apricotseam/chains/_paths.py
+++ b/apricotseam/chains/_paths.py
@@ -145,9 +145,10 @@
     """Paths to be continued, first the one that may end at the least cost.
 
     That is the cost so far plus that of the layers that remain, if all are
-    run by the cheapest target. A path replaces a dearer one to the same position and zone if it uses no
-    further target that could still be needed. At most `MAX_PATHS` are
-    continued from each position and zone, which bounds the work.
+    run by the cheapest target. A path replaces a dearer one to the same
+    position and zone if it uses no further target that could still be
+    needed. At most `MAX_PATHS` are continued from each position and zone,
+    which bounds the work.
 
     Parameters
     ----------
