Add an emulator of engines, hosts and callers in simulated time

Cause: decisions under load could only be seen with processes and sockets. Change: measure/emulator plays named patterns over the product's gateway, queue, selector, ledger, budget, prober, exchanges and placer on an event loop whose time jumps. Engines, links, store and callers are emulated.

--- a/apricotseam/platform/standins/__init__.py
+++ b/apricotseam/platform/standins/__init__.py
@@ -13,6 +13,12 @@
 from apricotseam.platform.standins._configuration import sample_route
 from apricotseam.platform.standins._store import StoreStandIn
 from apricotseam.platform.standins._target import TargetStandIn
+from apricotseam.platform.standins._target_side import decode_forwarded_request
+from apricotseam.platform.standins._target_side import decode_order
+from apricotseam.platform.standins._target_side import encode_report
+from apricotseam.platform.standins._target_side import generation_headers
+from apricotseam.platform.standins._target_side import not_run_headers
+from apricotseam.platform.standins._target_side import signed_headers
 
 __all__ = [
     "CUSTOMER",
@@ -23,6 +29,12 @@
     "TargetStandIn",
     "address_query_path",
     "decode_addresses",
+    "decode_forwarded_request",
+    "decode_order",
+    "encode_report",
+    "generation_headers",
+    "not_run_headers",
+    "signed_headers",
     "sample_configuration",
     "caller_headers",
     "ENGINE_SERVICE",
--- /dev/null
+++ b/measure/emulator/_host.py
@@ -0,0 +1,185 @@
+"""Emulated host: the product's decision classes on simulated connections."""
+
+import asyncio
+import logging
+import random
+
+import prometheus_client
+
+from apricotseam.chains import Ledger
+from apricotseam.fleet import Fleet
+from apricotseam.forwarding import ForwardingContext
+from apricotseam.forwarding import Gateway
+from apricotseam.forwarding import HostRetryBudget
+from apricotseam.forwarding import RequestMetrics
+from apricotseam.forwarding import TargetProber
+from apricotseam.node._placer import Placer
+from apricotseam.node._usage import UsageExchange
+from apricotseam.node._zones import ZoneUsageExchange
+from measure.emulator._network import SimulatedPool
+from measure.emulator._peers import PeerHosts
+from measure.emulator._site import RecordWatcher
+
+_LOG = logging.getLogger(__name__)
+
+RETRY_RATIO = 0.2
+RETRY_SLACK = 200.0
+RETRY_WINDOW_SECONDS = 10.0
+# Time after the start within which every peer should have sent its usage.
+PEER_USAGE_WAIT_SECONDS = 3.0
+MAINTENANCE_PERIOD_SECONDS = 0.25
+
+
+class FixedElection:
+    """Tells whether this host is the one that places layers.
+
+    Attributes
+    ----------
+    is_holder : bool
+        Whether it is.
+    fence : int
+        Fencing token of its orders.
+    """
+
+    def __init__(self):
+        self.is_holder = False
+        self.fence = 1
+
+
+class EmulatedHost:
+    """One host: gateway, queue, ledger, prober, placer and exchanges.
+
+    Parameters
+    ----------
+    site : Site
+        Targets, registry and clock.
+    peers : PeerNetwork
+        Delivers messages between hosts.
+    name, zone : str
+        Name and availability zone.
+    policy : Policy
+        Builds the queue and the selector.
+    table : RouteTable
+        Routes, services and customers.
+    seed : int
+        Seed of its random numbers.
+    """
+
+    def __init__(self, site, peers, name, zone, policy, table, seed):
+        self._loop = site.loop
+        self._now = site.loop.time
+        self._site = site
+        self._peers = peers
+        self._expect_peers_until = self._now() + PEER_USAGE_WAIT_SECONDS
+        self.name = name
+        self.zone = zone
+        self.hosts = PeerHosts(peers, f"{name}:1", zone)
+        self.election = FixedElection()
+        self.context = self._make_context(policy, seed)
+        self.context.table = table
+        self._gateway = Gateway(self.context)
+        self.watcher = RecordWatcher(self.context.fleet, self._now)
+        self._tasks = []
+        self._requests = set()
+
+    def start(self, incarnation=1):
+        """Join the other hosts and start the periodic work."""
+        self._peers.join(self.hosts)
+        self._site.registry.watch(self.watcher)
+        instance = f"{self.name}/{incarnation}"
+        usage = UsageExchange(
+            self.hosts, self.context, instance, self.zone, self._now
+        )
+        zones = ZoneUsageExchange(
+            self.hosts,
+            self.context.ledger,
+            instance,
+            self.zone,
+            self._now,
+            usage,
+        )
+        placer = Placer(self.context, self.election, self._now)
+        for coroutine in (
+            usage.run(),
+            usage.run_reports(),
+            zones.run(),
+            placer.run(),
+            self.context.prober.watch(
+                lambda: 1 + len(self.hosts.load_recipients)
+            ),
+            self._maintain(),
+        ):
+            self._tasks.append(self._loop.create_task(coroutine))
+
+    def stop(self):
+        """End the process: all requests in progress are cut."""
+        self._peers.leave(self.hosts)
+        self._site.registry.unwatch(self.watcher)
+        for task in [*self._tasks, *self._requests]:
+            task.cancel()
+
+    def handle(self, request, exchange):
+        """Start to handle a request; return the task that does."""
+        task = self._loop.create_task(self._gateway.handle(request, exchange))
+        self._requests.add(task)
+        task.add_done_callback(self._requests.discard)
+        return task
+
+    def check_tasks(self):
+        """Raise the error of a periodic task that has failed."""
+        for task in self._tasks:
+            if task.done() and not task.cancelled():
+                task.result()
+
+    def _make_context(self, policy, seed):
+        generator = random.Random(seed)
+        queue = policy.make_queue(self._now)
+        ledger = Ledger(
+            lambda is_own: (
+                queue.record_completion() if is_own else queue.wake_next()
+            ),
+            self._expected_peers,
+        )
+        fleet = Fleet(self._on_target_removed, self._on_target_draining)
+        pool = SimulatedPool(self._site.network, self.zone)
+        context = ForwardingContext(
+            fleet,
+            ledger,
+            policy.make_selector(fleet, ledger, self.zone, generator),
+            pool,
+            HostRetryBudget(
+                RETRY_RATIO,
+                RETRY_SLACK,
+                RETRY_WINDOW_SECONDS,
+                lambda: len(self.hosts.table),
+            ),
+            RequestMetrics(prometheus_client.CollectorRegistry()),
+            queue,
+        )
+        # The context builds its own prober on the clock of the machine.
+        context.prober = TargetProber(
+            pool,
+            ledger,
+            self._now,
+            context.active_streams.recheck,
+            fleet,
+            generator,
+        )
+        return context
+
+    def _expected_peers(self):
+        if self._now() >= self._expect_peers_until:
+            return 0
+        return len(self.hosts.load_recipients)
+
+    def _on_target_removed(self, target):
+        self.context.prober.forget(target)
+        self.context.active_streams.recheck(target.identity)
+
+    def _on_target_draining(self, target):
+        self.context.active_streams.recheck(target.identity)
+
+    async def _maintain(self):
+        while True:
+            await asyncio.sleep(MAINTENANCE_PERIOD_SECONDS)
+            self.context.fleet.expire(self._now())
--- /dev/null
+++ b/measure/emulator/_network.py
@@ -0,0 +1,228 @@
+"""Connections between emulated hosts and targets."""
+
+import asyncio
+import collections
+
+from apricotseam.http1 import ConnectError
+from apricotseam.http1 import InterruptedReadError
+from apricotseam.http1 import LostConnectionError
+from apricotseam.http1 import ResponseHead
+from apricotseam.http1 import TransportTimeoutError
+
+IN_ZONE_SECONDS = 0.0001
+CROSS_ZONE_SECONDS = 0.00075
+LINK_MEGABITS_PER_SECOND = 400000.0
+
+
+class Network:
+    """Delays between availability zones, and targets by address.
+
+    Parameters
+    ----------
+    pipe : Pipe
+        Link that all transfers between zones share.
+    """
+
+    def __init__(self, pipe):
+        self.pipe = pipe
+        self._targets = {}
+
+    def attach(self, target):
+        """Make a target reachable at its address."""
+        self._targets[target.address] = target
+
+    def detach(self, target):
+        """Make a target unreachable unless another has its address."""
+        if self._targets.get(target.address) is target:
+            del self._targets[target.address]
+
+    def at(self, address):
+        """Return the target at an address, or None."""
+        return self._targets.get(address)
+
+    def delay(self, zone, other_zone):
+        """Return the one-way delay between two zones in seconds."""
+        return IN_ZONE_SECONDS if zone == other_zone else CROSS_ZONE_SECONDS
+
+    def transfer_end(self, zone, other_zone, size, now):
+        """Return the time at which activations arrive.
+
+        Parameters
+        ----------
+        zone, other_zone : str
+            Zones of the sender and of the receiver.
+        size : float
+            Bytes to send.
+        now : float
+            Time in seconds.
+        """
+        delay = self.delay(zone, other_zone)
+        if zone == other_zone:
+            return now + delay + size * 8e-6 / LINK_MEGABITS_PER_SECOND
+        return self.pipe.send(size, now) + delay
+
+
+class SimulatedPool:
+    """Connections of one host, with the interface of `ConnectionPool`.
+
+    Parameters
+    ----------
+    network : Network
+        The targets.
+    zone : str
+        Availability zone of the host.
+    """
+
+    def __init__(self, network, zone):
+        self._network = network
+        self._zone = zone
+
+    async def acquire(self, key, address, deadline, max_idle=None):
+        """Return a connection to a target.
+
+        Raises
+        ------
+        ConnectError
+            If nothing listens there, or nothing answers by the deadline.
+        """
+        target = self._network.at(address)
+        if target is None:
+            await asyncio.sleep(IN_ZONE_SECONDS)
+            raise ConnectError(f"{address} refused", "try another target")
+        if target.is_silent:
+            loop = asyncio.get_running_loop()
+            await asyncio.sleep(max(0.0, deadline - loop.time()))
+            raise ConnectError(f"{address} is silent", "try another target")
+        return SimulatedConnection(
+            target, self._network.delay(self._zone, target.zone)
+        )
+
+    async def call(self, key, address, method, path, body, deadline):
+        """Send a control call; return the head and body of its answer."""
+        connection = await self.acquire(key, address, deadline)
+        connection.call(path, body)
+        head = await connection.head(deadline)
+        return head, await connection.read(deadline)
+
+    def release(self, key, connection, response=None):
+        """Accept a connection whose answer was read."""
+
+    def drop(self, key):
+        """Forget the connections to a target; none is kept."""
+
+
+class SimulatedConnection:
+    """Connection to an emulated target, for one request.
+
+    Parameters
+    ----------
+    target : EmulatedTarget
+        The target.
+    delay_seconds : float
+        One-way delay.
+    """
+
+    def __init__(self, target, delay_seconds):
+        self._loop = asyncio.get_running_loop()
+        self._target = target
+        self._delay_seconds = delay_seconds
+        self._received = collections.deque()
+        self._waiter = None
+        self.is_closed = False
+
+    @property
+    def address(self):
+        """Address of the target."""
+        return self._target.address
+
+    def send(self, method, path, headers, body=b""):
+        """Send a request for work."""
+        self._deliver(self._target.receive, headers)
+
+    def call(self, path, body):
+        """Send a control call."""
+        self._deliver(self._target.receive_call, path, body)
+
+    def close(self):
+        """Close the connection; the target stops its work."""
+        if not self.is_closed:
+            self.is_closed = True
+            self._deliver(self._target.cancel)
+
+    def interrupt(self):
+        """Make a pending read raise `InterruptedReadError`."""
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(
+                InterruptedReadError("the read was interrupted", "read again")
+            )
+
+    async def head(self, deadline):
+        """Return the `ResponseHead`."""
+        return await self._next(deadline)
+
+    async def read(self, deadline):
+        """Return the next bytes of the body, empty at its end."""
+        return await self._next(deadline)
+
+    async def read_all(self, deadline, limit):
+        """Return the complete body."""
+        parts = []
+        while data := await self.read(deadline):
+            parts.append(data)
+        return b"".join(parts)
+
+    def answer(self, status, headers=(), *parts):
+        """Send a head and parts of a body; called by the target."""
+        self.send_back(ResponseHead(status, b"", list(headers)), *parts)
+
+    def send_back(self, *items):
+        """Send items to the host; called by the target."""
+        self._loop.call_later(self._delay_seconds, self._receive, items)
+
+    def reset(self):
+        """Break the connection; called by the target."""
+        self.send_back(
+            LostConnectionError(
+                f"{self.address} reset the connection",
+                "retry the call if it is idempotent",
+            )
+        )
+
+    def _deliver(self, receive, *arguments):
+        self._loop.call_later(
+            self._delay_seconds, self._deliver_now, receive, arguments
+        )
+
+    def _deliver_now(self, receive, arguments):
+        if not self._target.is_silent:
+            receive(self, *arguments)
+
+    def _receive(self, items):
+        if self._target.is_silent:
+            return
+        self._received.extend(items)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _next(self, deadline):
+        while not self._received:
+            self._waiter = self._loop.create_future()
+            timer = self._loop.call_at(deadline, self._time_out, self._waiter)
+            try:
+                await self._waiter
+            finally:
+                timer.cancel()
+                self._waiter = None
+        item = self._received.popleft()
+        if isinstance(item, Exception):
+            raise item
+        return item
+
+    def _time_out(self, waiter):
+        if not waiter.done():
+            waiter.set_exception(
+                TransportTimeoutError(
+                    f"{self.address} sent nothing before the deadline",
+                    "retry the call if it is idempotent",
+                )
+            )
--- /dev/null
+++ b/measure/emulator/_patterns.py
@@ -0,0 +1,361 @@
+"""Named patterns of load and disturbance."""
+
+import abc
+
+import msgspec
+
+from measure.emulator._caller import EagerCaller
+from measure.emulator._caller import PatientCaller
+from measure.emulator._profile import make_customers
+
+# Time in seconds at which the disturbance of a pattern begins.
+DISTURBED_AT_SECONDS = 5.0
+SURGE_FACTOR = 7.5
+JOINED_ENGINES = 7
+
+
+class Pattern(abc.ABC):
+    """Load and disturbances of a play.
+
+    Attributes
+    ----------
+    name : str
+        Name on the command line.
+    about : str
+        One line for the list of patterns.
+    load : float
+        Usual load as a fraction of the capacity.
+    """
+
+    name = ""
+    about = ""
+    load = 0.6
+
+    def make_customers(self):
+        """Return the customers."""
+        return make_customers()
+
+    def factor(self, at, request_class, customer):
+        """Return by how much a rate exceeds the usual one at a time."""
+        return 1.0
+
+    def make_caller(self, simulation, request):
+        """Return the `Caller` of a request."""
+        return PatientCaller(simulation, request)
+
+    @abc.abstractmethod
+    def disturb(self, simulation):
+        """Schedule the disturbances of a `Simulation`."""
+
+
+class Calm(Pattern):
+    """Less than half of the capacity is in use, and nothing happens."""
+
+    name = "calm"
+    about = "four tenths of the capacity in use, no disturbance"
+    load = 0.4
+
+    def disturb(self, simulation):
+        """Schedule nothing."""
+
+
+class ClassBurst(Pattern):
+    """One class sends a multiple of its usual for some seconds."""
+
+    name = "class-burst"
+    about = "the standard class sends four times its usual for 4 s"
+    end_seconds = DISTURBED_AT_SECONDS + 4.0
+
+    def factor(self, at, request_class, customer):
+        """Return 4 for the standard class during the burst, else 1."""
+        is_burst = DISTURBED_AT_SECONDS <= at < self.end_seconds
+        is_bursting = is_burst and request_class.name == "standard"
+        return 4.0 if is_bursting else 1.0
+
+    def disturb(self, simulation):
+        """Schedule nothing; the load itself is the disturbance."""
+
+
+class CustomerSurge(Pattern):
+    """One customer sends many times its usual."""
+
+    name = "customer-surge"
+    about = "one of ten customers sends 7.5 times its usual for 8 s"
+    load = 0.75
+    customer = "customer-0"
+
+    def factor(self, at, request_class, customer):
+        """Return 7.5 for one customer during the surge, else 1."""
+        begin = DISTURBED_AT_SECONDS
+        is_surge = begin <= at < begin + 8.0
+        is_surging = is_surge and customer.name == self.customer
+        return SURGE_FACTOR if is_surging else 1.0
+
+    def disturb(self, simulation):
+        """Schedule nothing; the load itself is the disturbance."""
+
+
+class EagerCallers(Pattern):
+    """Some callers return early and often after a refusal."""
+
+    name = "eager-callers"
+    about = "the load is doubled for 4 s; 3 in 10 callers return at once"
+    load = 0.7
+
+    def factor(self, at, request_class, customer):
+        """Return 2 during the overload, else 1."""
+        begin = DISTURBED_AT_SECONDS
+        return 2.0 if begin <= at < begin + 4.0 else 1.0
+
+    def make_caller(self, simulation, request):
+        """Return an `EagerCaller` for 3 in 10 requests."""
+        is_eager = request.number % 10 < 3
+        return (EagerCaller if is_eager else PatientCaller)(
+            simulation, request
+        )
+
+    def disturb(self, simulation):
+        """Schedule nothing; the callers are the disturbance."""
+
+
+class _JoinedLoss(Pattern):
+    """Engines that serve the same streams are lost together."""
+
+    load = 0.4
+    is_silent = False
+    restart_seconds = None
+
+    def disturb(self, simulation):
+        """Schedule the loss."""
+        simulation.at(DISTURBED_AT_SECONDS, self._lose, simulation)
+
+    def _lose(self, simulation):
+        zone = simulation.engines[0].zone
+        for engine in joined_engines(simulation.of_zone(zone)):
+            simulation.crash_engine(engine, self.is_silent)
+            if self.restart_seconds is not None:
+                simulation.loop.call_later(
+                    self.restart_seconds, simulation.restart_engine, engine
+                )
+
+
+class JoinedCrash(_JoinedLoss):
+    """Seven joined engines of a zone crash and start again empty."""
+
+    name = "joined-crash"
+    about = "7 joined engines of a zone crash, and are back empty 4.4 s later"
+    restart_seconds = 4.4
+
+
+class JoinedSilence(_JoinedLoss):
+    """Seven joined engines of a zone fall silent for good."""
+
+    name = "joined-silence"
+    about = "7 joined engines of a zone fall silent for good"
+    is_silent = True
+
+
+class SlowEngines(Pattern):
+    """Joined engines run slowly."""
+
+    name = "slow-engines"
+    about = "4 joined engines of a zone run 5 times slower for 6 s"
+    load = 0.5
+    slowdown = 5.0
+
+    def disturb(self, simulation):
+        """Schedule the slow-down and its end."""
+        simulation.at(DISTURBED_AT_SECONDS, self._begin, simulation)
+
+    def _begin(self, simulation):
+        zone = simulation.engines[0].zone
+        engines = joined_engines(simulation.of_zone(zone), 4)
+        for engine in engines:
+            engine.passes.slowdown = self.slowdown
+        simulation.loop.call_later(6.0, self._end, engines)
+
+    def _end(self, engines):
+        for engine in engines:
+            engine.passes.slowdown = 1.0
+
+
+class SlowPipes(Pattern):
+    """The pipes between zones carry much less."""
+
+    name = "slow-pipes"
+    about = "transfers between zones take 30 times as long for 6 s"
+    load = 0.5
+
+    def disturb(self, simulation):
+        """Schedule the slow-down and its end."""
+        begin = DISTURBED_AT_SECONDS
+        simulation.at(begin, self._set_slowdown, simulation, 30.0)
+        simulation.at(begin + 6.0, self._set_slowdown, simulation, 1.0)
+
+    def _set_slowdown(self, simulation, slowdown):
+        simulation.site.network.pipe.slowdown = slowdown
+
+
+class EngineTurnover(Pattern):
+    """Engines are drained and added while the load is high."""
+
+    name = "engine-turnover"
+    about = "at 0.8 of the capacity, an engine in 8 leaves and as many join"
+    load = 0.8
+    drain_seconds = 4.0
+
+    def disturb(self, simulation):
+        """Schedule the leaving and joining engines."""
+        count = max(1, len(simulation.engines) // 8)
+        for number in range(count):
+            at = DISTURBED_AT_SECONDS + number
+            simulation.at(at, self._replace_one, simulation, number)
+
+    def _replace_one(self, simulation, number):
+        zones = sorted({engine.zone for engine in simulation.engines})
+        engines = simulation.of_zone(zones[number % len(zones)])
+        engine = simulation.random.choice(engines)
+        engine.record = msgspec.structs.replace(
+            engine.record, is_draining=True
+        )
+        simulation.site.registry.publish(engine)
+        simulation.loop.call_later(
+            self.drain_seconds, simulation.stop_engine, engine
+        )
+        simulation.add_engine(engine.record.kind, engine.zone)
+
+
+class StoreOutage(Pattern):
+    """A third of the hosts lose the store while engines come and go."""
+
+    name = "store-outage"
+    about = "a third of the hosts lose the store for 6 s; 2 engines crash"
+    load = 0.5
+
+    def disturb(self, simulation):
+        """Schedule the outage, and crashes during it."""
+        begin = DISTURBED_AT_SECONDS
+        simulation.at(begin, self._cut, simulation)
+        simulation.at(begin + 6.0, self._restore, simulation)
+        for number in range(2):
+            at = begin + 1.0 + number
+            simulation.at(at, self._crash_one, simulation, number)
+
+    def _cut(self, simulation):
+        for host in simulation.hosts[2::3]:
+            host.watcher.has_store = False
+
+    def _restore(self, simulation):
+        for host in simulation.hosts:
+            host.watcher.has_store = True
+        simulation.site.registry.publish(simulation.engines[0])
+
+    def _crash_one(self, simulation, number):
+        zones = sorted({engine.zone for engine in simulation.engines})
+        engines = simulation.of_zone(zones[number % len(zones)])
+        engine = simulation.random.choice(engines)
+        simulation.crash_engine(engine)
+        simulation.loop.call_later(2.0, simulation.restart_engine, engine)
+
+
+class HotPrompt(Pattern):
+    """One prompt of one customer gets a quarter of the traffic."""
+
+    name = "hot-prompt"
+    about = "a quarter of all requests have one prompt; overload for 4 s"
+    load = 0.7
+    customer = "customer-0"
+
+    def make_customers(self):
+        """Return customers of which the first sends a quarter."""
+        return make_customers(first_share=0.25)
+
+    def factor(self, at, request_class, customer):
+        """Return 2 during the overload, else 1."""
+        begin = DISTURBED_AT_SECONDS
+        return 2.0 if begin <= at < begin + 4.0 else 1.0
+
+    def make_caller(self, simulation, request):
+        """Return a caller; those of the first customer share a prompt."""
+        if request.customer.name == self.customer:
+            request.prompt_id = "hot"
+        return PatientCaller(simulation, request)
+
+    def disturb(self, simulation):
+        """Schedule nothing; the load itself is the disturbance."""
+
+
+class FreshStart(Pattern):
+    """All hosts and engines are started anew at once."""
+
+    name = "fresh-start"
+    about = "all hosts and engines end, and are back 0.8 s later, empty"
+    load = 0.4
+    down_seconds = 0.8
+
+    def disturb(self, simulation):
+        """Schedule the end of all processes."""
+        simulation.at(DISTURBED_AT_SECONDS, self._stop, simulation)
+
+    def _stop(self, simulation):
+        simulation.stop_hosts()
+        engines = list(simulation.engines)
+        for engine in engines:
+            simulation.crash_engine(engine)
+        simulation.loop.call_later(
+            self.down_seconds, self._start, simulation, engines
+        )
+
+    def _start(self, simulation, engines):
+        for engine in engines:
+            simulation.restart_engine(engine)
+        simulation.start_hosts()
+
+
+PATTERNS = {
+    pattern.name: pattern
+    for pattern in (
+        Calm,
+        ClassBurst,
+        CustomerSurge,
+        EagerCallers,
+        JoinedCrash,
+        JoinedSilence,
+        SlowEngines,
+        SlowPipes,
+        EngineTurnover,
+        StoreOutage,
+        HotPrompt,
+        FreshStart,
+    )
+}
+
+
+def joined_engines(engines, count=JOINED_ENGINES):
+    """Return engines that run stages of the same streams.
+
+    Beginning with the engine that most streams use, the one that shares
+    most streams with those chosen is added until there are enough.
+
+    Parameters
+    ----------
+    engines : list of Engine
+        Engines to choose from.
+    count : int
+        Number of engines to choose.
+    """
+    streams = {engine: set(engine.memory.holders) for engine in engines}
+    chosen = []
+    shared = set()
+    while len(chosen) < min(count, len(engines)):
+        left = [engine for engine in engines if engine not in chosen]
+        best = max(
+            left,
+            key=lambda e: (
+                len(streams[e] & shared if shared else streams[e]),
+                e.identity,
+            ),
+        )
+        chosen.append(best)
+        shared |= streams[best]
+    return chosen
--- /dev/null
+++ b/measure/emulator/_report.py
@@ -0,0 +1,126 @@
+"""Figures of a play, in total, by class and by customer."""
+
+import msgspec
+
+from measure.emulator._caller import Outcome
+
+WINDOW_SECONDS = 2.0
+WINDOW_STEP_SECONDS = 0.25
+# Windows with fewer requests say too little.
+MIN_WINDOW_REQUESTS = 5
+
+
+class Figures(msgspec.Struct, frozen=True, kw_only=True):
+    """Numbers of requests by outcome.
+
+    ``refused_again`` counts those that were refused more than once.
+    ``worst_window`` is the lowest share of requests that were served on
+    time, among those sent within two seconds.
+    """
+
+    requests: int
+    on_time: int
+    late: int
+    refused: int
+    failed: int
+    refused_once: int
+    refused_again: int
+    worst_window: float
+
+    @property
+    def served_share(self):
+        """Share of the requests that were served, on time or late."""
+        return (self.on_time + self.late) / max(1, self.requests)
+
+    @property
+    def on_time_share(self):
+        """Share of the requests that were served on time."""
+        return self.on_time / max(1, self.requests)
+
+
+def count_results(results):
+    """Return the `Figures` of a list of `Result`."""
+    outcomes = [result.outcome for result in results]
+    return Figures(
+        requests=len(results),
+        on_time=outcomes.count(Outcome.ON_TIME),
+        late=outcomes.count(Outcome.LATE),
+        refused=outcomes.count(Outcome.REFUSED),
+        failed=outcomes.count(Outcome.FAILED),
+        refused_once=sum(result.refusals > 0 for result in results),
+        refused_again=sum(result.refusals > 1 for result in results),
+        worst_window=_worst_window(results),
+    )
+
+
+def by_class(results):
+    """Return lists of results by name of the request class."""
+    return _group(results, lambda request: request.request_class.name)
+
+
+def by_customer(results):
+    """Return lists of results by name of the customer."""
+    return _group(results, lambda request: request.customer.name)
+
+
+def sent_between(results, begin, end):
+    """Return the results of requests sent from one time to another."""
+    return [r for r in results if begin <= r.request.at < end]
+
+
+def format_report(results_by_policy):
+    """Return a report as lines of text.
+
+    Parameters
+    ----------
+    results_by_policy : dict of str to list of Result
+        Results of the same play by name of the policy.
+    """
+    header = (
+        f"{'':24}{'policy':10}{'sent':>6}{'on time':>9}{'late':>6}"
+        f"{'refused':>9}{'failed':>8}{'again':>7}{'worst 2 s':>11}"
+    )
+    lines = [header]
+    groups = {"all": lambda results: {"all": results}}
+    groups["class"] = by_class
+    groups["customer"] = by_customer
+    for group in groups.values():
+        grouped = {
+            policy: group(results)
+            for policy, results in results_by_policy.items()
+        }
+        names = sorted({name for found in grouped.values() for name in found})
+        for name in names:
+            for policy, found in grouped.items():
+                figures = count_results(found.get(name, []))
+                lines.append(_format_row(name, policy, figures))
+    return lines
+
+
+def _format_row(name, policy, figures):
+    return (
+        f"{name:24}{policy:10}{figures.requests:6}{figures.on_time:9}"
+        f"{figures.late:6}{figures.refused:9}{figures.failed:8}"
+        f"{figures.refused_again:7}{figures.worst_window:11.2f}"
+    )
+
+
+def _group(results, key):
+    groups = {}
+    for result in results:
+        groups.setdefault(key(result.request), []).append(result)
+    return groups
+
+
+def _worst_window(results):
+    """Return the lowest share served on time within two seconds."""
+    times = [result.request.at for result in results]
+    worst = 1.0
+    begin = 0.0
+    while times and begin + WINDOW_SECONDS <= max(times):
+        found = sent_between(results, begin, begin + WINDOW_SECONDS)
+        if len(found) >= MIN_WINDOW_REQUESTS:
+            on_time = sum(r.outcome is Outcome.ON_TIME for r in found)
+            worst = min(worst, on_time / len(found))
+        begin += WINDOW_STEP_SECONDS
+    return worst
--- /dev/null
+++ b/measure/emulator/_simulation.py
@@ -0,0 +1,287 @@
+"""One play of a pattern: targets, hosts and callers in simulated time."""
+
+import asyncio
+import random
+
+import msgspec
+
+from apricotseam.chains import choose_orders
+from apricotseam.fleet import TargetRecord
+from apricotseam.routes import Customer
+from apricotseam.routes import RepeatPolicy
+from apricotseam.routes import Route
+from apricotseam.routes import RouteTable
+from apricotseam.routes import Service
+from apricotseam.routes import ServiceShare
+from measure.emulator._caller import HOST_NAME
+from measure.emulator._capacity import estimate_capacity
+from measure.emulator._engine import Engine
+from measure.emulator._host import EmulatedHost
+from measure.emulator._loop import SimulatedLoop
+from measure.emulator._network import Network
+from measure.emulator._peers import PeerNetwork
+from measure.emulator._pipe import Pipe
+from measure.emulator._profile import CLASSES
+from measure.emulator._profile import KIND_ORDER
+from measure.emulator._profile import PIPE_MEGABITS_PER_SECOND
+from measure.emulator._profile import PROFILE
+from measure.emulator._profile import SERVICE
+from measure.emulator._site import Site
+from measure.emulator._workload import plan_requests
+from measure.emulator._workload import Workload
+
+# Time in which hosts meet before the first request.
+START_SECONDS = 1.0
+REPORT_PERIOD_SECONDS = 0.2
+# Targets that may run one stream after another before it counts as served.
+MAX_ATTEMPTS = 2
+
+
+class Scenario(msgspec.Struct, frozen=True, kw_only=True):
+    """Size of a play; targets are spread evenly over the zones."""
+
+    hosts: int = 6
+    targets: int = 18
+    zones: int = 3
+    seconds: float = 16.0
+    seed: int = 1
+
+    @property
+    def zone_names(self):
+        """Names of the zones."""
+        return [f"zone-{n}" for n in range(self.zones)]
+
+
+class Simulation:
+    """Plays a pattern with a policy.
+
+    Parameters
+    ----------
+    pattern : Pattern
+        Load and disturbances.
+    scenario : Scenario
+        Size, duration and seed.
+    policy : Policy
+        Decides when and where requests run.
+
+    Attributes
+    ----------
+    loop : SimulatedLoop
+        Clock and timers.
+    site : Site
+        What the targets share.
+    hosts : list of EmulatedHost
+        Running hosts.
+    engines : list of Engine
+        Engines whose processes run.
+    capacity : Capacity
+        What the first layout can take.
+    random : random.Random
+        Source of random numbers for choices of the pattern.
+    """
+
+    def __init__(self, pattern, scenario, policy):
+        self._pattern = pattern
+        self._scenario = scenario
+        self._policy = policy
+        self.random = random.Random(scenario.seed)
+        self.loop = SimulatedLoop()
+        pipe = Pipe(PIPE_MEGABITS_PER_SECOND)
+        self.site = Site(self.loop, PROFILE, Network(pipe))
+        self._peers = PeerNetwork(self.loop)
+        self._table = make_table(pattern.make_customers())
+        self._engine_count = 0
+        self._incarnation = 0
+        self.engines = []
+        self.hosts = []
+        self.capacity = None
+
+    def run(self):
+        """Play to the end; return the list of `Result`."""
+        asyncio.set_event_loop(self.loop)
+        try:
+            return self.loop.run_until_complete(self._run())
+        finally:
+            asyncio.set_event_loop(None)
+            self.loop.close()
+
+    def host_for(self, request):
+        """Return a random host, if possible of the request's zone."""
+        near = [h for h in self.hosts if h.zone == request.zone]
+        return self.random.choice(near or self.hosts)
+
+    def at(self, seconds, action, *arguments):
+        """Schedule an action at a time in seconds."""
+        self.loop.call_at(seconds, action, *arguments)
+
+    def of_zone(self, zone):
+        """Return the running engines of a zone."""
+        return [engine for engine in self.engines if engine.zone == zone]
+
+    def add_engine(self, kind, zone, layers=None, address=None):
+        """Start the process of an engine and return it."""
+        self._engine_count += 1
+        number = self._engine_count
+        record = TargetRecord(
+            identity=f"engine-{number}",
+            service=SERVICE,
+            address=address or f"10.0.{number // 200}.{number % 200}:80",
+            zone=zone,
+            slots=PROFILE.slots,
+            kind=kind,
+            layers=layers,
+            is_placeable=True,
+            born_ms=round(self.loop.time() * 1000) + 1,
+        )
+        engine = Engine(self.site, record)
+        self.engines.append(engine)
+        self.site.network.attach(engine)
+        self.site.registry.publish(engine)
+        return engine
+
+    def crash_engine(self, engine, is_silent=False):
+        """End the process of an engine without warning."""
+        self.engines.remove(engine)
+        engine.crash(is_silent)
+        self.site.registry.remove_expired(engine)
+
+    def restart_engine(self, engine):
+        """Start a new, empty process in place of one that has ended."""
+        record = engine.record
+        self.site.network.detach(engine)
+        self.add_engine(record.kind, record.zone, address=record.address)
+
+    def stop_engine(self, engine):
+        """End the process of an engine that was drained."""
+        if engine in self.engines:
+            self.engines.remove(engine)
+            self.site.registry.remove(engine)
+            engine.crash(is_silent=False)
+
+    def start_hosts(self):
+        """Start all hosts; the first one places layers."""
+        self._incarnation += 1
+        zones = self._scenario.zone_names
+        for number in range(self._scenario.hosts):
+            host = EmulatedHost(
+                self.site,
+                self._peers,
+                f"host-{number:03d}",
+                zones[number % len(zones)],
+                self._policy,
+                self._table,
+                self._scenario.seed * 1000 + number,
+            )
+            host.start(self._incarnation)
+            self.hosts.append(host)
+        self.hosts[0].election.is_holder = True
+
+    def stop_hosts(self):
+        """End the processes of all hosts without warning."""
+        for host in self.hosts:
+            host.stop()
+        self.hosts.clear()
+
+    async def _run(self):
+        self._start_engines()
+        self.start_hosts()
+        reports = self.loop.create_task(self._update_reports())
+        self._pattern.disturb(self)
+        callers = [
+            self.loop.create_task(self._send(request))
+            for request in self._plan()
+        ]
+        try:
+            return await asyncio.gather(*callers)
+        finally:
+            reports.cancel()
+            self._check_tasks()
+            self.stop_hosts()
+            await asyncio.sleep(0)
+
+    def _check_tasks(self):
+        for host in self.hosts:
+            host.check_tasks()
+
+    def _plan(self):
+        workload = Workload(
+            classes=CLASSES,
+            customers=self._pattern.make_customers(),
+            zones=self._scenario.zone_names,
+            requests_per_second=(
+                self._pattern.load * self.capacity.requests_per_second
+            ),
+            seconds=self._scenario.seconds - START_SECONDS,
+        )
+        requests = plan_requests(
+            workload,
+            lambda at, kind, customer: self._pattern.factor(
+                START_SECONDS + at, kind, customer
+            ),
+            self._scenario.seed,
+        )
+        for request in requests:
+            request.at += START_SECONDS
+        return requests
+
+    async def _send(self, request):
+        await asyncio.sleep(request.at - self.loop.time())
+        while not self.hosts:
+            await asyncio.sleep(0.05)
+        caller = self._pattern.make_caller(self, request)
+        return await caller.run()
+
+    def _start_engines(self):
+        """Start all engines with the layers of the product's first layout."""
+        zones = self._scenario.zone_names
+        for number in range(self._scenario.targets):
+            kind = KIND_ORDER[number // len(zones) % len(KIND_ORDER)]
+            self.add_engine(kind, zones[number % len(zones)])
+        records = [engine.record for engine in self.engines]
+        layers = {
+            order.identity: order.layers
+            for order in choose_orders(records, PROFILE)
+        }
+        for engine in self.engines:
+            engine.record = msgspec.structs.replace(
+                engine.record, layers=layers.get(engine.identity)
+            )
+            self.site.registry.publish(engine)
+        self.capacity = estimate_capacity(
+            [engine.record for engine in self.engines], PROFILE
+        )
+
+    async def _update_reports(self):
+        while True:
+            for engine in self.engines:
+                engine.update_report()
+            await asyncio.sleep(REPORT_PERIOD_SECONDS)
+
+
+def make_table(customers):
+    """Return the `RouteTable` of the emulated deployment."""
+    routes = [
+        Route(
+            name=kind.name,
+            host=HOST_NAME,
+            prefix=f"/{kind.name}/",
+            repeat=RepeatPolicy.STREAM,
+            shares=(ServiceShare(SERVICE, 1.0),),
+            timeout_seconds=kind.timeout_seconds,
+            objective_seconds=kind.objective_seconds,
+            pause_seconds=kind.pause_seconds,
+            priority=kind.priority,
+            max_attempts=MAX_ATTEMPTS,
+            is_resumable=True,
+        )
+        for kind in CLASSES
+    ]
+    return RouteTable(
+        revision=1,
+        version=1,
+        routes=routes,
+        services=[Service(name=SERVICE, engine=PROFILE)],
+        customers=[
+            Customer(name=c.name, keys=frozenset([c.name])) for c in customers
+        ],
+    )
