--- a/measure/emulator/_caller.py
+++ b/measure/emulator/_caller.py
@@ -231,9 +231,9 @@
         """Send the request once; return the `CallerExchange`."""
         request_id = f"{self.request.number}-{self.result.attempts}"
         self._simulation.site.declare(request_id, self.request.size)
+        host = await self._simulation.connect(self.request)
         now = self._loop.time()
         exchange = CallerExchange(self.result, self._loop.time)
-        host = self._simulation.host_for(self.request)
         headers = self._headers(request_id, now)
         path = f"/{self.request.request_class.name}/".encode()
         request = Request(b"POST", path, headers, b"", now)
--- a/measure/emulator/_patterns.py
+++ b/measure/emulator/_patterns.py
@@ -64,6 +64,7 @@
 
     name = "class-burst"
     about = "the standard class sends four times its usual for 4 s"
+    load = 0.8
     end_seconds = DISTURBED_AT_SECONDS + 4.0
 
     def factor(self, at, request_class, customer):
@@ -80,14 +81,18 @@
     """One customer sends many times its usual."""
 
     name = "customer-surge"
-    about = "one of ten customers sends 7.5 times its usual for 8 s"
-    load = 0.75
+    about = "one of ten customers sends 7.5 times its usual for 6 s"
+    load = 0.9
     customer = "customer-0"
+    end_seconds = DISTURBED_AT_SECONDS + 6.0
+
+    def make_customers(self):
+        """Return customers of which the first sends more than the others."""
+        return make_customers(first_share=0.15)
 
     def factor(self, at, request_class, customer):
         """Return 7.5 for one customer during the surge, else 1."""
-        begin = DISTURBED_AT_SECONDS
-        is_surge = begin <= at < begin + 8.0
+        is_surge = DISTURBED_AT_SECONDS <= at < self.end_seconds
         is_surging = is_surge and customer.name == self.customer
         return SURGE_FACTOR if is_surging else 1.0
 
@@ -100,12 +105,13 @@
 
     name = "eager-callers"
     about = "the load is doubled for 4 s; 3 in 10 callers return at once"
-    load = 0.7
+    load = 0.9
+    end_seconds = DISTURBED_AT_SECONDS + 4.0
 
     def factor(self, at, request_class, customer):
         """Return 2 during the overload, else 1."""
-        begin = DISTURBED_AT_SECONDS
-        return 2.0 if begin <= at < begin + 4.0 else 1.0
+        is_overload = DISTURBED_AT_SECONDS <= at < self.end_seconds
+        return 2.0 if is_overload else 1.0
 
     def make_caller(self, simulation, request):
         """Return an `EagerCaller` for 3 in 10 requests."""
@@ -180,28 +186,34 @@
 
 
 class SlowPipes(Pattern):
-    """The pipes between zones carry much less."""
+    """The pipes between zones carry less while a zone lacks layers."""
 
     name = "slow-pipes"
-    about = "transfers between zones take 30 times as long for 6 s"
+    about = "transfers between zones take 30 times as long; a zone has a gap"
     load = 0.5
+    slowdown = 30.0
+    gap_at_seconds = DISTURBED_AT_SECONDS + 1.0
 
     def disturb(self, simulation):
-        """Schedule the slow-down and its end."""
+        """Schedule the slow-down, its end and the gap."""
         begin = DISTURBED_AT_SECONDS
-        simulation.at(begin, self._set_slowdown, simulation, 30.0)
+        simulation.at(begin, self._set_slowdown, simulation, self.slowdown)
         simulation.at(begin + 6.0, self._set_slowdown, simulation, 1.0)
+        simulation.at(self.gap_at_seconds, self._make_gap, simulation)
 
     def _set_slowdown(self, simulation, slowdown):
         simulation.site.network.pipe.slowdown = slowdown
 
+    def _make_gap(self, simulation):
+        simulation.crash_engine(simulation.engines[0], is_silent=True)
+
 
 class EngineTurnover(Pattern):
     """Engines are drained and added while the load is high."""
 
     name = "engine-turnover"
-    about = "at 0.8 of the capacity, an engine in 8 leaves and as many join"
-    load = 0.8
+    about = "at full load, an engine in 8 leaves and as many join"
+    load = 0.9
     drain_seconds = 4.0
 
     def disturb(self, simulation):
@@ -226,7 +238,7 @@
 
 
 class StoreOutage(Pattern):
-    """A third of the hosts lose the store while engines come and go."""
+    """A third of the hosts lose the store while engines start anew."""
 
     name = "store-outage"
     about = "a third of the hosts lose the store for 6 s; 2 engines crash"
@@ -263,8 +275,9 @@
 
     name = "hot-prompt"
     about = "a quarter of all requests have one prompt; overload for 4 s"
-    load = 0.7
+    load = 0.9
     customer = "customer-0"
+    end_seconds = DISTURBED_AT_SECONDS + 4.0
 
     def make_customers(self):
         """Return customers of which the first sends a quarter."""
@@ -272,8 +285,8 @@
 
     def factor(self, at, request_class, customer):
         """Return 2 during the overload, else 1."""
-        begin = DISTURBED_AT_SECONDS
-        return 2.0 if begin <= at < begin + 4.0 else 1.0
+        is_overload = DISTURBED_AT_SECONDS <= at < self.end_seconds
+        return 2.0 if is_overload else 1.0
 
     def make_caller(self, simulation, request):
         """Return a caller; those of the first customer share a prompt."""
--- a/measure/emulator/_simulation.py
+++ b/measure/emulator/_simulation.py
@@ -33,6 +33,7 @@
 # Time in which hosts meet before the first request.
 START_SECONDS = 1.0
 REPORT_PERIOD_SECONDS = 0.2
+CONNECT_RETRY_SECONDS = 0.05
 # Targets that may run one stream after another before it counts as served.
 MAX_ATTEMPTS = 2
 
@@ -105,8 +106,13 @@
             asyncio.set_event_loop(None)
             self.loop.close()
 
-    def host_for(self, request):
-        """Return a random host, if possible of the request's zone."""
+    async def connect(self, request):
+        """Return a random host, if possible of the request's zone.
+
+        As long as no host runs, the caller tries again.
+        """
+        while not self.hosts:
+            await asyncio.sleep(CONNECT_RETRY_SECONDS)
         near = [h for h in self.hosts if h.zone == request.zone]
         return self.random.choice(near or self.hosts)
 
@@ -226,8 +232,6 @@
 
     async def _send(self, request):
         await asyncio.sleep(request.at - self.loop.time())
-        while not self.hosts:
-            await asyncio.sleep(0.05)
         caller = self._pattern.make_caller(self, request)
         return await caller.run()
 
