Recheck the streams of a target in the order in which they began

Cause: the attempts of a target were a set, so the order of their checks after a loss differed from run to run. Change: a dictionary keeps them in order.

--- a/apricotseam/forwarding/_active_streams.py
+++ b/apricotseam/forwarding/_active_streams.py
@@ -4,15 +4,19 @@
 
 
 class ActiveStreams:
-    """Stream attempts in progress, by identity of the targets they use."""
+    """Stream attempts in progress, by identity of the targets they use.
+
+    The attempts of a target are kept in the order in which they began, so
+    that they are rechecked in that order.
+    """
 
     def __init__(self):
-        self._by_target = collections.defaultdict(set)
+        self._by_target = collections.defaultdict(dict)
 
     def add(self, attempt, identities):
         """Register an attempt under each target that it uses."""
         for identity in identities:
-            self._by_target[identity].add(attempt)
+            self._by_target[identity][attempt] = None
 
     def remove(self, attempt, identities):
         """Remove an attempt from each of these targets."""
@@ -20,7 +24,7 @@
             attempts = self._by_target.get(identity)
             if attempts is None:
                 continue
-            attempts.discard(attempt)
+            attempts.pop(attempt, None)
             if not attempts:
                 del self._by_target[identity]
 
