Add a command that plays a pattern beside the baseline

Cause: the emulator could only be used from Python. Change: python -m measure emulate PATTERN with sizes, seeds and plays.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -129,6 +129,61 @@
         print(path)
 
 
+def emulate(
+    pattern,
+    *,
+    hosts=6,
+    targets=18,
+    zones=3,
+    seconds=16.0,
+    seed=1,
+    plays=1,
+    load=0.0,
+):
+    """Play a pattern on emulated engines, beside a baseline.
+
+    The baseline serves in the order of arrival, on random chains. The
+    results of all plays are added up.
+
+    Parameters
+    ----------
+    pattern : str
+        Name of the pattern; ``list`` lists them.
+    hosts : int
+        Number of hosts.
+    targets : int
+        Number of engines.
+    zones : int
+        Number of availability zones, over which both are spread.
+    seconds : float
+        Simulated time during which requests are sent.
+    seed : int
+        Seed of the first play; each further one adds 1.
+    plays : int
+        Number of plays.
+    load : float
+        Usual load as a fraction of the capacity; 0 for the pattern's own.
+    """
+    from measure import emulator
+
+    if pattern == "list":
+        for found in emulator.PATTERNS.values():
+            print(f"{found.name}: {found.about}")
+        return
+    scenarios = [
+        emulator.Scenario(
+            hosts=hosts,
+            targets=targets,
+            zones=zones,
+            seconds=seconds,
+            seed=seed + number,
+        )
+        for number in range(plays)
+    ]
+    for line in emulator.compare_policies(pattern, scenarios, load):
+        _print_line(line)
+
+
 def _print_line(line):
     print(line, flush=True)
 
@@ -142,6 +197,7 @@
         "tables": tables,
         "capacity": capacity,
         "report": report,
+        "emulate": emulate,
     }
     try:
         result = defopt.run(
--- a/measure/emulator/__init__.py
+++ b/measure/emulator/__init__.py
@@ -8,6 +8,7 @@
 
 from measure.emulator._caller import Outcome
 from measure.emulator._caller import Result
+from measure.emulator._compare import compare_policies
 from measure.emulator._patterns import Pattern
 from measure.emulator._patterns import PATTERNS
 from measure.emulator._policy import BaselinePolicy
@@ -35,6 +36,7 @@
     "Simulation",
     "by_class",
     "by_customer",
+    "compare_policies",
     "count_results",
     "format_report",
     "sent_between",
--- a/measure/emulator/_engine.py
+++ b/measure/emulator/_engine.py
@@ -6,12 +6,12 @@
 
 from apricotseam.platform import Placement
 from apricotseam.platform import REPORT_PATH
-from apricotseam.platform import StalledRequest
-from apricotseam.platform import TargetReport
 from apricotseam.platform.standins import decode_forwarded_request
 from apricotseam.platform.standins import decode_order
 from apricotseam.platform.standins import encode_report
 from apricotseam.platform.standins import not_run_headers
+from apricotseam.platform import StalledRequest
+from apricotseam.platform import TargetReport
 from measure.emulator._memory import TokenMemory
 from measure.emulator._passes import PassRunner
 from measure.emulator._stream import EngineStream
--- a/measure/emulator/_passes.py
+++ b/measure/emulator/_passes.py
@@ -101,7 +101,8 @@
         for job, tokens in parts:
             pairs = tokens * (job.done + tokens / 2.0)
             read_ms = (
-                tokens * MILLISECONDS_PER_SECOND
+                tokens
+                * MILLISECONDS_PER_SECOND
                 / profile.read_tokens_per_second
                 + pairs / 1e6 * profile.read_ms_per_million_pairs
             )
--- a/measure/emulator/_policy.py
+++ b/measure/emulator/_policy.py
@@ -3,10 +3,10 @@
 import abc
 
 from apricotseam.chains import ChainStage
+from apricotseam.chains import Holder
 from apricotseam.fleet import LayerRange
 from apricotseam.forwarding import RequestQueue
 from apricotseam.forwarding import TargetSelector
-from apricotseam.chains import Holder
 
 
 class Policy(abc.ABC):
--- a/measure/emulator/_report.py
+++ b/measure/emulator/_report.py
@@ -53,6 +53,17 @@
     )
 
 
+def add_figures(plays):
+    """Return the sums of the `Figures` of plays, and their worst window."""
+    sums = {
+        field: sum(getattr(figures, field) for figures in plays)
+        for field in Figures.__struct_fields__
+        if field != "worst_window"
+    }
+    worst = min(figures.worst_window for figures in plays)
+    return Figures(worst_window=worst, **sums)
+
+
 def by_class(results):
     """Return lists of results by name of the request class."""
     return _group(results, lambda request: request.request_class.name)
@@ -68,35 +79,42 @@
     return [r for r in results if begin <= r.request.at < end]
 
 
-def format_report(results_by_policy):
+def format_report(plays_by_policy):
     """Return a report as lines of text.
 
     Parameters
     ----------
-    results_by_policy : dict of str to list of Result
-        Results of the same play by name of the policy.
+    plays_by_policy : dict of str to list of list of Result
+        Results of each play by name of the policy.
     """
-    header = (
+    lines = [
         f"{'':24}{'policy':10}{'sent':>6}{'on time':>9}{'late':>6}"
         f"{'refused':>9}{'failed':>8}{'again':>7}{'worst 2 s':>11}"
-    )
-    lines = [header]
-    groups = {"all": lambda results: {"all": results}}
-    groups["class"] = by_class
-    groups["customer"] = by_customer
-    for group in groups.values():
+    ]
+    for group in (_all, by_class, by_customer):
         grouped = {
-            policy: group(results)
-            for policy, results in results_by_policy.items()
+            policy: [group(results) for results in plays]
+            for policy, plays in plays_by_policy.items()
         }
-        names = sorted({name for found in grouped.values() for name in found})
-        for name in names:
-            for policy, found in grouped.items():
-                figures = count_results(found.get(name, []))
+        names = {
+            name
+            for plays in grouped.values()
+            for found in plays
+            for name in found
+        }
+        for name in sorted(names):
+            for policy, plays in grouped.items():
+                figures = add_figures(
+                    [count_results(found.get(name, [])) for found in plays]
+                )
                 lines.append(_format_row(name, policy, figures))
     return lines
 
 
+def _all(results):
+    return {"all": results}
+
+
 def _format_row(name, policy, figures):
     return (
         f"{name:24}{policy:10}{figures.requests:6}{figures.on_time:9}"
--- a/measure/emulator/_stream.py
+++ b/measure/emulator/_stream.py
@@ -140,10 +140,11 @@
         """
         self.epoch += 1
         self.stalled_on = None
-        known = {engine for engine, _ in self.parts}
-        wanted = {engine for engine, _ in parts}
-        for engine in known - wanted:
-            engine.memory.give_back(self)
+        known = [engine for engine, _ in self.parts]
+        wanted = [engine for engine, _ in parts]
+        for engine in known:
+            if engine not in wanted:
+                engine.memory.give_back(self)
         self.parts = parts
         self._take_memory()
         added = [part for part in parts if part[0] not in known]
--- a/measure/emulator/_workload.py
+++ b/measure/emulator/_workload.py
@@ -120,9 +120,7 @@
     count = generator.poisson(rate * highest * seconds)
     times = generator.uniform(0.0, seconds, count)
     kept = generator.uniform(0.0, highest, count)
-    return [
-        float(at) for at, level in zip(times, kept) if level < factor(at)
-    ]
+    return [float(at) for at, level in zip(times, kept) if level < factor(at)]
 
 
 def _draw_request(generator, number, draft, zones):
