--- a/measure/emulator/_engine.py
+++ b/measure/emulator/_engine.py
@@ -6,11 +6,11 @@
 
 from apricotseam.platform import Placement
 from apricotseam.platform import REPORT_PATH
+from apricotseam.platform import StalledRequest
 from apricotseam.platform.standins import decode_forwarded_request
 from apricotseam.platform.standins import decode_order
 from apricotseam.platform.standins import encode_report
 from apricotseam.platform.standins import not_run_headers
-from apricotseam.platform import StalledRequest
 from apricotseam.platform import TargetReport
 from measure.emulator._memory import TokenMemory
 from measure.emulator._passes import PassRunner
