Let a request that was refused before wait for room

Cause: a caller that returned after a refusal was refused again if no chain had room within 0.39 s, counted as for a new request, although its answer was late already. Change: it may wait for 1.5 s; callers leave after two.

--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -20,6 +20,9 @@
 MAX_ATTEMPTS = 5
 # How long an interrupted stream may wait for capacity to continue.
 RESUME_WAIT_SECONDS = 0.8
+# How long a request that was refused before may wait. It is late already, and
+# callers give up after two seconds.
+RETURN_WAIT_SECONDS = 1.5
 # Time for which a target that refused a request gets no others.
 REFUSED_PAUSE_SECONDS = 0.25
 MIN_RETRY_AFTER_SECONDS = 0.3
@@ -123,6 +126,8 @@
         now = asyncio.get_running_loop().time()
         if call.exchange.is_started:
             return min(call.deadline, now + RESUME_WAIT_SECONDS)
+        if self._context.request_queue.was_refused_before(call):
+            return min(call.deadline, now + RETURN_WAIT_SECONDS)
         wait_seconds = WAIT_FRACTION * call.route.objective_seconds
         return min(call.deadline, call.request.received_at + wait_seconds)
 
