Expect only the wait behind requests that precede

Cause: an urgent request was refused if the whole queue, with less urgent requests, was too long for it. Change: the expected wait counts the queued requests that precede a rank.

--- a/apricotseam/forwarding/_request_queue.py
+++ b/apricotseam/forwarding/_request_queue.py
@@ -53,21 +53,31 @@
             call.request.received_at,
         )
 
-    def expected_wait_seconds(self):
-        """Return the expected wait of a new request, in seconds.
+    def expected_wait_seconds(self, rank=None):
+        """Return the expected wait of a request, in seconds.
 
         If no request has completed within the window, its length is returned.
+
+        Parameters
+        ----------
+        rank : tuple, optional
+            Its sort key, from `rank`. By default the request is the last.
         """
+        preceding = len(self._queue)
+        if rank is not None:
+            preceding = sum(entry[0] <= rank for entry in self._queue)
+        rate = self._completions_per_second()
+        return (preceding + 1) / rate if rate else RATE_WINDOW_SECONDS
+
+    def _completions_per_second(self):
+        """Return the rate of completions within the window."""
         now = self._now()
         while (
             self._completions
             and self._completions[0] < now - RATE_WINDOW_SECONDS
         ):
             self._completions.popleft()
-        if not self._completions:
-            return RATE_WINDOW_SECONDS
-        rate = len(self._completions) / RATE_WINDOW_SECONDS
-        return (len(self._queue) + 1) / rate
+        return len(self._completions) / RATE_WINDOW_SECONDS
 
     async def wait(self, rank, until):
         """Wait until woken; return whether that happened in time.
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -98,7 +98,7 @@
             self._choose_now(call) if request_queue.is_first(rank) else None
         )
         until = self._wait_deadline(call)
-        while choice is None and self._should_wait(call, until):
+        while choice is None and self._should_wait(call, rank, until):
             started_at = loop.time()
             has_turn = await request_queue.wait(rank, until)
             call.waited_seconds += loop.time() - started_at
@@ -131,7 +131,7 @@
         wait_seconds = WAIT_FRACTION * call.route.objective_seconds
         return min(call.deadline, call.request.received_at + wait_seconds)
 
-    def _should_wait(self, call, until):
+    def _should_wait(self, call, rank, until):
         """Return whether to wait for capacity until a loop time in seconds.
 
         No request waits unless a chain covers all layers. A new request waits
@@ -145,9 +145,8 @@
             return False
         if call.exchange.is_started:
             return True
-        return (
-            now + self._context.request_queue.expected_wait_seconds() <= until
-        )
+        request_queue = self._context.request_queue
+        return now + request_queue.expected_wait_seconds(rank) <= until
 
     def _retry_after(self, call):
         """Record a refusal; return the suggested retry delay in seconds."""
