Let refused requests return one after another

Cause: each refusal asked for the same short delay, so that those refused in an overload returned together and early, and were refused again. Change: each refusal reserves its own time of return, at three tenths of the rate at which this host's requests complete.

--- a/apricotseam/forwarding/_request_queue.py
+++ b/apricotseam/forwarding/_request_queue.py
@@ -13,6 +13,9 @@
 # before new requests.
 REFUSAL_MEMORY_SECONDS = 12.0
 MAX_REMEMBERED_REFUSALS = 2000
+# Refused requests are asked to return at this fraction of the rate of
+# completions, which leaves room for new ones.
+RETURN_RATE_SHARE = 0.3
 
 
 class RequestQueue:
@@ -33,6 +36,8 @@
         self._recent_refusals = collections.deque(
             maxlen=MAX_REMEMBERED_REFUSALS
         )
+        # Time at which the last of the refused requests should return.
+        self._last_return_at = 0.0
 
     def __len__(self):
         return len(self._queue)
@@ -79,6 +84,19 @@
             self._completions.popleft()
         return len(self._completions) / RATE_WINDOW_SECONDS
 
+    def reserve_return_seconds(self):
+        """Return after how many seconds a refused request should return.
+
+        Those that are refused one after another return one after another.
+        """
+        now = self._now()
+        rate = RETURN_RATE_SHARE * self._completions_per_second()
+        if not rate:
+            return RATE_WINDOW_SECONDS
+        return_at = max(now, self._last_return_at) + 1.0 / rate
+        self._last_return_at = return_at
+        return return_at - now
+
     async def wait(self, rank, until):
         """Wait until woken; return whether that happened in time.
 
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -152,7 +152,7 @@
         """Record a refusal; return the suggested retry delay in seconds."""
         request_queue = self._context.request_queue
         request_queue.record_refusal(call)
-        wait = request_queue.expected_wait_seconds()
+        wait = request_queue.reserve_return_seconds()
         return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait))
 
     async def _attempt(self, call, choice):
