--- a/apricotseam/forwarding/_request_queue.py
+++ b/apricotseam/forwarding/_request_queue.py
@@ -13,6 +13,9 @@
 # before new requests.
 REFUSAL_MEMORY_SECONDS = 12.0
 MAX_REMEMBERED_REFUSALS = 2000
+# Refused requests are asked to return at this fraction of the rate of
+# completions, which leaves room for new ones.
+RETURN_RATE_SHARE = 0.3
 
 
 class RequestQueue:
@@ -33,6 +36,8 @@
         self._recent_refusals = collections.deque(
             maxlen=MAX_REMEMBERED_REFUSALS
         )
+        # Time at which the last of the refused requests should return.
+        self._last_return_at = 0.0
 
     def __len__(self):
         return len(self._queue)
@@ -53,21 +58,44 @@
             call.request.received_at,
         )
 
-    def expected_wait_seconds(self):
-        """Return the expected wait of a new request, in seconds.
+    def expected_wait_seconds(self, rank=None):
+        """Return the expected wait of a request, in seconds.
 
         If no request has completed within the window, its length is returned.
+
+        Parameters
+        ----------
+        rank : tuple, optional
+            Its sort key, from `rank`. By default the request is the last.
         """
+        preceding = len(self._queue)
+        if rank is not None:
+            preceding = sum(entry[0] <= rank for entry in self._queue)
+        rate = self._completions_per_second()
+        return (preceding + 1) / rate if rate else RATE_WINDOW_SECONDS
+
+    def _completions_per_second(self):
+        """Return the rate of completions within the window."""
         now = self._now()
         while (
             self._completions
             and self._completions[0] < now - RATE_WINDOW_SECONDS
         ):
             self._completions.popleft()
-        if not self._completions:
+        return len(self._completions) / RATE_WINDOW_SECONDS
+
+    def reserve_return_seconds(self):
+        """Return after how many seconds a refused request should return.
+
+        Those that are refused one after another return one after another.
+        """
+        now = self._now()
+        rate = RETURN_RATE_SHARE * self._completions_per_second()
+        if not rate:
             return RATE_WINDOW_SECONDS
-        rate = len(self._completions) / RATE_WINDOW_SECONDS
-        return (len(self._queue) + 1) / rate
+        return_at = max(now, self._last_return_at) + 1.0 / rate
+        self._last_return_at = return_at
+        return return_at - now
 
     async def wait(self, rank, until):
         """Wait until woken; return whether that happened in time.
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -20,6 +20,9 @@
 MAX_ATTEMPTS = 5
 # How long an interrupted stream may wait for capacity to continue.
 RESUME_WAIT_SECONDS = 0.8
+# How long a request that was refused before may wait. It is late already, and
+# callers give up after two seconds.
+RETURN_WAIT_SECONDS = 1.5
 # Time for which a target that refused a request gets no others.
 REFUSED_PAUSE_SECONDS = 0.25
 MIN_RETRY_AFTER_SECONDS = 0.3
@@ -108,7 +111,7 @@
         if call.exchange.is_started or request_queue.is_first(rank):
             choice = self._choose_now(call)
         until = self._wait_deadline(call)
-        while choice is None and self._should_wait(call, until):
+        while choice is None and self._should_wait(call, rank, until):
             started_at = loop.time()
             has_turn = await request_queue.wait(rank, until)
             call.waited_seconds += loop.time() - started_at
@@ -139,10 +142,12 @@
         now = asyncio.get_running_loop().time()
         if call.exchange.is_started:
             return min(call.deadline, now + RESUME_WAIT_SECONDS)
+        if self._context.request_queue.was_refused_before(call):
+            return min(call.deadline, now + RETURN_WAIT_SECONDS)
         wait_seconds = WAIT_FRACTION * call.route.objective_seconds
         return min(call.deadline, call.request.received_at + wait_seconds)
 
-    def _should_wait(self, call, until):
+    def _should_wait(self, call, rank, until):
         """Return whether to wait for capacity until a loop time in seconds.
 
         No request waits unless a chain covers all layers. A new request waits
@@ -156,15 +161,14 @@
             return False
         if call.exchange.is_started:
             return True
-        return (
-            now + self._context.request_queue.expected_wait_seconds() <= until
-        )
+        request_queue = self._context.request_queue
+        return now + request_queue.expected_wait_seconds(rank) <= until
 
     def _retry_after(self, call):
         """Record a refusal; return the suggested retry delay in seconds."""
         request_queue = self._context.request_queue
         request_queue.record_refusal(call)
-        wait = request_queue.expected_wait_seconds()
+        wait = request_queue.reserve_return_seconds()
         return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait))
 
     async def _record_result(self, attempt, running):
