--- a/measure/emulator/_caller.py
+++ b/measure/emulator/_caller.py
@@ -145,7 +145,7 @@
             if name.lower() == RETRY_AFTER_HEADER:
                 self.retry_after = float(value)
 
-    async def write(self, data):
+    async def write(self, data, deadline=None):
         """Receive one event."""
         self.progress_at = self._now()
         number = int(data[4 : data.index(b"\n")])
