End an answer that fails in the program with an error event

Seen by callers of the product's own runtime: an answer is cut without a word when the runner raises an error of no typed kind.

--- a/apricotseam/callers/_completions.py
+++ b/apricotseam/callers/_completions.py
@@ -1,6 +1,7 @@
 """Chat completions: request validation and streamed answers."""
 
 import hashlib
+import logging
 import uuid
 
 import msgspec
@@ -9,6 +10,7 @@
 from apricotseam.callers._resume import Resumption
 from apricotseam.callers._work import build_work
 from apricotseam.errors import ApricotseamError
+from apricotseam.errors import FailedError
 from apricotseam.errors import unknown_name
 from apricotseam.errors import UnknownNameError
 from apricotseam.pipelines import StreamPlan
@@ -18,6 +20,8 @@
 from apricotseam.web import error_body
 from apricotseam.web import Response
 
+_LOG = logging.getLogger(__name__)
+
 EVENT_STREAM_TYPE = "text/event-stream"
 DONE_EVENT = b"data: [DONE]\n\n"
 # Average for estimating the length of a prompt in tokens from its bytes.
@@ -200,12 +204,23 @@
             yield _token_event(plan, model, token)
         yield DONE_EVENT
     except ApricotseamError as error:
-        body = msgspec.json.encode({"error": error_body(error)})
-        yield b"event: error\ndata: " + body + b"\n\n"
+        yield _error_event(error)
+    except Exception:
+        _LOG.exception("answer_failed", extra={"stream": plan.stream})
+        yield _error_event(
+            FailedError(
+                "an internal error", "resume the answer after its last event"
+            )
+        )
     finally:
         tokens.close()
 
 
+def _error_event(error):
+    body = msgspec.json.encode({"error": error_body(error)})
+    return b"event: error\ndata: " + body + b"\n\n"
+
+
 def _token_event(plan, model, token):
     choice = {
         "index": 0,
