Shut a host down gracefully when a component gives up

Seen by callers of the product's own runtime: all answers in progress are cut when the membership, the peers' or the callers' listener fails for good.

Change: only the failure of the component that performs the shutdown ends the process at once.

--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -49,8 +49,6 @@
 
 MS_PER_SECOND = 1000
 STOP_CHECK_SECONDS = 0.2
-# The process exits at once if one of these fails too often.
-ESSENTIAL_CHILDREN = ("callers", "leaving", "membership", "peers")
 
 
 class EntryHost:
@@ -111,7 +109,7 @@
         self._shutdown.request()
 
     def wait(self):
-        """Wait until the shutdown is over or an essential child failed."""
+        """Wait until the shutdown is over or the child that performs it failed."""
         while not self._stopped.wait(STOP_CHECK_SECONDS):
             pass
 
@@ -317,5 +315,5 @@
     def _on_child_failed(self, name):
         self._failed.set()
         self.request_stop()
-        if name in ESSENTIAL_CHILDREN:
+        if name == ShutdownChild.name:
             self._stopped.set()
