--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -109,7 +109,7 @@
         self._shutdown.request()
 
     def wait(self):
-        """Wait until the shutdown is over or the child that performs it failed."""
+        """Wait until the shutdown is over or its component failed."""
         while not self._stopped.wait(STOP_CHECK_SECONDS):
             pass
 
