Treat what targets say of themselves as the newest word on them

Change: the header of a leaving target and the Retry-After of a 503 are recorded by process as soon as a head is read, for requests, probes, reports and orders. Such a target is chosen for nothing new; a choice that was made before is checked again right before the request is sent. Peers and other availability zones hear of leaving targets with the states that hosts send anyway. Calls that only a resting target could serve are refused with the end of the first rest that matters, spread.

--- a/apricotseam/fleet/__init__.py
+++ b/apricotseam/fleet/__init__.py
@@ -1,9 +1,21 @@
 """State and health of the targets, as seen by one host."""
 
+from apricotseam.fleet._announcements import Announcements
+from apricotseam.fleet._announcements import LeavingSource
+from apricotseam.fleet._announcements import MAX_REST_SECONDS
 from apricotseam.fleet._fleet import Fleet
 from apricotseam.fleet._health import Health
 from apricotseam.fleet._target import LayerRange
 from apricotseam.fleet._target import Target
 from apricotseam.fleet._target import TargetRecord
 
-__all__ = ["Fleet", "Health", "LayerRange", "Target", "TargetRecord"]
+__all__ = [
+    "Announcements",
+    "Fleet",
+    "Health",
+    "LayerRange",
+    "LeavingSource",
+    "MAX_REST_SECONDS",
+    "Target",
+    "TargetRecord",
+]
--- a/apricotseam/fleet/_fleet.py
+++ b/apricotseam/fleet/_fleet.py
@@ -3,6 +3,8 @@
 import collections
 import logging
 
+from apricotseam.fleet._announcements import Announcements
+from apricotseam.fleet._announcements import LeavingSource
 from apricotseam.fleet._target import Target
 
 _LOG = logging.getLogger(__name__)
@@ -10,6 +12,8 @@
 # Targets whose entries expired while the store was unreachable register again
 # within this time.
 REMOVAL_GRACE_SECONDS = 2.0
+# Processes whose announcements are kept, also while they are not listed.
+MAX_REMEMBERED_PROCESSES = 1000
 
 
 class Fleet:
@@ -27,6 +31,8 @@
         self._targets = {}
         self._by_service = collections.defaultdict(dict)
         self._by_address = {}
+        # `Announcements` by incarnation, the oldest first.
+        self._announcements = collections.OrderedDict()
         self._on_end = on_end or (lambda target: None)
         self._on_drain = on_drain or (lambda target: None)
         # Number of changes so far; readers compare it to detect new ones.
@@ -70,6 +76,7 @@
             known.is_present = True
             self._link(known)
             if accepted_requests and not known.accepts_requests:
+                _log_leaving(known.identity, LeavingSource.STORE, 0.0)
                 self._on_drain(known)
             return
         if known is not None:
@@ -87,7 +94,96 @@
                 "born_ms": record.born_ms,
             },
         )
-        self._link(Target(record))
+        announcements = self._announcements.get(record.incarnation)
+        self._link(Target(record, announcements))
+
+    def record_leaving(self, incarnation, source, now, age_seconds=0.0):
+        """Record that a target process announced that it leaves.
+
+        It holds for this process, whatever its record says later, also if
+        the process is not listed yet or listed again.
+
+        Parameters
+        ----------
+        incarnation : tuple
+            `Target.incarnation` of the process.
+        source : LeavingSource
+            Where this host learned it.
+        now : float
+            Monotonic time in seconds.
+        age_seconds : float
+            Time since the announcement, as far as known.
+
+        Returns
+        -------
+        bool
+            Whether it was not known before.
+        """
+        announcements = self._find_announcements(incarnation)
+        if announcements.is_leaving:
+            return False
+        target = self._find_process(incarnation)
+        accepted_requests = target is not None and target.accepts_requests
+        announcements.record_leaving(source, now - age_seconds)
+        _log_leaving(incarnation[0], source, age_seconds)
+        if target is not None:
+            self.changes += 1
+        if accepted_requests:
+            self._on_drain(target)
+        return True
+
+    def record_rest(self, incarnation, seconds, now):
+        """Record that a process wants no requests from this host.
+
+        Parameters
+        ----------
+        incarnation : tuple
+            `Target.incarnation` of the process.
+        seconds : float
+            How long it wants none; see `Announcements.record_rest`.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        float or None
+            Monotonic time in seconds at which its rest ends, None if that
+            was known before.
+        """
+        announcements = self._find_announcements(incarnation)
+        was_resting = announcements.is_resting(now)
+        if not announcements.record_rest(seconds, now):
+            return None
+        if not was_resting:
+            _LOG.info(
+                "target_resting",
+                extra={
+                    "target": incarnation[0],
+                    "source": str(LeavingSource.OWN_ANSWER),
+                    "age_seconds": 0.0,
+                    "seconds": round(announcements.rests_until - now, 3),
+                },
+            )
+        return announcements.rests_until
+
+    def _find_process(self, incarnation):
+        """Return the target with an incarnation, or None."""
+        target = self._targets.get(incarnation[0])
+        if target is None or target.incarnation != incarnation:
+            return None
+        return target
+
+    def _find_announcements(self, incarnation):
+        """Return the announcements of a process, which are kept from now."""
+        known = self._announcements.get(incarnation)
+        if known is not None:
+            return known
+        target = self._find_process(incarnation)
+        known = target.announcements if target else Announcements()
+        self._announcements[incarnation] = known
+        if len(self._announcements) > MAX_REMEMBERED_PROCESSES:
+            self._announcements.popitem(last=False)
+        return known
 
     def _is_superseded(self, record):
         """Return whether a newer target has the address of a record.
@@ -122,7 +218,7 @@
         if target is None:
             return
         self.changes += 1
-        if store_was_unreachable and not target.record.is_draining:
+        if store_was_unreachable and not target.is_draining:
             target.removal_due_at = now + REMOVAL_GRACE_SECONDS
             return
         self._remove_target(target, "entry removed")
@@ -171,5 +267,16 @@
             )
 
 
+def _log_leaving(identity, source, age_seconds):
+    _LOG.info(
+        "target_leaving",
+        extra={
+            "target": identity,
+            "source": str(source),
+            "age_seconds": round(age_seconds, 3),
+        },
+    )
+
+
 def _format_layers(layers):
     return f"{layers.first}-{layers.last}" if layers else ""
--- a/apricotseam/fleet/_target.py
+++ b/apricotseam/fleet/_target.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from apricotseam.fleet._announcements import Announcements
 from apricotseam.fleet._health import Health
 
 
@@ -63,20 +64,24 @@
     ----------
     record : TargetRecord
         Its newest registration record.
+    announcements : Announcements, optional
+        What its process has said about itself so far.
     """
 
     __slots__ = (
         "_queued",
         "_report_valid_until",
         "_used_units",
+        "announcements",
         "health",
         "removal_due_at",
         "is_present",
         "record",
     )
 
-    def __init__(self, record):
+    def __init__(self, record, announcements=None):
         self.record = record
+        self.announcements = announcements or Announcements()
         self.health = Health()
         self.is_present = True
         self._used_units = 0.0
@@ -103,7 +108,20 @@
     @property
     def accepts_requests(self):
         """Whether new requests may be sent to the target."""
-        return self.is_present and not self.record.is_draining
+        return self.is_present and not self.is_draining
+
+    @property
+    def is_draining(self):
+        """Whether the target leaves, by its own word or by its record."""
+        return self.record.is_draining or self.announcements.is_leaving
+
+    def may_send(self, now):
+        """Return whether this host may send a new request at present."""
+        return self.accepts_requests and not self.is_resting(now)
+
+    def is_resting(self, now):
+        """Return whether the target wants no requests from this host."""
+        return self.announcements.is_resting(now)
 
     def record_load(self, used_units, queued, now):
         """Record the load that the target reported.
--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -110,6 +110,17 @@
         self.reserved_choice = None
         return choice
 
+    def withdraw_attempt(self, target):
+        """Take back an attempt of which nothing was sent.
+
+        Parameters
+        ----------
+        target : str
+            As for `record_outcome`.
+        """
+        self.attempts -= 1
+        self.record_outcome(target, "not_sent")
+
     def seconds_left(self):
         """Return the time until the deadline in seconds."""
         return self.deadline - asyncio.get_running_loop().time()
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -207,18 +207,59 @@
         target = min(candidates, key=self._target_cost)
         return Choice(target, ((target, 1),), (), 1.0)
 
-    def has_layers(self, service):
-        """Return whether a chain covers all layers, regardless of load."""
+    def has_layers(self, service, now):
+        """Return whether a chain covers all layers, regardless of load.
+
+        Parameters
+        ----------
+        service : Service
+            A service with an engine.
+        now : float
+            Monotonic time in seconds; targets that rest until later are left
+            out.
+        """
         profile = service.engine
         holders = [
             Holder("", "", "", t.record.layers, 1.0, 1.0)
             for t in self._fleet.of_service(service.name)
-            if t.record.layers is not None
+            if t.record.layers is not None and not t.is_resting(now)
         ]
         return find_chain(holders, profile.layers, 0.0) is not None
 
+    def rest_ends_at(self, service, now):
+        """Return when rests no longer keep a service from being served.
+
+        Returns
+        -------
+        float or None
+            Monotonic time in seconds of the first end of a rest after which
+            the targets that do not rest can serve requests, regardless of
+            load. None if they can now, or cannot after all rests either.
+        """
+        if self._can_serve(service, now):
+            return None
+        ends = {
+            target.announcements.rests_until
+            for target in self._fleet.of_service(service.name)
+            if target.is_resting(now)
+        }
+        for end in sorted(ends):
+            if self._can_serve(service, end):
+                return end
+        return None
+
+    def _can_serve(self, service, now):
+        if service.engine is not None:
+            return self.has_layers(service, now)
+        targets = self._fleet.of_service(service.name)
+        return any(not target.is_resting(now) for target in targets)
+
     def _candidates(self, call, now):
-        targets = self._fleet.of_service(call.service.name)
+        targets = [
+            target
+            for target in self._fleet.of_service(call.service.name)
+            if not target.is_resting(now)
+        ]
         untried = [t for t in targets if t.identity not in call.failed_targets]
         healthy = [t for t in untried if not t.health.is_suspect(now)]
         return healthy or untried
@@ -242,6 +283,7 @@
             return None
         if (
             target.health.is_suspect(now)
+            or target.is_resting(now)
             or target.identity in call.failed_targets
         ):
             return None
--- a/apricotseam/forwarding/_contact.py
+++ b/apricotseam/forwarding/_contact.py
@@ -71,7 +71,11 @@
             for target in self._targets
             if target.identity not in probed and not target.health.is_silent
         ]
-        return self._random.sample(others, min(SAMPLE_SIZE, len(others)))
+        now = self._now()
+        awake = [target for target in others if not target.is_resting(now)]
+        candidates = awake or others
+        size = min(SAMPLE_SIZE, len(candidates))
+        return self._random.sample(candidates, size)
 
     async def _probe_sample(self, sampled):
         answers = await asyncio.gather(*(self._probe(t) for t in sampled))
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import logging
+import random
 import time
 
 from apricotseam.forwarding._active_streams import ActiveStreams
+from apricotseam.forwarding._announcements import AnnouncementRecorder
 from apricotseam.forwarding._answering import Refusal
 from apricotseam.forwarding._answering import refuse
 from apricotseam.forwarding._call import Call
@@ -45,6 +47,8 @@
     """
 
     __slots__ = (
+        "announcements",
+        "generator",
         "retry_budget",
         "target_selector",
         "fleet",
@@ -79,6 +83,10 @@
         self.pool = pool
         self.retry_budget = retry_budget
         self.metrics = metrics
+        self.announcements = AnnouncementRecorder(
+            fleet, request_queue, metrics, time.monotonic
+        )
+        self.generator = random.Random()
         # Active `RouteTable`; None until the first one is received.
         self.table = None
         # Loop time in seconds at which this host exits; set only at the end
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -2,6 +2,8 @@
 
 import prometheus_client
 
+from apricotseam.fleet import LeavingSource
+
 # Upper bounds of the latency buckets.
 BUCKETS_SECONDS = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 20.0)
 
@@ -34,6 +36,22 @@
             ["cause"],
             registry=registry,
         )
+        self._leaving = prometheus_client.Counter(
+            "apricotseam_targets_leaving",
+            "Targets that started to leave, by source of the first word.",
+            ["source"],
+            registry=registry,
+        )
+        self.rests = prometheus_client.Counter(
+            "apricotseam_target_rests",
+            "Answers in which a target asked for a rest.",
+            registry=registry,
+        )
+        self.invalid_rests = prometheus_client.Counter(
+            "apricotseam_target_rests_invalid",
+            "Answers in which a target asked for a rest unintelligibly.",
+            registry=registry,
+        )
         self._incomplete = prometheus_client.Counter(
             "apricotseam_incomplete_answers",
             "Requests that this host left without a complete answer.",
@@ -55,6 +73,11 @@
             registry=registry,
         )
 
+    def count_leaving(self, target):
+        """Count a `Target` that started to leave."""
+        source = target.announcements.leaving_source or LeavingSource.STORE
+        self._leaving.labels(str(source)).inc()
+
     def count_incomplete(self, cause):
         """Count a request that this host left without a complete answer.
 
--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -102,7 +102,7 @@
     async def _run(self):
         call = self._call
         choice = self._choice
-        self._connection = await self._sender.open(call, choice.head)
+        self._connection = await self._sender.open(call, choice)
         connection = self._connection
         self._sender.send(call, connection, choice, call.last_event)
         call.runs += 1
@@ -127,7 +127,7 @@
         connection = self._connection
         return await self._read_with_checks(
             lambda deadline: self._sender.read_head(
-                self._call, connection, deadline
+                self._call, connection, deadline, self._choice.head
             )
         )
 
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -4,9 +4,10 @@
 
 from apricotseam.forwarding._answering import deliver
 from apricotseam.forwarding._answering import fail
-from apricotseam.forwarding._answering import refuse_call
+from apricotseam.forwarding._errors import OutdatedChoiceError
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._sender import Sender
+from apricotseam.forwarding._unserved import refuse_unserved
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import MalformedAnswerError
 from apricotseam.http1 import TransportError
@@ -54,7 +55,7 @@
                 unrun_attempts += 1
             call.failed_targets.add(choice.head.identity)
         if call.runs == 0:
-            return refuse_call(
+            return refuse_unserved(
                 self._context, call, "no target took it", BUSY_RETRY_SECONDS
             )
         return fail(call, failure)
@@ -86,7 +87,7 @@
         started_at = loop.time()
         connection = None
         try:
-            connection = await self._sender.open(call, target)
+            connection = await self._sender.open(call, choice)
             self._sender.send(call, connection, choice)
             call.runs += 1
             result = await self._read_answer(call, connection, target)
@@ -94,6 +95,9 @@
                 target.health.record_success(loop.time() - started_at)
             connection = None
             return result
+        except OutdatedChoiceError:
+            call.withdraw_attempt(target.identity)
+            return _AttemptResult(was_run=False)
         except ConnectError:
             target.health.mark_unreachable(loop.time())
             call.record_outcome(target.identity, "no_connection")
@@ -109,7 +113,9 @@
     async def _read_answer(self, call, connection, target):
         reader = _PatientReader(self._context, call, target)
         answer, metadata = await reader.read(
-            lambda deadline: self._sender.read_head(call, connection, deadline)
+            lambda deadline: self._sender.read_head(
+                call, connection, deadline, target
+            )
         )
         body = await self._read_body(reader, connection)
         if metadata.was_not_run:
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -105,7 +105,8 @@
 
         Silent targets are always included, because reachability differs
         between hosts. A slow target's report is the same for all hosts, so
-        each host probes only a random fraction of the slow targets.
+        each host probes only a random fraction of the slow targets, and none
+        that asked it for a rest.
         """
         now = self._now()
         return [
@@ -114,6 +115,7 @@
             if target.health.is_silent
             or (
                 target.health.is_self_reported_slow(now)
+                and not target.is_resting(now)
                 and self._random.random() < slow_fraction
             )
         ]
--- a/apricotseam/forwarding/_sender.py
+++ b/apricotseam/forwarding/_sender.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from apricotseam.forwarding._errors import OutdatedChoiceError
 from apricotseam.http1 import MalformedAnswerError
 from apricotseam.platform import decode_response_metadata
 from apricotseam.platform import forwarded_headers
@@ -25,20 +26,41 @@
     def __init__(self, context):
         self._context = context
 
-    async def open(self, call, target):
-        """Return a connection to a target.
+    async def open(self, call, choice):
+        """Return a connection to the head of a `Choice`.
+
+        The request is to be sent on it at once, without waiting.
 
         Raises
         ------
         ConnectError
             If no connection can be opened; nothing was sent.
+        OutdatedChoiceError
+            If a target of the choice takes no requests any more; nothing
+            was sent.
         """
+        target = choice.head
         loop = asyncio.get_running_loop()
         max_idle = None if call.route.is_repeatable else SAFE_IDLE_SECONDS
         deadline = min(call.deadline, loop.time() + CONNECT_TIMEOUT_SECONDS)
-        return await self._context.pool.acquire(
+        connection = await self._context.pool.acquire(
             target.incarnation, target.address, deadline, max_idle
         )
+        self._check_current(choice, connection)
+        return connection
+
+    def _check_current(self, choice, connection):
+        """Raise an error if the choice is outdated; keep the connection."""
+        now = asyncio.get_running_loop().time()
+        for target, _ in choice.stages:
+            if not target.may_send(now):
+                head = choice.head
+                self._context.pool.release(head.incarnation, connection)
+                raise OutdatedChoiceError(
+                    f"target {target.identity} stopped taking requests"
+                    " before this one was sent",
+                    "choose other targets",
+                )
 
     def send(self, call, connection, choice, last_event=None):
         """Send the request of a call to the head of a `Choice`."""
@@ -57,7 +79,7 @@
             request.body,
         )
 
-    async def read_head(self, call, connection, deadline):
+    async def read_head(self, call, connection, deadline, target):
         """Return the head of the answer and its `ResponseMetadata`.
 
         Parameters
@@ -68,6 +90,8 @@
             Connection on which it was sent.
         deadline : float
             Loop time in seconds.
+        target : Target
+            The target that answers; what it says about itself is recorded.
 
         Raises
         ------
@@ -75,6 +99,7 @@
             If no answer to this request was received.
         """
         answer = await connection.head(deadline)
+        self._context.announcements.record(target.incarnation, answer)
         metadata = decode_response_metadata(answer)
         if metadata.request_id not in (None, call.request_id):
             raise MalformedAnswerError(
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -5,10 +5,11 @@
 
 from apricotseam.forwarding._answering import deliver
 from apricotseam.forwarding._answering import fail
-from apricotseam.forwarding._answering import refuse_call
+from apricotseam.forwarding._errors import OutdatedChoiceError
 from apricotseam.forwarding._passage import StreamAttempt
 from apricotseam.forwarding._request_queue import WAIT_FRACTION
 from apricotseam.forwarding._sender import Sender
+from apricotseam.forwarding._unserved import refuse_unserved
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import TransportError
 from apricotseam.http1 import TransportTimeoutError
@@ -54,7 +55,7 @@
             call.exchange.abort_response()
             return "cut"
         if call.runs == 0:
-            return refuse_call(
+            return refuse_unserved(
                 self._context, call, "no room", self._retry_after(call)
             )
         return fail(call, status)
@@ -136,7 +137,8 @@
         now = asyncio.get_running_loop().time()
         if call.service.engine is None or now >= until:
             return False
-        if not self._context.target_selector.has_layers(call.service):
+        target_selector = self._context.target_selector
+        if not target_selector.has_layers(call.service, until):
             return False
         if call.exchange.is_started:
             return True
@@ -156,6 +158,9 @@
         attempt = StreamAttempt(self._context, self._sender, call, choice)
         try:
             failure = await attempt.run()
+        except OutdatedChoiceError:
+            call.withdraw_attempt(choice.chain or choice.head.identity)
+            return 502 if call.runs else 503
         except ConnectError:
             self._record_failure(call, choice.head, "no_connection", True)
             return 502
@@ -195,6 +200,9 @@
             self._record_failure(
                 call, at_fault, f"not_run_{answer.status}", False
             )
+            now = asyncio.get_running_loop().time()
+            if at_fault.is_resting(now):
+                return 503
             if not await self._context.prober.find_unresponsive([at_fault]):
                 now = asyncio.get_running_loop().time()
                 at_fault.health.avoid(now + REFUSED_PAUSE_SECONDS)
--- a/apricotseam/http1/_pool.py
+++ b/apricotseam/http1/_pool.py
@@ -18,13 +18,20 @@
 class ConnectionPool:
     """Idle connections of one process.
 
+    Parameters
+    ----------
+    on_response : callable, optional
+        Called with the key of the server and the `ResponseHead` as soon as
+        the head of the response to a `call` has been read.
+
     Attributes
     ----------
     opened : int
         Number of connections that `acquire` opened or tried to open.
     """
 
-    def __init__(self):
+    def __init__(self, on_response=None):
+        self._on_response = on_response or (lambda key, response: None)
         self._idle = collections.defaultdict(list)
         self.opened = 0
 
@@ -128,6 +135,7 @@
         try:
             connection.send(method, path, headers, body)
             response = await connection.head(deadline)
+            self._on_response(key, response)
             response_body = await connection.read_all(
                 deadline, MAX_CALL_RESPONSE_BYTES
             )
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -170,7 +170,7 @@
     def _build_request_path(self):
         settings = self._settings
         bounds = settings.bounds
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(self._on_target_response)
         request_queue = RequestQueue(self._now)
         self._ledger = Ledger(
             lambda is_own: (
@@ -221,7 +221,11 @@
         self._context.prober.forget(target)
         self._context.active_streams.recheck(target.identity)
 
+    def _on_target_response(self, incarnation, response):
+        self._context.announcements.record(incarnation, response)
+
     def _on_target_draining(self, target):
+        self._context.metrics.count_leaving(target)
         self._context.active_streams.recheck(target.identity)
 
     def _build_coordination(self):
--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -26,8 +26,11 @@
 # A target that is silent for this long counts as lost, although its entry in
 # the store ends only with its lease.
 LOST_AFTER_SECONDS = 0.6
-# If more of the targets of an availability zone are silent, the cause is
-# likely the network, and layers are not moved.
+# A target counts as lost while its rest goes on for longer than this. To move
+# layers because of a shorter one would take longer than the rest.
+LOST_REST_SECONDS = 5.0
+# If more of the targets of an availability zone are lost, the cause is likely
+# the network or their load, and layers are not moved.
 MAX_LOST_SHARE = 0.5
 # If the store does not show the effect of an order after this time, the
 # target is asked for its report.
@@ -112,26 +115,36 @@
         )
         records = [await self._expected_record(target) for target in targets]
         orders = choose_orders(records, service.engine)
+        resting = self._resting_until(self._now(), targets)
+        orders = [o for o in orders if o.identity not in resting]
         if orders:
             await asyncio.gather(
                 *(self._issue_order(order) for order in orders)
             )
 
+    def _resting_until(self, time, targets):
+        """Return the identities of the targets that rest until a time."""
+        return {t.identity for t in targets if t.is_resting(time)}
+
     async def _without_lost(self, targets):
-        """Return the targets that have not been silent for long.
+        """Return the targets that are not silent or resting for long.
 
         A target that only peers report as silent has to be silent to a
         probe of this host, too.
         """
         now = self._now()
+        resting = self._resting_until(now + LOST_REST_SECONDS, targets)
+        lost = [t for t in targets if t.identity in resting]
         silent = [
             target
             for target in targets
             if target.health.silent_seconds(now) >= LOST_AFTER_SECONDS
+            and target.identity not in resting
         ]
-        if not silent:
+        if silent:
+            lost += await self._context.prober.find_unresponsive(silent)
+        if not lost:
             return targets
-        lost = await self._context.prober.find_unresponsive(silent)
         lost_by_zone = collections.Counter(t.record.zone for t in lost)
         totals = collections.Counter(t.record.zone for t in targets)
         ignored = {
@@ -152,7 +165,8 @@
         if is_confirmed or pending.incarnation != target.incarnation:
             del self._pending[target.identity]
             return record
-        if self._now() >= pending.check_at:
+        now = self._now()
+        if now >= pending.check_at and not target.is_resting(now):
             await self._verify_order(target, pending)
         return _with_layers(record, pending.layers)
 
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -6,9 +6,11 @@
 
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
+from apricotseam.fleet import LeavingSource
 from apricotseam.node._delegates import DelegateReports
 from apricotseam.node._delegates import TAKEOVER_SECONDS
 from apricotseam.node._zone_reports import HostState
+from apricotseam.node._zone_reports import LeavingNotice
 from apricotseam.node._zone_reports import NOTICE_SECONDS
 from apricotseam.node._zone_reports import SentStates
 from apricotseam.node._zone_reports import ZoneCollector
@@ -113,6 +115,7 @@
     async def run(self):
         """Send states periodically, forever."""
         sent_changes = -1
+        sent_leaving = set()
         unsent_periods = 0
         while True:
             await asyncio.sleep(self._send_period())
@@ -120,13 +123,17 @@
             self._update_delegates()
             suspects = self._suspect_targets()
             slow = self._slow_targets()
+            leaving = set(self.leaving_targets())
             unsent_periods += 1
-            is_unchanged = self._ledger.changes == sent_changes and not (
-                suspects or slow
+            is_unchanged = (
+                self._ledger.changes == sent_changes
+                and leaving == sent_leaving
+                and not (suspects or slow)
             )
             if is_unchanged and unsent_periods < HEARTBEAT_PERIODS:
                 continue
             sent_changes = self._ledger.changes
+            sent_leaving = leaving
             unsent_periods = 0
             self._send(suspects, slow)
 
@@ -153,6 +160,32 @@
         reported = self._collector.suspects(self._now())
         return sorted({*reported, *self._suspect_targets()})
 
+    def leaving_targets(self):
+        """Return a `LeavingNotice` of each target that announced to leave.
+
+        They are those that this host was told of by the targets or by peers,
+        by identity.
+        """
+        now = self._now()
+        return {
+            target.identity: LeavingNotice(
+                target.record.born_ms,
+                round(now - target.announcements.leaving_since, 3),
+            )
+            for target in self._context.fleet
+            if target.announcements.is_leaving
+        }
+
+    def notice_leaving(self, leaving):
+        """Record targets that, as a peer says, announced that they leave."""
+        for identity, notice in leaving.items():
+            self._context.fleet.record_leaving(
+                (identity, notice.born_ms),
+                LeavingSource.PEER,
+                self._now(),
+                notice.age_seconds,
+            )
+
     def notice_other_zone(self, suspects):
         """Record targets that hosts of another zone report as silent."""
         now = self._now()
@@ -242,6 +275,7 @@
             slow,
             self._context.request_queue.recently_refused(since),
             repeats,
+            self.leaving_targets(),
         )
 
     def _send(self, suspects, slow):
@@ -330,6 +364,7 @@
     def _apply_notices(self, message, now):
         """Apply what a `HostState` or `ZoneReport` says of targets."""
         self._apply_suspects(message.suspects, now)
+        self.notice_leaving(message.leaving)
         for identity, factor in message.slow.items():
             target = self._context.fleet.get(identity)
             if target is not None:
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -24,6 +24,17 @@
 _NO_COUNT = RepeatCount()
 
 
+class LeavingNotice(msgspec.Struct, frozen=True, array_like=True):
+    """Notice that a target process leaves.
+
+    ``born_ms`` is the start time of the process, as in `TargetRecord`.
+    ``age_seconds`` is the time since it announced that it leaves.
+    """
+
+    born_ms: int
+    age_seconds: float
+
+
 class HostState(msgspec.Struct, frozen=True, array_like=True):
     """State that a host sends its peers several times per second.
 
@@ -31,7 +42,8 @@
     that it cannot reach, ``slow`` holds the slowness factors of targets that
     reported themselves slow, ``refused`` the retry keys of requests that it
     refused recently, and ``repeats`` its counts of retries by service.
-    ``number`` counts its messages.
+    ``number`` counts its messages. ``leaving`` are the targets that, as it
+    knows, announced that they leave.
     """
 
     host: str
@@ -42,6 +54,7 @@
     slow: dict[str, float]
     refused: list[str]
     repeats: dict[str, RepeatCount]
+    leaving: dict[str, LeavingNotice] = {}
 
     @property
     def sender(self):
@@ -58,7 +71,8 @@
     hosts; ``other_zones`` is the usage by hosts of the other zones, or None
     if the report does not repeat it. ``silent`` are peer addresses of hosts
     whose states are overdue. ``store_revision`` is the revision of the store
-    that the sender follows, 0 if it does not follow the store.
+    that the sender follows, 0 if it does not follow the store. ``leaving``
+    are the targets that, as the sender knows, announced that they leave.
     """
 
     zone: str
@@ -73,6 +87,7 @@
     repeats: dict[str, RepeatCount]
     silent: list[str]
     store_revision: int
+    leaving: dict[str, LeavingNotice] = {}
 
 
 def is_newer(message, known):
@@ -193,6 +208,7 @@
             repeats=_sum_repeats(state.repeats for state in states),
             silent=silent,
             store_revision=0,
+            leaving=own.leaving,
         )
 
     def _noticed(self, now):
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -7,6 +7,7 @@
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
 from apricotseam.node._zone_reports import is_newer
+from apricotseam.node._zone_reports import LeavingNotice
 
 SEND_PERIOD_SECONDS = 0.6
 
@@ -16,7 +17,7 @@
 
     ``sender`` identifies the process that computed the totals, ``number``
     counts its messages. ``suspects`` are targets that hosts of the zone
-    cannot reach.
+    cannot reach, ``leaving`` those that announced that they leave.
     """
 
     zone: str
@@ -24,6 +25,7 @@
     number: int
     usages: dict[str, Usage]
     suspects: list[str] = []
+    leaving: dict[str, LeavingNotice] = {}
 
 
 class ZoneUsageExchange:
@@ -84,6 +86,7 @@
             self._number,
             usages,
             self._usage_exchange.zone_suspects(),
+            self._usage_exchange.leaving_targets(),
         )
         addresses = self._hosts.other_zone_delegates
         self._hosts.transport.send_all(addresses, message)
@@ -94,6 +97,7 @@
             return
         self._latest[message.zone] = message
         self._usage_exchange.notice_other_zone(message.suspects)
+        self._usage_exchange.notice_leaving(message.leaving)
         if self._usage_exchange.uses_reports:
             return
         self._applied_count += 1
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -17,6 +17,9 @@
 
 from apricotseam.chains import Ledger
 from apricotseam.coordination import Hosts
+from apricotseam.fleet import Fleet
+from apricotseam.fleet import LeavingSource
+from apricotseam.fleet import TargetRecord
 from apricotseam.forwarding import HostRetryBudget
 from apricotseam.membership import Member
 from apricotseam.node._usage import UsageExchange
@@ -31,17 +34,6 @@
 LAYERS = 2
 
 
-class Targets:
-    """A fleet without targets."""
-
-    def __iter__(self):
-        return iter(())
-
-    def get(self, identity):
-        """Return None for each target."""
-        return None
-
-
 class Queue:
     """Remembers the refusals that it is told of."""
 
@@ -76,10 +68,11 @@
             0.2, 200.0, 10.0, lambda: len(self.hosts.table)
         )
         self.queue = Queue()
+        self.fleet = Fleet()
         self.heartbeats = 0
         context = types.SimpleNamespace(
             ledger=self.ledger,
-            fleet=Targets(),
+            fleet=self.fleet,
             retry_budget=self.budget,
             request_queue=self.queue,
         )
@@ -338,6 +331,42 @@
     assert set(spent) == {1}
 
 
+# Number of hosts, number of the host that reads the target's answer, seconds
+# until all others know.
+ZONES_TOLD = [
+    ("small fleet", 6, 3, 0.5),
+    ("large fleet, told by a host", 39, 30, 1.5),
+    ("large fleet, told by a delegate", 39, 0, 1.5),
+]
+
+
+@pytest.mark.parametrize(
+    ("count", "number", "seconds"),
+    [case[1:] for case in ZONES_TOLD],
+    ids=[case[0] for case in ZONES_TOLD],
+)
+def test_all_hosts_hear_of_a_leaving_target(count, number, seconds):
+    zone = Zone(count)
+    zone.run(6)
+    record = TargetRecord(
+        identity=TARGET, service="s", address="t:1", zone="a", born_ms=7
+    )
+    for host in zone.hosts.values():
+        host.fleet.update(record)
+    teller = zone.hosts[f"10.0.0.{number}:1"]
+    teller.fleet.record_leaving(
+        (TARGET, 7), LeavingSource.OWN_ANSWER, zone.now
+    )
+    told_at = zone.now
+    zone.run(seconds)
+    for address, host in zone.hosts.items():
+        target = host.fleet.get(TARGET)
+        assert not target.accepts_requests, address
+        # The age covers the time that the messages took.
+        since = target.announcements.leaving_since
+        assert told_at - 0.01 <= since <= zone.now, address
+
+
 def test_readers_need_no_heartbeats_of_their_own():
     zone = Zone(39)
     zone.run(6)
--- a/apricotseam/node/tests/test_zones.py
+++ b/apricotseam/node/tests/test_zones.py
@@ -4,6 +4,7 @@
 
 from apricotseam.chains import Ledger
 from apricotseam.chains import Usage
+from apricotseam.node._zone_reports import LeavingNotice
 from apricotseam.node._zones import ZoneState
 from apricotseam.node._zones import ZoneUsageExchange
 
@@ -29,11 +30,20 @@
 
 
 class FakeUsageExchange:
-    """Exchange within a zone that reports one suspect target."""
+    """Exchange within a zone with one suspect and one leaving target."""
 
     def __init__(self, uses_reports):
         self.uses_reports = uses_reports
         self.noticed = []
+        self.noticed_leaving = {}
+
+    def leaving_targets(self):
+        """Return the leaving target."""
+        return {"leaving-here": LeavingNotice(1, 0.5)}
+
+    def notice_leaving(self, leaving):
+        """Record leaving targets of another zone."""
+        self.noticed_leaving.update(leaving)
 
     def zone_suspects(self):
         """Return the suspect target."""
@@ -45,9 +55,10 @@
 
 
 def make_state(zone, sender, number, units):
-    """Return a message with the usage of one target, and a suspect one."""
+    """Return a message about a used, a suspect and a leaving target."""
     usages = {"t": Usage(units, 1)}
-    return ZoneState(zone, sender, number, usages, ["silent-there"])
+    leaving = {"leaving-there": LeavingNotice(2, 1.5)}
+    return ZoneState(zone, sender, number, usages, ["silent-there"], leaving)
 
 
 # Description, whether this host knows the other zones by the reports of its
@@ -108,5 +119,8 @@
     address, message = hosts.sent[0]
     assert message.usages == {"t": Usage(20, 1)}
     assert message.suspects == ["silent-here"]
+    assert message.leaving == {"leaving-here": LeavingNotice(1, 0.5)}
     assert usage_exchange.noticed == ["silent-there"]
+    leaving = {"leaving-there": LeavingNotice(2, 1.5)}
+    assert usage_exchange.noticed_leaving == leaving
     assert ledger.used_units("t") == 70.0
--- a/apricotseam/platform/__init__.py
+++ b/apricotseam/platform/__init__.py
@@ -11,6 +11,8 @@
 from apricotseam.platform._addresses import encode_addresses
 from apricotseam.platform._addresses import MAX_ADDRESSES
 from apricotseam.platform._addresses import READINESS_PATH
+from apricotseam.platform._announcements import Announcement
+from apricotseam.platform._announcements import decode_announcement
 from apricotseam.platform._configuration import decode_configuration
 from apricotseam.platform._keys import CONFIGURATION_KEY
 from apricotseam.platform._keys import ROUTER_PREFIX
@@ -72,6 +74,8 @@
     "WATCH_MARGIN_SECONDS",
     "WatchResult",
     "AddressQuery",
+    "Announcement",
+    "decode_announcement",
     "format_chain",
     "decode_address_query",
     "decode_response_metadata",
--- /dev/null
+++ b/apricotseam/platform/_announcements.py
@@ -0,0 +1,72 @@
+"""What a target says about itself in the head of any response."""
+
+import re
+
+import msgspec
+
+from apricotseam.platform._requests import RETRY_AFTER_HEADER
+
+LEAVING_HEADER = b"server-leaving"
+LEAVING_VALUE = "1"
+SERVICE_UNAVAILABLE = 503
+
+_RETRY_AFTER_LOWER = RETRY_AFTER_HEADER.lower()
+_SECONDS = re.compile(r"[0-9]+(\.[0-9]+)?")
+
+
+class Announcement(msgspec.Struct, frozen=True, kw_only=True):
+    """What a target says about itself in a response.
+
+    ``is_leaving`` is True if its process is about to exit. ``rest_seconds``
+    is the time for which it wants no requests from this host, None if it
+    states none. ``has_invalid_rest`` is True if it states a time that
+    cannot be read.
+    """
+
+    is_leaving: bool = False
+    rest_seconds: float | None = None
+    has_invalid_rest: bool = False
+
+
+def decode_announcement(response):
+    """Return the `Announcement` of a response.
+
+    Only a refusal with status 503 states a rest. Of several values the
+    longest valid one counts. A value is invalid if it is not a number of
+    seconds, whole or with a fraction; a negative one or a date is not.
+
+    Parameters
+    ----------
+    response : ResponseHead
+        Head of the response.
+
+    Examples
+    --------
+    >>> from apricotseam.http1 import ResponseHead
+    >>> head = ResponseHead(503, b"", [(b"Retry-After", b"1.5")])
+    >>> decode_announcement(head).rest_seconds
+    1.5
+    """
+    is_leaving = (response.header(LEAVING_HEADER) or "").strip()
+    rest_seconds = None
+    has_invalid_rest = False
+    if response.status == SERVICE_UNAVAILABLE:
+        texts = _values(response, _RETRY_AFTER_LOWER)
+        valid = [float(text) for text in texts if _SECONDS.fullmatch(text)]
+        rest_seconds = max(valid, default=None)
+        has_invalid_rest = len(valid) < len(texts)
+    return Announcement(
+        is_leaving=is_leaving == LEAVING_VALUE,
+        rest_seconds=rest_seconds,
+        has_invalid_rest=has_invalid_rest,
+    )
+
+
+def _values(response, name):
+    """Return all values of a header, also of one that occurs repeatedly."""
+    return [
+        part.strip()
+        for header, value in response.headers
+        if header.lower() == name
+        for part in value.decode("latin-1").split(",")
+    ]
--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -12,6 +12,8 @@
 STREAM_PREFIX = b"/feed/"
 BLOCKED_POLL_SECONDS = 0.02
 SIGNATURE = (b"Apricotseam-Server-Signature", b"stand-in")
+NOT_EXECUTED = (b"Apricotseam-Not-Executed", b"1")
+LEAVING = (b"Server-Leaving", b"1")
 
 
 class TargetStandIn:
@@ -48,6 +50,11 @@
         `pause_seconds`, once: it accepts connections and sends nothing.
     pause_seconds : float
         Length of that silence.
+    is_leaving : bool
+        Whether all its answers say that it is about to exit.
+    rest_values : iterable of bytes
+        Values of ``Retry-After`` with which it refuses requests until the
+        end of its `rest`.
     is_blocked : callable
         Takes the chain of a stream as text; the stream waits while it
         returns True.
@@ -84,6 +91,9 @@
         self.pauses_after = None
         self.pause_seconds = 0.0
         self._pauses_until = 0.0
+        self.is_leaving = False
+        self.rest_values = ()
+        self._rests_until = 0.0
         self._rerouted = asyncio.Event()
         self.is_blocked = lambda chain: False
         self.on_layers_changed = lambda target: None
@@ -139,6 +149,37 @@
         now = asyncio.get_running_loop().time()
         self._pauses_until = now + self.pause_seconds
 
+    def rest(self, seconds, *values):
+        """Refuse requests from now on, and ask for a rest.
+
+        Parameters
+        ----------
+        seconds : float
+            How long requests are refused.
+        *values : bytes
+            Values of ``Retry-After``; by default the time that is left.
+        """
+        now = asyncio.get_running_loop().time()
+        self._rests_until = now + seconds
+        self.rest_values = values
+
+    def _rest_left(self):
+        """Return the seconds that are left of its rest."""
+        now = asyncio.get_running_loop().time()
+        return max(0.0, self._rests_until - now)
+
+    def _refuse_to_rest(self, exchange):
+        values = self.rest_values or (f"{self._rest_left():.3f}".encode(),)
+        headers = [(b"Retry-After", value) for value in values]
+        self._answer(exchange, 503, b"", [NOT_EXECUTED, *headers])
+
+    def _answer(self, exchange, status, body=b"", headers=()):
+        """Answer completely, with what is said in all answers."""
+        exchange.answer(status, body, [*headers, *self._common_headers()])
+
+    def _common_headers(self):
+        return [LEAVING] if self.is_leaving else []
+
     async def _wait_while_paused(self):
         loop = asyncio.get_running_loop()
         while (seconds := self._pauses_until - loop.time()) > 0:
@@ -149,7 +190,7 @@
         if request.target == b"/v1/order":
             self._accept_order(request, exchange)
         elif request.target == b"/v1/report":
-            exchange.answer(200, json.dumps(self._report()).encode())
+            self._answer(exchange, 200, json.dumps(self._report()).encode())
         else:
             await self._serve(request, exchange)
 
@@ -159,6 +200,8 @@
         The start time increases; layers, orders and chains are dropped.
         """
         self.born += 1
+        self.is_leaving = False
+        self._rests_until = 0.0
         self.layers = None
         self.orders.clear()
         self.chains.clear()
@@ -176,10 +219,10 @@
         if order["Op"] == "repath":
             self.chains[order["Id"]] = order["Path"]
             self._rerouted.set()
-            exchange.answer(200)
+            self._answer(exchange, 200)
             return
         self.layers = (order["From"], order["Target"])
-        exchange.answer(202)
+        self._answer(exchange, 202)
         self.on_layers_changed(self)
 
     async def _serve(self, request, exchange):
@@ -192,11 +235,14 @@
             exchange.abort_response()
             return
         if self.behaviour == "shed":
-            exchange.answer(503, b"", [(b"Apricotseam-Not-Executed", b"1")])
+            self._answer(exchange, 503, b"", [NOT_EXECUTED])
+            return
+        if self._rest_left():
+            self._refuse_to_rest(exchange)
             return
         self.runs.append(request_id_of(request))
         if self.behaviour == "error":
-            exchange.answer(500, b"failed", headers)
+            self._answer(exchange, 500, b"failed", headers)
             return
         if self.behaviour == "stray":
             headers[0] = (b"Apricotseam-Request-Id", b"another")
@@ -207,13 +253,13 @@
                 self.pauses_after = None
                 self.pause()
             await self._wait_while_paused()
-            exchange.answer(200, request.body or b"answer", headers)
+            self._answer(exchange, 200, request.body or b"answer", headers)
 
     async def _stream(self, request, exchange, headers):
         try:
             request_id = request_id_of(request)
             self.chains[request_id] = request.header(b"apricotseam-hop-count")
-            exchange.start(200, headers)
+            exchange.start(200, [*headers, *self._common_headers()])
             after = int(request.header(b"last-event-id") or 0)
             for number in range(after + 1, self.events + 1):
                 if self.event_seconds:
--- a/apricotseam/platform/tests/test_wire_names.py
+++ b/apricotseam/platform/tests/test_wire_names.py
@@ -9,6 +9,7 @@
 WIRE_NAMES = re.compile(
     r"[Aa]pricotseam-(Request-Id|Key|Tenant|Deadline-Ms|Token-Count"
     r"|Length-Hint|Prefix-Hash|Expect-|Hop-Count|Not-Executed|Server-)"
+    r"|server-leaving"
     r"|kv-(txn|watch|range|keep|lease|key)|op/config|servers/"
     r"|(?<![a-z])/v1/(resolve|readyz|report|order)\b",
     re.IGNORECASE,
