--- a/apricotseam/fleet/tests/test_announcements.py
+++ b/apricotseam/fleet/tests/test_announcements.py
@@ -5,11 +5,11 @@
 import msgspec
 import pytest
 
+from apricotseam.fleet._fleet import MAX_REMEMBERED_PROCESSES
 from apricotseam.fleet import Fleet
 from apricotseam.fleet import LeavingSource
 from apricotseam.fleet import MAX_REST_SECONDS
 from apricotseam.fleet import TargetRecord
-from apricotseam.fleet._fleet import MAX_REMEMBERED_PROCESSES
 
 RECORD = TargetRecord(
     identity="i-1", service="s", address="10.0.0.1:80", zone="a", born_ms=1
--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -55,6 +55,9 @@
     rest_values : iterable of bytes
         Values of ``Retry-After`` with which it refuses requests until the
         end of its `rest`.
+    fails_at : str
+        Address of another target that its refusals name as the one at
+        fault, or empty.
     is_blocked : callable
         Takes the chain of a stream as text; the stream waits while it
         returns True.
@@ -93,6 +96,7 @@
         self._pauses_until = 0.0
         self.is_leaving = False
         self.rest_values = ()
+        self.fails_at = ""
         self._rests_until = 0.0
         self._rerouted = asyncio.Event()
         self.is_blocked = lambda chain: False
@@ -171,6 +175,8 @@
     def _refuse_to_rest(self, exchange):
         values = self.rest_values or (f"{self._rest_left():.3f}".encode(),)
         headers = [(b"Retry-After", value) for value in values]
+        if self.fails_at:
+            headers.append((b"At-Server", self.fails_at.encode()))
         self._answer(exchange, 503, b"", [NOT_EXECUTED, *headers])
 
     def _answer(self, exchange, status, body=b"", headers=()):
