--- a/apricotseam/forwarding/_sender.py
+++ b/apricotseam/forwarding/_sender.py
@@ -46,21 +46,15 @@
         connection = await self._context.pool.acquire(
             target.incarnation, target.address, deadline, max_idle
         )
-        self._check_current(choice, connection)
-        return connection
-
-    def _check_current(self, choice, connection):
-        """Raise an error if the choice is outdated; keep the connection."""
-        now = asyncio.get_running_loop().time()
-        for target, _ in choice.stages:
-            if not target.may_send(now):
-                head = choice.head
-                self._context.pool.release(head.incarnation, connection)
+        for stage_target, _ in choice.stages:
+            if not stage_target.may_send(loop.time()):
+                connection.close()
                 raise OutdatedChoiceError(
-                    f"target {target.identity} stopped taking requests"
+                    f"target {stage_target.identity} stopped taking requests"
                     " before this one was sent",
                     "choose other targets",
                 )
+        return connection
 
     def send(self, call, connection, choice, last_event=None):
         """Send the request of a call to the head of a `Choice`."""
--- a/apricotseam/forwarding/tests/test_probes.py
+++ b/apricotseam/forwarding/tests/test_probes.py
@@ -202,6 +202,16 @@
     assert least <= len(targets) - 2 <= most
 
 
+def test_slow_target_that_rests_is_not_probed():
+    fleet = make_fleet(2)
+    for target in fleet:
+        target.health.record_slowness(4.0, 0.0)
+    fleet.record_rest(fleet.get("t0").incarnation, 5.0, 0.0)
+    prober = make_prober(None, lambda: 0.0, fleet)
+    found = [t.identity for t in prober._targets_to_reprobe(1.0)]
+    assert found == ["t1"]
+
+
 # Chain targets that answer once the link is free, those found silent.
 LINKS = [
     ("both-answer", [0, 1], []),
--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -115,17 +115,13 @@
         )
         records = [await self._expected_record(target) for target in targets]
         orders = choose_orders(records, service.engine)
-        resting = self._resting_until(self._now(), targets)
+        resting = _resting_at(self._now(), targets)
         orders = [o for o in orders if o.identity not in resting]
         if orders:
             await asyncio.gather(
                 *(self._issue_order(order) for order in orders)
             )
 
-    def _resting_until(self, time, targets):
-        """Return the identities of the targets that rest until a time."""
-        return {t.identity for t in targets if t.is_resting(time)}
-
     async def _without_lost(self, targets):
         """Return the targets that are not silent or resting for long.
 
@@ -133,7 +129,7 @@
         probe of this host, too.
         """
         now = self._now()
-        resting = self._resting_until(now + LOST_REST_SECONDS, targets)
+        resting = _resting_at(now + LOST_REST_SECONDS, targets)
         lost = [t for t in targets if t.identity in resting]
         silent = [
             target
@@ -262,5 +258,10 @@
         )
 
 
+def _resting_at(time, targets):
+    """Return the identities of the targets that rest at a time."""
+    return {t.identity for t in targets if t.is_resting(time)}
+
+
 def _with_layers(record, layers):
     return msgspec.structs.replace(record, layers=layers)
--- a/apricotseam/node/tests/test_joined_loss.py
+++ b/apricotseam/node/tests/test_joined_loss.py
@@ -13,9 +13,12 @@
 from apricotseam.chains.tests.profiles import make_records
 from apricotseam.chains.tests.profiles import PROFILE
 from apricotseam.fleet import Fleet
+from apricotseam.fleet import LeavingSource
 from apricotseam.node._placer import CYCLE_PERIOD_SECONDS
 from apricotseam.node._placer import LOST_AFTER_SECONDS
+from apricotseam.node._placer import LOST_REST_SECONDS
 from apricotseam.node._placer import Placer
+from apricotseam.node._placer import SETTLE_SECONDS
 
 # Two copies of the model on four large targets each, and a spare holder of
 # the middle layers on each of three middle ones.
@@ -144,3 +147,78 @@
     silent = ["a-large-0", "a-middle-0"]
     _, orders = run_placer(fleet, silent, 8.0, True, is_reached=True)
     assert not orders
+
+
+# Targets, seconds for which they rest from second 2, first layer that is to
+# be ordered; None if no order is due.
+RESTS = [
+    ("both holders, for long", ["a-large-0", "a-middle-0"], 60.0, 0),
+    ("both holders, briefly", ["a-large-0", "a-middle-0"], 4.0, None),
+    ("one holder", ["a-large-0"], 60.0, None),
+    ("most of the zone", sorted(LAYERS)[:6], 60.0, None),
+]
+
+
+@pytest.mark.parametrize(
+    ("resting", "seconds", "first_layer"),
+    [case[1:] for case in RESTS],
+    ids=[case[0] for case in RESTS],
+)
+def test_resting_targets_are_lost_only_while_a_long_rest_lasts(
+    resting, seconds, first_layer
+):
+    fleet = make_fleet()
+    now = [0.0]
+    placer = RecordingPlacer(fleet, lambda: now[0])
+    for step in range(1, 80):
+        now[0] = step / 10
+        if step == 20:
+            for identity in resting:
+                incarnation = fleet.get(identity).incarnation
+                fleet.record_rest(incarnation, seconds, now[0])
+        asyncio.run(placer._cycle())
+        if placer.orders:
+            break
+    found = [order.layers.first for order in placer.orders]
+    assert found == ([] if first_layer is None else [first_layer])
+    assert not {order.identity for order in placer.orders} & set(resting)
+    assert now[0] <= 2.0 + CYCLE_PERIOD_SECONDS or not found
+    now[0] = 2.0 + seconds - LOST_REST_SECONDS
+    targets = fleet.of_service("s")
+    assert asyncio.run(placer._without_lost(targets)) == targets
+
+
+def test_target_that_leaves_is_replaced_in_the_layout():
+    fleet = make_fleet()
+    now = [0.0]
+    placer = RecordingPlacer(fleet, lambda: now[0])
+    for step in range(1, 60):
+        now[0] = step / 10
+        if step == 20:
+            for identity in ("a-large-0", "a-middle-0"):
+                incarnation = fleet.get(identity).incarnation
+                fleet.record_leaving(incarnation, LeavingSource.PEER, 2.0)
+        asyncio.run(placer._cycle())
+        if placer.orders:
+            break
+    assert [order.layers.first for order in placer.orders] == [0]
+    assert now[0] <= 2.0 + SETTLE_SECONDS + 2 * CYCLE_PERIOD_SECONDS
+
+
+def test_no_order_goes_to_a_resting_target():
+    """An empty target is given layers once it has rested."""
+    fleet = Fleet()
+    layers = {**LAYERS, "a-large-0": None}
+    for record in make_records({"large": 4, "middle": 5}, "a", layers):
+        fleet.update(record)
+    now = [0.0]
+    placer = RecordingPlacer(fleet, lambda: now[0])
+    incarnation = fleet.get("a-large-0").incarnation
+    fleet.record_rest(incarnation, 4.0, 0.0)
+    for step in range(1, 60):
+        now[0] = step / 10
+        asyncio.run(placer._cycle())
+        if placer.orders:
+            break
+    assert [order.identity for order in placer.orders] == ["a-large-0"]
+    assert 4.0 <= now[0] <= 4.5
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -25,6 +25,7 @@
 from apricotseam.node._usage import UsageExchange
 from apricotseam.node._zone_reports import HostState
 from apricotseam.node._zone_reports import ZoneReport
+from apricotseam.node._zones import ZoneState
 
 TICK_SECONDS = 0.05
 # Time in which all hosts of a zone agree after the last fault: a report is
@@ -471,3 +472,27 @@
     other = HostState("y/1", "b", 1, {}, [], {}, [], {})
     host.handlers[HostState]("10.9.0.1:1", other)
     assert not host.exchange._collector.states(zone.now)
+
+
+# A message, and the number of its fields before leaving targets were added.
+MESSAGES = [
+    (HostState("h/1", "a", 1, {}, [], {}, [], {}), 8),
+    (ZoneReport("a", "h/1", 1, {}, {}, None, [], {}, [], {}, [], 0), 12),
+    (ZoneState("a", "h/1", 1, {}), 5),
+]
+
+
+@pytest.mark.parametrize(
+    ("message", "count"),
+    MESSAGES,
+    ids=[type(message).__name__ for message, _ in MESSAGES],
+)
+def test_message_of_a_host_that_does_not_tell_of_leaving_targets(
+    message, count
+):
+    """Guards against a change of version in which hosts don't understand."""
+    fields = msgspec.to_builtins(message)
+    assert len(fields) == count + 1
+    old = msgspec.msgpack.encode(fields[:count])
+    read = msgspec.msgpack.decode(old, type=type(message))
+    assert read == message and read.leaving == {}
