--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -207,14 +207,14 @@
         target = min(candidates, key=self._target_cost)
         return Choice(target, ((target, 1),), (), 1.0)
 
-    def has_layers(self, service, now):
+    def has_layers(self, service, at):
         """Return whether a chain covers all layers, regardless of load.
 
         Parameters
         ----------
         service : Service
             A service with an engine.
-        now : float
+        at : float
             Monotonic time in seconds; targets that rest until later are left
             out.
         """
@@ -222,7 +222,7 @@
         holders = [
             Holder("", "", "", t.record.layers, 1.0, 1.0)
             for t in self._fleet.of_service(service.name)
-            if t.record.layers is not None and not t.is_resting(now)
+            if t.record.layers is not None and not t.is_resting(at)
         ]
         return find_chain(holders, profile.layers, 0.0) is not None
 
@@ -248,11 +248,11 @@
                 return end
         return None
 
-    def _can_serve(self, service, now):
+    def _can_serve(self, service, at):
         if service.engine is not None:
-            return self.has_layers(service, now)
+            return self.has_layers(service, at)
         targets = self._fleet.of_service(service.name)
-        return any(not target.is_resting(now) for target in targets)
+        return any(not target.is_resting(at) for target in targets)
 
     def _candidates(self, call, now):
         targets = [
