Merge what targets announce: leaving and rests

Beside it: a plain attempt and a second attempt book their capacity when they are chosen, not when their task first runs; in between, others chose the same target (found by two tests of the merged part).

--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -104,6 +104,17 @@
         """Request identifier from the request headers."""
         return self.metadata.request_id
 
+    def withdraw_attempt(self, target):
+        """Take back an attempt of which nothing was sent.
+
+        Parameters
+        ----------
+        target : str
+            As for `record_outcome`.
+        """
+        self.attempts -= 1
+        self.record_outcome(target, "not_sent")
+
     def seconds_left(self):
         """Return the time until the deadline in seconds."""
         return self.deadline - asyncio.get_running_loop().time()
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -5,10 +5,11 @@
 
 from apricotseam.forwarding._answering import fail
 from apricotseam.forwarding._answering import FailedAnswer
-from apricotseam.forwarding._answering import refuse_call
+from apricotseam.forwarding._errors import OutdatedChoiceError
 from apricotseam.forwarding._passage import StreamAttempt
 from apricotseam.forwarding._request_queue import WAIT_FRACTION
 from apricotseam.forwarding._sender import Sender
+from apricotseam.forwarding._unserved import refuse_unserved
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import TransportError
 from apricotseam.http1 import TransportTimeoutError
@@ -51,7 +52,7 @@
                 break
             call.attempts += 1
             attempt = self._make_attempt(call, choice)
-            failure = await self._record_result(attempt, attempt.run())
+            failure = await self._record_result(attempt, attempt.run)
             if failure is None:
                 return 200
             status = failure
@@ -59,7 +60,7 @@
             call.exchange.abort_response()
             return "cut"
         if call.runs == 0:
-            return refuse_call(
+            return refuse_unserved(
                 self._context, call, "no room", self._retry_after(call)
             )
         return fail(call, status)
@@ -157,7 +158,8 @@
         now = asyncio.get_running_loop().time()
         if call.service.engine is None or now >= until:
             return False
-        if not self._context.target_selector.has_layers(call.service):
+        target_selector = self._context.target_selector
+        if not target_selector.has_layers(call.service, until):
             return False
         if call.exchange.is_started:
             return True
@@ -171,17 +173,21 @@
         wait = request_queue.reserve_return_seconds()
         return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait))
 
-    async def _record_result(self, attempt, running):
-        """Await a coroutine of an attempt and record how it ended.
+    async def _record_result(self, attempt, run):
+        """Run a method of an attempt and record how it ended.
 
         Returns
         -------
         int or None
-            The HTTP status that results; None if the coroutine succeeded.
+            The HTTP status that results; None if the method succeeded.
         """
         call = attempt.call
         try:
-            failure = await running
+            failure = await run()
+        except OutdatedChoiceError:
+            choice = attempt.choice
+            call.withdraw_attempt(choice.chain or choice.head.identity)
+            return 502
         except ConnectError:
             self._record_failure(
                 call, attempt.choice.head, "no_connection", True
@@ -227,6 +233,9 @@
             self._record_failure(
                 call, at_fault, f"not_run_{answer.status}", False
             )
+            now = asyncio.get_running_loop().time()
+            if at_fault.is_resting(now):
+                return 502
             if not await self._context.prober.find_unresponsive([at_fault]):
                 now = asyncio.get_running_loop().time()
                 at_fault.health.avoid(now + REFUSED_PAUSE_SECONDS)
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -17,11 +17,15 @@
 
 from apricotseam.chains import Ledger
 from apricotseam.coordination import Hosts
+from apricotseam.fleet import Fleet
+from apricotseam.fleet import LeavingSource
+from apricotseam.fleet import TargetRecord
 from apricotseam.forwarding import HostRetryBudget
 from apricotseam.membership import Member
 from apricotseam.node._usage import UsageExchange
 from apricotseam.node._zone_reports import HostState
 from apricotseam.node._zone_reports import ZoneReport
+from apricotseam.node._zones import ZoneState
 
 TICK_SECONDS = 0.05
 # Time in which all hosts of a zone agree after the last fault: a report is
@@ -31,17 +35,6 @@
 LAYERS = 2
 
 
-class Targets:
-    """A fleet without targets."""
-
-    def __iter__(self):
-        return iter(())
-
-    def get(self, identity):
-        """Return None for each target."""
-        return None
-
-
 class Queue:
     """Remembers the refusals that it is told of."""
 
@@ -76,10 +69,11 @@
             0.2, 200.0, 10.0, lambda: len(self.hosts.table)
         )
         self.queue = Queue()
+        self.fleet = Fleet()
         self.heartbeats = 0
         context = types.SimpleNamespace(
             ledger=self.ledger,
-            fleet=Targets(),
+            fleet=self.fleet,
             retry_budget=self.budget,
             request_queue=self.queue,
         )
@@ -338,6 +332,42 @@
     assert set(spent) == {1}
 
 
+# Number of hosts, number of the host that reads the target's answer, seconds
+# until all others know.
+ZONES_TOLD = [
+    ("small fleet", 6, 3, 0.5),
+    ("large fleet, told by a host", 39, 30, 1.5),
+    ("large fleet, told by a delegate", 39, 0, 1.5),
+]
+
+
+@pytest.mark.parametrize(
+    ("count", "number", "seconds"),
+    [case[1:] for case in ZONES_TOLD],
+    ids=[case[0] for case in ZONES_TOLD],
+)
+def test_all_hosts_hear_of_a_leaving_target(count, number, seconds):
+    zone = Zone(count)
+    zone.run(6)
+    record = TargetRecord(
+        identity=TARGET, service="s", address="t:1", zone="a", born_ms=7
+    )
+    for host in zone.hosts.values():
+        host.fleet.update(record)
+    teller = zone.hosts[f"10.0.0.{number}:1"]
+    teller.fleet.record_leaving(
+        (TARGET, 7), LeavingSource.OWN_ANSWER, zone.now
+    )
+    told_at = zone.now
+    zone.run(seconds)
+    for address, host in zone.hosts.items():
+        target = host.fleet.get(TARGET)
+        assert not target.accepts_requests, address
+        # The age covers the time that the messages took.
+        since = target.announcements.leaving_since
+        assert told_at - 0.01 <= since <= zone.now, address
+
+
 def test_readers_need_no_heartbeats_of_their_own():
     zone = Zone(39)
     zone.run(6)
@@ -442,3 +472,27 @@
     other = HostState("y/1", "b", 1, {}, [], {}, [], {})
     host.handlers[HostState]("10.9.0.1:1", other)
     assert not host.exchange._collector.states(zone.now)
+
+
+# A message, and the number of its fields before leaving targets were added.
+MESSAGES = [
+    (HostState("h/1", "a", 1, {}, [], {}, [], {}), 8),
+    (ZoneReport("a", "h/1", 1, {}, {}, None, [], {}, [], {}, [], 0), 12),
+    (ZoneState("a", "h/1", 1, {}), 5),
+]
+
+
+@pytest.mark.parametrize(
+    ("message", "count"),
+    MESSAGES,
+    ids=[type(message).__name__ for message, _ in MESSAGES],
+)
+def test_message_of_a_host_that_does_not_tell_of_leaving_targets(
+    message, count
+):
+    """Guards against a change of version in which hosts don't understand."""
+    fields = msgspec.to_builtins(message)
+    assert len(fields) == count + 1
+    old = msgspec.msgpack.encode(fields[:count])
+    read = msgspec.msgpack.decode(old, type=type(message))
+    assert read == message and read.leaving == {}
