--- a/apricotseam/coordination/__init__.py
+++ b/apricotseam/coordination/__init__.py
@@ -10,6 +10,7 @@
 from apricotseam.coordination._messages import MirrorItem
 from apricotseam.coordination._messages import PackedPush
 from apricotseam.coordination._messages import Push
+from apricotseam.coordination._mirror import EraChange
 from apricotseam.coordination._mirror import Mirror
 from apricotseam.coordination._registration import Registration
 from apricotseam.coordination._suspension import SuspensionDetector
@@ -18,6 +19,7 @@
     "Changes",
     "ChangesRequest",
     "Election",
+    "EraChange",
     "HostRecord",
     "Hosts",
     "Mirror",
--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -235,15 +235,18 @@
             self._publish()
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
 
-    async def ask_changes(self, revision, count):
+    async def ask_changes(self, position, count, readers_first=False):
         """Request the latest changes of the store from random hosts.
 
         Parameters
         ----------
-        revision : int
-            Revision up to which this host knows the changes.
+        position : Position
+            Position up to which this host knows the changes.
         count : int
             Number of hosts to ask.
+        readers_first : bool
+            Whether one of them should be a delegate of this host's zone,
+            which reads the store.
 
         Returns
         -------
@@ -256,9 +259,15 @@
             for m in self.table.present()
             if m.peers_address != own
         ]
-        chosen = random.sample(addresses, min(count, len(addresses)))
+        chosen = []
+        if readers_first:
+            readers = set(self.zone_delegates) - {own}
+            chosen = random.sample(sorted(readers), min(1, len(readers)))
+            addresses = [a for a in addresses if a not in chosen]
+        rest = min(count - len(chosen), len(addresses))
+        chosen += random.sample(addresses, rest)
         requests = [
-            self._request_changes(a, ChangesRequest(revision)) for a in chosen
+            self._request_changes(a, ChangesRequest(position)) for a in chosen
         ]
         answers = await asyncio.gather(*requests)
         return [a for a in answers if isinstance(a, Changes)]
--- a/apricotseam/coordination/_messages.py
+++ b/apricotseam/coordination/_messages.py
@@ -2,29 +2,31 @@
 
 import msgspec
 
+from apricotseam.positions import Position
+
 
 class MirrorItem(msgspec.Struct, frozen=True, array_like=True):
     """A key of the store; ``value`` is None if the key was deleted."""
 
     key: str
     value: bytes | None
-    revision: int
+    position: Position
 
 
 class ChangesRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Request for the changes after a revision."""
+    """Request for the changes after a position in the store."""
 
-    after: int
+    after: Position
 
 
 class Changes(msgspec.Struct, frozen=True, array_like=True):
-    """Changes up to ``revision``, the latest that the answering host knows.
+    """Changes up to ``position``, the latest that the answering host knows.
 
     If ``is_whole`` is set, ``items`` lists all items of the store, and a
     key that is not listed does not exist.
     """
 
-    revision: int
+    position: Position
     items: list[MirrorItem]
     is_whole: bool = False
 
@@ -32,20 +34,20 @@
 class Push(msgspec.Struct, frozen=True, array_like=True):
     """Message from a reader of the store to the other hosts of its zone.
 
-    ``items`` are all changes after ``base`` up to ``revision``. Without
+    ``items`` are all changes after ``base`` up to ``position``. Without
     items the message is a heartbeat: the reader still follows the store.
     """
 
-    base: int
-    revision: int
+    base: Position
+    position: Position
     items: list[MirrorItem]
 
 
 class PackedPush(msgspec.Struct, frozen=True, array_like=True):
     """A `Push` whose items are packed, see `pack_push`."""
 
-    base: int
-    revision: int
+    base: Position
+    position: Position
     packed: bytes
 
 
--- a/apricotseam/coordination/_mirror.py
+++ b/apricotseam/coordination/_mirror.py
@@ -2,15 +2,41 @@
 
 import collections
 
+import msgspec
+
 from apricotseam.coordination._messages import Changes
 from apricotseam.coordination._messages import MirrorItem
+from apricotseam.positions import NO_POSITION
+from apricotseam.positions import Position
 
-# Number of deleted keys whose revisions are remembered for peers.
+# Number of deleted keys whose positions are remembered for peers.
 MAX_TOMBSTONES = 1024
 
 
+class EraChange(msgspec.Struct, frozen=True):
+    """Difference between a mirror and the store after the store went back.
+
+    Attributes
+    ----------
+    old, new : Position
+        Positions of the mirror before and after.
+    lost : list of str
+        Keys that the store no longer has.
+    older : list of str
+        Keys of which the store has an earlier revision.
+    """
+
+    old: Position
+    new: Position
+    lost: list[str]
+    older: list[str]
+
+
 class Mirror:
-    """Items by key, each at the highest revision that was received.
+    """Items by key, each at the highest position that was received.
+
+    All items are of one era of the store. A listing of a later era replaces
+    them; items of other eras are refused.
 
     Parameters
     ----------
@@ -19,16 +45,16 @@
 
     Attributes
     ----------
-    revision : int
-        Store revision up to which all changes are known, 0 if none.
+    position : Position
+        Position up to which all changes are known.
     """
 
     def __init__(self, on_change):
         self._on_change = on_change
         self._items = {}
         self._tombstones = collections.OrderedDict()
-        self._evicted_revision = 0
-        self.revision = 0
+        self._evicted_position = NO_POSITION
+        self.position = NO_POSITION
 
     def __len__(self):
         return len(self._items)
@@ -49,16 +75,18 @@
         bool
             Whether the change was applied.
         """
-        # A key that is unknown up to `revision` was deleted or never existed,
-        # so an item of it at a lower revision is late.
-        return self._apply_newer(item, self.revision)
+        if item.position.era != self.position.era:
+            return False
+        # A key that is unknown up to `position` was deleted or never existed,
+        # so an item of it at a lower position is late.
+        return self._apply_newer(item, self.position)
 
-    def _apply_newer(self, item, unknown_revision):
-        """Apply a change above the revision at which its key is known.
+    def _apply_newer(self, item, unknown_position):
+        """Apply a change above the position at which its key is known.
 
-        ``unknown_revision`` is that of keys of which nothing is known.
+        ``unknown_position`` is that of keys of which nothing is known.
         """
-        if self._revision_of(item.key, unknown_revision) >= item.revision:
+        if self._position_of(item.key, unknown_position) >= item.position:
             return False
         if item.value is None:
             self._items.pop(item.key, None)
@@ -69,59 +97,87 @@
         self._on_change(item)
         return True
 
-    def advance(self, revision):
-        """Record that all changes up to a revision are known."""
-        self.revision = max(self.revision, revision)
+    def advance(self, position):
+        """Record that all changes up to a position are known."""
+        self.position = max(self.position, position)
 
-    def reconcile(self, items, first_revision, last_revision):
+    def reconcile(self, items, first_position, last_position):
         """Replace the items by a complete listing, which may have had pages.
 
         Parameters
         ----------
         items : list of MirrorItem
             Items of all pages.
-        first_revision, last_revision : int
-            Revisions of the store at the first and the last page. A key
-            that is not listed counts as deleted unless it is known at a
-            revision above that of the first page.
+        first_position, last_position : Position
+            Positions of the store at the first and the last page, of the
+            same era. A key that is not listed counts as deleted unless it is
+            known at a position above that of the first page.
+
+        Returns
+        -------
+        EraChange or None
+            What differs if the listing is of a later era.
         """
+        change = self._compare(items, first_position)
         listed = {item.key for item in items}
-        is_older = first_revision < self.revision
+        is_older = first_position < self.position
         for item in items:
-            self._apply_newer(item, self.revision if is_older else 0)
+            unknown_position = self.position if is_older else NO_POSITION
+            self._apply_newer(item, unknown_position)
         for key, item in list(self._items.items()):
-            if key not in listed and item.revision <= first_revision:
-                self.apply(MirrorItem(key, None, first_revision))
+            if key not in listed and item.position <= first_position:
+                deleted = MirrorItem(key, None, first_position)
+                self._apply_newer(deleted, self.position)
         # A change between two pages may be missing from the listing, so the
         # watch has to continue from the first page.
-        self.advance(min(first_revision, last_revision))
+        self.advance(min(first_position, last_position))
+        return change
+
+    def _compare(self, items, position):
+        """Return the `EraChange` of a listing, None if it is of this era."""
+        old = self.position
+        if old == NO_POSITION or position.era <= old.era:
+            return None
+        listed = {item.key: item for item in items}
+        lost = [key for key in self._items if key not in listed]
+        older = [
+            key
+            for key, item in self._items.items()
+            if key in listed
+            and listed[key].position.revision < item.position.revision
+        ]
+        return EraChange(old, position, lost, older)
 
     def changes_since(self, after):
-        """Return the `Changes` after a revision.
+        """Return the `Changes` after a position.
 
-        All items are returned for revision 0 and if deletions after the
-        revision are no longer known.
+        All items are returned for `NO_POSITION`, for a position of an earlier
+        era and if deletions after the position are no longer known.
         """
-        if after < self._evicted_revision or not after:
-            return Changes(self.revision, list(self._items.values()), True)
-        items = [i for i in self._items.values() if i.revision > after]
+        if after.era > self.position.era:
+            return Changes(self.position, [])
+        is_of_earlier_era = after.era < self.position.era
+        is_unknown = after < self._evicted_position or after == NO_POSITION
+        if is_of_earlier_era or is_unknown:
+            return Changes(self.position, list(self._items.values()), True)
+        items = [i for i in self._items.values() if i.position > after]
         items.extend(
-            MirrorItem(key, None, revision)
-            for key, revision in self._tombstones.items()
-            if revision > after
+            MirrorItem(key, None, position)
+            for key, position in self._tombstones.items()
+            if position > after
         )
-        return Changes(self.revision, items, False)
+        return Changes(self.position, items, False)
 
-    def _revision_of(self, key, unknown_revision):
-        """Return the revision at which a key was changed or deleted last."""
+    def _position_of(self, key, unknown_position):
+        """Return the position at which a key was changed or deleted last."""
         known = self._items.get(key)
         if known is not None:
-            return known.revision
-        return max(self._tombstones.get(key, 0), unknown_revision)
+            return known.position
+        return max(self._tombstones.get(key, NO_POSITION), unknown_position)
 
     def _add_tombstone(self, item):
-        self._tombstones[item.key] = item.revision
+        self._tombstones[item.key] = item.position
         self._tombstones.move_to_end(item.key)
         if len(self._tombstones) > MAX_TOMBSTONES:
-            _, revision = self._tombstones.popitem(last=False)
-            self._evicted_revision = max(self._evicted_revision, revision)
+            _, position = self._tombstones.popitem(last=False)
+            self._evicted_position = max(self._evicted_position, position)
--- a/apricotseam/coordination/_registration.py
+++ b/apricotseam/coordination/_registration.py
@@ -57,7 +57,8 @@
             try:
                 await self._run_once()
                 retry_seconds = FIRST_RETRY_SECONDS
-            except LeaseEndedError:
+            except LeaseEndedError as error:
+                _LOG.info("registration_ended", extra={"error": str(error)})
                 self._lease = None
             except (StoreError, ConflictError) as error:
                 _LOG.debug("registration_failed", extra={"error": str(error)})
@@ -85,18 +86,22 @@
     async def _is_missing(self):
         """Check the record until its lease is to be renewed.
 
-        All records may expire while the store is unreachable.
+        All records may expire while the store is unreachable. If the store
+        goes back, it loses the lease, or the record with it.
 
         Returns
         -------
         bool
-            Whether the record disappeared from the mirror.
+            Whether the record disappeared from the mirror, or its lease is
+            of an earlier era of the store.
         """
         loop = asyncio.get_running_loop()
         renew_at = loop.time() + RENEW_INTERVAL_SECONDS
         missing_checks = 0
         while loop.time() < renew_at and not self._is_withdrawn:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            if self._lease is None or self._lease.era != self._store.era:
+                return True
             missing_checks += 1
             if self._mirror.get(self._key) is not None:
                 missing_checks = 0
@@ -112,7 +117,9 @@
         value = msgspec.json.encode(self._record)
         self._lease = lease
         try:
-            await self._store.change(puts=[Item(self._key, value, 0, lease)])
+            await self._store.change(
+                puts=[Item(self._key, value, lease=lease)]
+            )
         except (StoreError, ConflictError):
             self._lease = None
             raise
--- a/apricotseam/coordination/tests/test_keeper.py
+++ b/apricotseam/coordination/tests/test_keeper.py
@@ -24,6 +24,7 @@
 from apricotseam.platform import StoreError
 from apricotseam.platform import WATCH_MARGIN_SECONDS
 from apricotseam.platform import WatchResult
+from apricotseam.positions import Position
 
 # Time after an outage of the store within which all hosts have to know its
 # items.
@@ -47,14 +48,15 @@
         self.watches = list(watches)
         self.waits = []
         self.gap = gap
-        self.listing = [Item(k, b"v", r) for k, r in listing]
+        self.listing = [Item(k, b"v", Position(r)) for k, r in listing]
         self.list_calls = 0
+        self.era = 0
 
     async def list_page(self, prefix, after=""):
         """Return all items."""
         self.list_calls += 1
-        revision = max((i.revision for i in self.listing), default=1)
-        return Listing(self.listing, False, revision)
+        last = max((i.position for i in self.listing), default=Position(1))
+        return Listing(self.listing, False, last)
 
     async def watch(self, prefix, after, wait_seconds):
         """Return or raise the next answer."""
@@ -100,7 +102,7 @@
             mirror,
             ask_peers,
             loop.time,
-            lambda: is_reader or not mirror.revision,
+            lambda: is_reader or not mirror.position,
             sent.append,
             is_urgent,
         )
@@ -119,10 +121,10 @@
 
 
 def test_changes_are_applied_and_pushed():
-    changed = WatchResult([Item("a", b"w", 5)], 5)
+    changed = WatchResult([Item("a", b"w", Position(5))], Position(5))
     mirror, sent, _ = follow(FakeStore([changed], [("a", 3)]))
     assert mirror.get("a").value == b"w"
-    assert [(push.base, push.revision) for push in sent] == [(3, 5)]
+    assert [(push.base, push.position) for push in sent] == [(3, 5)]
 
 
 def test_lost_history_is_listed_again():
@@ -133,20 +135,30 @@
 
 def test_peers_are_asked_while_the_store_is_unreachable():
     error = StoreError("down", "wait")
-    found = Changes(9, [MirrorItem("a", b"new", 9)])
+    found = Changes(Position(9), [MirrorItem("a", b"new", Position(9))])
     mirror, _, is_store_unreachable = follow(
         FakeStore([error] * 50, [("a", 3)]), changes=[found]
     )
     assert mirror.get("a").value == b"new"
-    assert (mirror.revision, is_store_unreachable) == (9, True)
+    assert (mirror.position, is_store_unreachable) == (9, True)
 
 
 # Case, pushes that are received, resulting value and revision of the mirror.
 PUSHES = [
-    ("next change", [Push(3, 5, [MirrorItem("a", b"w", 5)])], b"w", 5),
-    ("heartbeat", [Push(3, 3, [])], b"v", 3),
-    ("outdated change", [Push(1, 2, [MirrorItem("a", b"o", 2)])], b"v", 3),
-    ("missing changes", [Push(8, 9, [])], b"new", 9),
+    (
+        "next change",
+        [Push(Position(3), Position(5), [MirrorItem("a", b"w", Position(5))])],
+        b"w",
+        5,
+    ),
+    ("heartbeat", [Push(Position(3), Position(3), [])], b"v", 3),
+    (
+        "outdated change",
+        [Push(Position(1), Position(2), [MirrorItem("a", b"o", Position(2))])],
+        b"v",
+        3,
+    ),
+    ("missing changes", [Push(Position(8), Position(9), [])], b"new", 9),
 ]
 # Random, as compressible bytes would fit in a push.
 LARGE = random.Random(1).randbytes(MAX_PUSHED_BYTES + 1)
@@ -159,19 +171,19 @@
 )
 def test_pushes_of_a_reader(pushes, value, revision):
     store = FakeStore([], [("a", 3)], gap=StoreError("down", "wait"))
-    answer = Changes(9, [MirrorItem("a", b"new", 9)])
+    answer = Changes(Position(9), [MirrorItem("a", b"new", Position(9))])
     mirror, sent, _ = follow(
         store, changes=[answer], is_reader=False, pushes=pushes
     )
-    assert (mirror.get("a").value, mirror.revision) == (value, revision)
+    assert (mirror.get("a").value, mirror.position) == (value, revision)
     assert sent == []
 
 
 def test_a_large_change_is_announced_without_items():
-    changed = WatchResult([Item("a", LARGE, 5)], 5)
+    changed = WatchResult([Item("a", LARGE, Position(5))], Position(5))
     mirror, sent, _ = follow(FakeStore([changed], [("a", 3)]))
     assert mirror.get("a").value == LARGE
-    assert sent == [Push(5, 5, [])]
+    assert sent == [Push(Position(5), Position(5), [])]
 
 
 # Case, value of a change, whether its push is packed.
@@ -187,7 +199,7 @@
     ids=[case[0] for case in PACKED],
 )
 def test_pushed_changes_reach_the_other_hosts(value, is_packed):
-    changed = WatchResult([Item("a", value, 5)], 5)
+    changed = WatchResult([Item("a", value, Position(5))], Position(5))
     _, sent, _ = follow(FakeStore([changed], [("a", 3)]))
     assert [isinstance(push, PackedPush) for push in sent] == [is_packed]
     store = FakeStore([], [("a", 3)])
@@ -197,26 +209,30 @@
 
 @pytest.mark.parametrize("packed", [b"", b"not compressed"])
 def test_a_packed_push_that_cannot_be_read_is_fetched(packed):
-    changed = WatchResult([Item("a", b"w", 5)], 5)
+    changed = WatchResult([Item("a", b"w", Position(5))], Position(5))
     store = FakeStore([], [("a", 3)], gap=changed)
-    push = PackedPush(3, 5, packed)
+    push = PackedPush(Position(3), Position(5), packed)
     mirror, _, _ = follow(store, is_reader=False, pushes=[push])
     assert mirror.get("a").value == b"w"
 
 
 def test_a_gap_is_filled_from_the_store():
-    changed = WatchResult([Item("a", LARGE, 5)], 5)
+    changed = WatchResult([Item("a", LARGE, Position(5))], Position(5))
     store = FakeStore([], [("a", 3)], gap=changed)
-    mirror, _, _ = follow(store, is_reader=False, pushes=[Push(5, 5, [])])
+    mirror, _, _ = follow(
+        store, is_reader=False, pushes=[Push(Position(5), Position(5), [])]
+    )
     assert mirror.get("a").value == LARGE
-    assert mirror.revision == 5
+    assert mirror.position == 5
 
 
 def test_many_large_versions_are_listed_instead():
     """A listing does not contain versions that were overwritten meanwhile."""
     size = MAX_SUPERSEDED_BYTES
-    versions = [Item("a", bytes([n]) * size, 4 + n) for n in range(3)]
-    store = FakeStore([WatchResult(versions, 6)], [("a", 3)])
+    versions = [
+        Item("a", bytes([n]) * size, Position(4 + n)) for n in range(3)
+    ]
+    store = FakeStore([WatchResult(versions, Position(6))], [("a", 3)])
     follow(store, seconds=LARGE_PAUSE_SECONDS + 0.2)
     assert store.list_calls == 2
 
@@ -231,7 +247,10 @@
     ids=[case[0] for case in CHANGES],
 )
 def test_non_urgent_changes_are_coalesced(is_urgent, watches):
-    answers = [WatchResult([Item("a", b"w", 4 + n)], 4 + n) for n in range(9)]
+    answers = [
+        WatchResult([Item("a", b"w", Position(4 + n))], Position(4 + n))
+        for n in range(9)
+    ]
     store = FakeStore(answers, [("a", 3)])
     follow(store, is_urgent=lambda item: is_urgent)
     assert 9 - len(store.watches) <= watches + 1
@@ -241,7 +260,7 @@
 def test_an_unreachable_store_is_watched_with_a_short_timeout():
     """A call that is never answered would delay recovery of the host."""
     error = StoreError("down", "wait")
-    store = FakeStore([error, error, WatchResult([], 3)], [("a", 3)])
+    store = FakeStore([error, error, WatchResult([], Position(3))], [("a", 3)])
     follow(store, seconds=0.6)
     assert store.waits[:4] == [
         WATCH_TIMEOUT_SECONDS,
--- a/apricotseam/coordination/tests/test_mirror.py
+++ b/apricotseam/coordination/tests/test_mirror.py
@@ -4,6 +4,7 @@
 
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import MirrorItem
+from apricotseam.positions import Position
 
 # Revision of a listing without the key, revision and value of an item of the
 # key that arrives afterwards, and whether the mirror then has the key.
@@ -23,8 +24,8 @@
     listed, revision, value, is_known
 ):
     mirror = Mirror(lambda item: None)
-    mirror.reconcile([], listed, listed)
-    applied = mirror.apply(MirrorItem("a", value, revision))
+    mirror.reconcile([], Position(listed), Position(listed))
+    applied = mirror.apply(MirrorItem("a", value, Position(revision)))
     assert applied is is_known
     assert (mirror.get("a") is not None) is is_known
 
@@ -33,9 +34,9 @@
     monkeypatch.setattr("apricotseam.coordination._mirror.MAX_TOMBSTONES", 1)
     mirror = Mirror(lambda item: None)
     for revision, key in enumerate(["a", "b", "c"], 2):
-        mirror.apply(MirrorItem(key, None, revision))
-        mirror.advance(revision)
-    assert not mirror.apply(MirrorItem("a", b"v", 1))
+        mirror.apply(MirrorItem(key, None, Position(revision)))
+        mirror.advance(Position(revision))
+    assert not mirror.apply(MirrorItem("a", b"v", Position(1)))
     assert mirror.get("a") is None
 
 
@@ -57,6 +58,7 @@
     first, second, is_known
 ):
     mirror = Mirror(lambda item: None)
-    mirror.reconcile([], first, first)
-    mirror.reconcile([MirrorItem("a", b"v", 2)], second, second)
+    mirror.reconcile([], Position(first), Position(first))
+    found = MirrorItem("a", b"v", Position(2))
+    mirror.reconcile([found], Position(second), Position(second))
     assert (mirror.get("a") is not None) is is_known
--- a/apricotseam/coordination/tests/test_mirror_machine.py
+++ b/apricotseam/coordination/tests/test_mirror_machine.py
@@ -7,6 +7,7 @@
 
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import MirrorItem
+from apricotseam.positions import Position
 
 KEYS = ["a", "b", "c"]
 
@@ -16,24 +17,24 @@
 
     def __init__(self):
         super().__init__()
-        self.revision = 1
+        self.position = Position(1)
         self.items = {}
         self.history = []
-        self.seen_revisions = {}
+        self.seen_positions = {}
         self.mirrors = [Mirror(self.record), Mirror(lambda item: None)]
 
     def record(self, item):
-        """Check that the revisions of a key only increase."""
-        assert item.revision > self.seen_revisions.get(item.key, 0)
-        self.seen_revisions[item.key] = item.revision
+        """Check that the positions of a key only increase."""
+        assert item.position > self.seen_positions.get(item.key, 0)
+        self.seen_positions[item.key] = item.position
 
     @rule(key=strategies.sampled_from(KEYS), is_deleted=strategies.booleans())
     def change(self, key, is_deleted):
         if is_deleted and key not in self.items:
             return
-        self.revision += 1
+        self.position = Position(self.position + 1)
         value = None if is_deleted else b"v"
-        item = MirrorItem(key, value, self.revision)
+        item = MirrorItem(key, value, self.position)
         self.history.append(item)
         if is_deleted:
             del self.items[key]
@@ -44,50 +45,50 @@
     def watch(self, number):
         mirror = self.mirrors[number]
         for item in self.history:
-            if item.revision > mirror.revision:
+            if item.position > mirror.position:
                 mirror.apply(item)
-        mirror.advance(self.revision)
+        mirror.advance(self.position)
 
     @rule(number=strategies.sampled_from([0, 1]))
     def list_all(self, number):
         mirror = self.mirrors[number]
         mirror.reconcile(
-            list(self.items.values()), self.revision, self.revision
+            list(self.items.values()), self.position, self.position
         )
 
     @rule(number=strategies.sampled_from([0, 1]))
     def learn_from_peer(self, number):
         mirror = self.mirrors[number]
-        changes = self.mirrors[1 - number].changes_since(mirror.revision)
+        changes = self.mirrors[1 - number].changes_since(mirror.position)
         if changes.is_whole:
-            mirror.reconcile(changes.items, changes.revision, changes.revision)
+            mirror.reconcile(changes.items, changes.position, changes.position)
             return
         for item in changes.items:
             mirror.apply(item)
-        mirror.advance(changes.revision)
+        mirror.advance(changes.position)
 
     @rule(data=strategies.data())
     def apply_stale_item(self, data):
         if self.history:
             item = data.draw(strategies.sampled_from(self.history))
-            if item.revision <= self.mirrors[0].revision:
+            if item.position <= self.mirrors[0].position:
                 self.mirrors[0].apply(item)
 
     @invariant()
-    def mirror_is_the_store_at_its_revision(self):
+    def mirror_is_the_store_at_its_position(self):
         for mirror in self.mirrors:
             expected = {}
             for item in self.history:
-                if item.revision <= mirror.revision:
+                if item.position <= mirror.position:
                     expected[item.key] = item
             for key in KEYS:
                 found = mirror.get(key)
                 wanted = expected.get(key)
                 if wanted is None or wanted.value is None:
-                    assert found is None or found.revision > mirror.revision
+                    assert found is None or found.position > mirror.position
                 else:
                     assert found is not None
-                    assert found.revision >= wanted.revision
+                    assert found.position >= wanted.position
 
 
 TestMirror = MirrorMachine.TestCase
--- a/apricotseam/coordination/tests/test_registration.py
+++ b/apricotseam/coordination/tests/test_registration.py
@@ -8,7 +8,9 @@
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import MirrorItem
 from apricotseam.coordination import Registration
+from apricotseam.platform import Lease
 from apricotseam.platform import StoreError
+from apricotseam.positions import Position
 
 KEY = "own/key"
 REGISTERED = ["grant", "change"]
@@ -25,18 +27,20 @@
         self.is_unreachable = is_unreachable
         self.calls = []
         self.revision = 1
+        self.era = 0
 
     async def grant_lease(self, seconds):
         """Return a lease."""
         self._record_call("grant")
-        return len(self.calls)
+        return Lease(0, len(self.calls))
 
     async def change(self, expected=(), puts=(), deletes=()):
         """Write the record."""
         self._record_call("change")
         self.revision += 1
         for item in puts:
-            self.mirror.apply(MirrorItem(item.key, item.value, self.revision))
+            position = Position(self.revision)
+            self.mirror.apply(MirrorItem(item.key, item.value, position))
 
     async def keep_lease(self, lease):
         """Renew a lease."""
@@ -85,7 +89,7 @@
         task = asyncio.get_running_loop().create_task(registration.run())
         await asyncio.sleep(0.02)
         if expires:
-            mirror.apply(MirrorItem(KEY, None, 9))
+            mirror.apply(MirrorItem(KEY, None, Position(9)))
             store.revision = 9
         await asyncio.sleep(0.25)
         task.cancel()
--- a/apricotseam/coordination/tests/test_withdrawal.py
+++ b/apricotseam/coordination/tests/test_withdrawal.py
@@ -8,6 +8,8 @@
 from apricotseam.coordination import HostRecord
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import Registration
+from apricotseam.platform import Lease
+from apricotseam.positions import Position
 
 KEY = "own/key"
 RECORD = HostRecord(
@@ -21,31 +23,32 @@
     def __init__(self, grant_seconds):
         self._grant_seconds = grant_seconds
         self.calls = []
+        self.era = 0
 
     async def grant_lease(self, seconds):
         """Return the same lease for every call, after a delay."""
         await asyncio.sleep(self._grant_seconds)
         self.calls.append("grant")
-        return 7
+        return Lease(0, 7)
 
     async def change(self, expected=(), puts=(), deletes=()):
         """Accept a change."""
         self.calls.append("change")
-        return 5
+        return Position(5)
 
     async def keep_lease(self, lease):
         """Record that a lease is renewed."""
-        self.calls.append(f"keep {lease}")
+        self.calls.append(f"keep {lease.number}")
 
     async def end_lease(self, lease):
         """Record that a lease is ended."""
-        self.calls.append(f"end {lease}")
+        self.calls.append(f"end {lease.number}")
 
 
 def make_mirror():
     """Return a mirror that knows an empty store."""
     mirror = Mirror(lambda item: None)
-    mirror.advance(1)
+    mirror.advance(Position(1))
     return mirror
 
 
--- a/apricotseam/fleet/_fleet.py
+++ b/apricotseam/fleet/_fleet.py
@@ -3,13 +3,31 @@
 import collections
 import logging
 
+import msgspec
+
 from apricotseam.fleet._target import Target
+from apricotseam.fleet._target import TargetRecord
+from apricotseam.positions import NO_POSITION
 
 _LOG = logging.getLogger(__name__)
 
 # Targets whose entries expired while the store was unreachable register again
 # within this time.
 REMOVAL_GRACE_SECONDS = 2.0
+# Number of removed targets whose records are remembered, so that entries of a
+# store that went back do not bring them back.
+MAX_REMOVED_RECORDS = 1024
+
+
+class RemovedTarget(msgspec.Struct, frozen=True):
+    """Last record of a target that was removed.
+
+    ``was_lost`` is True if the store had gone back to a state without the
+    record, and False if the record was deleted or replaced in its own era.
+    """
+
+    record: TargetRecord
+    was_lost: bool
 
 
 class Fleet:
@@ -27,6 +45,8 @@
         self._targets = {}
         self._by_service = collections.defaultdict(dict)
         self._by_address = {}
+        self._removed = collections.OrderedDict()
+        self._position = NO_POSITION
         self._on_end = on_end or (lambda target: None)
         self._on_drain = on_drain or (lambda target: None)
         # Number of changes so far; readers compare it to detect new ones.
@@ -46,6 +66,14 @@
         """Return the newest target at an address, or None."""
         return self._by_address.get(address)
 
+    def removed(self, identity):
+        """Return the `RemovedTarget` of an identity, or None."""
+        return self._removed.get(identity)
+
+    def advance(self, position):
+        """Record that the store has reached a position."""
+        self._position = max(self._position, position)
+
     def of_service(self, service):
         """Return the targets of a service that accept new requests."""
         found = self._by_service.get(service, {})
@@ -83,10 +111,12 @@
                 "address": record.address,
                 "zone": record.zone,
                 "kind": record.kind,
-                "revision": record.revision,
+                "era": record.position.era,
+                "revision": record.position.revision,
                 "born_ms": record.born_ms,
             },
         )
+        self._removed.pop(record.identity, None)
         self._link(Target(record))
 
     def _is_superseded(self, record):
@@ -99,12 +129,12 @@
         other = self._by_address.get(record.address)
         if other is None or other.identity == record.identity:
             return False
-        if other.record.revision > record.revision:
+        if _is_later(other.record, record):
             return True
         self._remove_target(other, "another target has its address")
         return False
 
-    def remove(self, identity, now, store_was_unreachable=False):
+    def remove(self, identity, now, may_return=False):
         """Remove a target whose entry in the store was deleted.
 
         Parameters
@@ -113,16 +143,17 @@
             Identity of the target.
         now : float
             Monotonic time in seconds, as in `expire`.
-        store_was_unreachable : bool
-            Whether the store was unreachable shortly before. The entry of a
-            running target may then have expired, so that the target is
-            kept for a grace period unless it is draining.
+        may_return : bool
+            Whether the target may write the entry again, as the store was
+            unreachable shortly before or has gone back to a state without
+            it. The target is then kept for a grace period unless it is
+            draining.
         """
         target = self._targets.get(identity)
         if target is None:
             return
         self.changes += 1
-        if store_was_unreachable and not target.record.is_draining:
+        if may_return and not target.record.is_draining:
             target.removal_due_at = now + REMOVAL_GRACE_SECONDS
             return
         self._remove_target(target, "entry removed")
@@ -153,11 +184,20 @@
     def _remove_target(self, target, cause):
         target.is_present = False
         self._unlink(target)
+        self._remember(target.record)
         _LOG.info(
             "target_gone", extra={"target": target.identity, "cause": cause}
         )
         self._on_end(target)
 
+    def _remember(self, record):
+        """Remember the record of a target that was removed."""
+        was_lost = record.position.era < self._position.era
+        self._removed[record.identity] = RemovedTarget(record, was_lost)
+        self._removed.move_to_end(record.identity)
+        if len(self._removed) > MAX_REMOVED_RECORDS:
+            self._removed.popitem(last=False)
+
     def _log_change(self, old, new):
         if old.is_draining != new.is_draining or old.layers != new.layers:
             _LOG.info(
@@ -166,10 +206,22 @@
                     "target": new.identity,
                     "is_draining": new.is_draining,
                     "layers": _format_layers(new.layers),
-                    "revision": new.revision,
+                    "era": new.position.era,
+                    "revision": new.position.revision,
                 },
             )
 
 
+def _is_later(record, other):
+    """Return whether a record is the later one of two at one address.
+
+    Positions of different eras do not tell this if both start times do.
+    """
+    is_same_era = record.position.era == other.position.era
+    if is_same_era or not (record.born_ms and other.born_ms):
+        return record.position > other.position
+    return record.born_ms > other.born_ms
+
+
 def _format_layers(layers):
     return f"{layers.first}-{layers.last}" if layers else ""
--- a/apricotseam/fleet/_target.py
+++ b/apricotseam/fleet/_target.py
@@ -3,6 +3,8 @@
 import msgspec
 
 from apricotseam.fleet._health import Health
+from apricotseam.positions import NO_POSITION
+from apricotseam.positions import Position
 
 
 # Time for which a target's load report is valid.
@@ -33,7 +35,7 @@
 
     ``born_ms`` is the start time of its process in milliseconds of wall
     clock, or 0 if unknown. ``orders`` is the number of orders that it has
-    accepted since then. ``revision`` is the revision of its entry in the
+    accepted since then. ``position`` is the position of its entry in the
     store.
     """
 
@@ -48,7 +50,7 @@
     is_placeable: bool = False
     born_ms: int = 0
     orders: int = 0
-    revision: int = 0
+    position: Position = NO_POSITION
 
     @property
     def incarnation(self):
--- a/apricotseam/fleet/tests/test_fleet.py
+++ b/apricotseam/fleet/tests/test_fleet.py
@@ -6,6 +6,7 @@
 from apricotseam.fleet import Fleet
 from apricotseam.fleet import Health
 from apricotseam.fleet import TargetRecord
+from apricotseam.positions import Position
 
 RECORD = TargetRecord(
     identity="i-1", service="s", address="10.0.0.1:80", zone="a", born_ms=1
@@ -37,13 +38,13 @@
 
 def test_drain_callback_is_called_once():
     fleet, _, drained = make_fleet()
-    fleet.update(replace_fields(is_draining=True, revision=2))
-    fleet.update(replace_fields(is_draining=True, revision=3))
+    fleet.update(replace_fields(is_draining=True, position=Position(2)))
+    fleet.update(replace_fields(is_draining=True, position=Position(3)))
     assert [t.identity for t in drained] == ["i-1"]
     assert fleet.of_service("s") == []
 
 
-# Whether the store was unreachable, whether the target is draining, seconds
+# Whether the target may return, whether it is draining, seconds
 # from the removal of its entry until `expire`, whether it is still present.
 REMOVALS = [
     (False, False, 0.0, False),
@@ -54,14 +55,12 @@
 
 
 @pytest.mark.parametrize(
-    ("store_was_unreachable", "is_draining", "seconds", "expected"), REMOVALS
+    ("may_return", "is_draining", "seconds", "expected"), REMOVALS
 )
-def test_removal_of_an_entry(
-    store_was_unreachable, is_draining, seconds, expected
-):
+def test_removal_of_an_entry(may_return, is_draining, seconds, expected):
     fleet, _, _ = make_fleet()
-    fleet.update(replace_fields(is_draining=is_draining, revision=2))
-    fleet.remove("i-1", 100.0, store_was_unreachable)
+    fleet.update(replace_fields(is_draining=is_draining, position=Position(2)))
+    fleet.remove("i-1", 100.0, may_return)
     fleet.expire(100.0 + seconds)
     assert (fleet.get("i-1") is not None) is expected
 
@@ -69,25 +68,27 @@
 def test_target_that_registers_again_is_kept():
     fleet, ended, _ = make_fleet()
     fleet.remove("i-1", 100.0, True)
-    fleet.update(replace_fields(revision=9))
+    fleet.update(replace_fields(position=Position(9)))
     fleet.expire(110.0)
     assert fleet.get("i-1") is not None and ended == []
 
 
 def test_reused_address_belongs_to_the_new_target():
     fleet, _, _ = make_fleet()
-    fleet.update(replace_fields(identity="i-2", service="t", revision=5))
+    fleet.update(
+        replace_fields(identity="i-2", service="t", position=Position(5))
+    )
     fleet.remove("i-1", 0.0)
     assert fleet.at("10.0.0.1:80").identity == "i-2"
 
 
 def test_target_whose_address_was_taken_over_gets_no_work():
     fleet, ended, _ = make_fleet()
-    fleet.update(replace_fields(identity="i-2", revision=5))
+    fleet.update(replace_fields(identity="i-2", position=Position(5)))
     assert [t.identity for t in fleet.of_service("s")] == ["i-2"]
     assert [t.identity for t in ended] == ["i-1"]
     # The old entry is listed again before it expires in the store.
-    fleet.update(replace_fields(identity="i-1", revision=3))
+    fleet.update(replace_fields(identity="i-1", position=Position(3)))
     assert [t.identity for t in fleet.of_service("s")] == ["i-2"]
 
 
--- a/apricotseam/forwarding/_answering.py
+++ b/apricotseam/forwarding/_answering.py
@@ -64,7 +64,7 @@
         context,
         call.exchange,
         call.request_id,
-        call.table.revision,
+        call.table.position,
         Refusal(cause=cause, retry_after=retry_after),
     )
 
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -13,6 +13,7 @@
 from apricotseam.forwarding._streams import StreamRunner
 from apricotseam.http1 import EndCause
 from apricotseam.platform import decode_request_metadata
+from apricotseam.positions import NO_POSITION
 from apricotseam.routes import RepeatPolicy
 
 _LOG = logging.getLogger(__name__)
@@ -164,7 +165,7 @@
 
     def _revision(self):
         table = self._context.table
-        return table.revision if table is not None else 0
+        return table.position if table is not None else NO_POSITION
 
     def _finish(self, call, status, now):
         kind = call.route.repeat.value
@@ -178,7 +179,7 @@
                 "request": call.request_id,
                 "route": call.route.name,
                 "customer": call.customer,
-                "revision": call.table.revision,
+                "revision": call.table.position,
                 "status": status,
                 "sends": call.send_outcomes,
                 "milliseconds": _milliseconds(seconds),
--- a/apricotseam/forwarding/tests/test_choice.py
+++ b/apricotseam/forwarding/tests/test_choice.py
@@ -9,6 +9,7 @@
 from apricotseam.fleet import LayerRange
 from apricotseam.fleet import TargetRecord
 from apricotseam.forwarding import TargetSelector
+from apricotseam.positions import Position
 from apricotseam.routes import AcceleratorKind
 from apricotseam.routes import EngineProfile
 
@@ -54,7 +55,7 @@
             layers=LayerRange(0, LAYERS),
             slots=8,
             is_placeable=True,
-            revision=number + 1,
+            position=Position(number + 1),
         )
         fleet.update(record)
     return fleet
--- a/apricotseam/forwarding/tests/test_probes.py
+++ b/apricotseam/forwarding/tests/test_probes.py
@@ -14,6 +14,7 @@
 from apricotseam.forwarding._probes import PROBING_HOSTS
 from apricotseam.forwarding import TargetProber
 from apricotseam.http1 import ConnectError
+from apricotseam.positions import Position
 
 
 class FakePool:
@@ -83,7 +84,7 @@
                 zone="a",
                 kind="l4",
                 is_placeable=True,
-                revision=number + 1,
+                position=Position(number + 1),
             )
         )
     return fleet
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -250,9 +250,13 @@
             self._push_if_large,
             lambda item: not item.key.startswith(HOSTS_PREFIX),
             lambda: self._usage_exchange.reports_zone,
+            lambda change: self._item_handler.log_era_change(change),
         )
         self._traffic = TrafficCollector(
-            transport.traffic, self._store.calls, self._keeper.watches
+            transport.traffic,
+            self._store.calls,
+            self._keeper.watches,
+            self._keeper.era_events,
         )
         self._registry.register(self._traffic)
         transport.handle(Push, lambda _, push: self._keeper.receive_push(push))
@@ -263,6 +267,7 @@
             self._context,
             lambda: self._keeper.was_store_unreachable,
             self._now,
+            self._keeper.era_events,
         )
         self._registration = Registration(
             self._store,
@@ -292,7 +297,7 @@
             instance,
             zone,
             self._now,
-            lambda: self._keeper.followed_revision,
+            lambda: self._keeper.followed_position,
             self._keeper.receive_heartbeat,
         )
         self._zone_exchange = ZoneUsageExchange(
@@ -343,6 +348,7 @@
                     "host_was_suspended", extra={"seconds": suspended_seconds}
                 )
             self._find_hosts()
+            self._item_handler.expire()
             self._fleet.expire(self._now())
             self._pool.sweep()
 
--- a/apricotseam/node/_traffic.py
+++ b/apricotseam/node/_traffic.py
@@ -25,9 +25,12 @@
         Calls to the store by kind.
     watches : collections.Counter
         Watches of the store by reason.
+    era_events : collections.Counter
+        Events by kind that belong to changes of the store's era.
     """
 
-    def __init__(self, traffic, store_calls, watches):
+    def __init__(self, traffic, store_calls, watches, era_events):
+        self._era_events = era_events
         self._traffic = traffic
         self._store_calls = store_calls
         self._watches = watches
@@ -70,7 +73,15 @@
         )
         for reason, count in self._watches.items():
             watches.add_metric([reason], count)
-        yield from (messages, size, connections, calls, watches)
+        era_events = CounterMetricFamily(
+            "apricotseam_store_era_events",
+            "Changes of the store's era, messages and answers of earlier eras"
+            " that were dropped, and entries in an earlier state by fate.",
+            labels=["event"],
+        )
+        for event, count in self._era_events.items():
+            era_events.add_metric([event], count)
+        yield from (messages, size, connections, calls, watches, era_events)
 
     def totals(self):
         """Return all counts by name, for example ``sent_Ping_bytes``."""
@@ -87,6 +98,8 @@
             totals[f"store_{kind}"] = count
         for reason, count in self._watches.items():
             totals[f"watch_{reason}"] = count
+        for event, count in self._era_events.items():
+            totals[f"era_{event}"] = count
         return totals
 
 
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -13,6 +13,7 @@
 from apricotseam.node._zone_reports import SentStates
 from apricotseam.node._zone_reports import ZoneCollector
 from apricotseam.node._zone_reports import ZoneReport
+from apricotseam.positions import NO_POSITION
 
 SEND_PERIOD_SECONDS = 0.2
 # Longer, as the delegates of a zone get the states of all its hosts.
@@ -59,11 +60,11 @@
         Availability zone of this host.
     now : callable
         Monotonic time in seconds.
-    store_revision : callable, optional
-        Returns the revision of the store that this host follows, 0 if it
-        does not follow the store.
-    on_store_revision : callable, optional
-        Called with the revision that a delegate of the zone follows.
+    store_position : callable, optional
+        Returns the position in the store that this host follows,
+        `NO_POSITION` if it does not follow the store.
+    on_store_position : callable, optional
+        Called with the position that a delegate of the zone follows.
     """
 
     def __init__(
@@ -73,8 +74,8 @@
         instance,
         zone,
         now,
-        store_revision=None,
-        on_store_revision=None,
+        store_position=None,
+        on_store_position=None,
     ):
         self._zone = zone
         self._hosts = hosts
@@ -82,8 +83,8 @@
         self._ledger = context.ledger
         self._instance = instance
         self._now = now
-        self._store_revision = store_revision or (lambda: 0)
-        self._on_store_revision = on_store_revision or (lambda revision: None)
+        self._store_position = store_position or (lambda: NO_POSITION)
+        self._on_store_position = on_store_position or (lambda position: None)
         self._number = 0
         self._report_number = 0
         # Number of reports applied, as each delegate numbers its own.
@@ -278,7 +279,7 @@
             report,
             suspects=sorted({*report.suspects, *self._other_suspects}),
             other_zones=others,
-            store_revision=self._store_revision(),
+            store_position=self._store_position(),
         )
         self._hosts.transport.send_all(self._hosts.load_recipients, report)
 
@@ -305,8 +306,8 @@
         now = self._now()
         if not self._delegate_reports.receive(sender, report, now):
             return
-        if report.store_revision:
-            self._on_store_revision(report.store_revision)
+        if report.store_position:
+            self._on_store_position(report.store_position)
         self._apply_notices(report, now)
         if not self._is_direct:
             self._apply_sums(report, now)
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -12,6 +12,8 @@
 from apricotseam.chains import sum_usages
 from apricotseam.chains import Usage
 from apricotseam.forwarding import RepeatCount
+from apricotseam.positions import NO_POSITION
+from apricotseam.positions import Position
 
 # A host that sent nothing for this long no longer counts in reports.
 STATE_EXPIRY_SECONDS = 4.0
@@ -57,8 +59,8 @@
     that the sums include. ``usages`` and ``repeats`` are sums over these
     hosts; ``other_zones`` is the usage by hosts of the other zones, or None
     if the report does not repeat it. ``silent`` are peer addresses of hosts
-    whose states are overdue. ``store_revision`` is the revision of the store
-    that the sender follows, 0 if it does not follow the store.
+    whose states are overdue. ``store_position`` is the position in the store
+    that the sender follows, `NO_POSITION` if it does not follow the store.
     """
 
     zone: str
@@ -72,7 +74,7 @@
     refused: list[str]
     repeats: dict[str, RepeatCount]
     silent: list[str]
-    store_revision: int
+    store_position: Position
 
 
 def is_newer(message, known):
@@ -192,7 +194,7 @@
             refused=[*self._refused_at, *own.refused],
             repeats=_sum_repeats(state.repeats for state in states),
             silent=silent,
-            store_revision=0,
+            store_position=NO_POSITION,
         )
 
     def _noticed(self, now):
--- a/apricotseam/node/tests/test_beliefs.py
+++ b/apricotseam/node/tests/test_beliefs.py
@@ -7,6 +7,7 @@
 from apricotseam.coordination import MirrorItem
 from apricotseam.node._beliefs import HOSTS_PREFIX
 from apricotseam.node._beliefs import StoreItemHandler
+from apricotseam.positions import Position
 
 # Number of registered hosts, spread over three availability zones; number of
 # peers that should report their usage to a host of the first zone. Above 25
@@ -26,5 +27,5 @@
         )
         value = msgspec.json.encode(record)
         key = f"{HOSTS_PREFIX}h{number}"
-        handler.apply(MirrorItem(key, value, number + 1))
+        handler.apply(MirrorItem(key, value, Position(number + 1)))
     assert handler.count_peers("z0") == peers
--- a/apricotseam/node/tests/test_placer.py
+++ b/apricotseam/node/tests/test_placer.py
@@ -8,6 +8,7 @@
 from apricotseam.fleet import LayerRange
 from apricotseam.fleet import TargetRecord
 from apricotseam.node._placer import Placer
+from apricotseam.positions import Position
 
 
 def make_record(number, layers=None):
@@ -20,7 +21,7 @@
         kind="k",
         layers=layers,
         is_placeable=True,
-        revision=number + 1,
+        position=Position(number + 1),
     )
 
 
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -94,9 +94,9 @@
         )
         self.tasks = [self.run_states(), self.run_reports()]
 
-    def count_heartbeat(self, revision):
-        """Count a store revision that a delegate reported."""
-        assert revision == 7
+    def count_heartbeat(self, position):
+        """Count a position in the store that a delegate reported."""
+        assert position == 7
         self.heartbeats += 1
 
     def handle(self, record_type, handler, answer_type=None):
--- a/apricotseam/peers/_transport.py
+++ b/apricotseam/peers/_transport.py
@@ -18,6 +18,8 @@
 from apricotseam.peers._servant import ClosingServer
 from apricotseam.peers._servant import PeerService
 from apricotseam.peers._traffic import Traffic
+from apricotseam.positions import decode_hook
+from apricotseam.positions import encode_hook
 
 _LOG = logging.getLogger(__name__)
 
@@ -271,7 +273,7 @@
             await stream.send_message(envelope)
 
     def _pack(self, record):
-        body = msgspec.msgpack.encode(record)
+        body = msgspec.msgpack.encode(record, enc_hook=encode_hook)
         if len(body) > MAX_MESSAGE_BYTES:
             raise PeerMessageError(
                 f"message has {len(body)} bytes, limit is {MAX_MESSAGE_BYTES}",
@@ -293,7 +295,9 @@
                 "run the same version on all hosts",
             )
         self.traffic.received[envelope.kind].count(len(envelope.body))
-        return msgspec.msgpack.decode(envelope.body, type=record_type)
+        return msgspec.msgpack.decode(
+            envelope.body, type=record_type, dec_hook=decode_hook
+        )
 
     async def answer(self, envelope):
         """Pass a request to its handler and pack the answer.
--- a/apricotseam/platform/__init__.py
+++ b/apricotseam/platform/__init__.py
@@ -36,8 +36,10 @@
 from apricotseam.platform._requests import returned_headers
 from apricotseam.platform._store import HistoryLostError
 from apricotseam.platform._store import Item
+from apricotseam.platform._store import Lease
 from apricotseam.platform._store import LeaseEndedError
 from apricotseam.platform._store import Listing
+from apricotseam.platform._store import StaleAnswerError
 from apricotseam.platform._store import StoreClient
 from apricotseam.platform._store import StoreConflictError
 from apricotseam.platform._store import StoreError
@@ -52,6 +54,7 @@
     "Forwarding",
     "HistoryLostError",
     "Item",
+    "Lease",
     "LeaseEndedError",
     "Listing",
     "MAX_ADDRESSES",
@@ -64,6 +67,7 @@
     "Reroute",
     "Stage",
     "StalledRequest",
+    "StaleAnswerError",
     "StoreClient",
     "StoreConflictError",
     "StoreError",
--- a/apricotseam/platform/_configuration.py
+++ b/apricotseam/platform/_configuration.py
@@ -137,15 +137,15 @@
 _DECODER = msgspec.json.Decoder(_Configuration)
 
 
-def decode_configuration(value, revision):
+def decode_configuration(value, position):
     """Decode a stored configuration.
 
     Parameters
     ----------
     value : bytes
         JSON value of the entry.
-    revision : int
-        Store revision of the entry.
+    position : Position
+        Position of the entry in the store.
 
     Returns
     -------
@@ -159,7 +159,7 @@
     try:
         configuration = _DECODER.decode(value)
         return RouteTable(
-            revision=revision,
+            position=position,
             version=configuration.version,
             routes=[_route(route) for route in configuration.routes],
             services=[_service(service) for service in configuration.services],
--- a/apricotseam/platform/_orders.py
+++ b/apricotseam/platform/_orders.py
@@ -6,6 +6,7 @@
 
 from apricotseam.errors import InvalidInputError
 from apricotseam.fleet import LayerRange
+from apricotseam.positions import Position
 
 REPORT_PATH = b"/v1/report"
 ORDER_PATH = b"/v1/order"
@@ -41,13 +42,13 @@
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
     """Order to hold a range of layers and no others.
 
-    ``fence`` is the fencing token of the host that gives the order.
-    ``after_orders`` is the number of orders that the target must have
-    accepted so far.
+    ``fence`` is the fencing token of the host that gives the order: the
+    `Position` at which it was elected. ``after_orders`` is the number of
+    orders that the target must have accepted so far.
     """
 
     layers: LayerRange
-    fence: int
+    fence: Position
     after_orders: int | None = None
 
     def encode(self):
@@ -58,7 +59,7 @@
                 from_=self.layers.first,
                 target=self.layers.last,
                 mode="queue",
-                fencing_token=self.fence,
+                fencing_token=int(self.fence),
                 expected=self.after_orders,
             )
         )
--- a/apricotseam/platform/_store.py
+++ b/apricotseam/platform/_store.py
@@ -12,12 +12,17 @@
 from apricotseam.errors import ConflictError
 from apricotseam.http1 import ConnectionPool
 from apricotseam.http1 import TransportError
+from apricotseam.positions import MAX_ERA
+from apricotseam.positions import NO_POSITION
+from apricotseam.positions import Position
 
 CALL_TIMEOUT_SECONDS = 1.0
 # Added to the wait time of a watch to obtain the timeout of its call.
 WATCH_MARGIN_SECONDS = 0.75
 MAX_BODY_BYTES = 16 << 20
 MILLISECONDS_PER_SECOND = 1000
+# Header of all answers; it rises when the store goes back to an older state.
+ERA_HEADER = b"store-era"
 
 
 class StoreError(ApricotseamError):
@@ -47,40 +52,57 @@
     code = "lease_ended"
 
 
+class StaleAnswerError(StoreError):
+    """The answer is of an earlier era than one that is known already."""
+
+    code = "stale_answer"
+
+
 class StoreConflictError(ConflictError):
     """The condition of a change does not hold."""
 
     code = "store_conflict"
 
 
+class Lease(msgspec.Struct, frozen=True):
+    """Identifier of a lease in the era in which it was granted.
+
+    The store forgets leases when it goes back, and may give out their
+    numbers again.
+    """
+
+    era: int
+    number: int
+
+
 class Item(msgspec.Struct, frozen=True):
-    """Key, value and revision; ``value`` is None if the key was deleted.
+    """Key, value and position; ``value`` is None if the key was deleted.
 
-    ``lease`` is the identifier of the lease to which the key is bound, or 0.
+    ``lease`` is the lease to which the key is bound, or None.
     """
 
     key: str
     value: bytes | None
-    revision: int
-    lease: int = 0
+    position: Position = NO_POSITION
+    lease: Lease | None = None
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """One page of keys and the revision of the store at that time."""
+    """One page of keys and the position of the store at that time."""
 
     items: list[Item]
     has_more: bool
-    revision: int
+    position: Position
 
 
 class WatchResult(msgspec.Struct, frozen=True):
     """Changes in order; empty if there were none within the wait time.
 
-    ``revision`` is the revision after which to watch next.
+    ``position`` is the position after which to watch next.
     """
 
     items: list[Item]
-    revision: int
+    position: Position
 
 
 class _WireItem(msgspec.Struct, rename="pascal"):
@@ -114,11 +136,19 @@
     revision: int = 0
 
 
+class _Answer(msgspec.Struct, frozen=True):
+    """Body of an answer and the era of the store that gave it."""
+
+    body: bytes
+    era: int
+
+
 class StoreClient:
     """Asynchronous client of the key-value store.
 
     Each method raises `StoreError` if the store does not respond, or responds
-    with an error or an invalid body.
+    with an error or an invalid body, and `StaleAnswerError` if the answer is
+    of an earlier era than `era`. A store that states no era is in era 0.
 
     Parameters
     ----------
@@ -129,12 +159,24 @@
     ----------
     calls : collections.Counter
         Number of calls so far by kind, including failed ones.
+    era : int
+        Latest era of the store that this host has heard of.
+    on_new_era : callable
+        Called when `era` has risen.
     """
 
     def __init__(self, address):
         self._address = address
         self._pool = ConnectionPool()
         self.calls = collections.Counter()
+        self.era = 0
+        self.on_new_era = lambda: None
+
+    def notice_era(self, era):
+        """Record an era of which this host has heard."""
+        if era > self.era:
+            self.era = era
+            self.on_new_era()
 
     async def list_page(self, prefix, after=""):
         """Return one page of the keys with a prefix.
@@ -153,20 +195,26 @@
         query = {"Prefix": prefix}
         if after:
             query["After"] = after
-        body = await self._call("list", "GET", "/v1/kv-range", query)
-        page = _decode(body, _Page)
-        items = [_decode_item(item) for item in page.entries]
-        return Listing(items, page.has_more, page.at)
+        answer = await self._call("list", "GET", "/v1/kv-range", query)
+        page = _decode(answer.body, _Page)
+        return Listing(
+            [_decode_item(item, answer.era) for item in page.entries],
+            page.has_more,
+            _position(answer.era, page.at),
+        )
 
     async def watch(self, prefix, after, wait_seconds):
-        """Wait for changes of keys with a prefix after a revision.
+        """Wait for changes of keys with a prefix after a position.
+
+        If the store has meanwhile gone back, the changes are those after the
+        same revision of the later era, as the result's position shows.
 
         Parameters
         ----------
         prefix : str
             Start of the keys.
-        after : int
-            Revision after which changes are returned.
+        after : Position
+            Position after which changes are returned.
         wait_seconds : float
             How long the store waits for a first change.
 
@@ -181,60 +229,77 @@
         """
         query = {
             "Prefix": prefix,
-            "After": str(after),
+            "After": str(after.revision),
             "WaitMs": str(int(wait_seconds * MILLISECONDS_PER_SECOND)),
         }
         seconds = wait_seconds + WATCH_MARGIN_SECONDS
-        body = await self._call(
+        answer = await self._call(
             "watch", "GET", "/v1/kv-watch", query, seconds=seconds
         )
-        result = _decode(body, _WatchResult)
+        result = _decode(answer.body, _WatchResult)
         return WatchResult(
-            [_decode_item(item) for item in result.events], result.at
+            [_decode_item(item, answer.era) for item in result.events],
+            _position(answer.era, result.at),
         )
 
     async def change(self, expected=(), puts=(), deletes=()):
-        """Change keys in a transaction and return the new revision.
+        """Change keys in a transaction and return the new position.
 
         Parameters
         ----------
         expected : iterable of tuple
-            Pairs of a key and the revision that it must have; 0 for a key
-            that must not exist.
+            Pairs of a key and the `Position` that it must have;
+            `NO_POSITION` for a key that must not exist.
         puts : iterable of Item
-            Keys to write; their revisions are ignored.
+            Keys to write; their positions are ignored.
         deletes : iterable of str
             Keys to delete.
 
         Returns
         -------
-        int
-            Revision of the store after the change.
+        Position
+            Position of the store after the change.
 
         Raises
         ------
         StoreConflictError
-            If a key has another revision than expected.
+            If a key has another position than expected.
+        LeaseEndedError
+            If a lease of the keys has ended. If the store went back while it
+            executed the change, the keys may exist nevertheless.
         """
+        expected, puts = list(expected), list(puts)
+        for key, position in expected:
+            if position != NO_POSITION and position.era != self.era:
+                raise StoreConflictError(
+                    f"{key}: expected at {position}, the store is in era"
+                    f" {self.era}",
+                    "read the keys again",
+                )
+        leases = [item.lease for item in puts if item.lease is not None]
+        self._require_current(leases)
         body = {
-            "Expected": [{"Key": k, "Revision": r} for k, r in expected],
+            "Expected": [
+                {"Key": key, "Revision": position.revision}
+                for key, position in expected
+            ],
             "Puts": [
                 {
                     "Key": item.key,
                     "Value": base64.b64encode(item.value).decode(),
-                    "LeaseId": item.lease,
+                    "LeaseId": item.lease.number if item.lease else 0,
                 }
                 for item in puts
             ],
             "Deletes": list(deletes),
         }
-        response_body = await self._call(
-            "change", "POST", "/v1/kv-txn", body=body
-        )
-        return _decode(response_body, _ChangeResult).revision
+        answer = await self._call("change", "POST", "/v1/kv-txn", body=body)
+        self._require_current(leases)
+        revision = _decode(answer.body, _ChangeResult).revision
+        return _position(answer.era, revision)
 
     async def grant_lease(self, seconds):
-        """Return the identifier of a new lease.
+        """Return a new lease.
 
         Parameters
         ----------
@@ -243,13 +308,14 @@
 
         Returns
         -------
-        int
+        Lease
         """
         body = {"TtlMs": int(seconds * MILLISECONDS_PER_SECOND)}
-        response_body = await self._call(
+        answer = await self._call(
             "grant_lease", "POST", "/v1/kv-lease", body=body
         )
-        return _decode(response_body, _GrantedLease).lease_id
+        number = _decode(answer.body, _GrantedLease).lease_id
+        return Lease(answer.era, number)
 
     async def keep_lease(self, lease):
         """Renew a lease.
@@ -257,13 +323,35 @@
         Raises
         ------
         LeaseEndedError
-            If the lease has ended.
+            If the lease has ended, also since the store went back.
         """
-        await self._call("keep_lease", "POST", f"/v1/kv-keep/{lease}")
+        self._require_current([lease])
+        path = f"/v1/kv-keep/{lease.number}"
+        await self._call("keep_lease", "POST", path)
+        self._require_current([lease])
 
     async def end_lease(self, lease):
-        """End a lease and delete its keys."""
-        await self._call("end_lease", "DELETE", f"/v1/kv-lease-end/{lease}")
+        """End a lease and delete its keys.
+
+        Raises
+        ------
+        LeaseEndedError
+            If the lease has ended, also since the store went back.
+        """
+        self._require_current([lease])
+        path = f"/v1/kv-lease-end/{lease.number}"
+        await self._call("end_lease", "DELETE", path)
+
+    def _require_current(self, leases):
+        """Raise `LeaseEndedError` if a lease was granted in another era."""
+        for lease in leases:
+            if lease.era != self.era:
+                raise LeaseEndedError(
+                    f"lease {lease.number} is of era {lease.era}, the store is"
+                    f" in era {self.era}",
+                    "grant a new lease",
+                    may_have_executed=True,
+                )
 
     async def _call(
         self, kind, method, path, query=None, body=None, seconds=None
@@ -307,8 +395,22 @@
         finally:
             if connection is not None:
                 connection.close()
+        era = self._check_era(response.header(ERA_HEADER), method, path)
         _raise_for_status(response.status, method, path)
-        return response_body
+        return _Answer(response_body, era)
+
+    def _check_era(self, value, method, path):
+        """Return the era that an answer states, and record it."""
+        era = _decode_era(value, self.era)
+        if era < self.era:
+            raise StaleAnswerError(
+                f"{method} {path}: answer of era {era}, the store is in era"
+                f" {self.era}",
+                "call again",
+                may_have_executed=True,
+            )
+        self.notice_era(era)
+        return era
 
 
 def _raise_for_status(status, method, path):
@@ -330,6 +432,30 @@
     raise StoreError(f"{call}: status {status}", "call again later")
 
 
+def _decode_era(value, known_era):
+    """Return the era in a header; the known one if the header is missing."""
+    if value is None:
+        return known_era
+    if not (value.isascii() and value.isdigit()) or int(value) > MAX_ERA:
+        raise StoreError(
+            f"invalid era {value!r} in an answer of the store",
+            f"let the store state a number from 0 to {MAX_ERA}",
+            may_have_executed=True,
+        )
+    return int(value)
+
+
+def _position(era, revision):
+    try:
+        return Position.of(era, revision)
+    except ValueError as error:
+        raise StoreError(
+            f"invalid response from the store ({error})",
+            "call again",
+            may_have_executed=True,
+        ) from None
+
+
 def _decode(body, kind):
     try:
         return msgspec.json.decode(body, type=kind)
@@ -341,13 +467,15 @@
         ) from None
 
 
-def _decode_item(item):
+def _decode_item(item, era):
+    position = _position(era, item.revision)
     if item.deleted:
-        return Item(item.key, None, item.revision)
+        return Item(item.key, None, position)
     try:
         value = base64.b64decode(item.value, validate=True)
     except (binascii.Error, ValueError):
         # Another program wrote this value. Readers treat the empty value
         # that replaces it as an invalid entry.
         value = b""
-    return Item(item.key, value, item.revision, item.lease_id)
+    lease = Lease(era, item.lease_id) if item.lease_id else None
+    return Item(item.key, value, position, lease)
--- a/apricotseam/platform/_targets.py
+++ b/apricotseam/platform/_targets.py
@@ -35,7 +35,7 @@
 _DECODER = msgspec.json.Decoder(_Entry)
 
 
-def decode_target(key, value, revision):
+def decode_target(key, value, position):
     """Return the `TargetRecord` of a store entry, or None if invalid.
 
     Unknown fields are ignored. An entry whose required fields are missing
@@ -47,8 +47,8 @@
         Key of the entry.
     value : bytes
         JSON value of the entry.
-    revision : int
-        Store revision of the entry.
+    position : Position
+        Position of the entry in the store.
 
     Returns
     -------
@@ -76,7 +76,7 @@
         is_placeable=bool(entry.route_kind),
         born_ms=entry.born,
         orders=entry.sequence,
-        revision=revision,
+        position=position,
     )
 
 
--- a/apricotseam/platform/tests/test_decoding.py
+++ b/apricotseam/platform/tests/test_decoding.py
@@ -124,7 +124,7 @@
     assert [share.weight for share in route.shares] == [90, 10]
     assert table.find_customer("k2").name == "c"
     assert table.limits.idle_seconds == 1.5
-    assert (table.revision, table.version) == (12, 7)
+    assert (table.position, table.version) == (12, 7)
 
 
 def make_request(extra=()):
--- a/apricotseam/routes/_table.py
+++ b/apricotseam/routes/_table.py
@@ -4,6 +4,7 @@
 import hashlib
 
 from apricotseam.http1 import Limits
+from apricotseam.positions import NO_POSITION
 
 
 class RouteTable:
@@ -11,8 +12,8 @@
 
     Parameters
     ----------
-    revision : int
-        Revision of the configuration in the store; a higher one is newer.
+    position : Position
+        Position of the configuration in the store; a higher one is newer.
     version : int
         Version number that the operators assigned.
     routes : iterable of Route
@@ -30,21 +31,21 @@
         "_by_key",
         "has_customers",
         "limits",
-        "revision",
+        "position",
         "services",
         "version",
     )
 
     def __init__(
         self,
-        revision=0,
+        position=NO_POSITION,
         version=0,
         routes=(),
         services=(),
         customers=(),
         limits=None,
     ):
-        self.revision = revision
+        self.position = position
         self.version = version
         self.services = {service.name: service for service in services}
         self.limits = limits or Limits()
