Let the store stand-in go back to a copy, and test hosts on it

Cause: nothing played a store that comes back from an older copy.

Change: the stand-in keeps copies, goes back to one with its leases ended (or kept), states Store-Era from then on, answers 410 for revisions that it does not have, and writes again what operators and targets wrote. Leases may expire.

--- /dev/null
+++ b/apricotseam/node/tests/memory_fleet.py
@@ -0,0 +1,394 @@
+"""Hosts that follow a store in memory, with messages that may be lost.
+
+The store client, mirror, synchronizer, registration, election, handler of
+entries and table of targets are the real ones; the connections to the store
+and the messages between hosts are replaced.
+"""
+
+import asyncio
+import collections
+import random
+import types
+
+import msgspec
+
+from apricotseam.coordination import Changes
+from apricotseam.coordination import Election
+from apricotseam.coordination import HostRecord
+from apricotseam.coordination import Mirror
+from apricotseam.coordination import MirrorSynchronizer
+from apricotseam.coordination import PackedPush
+from apricotseam.coordination import Registration
+from apricotseam.fleet import Fleet
+from apricotseam.http1 import LostConnectionError
+from apricotseam.http1 import ResponseHead
+from apricotseam.http1 import TransportTimeoutError
+from apricotseam.node._beliefs import HOSTS_PREFIX
+from apricotseam.node._beliefs import StoreItemHandler
+from apricotseam.platform import CONFIGURATION_KEY
+from apricotseam.platform.standins import StoreStandIn
+from apricotseam.platform import StoreClient
+from apricotseam.platform import target_identity
+from apricotseam.platform import TARGETS_PREFIX
+from apricotseam.positions import decode_hook
+from apricotseam.positions import encode_hook
+
+DUTY_KEY = "apricotseam/placer"
+MAX_SMALL_FLEET = 25
+READERS_PER_ZONE = 2
+MAINTENANCE_SECONDS = 0.25
+SAMPLE_SECONDS = 0.05
+# Longest time for which an answer or message is usually under way.
+MAX_DELAY_SECONDS = 0.03
+# The same for one of which the shares below are late.
+LATE_SECONDS = 1.5
+LATE_SHARE = 0.03
+# Longer than any call.
+SILENCE_SECONDS = 60.0
+
+
+class _Exchange:
+    """Answer of the store stand-in."""
+
+    def __init__(self):
+        self.answered = None
+
+    def answer(self, status, body=b"", headers=()):
+        """Record the answer."""
+        self.answered = (ResponseHead(status, b"", list(headers)), body)
+
+    def abort_response(self):
+        """Answer nothing."""
+
+
+class _Connection:
+    """Connection of one host to the store."""
+
+    def __init__(self, fleet, address):
+        self._fleet = fleet
+        self._address = address
+        self._request = None
+        self._body = b""
+
+    def send(self, method, target, headers, body=b""):
+        """Send a call."""
+        self._request = types.SimpleNamespace(target=target, body=body)
+
+    async def head(self, deadline):
+        """Wait for the answer; return its head."""
+        exchange = _Exchange()
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self._cross_link()
+                await self._fleet.store.handle(
+                    self._address, self._request, exchange
+                )
+                await self._cross_link()
+        except TimeoutError:
+            raise TransportTimeoutError("no answer", "wait") from None
+        if exchange.answered is None:
+            raise LostConnectionError("no answer", "call again")
+        head, self._body = exchange.answered
+        return head
+
+    async def _cross_link(self):
+        """Wait as long as a message to or from the store takes."""
+        if self._address in self._fleet.silenced:
+            await asyncio.sleep(SILENCE_SECONDS)
+        await asyncio.sleep(self._fleet.delay())
+
+    async def read_all(self, deadline, limit):
+        """Return the body of the answer."""
+        return self._body
+
+    def close(self):
+        """Close the connection."""
+
+
+class _Pool:
+    def __init__(self, fleet):
+        self._fleet = fleet
+
+    async def acquire(self, key, address, deadline):
+        """Return a connection."""
+        return _Connection(self._fleet, address)
+
+    def release(self, key, connection, response):
+        """Do not keep connections."""
+
+
+class MemoryHost:
+    """One host of a `MemoryFleet`."""
+
+    def __init__(self, fleet, number):
+        loop = asyncio.get_running_loop()
+        self.name = f"h{number:03}"
+        self.zone = number % fleet.zones
+        self.rank = number
+        self.fleet = fleet
+        self.targets = Fleet()
+        self.context = types.SimpleNamespace(table=None, fleet=self.targets)
+        self.store = StoreClient(self.name)
+        self.store._pool = _Pool(fleet)
+        self.mirror = Mirror(lambda item: self.handler.apply(item))
+        self.keeper = MirrorSynchronizer(
+            self.store,
+            self.mirror,
+            self._ask_peers,
+            loop.time,
+            lambda: self.is_reader,
+            self._push,
+            None,
+            None,
+            self._record_era_change,
+        )
+        self.handler = StoreItemHandler(
+            self.context,
+            lambda: self.keeper.was_store_unreachable,
+            loop.time,
+            self.keeper.era_events,
+        )
+        record = HostRecord(
+            peers_address=self.name,
+            callers_address=self.name,
+            zone=str(self.zone),
+            started_ms=1,
+        )
+        self.registration = Registration(
+            self.store,
+            self.mirror,
+            HOSTS_PREFIX + self.name,
+            record,
+            lambda: self.is_reader,
+        )
+        self.election = Election(
+            self.store, self.mirror, DUTY_KEY, self.name, lambda: self.rank
+        )
+        self.era_changes = []
+
+    @property
+    def is_reader(self):
+        """Whether the host reads the store for its zone."""
+        if not self.fleet.is_large:
+            return True
+        return self.rank // self.fleet.zones < READERS_PER_ZONE
+
+    @property
+    def version(self):
+        """Version of the configuration in force, 0 if there is none."""
+        return self.context.table.version if self.context.table else 0
+
+    def children(self):
+        """Return the coroutines that run the host."""
+        return [
+            self.keeper.run(),
+            self.keeper.run_heartbeats(),
+            self.registration.run(),
+            self.election.run(),
+            self._maintain(),
+        ]
+
+    def receive(self, kind, body):
+        """Decode and apply a push."""
+        message = msgspec.msgpack.decode(body, type=kind, dec_hook=decode_hook)
+        if kind is PackedPush:
+            self.keeper.receive_packed_push(message)
+        else:
+            self.keeper.receive_push(message)
+
+    async def _maintain(self):
+        while True:
+            await asyncio.sleep(MAINTENANCE_SECONDS)
+            self.handler.expire()
+            self.targets.expire(asyncio.get_running_loop().time())
+
+    def _record_era_change(self, change):
+        self.era_changes.append(change)
+        self.handler.log_era_change(change)
+
+    def _push(self, message):
+        if self.fleet.is_large:
+            self.fleet.push(self, message)
+
+    async def _ask_peers(self, position, count, readers_first=False):
+        others = [h for h in self.fleet.hosts if h is not self]
+        chosen = []
+        if readers_first and self.fleet.is_large:
+            readers = [
+                h for h in others if h.is_reader and h.zone == self.zone
+            ]
+            chosen = random.sample(readers, min(1, len(readers)))
+        rest = [h for h in others if h not in chosen]
+        chosen += random.sample(rest, min(count - len(chosen), len(rest)))
+        await asyncio.sleep(self.fleet.delay())
+        answers = [
+            msgspec.msgpack.decode(
+                msgspec.msgpack.encode(
+                    peer.mirror.changes_since(position), enc_hook=encode_hook
+                ),
+                type=Changes,
+                dec_hook=decode_hook,
+            )
+            for peer in chosen
+        ]
+        await asyncio.sleep(self.fleet.delay())
+        return answers
+
+
+class MemoryFleet:
+    """A store and the hosts that follow it.
+
+    Parameters
+    ----------
+    hosts, zones : int
+        Numbers of hosts and of availability zones.
+    lost_share : float
+        Share of the pushes that are lost or come twice.
+    is_large : bool, optional
+        Whether only the readers of a zone read the store; by default this
+        depends on the number of hosts.
+
+    Attributes
+    ----------
+    silenced : set of str
+        Hosts whose calls to the store are not answered.
+    violations : list of str
+        What went back, and duties that two hosts held at once.
+    ended : set
+        Incarnations of targets whose processes have ended.
+    """
+
+    def __init__(self, hosts, zones=1, lost_share=0.0, is_large=None):
+        self.zones = zones
+        self.lost_share = lost_share
+        if is_large is None:
+            is_large = hosts > MAX_SMALL_FLEET
+        self.is_large = is_large
+        self.store = StoreStandIn([])
+        self.silenced = set()
+        self.violations = []
+        self.highest_fence = 0
+        self.ended = set()
+        self._versions = {}
+        self._known = collections.defaultdict(set)
+        self._left = collections.defaultdict(set)
+        self._tasks = []
+        self.hosts = [MemoryHost(self, number) for number in range(hosts)]
+
+    def start(self):
+        """Start all hosts and the checks."""
+        loop = asyncio.get_running_loop()
+        runs = [run for host in self.hosts for run in host.children()]
+        runs.append(self._check_always())
+        self._tasks = [loop.create_task(run) for run in runs]
+
+    async def stop(self):
+        """Stop all hosts; raise what a task raised."""
+        failures = [t.exception() for t in self._tasks if t.done()]
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        assert failures == []
+
+    def delay(self):
+        """Return a random delay in seconds of an answer or a message."""
+        if self.lost_share and random.random() < LATE_SHARE:
+            return random.uniform(0, LATE_SECONDS)
+        return random.uniform(0, MAX_DELAY_SECONDS)
+
+    def push(self, sender, message):
+        """Send a push to the other hosts of the sender's zone."""
+        body = msgspec.msgpack.encode(message, enc_hook=encode_hook)
+        loop = asyncio.get_running_loop()
+        for host in self.hosts:
+            if host is sender or host.zone != sender.zone:
+                continue
+            copies = 1
+            if random.random() < self.lost_share:
+                copies = random.choice([0, 2])
+            for _ in range(copies):
+                loop.call_later(
+                    self.delay(), host.receive, type(message), body
+                )
+
+    def disagreements(self):
+        """Return what hosts believe that the store does not say."""
+        keys = self.store.keys()
+        values = {key: self.store.get(key) for key in keys}
+        wrong = []
+        for host in self.hosts:
+            found = {
+                item.key: item.value for item in host.mirror.with_prefix("")
+            }
+            if found != values:
+                wrong.append(f"{host.name}: {host.mirror.position}")
+            wrong += _differences(host, values)
+        return wrong
+
+    def holders(self):
+        """Return the hosts that hold the duty."""
+        return [host for host in self.hosts if host.election.is_holder]
+
+    async def _check_always(self):
+        while True:
+            self.store.expire_leases()
+            self._check()
+            await asyncio.sleep(SAMPLE_SECONDS)
+
+    def _check(self):
+        holders = self.holders()
+        if len(holders) > 1:
+            names = [host.name for host in holders]
+            self.violations.append(f"{names} hold the duty at once")
+        for host in holders:
+            if host.election.fence < self.highest_fence:
+                self.violations.append(f"{host.name}: lower fence")
+            self.highest_fence = int(host.election.fence)
+        for host in self.hosts:
+            self._check_configuration(host)
+            self._check_targets(host)
+
+    def _check_configuration(self, host):
+        known = self._versions.get(host.name, 0)
+        if host.version < known:
+            self.violations.append(
+                f"{host.name}: version {known} and then {host.version}"
+            )
+        self._versions[host.name] = host.version
+
+    def _check_targets(self, host):
+        """Check that no process gets work again that drained or has ended."""
+        known, left = self._known[host.name], self._left[host.name]
+        accepting = {t.incarnation for t in host.targets if t.accepts_requests}
+        for incarnation in accepting & left:
+            self.violations.append(f"{host.name}: {incarnation} came back")
+        draining = {
+            t.incarnation for t in host.targets if not t.accepts_requests
+        }
+        left |= draining | ((self.ended & known) - accepting)
+        known |= accepting
+
+
+def _differences(host, values):
+    wrong = []
+    value = values.get(CONFIGURATION_KEY)
+    if value is not None:
+        version = msgspec.json.decode(value)["Version"]
+        if host.version != version:
+            wrong.append(f"{host.name}: version {host.version}")
+    expected = {
+        target_identity(key): msgspec.json.decode(value)
+        for key, value in values.items()
+        if key.startswith(TARGETS_PREFIX)
+    }
+    found = {target.identity: target.record for target in host.targets}
+    if set(found) != set(expected):
+        wrong.append(f"{host.name}: targets {sorted(found)}")
+        return wrong
+    for identity, record in found.items():
+        entry = expected[identity]
+        if record.is_draining != (entry["State"] == "draining"):
+            wrong.append(f"{host.name}: state of {identity}")
+        if record.orders != entry["Sequence"]:
+            wrong.append(f"{host.name}: orders of {identity}")
+    return wrong
--- a/apricotseam/platform/standins/_store.py
+++ b/apricotseam/platform/standins/_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import functools
 import json
 import urllib.parse
@@ -12,12 +13,50 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 JSON_HEADERS = ((b"Content-Type", b"application/json"),)
+ERA_HEADER = b"Store-Era"
+# Prefixes of the keys that operators and targets write.
+PLATFORM_PREFIXES = ("op/", TARGETS_PREFIX)
+
+
+class _Lease:
+    """Time to live of a lease, and the time at which it ends."""
+
+    __slots__ = ("ends_at", "ttl_ms")
+
+    def __init__(self, ttl_ms):
+        self.ttl_ms = ttl_ms
+        self.renew()
+
+    def renew(self):
+        """Let the lease last its time to live from now."""
+        now = asyncio.get_running_loop().time()
+        self.ends_at = now + self.ttl_ms / MILLISECONDS_PER_SECOND
+
+
+class StoreCopy:
+    """State of the stand-in at some time, to which it may go back."""
+
+    __slots__ = (
+        "compacted_revision",
+        "history",
+        "items",
+        "leases",
+        "revision",
+    )
+
+    def __init__(self, items, history, leases, revision, compacted_revision):
+        self.items = dict(items)
+        self.history = list(history)
+        self.leases = dict(leases)
+        self.revision = revision
+        self.compacted_revision = compacted_revision
 
 
 class StoreStandIn:
     """In-memory store with revisions, leases and watches.
 
-    It runs on the asyncio loop that is running.
+    It runs on the asyncio loop that is running. Its answers state no era
+    until it goes back to a copy for the first time.
 
     Parameters
     ----------
@@ -32,15 +71,24 @@
         Number of further changes that are executed but not answered.
     calls : int
         Number of calls so far.
+    calls_by_path : collections.Counter
+        The same by path, without identifiers of leases.
     revision : int
         Current revision of the store.
+    era : int
+        Number of times that it went back.
+    page_size : int
+        Largest number of items on a page of a listing.
     """
 
     def __init__(self, addresses):
         self.refused = set()
         self.answers_to_drop = 0
         self.calls = 0
+        self.calls_by_path = collections.Counter()
         self.revision = 1
+        self.era = 0
+        self.page_size = 500
         self._items = {}
         self._history = []
         self._compacted_revision = 0
@@ -48,7 +96,7 @@
         self._next_lease = 1
         self._changed = asyncio.Event()
         self._servers = {
-            address: Server(functools.partial(self._handle, address))
+            address: Server(functools.partial(self.handle, address))
             for address in addresses
         }
 
@@ -120,6 +168,13 @@
             if item["LeaseId"] == lease:
                 self.delete(key)
 
+    def expire_leases(self):
+        """End the leases that were not renewed in time."""
+        now = asyncio.get_running_loop().time()
+        for number, lease in list(self._leases.items()):
+            if now >= lease.ends_at:
+                self.end_lease(number)
+
     def discard_history(self):
         """Drop all recorded changes and wake all watches.
 
@@ -129,6 +184,72 @@
         self._history.clear()
         self._notify_watches()
 
+    def copy(self):
+        """Return a `StoreCopy` of the present state."""
+        return StoreCopy(
+            self._items,
+            self._history,
+            self._leases,
+            self.revision,
+            self._compacted_revision,
+        )
+
+    def go_back(self, copy, keeps_leases=False):
+        """Return to a copy: later changes are lost, and the era rises.
+
+        Revisions after that of the copy are given out again. Numbers of
+        leases are given out again, too.
+
+        Parameters
+        ----------
+        copy : StoreCopy
+            The state to return to.
+        keeps_leases : bool
+            Whether leases that existed in the copy go on. By default all
+            leases end, with their keys.
+
+        Returns
+        -------
+        dict of str to bytes or None
+            What operators and targets had written since the copy, by key;
+            None for deleted keys. `rewrite` writes it again.
+        """
+        lost = self._written_since(copy)
+        self.era += 1
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._leases = dict(copy.leases)
+        self._compacted_revision = copy.compacted_revision
+        self._next_lease = max(copy.leases, default=0) + 1
+        for number, lease in list(self._leases.items()):
+            if keeps_leases:
+                lease.renew()
+            else:
+                self.end_lease(number)
+        self._notify_watches()
+        return lost
+
+    def rewrite(self, lost):
+        """Write again what operators and targets wrote, see `go_back`."""
+        for key, value in lost.items():
+            if value is None:
+                self.delete(key)
+            else:
+                self.put(key, value)
+
+    def _written_since(self, copy):
+        changed = {
+            event["Key"]
+            for event in self._history
+            if event["Revision"] > copy.revision
+        }
+        return {
+            key: self.get(key)
+            for key in sorted(changed)
+            if key.startswith(PLATFORM_PREFIXES)
+        }
+
     def _record(self, event):
         self._history.append(event)
         self._notify_watches()
@@ -138,12 +259,14 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _handle(self, address, request, exchange):
+    async def handle(self, address, request, exchange):
+        """Answer a call that arrived at an address."""
         self.calls += 1
+        path, _, query = request.target.decode().partition("?")
+        self.calls_by_path[path.rstrip("0123456789").rstrip("/")] += 1
         if address in self.refused:
-            exchange.answer(503)
+            exchange.answer(503, headers=self._era_headers())
             return
-        path, _, query = request.target.decode().partition("?")
         query_fields = dict(
             urllib.parse.parse_qsl(query, keep_blank_values=True)
         )
@@ -156,7 +279,13 @@
             self.answers_to_drop -= 1
             exchange.abort_response()
             return
-        exchange.answer(status, json.dumps(result).encode(), JSON_HEADERS)
+        headers = (*JSON_HEADERS, *self._era_headers())
+        exchange.answer(status, json.dumps(result).encode(), headers)
+
+    def _era_headers(self):
+        if not self.era:
+            return ()
+        return ((ERA_HEADER, str(self.era).encode()),)
 
     def _handle_call(self, path, fields, body):
         if path == "/v1/kv-range":
@@ -166,7 +295,7 @@
         if path == "/v1/kv-lease":
             lease = self._next_lease
             self._next_lease += 1
-            self._leases[lease] = body["TtlMs"]
+            self._leases[lease] = _Lease(body["TtlMs"])
             return 200, {"LeaseId": lease, "TtlMs": body["TtlMs"]}
         lease = int(path.rpartition("/")[2])
         if lease not in self._leases:
@@ -174,7 +303,8 @@
         if path.startswith("/v1/kv-lease-end/"):
             self.end_lease(lease)
             return 200, {}
-        return 200, {"TtlMs": self._leases[lease]}
+        self._leases[lease].renew()
+        return 200, {"TtlMs": self._leases[lease].ttl_ms}
 
     def _range(self, fields):
         prefix = fields.get("Prefix", "")
@@ -184,7 +314,11 @@
             for key, item in sorted(self._items.items())
             if key.startswith(prefix) and key > after
         ]
-        return {"Entries": entries, "HasMore": False, "At": self.revision}
+        return {
+            "Entries": entries[: self.page_size],
+            "HasMore": len(entries) > self.page_size,
+            "At": self.revision,
+        }
 
     def _change(self, body):
         for condition in body["Expected"]:
@@ -211,7 +345,7 @@
         while True:
             if address in self.refused:
                 return 503, {}
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self.revision:
                 return 410, {}
             events = [e for e in self._history if e["Revision"] > after]
             if events or loop.time() >= deadline:
