--- a/apricotseam/coordination/tests/test_keeper.py
+++ b/apricotseam/coordination/tests/test_keeper.py
@@ -275,3 +275,35 @@
     assert (
         WATCH_TIMEOUT_SECONDS + WATCH_MARGIN_SECONDS < MAX_CONVERGENCE_SECONDS
     )
+
+
+class PagedStore(FakeStore):
+    """Store that goes back between the pages of its first listing."""
+
+    def __init__(self):
+        super().__init__([])
+        first = Item("a", b"v", Position.of(0, 9))
+        again = Item("a", b"v", Position.of(1, 3))
+        last = Item("b", b"w", Position.of(1, 4))
+        self.pages = [
+            Listing([first], True, Position.of(0, 9)),
+            Listing([last], False, Position.of(1, 4)),
+            Listing([again], True, Position.of(1, 4)),
+            Listing([last], False, Position.of(1, 4)),
+        ]
+
+    async def list_page(self, prefix, after=""):
+        """Return the next page."""
+        page = self.pages.pop(0)
+        self.era = page.position.era
+        return page
+
+
+def test_a_listing_over_which_the_store_went_back_starts_again():
+    store = PagedStore()
+    mirror, _, _ = follow(store)
+    assert store.pages == []
+    assert [item.position for item in mirror.with_prefix("")] == [
+        Position.of(1, 3),
+        Position.of(1, 4),
+    ]
