End late answers before the state machine of eras compares

Cause: 1 of the first examples of a run by hand with 1,000 ended without a holder of the duty: answers that come up to 1.5 s late went on while the hosts settled, and a lease lapsed by itself.

--- a/apricotseam/node/tests/test_store_era_machine.py
+++ b/apricotseam/node/tests/test_store_era_machine.py
@@ -123,6 +123,7 @@
     def _settle(self):
         self.fleet.silenced.clear()
         self.fleet.store.refused.clear()
+        self.fleet.lost_share = 0.0
         self._run(SETTLE_SECONDS)
         holders = len(self.fleet.holders())
         disagreements = self.fleet.disagreements()
