Let no other host claim the duty before an old holder has stopped

Cause: runs of the state machine by hand found two hosts that held the duty at once. A candidate waited for its rank while the store went back and then claimed without the wait for holders of the earlier era; the same was possible if the answer that granted its lease was the first one of the new era, or if its first look at the store came just after it.

--- a/apricotseam/coordination/_election.py
+++ b/apricotseam/coordination/_election.py
@@ -125,7 +125,7 @@
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             return
         await asyncio.sleep(self._rank() * CANDIDATE_DELAY_SECONDS)
-        if self._is_vacant() and not self._has_resigned:
+        if self._may_claim() and self._is_vacant():
             await self._claim()
 
     def _lapse(self):
@@ -151,15 +151,15 @@
         return is_of_era and self._mirror.get(self._key) is None
 
     def _may_claim(self):
-        """Return whether holders of earlier eras have surely stopped.
+        """Return whether to claim, as holders of earlier eras have stopped.
 
         A host that starts in an era does not know when it began, and relies
         on the fencing tokens.
         """
-        if self._mirror.position == NO_POSITION:
+        if self._has_resigned or self._mirror.position == NO_POSITION:
             return False
         if self._seen_era is None:
-            self._seen_era = self._store.era
+            self._seen_era = self._mirror.position.era
         if self._seen_era != self._store.era:
             self._seen_era = self._store.era
             self._claims_after = _boot_time() + LEASE_SECONDS
@@ -191,7 +191,8 @@
         # never assumes a longer lease than was granted.
         requested_at = _boot_time()
         lease = await self._store.grant_lease(LEASE_SECONDS)
-        if self._has_resigned:
+        # The store may have gone back before it granted the lease.
+        if not self._may_claim():
             await self._store.end_lease(lease)
             return
         self._lease = lease
--- a/apricotseam/node/tests/test_store_era_machine.py
+++ b/apricotseam/node/tests/test_store_era_machine.py
@@ -54,7 +54,9 @@
         self.writers.configure()
         self.writers.copy_store()
         self.fleet.start()
-        await asyncio.sleep(1)
+        # A host that starts in an era relies on the fencing tokens.
+        while not all(host.mirror.position for host in self.fleet.hosts):
+            await asyncio.sleep(1)
 
     @rule()
     def configure(self):
