Remember of removed targets whether they had left

Change: the handler says whether an entry was lost. Only a draining target whose entry was lost is remembered with its old position; all others with that of the removal, so that the same state is outdated in a later era. The table of removals states the position and whether the target has left, in place of one flag.

--- a/apricotseam/fleet/_fleet.py
+++ b/apricotseam/fleet/_fleet.py
@@ -22,12 +22,13 @@
 class RemovedTarget(msgspec.Struct, frozen=True):
     """Last record of a target that was removed.
 
-    ``was_lost`` is True if the store had gone back to a state without the
-    record, and False if the record was deleted or replaced in its own era.
+    If ``has_left`` is set, the record has the position of the store at the
+    removal, and the same state at a later one is outdated. It is not set for
+    a draining target whose record the store lost when it went back.
     """
 
     record: TargetRecord
-    was_lost: bool
+    has_left: bool
 
 
 class Fleet:
@@ -134,7 +135,7 @@
         self._remove_target(other, "another target has its address")
         return False
 
-    def remove(self, identity, now, may_return=False):
+    def remove(self, identity, now, may_return=False, was_lost=False):
         """Remove a target whose entry in the store was deleted.
 
         Parameters
@@ -148,6 +149,8 @@
             unreachable shortly before or has gone back to a state without
             it. The target is then kept for a grace period unless it is
             draining.
+        was_lost : bool
+            Whether the store has gone back to a state without the entry.
         """
         target = self._targets.get(identity)
         if target is None:
@@ -156,7 +159,7 @@
         if may_return and not target.record.is_draining:
             target.removal_due_at = now + REMOVAL_GRACE_SECONDS
             return
-        self._remove_target(target, "entry removed")
+        self._remove_target(target, "entry removed", has_left=not was_lost)
 
     def expire(self, now):
         """Remove the targets whose grace period ended without a new entry."""
@@ -181,19 +184,21 @@
         if self._by_address.get(record.address) is target:
             del self._by_address[record.address]
 
-    def _remove_target(self, target, cause):
+    def _remove_target(self, target, cause, has_left=True):
         target.is_present = False
         self._unlink(target)
-        self._remember(target.record)
+        self._remember(target.record, has_left)
         _LOG.info(
             "target_gone", extra={"target": target.identity, "cause": cause}
         )
         self._on_end(target)
 
-    def _remember(self, record):
+    def _remember(self, record, has_left):
         """Remember the record of a target that was removed."""
-        was_lost = record.position.era < self._position.era
-        self._removed[record.identity] = RemovedTarget(record, was_lost)
+        if has_left:
+            position = max(record.position, self._position)
+            record = msgspec.structs.replace(record, position=position)
+        self._removed[record.identity] = RemovedTarget(record, has_left)
         self._removed.move_to_end(record.identity)
         if len(self._removed) > MAX_REMOVED_RECORDS:
             self._removed.popitem(last=False)
--- a/apricotseam/fleet/tests/test_states.py
+++ b/apricotseam/fleet/tests/test_states.py
@@ -77,17 +77,31 @@
     assert (fleet.at(KNOWN.address).identity == "i-2") is is_taken
 
 
-# Position of the store when a target is removed, whether it was lost.
-REMOVALS = [(Position.of(0, 95), False), (Position.of(1, 20), True)]
+# Whether the entry was lost, whether the target was draining, seconds until
+# the fleet expires targets; position that is remembered and whether the same
+# state is outdated.
+REMOVALS = [
+    (False, False, 0.0, Position.of(1, 20), True),
+    (False, True, 0.0, Position.of(1, 20), True),
+    (True, False, 2.0, Position.of(1, 20), True),
+    (True, True, 0.0, KNOWN.position, False),
+]
 
 
-@pytest.mark.parametrize(("position", "was_lost"), REMOVALS)
-def test_removed_targets_are_remembered(position, was_lost):
+@pytest.mark.parametrize(
+    ("was_lost", "is_draining", "seconds", "position", "has_left"), REMOVALS
+)
+def test_removed_targets_are_remembered(
+    was_lost, is_draining, seconds, position, has_left
+):
     fleet = Fleet()
-    fleet.update(KNOWN)
-    fleet.advance(position)
-    fleet.remove("i-1", 0.0)
-    assert fleet.removed("i-1").record == KNOWN
-    assert fleet.removed("i-1").was_lost is was_lost
-    fleet.update(KNOWN)
+    record = msgspec.structs.replace(KNOWN, is_draining=is_draining)
+    fleet.update(record)
+    fleet.advance(Position.of(1, 20))
+    fleet.remove("i-1", 0.0, was_lost, was_lost)
+    fleet.expire(seconds)
+    removed = fleet.removed("i-1")
+    assert removed.record.position == position
+    assert removed.has_left is has_left
+    fleet.update(record)
     assert fleet.removed("i-1") is None
--- a/apricotseam/node/_beliefs.py
+++ b/apricotseam/node/_beliefs.py
@@ -181,11 +181,10 @@
         identity = target_identity(item.key)
         fleet.advance(item.position)
         if item.value is None:
-            may_return = self._was_store_unreachable() or (
-                self._is_lost(identity, item)
-            )
+            was_lost = self._is_lost(identity, item)
+            may_return = was_lost or self._was_store_unreachable()
             self._held.drop(item.key)
-            fleet.remove(identity, self._now(), may_return)
+            fleet.remove(identity, self._now(), may_return, was_lost)
             return
         record = decode_target(item.key, item.value, item.position)
         if record is None:
@@ -224,7 +223,7 @@
         known = last.record
         if known.position.era >= record.position.era:
             return ""
-        has_left = present is None and not removed.was_lost
+        has_left = present is None and removed.has_left
         if not is_outdated(record, known, has_left):
             return ""
         if has_left:
