End a pending watch once when several eras are heard of at once

Cause: a second notice of a later era before the cancelled watch had ended would set a timeout that had expired, which raises RuntimeError in the handler of the push.

Change: the timeout is taken out when it is used. Tests of pushes of later and earlier eras at the synchronizer.

Result: with the earlier form the case of three eras at once fails; it passes now.

--- a/apricotseam/coordination/_keeper.py
+++ b/apricotseam/coordination/_keeper.py
@@ -267,8 +267,10 @@
     def _interrupt_waits(self):
         """End the present wait for changes, as the store has gone back."""
         self._gap_found.set()
-        if self._watch_timeout is not None:
-            self._watch_timeout.reschedule(0)
+        # A timeout that has expired cannot be set again.
+        timeout, self._watch_timeout = self._watch_timeout, None
+        if timeout is not None:
+            timeout.reschedule(0)
 
     async def _join_era(self):
         """Replace the mirror by the items of the store's later era.
--- a/apricotseam/coordination/tests/test_keeper.py
+++ b/apricotseam/coordination/tests/test_keeper.py
@@ -307,3 +307,48 @@
         Position.of(1, 3),
         Position.of(1, 4),
     ]
+
+
+class SilentStore(FakeStore):
+    """Store whose watches end only when they are cancelled."""
+
+    def __init__(self):
+        super().__init__([], [("a", 3)])
+        self.on_new_era = lambda: None
+
+    def notice_era(self, era):
+        """Record an era."""
+        self.era = era
+        self.listing = [Item("a", b"w", Position.of(era, 2))]
+        self.on_new_era()
+
+    async def watch(self, prefix, after, wait_seconds):
+        """Wait."""
+        await asyncio.sleep(3600)
+
+
+# Eras of pushes that arrive at once, and the resulting position.
+NOTICES = [([1], Position.of(1, 2)), ([1, 2, 3], Position.of(3, 2))]
+
+
+@pytest.mark.parametrize(("eras", "expected"), NOTICES)
+def test_a_push_of_a_later_era_ends_a_pending_watch(eras, expected):
+    positions = [Position.of(era, 9) for era in eras]
+    pushes = [Push(position, position, []) for position in positions]
+    mirror, sent, _ = follow(SilentStore(), pushes=pushes)
+    assert (mirror.get("a").value, mirror.position) == (b"w", expected)
+    # The other hosts of the zone hear of the era at once.
+    assert [push.position for push in sent] == [expected]
+
+
+def test_a_push_of_an_earlier_era_is_dropped():
+    store = FakeStore([], [("a", 3)])
+    store.era = 1
+    store.listing = [Item("a", b"v", Position.of(1, 3))]
+    late = MirrorItem("a", b"late", Position(9))
+    push = Push(Position(3), Position(9), [late])
+    mirror, _, _ = follow(store, pushes=[push])
+    assert (mirror.get("a").value, mirror.position) == (
+        b"v",
+        Position.of(1, 3),
+    )
