Let the synchronizer react between pushes in its tests

Change: the test lets the keeper begin to react after each push.

Result: with the earlier form the case of three eras fails (RuntimeError: cannot change state of expiring Timeout); with the present one all 22 tests pass.

--- a/apricotseam/coordination/tests/test_keeper.py
+++ b/apricotseam/coordination/tests/test_keeper.py
@@ -113,6 +113,8 @@
                 keeper.receive_packed_push(push)
             else:
                 keeper.receive_push(push)
+            # Let the keeper begin to react.
+            await asyncio.sleep(0)
         await asyncio.sleep(seconds)
         task.cancel()
         return mirror, sent, keeper.is_store_unreachable
