--- a/apricotseam/fleet/__init__.py
+++ b/apricotseam/fleet/__init__.py
@@ -5,6 +5,7 @@
 from apricotseam.fleet._announcements import MAX_REST_SECONDS
 from apricotseam.fleet._fleet import Fleet
 from apricotseam.fleet._health import Health
+from apricotseam.fleet._states import is_outdated
 from apricotseam.fleet._target import LayerRange
 from apricotseam.fleet._target import Target
 from apricotseam.fleet._target import TargetRecord
@@ -18,4 +19,5 @@
     "MAX_REST_SECONDS",
     "Target",
     "TargetRecord",
+    "is_outdated",
 ]
--- a/apricotseam/fleet/_fleet.py
+++ b/apricotseam/fleet/_fleet.py
@@ -3,9 +3,13 @@
 import collections
 import logging
 
+import msgspec
+
 from apricotseam.fleet._announcements import Announcements
 from apricotseam.fleet._announcements import LeavingSource
 from apricotseam.fleet._target import Target
+from apricotseam.fleet._target import TargetRecord
+from apricotseam.positions import NO_POSITION
 
 _LOG = logging.getLogger(__name__)
 
@@ -14,6 +18,21 @@
 REMOVAL_GRACE_SECONDS = 2.0
 # Processes whose announcements are kept, also while they are not listed.
 MAX_REMEMBERED_PROCESSES = 1000
+# Number of removed targets whose records are remembered, so that entries of a
+# store that went back do not bring them back.
+MAX_REMOVED_RECORDS = 1024
+
+
+class RemovedTarget(msgspec.Struct, frozen=True):
+    """Last record of a target that was removed.
+
+    If ``has_left`` is set, the record has the position of the store at the
+    removal, and the same state at a later one is outdated. It is not set for
+    a draining target whose record the store lost when it went back.
+    """
+
+    record: TargetRecord
+    has_left: bool
 
 
 class Fleet:
@@ -33,6 +52,8 @@
         self._by_address = {}
         # `Announcements` by incarnation, the oldest first.
         self._announcements = collections.OrderedDict()
+        self._removed = collections.OrderedDict()
+        self._position = NO_POSITION
         self._on_end = on_end or (lambda target: None)
         self._on_drain = on_drain or (lambda target: None)
         # Number of changes so far; readers compare it to detect new ones.
@@ -52,6 +73,14 @@
         """Return the newest target at an address, or None."""
         return self._by_address.get(address)
 
+    def removed(self, identity):
+        """Return the `RemovedTarget` of an identity, or None."""
+        return self._removed.get(identity)
+
+    def advance(self, position):
+        """Record that the store has reached a position."""
+        self._position = max(self._position, position)
+
     def of_service(self, service):
         """Return the targets of a service that accept new requests."""
         found = self._by_service.get(service, {})
@@ -90,10 +119,12 @@
                 "address": record.address,
                 "zone": record.zone,
                 "kind": record.kind,
-                "revision": record.revision,
+                "era": record.position.era,
+                "revision": record.position.revision,
                 "born_ms": record.born_ms,
             },
         )
+        self._removed.pop(record.identity, None)
         announcements = self._announcements.get(record.incarnation)
         self._link(Target(record, announcements))
 
@@ -195,12 +226,12 @@
         other = self._by_address.get(record.address)
         if other is None or other.identity == record.identity:
             return False
-        if other.record.revision > record.revision:
+        if _is_later(other.record, record):
             return True
         self._remove_target(other, "another target has its address")
         return False
 
-    def remove(self, identity, now, store_was_unreachable=False):
+    def remove(self, identity, now, may_return=False, was_lost=False):
         """Remove a target whose entry in the store was deleted.
 
         Parameters
@@ -209,19 +240,22 @@
             Identity of the target.
         now : float
             Monotonic time in seconds, as in `expire`.
-        store_was_unreachable : bool
-            Whether the store was unreachable shortly before. The entry of a
-            running target may then have expired, so that the target is
-            kept for a grace period unless it is draining.
+        may_return : bool
+            Whether the target may write the entry again, as the store was
+            unreachable shortly before or has gone back to a state without
+            it. The target is then kept for a grace period unless it is
+            draining.
+        was_lost : bool
+            Whether the store has gone back to a state without the entry.
         """
         target = self._targets.get(identity)
         if target is None:
             return
         self.changes += 1
-        if store_was_unreachable and not target.is_draining:
+        if may_return and not target.is_draining:
             target.removal_due_at = now + REMOVAL_GRACE_SECONDS
             return
-        self._remove_target(target, "entry removed")
+        self._remove_target(target, "entry removed", has_left=not was_lost)
 
     def expire(self, now):
         """Remove the targets whose grace period ended without a new entry."""
@@ -246,14 +280,25 @@
         if self._by_address.get(record.address) is target:
             del self._by_address[record.address]
 
-    def _remove_target(self, target, cause):
+    def _remove_target(self, target, cause, has_left=True):
         target.is_present = False
         self._unlink(target)
+        self._remember(target.record, has_left)
         _LOG.info(
             "target_gone", extra={"target": target.identity, "cause": cause}
         )
         self._on_end(target)
 
+    def _remember(self, record, has_left):
+        """Remember the record of a target that was removed."""
+        if has_left:
+            position = max(record.position, self._position)
+            record = msgspec.structs.replace(record, position=position)
+        self._removed[record.identity] = RemovedTarget(record, has_left)
+        self._removed.move_to_end(record.identity)
+        if len(self._removed) > MAX_REMOVED_RECORDS:
+            self._removed.popitem(last=False)
+
     def _log_change(self, old, new):
         if old.is_draining != new.is_draining or old.layers != new.layers:
             _LOG.info(
@@ -262,7 +307,8 @@
                     "target": new.identity,
                     "is_draining": new.is_draining,
                     "layers": _format_layers(new.layers),
-                    "revision": new.revision,
+                    "era": new.position.era,
+                    "revision": new.position.revision,
                 },
             )
 
@@ -278,5 +324,16 @@
     )
 
 
+def _is_later(record, other):
+    """Return whether a record is the later one of two at one address.
+
+    Positions of different eras do not tell this if both start times do.
+    """
+    is_same_era = record.position.era == other.position.era
+    if is_same_era or not (record.born_ms and other.born_ms):
+        return record.position > other.position
+    return record.born_ms > other.born_ms
+
+
 def _format_layers(layers):
     return f"{layers.first}-{layers.last}" if layers else ""
--- a/apricotseam/fleet/tests/test_announcements.py
+++ b/apricotseam/fleet/tests/test_announcements.py
@@ -10,6 +10,7 @@
 from apricotseam.fleet import LeavingSource
 from apricotseam.fleet import MAX_REST_SECONDS
 from apricotseam.fleet import TargetRecord
+from apricotseam.positions import Position
 
 RECORD = TargetRecord(
     identity="i-1", service="s", address="10.0.0.1:80", zone="a", born_ms=1
@@ -25,15 +26,23 @@
 def remove_and_return(fleet):
     """Remove the entry, and list the same process again."""
     fleet.remove("i-1", 5.0)
-    fleet.update(replace_fields(revision=9))
+    fleet.update(replace_fields(position=Position(9)))
 
 
 # Description, what happens after the target said that it leaves, whether
 # the target of the name that is then listed takes requests.
 AFTERWARDS = [
     ("nothing", lambda fleet: None, False),
-    ("older word", lambda f: f.update(replace_fields(revision=0)), False),
-    ("newer entry", lambda f: f.update(replace_fields(revision=9)), False),
+    (
+        "older word",
+        lambda f: f.update(replace_fields(position=Position(0))),
+        False,
+    ),
+    (
+        "newer entry",
+        lambda f: f.update(replace_fields(position=Position(9))),
+        False,
+    ),
     ("entry lost and written again", remove_and_return, False),
     (
         "new start, same name",
@@ -62,7 +71,7 @@
     fleet.update(RECORD)
     fleet.record_leaving(RECORD.incarnation, OWN, 1.0)
     fleet.record_rest(RECORD.incarnation, 60.0, 1.0)
-    fleet.update(replace_fields(identity="i-2", revision=3))
+    fleet.update(replace_fields(identity="i-2", position=Position(3)))
     assert fleet.get("i-2").may_send(1.0)
 
 
@@ -93,7 +102,7 @@
     changes = fleet.changes
     for source in LeavingSource:
         fleet.record_leaving(RECORD.incarnation, source, 1.0)
-    fleet.update(replace_fields(is_draining=True, revision=2))
+    fleet.update(replace_fields(is_draining=True, position=Position(2)))
     assert [t.identity for t in drained] == ["i-1"]
     assert drained[0].announcements.leaving_source is LeavingSource.OWN_ANSWER
     assert fleet.changes > changes
@@ -103,7 +112,7 @@
     fleet = Fleet()
     fleet.update(RECORD)
     fleet.record_leaving(RECORD.incarnation, OWN, 1.0)
-    fleet.remove("i-1", 1.0, store_was_unreachable=True)
+    fleet.remove("i-1", 1.0, may_return=True)
     assert fleet.get("i-1") is None
 
 
@@ -131,7 +140,7 @@
     fleet.update(RECORD)
     for now, seconds in rests:
         fleet.record_rest(RECORD.incarnation, seconds, now)
-    fleet.update(replace_fields(revision=9))
+    fleet.update(replace_fields(position=Position(9)))
     target = fleet.get("i-1")
     assert target.is_resting(at) is expected
     assert target.may_send(at) is not expected
@@ -165,7 +174,7 @@
     fleet = Fleet()
     fleet.update(RECORD)
     if source is LeavingSource.STORE:
-        fleet.update(replace_fields(is_draining=True, revision=2))
+        fleet.update(replace_fields(is_draining=True, position=Position(2)))
     else:
         for _ in range(2):
             fleet.record_leaving(RECORD.incarnation, source, 10.0, age)
--- a/apricotseam/forwarding/tests/test_announcements.py
+++ b/apricotseam/forwarding/tests/test_announcements.py
@@ -28,6 +28,7 @@
 from apricotseam.forwarding import TargetSelector
 from apricotseam.forwarding.tests.test_choice import PROFILE
 from apricotseam.http1 import ResponseHead
+from apricotseam.positions import Position
 
 OWN = LeavingSource.OWN_ANSWER
 LAYERS = PROFILE.layers
@@ -52,7 +53,7 @@
                 address=f"10.0.0.{number}:80",
                 kind="fast" if is_engine else "",
                 layers=HALVES[number % 2] if is_engine else None,
-                revision=number + 1,
+                position=Position(number + 1),
             )
         )
     return fleet
@@ -221,7 +222,7 @@
             call = make_call(PLAIN)
             call.exchange = FakeExchange()
             call.request_id = "r"
-            call.table = types.SimpleNamespace(revision=1)
+            call.table = types.SimpleNamespace(position=Position(1))
             assert refuse_unserved(context, call, "busy", 0.25) == 503
             delays.append(float(call.exchange.headers[b"Retry-After"]))
         return delays
--- a/apricotseam/forwarding/tests/test_announcements_machine.py
+++ b/apricotseam/forwarding/tests/test_announcements_machine.py
@@ -15,6 +15,7 @@
 from apricotseam.fleet import TargetRecord
 from apricotseam.forwarding import TargetSelector
 from apricotseam.forwarding.tests.test_choice import PROFILE
+from apricotseam.positions import Position
 
 TARGETS = 5
 # Layers of each target; the last one serves the plain service.
@@ -62,7 +63,7 @@
             slots=8,
             is_draining=is_draining,
             born_ms=self.born[number],
-            revision=revision,
+            position=Position(revision),
         )
 
     @rule(number=numbers, is_draining=strategies.booleans())
@@ -86,9 +87,7 @@
         is_kept = target is not None and was_unreachable
         if is_kept:
             is_kept = not target.is_draining
-        self.fleet.remove(
-            self.identity(number), self.now, store_was_unreachable=is_kept
-        )
+        self.fleet.remove(self.identity(number), self.now, may_return=is_kept)
         if not is_kept:
             self.listed[number] = None
 
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -12,6 +12,8 @@
 from apricotseam.chains import sum_usages
 from apricotseam.chains import Usage
 from apricotseam.forwarding import RepeatCount
+from apricotseam.positions import NO_POSITION
+from apricotseam.positions import Position
 
 # A host that sent nothing for this long no longer counts in reports.
 STATE_EXPIRY_SECONDS = 4.0
@@ -70,9 +72,10 @@
     that the sums include. ``usages`` and ``repeats`` are sums over these
     hosts; ``other_zones`` is the usage by hosts of the other zones, or None
     if the report does not repeat it. ``silent`` are peer addresses of hosts
-    whose states are overdue. ``store_revision`` is the revision of the store
-    that the sender follows, 0 if it does not follow the store. ``leaving``
-    are the targets that, as the sender knows, announced that they leave.
+    whose states are overdue. ``store_position`` is the position in the store
+    that the sender follows, `NO_POSITION` if it does not follow the store.
+    ``leaving`` are the targets that, as the sender knows, announced that they
+    leave.
     """
 
     zone: str
@@ -86,7 +89,7 @@
     refused: list[str]
     repeats: dict[str, RepeatCount]
     silent: list[str]
-    store_revision: int
+    store_position: Position
     leaving: dict[str, LeavingNotice] = {}
 
 
@@ -207,7 +210,7 @@
             refused=[*self._refused_at, *own.refused],
             repeats=_sum_repeats(state.repeats for state in states),
             silent=silent,
-            store_revision=0,
+            store_position=NO_POSITION,
             leaving=own.leaving,
         )
 
--- a/apricotseam/node/tests/test_announcements.py
+++ b/apricotseam/node/tests/test_announcements.py
@@ -7,6 +7,7 @@
 from apricotseam.fleet import LeavingSource
 from apricotseam.node.tests.harness import run
 from apricotseam.platform import ORDER_PATH
+from apricotseam.positions import Position
 
 COMPLETE_BODY = b"".join(
     f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, 5)
@@ -302,12 +303,13 @@
         target, path = await request_plain(platform)
         before = received(target)
         write(platform, target)
-        revision = platform.store.revision
+        store = platform.store
+        position = Position.of(store.era, store.revision)
         fleet = platform.nodes[0].forwarding.fleet
         await platform.wait_until(
             lambda: (
                 (found := fleet.get(target.identity)) is not None
-                and found.record.revision == revision
+                and found.record.position == position
             )
         )
         await send_load(platform, path)
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -26,6 +26,9 @@
 from apricotseam.node._zone_reports import HostState
 from apricotseam.node._zone_reports import ZoneReport
 from apricotseam.node._zones import ZoneState
+from apricotseam.positions import decode_hook
+from apricotseam.positions import encode_hook
+from apricotseam.positions import NO_POSITION
 
 TICK_SECONDS = 0.05
 # Time in which all hosts of a zone agree after the last fault: a report is
@@ -88,9 +91,9 @@
         )
         self.tasks = [self.run_states(), self.run_reports()]
 
-    def count_heartbeat(self, revision):
-        """Count a store revision that a delegate reported."""
-        assert revision == 7
+    def count_heartbeat(self, position):
+        """Count a position in the store that a delegate reported."""
+        assert position == 7
         self.heartbeats += 1
 
     def handle(self, record_type, handler, answer_type=None):
@@ -477,7 +480,12 @@
 # A message, and the number of its fields before leaving targets were added.
 MESSAGES = [
     (HostState("h/1", "a", 1, {}, [], {}, [], {}), 8),
-    (ZoneReport("a", "h/1", 1, {}, {}, None, [], {}, [], {}, [], 0), 12),
+    (
+        ZoneReport(
+            "a", "h/1", 1, {}, {}, None, [], {}, [], {}, [], NO_POSITION
+        ),
+        12,
+    ),
     (ZoneState("a", "h/1", 1, {}), 5),
 ]
 
@@ -491,8 +499,10 @@
     message, count
 ):
     """Guards against a change of version in which hosts don't understand."""
-    fields = msgspec.to_builtins(message)
+    fields = msgspec.to_builtins(message, enc_hook=encode_hook)
     assert len(fields) == count + 1
     old = msgspec.msgpack.encode(fields[:count])
-    read = msgspec.msgpack.decode(old, type=type(message))
+    read = msgspec.msgpack.decode(
+        old, type=type(message), dec_hook=decode_hook
+    )
     assert read == message and read.leaving == {}
--- a/measure/emulator/_simulation.py
+++ b/measure/emulator/_simulation.py
@@ -7,6 +7,7 @@
 
 from apricotseam.chains import choose_orders
 from apricotseam.fleet import TargetRecord
+from apricotseam.positions import Position
 from apricotseam.routes import Customer
 from apricotseam.routes import RepeatPolicy
 from apricotseam.routes import Route
@@ -281,7 +282,7 @@
         for kind in CLASSES
     ]
     return RouteTable(
-        revision=1,
+        position=Position(1),
         version=1,
         routes=routes,
         services=[Service(name=SERVICE, engine=PROFILE)],
--- a/measure/emulator/_site.py
+++ b/measure/emulator/_site.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from apricotseam.positions import Position
+
 # Time from a change of a record until the hosts see it.
 WATCH_SECONDS = 0.02
 # Time from the death of a target until its record is removed.
@@ -43,7 +45,7 @@
         """Write the record of a target."""
         self._revision += 1
         target.record = msgspec.structs.replace(
-            target.record, revision=self._revision
+            target.record, position=Position(self._revision)
         )
         self._records[target.identity] = target.record
         self._loop.call_later(WATCH_SECONDS, self._tell)
