Move layers only when a silent target has surely crashed

Cause: the placer took a target that was silent for 0.6 s as lost and ordered its layers elsewhere; a sound one may be silent for 1.5 s. Reports of peers joined two short silences into one long one, since the placer asked a target only after the time was up. Change: a target that sends nothing is lost after 1.8 s, by a probe of the placer's host at the end of that time; one that refuses or resets connections after 0.6 s, as before. The placer asks targets as soon as peers report them.

--- a/apricotseam/fleet/_health.py
+++ b/apricotseam/fleet/_health.py
@@ -17,11 +17,12 @@
 class Health:
     """Health of one target, as observed here and reported by peers.
 
-    A target is silent if it does not respond to this host at all. It is
-    avoided for a short time after it refused a request or a peer reported
-    it as silent. ``failure_share`` is the moving average of failed requests,
-    from 0 to 1, and ``latency_seconds`` that of latencies. Times passed to
-    the methods are monotonic, in seconds.
+    A target is silent if it does not respond to this host at all: it sends
+    nothing, or rejects connections, as one that crashed does. It is avoided
+    for a short time after it refused a request or a peer reported it as
+    silent. ``failure_share`` is the moving average of failed requests, from 0
+    to 1, and ``latency_seconds`` that of latencies. Times passed to the
+    methods are monotonic, in seconds.
     """
 
     __slots__ = (
@@ -30,7 +31,9 @@
         "_slow_until",
         "_slowness",
         "_has_own_report",
+        "_last_failed_at",
         "_peer_silence_until",
+        "_rejects_connections",
         "_silent_since",
         "failure_share",
         "latency_seconds",
@@ -44,6 +47,9 @@
         # by peers, and time until which the report of a peer is valid.
         self._silent_since = None
         self._peer_silence_until = 0.0
+        # Time of the last contact of this host in that silence, or None.
+        self._last_failed_at = None
+        self._rejects_connections = False
         self._avoided_until = 0.0
         self._slowness = 1.0
         self._slow_until = 0.0
@@ -54,6 +60,11 @@
         """Whether the target failed to respond when last contacted."""
         return self._is_silent
 
+    @property
+    def rejects_connections(self):
+        """Whether the last contact was refused or reset, not just silent."""
+        return self._rejects_connections
+
     def is_suspect(self, now):
         """Return whether the target should get no new requests at present."""
         return self._is_silent or now < self._avoided_until
@@ -105,13 +116,30 @@
         self.record_failure()
         self._begin_silence(now)
         self._is_silent = True
+        self._last_failed_at = now
 
     def mark_reachable(self):
         """Mark the target as responding, whatever peers reported."""
         self._is_silent = False
+        self._rejects_connections = False
+        self._last_failed_at = None
         self._silent_since = None
         self._peer_silence_until = 0.0
 
+    def record_contact_failure(self, now, is_rejected):
+        """Record how a contact with the target failed.
+
+        Parameters
+        ----------
+        now : float
+            Time of its end.
+        is_rejected : bool
+            Whether the connection was refused or reset.
+        """
+        self._rejects_connections = is_rejected
+        if self._is_silent:
+            self._last_failed_at = now
+
     def record_peer_silence(self, now):
         """Record that a peer finds the target silent."""
         self._begin_silence(now)
@@ -125,6 +153,15 @@
             return 0.0
         return now - self._silent_since
 
+    def observed_silence_seconds(self):
+        """Return how long after its start this host last found the silence.
+
+        Unlike `silent_seconds`, it does not grow until the next contact.
+        """
+        if not self._is_silent:
+            return 0.0
+        return self._last_failed_at - self._silent_since
+
     def _begin_silence(self, now):
         is_going_on = self._is_silent or now < self._peer_silence_until
         if self._silent_since is None or not is_going_on:
--- a/apricotseam/fleet/tests/test_fleet.py
+++ b/apricotseam/fleet/tests/test_fleet.py
@@ -99,6 +99,35 @@
     assert not health.is_suspect(0.0)
 
 
+# Failed contacts, each a time and whether the connection was rejected; the
+# time that this host has observed, and whether it ends in a rejection.
+CONTACTS = [
+    ("first contact only", [], 0.0, False),
+    ("silent to a later one", [(0.4, False), (1.6, False)], 1.6, False),
+    ("rejected later", [(0.4, False), (1.0, True)], 1.0, True),
+    ("silent after a rejection", [(0.4, True), (1.0, False)], 1.0, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("contacts", "observed_seconds", "is_rejected"),
+    [case[1:] for case in CONTACTS],
+    ids=[case[0] for case in CONTACTS],
+)
+def test_silence_is_observed_up_to_the_last_contact(
+    contacts, observed_seconds, is_rejected
+):
+    health = Health()
+    health.mark_unreachable(10.0)
+    for seconds, was_rejected in contacts:
+        health.record_contact_failure(10.0 + seconds, was_rejected)
+    assert health.observed_silence_seconds() == pytest.approx(observed_seconds)
+    assert health.rejects_connections is is_rejected
+    health.mark_reachable()
+    assert health.observed_silence_seconds() == 0.0
+    assert not health.rejects_connections
+
+
 def test_peer_report_does_not_replace_that_of_the_target():
     health = Health()
     health.record_slowness(12.0, 0.0)
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -7,6 +7,8 @@
 from apricotseam.errors import InvalidInputError
 from apricotseam.forwarding._contact import ConnectivityCheck
 from apricotseam.http1 import connect
+from apricotseam.http1 import LostConnectionError
+from apricotseam.http1 import RefusedConnectionError
 from apricotseam.http1 import TransportError
 from apricotseam.platform import decode_report
 from apricotseam.platform import REPORT_PATH
@@ -87,6 +89,16 @@
             if not is_responsive
         ]
 
+    async def reprobe(self, targets):
+        """Probe targets that were found silent once more.
+
+        Parameters
+        ----------
+        targets : list of Target
+            The targets; their health is updated.
+        """
+        await asyncio.gather(*(self._reprobe(target) for target in targets))
+
     async def watch(self, hosts):
         """Probe silent and slow targets periodically; never return.
 
@@ -97,8 +109,9 @@
         """
         while True:
             await asyncio.sleep(REPROBE_PERIOD_SECONDS)
-            probed = self._targets_to_reprobe(PROBING_HOSTS / max(1, hosts()))
-            await asyncio.gather(*(self._reprobe(t) for t in probed))
+            await self.reprobe(
+                self._targets_to_reprobe(PROBING_HOSTS / max(1, hosts()))
+            )
 
     def _targets_to_reprobe(self, slow_fraction):
         """Return the targets to probe in this interval.
@@ -234,7 +247,11 @@
                 await self._read_report(target)
             else:
                 await self._connect(target)
-        except TransportError:
+        except TransportError as error:
+            is_rejected = isinstance(
+                error, (LostConnectionError, RefusedConnectionError)
+            )
+            target.health.record_contact_failure(self._now(), is_rejected)
             return False
         except InvalidInputError as error:
             _LOG.info(
--- a/apricotseam/http1/__init__.py
+++ b/apricotseam/http1/__init__.py
@@ -7,6 +7,7 @@
 from apricotseam.http1._errors import InterruptedReadError
 from apricotseam.http1._errors import LostConnectionError
 from apricotseam.http1._errors import MalformedAnswerError
+from apricotseam.http1._errors import RefusedConnectionError
 from apricotseam.http1._errors import TransportError
 from apricotseam.http1._errors import TransportTimeoutError
 from apricotseam.http1._exchange import EndCause
@@ -33,6 +34,7 @@
     "LostConnectionError",
     "MalformedAnswerError",
     "ConnectionPool",
+    "RefusedConnectionError",
     "Request",
     "Server",
     "TransportError",
--- a/apricotseam/http1/_client.py
+++ b/apricotseam/http1/_client.py
@@ -9,6 +9,7 @@
 from apricotseam.http1._errors import InterruptedReadError
 from apricotseam.http1._errors import LostConnectionError
 from apricotseam.http1._errors import MalformedAnswerError
+from apricotseam.http1._errors import RefusedConnectionError
 from apricotseam.http1._errors import TransportTimeoutError
 from apricotseam.http1._sockets import enable_keepalive
 
@@ -332,7 +333,8 @@
     Raises
     ------
     ConnectError
-        If no connection was open by the deadline; nothing was sent.
+        If no connection was open by the deadline; nothing was sent. It is a
+        `RefusedConnectionError` if the address refused the connection.
     """
     loop = asyncio.get_running_loop()
     host, _, port = address.rpartition(":")
@@ -342,7 +344,9 @@
                 lambda: Connection(address), host, int(port)
             )
     except (OSError, ValueError, TimeoutError) as error:
-        raise ConnectError(
+        is_refused = isinstance(error, ConnectionRefusedError)
+        kind = RefusedConnectionError if is_refused else ConnectError
+        raise kind(
             f"no connection to {address} ({type(error).__name__})",
             "try another server",
         ) from None
--- a/apricotseam/http1/_errors.py
+++ b/apricotseam/http1/_errors.py
@@ -16,6 +16,12 @@
     code = "connect_failed"
 
 
+class RefusedConnectionError(ConnectError):
+    """The address refused the connection: no process listens there."""
+
+    code = "connection_refused"
+
+
 class LostConnectionError(TransportError):
     """The connection ended before the answer did."""
 
--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -23,9 +23,11 @@
 FIRST_LAYOUT_SETTLE_SECONDS = 1.2
 # With a layout in place, targets must not have changed for this long.
 SETTLE_SECONDS = 0.3
-# A target that is silent for this long counts as lost, although its entry in
-# the store ends only with its lease.
-LOST_AFTER_SECONDS = 0.6
+# A target that rejects connections for this long counts as lost, although its
+# entry in the store ends only with its lease.
+LOST_AFTER_REJECTION_SECONDS = 0.6
+# The same for a target that sends nothing. A sound one may do so for 1.5 s.
+LOST_AFTER_SILENCE_SECONDS = 1.8
 # If more of the targets of an availability zone are silent, the cause is
 # likely the network, and layers are not moved.
 MAX_LOST_SHARE = 0.5
@@ -120,18 +122,17 @@
     async def _without_lost(self, targets):
         """Return the targets that have not been silent for long.
 
-        A target that only peers report as silent has to be silent to a
-        probe of this host, too.
+        A target that only peers report as silent has to be silent to probes
+        of this host, too. If it sends nothing, the last of them comes at the
+        end of the time after which the target counts as lost.
         """
-        now = self._now()
-        silent = [
-            target
-            for target in targets
-            if target.health.silent_seconds(now) >= LOST_AFTER_SECONDS
-        ]
+        silent = [t for t in targets if self._silent_seconds(t)]
         if not silent:
             return targets
-        lost = await self._context.prober.find_unresponsive(silent)
+        prober = self._context.prober
+        unresponsive = await prober.find_unresponsive(silent)
+        await prober.reprobe([t for t in unresponsive if self._is_overdue(t)])
+        lost = [t for t in unresponsive if self._is_lost(t)]
         lost_by_zone = collections.Counter(t.record.zone for t in lost)
         totals = collections.Counter(t.record.zone for t in targets)
         ignored = {
@@ -142,6 +143,21 @@
         }
         return [t for t in targets if t.identity not in ignored]
 
+    def _silent_seconds(self, target):
+        return target.health.silent_seconds(self._now())
+
+    def _is_overdue(self, target):
+        """Return whether a target is lost if one more probe fails."""
+        is_due = self._silent_seconds(target) >= LOST_AFTER_SILENCE_SECONDS
+        return is_due and not self._is_lost(target)
+
+    def _is_lost(self, target):
+        """Return whether a target that does not respond counts as lost."""
+        if target.health.rejects_connections:
+            return self._silent_seconds(target) >= LOST_AFTER_REJECTION_SECONDS
+        observed = target.health.observed_silence_seconds()
+        return observed >= LOST_AFTER_SILENCE_SECONDS
+
     async def _expected_record(self, target):
         """Return a target's record as if its pending order were done."""
         record = target.record
