Let targets fall silent for a moment in the soak

Cause: no run had sound targets that are silent for 1 to 1.5 s. Change: a run begins with a phase of silences, reloads and configurations only, in which no request may be cut or fail but by a refusal; in the fault phase silences come beside what was drawn already. Seeds keep their faults, as later classes are drawn after the others. A chain with a silent worker stalls. Five cases more in test_invariants.py.

--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -96,6 +96,11 @@
         self.ended = []
         self._server = Server(self._handle)
 
+    @property
+    def is_paused(self):
+        """Whether it is silent after `pause`."""
+        return asyncio.get_running_loop().time() < self._pauses_until
+
     async def start(self):
         """Start to listen; return the stand-in itself."""
         await self._server.start(self.address)
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -92,7 +92,7 @@
         for proxy in self.store_proxies:
             await proxy.start()
         for target in self.targets:
-            target.standin.is_blocked = self._is_chain_broken
+            target.standin.is_blocked = self._is_chain_blocked
             target.standin.on_layers_changed = self._schedule_registration
             await target.proxy.start()
             await self.start_target(target)
@@ -176,8 +176,8 @@
         if target.is_up:
             self.register(target)
 
-    def _is_chain_broken(self, chain):
-        """Return whether a target of a chain is down or unknown.
+    def _is_chain_blocked(self, chain):
+        """Return whether a target of a chain is down, silent or unknown.
 
         Parameters
         ----------
@@ -189,6 +189,8 @@
             target = by_address.get(stage.partition("=")[0])
             if target is None or not target.is_up:
                 return True
+            if target.standin.is_paused:
+                return True
         return False
 
     def _collect_executions(self, target):
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -13,6 +13,14 @@
 MAX_DURATION_SECONDS = 2.5
 # Least and greatest number of faults in a run.
 FAULTS_PER_RUN = (4, 9)
+# Most faults of each of `LATER_FAULT_CLASSES` in a run, in addition.
+MAX_LATER_FAULTS = 3
+# Latest start of an event of the sound phase, from its start, and least and
+# greatest number of such events.
+LATEST_SOUND_START_SECONDS = 3.0
+SOUND_EVENTS_PER_RUN = (3, 7)
+# Least and greatest length of the silence of a sound target.
+PAUSE_SECONDS = (1.0, 1.5)
 
 
 class Fault(abc.ABC):
@@ -178,6 +186,17 @@
         self._target(cluster).proxy.clear_faults()
 
 
+class PauseTarget(Fault):
+    """Makes a sound target silent for a moment; it accepts connections."""
+
+    __slots__ = ()
+
+    async def _inject(self, cluster):
+        standin = self._target(cluster).standin
+        standin.pause_seconds = self.end_seconds - self.start_seconds
+        standin.pause()
+
+
 class DelayTarget(Fault):
     """Delays each chunk of bytes sent to a target."""
 
@@ -285,6 +304,8 @@
         cluster.publish_configuration()
 
 
+# Seeds keep their faults as long as this tuple does not change: add further
+# classes to the end of `LATER_FAULT_CLASSES`.
 FAULT_CLASSES = (
     KillHost,
     StopHost,
@@ -303,6 +324,15 @@
     ForgetfulStore,
     ChangeConfiguration,
 )
+LATER_FAULT_CLASSES = (PauseTarget,)
+# Events of the sound phase, in which no accepted request may be lost. Several
+# entries of a class make it more frequent.
+SOUND_EVENT_CLASSES = (
+    PauseTarget,
+    PauseTarget,
+    ReloadHost,
+    ChangeConfiguration,
+)
 
 
 def draw_faults(rng):
@@ -324,4 +354,34 @@
         faults.append(
             rng.choice(FAULT_CLASSES)(start, end, rng.randrange(1000))
         )
+    for fault_class in LATER_FAULT_CLASSES:
+        for _ in range(rng.randint(0, MAX_LATER_FAULTS)):
+            start = rng.uniform(0.0, LATEST_START_SECONDS)
+            faults.append(_draw_pause(rng, fault_class, start))
     return sorted(faults, key=lambda fault: fault.start_seconds)
+
+
+def draw_sound_events(rng):
+    """Return the events of the sound phase in order of their start.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of all random choices.
+
+    Returns
+    -------
+    list of Fault
+    """
+    events = []
+    for _ in range(rng.randint(*SOUND_EVENTS_PER_RUN)):
+        start = rng.uniform(0.0, LATEST_SOUND_START_SECONDS)
+        event_class = rng.choice(SOUND_EVENT_CLASSES)
+        events.append(_draw_pause(rng, event_class, start))
+    return sorted(events, key=lambda event: event.start_seconds)
+
+
+def _draw_pause(rng, fault_class, start):
+    """Return a fault that lasts as long as the silence of a sound target."""
+    end = start + rng.uniform(*PAUSE_SECONDS)
+    return fault_class(start, end, rng.randrange(1000))
--- a/soak/_invariants.py
+++ b/soak/_invariants.py
@@ -4,6 +4,7 @@
 import re
 
 from apricotseam.platform.standins import LAYERS
+from soak._callers import DEADLINE_SECONDS
 from soak._records import AttemptOutcome
 from soak._records import RequestKind
 from soak._records import Violation
@@ -20,6 +21,8 @@
 RECOVERY_SECONDS = 6.0
 # A caller may see a reset before the kill that caused it is recorded.
 KILL_RECORD_DELAY_SECONDS = 0.2
+# An accepted request may fail once it has used this share of its time.
+LATE_SHARE = 0.7
 # Stage of a chain, ``address=first-last``; its layers end before ``last``.
 _STAGE = re.compile(r"[^=,]+=(\d+)-(\d+)")
 
@@ -47,6 +50,7 @@
                 name = check.__name__.lstrip("_")
                 violations.append(Violation(name, attempt.request_id, detail))
     violations.extend(_unanswered_requests(records, executions))
+    violations.extend(_lost_sound_requests(records))
     violations.extend(_unsent_requests(records, executions))
     violations.extend(_excess_retries(records, executions))
     violations.extend(_recovery_failures(records))
@@ -163,6 +167,28 @@
     ]
 
 
+def _lost_sound_requests(records):
+    """Return a violation for each request lost while all was sound.
+
+    Targets that fall silent for a moment, new configurations and reloads
+    are no reason to end an answer, unless the request is nearly too late.
+    """
+    late_seconds = LATE_SHARE * DEADLINE_SECONDS
+    return [
+        Violation("sound_phase", a.request_id, f"{a.status} {a.outcome.value}")
+        for a in records.attempts
+        if 0.0 < a.ended_at <= records.sound_until
+        and a.ended_at - a.sent_at < late_seconds
+        and _is_lost(a)
+    ]
+
+
+def _is_lost(attempt):
+    """Return whether an attempt failed, other than by a refusal."""
+    is_failure = attempt.status >= 500 and attempt.status != 503
+    return is_failure or attempt.outcome is not AttemptOutcome.WHOLE
+
+
 def _may_have_ended(kill, attempt):
     """Return whether a kill of its host may have ended an attempt."""
     until = attempt.ended_at + KILL_RECORD_DELAY_SECONDS
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -99,6 +99,9 @@
     kills: list = dataclasses.field(default_factory=list)
     # Host number and exit code of each process that exited unexpectedly.
     unexpected_exits: list = dataclasses.field(default_factory=list)
+    # Monotonic time in seconds until which targets and hosts were sound:
+    # targets fell silent for a moment, and planned work was done.
+    sound_until: float = 0.0
     # Monotonic time in seconds at which the last fault ended.
     faults_ended_at: float = 0.0
     # A path of the route that only the newest configuration version has.
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -6,6 +6,7 @@
 from soak._callers import CallerPool
 from soak._cluster import Cluster
 from soak._faults import draw_faults
+from soak._faults import draw_sound_events
 from soak._invariants import find_violations
 from soak._invariants import RECOVERY_SECONDS
 from soak._queries import fetch_callers_addresses
@@ -27,7 +28,8 @@
     Parameters
     ----------
     seed : int
-        Seed of the faults and of the random choices of callers.
+        Seed of the faults, of the events of the sound phase and of the
+        random choices of callers.
     folder : pathlib.Path
         Folder for the settings and logs of the hosts.
     faults : list of Fault, optional
@@ -40,22 +42,29 @@
     rng = random.Random(seed)
     drawn = draw_faults(rng)
     injected = drawn if faults is None else faults
-    records = asyncio.run(_run(rng, folder, injected))
+    events = draw_sound_events(rng)
+    records = asyncio.run(_run(rng, folder, events, injected))
     return records, find_violations(records)
 
 
-async def _run(rng, folder, faults):
-    """Run all phases and return the records."""
+async def _run(rng, folder, sound_events, faults):
+    """Run all phases and return the records.
+
+    The sound phase, with pauses and planned work only, comes first.
+    """
     cluster = Cluster(folder)
     callers = CallerPool(cluster, rng)
+    loop = asyncio.get_running_loop()
     try:
         await cluster.start()
         await _wait_until_ready(cluster)
         async with asyncio.TaskGroup() as group:
             group.create_task(callers.run())
             await asyncio.sleep(WARM_UP_SECONDS)
-            await asyncio.gather(*(fault.run(cluster) for fault in faults))
-            cluster.records.faults_ended_at = asyncio.get_running_loop().time()
+            await _run_all(sound_events, cluster)
+            cluster.records.sound_until = loop.time()
+            await _run_all(faults, cluster)
+            cluster.records.faults_ended_at = loop.time()
             await asyncio.sleep(RECOVERY_SECONDS + POST_RECOVERY_SECONDS)
             _record_unexpected_exits(cluster)
             callers.stop()
@@ -66,6 +75,10 @@
     return cluster.records
 
 
+async def _run_all(faults, cluster):
+    await asyncio.gather(*(fault.run(cluster) for fault in faults))
+
+
 async def _wait_until_ready(cluster):
     """Wait until all hosts have a configuration and know each other."""
     async with asyncio.timeout(READY_TIMEOUT_SECONDS):
--- a/soak/tests/test_invariants.py
+++ b/soak/tests/test_invariants.py
@@ -49,7 +49,9 @@
     return Attempt(**fields)
 
 
-def make_records(attempt, executions=(), kills=(), unexpected_exits=()):
+def make_records(
+    attempt, executions=(), kills=(), unexpected_exits=(), sound_until=0.0
+):
     """Return records of an attempt and of a successful later request.
 
     The later request goes to the newest route after recovery; without it
@@ -67,12 +69,18 @@
         executions=list(executions),
         kills=list(kills),
         unexpected_exits=list(unexpected_exits),
+        sound_until=sound_until,
         faults_ended_at=2.0,
         newest_route_path=NEWEST_ROUTE_PATH,
     )
 
 
 EXECUTION = Execution("q1", "p0")
+CUT = {
+    "kind": RequestKind.FEED,
+    "response_body": STREAM[:18],
+    "outcome": AttemptOutcome.CUT,
+}
 LOST = {"outcome": AttemptOutcome.LOST, "status": 0, "response_body": b""}
 
 # Description, records, names of the violated invariants.
@@ -188,6 +196,33 @@
         ),
         ["answers_come"],
     ),
+    (
+        "stream cut although all was sound",
+        make_records(make_attempt(**CUT), sound_until=1.5),
+        ["sound_phase"],
+    ),
+    (
+        "failure although all was sound",
+        make_records(make_attempt(status=504), sound_until=1.5),
+        ["sound_phase"],
+    ),
+    (
+        "refusal while all was sound",
+        make_records(
+            make_attempt(status=503, retry_after="1"), sound_until=1.5
+        ),
+        [],
+    ),
+    (
+        "stream cut once it was nearly too late",
+        make_records(make_attempt(**CUT, ended_at=2.45), sound_until=2.5),
+        [],
+    ),
+    (
+        "stream cut after a fault",
+        make_records(make_attempt(**CUT), sound_until=1.05),
+        [],
+    ),
     (
         "executed request that was never sent",
         make_records(make_attempt(), [Execution("q9", "p0")]),
