Keep half of the retry budget from silent targets

Cause: each stream that leaves a silent target takes a retry. Change: an attempt that may still succeed takes a retry only while half of the usable budget is left. If a target left rejects connections or was silent for over 1.5 s, the attempt counts as failed.

--- a/apricotseam/fleet/_health.py
+++ b/apricotseam/fleet/_health.py
@@ -10,6 +10,8 @@
 PEER_SLOWNESS_VALID_SECONDS = 1.0
 # Slowdown factor from which a target counts as slow.
 SLOW_FACTOR = 1.5
+# Longest silence of a sound target.
+MAX_SOUND_SILENCE_SECONDS = 1.5
 # A peer's report of silence is repeated at least this often while it lasts.
 PEER_SILENCE_VALID_SECONDS = 1.3
 
@@ -162,6 +164,12 @@
             return 0.0
         return self._last_failed_at - self._silent_since
 
+    def is_lost(self, now):
+        """Return whether the target is silent, and not for a moment only."""
+        if self._rejects_connections:
+            return True
+        return self.silent_seconds(now) > MAX_SOUND_SILENCE_SECONDS
+
     def _begin_silence(self, now):
         is_going_on = self._is_silent or now < self._peer_silence_until
         if self._silent_since is None or not is_going_on:
--- a/apricotseam/fleet/tests/test_fleet.py
+++ b/apricotseam/fleet/tests/test_fleet.py
@@ -99,6 +99,31 @@
     assert not health.is_suspect(0.0)
 
 
+# Seconds of silence, whether connections are rejected, whether the target
+# counts as lost.
+SILENCES = [
+    ("silent for a moment", 1.5, False, False),
+    ("silent for longer", 1.6, False, True),
+    ("refuses connections", 0.1, True, True),
+]
+
+
+@pytest.mark.parametrize(
+    ("seconds", "is_rejected", "expected"),
+    [case[1:] for case in SILENCES],
+    ids=[case[0] for case in SILENCES],
+)
+def test_target_is_lost_by_rejection_or_long_silence(
+    seconds, is_rejected, expected
+):
+    health = Health()
+    health.mark_unreachable(0.0)
+    health.record_contact_failure(0.0, is_rejected)
+    assert health.is_lost(seconds) is expected
+    health.mark_reachable()
+    assert not health.is_lost(seconds)
+
+
 # Failed contacts, each a time and whether the connection was rejected; the
 # time that this host has observed, and whether it ends in a rejection.
 CONTACTS = [
--- a/apricotseam/forwarding/_replacement.py
+++ b/apricotseam/forwarding/_replacement.py
@@ -35,7 +35,7 @@
         added = set(left) - call.failed_targets
         call.failed_targets |= added
         choice = self._choose(call)
-        if choice is None or not self._acquire_retry(call):
+        if choice is None or not self._acquire_retry(call, left):
             call.failed_targets -= added
             return False
         call.reserved_choice = choice
@@ -51,6 +51,11 @@
             return None
         return choice
 
-    def _acquire_retry(self, call):
+    def _acquire_retry(self, call, left):
+        """Take a retry, as for a failure if a target has surely crashed."""
         now = asyncio.get_running_loop().time()
-        return self._context.retry_budget.try_acquire(call.service.name, now)
+        retry_budget = self._context.retry_budget
+        targets = filter(None, map(self._context.fleet.get, left))
+        if any(target.health.is_lost(now) for target in targets):
+            return retry_budget.try_acquire(call.service.name, now)
+        return retry_budget.try_acquire_early(call.service.name, now)
--- a/apricotseam/forwarding/_retry_budget.py
+++ b/apricotseam/forwarding/_retry_budget.py
@@ -7,6 +7,8 @@
 # Fraction of the budget that is handed out; the rest covers retries that
 # peers have sent but not yet reported.
 USABLE_FRACTION = 0.85
+# Fraction of that which retries of attempts that may still succeed leave over.
+KEPT_FRACTION = 0.5
 # A peer that has sent no counts for this long may be partitioned away.
 PEER_TIMEOUT_SECONDS = 1.2
 
@@ -43,14 +45,16 @@
 class _Quota:
     """Retries that this host may send until the next exchange of counts.
 
-    ``ends_at`` is the monotonic time in seconds at which it lapses if no
-    exchange takes place before.
+    ``kept`` of them are for attempts that have failed. ``ends_at`` is the
+    monotonic time in seconds at which it lapses if no exchange takes place
+    before.
     """
 
-    __slots__ = ("ends_at", "remaining", "spent")
+    __slots__ = ("ends_at", "kept", "remaining", "spent")
 
-    def __init__(self, remaining, ends_at):
+    def __init__(self, remaining, kept, ends_at):
         self.remaining = remaining
+        self.kept = kept
         self.spent = 0
         self.ends_at = ends_at
 
@@ -102,12 +106,24 @@
 
     def try_acquire(self, service, now):
         """Take one retry from the budget; return whether any was left."""
+        return self._try_acquire(service, now, is_early=False)
+
+    def try_acquire_early(self, service, now):
+        """Take one retry for an attempt that may still succeed.
+
+        Such an attempt waits for a silent or slow target. Part of the budget
+        is kept from them, so that many such targets do not leave attempts
+        that have failed without a retry.
+        """
+        return self._try_acquire(service, now, is_early=True)
+
+    def _try_acquire(self, service, now, is_early):
         quota = self._quotas.get(service)
         if quota is None or now >= quota.ends_at:
-            remaining = self._share(service, now)
-            quota = _Quota(remaining, now + self._window_seconds)
+            quota = self._new_quota(service, now)
             self._quotas[service] = quota
-        if quota.remaining < 1:
+        kept = quota.kept if is_early else 0.0
+        if quota.remaining - kept < 1:
             return False
         quota.remaining -= 1
         quota.spent += 1
@@ -176,13 +192,13 @@
                         quota.spent + quota.remaining
                     )
 
-    def _share(self, service, now):
-        """Return the number of retries that are this host's share.
+    def _new_quota(self, service, now):
+        """Return the retries that are this host's share.
 
         The remaining budget covers the hosts that can reach each other, each
-        of which gets an equal share. It is negative if overspent. Unreachable
-        hosts may be spending their own share at the same time, so neither
-        their part of the slack nor their requests are included.
+        of which gets an equal share. That is negative if overspent.
+        Unreachable hosts may be spending their own share at the same time, so
+        neither their part of the slack nor their requests are included.
         """
         requests = self._recent(self._requests[service], now)
         repeats = self._recent(self._repeats[service], now)
@@ -201,7 +217,12 @@
         allowed = (
             self._ratio * requests + self._slack * reachable_hosts / hosts
         )
-        return (USABLE_FRACTION * allowed - repeats) / reachable_hosts
+        usable = USABLE_FRACTION * allowed
+        return _Quota(
+            (usable - repeats) / reachable_hosts,
+            KEPT_FRACTION * usable / reachable_hosts,
+            now + self._window_seconds,
+        )
 
     def _recent(self, times, now):
         while times and times[0] <= now:
--- a/apricotseam/forwarding/tests/test_retry_budget_machine.py
+++ b/apricotseam/forwarding/tests/test_retry_budget_machine.py
@@ -47,6 +47,12 @@
             if self.budgets[host].try_acquire(SERVICE, self.now):
                 self.repeats.append(self.now)
 
+    @rule(host=hosts, wanted=strategies.integers(1, 60))
+    def repeat_early(self, host, wanted):
+        for _ in range(wanted):
+            if self.budgets[host].try_acquire_early(SERVICE, self.now):
+                self.repeats.append(self.now)
+
     @rule()
     def all_repeat_at_once(self):
         for host in range(HOSTS):
