Keep a leaving engine out of use while it says so

The choosers do not watch a leaving engine, so its report was dropped, and without the report it counted as staying: in each host it left and came back every few refreshes, for as long as it said that it was leaving. All hosts agreed only by chance. Change: the report of an engine that says it is leaving is kept and read on; a later failure to report does not make it usable again. Failed reports are logged.

--- a/apricotseam/host/_reports.py
+++ b/apricotseam/host/_reports.py
@@ -120,7 +120,7 @@
         table = self._snapshots.targets
         watched = self._watched(table)
         self._plans.refresh(configuration, table, watched)
-        addresses = [t.address for t in watched if t.kind.value == "engine"]
+        addresses = self._reporting_addresses(table, watched)
         for address in set(self._reports).difference(addresses):
             self._reports.pop(address, None)
         for address in self._schedule.take_due(addresses, time.monotonic()):
@@ -128,6 +128,16 @@
                 self._pending.add(address)
                 self._executor.submit(self._fetch_report, address)
 
+    def _reporting_addresses(self, table, watched):
+        """Return the addresses of engines whose reports this host needs.
+
+        Engines that report that they are leaving are not watched, but would
+        count as staying without their reports.
+        """
+        addresses = [t.address for t in watched if t.kind.value == "engine"]
+        leaving = {t.address for t in table.all if t.leaving}
+        return [*addresses, *leaving.intersection(self._reports)]
+
     def _replace_table(self, configuration):
         self._snapshots.targets = self._merger.merge(
             configuration, self._snapshots.listed_hosts, self._reports
@@ -138,8 +148,15 @@
         try:
             self._reports[address] = self._engine.report(address, deadline)
             self._schedule.record_result(address, True)
-        except ApricotseamError:
-            self._reports.pop(address, None)
+        except ApricotseamError as error:
+            _LOG.info(
+                "report_failed",
+                extra={"address": address, "error": str(error)},
+            )
+            # A leaving engine that has ended is not to become usable again.
+            known = self._reports.get(address)
+            if known is not None and not known.leaving:
+                self._reports.pop(address, None)
             self._schedule.record_result(address, False)
         finally:
             self._pending.discard(address)
