Wait for a silent stage that nothing can replace

A stage whose step got no answer in time is asked for its position within 0.1 s at the least; if that gets no answer either, it was given up at once, though it may be sound and go on. Change: if no target can replace it, such a stage is waited for as a slow one is, for up to 1.5 s of silence. One that refused the step is not.

--- a/apricotseam/pipelines/_detection.py
+++ b/apricotseam/pipelines/_detection.py
@@ -14,6 +14,8 @@
 # Multiple of the longest step timeout to wait for a slow stage that has no
 # replacement.
 SLOW_STAGE_TIMEOUT_FACTOR = 8
+# Longest silence of a sound stage.
+MAX_SILENCE_SECONDS = 1.5
 _REUSABLE_STATUSES = (StageStatus.UNKNOWN_STREAM, StageStatus.ELSEWHERE)
 
 
@@ -87,16 +89,24 @@
                 return decision, result
 
     def wait_for_slow_stage(self, progress, index, position):
-        """Wait for a slow stage; return its result, or None on failure."""
+        """Wait for a slow stage; return its result, or None on failure.
+
+        A stage that does not answer position queries is waited for, too, but
+        no longer than a sound one is silent.
+        """
         seconds = (
             SLOW_STAGE_TIMEOUT_FACTOR * self._step_times.max_timeout_seconds
         )
         deadline = self._clock.monotonic() + seconds
+        silent_until = self._clock.monotonic() + MAX_SILENCE_SECONDS
         while self._clock.monotonic() < deadline:
             status, result = self._query_position(progress, index, position)
             if status is StageStatus.DONE:
                 return result
-            if status is not StageStatus.BEFORE:
+            is_silent = status is StageStatus.SILENT
+            if is_silent and self._clock.monotonic() >= silent_until:
+                return None
+            if not is_silent and status is not StageStatus.BEFORE:
                 return None
             self._wait(MAX_POLL_SECONDS)
         return None
--- a/apricotseam/pipelines/_recovery.py
+++ b/apricotseam/pipelines/_recovery.py
@@ -9,6 +9,7 @@
 from apricotseam.pipelines._metrics import RECOVERIES
 from apricotseam.pipelines._metrics import RECOVERY_SECONDS
 from apricotseam.pipelines._progress import Decision
+from apricotseam.pipelines._progress import Symptom
 from apricotseam.pipelines._stages import RecoveryTimes
 from apricotseam.pipelines._stages import StepFailure
 
@@ -104,6 +105,10 @@
         """
         part_times = RecoveryTimes(detect=self._clock.monotonic() - started)
         failed_stage = progress.stages[index]
+        may_go_on = (
+            decision is Decision.IMPORT
+            or failure.symptom is Symptom.ANSWER_LOST
+        )
         cache = None
         if decision is Decision.IMPORT:
             cache = self._export(failed_stage)
@@ -111,9 +116,11 @@
         for _ in range(MAX_REPLACEMENTS):
             started = self._clock.monotonic()
             stages = self._choose_replacement(progress, failed_stage)
-            if stages is None and decision is Decision.IMPORT:
+            if stages is None and may_go_on:
                 return index, [
-                    self._wait_for_slow_stage(progress, index, position)
+                    self._wait_for_slow_stage(
+                        progress, index, position, failure
+                    )
                 ]
             if stages is None:
                 break
@@ -151,13 +158,11 @@
         self._cancel_stream(failed_stage)
         return (failed_stage,)
 
-    def _wait_for_slow_stage(self, progress, index, position):
+    def _wait_for_slow_stage(self, progress, index, position, failure):
         result = self._diagnosis.wait_for_slow_stage(progress, index, position)
         if result is None:
             RECOVERIES.labels("none").inc()
-            raise _recovery_failed(
-                progress.stages[index], "it made no progress"
-            )
+            raise _recovery_failed(progress.stages[index], failure.found)
         RECOVERIES.labels("outwait").inc()
         return result
 
--- a/apricotseam/pipelines/tests/_layers.py
+++ b/apricotseam/pipelines/tests/_layers.py
@@ -15,6 +15,8 @@
 
 
 SLOW_STAGE_QUERIES = 30
+# Position queries that a silent stage leaves without an answer.
+SILENT_STAGE_QUERIES = 6
 
 
 def next_layer_state(version, layer, state, payload):
@@ -60,6 +62,8 @@
     - ``late``: the steps are run and the results are those of others;
     - ``slow``: the steps are run after ``SLOW_STAGE_QUERIES`` position
       queries;
+    - ``silent``: the same after ``SILENT_STAGE_QUERIES``, which get no
+      answer;
     - ``die``: the target becomes unreachable;
     - ``""``: no fault.
     """
@@ -73,6 +77,7 @@
         self.executed = collections.defaultdict(list)
         self.calls = 0
         self.pending = []
+        self.silent_queries = collections.Counter()
 
     def stage(self, address):
         first, last = self.ranges[address]
@@ -87,7 +92,10 @@
             self.dead.add(address)
         if fault == "slow":
             self.pending.append((address, steps, SLOW_STAGE_QUERIES))
-        if fault in ("die", "lose_before", "slow"):
+        if fault == "silent":
+            self.pending.append((address, steps, SILENT_STAGE_QUERIES))
+            self.silent_queries[address] = SILENT_STAGE_QUERIES
+        if fault in ("die", "lose_before", "slow", "silent"):
             raise AnswerLostError("lost", "ask")
         if fault == "refuse":
             raise UnreachableError("refused", "retry")
@@ -148,6 +156,9 @@
 
     def position(self, address, stream, deadline):
         self._run_pending()
+        if self.silent_queries[address]:
+            self.silent_queries[address] -= 1
+            raise AnswerLostError("no answer", "ask again")
         state = self._state(address, stream)
         return StreamPosition(next_position=state.position, last=state.last)
 
--- a/apricotseam/pipelines/tests/test_runner.py
+++ b/apricotseam/pipelines/tests/test_runner.py
@@ -163,11 +163,12 @@
     assert received == expected_tokens(LAYERS, "hello", 2)
 
 
-def test_slow_stage_is_waited_for_when_nothing_replaces_it():
+@pytest.mark.parametrize("fault", ["slow", "silent"])
+def test_stage_is_waited_for_when_nothing_replaces_it(fault):
     system = System()
     for name in ("b2", "b3"):
         del system.engine.ranges[name]
-    system.engine.faults["b"].extend(["", "", "slow"])
+    system.engine.faults["b"].extend(["", "", fault])
     check_tokens(system, system.run())
 
 
