Report how long the soak's own process stood still

The records did not tell whether callers stood still, too. Change: the report of a seed states the longest time for which the soak's process stood still; it excuses nothing.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -53,15 +53,18 @@
 def run_and_report(seed, folder):
     """Run one seed and return a report of it as text.
 
-    The report counts the attempts by status and outcome. If invariants are
-    violated, it also lists the violations and the injected faults.
+    The report counts the attempts by status and outcome, and says for how
+    long the soak's own process stood still: callers, targets and store stood
+    still with it. If invariants are violated, it also lists the violations
+    and the injected faults.
     """
     folder.mkdir(parents=True, exist_ok=True)
     records, violations = run_seed(seed, folder)
     counts = collections.Counter(
         f"{a.status} {a.outcome.value}" for a in records.attempts
     )
-    lines = [f"seed {seed}: {dict(counts)}"]
+    stall = f"own longest stall {records.longest_stall_seconds:.2f} s"
+    lines = [f"seed {seed}: {dict(counts)}, {stall}"]
     if violations:
         faults = draw_faults(random.Random(seed))
         lines.append(f"  {len(violations)} invariants broken:")
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -104,5 +104,7 @@
     sound_until: float = 0.0
     # Monotonic time in seconds at which the last fault ended.
     faults_ended_at: float = 0.0
+    # Longest time for which the process of the soak itself stood still.
+    longest_stall_seconds: float = 0.0
     # A path of the route that only the newest configuration version has.
     newest_route_path: str = ""
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -20,6 +20,7 @@
 # Time after `RECOVERY_SECONDS` during which every request has to succeed.
 POST_RECOVERY_SECONDS = 2.0
 CLOSE_SECONDS = 0.2
+STALL_CHECK_SECONDS = 0.1
 
 
 def run_seed(seed, folder, faults=None):
@@ -55,6 +56,7 @@
     cluster = Cluster(folder)
     callers = CallerPool(cluster, rng)
     loop = asyncio.get_running_loop()
+    stall_check = loop.create_task(_measure_stalls(cluster.records))
     try:
         await cluster.start()
         await _wait_until_ready(cluster)
@@ -69,12 +71,24 @@
             _record_unexpected_exits(cluster)
             callers.stop()
     finally:
+        stall_check.cancel()
         cluster.stop()
         # The tasks of reset connections end in later loop iterations.
         await asyncio.sleep(CLOSE_SECONDS)
     return cluster.records
 
 
+async def _measure_stalls(records):
+    """Record for how long this process stood still, at the most."""
+    loop = asyncio.get_running_loop()
+    while True:
+        due_at = loop.time() + STALL_CHECK_SECONDS
+        await asyncio.sleep(STALL_CHECK_SECONDS)
+        records.longest_stall_seconds = max(
+            records.longest_stall_seconds, loop.time() - due_at
+        )
+
+
 async def _run_all(faults, cluster):
     await asyncio.gather(*(fault.run(cluster) for fault in faults))
 
--- a/soak/tests/test_runs.py
+++ b/soak/tests/test_runs.py
@@ -18,6 +18,9 @@
     pytest.param(8, id="history-lost-under-a-silent-store"),
     # A reload signal (SIGHUP) terminated a host that was still starting.
     pytest.param(3544840101, id="reload-during-a-start"),
+    # Requests hung while no process of the run did anything for 8.8 s; not
+    # traced.
+    pytest.param(1759625684, id="silent-store-beside-deaf-and-paused-target"),
 ]
 
 
