Tell requests of one prompt apart by their lengths

Cause: a refused request was known by customer and prompt, so that every request of a prompt that many share counted as one that returns. Change: the numbers of tokens belong to the key.

--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -88,10 +88,15 @@
 
     @property
     def retry_key(self):
-        """Key that identifies the prompt of a customer across retries."""
-        if not self.metadata.prompt_id:
+        """Key that identifies a request of a customer across retries.
+
+        Requests of a session share their prompt, but seldom all lengths.
+        """
+        metadata = self.metadata
+        if not metadata.prompt_id:
             return ""
-        return f"{self.customer}/{self.metadata.prompt_id}"
+        lengths = f"{metadata.prompt_tokens},{metadata.expected_answer_tokens}"
+        return f"{self.customer}/{metadata.prompt_id}/{lengths}"
 
     @property
     def may_run_again(self):
