--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -139,6 +139,7 @@
     seed=1,
     plays=1,
     load=0.0,
+    deployment="tight",
 ):
     """Play a pattern on emulated engines, beside a baseline.
 
@@ -163,6 +164,8 @@
         Number of plays.
     load : float
         Usual load as a fraction of the capacity; 0 for the pattern's own.
+    deployment : str
+        Engines and request classes: ``tight`` or ``ample`` in memory.
     """
     from measure import emulator
 
@@ -177,6 +180,7 @@
             zones=zones,
             seconds=seconds,
             seed=seed + number,
+            deployment=deployment,
         )
         for number in range(plays)
     ]
--- a/measure/emulator/_compare.py
+++ b/measure/emulator/_compare.py
@@ -4,6 +4,7 @@
 from measure.emulator._patterns import PATTERNS
 from measure.emulator._policy import BaselinePolicy
 from measure.emulator._policy import ProductPolicy
+from measure.emulator._profile import DEPLOYMENTS
 from measure.emulator._report import format_report
 from measure.emulator._simulation import Simulation
 
@@ -25,7 +26,7 @@
     Raises
     ------
     InvalidInputError
-        If there is no such pattern.
+        If there is no such pattern or deployment.
     """
     found = PATTERNS.get(name)
     if found is None:
@@ -33,6 +34,12 @@
             f"no pattern has the name {name}",
             f"choose one of {', '.join(PATTERNS)}",
         )
+    for scenario in scenarios:
+        if scenario.deployment not in DEPLOYMENTS:
+            raise InvalidInputError(
+                f"no deployment has the name {scenario.deployment}",
+                f"choose one of {', '.join(DEPLOYMENTS)}",
+            )
     plays = {policy: [] for policy in POLICIES}
     for scenario in scenarios:
         for policy, make_policy in POLICIES.items():
--- a/measure/emulator/_report.py
+++ b/measure/emulator/_report.py
@@ -1,6 +1,7 @@
 """Figures of a play, in total, by class and by customer."""
 
 import msgspec
+import numpy
 
 from measure.emulator._caller import Outcome
 
@@ -90,6 +91,7 @@
     lines = [
         f"{'':24}{'policy':10}{'sent':>6}{'on time':>9}{'late':>6}"
         f"{'refused':>9}{'failed':>8}{'again':>7}{'worst 2 s':>11}"
+        f"{'p50 ms':>8}{'p99 ms':>8}"
     ]
     for group in (_all, by_class, by_customer):
         grouped = {
@@ -107,7 +109,9 @@
                 figures = add_figures(
                     [count_results(found.get(name, [])) for found in plays]
                 )
-                lines.append(_format_row(name, policy, figures))
+                results = [r for found in plays for r in found.get(name, [])]
+                row = _format_row(name, policy, figures)
+                lines.append(row + _format_first_events(results))
     return lines
 
 
@@ -123,6 +127,19 @@
     )
 
 
+def _format_first_events(results):
+    """Return the median and 99th percentile until the first event."""
+    milliseconds = [
+        1000.0 * (result.first_event_at - result.request.at)
+        for result in results
+        if result.first_event_at is not None
+    ]
+    if not milliseconds:
+        return f"{'-':>8}{'-':>8}"
+    median, high = numpy.percentile(milliseconds, [50, 99])
+    return f"{median:8.0f}{high:8.0f}"
+
+
 def _group(results, key):
     groups = {}
     for result in results:
--- a/measure/emulator/_simulation.py
+++ b/measure/emulator/_simulation.py
@@ -21,10 +21,8 @@
 from measure.emulator._network import Network
 from measure.emulator._peers import PeerNetwork
 from measure.emulator._pipe import Pipe
-from measure.emulator._profile import CLASSES
+from measure.emulator._profile import DEPLOYMENTS
 from measure.emulator._profile import KIND_ORDER
-from measure.emulator._profile import PIPE_MEGABITS_PER_SECOND
-from measure.emulator._profile import PROFILE
 from measure.emulator._profile import SERVICE
 from measure.emulator._site import Site
 from measure.emulator._workload import plan_requests
@@ -39,13 +37,17 @@
 
 
 class Scenario(msgspec.Struct, frozen=True, kw_only=True):
-    """Size of a play; targets are spread evenly over the zones."""
+    """Size of a play; targets are spread evenly over the zones.
+
+    ``deployment`` is a name in `DEPLOYMENTS`.
+    """
 
     hosts: int = 6
     targets: int = 18
     zones: int = 3
     seconds: float = 16.0
     seed: int = 1
+    deployment: str = "tight"
 
     @property
     def zone_names(self):
@@ -87,10 +89,12 @@
         self._policy = policy
         self.random = random.Random(scenario.seed)
         self.loop = SimulatedLoop()
-        pipe = Pipe(PIPE_MEGABITS_PER_SECOND)
-        self.site = Site(self.loop, PROFILE, Network(pipe))
+        self._deployment = DEPLOYMENTS[scenario.deployment]
+        self._profile = self._deployment.profile
+        pipe = Pipe(self._deployment.pipe_megabits_per_second)
+        self.site = Site(self.loop, self._profile, Network(pipe))
         self._peers = PeerNetwork(self.loop)
-        self._table = make_table(pattern.make_customers())
+        self._table = make_table(self._deployment, pattern.make_customers())
         self._engine_count = 0
         self._incarnation = 0
         self.engines = []
@@ -133,7 +137,7 @@
             service=SERVICE,
             address=address or f"10.0.{number // 200}.{number % 200}:80",
             zone=zone,
-            slots=PROFILE.slots,
+            slots=self._profile.slots,
             kind=kind,
             layers=layers,
             is_placeable=True,
@@ -211,7 +215,7 @@
 
     def _plan(self):
         workload = Workload(
-            classes=CLASSES,
+            classes=self._deployment.classes,
             customers=self._pattern.make_customers(),
             zones=self._scenario.zone_names,
             requests_per_second=(
@@ -244,7 +248,7 @@
         records = [engine.record for engine in self.engines]
         layers = {
             order.identity: order.layers
-            for order in choose_orders(records, PROFILE)
+            for order in choose_orders(records, self._profile)
         }
         for engine in self.engines:
             engine.record = msgspec.structs.replace(
@@ -252,7 +256,7 @@
             )
             self.site.registry.publish(engine)
         self.capacity = estimate_capacity(
-            [engine.record for engine in self.engines], PROFILE
+            [engine.record for engine in self.engines], self._profile
         )
 
     async def _update_reports(self):
@@ -262,8 +266,8 @@
             await asyncio.sleep(REPORT_PERIOD_SECONDS)
 
 
-def make_table(customers):
-    """Return the `RouteTable` of the emulated deployment."""
+def make_table(deployment, customers):
+    """Return the `RouteTable` of a `Deployment` with customers."""
     routes = [
         Route(
             name=kind.name,
@@ -278,13 +282,13 @@
             max_attempts=MAX_ATTEMPTS,
             is_resumable=True,
         )
-        for kind in CLASSES
+        for kind in deployment.classes
     ]
     return RouteTable(
         revision=1,
         version=1,
         routes=routes,
-        services=[Service(name=SERVICE, engine=PROFILE)],
+        services=[Service(name=SERVICE, engine=deployment.profile)],
         customers=[
             Customer(name=c.name, keys=frozenset([c.name])) for c in customers
         ],
