Count the wait of a returning request from its arrival

Cause: each attempt of a request that was refused before began a new wait of 1.5 s, past the gap after which callers leave. Change: the wait counts from the arrival of the request.

--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -126,9 +126,9 @@
         now = asyncio.get_running_loop().time()
         if call.exchange.is_started:
             return min(call.deadline, now + RESUME_WAIT_SECONDS)
-        if self._context.request_queue.was_refused_before(call):
-            return min(call.deadline, now + RETURN_WAIT_SECONDS)
         wait_seconds = WAIT_FRACTION * call.route.objective_seconds
+        if self._context.request_queue.was_refused_before(call):
+            wait_seconds = RETURN_WAIT_SECONDS
         return min(call.deadline, call.request.received_at + wait_seconds)
 
     def _should_wait(self, call, rank, until):
