Ignore probes from before a connection broke

Cause: after a reset, targets that had answered a probe up to 0.3 s before counted as responding, so attempts went to one dead target after the other and used up the retry budget; the streams were cut and their returns refused. Change: those answers are forgotten when an answer breaks off.

--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -182,6 +182,9 @@
         call.record_outcome(choice.chain or choice.head.identity, error.code)
         targets = [target for target, _ in choice.stages]
         if not is_timeout:
+            # Answers from before the break say nothing about the targets.
+            for target in targets:
+                self._context.prober.forget(target)
             await self._context.prober.find_unresponsive(targets)
         now = asyncio.get_running_loop().time()
         suspects = [t for t in targets if t.health.is_suspect(now)]
