--- a/measure/emulator/tests/test_patterns.py
+++ b/measure/emulator/tests/test_patterns.py
@@ -12,6 +12,7 @@
 from measure.emulator import count_results
 from measure.emulator import PATTERNS
 from measure.emulator import sent_between
+from measure.emulator.tests.plays import DEEP_OVERLOAD
 from measure.emulator.tests.plays import play
 from measure.emulator.tests.plays import results_of
 
@@ -134,6 +135,12 @@
     assert figures.on_time_share >= ON_TIME_SHARE
 
 
+def test_a_deep_overload_fails_nothing_that_was_admitted():
+    """What cannot be served is refused at once, not held until it fails."""
+    _, results = play("class-burst", scenario=DEEP_OVERLOAD)
+    assert count_results(results).failed == 0
+
+
 def test_surge_of_a_customer_does_not_delay_the_others():
     """The others together use less than the capacity."""
     customers = by_customer(results_of("customer-surge"))
