--- a/measure/emulator/tests/test_engine.py
+++ b/measure/emulator/tests/test_engine.py
@@ -4,10 +4,10 @@
 
 from apricotseam.errors import InvalidInputError
 from apricotseam.fleet import LayerRange
-from measure.emulator import compare_policies
 from measure.emulator._memory import TokenMemory
 from measure.emulator._passes import PassRunner
 from measure.emulator._profile import TIGHT
+from measure.emulator import compare_policies
 from measure.emulator import Scenario
 
 LAYERS = LayerRange(0, TIGHT.profile.layers)
