--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -143,9 +143,9 @@
         now = asyncio.get_running_loop().time()
         if call.exchange.is_started:
             return min(call.deadline, now + RESUME_WAIT_SECONDS)
-        if self._context.request_queue.was_refused_before(call):
-            return min(call.deadline, now + RETURN_WAIT_SECONDS)
         wait_seconds = WAIT_FRACTION * call.route.objective_seconds
+        if self._context.request_queue.was_refused_before(call):
+            wait_seconds = RETURN_WAIT_SECONDS
         return min(call.deadline, call.request.received_at + wait_seconds)
 
     def _should_wait(self, call, rank, until):
@@ -216,6 +216,9 @@
         call.record_outcome(choice.chain or choice.head.identity, error.code)
         targets = [target for target, _ in choice.stages]
         if not is_timeout:
+            # Answers from before the break say nothing about the targets.
+            for target in targets:
+                self._context.prober.forget(target)
             await self._context.prober.find_unresponsive(targets)
         now = asyncio.get_running_loop().time()
         suspects = [t for t in targets if t.health.is_suspect(now)]
