Answer peers with all items where deletions aren't known

Seen by callers: none; the state machine of mirrors found it when it ran after other modules had been loaded, which changes the examples that it draws. A host that had listed the store told a peer that was behind only of items, so the peer kept a key that had been deleted before the listing.

Cause: only evicted tombstones counted as forgotten deletions; a listing brings none at all.

Change: a listing is such a limit as well.

Evidence: the new test fails without the change, and the sequence that the machine drew is its model.

--- a/apricotseam/coordination/_mirror.py
+++ b/apricotseam/coordination/_mirror.py
@@ -53,7 +53,8 @@
         self._on_change = on_change
         self._items = {}
         self._tombstones = collections.OrderedDict()
-        self._evicted_position = NO_POSITION
+        # Not all deletions up to this position are known.
+        self._forgotten_position = NO_POSITION
         self.position = NO_POSITION
 
     def __len__(self):
@@ -128,6 +129,10 @@
             if key not in listed and item.position <= first_position:
                 deleted = MirrorItem(key, None, first_position)
                 self._apply_newer(deleted, self.position)
+        # Keys that were deleted before the listing are not in it.
+        self._forgotten_position = max(
+            self._forgotten_position, first_position
+        )
         # A change between two pages may be missing from the listing, so the
         # watch has to continue from the first page.
         self.advance(min(first_position, last_position))
@@ -157,7 +162,7 @@
         if after.era > self.position.era:
             return Changes(self.position, [])
         is_of_earlier_era = after.era < self.position.era
-        is_unknown = after < self._evicted_position or after == NO_POSITION
+        is_unknown = after < self._forgotten_position or after == NO_POSITION
         if is_of_earlier_era or is_unknown:
             return Changes(self.position, list(self._items.values()), True)
         items = [i for i in self._items.values() if i.position > after]
@@ -180,4 +185,4 @@
         self._tombstones.move_to_end(item.key)
         if len(self._tombstones) > MAX_TOMBSTONES:
             _, position = self._tombstones.popitem(last=False)
-            self._evicted_position = max(self._evicted_position, position)
+            self._forgotten_position = max(self._forgotten_position, position)
--- a/apricotseam/coordination/tests/test_mirror.py
+++ b/apricotseam/coordination/tests/test_mirror.py
@@ -62,3 +62,17 @@
     found = MirrorItem("a", b"v", Position(2))
     mirror.reconcile([found], Position(second), Position(second))
     assert (mirror.get("a") is not None) is is_known
+
+
+def test_deletion_before_a_listing_reaches_a_peer_that_asks():
+    """Guards against a key that a peer keeps although it was deleted."""
+    item = MirrorItem("b", b"v", Position(2))
+    behind = Mirror(lambda item: None)
+    behind.reconcile([item], Position(2), Position(2))
+    ahead = Mirror(lambda item: None)
+    ahead.reconcile([], Position(3), Position(3))
+    changes = ahead.changes_since(behind.position)
+    assert changes.is_whole
+    behind.reconcile(changes.items, changes.position, changes.position)
+    assert behind.get("b") is None
+    assert not ahead.changes_since(Position(3)).is_whole
--- /dev/null
+++ b/apricotseam/coordination/tests/test_synchronizer.py
@@ -0,0 +1,358 @@
+"""Updates of a mirror from the store, from its readers and from peers."""
+
+import asyncio
+import random
+
+import pytest
+
+from apricotseam.coordination._synchronizer import GAP_WATCH_TIMEOUT_SECONDS
+from apricotseam.coordination._synchronizer import LARGE_PAUSE_SECONDS
+from apricotseam.coordination._synchronizer import MAX_PLAIN_PUSH_BYTES
+from apricotseam.coordination._synchronizer import MAX_PUSHED_BYTES
+from apricotseam.coordination._synchronizer import MAX_SUPERSEDED_BYTES
+from apricotseam.coordination._synchronizer import (
+    UNREACHABLE_WATCH_TIMEOUT_SECONDS,
+)
+from apricotseam.coordination._synchronizer import WATCH_TIMEOUT_SECONDS
+from apricotseam.coordination import Changes
+from apricotseam.coordination import Mirror
+from apricotseam.coordination import MirrorItem
+from apricotseam.coordination import MirrorSynchronizer
+from apricotseam.coordination import PackedPush
+from apricotseam.coordination import Push
+from apricotseam.platform import HistoryLostError
+from apricotseam.platform import Item
+from apricotseam.platform import Listing
+from apricotseam.platform import StoreError
+from apricotseam.platform import WATCH_MARGIN_SECONDS
+from apricotseam.platform import WatchResult
+from apricotseam.positions import Position
+
+# Time after an outage of the store within which all hosts have to know its
+# items.
+MAX_CONVERGENCE_SECONDS = 4.0
+
+
+class FakeStore:
+    """Store that returns prepared answers, and then no more changes.
+
+    Parameters
+    ----------
+    watches : list
+        Answers of `watch`, or exceptions that it raises.
+    listing : list of (str, int), optional
+        Keys and revisions of the items that `list_page` returns.
+    gap : WatchResult or Exception, optional
+        Answer of a watch that fills a gap.
+    """
+
+    def __init__(self, watches, listing=(), gap=None):
+        self.watches = list(watches)
+        self.waits = []
+        self.gap = gap
+        self.listing = [Item(k, b"v", Position(r)) for k, r in listing]
+        self.list_calls = 0
+        self.era = 0
+
+    async def list_page(self, prefix, after=""):
+        """Return all items."""
+        self.list_calls += 1
+        last = max((i.position for i in self.listing), default=Position(1))
+        return Listing(self.listing, False, last)
+
+    async def watch(self, prefix, after, wait_seconds):
+        """Return or raise the next answer."""
+        self.waits.append(wait_seconds)
+        if wait_seconds == GAP_WATCH_TIMEOUT_SECONDS and self.gap is not None:
+            self.watches.append(self.gap)
+        if not self.watches:
+            await asyncio.sleep(0.02)
+            return WatchResult([], after)
+        answer = self.watches.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def follow(
+    store,
+    changes=(),
+    is_reader=True,
+    pushes=(),
+    seconds=0.3,
+    is_urgent=None,
+):
+    """Run a synchronizer for some time.
+
+    Returns
+    -------
+    (Mirror, list of Push, bool)
+        The mirror, the pushes that were sent and whether the store is
+        unreachable.
+    """
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        mirror = Mirror(lambda item: None)
+        sent = []
+
+        async def ask_peers(revision, count):
+            return list(changes)
+
+        synchronizer = MirrorSynchronizer(
+            store,
+            mirror,
+            ask_peers,
+            loop.time,
+            lambda: is_reader or not mirror.position,
+            sent.append,
+            is_urgent,
+        )
+        task = loop.create_task(synchronizer.run())
+        await asyncio.sleep(0.05)
+        for push in pushes:
+            if isinstance(push, PackedPush):
+                synchronizer.receive_packed_push(push)
+            else:
+                synchronizer.receive_push(push)
+            # Let the synchronizer begin to react.
+            await asyncio.sleep(0)
+        await asyncio.sleep(seconds)
+        task.cancel()
+        return mirror, sent, synchronizer.is_store_unreachable
+
+    return asyncio.run(scenario())
+
+
+def test_changes_are_applied_and_pushed():
+    changed = WatchResult([Item("a", b"w", Position(5))], Position(5))
+    mirror, sent, _ = follow(FakeStore([changed], [("a", 3)]))
+    assert mirror.get("a").value == b"w"
+    assert [(push.base, push.position) for push in sent] == [(3, 5)]
+
+
+def test_lost_history_is_listed_again():
+    store = FakeStore([HistoryLostError("gone", "list")], [("a", 3)])
+    follow(store)
+    assert store.list_calls == 2
+
+
+def test_peers_are_asked_while_the_store_is_unreachable():
+    error = StoreError("down", "wait")
+    found = Changes(Position(9), [MirrorItem("a", b"new", Position(9))])
+    mirror, _, is_store_unreachable = follow(
+        FakeStore([error] * 50, [("a", 3)]), changes=[found]
+    )
+    assert mirror.get("a").value == b"new"
+    assert (mirror.position, is_store_unreachable) == (9, True)
+
+
+# Case, pushes that are received, resulting value and revision of the mirror.
+PUSHES = [
+    (
+        "next change",
+        [Push(Position(3), Position(5), [MirrorItem("a", b"w", Position(5))])],
+        b"w",
+        5,
+    ),
+    ("heartbeat", [Push(Position(3), Position(3), [])], b"v", 3),
+    (
+        "outdated change",
+        [Push(Position(1), Position(2), [MirrorItem("a", b"o", Position(2))])],
+        b"v",
+        3,
+    ),
+    ("missing changes", [Push(Position(8), Position(9), [])], b"new", 9),
+]
+# Random, as compressible bytes would fit in a push.
+LARGE = random.Random(1).randbytes(MAX_PUSHED_BYTES + 1)
+
+
+@pytest.mark.parametrize(
+    ("pushes", "value", "revision"),
+    [case[1:] for case in PUSHES],
+    ids=[case[0] for case in PUSHES],
+)
+def test_pushes_of_a_reader(pushes, value, revision):
+    store = FakeStore([], [("a", 3)], gap=StoreError("down", "wait"))
+    answer = Changes(Position(9), [MirrorItem("a", b"new", Position(9))])
+    mirror, sent, _ = follow(
+        store, changes=[answer], is_reader=False, pushes=pushes
+    )
+    assert (mirror.get("a").value, mirror.position) == (value, revision)
+    assert sent == []
+
+
+def test_a_large_change_is_announced_without_items():
+    changed = WatchResult([Item("a", LARGE, Position(5))], Position(5))
+    mirror, sent, _ = follow(FakeStore([changed], [("a", 3)]))
+    assert mirror.get("a").value == LARGE
+    assert sent == [Push(Position(5), Position(5), [])]
+
+
+# Case, value of a change, whether its push is packed.
+PACKED = [
+    ("small", b"x" * MAX_PLAIN_PUSH_BYTES, False),
+    ("compressible", b"x" * (MAX_PLAIN_PUSH_BYTES + 1), True),
+]
+
+
+@pytest.mark.parametrize(
+    ("value", "is_packed"),
+    [case[1:] for case in PACKED],
+    ids=[case[0] for case in PACKED],
+)
+def test_pushed_changes_reach_the_other_hosts(value, is_packed):
+    changed = WatchResult([Item("a", value, Position(5))], Position(5))
+    _, sent, _ = follow(FakeStore([changed], [("a", 3)]))
+    assert [isinstance(push, PackedPush) for push in sent] == [is_packed]
+    store = FakeStore([], [("a", 3)])
+    mirror, _, _ = follow(store, is_reader=False, pushes=sent)
+    assert mirror.get("a").value == value
+
+
+@pytest.mark.parametrize("packed", [b"", b"not compressed"])
+def test_a_packed_push_that_cannot_be_read_is_fetched(packed):
+    changed = WatchResult([Item("a", b"w", Position(5))], Position(5))
+    store = FakeStore([], [("a", 3)], gap=changed)
+    push = PackedPush(Position(3), Position(5), packed)
+    mirror, _, _ = follow(store, is_reader=False, pushes=[push])
+    assert mirror.get("a").value == b"w"
+
+
+def test_a_gap_is_filled_from_the_store():
+    changed = WatchResult([Item("a", LARGE, Position(5))], Position(5))
+    store = FakeStore([], [("a", 3)], gap=changed)
+    mirror, _, _ = follow(
+        store, is_reader=False, pushes=[Push(Position(5), Position(5), [])]
+    )
+    assert mirror.get("a").value == LARGE
+    assert mirror.position == 5
+
+
+def test_many_large_versions_are_listed_instead():
+    """A listing does not contain versions that were overwritten meanwhile."""
+    size = MAX_SUPERSEDED_BYTES
+    versions = [
+        Item("a", bytes([n]) * size, Position(4 + n)) for n in range(3)
+    ]
+    store = FakeStore([WatchResult(versions, Position(6))], [("a", 3)])
+    follow(store, seconds=LARGE_PAUSE_SECONDS + 0.2)
+    assert store.list_calls == 2
+
+
+# Case, whether the changes are urgent, number of watches within 0.3 s.
+CHANGES = [("urgent", True, 3), ("not urgent", False, 1)]
+
+
+@pytest.mark.parametrize(
+    ("is_urgent", "watches"),
+    [case[1:] for case in CHANGES],
+    ids=[case[0] for case in CHANGES],
+)
+def test_non_urgent_changes_are_coalesced(is_urgent, watches):
+    answers = [
+        WatchResult([Item("a", b"w", Position(4 + n))], Position(4 + n))
+        for n in range(9)
+    ]
+    store = FakeStore(answers, [("a", 3)])
+    follow(store, is_urgent=lambda item: is_urgent)
+    assert 9 - len(store.watches) <= watches + 1
+    assert 9 - len(store.watches) >= watches
+
+
+def test_an_unreachable_store_is_watched_with_a_short_timeout():
+    """A call that is never answered would delay recovery of the host."""
+    error = StoreError("down", "wait")
+    store = FakeStore([error, error, WatchResult([], Position(3))], [("a", 3)])
+    follow(store, seconds=0.6)
+    assert store.waits[:4] == [
+        WATCH_TIMEOUT_SECONDS,
+        UNREACHABLE_WATCH_TIMEOUT_SECONDS,
+        UNREACHABLE_WATCH_TIMEOUT_SECONDS,
+        WATCH_TIMEOUT_SECONDS,
+    ]
+
+
+def test_a_lost_watch_ends_within_the_convergence_time():
+    """A watch that is not answered must not delay the next one too long."""
+    assert (
+        WATCH_TIMEOUT_SECONDS + WATCH_MARGIN_SECONDS < MAX_CONVERGENCE_SECONDS
+    )
+
+
+class PagedStore(FakeStore):
+    """Store that goes back between the pages of its first listing."""
+
+    def __init__(self):
+        super().__init__([])
+        first = Item("a", b"v", Position.of(0, 9))
+        again = Item("a", b"v", Position.of(1, 3))
+        last = Item("b", b"w", Position.of(1, 4))
+        self.pages = [
+            Listing([first], True, Position.of(0, 9)),
+            Listing([last], False, Position.of(1, 4)),
+            Listing([again], True, Position.of(1, 4)),
+            Listing([last], False, Position.of(1, 4)),
+        ]
+
+    async def list_page(self, prefix, after=""):
+        """Return the next page."""
+        page = self.pages.pop(0)
+        self.era = page.position.era
+        return page
+
+
+def test_a_listing_over_which_the_store_went_back_starts_again():
+    store = PagedStore()
+    mirror, _, _ = follow(store)
+    assert store.pages == []
+    assert [item.position for item in mirror.with_prefix("")] == [
+        Position.of(1, 3),
+        Position.of(1, 4),
+    ]
+
+
+class SilentStore(FakeStore):
+    """Store whose watches end only when they are cancelled."""
+
+    def __init__(self):
+        super().__init__([], [("a", 3)])
+        self.on_new_era = lambda: None
+
+    def notice_era(self, era):
+        """Record an era."""
+        self.era = era
+        self.listing = [Item("a", b"w", Position.of(era, 2))]
+        self.on_new_era()
+
+    async def watch(self, prefix, after, wait_seconds):
+        """Wait."""
+        await asyncio.sleep(3600)
+
+
+# Eras of pushes that arrive at once, and the resulting position.
+NOTICES = [([1], Position.of(1, 2)), ([1, 2, 3], Position.of(3, 2))]
+
+
+@pytest.mark.parametrize(("eras", "expected"), NOTICES)
+def test_a_push_of_a_later_era_ends_a_pending_watch(eras, expected):
+    positions = [Position.of(era, 9) for era in eras]
+    pushes = [Push(position, position, []) for position in positions]
+    mirror, sent, _ = follow(SilentStore(), pushes=pushes)
+    assert (mirror.get("a").value, mirror.position) == (b"w", expected)
+    # The other hosts of the zone hear of the era at once.
+    assert [push.position for push in sent] == [expected]
+
+
+def test_a_push_of_an_earlier_era_is_dropped():
+    store = FakeStore([], [("a", 3)])
+    store.era = 1
+    store.listing = [Item("a", b"v", Position.of(1, 3))]
+    late = MirrorItem("a", b"late", Position(9))
+    push = Push(Position(3), Position(9), [late])
+    mirror, _, _ = follow(store, pushes=[push])
+    assert (mirror.get("a").value, mirror.position) == (
+        b"v",
+        Position.of(1, 3),
+    )
--- /dev/null
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -0,0 +1,438 @@
+"""One attempt to run a streaming request on a chain of targets."""
+
+import asyncio
+
+from apricotseam.forwarding._head_control import HeadControl
+from apricotseam.forwarding._replacement import ReplacementReserver
+from apricotseam.forwarding._second_attempt import SecondAttempt
+from apricotseam.http1 import EventSplitter
+from apricotseam.http1 import InterruptedReadError
+from apricotseam.http1 import MalformedAnswerError
+from apricotseam.http1 import TransportError
+from apricotseam.http1 import TransportTimeoutError
+from apricotseam.platform import returned_headers
+
+# Silence after which a second attempt is started, if a chain has capacity,
+# although the targets respond to probes. It is below the two seconds after
+# which callers give up.
+MAX_SILENCE_SECONDS = 1.3
+# Silence after which the targets of the chain are probed: before the first
+# event, between events, and between repeated checks.
+FIRST_CHECK_SECONDS = 0.3
+EVENT_CHECK_SECONDS = 0.07
+REPEAT_CHECK_SECONDS = 0.4
+# Between events, the check is delayed to this multiple of the stream's
+# typical gap if that is longer.
+TYPICAL_GAP_FACTOR = 3.0
+# Weight of the newest gap in the moving average.
+GAP_WEIGHT = 0.2
+ERROR_BODY_TIMEOUT_SECONDS = 0.5
+# A running stream is rerouted away from a target whose reported slowdown is at
+# least this factor.
+REROUTE_SLOW_FACTOR = 2.5
+MAX_REROUTES = 3
+MAX_BODY_BYTES = 1 << 20
+
+
+class ReplacedError(TransportError):
+    """Another attempt has answered while this one was silent."""
+
+    code = "replaced"
+
+
+class StreamAttempt:
+    """An attempt to run a call on a chain, including its reroutes.
+
+    While its chain is silent, a second attempt may be started beside it.
+    Whichever sends the next event first continues the answer; the other one
+    is closed.
+
+    Parameters
+    ----------
+    context : ForwardingContext
+        State shared by all requests.
+    sender : Sender
+        Sends the request to the head of the chain.
+    call : Call
+        The request.
+    choice : Choice
+        The chain to start with.
+    record_result : callable
+        Coroutine function that takes an attempt and a method of it, awaits
+        the method and records a failure. It returns None if the method
+        succeeded, else the HTTP status that results.
+    """
+
+    def __init__(self, context, sender, call, choice, record_result):
+        self._context = context
+        self._sender = sender
+        self._replacements = ReplacementReserver(context)
+        self._head_control = HeadControl(context, call)
+        self._record_result = record_result
+        self._call = call
+        self._choice = choice
+        self._booking = None
+        self._connection = None
+        self._answer = None
+        self._first_data = None
+        self._last_read_at = 0.0
+        self._typical_gap = EVENT_CHECK_SECONDS / TYPICAL_GAP_FACTOR
+        self._has_events = False
+        self._is_reading = False
+        self._reroutes = 0
+        # `SecondAttempt` that was started because of a silence, or None.
+        self._second = None
+        self._is_replaced = False
+
+    @property
+    def call(self):
+        """The `Call` that is run."""
+        return self._call
+
+    @property
+    def choice(self):
+        """The chain that runs the call; it differs after a reroute."""
+        return (
+            self._second.attempt.choice if self._is_replaced else self._choice
+        )
+
+    async def run(self):
+        """Send the call and forward its events to the caller.
+
+        Returns
+        -------
+        tuple of ResponseHead and ResponseMetadata and bytes, or None
+            An answer that is not a stream; None if the stream completed.
+
+        Raises
+        ------
+        TransportError
+            If the answer was not received completely.
+        """
+        self.book_capacity()
+        return await self._run_until_replaced(self._run())
+
+    async def prepare(self):
+        """Send the call and read the first data of its answer.
+
+        Returns
+        -------
+        tuple of ResponseHead and ResponseMetadata and bytes, or None
+            An answer that is not a stream; None if data was received, which
+            `continue_run` will forward.
+
+        Raises
+        ------
+        TransportError
+            If no data was received.
+        """
+        is_prepared = False
+        try:
+            failure = await self._start(lambda read: read(self._call.deadline))
+            if failure is None:
+                self._first_data = await self._connection.read(
+                    self._call.deadline
+                )
+                is_prepared = True
+            return failure
+        finally:
+            if not is_prepared:
+                self.close()
+
+    async def continue_run(self):
+        """Forward the answer of a prepared attempt; see `run`."""
+        return await self._run_until_replaced(self._relay(self._first_data))
+
+    def book_capacity(self):
+        """Book the capacity that the chain uses until `close`."""
+        choice = self._choice
+        self._booking = self._context.ledger.book(choice.tokens, choice.shares)
+        self._context.active_streams.add(self, self._identities())
+
+    def close(self):
+        """Release the capacity and close the connection."""
+        self._release_capacity()
+        if self._connection is not None:
+            self._connection.close()
+
+    async def _run_until_replaced(self, running):
+        """Await a coroutine that forwards; the second attempt takes over."""
+        error = None
+        failure = None
+        try:
+            failure = await running
+        except TransportError as caught:
+            error = caught
+        except BaseException:
+            self._drop_second()
+            raise
+        finally:
+            self.close()
+        is_incomplete = error is not None or failure is not None
+        if is_incomplete and await self._is_second_ready():
+            self._is_replaced = True
+            return await self._second.attempt.continue_run()
+        if error is not None:
+            raise error
+        return failure
+
+    async def _run(self):
+        failure = await self._start(self._read_with_checks)
+        if failure is None:
+            await self._relay(await self._read_data())
+        return failure
+
+    async def _start(self, read_patiently):
+        """Send the call and read the head of its answer.
+
+        Parameters
+        ----------
+        read_patiently : callable
+            Coroutine function that runs a read, which takes a deadline.
+
+        Returns
+        -------
+        tuple of ResponseHead and ResponseMetadata and bytes, or None
+            An answer that is not a stream.
+        """
+        call = self._call
+        choice = self._choice
+        self._connection = await self._sender.open(call, choice)
+        connection = self._connection
+        self._sender.send(call, connection, choice, call.last_event)
+        call.runs += 1
+        answer, metadata = await read_patiently(
+            lambda deadline: self._sender.read_head(
+                call, connection, deadline, choice.head
+            )
+        )
+        if answer.status != 200 or metadata.was_not_run:
+            body = await connection.read_all(
+                self._deadline(ERROR_BODY_TIMEOUT_SECONDS), MAX_BODY_BYTES
+            )
+            self._return_connection(answer)
+            return answer, metadata, body
+        if metadata.is_encoded or not metadata.is_signed:
+            raise MalformedAnswerError(
+                f"{connection.address} sent an encoded or unsigned answer",
+                "repeat the request if it can be resumed",
+            )
+        self._answer = answer
+        return None
+
+    async def _relay(self, data):
+        """Forward events until the answer ends.
+
+        Parameters
+        ----------
+        data : bytes
+            The first data of the body.
+        """
+        answer = self._answer
+        exchange = self._call.exchange
+        splitter = EventSplitter()
+        while data:
+            for event in splitter.feed(data):
+                await self._forward_event(answer, event)
+            data = await self._read_data()
+        if splitter.has_incomplete_event:
+            raise MalformedAnswerError(
+                f"{self._connection.address} ended the stream within an event",
+                "repeat the request if it can be resumed",
+            )
+        if not exchange.is_started:
+            exchange.start(200, returned_headers(answer), answer.reason)
+        exchange.end()
+        self._return_connection(answer)
+
+    async def _read_data(self):
+        return await self._read_with_checks(self._connection.read)
+
+    async def _read_with_checks(self, read):
+        """Read, checking the chain whenever the read times out.
+
+        Parameters
+        ----------
+        read : callable
+            Coroutine function that takes a deadline in loop time.
+
+        Returns
+        -------
+        object
+            What ``read`` returned.
+
+        Raises
+        ------
+        TransportError
+            If the attempt should be given up.
+        """
+        loop = asyncio.get_running_loop()
+        self._last_read_at = loop.time()
+        timeout = self._first_timeout()
+        while True:
+            self._is_reading = True
+            try:
+                data = await read(self._deadline(timeout))
+            except (TransportTimeoutError, InterruptedReadError):
+                if self._call.seconds_left() <= 0:
+                    raise
+                await self._handle_silence()
+                timeout = REPEAT_CHECK_SECONDS
+                continue
+            finally:
+                self._is_reading = False
+            self._drop_second()
+            self._record_gap(loop.time() - self._last_read_at)
+            return data
+
+    def _first_timeout(self):
+        if not self._has_events:
+            return FIRST_CHECK_SECONDS
+        return max(EVENT_CHECK_SECONDS, TYPICAL_GAP_FACTOR * self._typical_gap)
+
+    def _record_gap(self, seconds):
+        call = self._call
+        if self._has_events:
+            change = seconds - self._typical_gap
+            self._typical_gap += GAP_WEIGHT * change
+            call.longest_gap = max(call.longest_gap, seconds)
+
+    async def _forward_event(self, answer, event):
+        call = self._call
+        if event.number is not None:
+            last = call.last_event
+            if last is not None and event.number <= last:
+                return
+            call.last_event = event.number
+        self._has_events = True
+        exchange = call.exchange
+        if not exchange.is_started:
+            exchange.start(200, returned_headers(answer), answer.reason)
+            now = asyncio.get_running_loop().time()
+            call.first_event_at = now
+            kind = call.route.repeat.value
+            seconds = now - call.request.received_at
+            self._context.metrics.first_byte.labels(kind).observe(seconds)
+        await exchange.write(event.data, call.deadline)
+
+    async def _handle_silence(self):
+        """Check a silent chain; reroute it or start a second attempt.
+
+        Raises
+        ------
+        ReplacedError
+            If a second attempt has received data.
+        """
+        if self._second is not None and self._second.is_starting:
+            return
+        if await self._is_second_ready():
+            raise ReplacedError(
+                f"{self._connection.address} was silent while another target"
+                " answered",
+                "read the answer of the other one",
+            )
+        choice = self._choice
+        now = asyncio.get_running_loop().time()
+        silent_seconds = now - self._last_read_at
+        targets = [target for target, _ in choice.stages]
+        unresponsive = await self._context.prober.find_unresponsive(targets)
+        to_avoid = [t for t in targets[1:] if self._should_avoid(t)]
+        is_long = silent_seconds >= REPEAT_CHECK_SECONDS
+        if is_long and choice.path and not unresponsive:
+            unresponsive = await self._head_control.stalled_targets(
+                choice.head
+            )
+        is_head_silent = choice.head in unresponsive
+        if not is_head_silent and (unresponsive or to_avoid):
+            if await self._reroute([*unresponsive, *to_avoid]):
+                return
+        if unresponsive:
+            self._start_second(unresponsive)
+        elif silent_seconds >= MAX_SILENCE_SECONDS:
+            self._start_second([choice.head])
+
+    def _start_second(self, targets):
+        """Start a second attempt without some targets, if possible."""
+        call = self._call
+        identities = frozenset(target.identity for target in targets)
+        choice = self._replacements.reserve(call, identities)
+        if choice is None:
+            return
+        for identity in identities:
+            call.record_outcome(identity, "silent")
+        attempt = StreamAttempt(
+            self._context, self._sender, call, choice, self._record_result
+        )
+        self._second = SecondAttempt(
+            attempt, identities, self._record_result, self.check_chain
+        )
+
+    async def _is_second_ready(self):
+        """Wait for the second attempt; return whether it received data."""
+        if self._second is None:
+            return False
+        if await self._second.is_ready():
+            return True
+        self._second = None
+        return False
+
+    def _drop_second(self):
+        """Close the second attempt, since this one has gone on."""
+        if self._second is not None:
+            self._second.drop()
+            self._second = None
+
+    def _should_avoid(self, target):
+        """Return whether a running stream should move off a target."""
+        now = asyncio.get_running_loop().time()
+        if not target.accepts_requests:
+            return True
+        return target.health.slowness(now) >= REROUTE_SLOW_FACTOR
+
+    async def _reroute(self, avoided):
+        """Continue on a chain without some targets; return whether it does.
+
+        Parameters
+        ----------
+        avoided : list of Target
+            Targets that the chain must not use.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._reroutes >= MAX_REROUTES:
+            return False
+        choice = self._context.target_selector.choose_tail(
+            self._call, self._choice, now, avoided
+        )
+        if choice is None:
+            return False
+        self._reroutes += 1
+        is_done = await self._head_control.reroute(choice)
+        if is_done:
+            self._release_capacity()
+            self._choice = choice
+            self.book_capacity()
+        return is_done
+
+    def check_chain(self):
+        """Interrupt the current read so that the chain is checked now."""
+        if self._is_reading:
+            self._connection.interrupt()
+
+    def _release_capacity(self):
+        """Release the capacity that is booked on the current chain."""
+        context = self._context
+        context.ledger.release(self._booking)
+        self._booking = None
+        context.active_streams.remove(self, self._identities())
+
+    def _identities(self):
+        return [target.identity for target, _ in self._choice.stages]
+
+    def _return_connection(self, answer):
+        head = self._choice.head
+        self._context.pool.release(head.incarnation, self._connection, answer)
+        self._connection = None
+
+    def _deadline(self, seconds):
+        now = asyncio.get_running_loop().time()
+        return min(self._call.deadline, now + seconds)
