--- a/apricotseam/coordination/__init__.py
+++ b/apricotseam/coordination/__init__.py
@@ -3,7 +3,6 @@
 from apricotseam.coordination._election import Election
 from apricotseam.coordination._hosts import Hosts
 from apricotseam.coordination._hosts import is_large_fleet
-from apricotseam.coordination._keeper import MirrorSynchronizer
 from apricotseam.coordination._messages import Changes
 from apricotseam.coordination._messages import ChangesRequest
 from apricotseam.coordination._messages import HostRecord
@@ -14,6 +13,7 @@
 from apricotseam.coordination._mirror import Mirror
 from apricotseam.coordination._registration import Registration
 from apricotseam.coordination._suspension import SuspensionDetector
+from apricotseam.coordination._synchronizer import MirrorSynchronizer
 
 __all__ = [
     "Changes",
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -6,9 +6,9 @@
 from apricotseam.forwarding._answering import fail
 from apricotseam.forwarding._answering import FailedAnswer
 from apricotseam.forwarding._errors import OutdatedChoiceError
-from apricotseam.forwarding._passage import StreamAttempt
 from apricotseam.forwarding._request_queue import WAIT_FRACTION
 from apricotseam.forwarding._sender import Sender
+from apricotseam.forwarding._stream_attempt import StreamAttempt
 from apricotseam.forwarding._unserved import refuse_unserved
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import TransportError
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -35,8 +35,6 @@
 from apricotseam.http1 import Server
 from apricotseam.membership import Facts
 from apricotseam.membership import Member
-from apricotseam.node._beliefs import HOSTS_PREFIX
-from apricotseam.node._beliefs import StoreItemHandler
 from apricotseam.node._leaving import address_lifetime_seconds
 from apricotseam.node._leaving import GracefulShutdown
 from apricotseam.node._listeners import AddressDirectory
@@ -45,6 +43,8 @@
 from apricotseam.node._listeners import start_server
 from apricotseam.node._placer import Placer
 from apricotseam.node._settings import load_node_settings
+from apricotseam.node._store_items import HOSTS_PREFIX
+from apricotseam.node._store_items import StoreItemHandler
 from apricotseam.node._traffic import log_traffic
 from apricotseam.node._traffic import TrafficCollector
 from apricotseam.node._usage import UsageExchange
@@ -263,7 +263,7 @@
         transport.handle(ChangesRequest, self._answer_changes, Changes)
         self._store = StoreClient(settings.store_address)
         self._mirror = Mirror(lambda item: self._item_handler.apply(item))
-        self._keeper = MirrorSynchronizer(
+        self._synchronizer = MirrorSynchronizer(
             self._store,
             self._mirror,
             self._hosts.ask_changes,
@@ -277,19 +277,22 @@
         self._traffic = TrafficCollector(
             transport.traffic,
             self._store.calls,
-            self._keeper.watches,
-            self._keeper.era_events,
+            self._synchronizer.watches,
+            self._synchronizer.era_events,
         )
         self._registry.register(self._traffic)
-        transport.handle(Push, lambda _, push: self._keeper.receive_push(push))
         transport.handle(
-            PackedPush, lambda _, push: self._keeper.receive_packed_push(push)
+            Push, lambda _, push: self._synchronizer.receive_push(push)
+        )
+        transport.handle(
+            PackedPush,
+            lambda _, push: self._synchronizer.receive_packed_push(push),
         )
         self._item_handler = StoreItemHandler(
             self._context,
-            lambda: self._keeper.was_store_unreachable,
+            lambda: self._synchronizer.was_store_unreachable,
             self._now,
-            self._keeper.era_events,
+            self._synchronizer.era_events,
         )
         self._registration = Registration(
             self._store,
@@ -319,8 +322,8 @@
             instance,
             zone,
             self._now,
-            lambda: self._keeper.followed_position,
-            self._keeper.receive_heartbeat,
+            lambda: self._synchronizer.followed_position,
+            self._synchronizer.receive_heartbeat,
         )
         self._zone_exchange = ZoneUsageExchange(
             self._hosts,
@@ -338,8 +341,8 @@
 
     def _children(self):
         return [
-            ("store", self._keeper.run),
-            ("pushes", self._keeper.run_heartbeats),
+            ("store", self._synchronizer.run),
+            ("pushes", self._synchronizer.run_heartbeats),
             ("hosts", self._hosts.run),
             ("registration", self._registration.run),
             ("election", self._election.run),
--- a/apricotseam/node/tests/memory_fleet.py
+++ b/apricotseam/node/tests/memory_fleet.py
@@ -23,8 +23,8 @@
 from apricotseam.http1 import LostConnectionError
 from apricotseam.http1 import ResponseHead
 from apricotseam.http1 import TransportTimeoutError
-from apricotseam.node._beliefs import HOSTS_PREFIX
-from apricotseam.node._beliefs import StoreItemHandler
+from apricotseam.node._store_items import HOSTS_PREFIX
+from apricotseam.node._store_items import StoreItemHandler
 from apricotseam.platform import CONFIGURATION_KEY
 from apricotseam.platform.standins import StoreStandIn
 from apricotseam.platform import StoreClient
@@ -131,7 +131,7 @@
         self.store = StoreClient(self.name)
         self.store._pool = _Pool(fleet)
         self.mirror = Mirror(lambda item: self.handler.apply(item))
-        self.keeper = MirrorSynchronizer(
+        self.synchronizer = MirrorSynchronizer(
             self.store,
             self.mirror,
             self._ask_peers,
@@ -144,9 +144,9 @@
         )
         self.handler = StoreItemHandler(
             self.context,
-            lambda: self.keeper.was_store_unreachable,
+            lambda: self.synchronizer.was_store_unreachable,
             loop.time,
-            self.keeper.era_events,
+            self.synchronizer.era_events,
         )
         record = HostRecord(
             peers_address=self.name,
@@ -181,8 +181,8 @@
     def children(self):
         """Return the coroutines that run the host."""
         return [
-            self.keeper.run(),
-            self.keeper.run_heartbeats(),
+            self.synchronizer.run(),
+            self.synchronizer.run_heartbeats(),
             self.registration.run(),
             self.election.run(),
             self._maintain(),
@@ -192,9 +192,9 @@
         """Decode and apply a push."""
         message = msgspec.msgpack.decode(body, type=kind, dec_hook=decode_hook)
         if kind is PackedPush:
-            self.keeper.receive_packed_push(message)
+            self.synchronizer.receive_packed_push(message)
         else:
-            self.keeper.receive_push(message)
+            self.synchronizer.receive_push(message)
 
     async def _maintain(self):
         while True:
--- a/apricotseam/node/tests/test_store_eras.py
+++ b/apricotseam/node/tests/test_store_eras.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from apricotseam.coordination._keeper import READER_TIMEOUT_SECONDS
+from apricotseam.coordination._synchronizer import READER_TIMEOUT_SECONDS
 from apricotseam.node._held import REWRITE_SECONDS
 from apricotseam.node.tests.memory_fleet import DUTY_KEY
 from apricotseam.node.tests.memory_fleet import MemoryFleet
