--- a/apricotseam/fleet/_target.py
+++ b/apricotseam/fleet/_target.py
@@ -2,7 +2,10 @@
 
 import msgspec
 
+from apricotseam.fleet._announcements import Announcements
 from apricotseam.fleet._health import Health
+from apricotseam.positions import NO_POSITION
+from apricotseam.positions import Position
 
 
 # Time for which a target's load report is valid.
@@ -33,7 +36,7 @@
 
     ``born_ms`` is the start time of its process in milliseconds of wall
     clock, or 0 if unknown. ``orders`` is the number of orders that it has
-    accepted since then. ``revision`` is the revision of its entry in the
+    accepted since then. ``position`` is the position of its entry in the
     store.
     """
 
@@ -48,7 +51,7 @@
     is_placeable: bool = False
     born_ms: int = 0
     orders: int = 0
-    revision: int = 0
+    position: Position = NO_POSITION
 
     @property
     def incarnation(self):
@@ -63,20 +66,24 @@
     ----------
     record : TargetRecord
         Its newest registration record.
+    announcements : Announcements, optional
+        What its process has said about itself so far.
     """
 
     __slots__ = (
         "_queued",
         "_report_valid_until",
         "_used_units",
+        "announcements",
         "health",
         "removal_due_at",
         "is_present",
         "record",
     )
 
-    def __init__(self, record):
+    def __init__(self, record, announcements=None):
         self.record = record
+        self.announcements = announcements or Announcements()
         self.health = Health()
         self.is_present = True
         self._used_units = 0.0
@@ -103,7 +110,20 @@
     @property
     def accepts_requests(self):
         """Whether new requests may be sent to the target."""
-        return self.is_present and not self.record.is_draining
+        return self.is_present and not self.is_draining
+
+    @property
+    def is_draining(self):
+        """Whether the target leaves, by its own word or by its record."""
+        return self.record.is_draining or self.announcements.is_leaving
+
+    def may_send(self, now):
+        """Return whether this host may send a new request at present."""
+        return self.accepts_requests and not self.is_resting(now)
+
+    def is_resting(self, now):
+        """Return whether the target wants no requests from this host."""
+        return self.announcements.is_resting(now)
 
     def record_load(self, used_units, queued, now):
         """Record the load that the target reported.
--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -88,10 +88,15 @@
 
     @property
     def retry_key(self):
-        """Key that identifies the prompt of a customer across retries."""
-        if not self.metadata.prompt_id:
+        """Key that identifies a request of a customer across retries.
+
+        Requests of a session share their prompt, but seldom all lengths.
+        """
+        metadata = self.metadata
+        if not metadata.prompt_id:
             return ""
-        return f"{self.customer}/{self.metadata.prompt_id}"
+        lengths = f"{metadata.prompt_tokens},{metadata.expected_answer_tokens}"
+        return f"{self.customer}/{metadata.prompt_id}/{lengths}"
 
     @property
     def may_run_again(self):
@@ -104,6 +109,17 @@
         """Request identifier from the request headers."""
         return self.metadata.request_id
 
+    def withdraw_attempt(self, target):
+        """Take back an attempt of which nothing was sent.
+
+        Parameters
+        ----------
+        target : str
+            As for `record_outcome`.
+        """
+        self.attempts -= 1
+        self.record_outcome(target, "not_sent")
+
     def seconds_left(self):
         """Return the time until the deadline in seconds."""
         return self.deadline - asyncio.get_running_loop().time()
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -217,17 +217,58 @@
         target = min(candidates, key=self._target_cost)
         return Choice(target, ((target, 1),), (), 1.0)
 
-    def has_layers(self, service):
-        """Return whether a chain covers all layers, regardless of load."""
+    def has_layers(self, service, at):
+        """Return whether a chain covers all layers, regardless of load.
+
+        Parameters
+        ----------
+        service : Service
+            A service with an engine.
+        at : float
+            Monotonic time in seconds; targets that rest until later are left
+            out.
+        """
         held = (
             target.record.layers
             for target in self._fleet.of_service(service.name)
-            if target.record.layers is not None
+            if target.record.layers is not None and not target.is_resting(at)
         )
         return covers_layers(held, service.engine.layers)
 
+    def rest_ends_at(self, service, now):
+        """Return when rests no longer keep a service from being served.
+
+        Returns
+        -------
+        float or None
+            Monotonic time in seconds of the first end of a rest after which
+            the targets that do not rest can serve requests, regardless of
+            load. None if they can now, or cannot after all rests either.
+        """
+        if self._can_serve(service, now):
+            return None
+        ends = {
+            target.announcements.rests_until
+            for target in self._fleet.of_service(service.name)
+            if target.is_resting(now)
+        }
+        for end in sorted(ends):
+            if self._can_serve(service, end):
+                return end
+        return None
+
+    def _can_serve(self, service, at):
+        if service.engine is not None:
+            return self.has_layers(service, at)
+        targets = self._fleet.of_service(service.name)
+        return any(not target.is_resting(at) for target in targets)
+
     def _candidates(self, call, now):
-        targets = self._fleet.of_service(call.service.name)
+        targets = [
+            target
+            for target in self._fleet.of_service(call.service.name)
+            if not target.is_resting(now)
+        ]
         untried = [t for t in targets if t.identity not in call.failed_targets]
         healthy = [t for t in untried if not t.health.is_suspect(now)]
         return healthy or untried
@@ -251,6 +292,7 @@
             return None
         if (
             target.health.is_suspect(now)
+            or target.is_resting(now)
             or target.identity in call.failed_targets
         ):
             return None
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import logging
+import random
 import time
 
 from apricotseam.forwarding._active_streams import ActiveStreams
+from apricotseam.forwarding._announcements import AnnouncementRecorder
 from apricotseam.forwarding._answering import Refusal
 from apricotseam.forwarding._answering import refuse
 from apricotseam.forwarding._call import Call
@@ -13,6 +15,7 @@
 from apricotseam.forwarding._streams import StreamRunner
 from apricotseam.http1 import EndCause
 from apricotseam.platform import decode_request_metadata
+from apricotseam.positions import NO_POSITION
 from apricotseam.routes import RepeatPolicy
 
 _LOG = logging.getLogger(__name__)
@@ -45,6 +48,8 @@
     """
 
     __slots__ = (
+        "announcements",
+        "generator",
         "retry_budget",
         "target_selector",
         "fleet",
@@ -79,6 +84,10 @@
         self.pool = pool
         self.retry_budget = retry_budget
         self.metrics = metrics
+        self.announcements = AnnouncementRecorder(
+            fleet, request_queue, metrics, time.monotonic
+        )
+        self.generator = random.Random()
         # Active `RouteTable`; None until the first one is received.
         self.table = None
         # Loop time in seconds at which this host exits; set only at the end
@@ -164,7 +173,7 @@
 
     def _revision(self):
         table = self._context.table
-        return table.revision if table is not None else 0
+        return table.position if table is not None else NO_POSITION
 
     def _finish(self, call, status, now):
         kind = call.route.repeat.value
@@ -178,7 +187,7 @@
                 "request": call.request_id,
                 "route": call.route.name,
                 "customer": call.customer,
-                "revision": call.table.revision,
+                "revision": call.table.position,
                 "status": status,
                 "sends": call.send_outcomes,
                 "milliseconds": _milliseconds(seconds),
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -5,9 +5,10 @@
 from apricotseam.forwarding._answering import deliver
 from apricotseam.forwarding._answering import fail
 from apricotseam.forwarding._answering import FailedAnswer
-from apricotseam.forwarding._answering import refuse_call
+from apricotseam.forwarding._errors import OutdatedChoiceError
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._sender import Sender
+from apricotseam.forwarding._unserved import refuse_unserved
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import MalformedAnswerError
 from apricotseam.http1 import TransportError
@@ -73,7 +74,7 @@
         if answered is not None:
             return deliver(call, answered.answer, answered.body)
         if call.runs == 0:
-            return refuse_call(
+            return refuse_unserved(
                 self._context, call, "no target took it", BUSY_RETRY_SECONDS
             )
         return fail(call, self._failure_status)
@@ -102,8 +103,11 @@
                 await self._start_second()
 
     def _start(self, choice):
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(self._attempt(choice))
+        """Book capacity now, so that others see it, and run an attempt."""
+        ledger = self._context.ledger
+        booking = ledger.book(1.0, choice.shares)
+        task = asyncio.get_running_loop().create_task(self._attempt(choice))
+        task.add_done_callback(lambda _: ledger.release(booking))
         self._targets[task] = choice.head
 
     def _record(self, target, result):
@@ -149,11 +153,10 @@
         loop = asyncio.get_running_loop()
         call = self._call
         target = choice.head
-        booking = self._context.ledger.book(1.0, choice.shares)
         started_at = loop.time()
         connection = None
         try:
-            connection = await self._sender.open(call, target)
+            connection = await self._sender.open(call, choice)
             self._sender.send(call, connection, choice)
             call.runs += 1
             result = await self._read_answer(connection, target)
@@ -161,6 +164,9 @@
                 target.health.record_success(loop.time() - started_at)
             connection = None
             return result
+        except OutdatedChoiceError:
+            call.withdraw_attempt(target.identity)
+            return _AttemptResult(was_run=False)
         except ConnectError:
             target.health.mark_unreachable(loop.time())
             call.record_outcome(target.identity, "no_connection")
@@ -169,14 +175,13 @@
             await self._context.prober.find_unresponsive([target])
             return self._handle_broken_answer(target, error)
         finally:
-            self._context.ledger.release(booking)
             if connection is not None:
                 connection.close()
 
     async def _read_answer(self, connection, target):
         call = self._call
         answer, metadata = await self._sender.read_head(
-            call, connection, call.deadline
+            call, connection, call.deadline, target
         )
         body = await connection.read_all(call.deadline, MAX_ANSWER_BYTES)
         if metadata.was_not_run:
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -188,7 +188,7 @@
     def _build_request_path(self):
         settings = self._settings
         bounds = settings.bounds
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(self._on_target_response)
         request_queue = RequestQueue(self._now)
         self._ledger = Ledger(
             lambda is_own: (
@@ -239,7 +239,11 @@
         self._context.prober.forget(target)
         self._context.active_streams.recheck(target.identity)
 
+    def _on_target_response(self, incarnation, response):
+        self._context.announcements.record(incarnation, response)
+
     def _on_target_draining(self, target):
+        self._context.metrics.count_leaving(target)
         self._context.active_streams.recheck(target.identity)
 
     def _build_coordination(self):
@@ -268,9 +272,13 @@
             self._push_if_large,
             lambda item: not item.key.startswith(HOSTS_PREFIX),
             lambda: self._usage_exchange.reports_zone,
+            lambda change: self._item_handler.log_era_change(change),
         )
         self._traffic = TrafficCollector(
-            transport.traffic, self._store.calls, self._keeper.watches
+            transport.traffic,
+            self._store.calls,
+            self._keeper.watches,
+            self._keeper.era_events,
         )
         self._registry.register(self._traffic)
         transport.handle(Push, lambda _, push: self._keeper.receive_push(push))
@@ -281,6 +289,7 @@
             self._context,
             lambda: self._keeper.was_store_unreachable,
             self._now,
+            self._keeper.era_events,
         )
         self._registration = Registration(
             self._store,
@@ -310,7 +319,7 @@
             instance,
             zone,
             self._now,
-            lambda: self._keeper.followed_revision,
+            lambda: self._keeper.followed_position,
             self._keeper.receive_heartbeat,
         )
         self._zone_exchange = ZoneUsageExchange(
@@ -361,6 +370,7 @@
                     "host_was_suspended", extra={"seconds": suspended_seconds}
                 )
             self._find_hosts()
+            self._item_handler.expire()
             self._fleet.expire(self._now())
             self._pool.sweep()
 
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -6,13 +6,16 @@
 
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
+from apricotseam.fleet import LeavingSource
 from apricotseam.node._delegates import DelegateReports
 from apricotseam.node._delegates import TAKEOVER_SECONDS
 from apricotseam.node._zone_reports import HostState
+from apricotseam.node._zone_reports import LeavingNotice
 from apricotseam.node._zone_reports import NOTICE_SECONDS
 from apricotseam.node._zone_reports import SentStates
 from apricotseam.node._zone_reports import ZoneCollector
 from apricotseam.node._zone_reports import ZoneReport
+from apricotseam.positions import NO_POSITION
 
 SEND_PERIOD_SECONDS = 0.2
 # Longer, as the delegates of a zone get the states of all its hosts.
@@ -59,11 +62,11 @@
         Availability zone of this host.
     now : callable
         Monotonic time in seconds.
-    store_revision : callable, optional
-        Returns the revision of the store that this host follows, 0 if it
-        does not follow the store.
-    on_store_revision : callable, optional
-        Called with the revision that a delegate of the zone follows.
+    store_position : callable, optional
+        Returns the position in the store that this host follows,
+        `NO_POSITION` if it does not follow the store.
+    on_store_position : callable, optional
+        Called with the position that a delegate of the zone follows.
     """
 
     def __init__(
@@ -73,8 +76,8 @@
         instance,
         zone,
         now,
-        store_revision=None,
-        on_store_revision=None,
+        store_position=None,
+        on_store_position=None,
     ):
         self._zone = zone
         self._hosts = hosts
@@ -82,8 +85,8 @@
         self._ledger = context.ledger
         self._instance = instance
         self._now = now
-        self._store_revision = store_revision or (lambda: 0)
-        self._on_store_revision = on_store_revision or (lambda revision: None)
+        self._store_position = store_position or (lambda: NO_POSITION)
+        self._on_store_position = on_store_position or (lambda position: None)
         self._number = 0
         self._report_number = 0
         # Number of reports applied, as each delegate numbers its own.
@@ -113,6 +116,7 @@
     async def run(self):
         """Send states periodically, forever."""
         sent_changes = -1
+        sent_leaving = set()
         unsent_periods = 0
         while True:
             await asyncio.sleep(self._send_period())
@@ -120,13 +124,17 @@
             self._update_delegates()
             suspects = self._suspect_targets()
             slow = self._slow_targets()
+            leaving = set(self.leaving_targets())
             unsent_periods += 1
-            is_unchanged = self._ledger.changes == sent_changes and not (
-                suspects or slow
+            is_unchanged = (
+                self._ledger.changes == sent_changes
+                and leaving == sent_leaving
+                and not (suspects or slow)
             )
             if is_unchanged and unsent_periods < HEARTBEAT_PERIODS:
                 continue
             sent_changes = self._ledger.changes
+            sent_leaving = leaving
             unsent_periods = 0
             self._send(suspects, slow)
 
@@ -153,6 +161,32 @@
         reported = self._collector.suspects(self._now())
         return sorted({*reported, *self._suspect_targets()})
 
+    def leaving_targets(self):
+        """Return a `LeavingNotice` of each target that announced to leave.
+
+        They are those that this host was told of by the targets or by peers,
+        by identity.
+        """
+        now = self._now()
+        return {
+            target.identity: LeavingNotice(
+                target.record.born_ms,
+                round(now - target.announcements.leaving_since, 3),
+            )
+            for target in self._context.fleet
+            if target.announcements.is_leaving
+        }
+
+    def notice_leaving(self, leaving):
+        """Record targets that, as a peer says, announced that they leave."""
+        for identity, notice in leaving.items():
+            self._context.fleet.record_leaving(
+                (identity, notice.born_ms),
+                LeavingSource.PEER,
+                self._now(),
+                notice.age_seconds,
+            )
+
     def notice_other_zone(self, suspects):
         """Record targets that hosts of another zone report as silent."""
         now = self._now()
@@ -242,6 +276,7 @@
             slow,
             self._context.request_queue.recently_refused(since),
             repeats,
+            self.leaving_targets(),
         )
 
     def _send(self, suspects, slow):
@@ -278,7 +313,7 @@
             report,
             suspects=sorted({*report.suspects, *self._other_suspects}),
             other_zones=others,
-            store_revision=self._store_revision(),
+            store_position=self._store_position(),
         )
         self._hosts.transport.send_all(self._hosts.load_recipients, report)
 
@@ -305,8 +340,8 @@
         now = self._now()
         if not self._delegate_reports.receive(sender, report, now):
             return
-        if report.store_revision:
-            self._on_store_revision(report.store_revision)
+        if report.store_position:
+            self._on_store_position(report.store_position)
         self._apply_notices(report, now)
         if not self._is_direct:
             self._apply_sums(report, now)
@@ -330,6 +365,7 @@
     def _apply_notices(self, message, now):
         """Apply what a `HostState` or `ZoneReport` says of targets."""
         self._apply_suspects(message.suspects, now)
+        self.notice_leaving(message.leaving)
         for identity, factor in message.slow.items():
             target = self._context.fleet.get(identity)
             if target is not None:
--- a/apricotseam/platform/__init__.py
+++ b/apricotseam/platform/__init__.py
@@ -11,6 +11,8 @@
 from apricotseam.platform._addresses import encode_addresses
 from apricotseam.platform._addresses import MAX_ADDRESSES
 from apricotseam.platform._addresses import READINESS_PATH
+from apricotseam.platform._announcements import Announcement
+from apricotseam.platform._announcements import decode_announcement
 from apricotseam.platform._configuration import decode_configuration
 from apricotseam.platform._keys import CONFIGURATION_KEY
 from apricotseam.platform._keys import ROUTER_PREFIX
@@ -36,8 +38,10 @@
 from apricotseam.platform._requests import returned_headers
 from apricotseam.platform._store import HistoryLostError
 from apricotseam.platform._store import Item
+from apricotseam.platform._store import Lease
 from apricotseam.platform._store import LeaseEndedError
 from apricotseam.platform._store import Listing
+from apricotseam.platform._store import StaleAnswerError
 from apricotseam.platform._store import StoreClient
 from apricotseam.platform._store import StoreConflictError
 from apricotseam.platform._store import StoreError
@@ -52,6 +56,7 @@
     "Forwarding",
     "HistoryLostError",
     "Item",
+    "Lease",
     "LeaseEndedError",
     "Listing",
     "MAX_ADDRESSES",
@@ -64,6 +69,7 @@
     "Reroute",
     "Stage",
     "StalledRequest",
+    "StaleAnswerError",
     "StoreClient",
     "StoreConflictError",
     "StoreError",
@@ -72,6 +78,8 @@
     "WATCH_MARGIN_SECONDS",
     "WatchResult",
     "AddressQuery",
+    "Announcement",
+    "decode_announcement",
     "format_chain",
     "decode_address_query",
     "decode_response_metadata",
