--- a/apricotseam/coordination/tests/test_keeper.py
+++ b/apricotseam/coordination/tests/test_synchronizer.py
@@ -5,13 +5,15 @@
 
 import pytest
 
-from apricotseam.coordination._keeper import GAP_WATCH_TIMEOUT_SECONDS
-from apricotseam.coordination._keeper import LARGE_PAUSE_SECONDS
-from apricotseam.coordination._keeper import MAX_PLAIN_PUSH_BYTES
-from apricotseam.coordination._keeper import MAX_PUSHED_BYTES
-from apricotseam.coordination._keeper import MAX_SUPERSEDED_BYTES
-from apricotseam.coordination._keeper import UNREACHABLE_WATCH_TIMEOUT_SECONDS
-from apricotseam.coordination._keeper import WATCH_TIMEOUT_SECONDS
+from apricotseam.coordination._synchronizer import GAP_WATCH_TIMEOUT_SECONDS
+from apricotseam.coordination._synchronizer import LARGE_PAUSE_SECONDS
+from apricotseam.coordination._synchronizer import MAX_PLAIN_PUSH_BYTES
+from apricotseam.coordination._synchronizer import MAX_PUSHED_BYTES
+from apricotseam.coordination._synchronizer import MAX_SUPERSEDED_BYTES
+from apricotseam.coordination._synchronizer import (
+    UNREACHABLE_WATCH_TIMEOUT_SECONDS,
+)
+from apricotseam.coordination._synchronizer import WATCH_TIMEOUT_SECONDS
 from apricotseam.coordination import Changes
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import MirrorItem
@@ -80,7 +82,7 @@
     seconds=0.3,
     is_urgent=None,
 ):
-    """Run a keeper for some time.
+    """Run a synchronizer for some time.
 
     Returns
     -------
@@ -97,7 +99,7 @@
         async def ask_peers(revision, count):
             return list(changes)
 
-        keeper = MirrorSynchronizer(
+        synchronizer = MirrorSynchronizer(
             store,
             mirror,
             ask_peers,
@@ -106,18 +108,18 @@
             sent.append,
             is_urgent,
         )
-        task = loop.create_task(keeper.run())
+        task = loop.create_task(synchronizer.run())
         await asyncio.sleep(0.05)
         for push in pushes:
             if isinstance(push, PackedPush):
-                keeper.receive_packed_push(push)
+                synchronizer.receive_packed_push(push)
             else:
-                keeper.receive_push(push)
-            # Let the keeper begin to react.
+                synchronizer.receive_push(push)
+            # Let the synchronizer begin to react.
             await asyncio.sleep(0)
         await asyncio.sleep(seconds)
         task.cancel()
-        return mirror, sent, keeper.is_store_unreachable
+        return mirror, sent, synchronizer.is_store_unreachable
 
     return asyncio.run(scenario())
 
--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -4,6 +4,7 @@
 
 from apricotseam.forwarding._head_control import HeadControl
 from apricotseam.forwarding._replacement import ReplacementReserver
+from apricotseam.forwarding._second_attempt import SecondAttempt
 from apricotseam.http1 import EventSplitter
 from apricotseam.http1 import InterruptedReadError
 from apricotseam.http1 import MalformedAnswerError
@@ -79,11 +80,8 @@
         self._has_events = False
         self._is_reading = False
         self._reroutes = 0
-        # Second attempt, the task that starts it, and the identities of the
-        # targets whose silence led to it.
+        # `SecondAttempt` that was started because of a silence, or None.
         self._second = None
-        self._second_task = None
-        self._silent_identities = frozenset()
         self._is_replaced = False
 
     @property
@@ -94,7 +92,9 @@
     @property
     def choice(self):
         """The chain that runs the call; it differs after a reroute."""
-        return self._second.choice if self._is_replaced else self._choice
+        return (
+            self._second.attempt.choice if self._is_replaced else self._choice
+        )
 
     async def run(self):
         """Send the call and forward its events to the caller.
@@ -171,7 +171,7 @@
         is_incomplete = error is not None or failure is not None
         if is_incomplete and await self._is_second_ready():
             self._is_replaced = True
-            return await self._second.continue_run()
+            return await self._second.attempt.continue_run()
         if error is not None:
             raise error
         return failure
@@ -323,7 +323,7 @@
         ReplacedError
             If a second attempt has received data.
         """
-        if self._second_task is not None and not self._second_task.done():
+        if self._second is not None and self._second.is_starting:
             return
         if await self._is_second_ready():
             raise ReplacedError(
@@ -360,41 +360,27 @@
             return
         for identity in identities:
             call.record_outcome(identity, "silent")
-        self._silent_identities = identities
-        self._second = StreamAttempt(
+        attempt = StreamAttempt(
             self._context, self._sender, call, choice, self._record_result
         )
-        self._second.book_capacity()
-        loop = asyncio.get_running_loop()
-        self._second_task = loop.create_task(
-            self._record_result(self._second, self._second.prepare)
+        self._second = SecondAttempt(
+            attempt, identities, self._record_result, self.check_chain
         )
-        self._second_task.add_done_callback(lambda _: self.check_chain())
 
     async def _is_second_ready(self):
-        """Wait for the second attempt; return whether it received data.
-
-        If there is none, or it failed, the result is False, and the silent
-        targets may be tried again.
-        """
-        task = self._second_task
-        if task is None:
+        """Wait for the second attempt; return whether it received data."""
+        if self._second is None:
             return False
-        if await task is None:
+        if await self._second.is_ready():
             return True
-        self._second_task = None
-        self._call.failed_targets -= self._silent_identities
+        self._second = None
         return False
 
     def _drop_second(self):
         """Close the second attempt, since this one has gone on."""
-        task = self._second_task
-        if task is None:
-            return
-        self._second_task = None
-        self._call.failed_targets -= self._silent_identities
-        task.cancel()
-        self._second.close()
+        if self._second is not None:
+            self._second.drop()
+            self._second = None
 
     def _should_avoid(self, target):
         """Return whether a running stream should move off a target."""
--- a/apricotseam/node/tests/test_beliefs.py
+++ b/apricotseam/node/tests/test_store_items.py
@@ -5,8 +5,8 @@
 
 from apricotseam.coordination import HostRecord
 from apricotseam.coordination import MirrorItem
-from apricotseam.node._beliefs import HOSTS_PREFIX
-from apricotseam.node._beliefs import StoreItemHandler
+from apricotseam.node._store_items import HOSTS_PREFIX
+from apricotseam.node._store_items import StoreItemHandler
 from apricotseam.positions import Position
 
 # Number of registered hosts, spread over three availability zones; number of
