--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -67,6 +67,10 @@
         self._logged_states = {}
         # Addresses of delegates of the own zone whose reports are overdue.
         self.unheard_delegates = set()
+        # Addresses that receive this host's load, and the live hosts of its
+        # zone, each with the table that they were found in.
+        self._recipients = (None, ())
+        self._zone_members = (None, ())
         self.table = self._membership.snapshot()
         self._published_changes = self._membership.changes
         for message in MESSAGE_TYPES:
@@ -94,6 +98,13 @@
         In a small fleet these are all other hosts, in a large one those of
         the own availability zone.
         """
+        table, recipients = self._recipients
+        if table is not self.table:
+            recipients = tuple(self._find_recipients())
+            self._recipients = (self.table, recipients)
+        return list(recipients)
+
+    def _find_recipients(self):
         own = self._membership.own
         members = [
             m
@@ -117,11 +128,13 @@
         """
         if not self.is_large:
             return []
-        zone = self._membership.own.availability_zone
+        table, members = self._zone_members
+        if table is not self.table:
+            zone = self._membership.own.availability_zone
+            members = tuple(self._first_of_zone(zone))
+            self._zone_members = (self.table, members)
         heard = [
-            m
-            for m in self._first_of_zone(zone)
-            if m.peers_address not in self.unheard_delegates
+            m for m in members if m.peers_address not in self.unheard_delegates
         ]
         return [m.peers_address for m in heard[:DELEGATES_PER_ZONE]]
 
@@ -235,15 +248,18 @@
             self._publish()
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
 
-    async def ask_changes(self, revision, count):
+    async def ask_changes(self, position, count, readers_first=False):
         """Request the latest changes of the store from random hosts.
 
         Parameters
         ----------
-        revision : int
-            Revision up to which this host knows the changes.
+        position : Position
+            Position up to which this host knows the changes.
         count : int
             Number of hosts to ask.
+        readers_first : bool
+            Whether one of them should be a delegate of this host's zone,
+            which reads the store.
 
         Returns
         -------
@@ -256,9 +272,15 @@
             for m in self.table.present()
             if m.peers_address != own
         ]
-        chosen = random.sample(addresses, min(count, len(addresses)))
+        chosen = []
+        if readers_first:
+            readers = set(self.zone_delegates) - {own}
+            chosen = random.sample(sorted(readers), min(1, len(readers)))
+            addresses = [a for a in addresses if a not in chosen]
+        rest = min(count - len(chosen), len(addresses))
+        chosen += random.sample(addresses, rest)
         requests = [
-            self._request_changes(a, ChangesRequest(revision)) for a in chosen
+            self._request_changes(a, ChangesRequest(position)) for a in chosen
         ]
         answers = await asyncio.gather(*requests)
         return [a for a in answers if isinstance(a, Changes)]
--- a/apricotseam/coordination/tests/test_keeper.py
+++ b/apricotseam/coordination/tests/test_keeper.py
@@ -24,6 +24,7 @@
 from apricotseam.platform import StoreError
 from apricotseam.platform import WATCH_MARGIN_SECONDS
 from apricotseam.platform import WatchResult
+from apricotseam.positions import Position
 
 # Time after an outage of the store within which all hosts have to know its
 # items.
@@ -47,14 +48,15 @@
         self.watches = list(watches)
         self.waits = []
         self.gap = gap
-        self.listing = [Item(k, b"v", r) for k, r in listing]
+        self.listing = [Item(k, b"v", Position(r)) for k, r in listing]
         self.list_calls = 0
+        self.era = 0
 
     async def list_page(self, prefix, after=""):
         """Return all items."""
         self.list_calls += 1
-        revision = max((i.revision for i in self.listing), default=1)
-        return Listing(self.listing, False, revision)
+        last = max((i.position for i in self.listing), default=Position(1))
+        return Listing(self.listing, False, last)
 
     async def watch(self, prefix, after, wait_seconds):
         """Return or raise the next answer."""
@@ -100,7 +102,7 @@
             mirror,
             ask_peers,
             loop.time,
-            lambda: is_reader or not mirror.revision,
+            lambda: is_reader or not mirror.position,
             sent.append,
             is_urgent,
         )
@@ -111,6 +113,8 @@
                 keeper.receive_packed_push(push)
             else:
                 keeper.receive_push(push)
+            # Let the keeper begin to react.
+            await asyncio.sleep(0)
         await asyncio.sleep(seconds)
         task.cancel()
         return mirror, sent, keeper.is_store_unreachable
@@ -119,10 +123,10 @@
 
 
 def test_changes_are_applied_and_pushed():
-    changed = WatchResult([Item("a", b"w", 5)], 5)
+    changed = WatchResult([Item("a", b"w", Position(5))], Position(5))
     mirror, sent, _ = follow(FakeStore([changed], [("a", 3)]))
     assert mirror.get("a").value == b"w"
-    assert [(push.base, push.revision) for push in sent] == [(3, 5)]
+    assert [(push.base, push.position) for push in sent] == [(3, 5)]
 
 
 def test_lost_history_is_listed_again():
@@ -133,20 +137,30 @@
 
 def test_peers_are_asked_while_the_store_is_unreachable():
     error = StoreError("down", "wait")
-    found = Changes(9, [MirrorItem("a", b"new", 9)])
+    found = Changes(Position(9), [MirrorItem("a", b"new", Position(9))])
     mirror, _, is_store_unreachable = follow(
         FakeStore([error] * 50, [("a", 3)]), changes=[found]
     )
     assert mirror.get("a").value == b"new"
-    assert (mirror.revision, is_store_unreachable) == (9, True)
+    assert (mirror.position, is_store_unreachable) == (9, True)
 
 
 # Case, pushes that are received, resulting value and revision of the mirror.
 PUSHES = [
-    ("next change", [Push(3, 5, [MirrorItem("a", b"w", 5)])], b"w", 5),
-    ("heartbeat", [Push(3, 3, [])], b"v", 3),
-    ("outdated change", [Push(1, 2, [MirrorItem("a", b"o", 2)])], b"v", 3),
-    ("missing changes", [Push(8, 9, [])], b"new", 9),
+    (
+        "next change",
+        [Push(Position(3), Position(5), [MirrorItem("a", b"w", Position(5))])],
+        b"w",
+        5,
+    ),
+    ("heartbeat", [Push(Position(3), Position(3), [])], b"v", 3),
+    (
+        "outdated change",
+        [Push(Position(1), Position(2), [MirrorItem("a", b"o", Position(2))])],
+        b"v",
+        3,
+    ),
+    ("missing changes", [Push(Position(8), Position(9), [])], b"new", 9),
 ]
 # Random, as compressible bytes would fit in a push.
 LARGE = random.Random(1).randbytes(MAX_PUSHED_BYTES + 1)
@@ -159,19 +173,19 @@
 )
 def test_pushes_of_a_reader(pushes, value, revision):
     store = FakeStore([], [("a", 3)], gap=StoreError("down", "wait"))
-    answer = Changes(9, [MirrorItem("a", b"new", 9)])
+    answer = Changes(Position(9), [MirrorItem("a", b"new", Position(9))])
     mirror, sent, _ = follow(
         store, changes=[answer], is_reader=False, pushes=pushes
     )
-    assert (mirror.get("a").value, mirror.revision) == (value, revision)
+    assert (mirror.get("a").value, mirror.position) == (value, revision)
     assert sent == []
 
 
 def test_a_large_change_is_announced_without_items():
-    changed = WatchResult([Item("a", LARGE, 5)], 5)
+    changed = WatchResult([Item("a", LARGE, Position(5))], Position(5))
     mirror, sent, _ = follow(FakeStore([changed], [("a", 3)]))
     assert mirror.get("a").value == LARGE
-    assert sent == [Push(5, 5, [])]
+    assert sent == [Push(Position(5), Position(5), [])]
 
 
 # Case, value of a change, whether its push is packed.
@@ -187,7 +201,7 @@
     ids=[case[0] for case in PACKED],
 )
 def test_pushed_changes_reach_the_other_hosts(value, is_packed):
-    changed = WatchResult([Item("a", value, 5)], 5)
+    changed = WatchResult([Item("a", value, Position(5))], Position(5))
     _, sent, _ = follow(FakeStore([changed], [("a", 3)]))
     assert [isinstance(push, PackedPush) for push in sent] == [is_packed]
     store = FakeStore([], [("a", 3)])
@@ -197,26 +211,30 @@
 
 @pytest.mark.parametrize("packed", [b"", b"not compressed"])
 def test_a_packed_push_that_cannot_be_read_is_fetched(packed):
-    changed = WatchResult([Item("a", b"w", 5)], 5)
+    changed = WatchResult([Item("a", b"w", Position(5))], Position(5))
     store = FakeStore([], [("a", 3)], gap=changed)
-    push = PackedPush(3, 5, packed)
+    push = PackedPush(Position(3), Position(5), packed)
     mirror, _, _ = follow(store, is_reader=False, pushes=[push])
     assert mirror.get("a").value == b"w"
 
 
 def test_a_gap_is_filled_from_the_store():
-    changed = WatchResult([Item("a", LARGE, 5)], 5)
+    changed = WatchResult([Item("a", LARGE, Position(5))], Position(5))
     store = FakeStore([], [("a", 3)], gap=changed)
-    mirror, _, _ = follow(store, is_reader=False, pushes=[Push(5, 5, [])])
+    mirror, _, _ = follow(
+        store, is_reader=False, pushes=[Push(Position(5), Position(5), [])]
+    )
     assert mirror.get("a").value == LARGE
-    assert mirror.revision == 5
+    assert mirror.position == 5
 
 
 def test_many_large_versions_are_listed_instead():
     """A listing does not contain versions that were overwritten meanwhile."""
     size = MAX_SUPERSEDED_BYTES
-    versions = [Item("a", bytes([n]) * size, 4 + n) for n in range(3)]
-    store = FakeStore([WatchResult(versions, 6)], [("a", 3)])
+    versions = [
+        Item("a", bytes([n]) * size, Position(4 + n)) for n in range(3)
+    ]
+    store = FakeStore([WatchResult(versions, Position(6))], [("a", 3)])
     follow(store, seconds=LARGE_PAUSE_SECONDS + 0.2)
     assert store.list_calls == 2
 
@@ -231,7 +249,10 @@
     ids=[case[0] for case in CHANGES],
 )
 def test_non_urgent_changes_are_coalesced(is_urgent, watches):
-    answers = [WatchResult([Item("a", b"w", 4 + n)], 4 + n) for n in range(9)]
+    answers = [
+        WatchResult([Item("a", b"w", Position(4 + n))], Position(4 + n))
+        for n in range(9)
+    ]
     store = FakeStore(answers, [("a", 3)])
     follow(store, is_urgent=lambda item: is_urgent)
     assert 9 - len(store.watches) <= watches + 1
@@ -241,7 +262,7 @@
 def test_an_unreachable_store_is_watched_with_a_short_timeout():
     """A call that is never answered would delay recovery of the host."""
     error = StoreError("down", "wait")
-    store = FakeStore([error, error, WatchResult([], 3)], [("a", 3)])
+    store = FakeStore([error, error, WatchResult([], Position(3))], [("a", 3)])
     follow(store, seconds=0.6)
     assert store.waits[:4] == [
         WATCH_TIMEOUT_SECONDS,
@@ -256,3 +277,80 @@
     assert (
         WATCH_TIMEOUT_SECONDS + WATCH_MARGIN_SECONDS < MAX_CONVERGENCE_SECONDS
     )
+
+
+class PagedStore(FakeStore):
+    """Store that goes back between the pages of its first listing."""
+
+    def __init__(self):
+        super().__init__([])
+        first = Item("a", b"v", Position.of(0, 9))
+        again = Item("a", b"v", Position.of(1, 3))
+        last = Item("b", b"w", Position.of(1, 4))
+        self.pages = [
+            Listing([first], True, Position.of(0, 9)),
+            Listing([last], False, Position.of(1, 4)),
+            Listing([again], True, Position.of(1, 4)),
+            Listing([last], False, Position.of(1, 4)),
+        ]
+
+    async def list_page(self, prefix, after=""):
+        """Return the next page."""
+        page = self.pages.pop(0)
+        self.era = page.position.era
+        return page
+
+
+def test_a_listing_over_which_the_store_went_back_starts_again():
+    store = PagedStore()
+    mirror, _, _ = follow(store)
+    assert store.pages == []
+    assert [item.position for item in mirror.with_prefix("")] == [
+        Position.of(1, 3),
+        Position.of(1, 4),
+    ]
+
+
+class SilentStore(FakeStore):
+    """Store whose watches end only when they are cancelled."""
+
+    def __init__(self):
+        super().__init__([], [("a", 3)])
+        self.on_new_era = lambda: None
+
+    def notice_era(self, era):
+        """Record an era."""
+        self.era = era
+        self.listing = [Item("a", b"w", Position.of(era, 2))]
+        self.on_new_era()
+
+    async def watch(self, prefix, after, wait_seconds):
+        """Wait."""
+        await asyncio.sleep(3600)
+
+
+# Eras of pushes that arrive at once, and the resulting position.
+NOTICES = [([1], Position.of(1, 2)), ([1, 2, 3], Position.of(3, 2))]
+
+
+@pytest.mark.parametrize(("eras", "expected"), NOTICES)
+def test_a_push_of_a_later_era_ends_a_pending_watch(eras, expected):
+    positions = [Position.of(era, 9) for era in eras]
+    pushes = [Push(position, position, []) for position in positions]
+    mirror, sent, _ = follow(SilentStore(), pushes=pushes)
+    assert (mirror.get("a").value, mirror.position) == (b"w", expected)
+    # The other hosts of the zone hear of the era at once.
+    assert [push.position for push in sent] == [expected]
+
+
+def test_a_push_of_an_earlier_era_is_dropped():
+    store = FakeStore([], [("a", 3)])
+    store.era = 1
+    store.listing = [Item("a", b"v", Position.of(1, 3))]
+    late = MirrorItem("a", b"late", Position(9))
+    push = Push(Position(3), Position(9), [late])
+    mirror, _, _ = follow(store, pushes=[push])
+    assert (mirror.get("a").value, mirror.position) == (
+        b"v",
+        Position.of(1, 3),
+    )
--- a/apricotseam/forwarding/_passage.py
+++ b/apricotseam/forwarding/_passage.py
@@ -57,9 +57,9 @@
     choice : Choice
         The chain to start with.
     record_result : callable
-        Coroutine function that takes an attempt and a coroutine of it, and
-        records its failure. It returns None if the coroutine succeeded, else
-        the HTTP status that results.
+        Coroutine function that takes an attempt and a method of it, awaits
+        the method and records a failure. It returns None if the method
+        succeeded, else the HTTP status that results.
     """
 
     def __init__(self, context, sender, call, choice, record_result):
@@ -109,6 +109,7 @@
         TransportError
             If the answer was not received completely.
         """
+        self.book_capacity()
         return await self._run_until_replaced(self._run())
 
     async def prepare(self):
@@ -142,6 +143,12 @@
         """Forward the answer of a prepared attempt; see `run`."""
         return await self._run_until_replaced(self._relay(self._first_data))
 
+    def book_capacity(self):
+        """Book the capacity that the chain uses until `close`."""
+        choice = self._choice
+        self._booking = self._context.ledger.book(choice.tokens, choice.shares)
+        self._context.active_streams.add(self, self._identities())
+
     def close(self):
         """Release the capacity and close the connection."""
         self._release_capacity()
@@ -189,14 +196,15 @@
             An answer that is not a stream.
         """
         call = self._call
-        self._book_capacity()
-        head = self._choice.head
-        self._connection = await self._sender.open(call, head)
+        choice = self._choice
+        self._connection = await self._sender.open(call, choice)
         connection = self._connection
-        self._sender.send(call, connection, self._choice, call.last_event)
+        self._sender.send(call, connection, choice, call.last_event)
         call.runs += 1
         answer, metadata = await read_patiently(
-            lambda deadline: self._sender.read_head(call, connection, deadline)
+            lambda deadline: self._sender.read_head(
+                call, connection, deadline, choice.head
+            )
         )
         if answer.status != 200 or metadata.was_not_run:
             body = await connection.read_all(
@@ -356,9 +364,10 @@
         self._second = StreamAttempt(
             self._context, self._sender, call, choice, self._record_result
         )
+        self._second.book_capacity()
         loop = asyncio.get_running_loop()
         self._second_task = loop.create_task(
-            self._record_result(self._second, self._second.prepare())
+            self._record_result(self._second, self._second.prepare)
         )
         self._second_task.add_done_callback(lambda _: self.check_chain())
 
@@ -384,10 +393,8 @@
             return
         self._second_task = None
         self._call.failed_targets -= self._silent_identities
-        if task.done():
-            self._second.close()
-        else:
-            task.cancel()
+        task.cancel()
+        self._second.close()
 
     def _should_avoid(self, target):
         """Return whether a running stream should move off a target."""
@@ -417,7 +424,7 @@
         if is_done:
             self._release_capacity()
             self._choice = choice
-            self._book_capacity()
+            self.book_capacity()
         return is_done
 
     def check_chain(self):
@@ -435,11 +442,6 @@
     def _identities(self):
         return [target.identity for target, _ in self._choice.stages]
 
-    def _book_capacity(self):
-        choice = self._choice
-        self._booking = self._context.ledger.book(choice.tokens, choice.shares)
-        self._context.active_streams.add(self, self._identities())
-
     def _return_connection(self, answer):
         head = self._choice.head
         self._context.pool.release(head.incarnation, self._connection, answer)
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -7,6 +7,8 @@
 from apricotseam.errors import InvalidInputError
 from apricotseam.forwarding._contact import ConnectivityCheck
 from apricotseam.http1 import connect
+from apricotseam.http1 import LostConnectionError
+from apricotseam.http1 import RefusedConnectionError
 from apricotseam.http1 import TransportError
 from apricotseam.platform import decode_report
 from apricotseam.platform import REPORT_PATH
@@ -87,6 +89,16 @@
             if not is_responsive
         ]
 
+    async def reprobe(self, targets):
+        """Probe targets that were found silent once more.
+
+        Parameters
+        ----------
+        targets : list of Target
+            The targets; their health is updated.
+        """
+        await asyncio.gather(*(self._reprobe(target) for target in targets))
+
     async def watch(self, hosts):
         """Probe silent and slow targets periodically; never return.
 
@@ -97,26 +109,33 @@
         """
         while True:
             await asyncio.sleep(REPROBE_PERIOD_SECONDS)
-            probed = self._targets_to_reprobe(PROBING_HOSTS / max(1, hosts()))
-            await asyncio.gather(*(self._reprobe(t) for t in probed))
+            await self.reprobe(
+                self._targets_to_reprobe(PROBING_HOSTS / max(1, hosts()))
+            )
 
     def _targets_to_reprobe(self, slow_fraction):
         """Return the targets to probe in this interval.
 
         Silent targets are always included, because reachability differs
         between hosts. A slow target's report is the same for all hosts, so
-        each host probes only a random fraction of the slow targets.
+        each host probes only a random fraction of the slow targets, and none
+        that asked it for a rest.
+
+        Silent targets come first, the least recently contacted one before
+        the others, as the rate limit may not permit all probes.
         """
         now = self._now()
-        return [
+        targets = [
             target
             for target in self._targets
             if target.health.is_silent
             or (
                 target.health.is_self_reported_slow(now)
+                and not target.is_resting(now)
                 and self._random.random() < slow_fraction
             )
         ]
+        return sorted(targets, key=_reprobe_rank)
 
     async def _reprobe(self, target):
         was_silent = target.health.is_silent
@@ -234,7 +253,11 @@
                 await self._read_report(target)
             else:
                 await self._connect(target)
-        except TransportError:
+        except TransportError as error:
+            is_rejected = isinstance(
+                error, (LostConnectionError, RefusedConnectionError)
+            )
+            target.health.record_contact_failure(self._now(), is_rejected)
             return False
         except InvalidInputError as error:
             _LOG.info(
@@ -287,3 +310,8 @@
     def forget(self, target):
         """Discard the probe result of a target that was removed."""
         self._responsive_until.pop(target.identity, None)
+
+
+def _reprobe_rank(target):
+    last_failed_at = target.health.last_failed_at
+    return (last_failed_at is None, last_failed_at or 0.0)
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -5,10 +5,11 @@
 
 from apricotseam.forwarding._answering import fail
 from apricotseam.forwarding._answering import FailedAnswer
-from apricotseam.forwarding._answering import refuse_call
+from apricotseam.forwarding._errors import OutdatedChoiceError
 from apricotseam.forwarding._passage import StreamAttempt
 from apricotseam.forwarding._request_queue import WAIT_FRACTION
 from apricotseam.forwarding._sender import Sender
+from apricotseam.forwarding._unserved import refuse_unserved
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import TransportError
 from apricotseam.http1 import TransportTimeoutError
@@ -20,6 +21,9 @@
 MAX_ATTEMPTS = 5
 # How long an interrupted stream may wait for capacity to continue.
 RESUME_WAIT_SECONDS = 0.8
+# How long a request that was refused before may wait. It is late already, and
+# callers give up after two seconds.
+RETURN_WAIT_SECONDS = 1.5
 # Time for which a target that refused a request gets no others.
 REFUSED_PAUSE_SECONDS = 0.25
 MIN_RETRY_AFTER_SECONDS = 0.3
@@ -48,7 +52,7 @@
                 break
             call.attempts += 1
             attempt = self._make_attempt(call, choice)
-            failure = await self._record_result(attempt, attempt.run())
+            failure = await self._record_result(attempt, attempt.run)
             if failure is None:
                 return 200
             status = failure
@@ -56,7 +60,7 @@
             call.exchange.abort_response()
             return "cut"
         if call.runs == 0:
-            return refuse_call(
+            return refuse_unserved(
                 self._context, call, "no room", self._retry_after(call)
             )
         return fail(call, status)
@@ -108,7 +112,7 @@
         if call.exchange.is_started or request_queue.is_first(rank):
             choice = self._choose_now(call)
         until = self._wait_deadline(call)
-        while choice is None and self._should_wait(call, until):
+        while choice is None and self._should_wait(call, rank, until):
             started_at = loop.time()
             has_turn = await request_queue.wait(rank, until)
             call.waited_seconds += loop.time() - started_at
@@ -140,9 +144,11 @@
         if call.exchange.is_started:
             return min(call.deadline, now + RESUME_WAIT_SECONDS)
         wait_seconds = WAIT_FRACTION * call.route.objective_seconds
+        if self._context.request_queue.was_refused_before(call):
+            wait_seconds = RETURN_WAIT_SECONDS
         return min(call.deadline, call.request.received_at + wait_seconds)
 
-    def _should_wait(self, call, until):
+    def _should_wait(self, call, rank, until):
         """Return whether to wait for capacity until a loop time in seconds.
 
         No request waits unless a chain covers all layers. A new request waits
@@ -152,32 +158,36 @@
         now = asyncio.get_running_loop().time()
         if call.service.engine is None or now >= until:
             return False
-        if not self._context.target_selector.has_layers(call.service):
+        target_selector = self._context.target_selector
+        if not target_selector.has_layers(call.service, until):
             return False
         if call.exchange.is_started:
             return True
-        return (
-            now + self._context.request_queue.expected_wait_seconds() <= until
-        )
+        request_queue = self._context.request_queue
+        return now + request_queue.expected_wait_seconds(rank) <= until
 
     def _retry_after(self, call):
         """Record a refusal; return the suggested retry delay in seconds."""
         request_queue = self._context.request_queue
         request_queue.record_refusal(call)
-        wait = request_queue.expected_wait_seconds()
+        wait = request_queue.reserve_return_seconds()
         return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait))
 
-    async def _record_result(self, attempt, running):
-        """Await a coroutine of an attempt and record how it ended.
+    async def _record_result(self, attempt, run):
+        """Run a method of an attempt and record how it ended.
 
         Returns
         -------
         int or None
-            The HTTP status that results; None if the coroutine succeeded.
+            The HTTP status that results; None if the method succeeded.
         """
         call = attempt.call
         try:
-            failure = await running
+            failure = await run()
+        except OutdatedChoiceError:
+            choice = attempt.choice
+            call.withdraw_attempt(choice.chain or choice.head.identity)
+            return 502
         except ConnectError:
             self._record_failure(
                 call, attempt.choice.head, "no_connection", True
@@ -206,6 +216,9 @@
         call.record_outcome(choice.chain or choice.head.identity, error.code)
         targets = [target for target, _ in choice.stages]
         if not is_timeout:
+            # Answers from before the break say nothing about the targets.
+            for target in targets:
+                self._context.prober.forget(target)
             await self._context.prober.find_unresponsive(targets)
         now = asyncio.get_running_loop().time()
         suspects = [t for t in targets if t.health.is_suspect(now)]
@@ -223,6 +236,9 @@
             self._record_failure(
                 call, at_fault, f"not_run_{answer.status}", False
             )
+            now = asyncio.get_running_loop().time()
+            if at_fault.is_resting(now):
+                return 502
             if not await self._context.prober.find_unresponsive([at_fault]):
                 now = asyncio.get_running_loop().time()
                 at_fault.health.avoid(now + REFUSED_PAUSE_SECONDS)
--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -23,11 +23,16 @@
 FIRST_LAYOUT_SETTLE_SECONDS = 1.2
 # With a layout in place, targets must not have changed for this long.
 SETTLE_SECONDS = 0.3
-# A target that is silent for this long counts as lost, although its entry in
-# the store ends only with its lease.
-LOST_AFTER_SECONDS = 0.6
-# If more of the targets of an availability zone are silent, the cause is
-# likely the network, and layers are not moved.
+# A target that rejects connections for this long counts as lost, although its
+# entry in the store ends only with its lease.
+LOST_AFTER_REJECTION_SECONDS = 0.6
+# The same for a target that sends nothing. A sound one may do so for 1.5 s.
+LOST_AFTER_SILENCE_SECONDS = 1.8
+# A target counts as lost while its rest goes on for longer than this. To move
+# layers because of a shorter one would take longer than the rest.
+LOST_REST_SECONDS = 5.0
+# If more of the targets of an availability zone are lost, the cause is likely
+# the network or their load, and layers are not moved.
 MAX_LOST_SHARE = 0.5
 # If the store does not show the effect of an order after this time, the
 # target is asked for its report.
@@ -112,26 +117,22 @@
         )
         records = [await self._expected_record(target) for target in targets]
         orders = choose_orders(records, service.engine)
+        resting = _resting_at(self._now(), targets)
+        orders = [o for o in orders if o.identity not in resting]
         if orders:
             await asyncio.gather(
                 *(self._issue_order(order) for order in orders)
             )
 
     async def _without_lost(self, targets):
-        """Return the targets that have not been silent for long.
-
-        A target that only peers report as silent has to be silent to a
-        probe of this host, too.
-        """
-        now = self._now()
-        silent = [
-            target
-            for target in targets
-            if target.health.silent_seconds(now) >= LOST_AFTER_SECONDS
-        ]
-        if not silent:
+        """Return the targets that are not silent or resting for long."""
+        resting = _resting_at(self._now() + LOST_REST_SECONDS, targets)
+        lost = [t for t in targets if t.identity in resting]
+        lost += await self._find_silent(
+            [t for t in targets if t.identity not in resting]
+        )
+        if not lost:
             return targets
-        lost = await self._context.prober.find_unresponsive(silent)
         lost_by_zone = collections.Counter(t.record.zone for t in lost)
         totals = collections.Counter(t.record.zone for t in targets)
         ignored = {
@@ -142,6 +143,36 @@
         }
         return [t for t in targets if t.identity not in ignored]
 
+    async def _find_silent(self, targets):
+        """Return the targets that are lost because they are silent.
+
+        A target that only peers report as silent has to be silent to probes
+        of this host, too. If it sends nothing, the last of them comes at the
+        end of the time after which the target counts as lost.
+        """
+        silent = [t for t in targets if self._silent_seconds(t)]
+        if not silent:
+            return []
+        prober = self._context.prober
+        unresponsive = await prober.find_unresponsive(silent)
+        await prober.reprobe([t for t in unresponsive if self._is_overdue(t)])
+        return [t for t in unresponsive if self._is_lost(t)]
+
+    def _silent_seconds(self, target):
+        return target.health.silent_seconds(self._now())
+
+    def _is_overdue(self, target):
+        """Return whether a target is lost if one more probe fails."""
+        is_due = self._silent_seconds(target) >= LOST_AFTER_SILENCE_SECONDS
+        return is_due and not self._is_lost(target)
+
+    def _is_lost(self, target):
+        """Return whether a target that does not respond counts as lost."""
+        if target.health.rejects_connections:
+            return self._silent_seconds(target) >= LOST_AFTER_REJECTION_SECONDS
+        observed = target.health.observed_silence_seconds()
+        return observed >= LOST_AFTER_SILENCE_SECONDS
+
     async def _expected_record(self, target):
         """Return a target's record as if its pending order were done."""
         record = target.record
@@ -152,7 +183,8 @@
         if is_confirmed or pending.incarnation != target.incarnation:
             del self._pending[target.identity]
             return record
-        if self._now() >= pending.check_at:
+        now = self._now()
+        if now >= pending.check_at and not target.is_resting(now):
             await self._verify_order(target, pending)
         return _with_layers(record, pending.layers)
 
@@ -248,5 +280,10 @@
         )
 
 
+def _resting_at(time, targets):
+    """Return the identities of the targets that rest at a time."""
+    return {t.identity for t in targets if t.is_resting(time)}
+
+
 def _with_layers(record, layers):
     return msgspec.structs.replace(record, layers=layers)
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -12,6 +12,8 @@
 from apricotseam.chains import sum_usages
 from apricotseam.chains import Usage
 from apricotseam.forwarding import RepeatCount
+from apricotseam.positions import NO_POSITION
+from apricotseam.positions import Position
 
 # A host that sent nothing for this long no longer counts in reports.
 STATE_EXPIRY_SECONDS = 4.0
@@ -24,6 +26,17 @@
 _NO_COUNT = RepeatCount()
 
 
+class LeavingNotice(msgspec.Struct, frozen=True, array_like=True):
+    """Notice that a target process leaves.
+
+    ``born_ms`` is the start time of the process, as in `TargetRecord`.
+    ``age_seconds`` is the time since it announced that it leaves.
+    """
+
+    born_ms: int
+    age_seconds: float
+
+
 class HostState(msgspec.Struct, frozen=True, array_like=True):
     """State that a host sends its peers several times per second.
 
@@ -31,7 +44,8 @@
     that it cannot reach, ``slow`` holds the slowness factors of targets that
     reported themselves slow, ``refused`` the retry keys of requests that it
     refused recently, and ``repeats`` its counts of retries by service.
-    ``number`` counts its messages.
+    ``number`` counts its messages. ``leaving`` are the targets that, as it
+    knows, announced that they leave.
     """
 
     host: str
@@ -42,6 +56,7 @@
     slow: dict[str, float]
     refused: list[str]
     repeats: dict[str, RepeatCount]
+    leaving: dict[str, LeavingNotice] = {}
 
     @property
     def sender(self):
@@ -57,8 +72,10 @@
     that the sums include. ``usages`` and ``repeats`` are sums over these
     hosts; ``other_zones`` is the usage by hosts of the other zones, or None
     if the report does not repeat it. ``silent`` are peer addresses of hosts
-    whose states are overdue. ``store_revision`` is the revision of the store
-    that the sender follows, 0 if it does not follow the store.
+    whose states are overdue. ``store_position`` is the position in the store
+    that the sender follows, `NO_POSITION` if it does not follow the store.
+    ``leaving`` are the targets that, as the sender knows, announced that they
+    leave.
     """
 
     zone: str
@@ -72,7 +89,8 @@
     refused: list[str]
     repeats: dict[str, RepeatCount]
     silent: list[str]
-    store_revision: int
+    store_position: Position
+    leaving: dict[str, LeavingNotice] = {}
 
 
 def is_newer(message, known):
@@ -192,7 +210,8 @@
             refused=[*self._refused_at, *own.refused],
             repeats=_sum_repeats(state.repeats for state in states),
             silent=silent,
-            store_revision=0,
+            store_position=NO_POSITION,
+            leaving=own.leaving,
         )
 
     def _noticed(self, now):
