Log and count the request rates that targets state

The incident's logs don't tell whether a host has read a limit, nor whether what a limited target gets are first attempts or further ones. The limit is now decoded from the head of every answer and kept by process, newest answer first; target_limit is logged at each change, and answers with limits, values that cannot be read and sends to limited targets are counted. Nothing acts on it yet. AnnouncementSource is the former LeavingSource, which now also names the source of limits.

--- a/apricotseam/fleet/__init__.py
+++ b/apricotseam/fleet/__init__.py
@@ -1,7 +1,7 @@
 """State and health of the targets, as seen by one host."""
 
 from apricotseam.fleet._announcements import Announcements
-from apricotseam.fleet._announcements import LeavingSource
+from apricotseam.fleet._announcements import AnnouncementSource
 from apricotseam.fleet._announcements import MAX_REST_SECONDS
 from apricotseam.fleet._fleet import Fleet
 from apricotseam.fleet._health import Health
@@ -15,7 +15,7 @@
     "Fleet",
     "Health",
     "LayerRange",
-    "LeavingSource",
+    "AnnouncementSource",
     "MAX_REST_SECONDS",
     "Target",
     "TargetRecord",
--- a/apricotseam/fleet/_announcements.py
+++ b/apricotseam/fleet/_announcements.py
@@ -7,8 +7,8 @@
 MAX_REST_SECONDS = 600.0
 
 
-class LeavingSource(enum.StrEnum):
-    """Where a host first learned that a target leaves."""
+class AnnouncementSource(enum.StrEnum):
+    """Where a host learned what a target says about itself."""
 
     OWN_ANSWER = "own answer"
     PEER = "peer"
@@ -19,24 +19,41 @@
     """Announcements of one target process.
 
     They hold until the process ends: nothing takes a leaving back, and a
-    rest ends at its deadline only. Times are monotonic, in seconds.
+    rest ends at its deadline only. A limit holds until a later answer states
+    another one or none. Times are monotonic, in seconds.
 
     Attributes
     ----------
     leaving_since : float or None
         Time of the first announcement that the process leaves.
-    leaving_source : LeavingSource or None
+    leaving_source : AnnouncementSource or None
         Source of that announcement.
     rests_until : float
         Time until which it wants no requests from this host.
+    requests_per_second : float or None
+        Rate that it accepts from all hosts together, None if unlimited.
+    limit_heard_at : float
+        Time at which it last stated that rate, or that there is none.
+    limit_source : AnnouncementSource or None
+        Source of that statement, None if it never stated a limit.
     """
 
-    __slots__ = ("leaving_since", "leaving_source", "rests_until")
+    __slots__ = (
+        "leaving_since",
+        "leaving_source",
+        "limit_heard_at",
+        "limit_source",
+        "requests_per_second",
+        "rests_until",
+    )
 
     def __init__(self):
         self.leaving_since = None
         self.leaving_source = None
         self.rests_until = 0.0
+        self.requests_per_second = None
+        self.limit_heard_at = float("-inf")
+        self.limit_source = None
 
     @property
     def is_leaving(self):
@@ -68,3 +85,30 @@
             return False
         self.rests_until = until
         return True
+
+    def record_limit(self, requests_per_second, source, heard_at):
+        """Record a limit unless a later answer is known already.
+
+        Parameters
+        ----------
+        requests_per_second : float or None
+            The rate that the process accepts, None if it states none.
+        source : AnnouncementSource
+            Where this host learned it.
+        heard_at : float
+            Time of the answer.
+
+        Returns
+        -------
+        bool
+            Whether the rate changed.
+        """
+        if heard_at <= self.limit_heard_at:
+            return False
+        if requests_per_second is None and self.limit_source is None:
+            return False
+        is_change = requests_per_second != self.requests_per_second
+        self.requests_per_second = requests_per_second
+        self.limit_source = source
+        self.limit_heard_at = heard_at
+        return is_change
--- a/apricotseam/fleet/_fleet.py
+++ b/apricotseam/fleet/_fleet.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from apricotseam.fleet._announcements import Announcements
-from apricotseam.fleet._announcements import LeavingSource
+from apricotseam.fleet._announcements import AnnouncementSource
 from apricotseam.fleet._target import Target
 from apricotseam.fleet._target import TargetRecord
 from apricotseam.positions import NO_POSITION
@@ -105,7 +105,7 @@
             known.is_present = True
             self._link(known)
             if accepted_requests and not known.accepts_requests:
-                _log_leaving(known.identity, LeavingSource.STORE, 0.0)
+                _log_leaving(known.identity, AnnouncementSource.STORE, 0.0)
                 self._on_drain(known)
             return
         if known is not None:
@@ -138,7 +138,7 @@
         ----------
         incarnation : tuple
             `Target.incarnation` of the process.
-        source : LeavingSource
+        source : AnnouncementSource
             Where this host learned it.
         now : float
             Monotonic time in seconds.
@@ -190,13 +190,50 @@
                 "target_resting",
                 extra={
                     "target": incarnation[0],
-                    "source": str(LeavingSource.OWN_ANSWER),
+                    "source": str(AnnouncementSource.OWN_ANSWER),
                     "age_seconds": 0.0,
                     "seconds": round(announcements.rests_until - now, 3),
                 },
             )
         return announcements.rests_until
 
+    def record_limit(self, incarnation, requests_per_second, source, heard_at):
+        """Record the rate of requests that a process accepts.
+
+        Parameters
+        ----------
+        incarnation : tuple
+            `Target.incarnation` of the process.
+        requests_per_second : float or None
+            Rate from all hosts together; None if an answer states none.
+        source : AnnouncementSource
+            Where this host learned it.
+        heard_at : float
+            Monotonic time in seconds at which the answer was read.
+
+        Returns
+        -------
+        bool
+            Whether the rate changed.
+        """
+        if requests_per_second is None:
+            if incarnation not in self._announcements:
+                return False
+        announcements = self._find_announcements(incarnation)
+        if not announcements.record_limit(
+            requests_per_second, source, heard_at
+        ):
+            return False
+        _LOG.info(
+            "target_limit",
+            extra={
+                "target": incarnation[0],
+                "requests_per_second": requests_per_second,
+                "source": str(source),
+            },
+        )
+        return True
+
     def _find_process(self, incarnation):
         """Return the target with an incarnation, or None."""
         target = self._targets.get(incarnation[0])
--- a/apricotseam/fleet/tests/test_announcements.py
+++ b/apricotseam/fleet/tests/test_announcements.py
@@ -6,8 +6,8 @@
 import pytest
 
 from apricotseam.fleet._fleet import MAX_REMEMBERED_PROCESSES
+from apricotseam.fleet import AnnouncementSource
 from apricotseam.fleet import Fleet
-from apricotseam.fleet import LeavingSource
 from apricotseam.fleet import MAX_REST_SECONDS
 from apricotseam.fleet import TargetRecord
 from apricotseam.positions import Position
@@ -15,7 +15,7 @@
 RECORD = TargetRecord(
     identity="i-1", service="s", address="10.0.0.1:80", zone="a", born_ms=1
 )
-OWN = LeavingSource.OWN_ANSWER
+OWN = AnnouncementSource.OWN_ANSWER
 
 
 def replace_fields(**fields):
@@ -86,7 +86,7 @@
 
 def test_word_that_comes_before_the_entry_is_kept():
     fleet = Fleet()
-    source = LeavingSource.PEER
+    source = AnnouncementSource.PEER
     fleet.record_leaving(RECORD.incarnation, source, 10.0, 2.0)
     fleet.update(RECORD)
     announcements = fleet.get("i-1").announcements
@@ -100,11 +100,14 @@
     fleet = Fleet(on_drain=drained.append)
     fleet.update(RECORD)
     changes = fleet.changes
-    for source in LeavingSource:
+    for source in AnnouncementSource:
         fleet.record_leaving(RECORD.incarnation, source, 1.0)
     fleet.update(replace_fields(is_draining=True, position=Position(2)))
     assert [t.identity for t in drained] == ["i-1"]
-    assert drained[0].announcements.leaving_source is LeavingSource.OWN_ANSWER
+    assert (
+        drained[0].announcements.leaving_source
+        is AnnouncementSource.OWN_ANSWER
+    )
     assert fleet.changes > changes
 
 
@@ -160,9 +163,9 @@
 
 # Source, age in seconds, the line.
 SOURCES = [
-    (LeavingSource.OWN_ANSWER, 0.0, ("own answer", 0.0)),
-    (LeavingSource.PEER, 1.25, ("peer", 1.25)),
-    (LeavingSource.STORE, 0.0, ("store", 0.0)),
+    (AnnouncementSource.OWN_ANSWER, 0.0, ("own answer", 0.0)),
+    (AnnouncementSource.PEER, 1.25, ("peer", 1.25)),
+    (AnnouncementSource.STORE, 0.0, ("store", 0.0)),
 ]
 
 
@@ -173,7 +176,7 @@
     caplog.set_level(logging.INFO)
     fleet = Fleet()
     fleet.update(RECORD)
-    if source is LeavingSource.STORE:
+    if source is AnnouncementSource.STORE:
         fleet.update(replace_fields(is_draining=True, position=Position(2)))
     else:
         for _ in range(2):
@@ -187,7 +190,47 @@
     fleet.update(RECORD)
     fleet.record_leaving(RECORD.incarnation, OWN, 0.0)
     for number in range(2 * MAX_REMEMBERED_PROCESSES):
-        fleet.record_leaving((f"x{number}", 1), LeavingSource.PEER, 1.0)
+        fleet.record_leaving((f"x{number}", 1), AnnouncementSource.PEER, 1.0)
     assert len(fleet._announcements) == MAX_REMEMBERED_PROCESSES
     # A target that is listed knows its own word all the same.
     assert not fleet.get("i-1").accepts_requests
+
+
+PEER = AnnouncementSource.PEER
+
+# Description, statements as rate, source and time of the answer, the limit
+# that is known then.
+LIMITS = [
+    ("named", [(2.5, OWN, 1.0)], 2.5),
+    ("changed", [(2.5, OWN, 1.0), (4.0, OWN, 2.0)], 4.0),
+    ("ended", [(2.5, OWN, 1.0), (None, OWN, 2.0)], None),
+    ("named again", [(2.5, OWN, 1.0), (None, OWN, 2.0), (1.0, OWN, 3)], 1.0),
+    ("heard of by a peer", [(2.5, PEER, 1.0)], 2.5),
+    ("peer's older word", [(3.0, OWN, 2.0), (2.5, PEER, 1.0)], 3.0),
+    ("peer's older end", [(2.5, OWN, 2.0), (None, PEER, 1.0)], 2.5),
+    ("peer's newer end", [(2.5, OWN, 1.0), (None, PEER, 2.0)], None),
+    ("zero", [(0.0, OWN, 1.0)], 0.0),
+]
+
+
+@pytest.mark.parametrize(
+    ("statements", "expected"),
+    [case[1:] for case in LIMITS],
+    ids=[case[0] for case in LIMITS],
+)
+def test_limit_is_that_of_the_latest_answer(statements, expected):
+    fleet = Fleet()
+    fleet.update(RECORD)
+    for rate, source, heard_at in statements:
+        fleet.record_limit(RECORD.incarnation, rate, source, heard_at)
+    assert fleet.get("i-1").announcements.requests_per_second == expected
+
+
+def test_limit_holds_for_one_process():
+    fleet = Fleet()
+    fleet.update(RECORD)
+    fleet.record_limit(RECORD.incarnation, 2.5, OWN, 1.0)
+    remove_and_return(fleet)
+    assert fleet.get("i-1").announcements.requests_per_second == 2.5
+    fleet.update(replace_fields(born_ms=2))
+    assert fleet.get("i-1").announcements.requests_per_second is None
--- a/apricotseam/forwarding/_announcements.py
+++ b/apricotseam/forwarding/_announcements.py
@@ -3,13 +3,14 @@
 import asyncio
 import logging
 
-from apricotseam.fleet import LeavingSource
+from apricotseam.fleet import AnnouncementSource
 from apricotseam.platform import decode_announcement
 
 _LOG = logging.getLogger(__name__)
 
-# Of the rests that cannot be read, one is logged in each such period.
-INVALID_REST_LOG_SECONDS = 10.0
+# Of the values that cannot be read, one of each kind is logged in each such
+# period.
+INVALID_LOG_SECONDS = 10.0
 
 
 class AnnouncementRecorder:
@@ -38,8 +39,8 @@
         self._request_queue = request_queue
         self._metrics = metrics
         self._now = now
-        # Time from which an invalid rest is logged again.
-        self._log_invalid_from = float("-inf")
+        # Time from which an invalid value is logged again, by event.
+        self._log_invalid_from = {}
 
     def record(self, incarnation, response):
         """Record what a target says in a response.
@@ -54,12 +55,14 @@
         announcement = decode_announcement(response)
         if announcement.is_leaving:
             self._fleet.record_leaving(
-                incarnation, LeavingSource.OWN_ANSWER, self._now()
+                incarnation, AnnouncementSource.OWN_ANSWER, self._now()
             )
         if announcement.has_invalid_rest:
-            self._log_invalid_rest(incarnation)
+            self._metrics.invalid_rests.inc()
+            self._log_invalid("target_rest_invalid", incarnation)
         if announcement.rest_seconds:
             self._record_rest(incarnation, announcement.rest_seconds)
+        self._record_limit(incarnation, announcement)
 
     def _record_rest(self, incarnation, seconds):
         until = self._fleet.record_rest(incarnation, seconds, self._now())
@@ -68,10 +71,23 @@
             loop = asyncio.get_running_loop()
             loop.call_at(until, self._request_queue.wake_next)
 
-    def _log_invalid_rest(self, incarnation):
-        self._metrics.invalid_rests.inc()
+    def _record_limit(self, incarnation, announcement):
+        rate = announcement.requests_per_second
+        if announcement.has_invalid_limit:
+            self._metrics.invalid_limits.inc()
+            self._log_invalid("target_limit_invalid", incarnation)
+            if rate is None:
+                # What was known before is the best guess.
+                return
+        if rate is not None:
+            self._metrics.limited_answers.inc()
+        self._fleet.record_limit(
+            incarnation, rate, AnnouncementSource.OWN_ANSWER, self._now()
+        )
+
+    def _log_invalid(self, event, incarnation):
         now = self._now()
-        if now < self._log_invalid_from:
+        if now < self._log_invalid_from.get(event, now):
             return
-        self._log_invalid_from = now + INVALID_REST_LOG_SECONDS
-        _LOG.warning("target_rest_invalid", extra={"target": incarnation[0]})
+        self._log_invalid_from[event] = now + INVALID_LOG_SECONDS
+        _LOG.warning(event, extra={"target": incarnation[0]})
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -2,7 +2,7 @@
 
 import prometheus_client
 
-from apricotseam.fleet import LeavingSource
+from apricotseam.fleet import AnnouncementSource
 
 # Upper bounds of the latency buckets.
 BUCKETS_SECONDS = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 20.0)
@@ -52,6 +52,22 @@
             "Answers in which a target asked for a rest unintelligibly.",
             registry=registry,
         )
+        self.limited_answers = prometheus_client.Counter(
+            "apricotseam_target_limits",
+            "Answers in which a target stated the rate that it accepts.",
+            registry=registry,
+        )
+        self.invalid_limits = prometheus_client.Counter(
+            "apricotseam_target_limits_invalid",
+            "Answers in which a target stated a rate unintelligibly.",
+            registry=registry,
+        )
+        self.limited_sends = prometheus_client.Counter(
+            "apricotseam_limited_sends",
+            "Requests sent to targets that stated a rate, by attempt.",
+            ["attempt"],
+            registry=registry,
+        )
         self._incomplete = prometheus_client.Counter(
             "apricotseam_incomplete_answers",
             "Requests that this host left without a complete answer.",
@@ -75,7 +91,9 @@
 
     def count_leaving(self, target):
         """Count a `Target` that started to leave."""
-        source = target.announcements.leaving_source or LeavingSource.STORE
+        source = (
+            target.announcements.leaving_source or AnnouncementSource.STORE
+        )
         self._leaving.labels(str(source)).inc()
 
     def count_incomplete(self, cause):
--- a/apricotseam/forwarding/_sender.py
+++ b/apricotseam/forwarding/_sender.py
@@ -58,6 +58,9 @@
 
     def send(self, call, connection, choice, last_event=None):
         """Send the request of a call to the head of a `Choice`."""
+        if choice.head.announcements.requests_per_second is not None:
+            attempt = "first" if call.attempts <= 1 else "further"
+            self._context.metrics.limited_sends.labels(attempt).inc()
         forwarding = Forwarding(
             seconds_left=call.seconds_left(),
             target=choice.head.identity,
--- a/apricotseam/forwarding/tests/test_announcements.py
+++ b/apricotseam/forwarding/tests/test_announcements.py
@@ -11,9 +11,9 @@
 import pytest
 
 from apricotseam.chains import Ledger
+from apricotseam.fleet import AnnouncementSource
 from apricotseam.fleet import Fleet
 from apricotseam.fleet import LayerRange
-from apricotseam.fleet import LeavingSource
 from apricotseam.fleet import TargetRecord
 from apricotseam.forwarding._announcements import AnnouncementRecorder
 from apricotseam.forwarding._contact import ConnectivityCheck
@@ -30,7 +30,7 @@
 from apricotseam.http1 import ResponseHead
 from apricotseam.positions import Position
 
-OWN = LeavingSource.OWN_ANSWER
+OWN = AnnouncementSource.OWN_ANSWER
 LAYERS = PROFILE.layers
 HALVES = [LayerRange(0, LAYERS // 2), LayerRange(LAYERS // 2, LAYERS)]
 ENGINE = types.SimpleNamespace(name="model", engine=PROFILE)
@@ -406,6 +406,41 @@
     assert len(found) == lines
 
 
+# Description, values of Server-Limit in the second answer, the limit known
+# afterwards, answers counted with a limit and with an invalid one.
+LIMITS = [
+    ("another limit", [b"4"], 4.0, 2, 0),
+    ("no limit", [], None, 1, 0),
+    ("invalid", [b"few"], 2.5, 1, 1),
+    ("one of two valid", [b"few", b"3"], 3.0, 2, 1),
+]
+
+
+@pytest.mark.parametrize(
+    ("values", "expected", "limited", "invalid"),
+    [case[1:] for case in LIMITS],
+    ids=[case[0] for case in LIMITS],
+)
+def test_limit_is_recorded(values, expected, limited, invalid, caplog):
+    caplog.set_level(logging.INFO)
+    now = [100.0]
+    fleet = make_fleet()
+    recorder, registry = make_recorder(fleet, None, lambda: now[0])
+    for stated in ([b"2.5"], values):
+        headers = [(b"Server-Limit", value) for value in stated]
+        recorder.record(("p0", 1), ResponseHead(200, b"", headers))
+        now[0] += 1.0
+    announcements = fleet.get("p0").announcements
+    assert announcements.requests_per_second == expected
+    assert (
+        registry.get_sample_value("apricotseam_target_limits_total"),
+        registry.get_sample_value("apricotseam_target_limits_invalid_total"),
+    ) == (limited, invalid)
+    lines = [r.msg for r in caplog.records]
+    assert lines.count("target_limit") == 1 + (expected != 2.5)
+    assert lines.count("target_limit_invalid") == invalid
+
+
 def test_waiting_request_is_woken_when_the_rest_ends():
     async def scenario():
         loop = asyncio.get_running_loop()
--- a/apricotseam/forwarding/tests/test_announcements_machine.py
+++ b/apricotseam/forwarding/tests/test_announcements_machine.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies
 
 from apricotseam.chains import Ledger
+from apricotseam.fleet import AnnouncementSource
 from apricotseam.fleet import Fleet
 from apricotseam.fleet import LayerRange
-from apricotseam.fleet import LeavingSource
 from apricotseam.fleet import MAX_REST_SECONDS
 from apricotseam.fleet import TargetRecord
 from apricotseam.forwarding import TargetSelector
@@ -100,7 +100,7 @@
         number=numbers,
         age=strategies.integers(0, 1),
         source=strategies.sampled_from(
-            [LeavingSource.OWN_ANSWER, LeavingSource.PEER]
+            [AnnouncementSource.OWN_ANSWER, AnnouncementSource.PEER]
         ),
     )
     def leave(self, number, age, source):
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -6,7 +6,7 @@
 
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
-from apricotseam.fleet import LeavingSource
+from apricotseam.fleet import AnnouncementSource
 from apricotseam.node._delegates import DelegateReports
 from apricotseam.node._delegates import TAKEOVER_SECONDS
 from apricotseam.node._zone_reports import HostState
@@ -182,7 +182,7 @@
         for identity, notice in leaving.items():
             self._context.fleet.record_leaving(
                 (identity, notice.born_ms),
-                LeavingSource.PEER,
+                AnnouncementSource.PEER,
                 self._now(),
                 notice.age_seconds,
             )
--- a/apricotseam/node/tests/test_announcements.py
+++ b/apricotseam/node/tests/test_announcements.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from apricotseam.fleet import LeavingSource
+from apricotseam.fleet import AnnouncementSource
 from apricotseam.node.tests.harness import run
 from apricotseam.platform import ORDER_PATH
 from apricotseam.positions import Position
@@ -208,7 +208,7 @@
                 chosen.append(key)
                 now = asyncio.get_running_loop().time()
                 if happen == "leaves":
-                    source = LeavingSource.PEER
+                    source = AnnouncementSource.PEER
                     context.fleet.record_leaving(key, source, now)
                 else:
                     context.fleet.record_rest(key, 60.0, now)
--- a/apricotseam/node/tests/test_joined_loss.py
+++ b/apricotseam/node/tests/test_joined_loss.py
@@ -16,8 +16,8 @@
 from apricotseam.chains import Ledger
 from apricotseam.chains.tests.profiles import make_records
 from apricotseam.chains.tests.profiles import PROFILE
+from apricotseam.fleet import AnnouncementSource
 from apricotseam.fleet import Fleet
-from apricotseam.fleet import LeavingSource
 from apricotseam.forwarding import TargetProber
 from apricotseam.http1 import LostConnectionError
 from apricotseam.http1 import RefusedConnectionError
@@ -311,7 +311,7 @@
         if step == 20:
             for identity in ("a-large-0", "a-middle-0"):
                 incarnation = fleet.get(identity).incarnation
-                fleet.record_leaving(incarnation, LeavingSource.PEER, 2.0)
+                fleet.record_leaving(incarnation, AnnouncementSource.PEER, 2.0)
         asyncio.run(placer._cycle())
         if placer.orders:
             break
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -17,8 +17,8 @@
 
 from apricotseam.chains import Ledger
 from apricotseam.coordination import Hosts
+from apricotseam.fleet import AnnouncementSource
 from apricotseam.fleet import Fleet
-from apricotseam.fleet import LeavingSource
 from apricotseam.fleet import TargetRecord
 from apricotseam.forwarding import HostRetryBudget
 from apricotseam.membership import Member
@@ -359,7 +359,7 @@
         host.fleet.update(record)
     teller = zone.hosts[f"10.0.0.{number}:1"]
     teller.fleet.record_leaving(
-        (TARGET, 7), LeavingSource.OWN_ANSWER, zone.now
+        (TARGET, 7), AnnouncementSource.OWN_ANSWER, zone.now
     )
     told_at = zone.now
     zone.run(seconds)
--- a/apricotseam/platform/tests/test_announcements.py
+++ b/apricotseam/platform/tests/test_announcements.py
@@ -59,3 +59,41 @@
     headers = [(b"Retry-After", value) for value in values]
     head = ResponseHead(503, b"", headers)
     assert decode_announcement(head).rest_seconds == 3.0
+
+
+def limit(requests_per_second, has_invalid_limit=False):
+    """Return an announcement of a limit."""
+    return Announcement(
+        requests_per_second=requests_per_second,
+        has_invalid_limit=has_invalid_limit,
+    )
+
+
+# Description, status, values of Server-Limit, what is decoded.
+LIMITS = [
+    ("whole", 200, [b"3"], limit(3.0)),
+    ("fraction", 200, [b"2.5"], limit(2.5)),
+    ("zero", 200, [b"0"], limit(0.0)),
+    ("refusal", 503, [b"2.5"], limit(2.5)),
+    ("failure", 500, [b"2.5"], limit(2.5)),
+    ("very large", 200, [b"9" * 400], limit(float("inf"))),
+    ("negative", 200, [b"-1"], limit(None, True)),
+    ("word", 200, [b"few"], limit(None, True)),
+    ("not a number", 200, [b"nan"], limit(None, True)),
+    ("exponent", 200, [b"1e1"], limit(None, True)),
+    ("empty", 200, [b""], limit(None, True)),
+    ("two headers", 200, [b"4", b"2"], limit(2.0)),
+    ("two in one", 200, [b"2, 4"], limit(2.0)),
+    ("one of two valid", 200, [b"x", b"4"], limit(4.0, True)),
+    ("none", 200, [], NOTHING),
+]
+
+
+@pytest.mark.parametrize(
+    ("status", "values", "expected"),
+    [case[1:] for case in LIMITS],
+    ids=[case[0] for case in LIMITS],
+)
+def test_limit(status, values, expected):
+    headers = [(b"Server-Limit", value) for value in values]
+    assert decode_announcement(ResponseHead(status, b"", headers)) == expected
