--- a/apricotseam/platform/standins/__init__.py
+++ b/apricotseam/platform/standins/__init__.py
@@ -17,6 +17,7 @@
 from apricotseam.platform.standins._target_side import decode_order
 from apricotseam.platform.standins._target_side import encode_report
 from apricotseam.platform.standins._target_side import generation_headers
+from apricotseam.platform.standins._target_side import limit_headers
 from apricotseam.platform.standins._target_side import not_run_headers
 from apricotseam.platform.standins._target_side import signed_headers
 
@@ -33,6 +34,7 @@
     "decode_order",
     "encode_report",
     "generation_headers",
+    "limit_headers",
     "not_run_headers",
     "signed_headers",
     "sample_configuration",
--- a/apricotseam/platform/standins/_target_side.py
+++ b/apricotseam/platform/standins/_target_side.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from apricotseam.fleet import LayerRange
+from apricotseam.platform._announcements import LIMIT_HEADER
 from apricotseam.platform._orders import _Layers
 from apricotseam.platform._orders import _Order
 from apricotseam.platform._orders import _Report
@@ -115,6 +116,19 @@
     return tuple(stages)
 
 
+def limit_headers(requests_per_second):
+    """Return the headers of a target that states a limit; None states none.
+
+    Examples
+    --------
+    >>> limit_headers(2.5)
+    [(b'server-limit', b'2.5')]
+    """
+    if requests_per_second is None:
+        return []
+    return [(LIMIT_HEADER, f"{requests_per_second:g}".encode())]
+
+
 def signed_headers(request_id):
     """Return the headers of a target's answer to a request that it ran."""
     return [
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -141,7 +141,9 @@
             self._expected_peers,
         )
         fleet = Fleet(self._on_target_removed, self._on_target_draining)
-        pool = SimulatedPool(self._site.network, self.zone)
+        pool = SimulatedPool(
+            self._site.network, self.zone, self.name, self._on_response
+        )
         context = ForwardingContext(
             fleet,
             ledger,
@@ -172,6 +174,9 @@
             return 0
         return len(self.hosts.load_recipients)
 
+    def _on_response(self, incarnation, response):
+        self.context.announcements.record(incarnation, response)
+
     def _on_target_removed(self, target):
         self.context.prober.forget(target)
         self.context.active_streams.recheck(target.identity)
--- a/measure/emulator/_network.py
+++ b/measure/emulator/_network.py
@@ -71,11 +71,18 @@
         The targets.
     zone : str
         Availability zone of the host.
+    host : str
+        Name of the host.
+    on_response : callable
+        Called with the key of the target and the `ResponseHead` of each
+        answer to a control call.
     """
 
-    def __init__(self, network, zone):
+    def __init__(self, network, zone, host, on_response):
         self._network = network
         self._zone = zone
+        self._host = host
+        self._on_response = on_response
 
     async def acquire(self, key, address, deadline, max_idle=None):
         """Return a connection to a target.
@@ -94,7 +101,7 @@
             await asyncio.sleep(max(0.0, deadline - loop.time()))
             raise ConnectError(f"{address} is silent", "try another target")
         return SimulatedConnection(
-            target, self._network.delay(self._zone, target.zone)
+            target, self._network.delay(self._zone, target.zone), self._host
         )
 
     async def call(self, key, address, method, path, body, deadline):
@@ -102,6 +109,7 @@
         connection = await self.acquire(key, address, deadline)
         connection.call(path, body)
         head = await connection.head(deadline)
+        self._on_response(key, head)
         return head, await connection.read(deadline)
 
     def release(self, key, connection, response=None):
@@ -120,12 +128,15 @@
         The target.
     delay_seconds : float
         One-way delay.
+    host : str
+        Name of the host.
     """
 
-    def __init__(self, target, delay_seconds):
+    def __init__(self, target, delay_seconds, host):
         self._loop = asyncio.get_running_loop()
         self._target = target
         self._delay_seconds = delay_seconds
+        self._host = host
         self._received = collections.deque()
         self._waiter = None
         self.is_closed = False
@@ -137,7 +148,7 @@
 
     def send(self, method, path, headers, body=b""):
         """Send a request for work."""
-        self._deliver(self._target.receive, headers)
+        self._deliver(self._receive_request, headers)
 
     def call(self, path, body):
         """Send a control call."""
@@ -173,7 +184,10 @@
 
     def answer(self, status, headers=(), *parts):
         """Send a head and parts of a body; called by the target."""
-        self.send_back(ResponseHead(status, b"", list(headers)), *parts)
+        arrives_at = self._loop.time() + self._delay_seconds
+        announced = self._target.announce(self._host, arrives_at)
+        headers = [*headers, *announced]
+        self.send_back(ResponseHead(status, b"", headers), *parts)
 
     def send_back(self, *items):
         """Send items to the host; called by the target."""
@@ -188,6 +202,12 @@
             )
         )
 
+    @staticmethod
+    def _receive_request(connection, headers):
+        target = connection._target
+        target.limit.receive(connection._host, connection._loop.time())
+        target.receive(connection, headers)
+
     def _deliver(self, receive, *arguments):
         self._loop.call_later(
             self._delay_seconds, self._deliver_now, receive, arguments
--- a/measure/emulator/_patterns.py
+++ b/measure/emulator/_patterns.py
@@ -325,6 +325,42 @@
         simulation.start_hosts()
 
 
+class LimitedEngines(Pattern):
+    """First engines of chains state the rate of requests that they accept."""
+
+    name = "limited-engines"
+    about = "half of the chains' first engines state limits for 7 s"
+    load = 0.4
+    requests_per_second = 2.4
+    end_seconds = DISTURBED_AT_SECONDS + 7.0
+
+    def disturb(self, simulation):
+        """Schedule the limits and their end."""
+        simulation.at(DISTURBED_AT_SECONDS, self._begin, simulation)
+
+    def _begin(self, simulation):
+        heads = simulation.first_engines()
+        limited = heads[:: max(1, min(2, len(heads) - 1))]
+        self._state(simulation, limited, self.requests_per_second)
+        simulation.at(self.end_seconds, self._state, simulation, limited, None)
+
+    def _state(self, simulation, engines, requests_per_second):
+        for engine in engines:
+            engine.limit.state(requests_per_second, simulation.loop.time())
+
+
+class AllEnginesLimited(LimitedEngines):
+    """All first engines state limits, below the load."""
+
+    name = "all-engines-limited"
+    about = "all first engines of chains state limits for 7 s"
+
+    def _begin(self, simulation):
+        engines = simulation.first_engines()
+        self._state(simulation, engines, self.requests_per_second)
+        simulation.at(self.end_seconds, self._state, simulation, engines, None)
+
+
 PATTERNS = {
     pattern.name: pattern
     for pattern in (
@@ -340,6 +376,8 @@
         StoreOutage,
         HotPrompt,
         FreshStart,
+        LimitedEngines,
+        AllEnginesLimited,
     )
 }
 
--- a/measure/emulator/_simulation.py
+++ b/measure/emulator/_simulation.py
@@ -129,6 +129,15 @@
         """Return the running engines of a zone."""
         return [engine for engine in self.engines if engine.zone == zone]
 
+    def first_engines(self):
+        """Return the running engines that hold the model's first layer."""
+        return [
+            engine
+            for engine in self.engines
+            if engine.record.layers is not None
+            and engine.record.layers.first == 0
+        ]
+
     def add_engine(self, kind, zone, layers=None, address=None):
         """Start the process of an engine and return it."""
         self._engine_count += 1
--- a/measure/emulator/_target.py
+++ b/measure/emulator/_target.py
@@ -3,6 +3,8 @@
 import abc
 
 from apricotseam.fleet import TargetRecord
+from apricotseam.platform.standins import limit_headers
+from measure.emulator._limit import RequestLimit
 
 
 class EmulatedTarget(abc.ABC):
@@ -21,6 +23,8 @@
         Whether it answers nothing, not even new connections.
     is_dead : bool
         Whether its process has ended.
+    limit : RequestLimit
+        Rate of requests that it states in its answers.
     """
 
     def __init__(self, site, record: TargetRecord):
@@ -28,6 +32,7 @@
         self.record = record
         self.is_silent = False
         self.is_dead = False
+        self.limit = RequestLimit()
 
     @property
     def identity(self):
@@ -44,6 +49,19 @@
         """Availability zone."""
         return self.record.zone
 
+    def announce(self, host, arrives_at):
+        """Return the headers of an answer that say how the target is.
+
+        Parameters
+        ----------
+        host : str
+            Host that gets the answer.
+        arrives_at : float
+            Time in seconds at which it does.
+        """
+        self.limit.tell(host, arrives_at)
+        return limit_headers(self.limit.requests_per_second)
+
     @abc.abstractmethod
     def receive(self, connection, headers):
         """Handle a request for work."""
