Move ownership of keys and token buckets below the customers' limits

Ownership (owners, hand-over, smallest recent list of members) leaves ShareOwner for the membership package, TokenBucket leaves admission for clock; behaviour is unchanged.

--- a/apricotseam/admission/_local_shares.py
+++ b/apricotseam/admission/_local_shares.py
@@ -2,13 +2,13 @@
 
 import collections
 
-from apricotseam.admission._bucket import TokenBucket
 from apricotseam.admission._sharerules import Claim
 from apricotseam.admission._sharerules import floor_share
 from apricotseam.admission._sharerules import LEASE_SECONDS
 from apricotseam.admission._sharerules import MAX_CUSTOMERS
 from apricotseam.admission._sharerules import ShareReport
 from apricotseam.admission._sharerules import STARTUP_SECONDS
+from apricotseam.clock import TokenBucket
 from apricotseam.errors import LimitExceededError
 
 # Time after its last request for which a customer is reported to its owner.
--- a/apricotseam/admission/_owner.py
+++ b/apricotseam/admission/_owner.py
@@ -7,9 +7,8 @@
 from apricotseam.admission._sharerules import lendable_share
 from apricotseam.admission._sharerules import Loan
 from apricotseam.admission._sharerules import MAX_CUSTOMERS
-from apricotseam.admission._sharerules import Owners
-from apricotseam.admission._sharerules import rendezvous_owner
 from apricotseam.admission._sharerules import ShareAnswer
+from apricotseam.membership import Ownership
 
 # Fractions of a customer's limit.
 # Lower bound of the demand of a borrower.
@@ -58,54 +57,29 @@
         Monotonic time in seconds at which the process started.
     """
 
-    __slots__ = (
-        "_borrowers",
-        "_handover_deadline",
-        "_host",
-        "_host_count",
-        "_owners",
-        "_previous_members",
-    )
+    __slots__ = ("_borrowers", "_ownership")
 
     def __init__(self, host, now):
-        self._host = host
-        self._owners = Owners()
-        self._previous_members = collections.deque(maxlen=64)
-        self._host_count = 1
-        self._handover_deadline = now + HANDOVER_SECONDS
+        self._ownership = Ownership(host, HANDOVER_SECONDS, now)
         self._borrowers = collections.OrderedDict()
 
     @property
     def owners(self):
         """Owner of each customer according to this host's member list."""
-        return self._owners
+        return self._ownership.owners
 
     def set_members(self, members, hosts, now):
-        """Update the live hosts and the total number of hosts.
-
-        Parameters
-        ----------
-        members : iterable of str
-            Addresses of the live hosts, including this one.
-        hosts : int
-            Number of hosts in the fleet, including unreachable ones.
-        now : float
-            Monotonic time in seconds.
-        """
-        before = self._owners.members
-        if self._owners.set_members(members) and before:
-            if len(self._previous_members) == self._previous_members.maxlen:
-                # The oldest list is dropped, so its owners are now unknown.
-                self._handover_deadline = now + HANDOVER_SECONDS
-            self._previous_members.append((before, now + HANDOVER_SECONDS))
-        self._host_count = max(hosts, len(self._owners.members), 1)
+        """Update the live hosts; see `Ownership.set_members`."""
+        self._ownership.set_members(members, hosts, now)
 
     def answer(self, report, now):
         """Return the `ShareAnswer` to a host's report."""
         loans = []
         for claim in report.claims:
-            if self._owners.owner(claim.customer) == self._host:
-                is_sole_owner = self._is_sole_owner(claim.customer, now)
+            if self._ownership.is_owner(claim.customer):
+                is_sole_owner = self._ownership.is_sole_owner(
+                    claim.customer, now
+                )
                 share = self._lend(claim, report, is_sole_owner, now)
                 loans.append(Loan(claim.customer, share))
         return ShareAnswer(report.number, loans)
@@ -115,24 +89,6 @@
         borrowers = self._borrowers.get(customer, {})
         return sum(b.outstanding(now) for b in borrowers.values())
 
-    def _is_sole_owner(self, customer, now):
-        """Return whether all loans of other owners have lapsed."""
-        while self._previous_members and self._previous_members[0][1] <= now:
-            self._previous_members.popleft()
-        return now >= self._handover_deadline and all(
-            rendezvous_owner(customer, members) == self._host
-            for members, _ in self._previous_members
-        )
-
-    def _min_recent_members(self):
-        """Return the smallest number of live hosts seen recently.
-
-        Hosts that return after a network partition may still hold loans of
-        the owner on their side of it.
-        """
-        sizes = [len(members) for members, _ in self._previous_members]
-        return min([len(self._owners.members), *sizes])
-
     def _lend(self, claim, report, is_sole_owner, now):
         borrowers = self._borrowers_of(claim.customer)
         self._drop_lapsed(borrowers, now)
@@ -140,7 +96,9 @@
         own.drop_loans_before(claim.held)
         own.demand = max(claim.demand, MIN_DEMAND_SHARE)
         own.deadline = now + LEASE_SECONDS
-        lendable = lendable_share(self._min_recent_members(), self._host_count)
+        lendable = lendable_share(
+            self._ownership.min_recent_members, self._ownership.host_count
+        )
         others = sum(
             borrower.outstanding(now)
             for name, borrower in borrowers.items()
@@ -160,9 +118,8 @@
             _, dropped = self._borrowers.popitem(last=False)
             # The outstanding loans of the dropped customer are now unknown.
             deadlines = [borrower.deadline for borrower in dropped.values()]
-            self._handover_deadline = max(
-                [self._handover_deadline, *deadlines]
-            )
+            for deadline in deadlines:
+                self._ownership.postpone(deadline)
         return borrowers
 
     @staticmethod
--- a/apricotseam/admission/_sharerules.py
+++ b/apricotseam/admission/_sharerules.py
@@ -5,12 +5,8 @@
 host chosen by rendezvous hashing.
 """
 
-import collections
-
 import msgspec
 
-from apricotseam.routing import rendezvous_score
-
 # Fraction of each limit that is divided equally between all hosts.
 FLOOR_SHARE = 0.2
 LEASE_SECONDS = 3.0
@@ -106,60 +102,3 @@
     if hosts <= 1:
         return 0.0
     return (1.0 - FLOOR_SHARE) * min(1.0, members / hosts)
-
-
-class Owners:
-    """Caches the owner of each customer among the live hosts.
-
-    When the members change, added members are compared with the cached
-    owner. A customer is hashed again over all members only if its owner was
-    removed.
-    """
-
-    __slots__ = ("_members", "_owners")
-
-    def __init__(self):
-        self._members = frozenset()
-        self._owners = collections.OrderedDict()
-
-    @property
-    def members(self):
-        """Addresses of the live hosts."""
-        return self._members
-
-    def set_members(self, members):
-        """Update the live hosts; return whether they changed."""
-        members = frozenset(members)
-        if members == self._members:
-            return False
-        added = members - self._members
-        removed = self._members - members
-        self._members = members
-        for customer, (score, owner) in list(self._owners.items()):
-            if owner in removed:
-                del self._owners[customer]
-                continue
-            best = max([(score, owner), *_scores(customer, added)])
-            self._owners[customer] = best
-        return True
-
-    def owner(self, customer):
-        """Return the address of the customer's owner, or None."""
-        if not self._members:
-            return None
-        scored_owner = self._owners.get(customer)
-        if scored_owner is None:
-            scored_owner = max(_scores(customer, self._members))
-            self._owners[customer] = scored_owner
-            if len(self._owners) > MAX_CUSTOMERS:
-                self._owners.popitem(last=False)
-        return scored_owner[1]
-
-
-def rendezvous_owner(customer, members):
-    """Return the owner of a customer among the given members."""
-    return max(_scores(customer, members))[1]
-
-
-def _scores(customer, members):
-    return [(rendezvous_score(m, customer), m) for m in members]
--- a/apricotseam/admission/tests/test_shares.py
+++ b/apricotseam/admission/tests/test_shares.py
@@ -9,11 +9,11 @@
 from apricotseam.admission._sharerules import DETECTION_SKEW_SECONDS
 from apricotseam.admission._sharerules import floor_share
 from apricotseam.admission._sharerules import FLOOR_SHARE
-from apricotseam.admission._sharerules import Owners
-from apricotseam.admission._sharerules import rendezvous_owner
 from apricotseam.admission._sharerules import STARTUP_SECONDS
 from apricotseam.admission.tests.factories import make_work
 from apricotseam.errors import LimitExceededError
+from apricotseam.membership import Owners
+from apricotseam.membership import rendezvous_owner
 
 HOSTS = [f"10.0.0.{number}:7" for number in range(5)]
 CUSTOMERS = ["s/a", "s/b"]
--- a/apricotseam/admission/_bucket.py
+++ b/apricotseam/clock/_bucket.py
@@ -16,6 +16,8 @@
         Cost added per second.
     now : float
         Monotonic time in seconds.
+    is_empty : bool
+        Whether the bucket starts without the burst.
 
     Examples
     --------
@@ -28,9 +30,9 @@
 
     __slots__ = ("_level", "_rate", "_updated")
 
-    def __init__(self, rate, now):
+    def __init__(self, rate, now, is_empty=False):
         self._rate = rate
-        self._level = rate * BURST_SECONDS
+        self._level = 0.0 if is_empty else rate * BURST_SECONDS
         self._updated = now
 
     def set_rate(self, rate, now):
--- a/apricotseam/execution/_claims.py
+++ b/apricotseam/execution/_claims.py
@@ -19,7 +19,7 @@
 from apricotseam.execution._shards import Holder
 from apricotseam.execution._shards import merge_claims
 from apricotseam.execution._shards import Shard
-from apricotseam.routing import rendezvous_score
+from apricotseam.membership import rendezvous_score
 
 MAX_SWAP_ATTEMPTS = 8
 MAX_BATCH_CLAIMS = 256
--- a/apricotseam/membership/__init__.py
+++ b/apricotseam/membership/__init__.py
@@ -8,6 +8,10 @@
 from apricotseam.membership._member import MemberTable
 from apricotseam.membership._membership import Membership
 from apricotseam.membership._messages import MESSAGE_TYPES
+from apricotseam.membership._ownership import Owners
+from apricotseam.membership._ownership import Ownership
+from apricotseam.membership._ownership import rendezvous_owner
+from apricotseam.membership._ownership import rendezvous_score
 from apricotseam.membership._readers import choose_readers
 from apricotseam.membership._readers import reader_rank
 from apricotseam.membership._ring import ring_position
@@ -24,8 +28,12 @@
     "Membership",
     "MembershipChild",
     "DocumentReplicator",
+    "Owners",
+    "Ownership",
     "choose_readers",
     "order_addresses",
     "reader_rank",
+    "rendezvous_owner",
+    "rendezvous_score",
     "ring_position",
 ]
--- a/apricotseam/orders/_specs.py
+++ b/apricotseam/orders/_specs.py
@@ -1,10 +1,10 @@
 """Specs of groups of engines, from the configuration."""
 
 from apricotseam.config import TargetKind
+from apricotseam.membership import rendezvous_score
 from apricotseam.orders._assignment import assigned_layers
 from apricotseam.orders._controller import GroupSpec
 from apricotseam.orders._reconcile import TargetSpec
-from apricotseam.routing import rendezvous_score
 
 # Hosts that try to acquire the lease of a group.
 CANDIDATES_PER_GROUP = 2
--- a/apricotseam/routing/__init__.py
+++ b/apricotseam/routing/__init__.py
@@ -22,7 +22,6 @@
 from apricotseam.routing._retry import RetryBudget
 from apricotseam.routing._retry import RetryPolicy
 from apricotseam.routing._subset import choose_subset
-from apricotseam.routing._subset import rendezvous_score
 from apricotseam.routing._table import TargetState
 from apricotseam.routing._table import TargetTable
 
@@ -51,5 +50,4 @@
     "count_retry",
     "merge_targets",
     "pool_label",
-    "rendezvous_score",
 ]
--- a/apricotseam/routing/_subset.py
+++ b/apricotseam/routing/_subset.py
@@ -1,29 +1,14 @@
 """Choice of the bounded subset of a pool that a host routes to."""
 
-import hashlib
 import heapq
 
+from apricotseam.membership import rendezvous_score
+
 SUBSET_SIZE = 16
 # Minimum number of targets from other zones, if there are as many.
 OTHER_ZONES_SIZE = 6
 
 
-def rendezvous_score(owner, name):
-    """Return the rendezvous hashing score of a pair of names.
-
-    It is an unsigned 64-bit integer and the same on all hosts.
-
-    Examples
-    --------
-    >>> rendezvous_score("a", "b") == rendezvous_score("a", "b")
-    True
-    """
-    digest = hashlib.blake2b(
-        f"{owner}\n{name}".encode(), digest_size=8
-    ).digest()
-    return int.from_bytes(digest, "big")
-
-
 def affinity_target(targets, prefix):
     """Return the target that all hosts prefer for a prefix.
 
