Share targets' limits: one host issues a permit for each request

Users saw a target in need get 29 requests in 4 s where its limit allowed 20. Cause: no host acted on Server-Limit; and had each acted alone, k hosts would have sent k times the limit. The class of fault: a word of a target about the whole fleet, taken (or not) by each host alone.

Now the live host with the highest rendezvous score owns the limit of a target process and issues a permit for each request; Sender.open, through which first attempts, retries and second attempts all go, asks it right before sending. A host that gets no answer sends nothing there and chooses other targets; a new owner waits 2 s, as an earlier one may still issue, and starts without a burst; the parts of a partitioned fleet issue their part of the rate. Limits are about first targets of chains. Hosts tell each other of limits and of their end with the states that they send anyway, newest answer first. What no target may take is refused at once with the time of the next permit.

The test of old messages between hosts now covers both added fields.

--- a/apricotseam/coordination/__init__.py
+++ b/apricotseam/coordination/__init__.py
@@ -11,6 +11,9 @@
 from apricotseam.coordination._messages import Push
 from apricotseam.coordination._mirror import EraChange
 from apricotseam.coordination._mirror import Mirror
+from apricotseam.coordination._permits import PermitAnswer
+from apricotseam.coordination._permits import PermitIssuer
+from apricotseam.coordination._permits import PermitRequest
 from apricotseam.coordination._registration import Registration
 from apricotseam.coordination._suspension import SuspensionDetector
 from apricotseam.coordination._synchronizer import MirrorSynchronizer
@@ -26,6 +29,9 @@
     "MirrorItem",
     "MirrorSynchronizer",
     "PackedPush",
+    "PermitAnswer",
+    "PermitIssuer",
+    "PermitRequest",
     "Push",
     "Registration",
     "SuspensionDetector",
--- a/apricotseam/fleet/_announcements.py
+++ b/apricotseam/fleet/_announcements.py
@@ -32,6 +32,8 @@
         Time until which it wants no requests from this host.
     requests_per_second : float or None
         Rate that it accepts from all hosts together, None if unlimited.
+    permit_due_at : float
+        Time until which the limit admits no request of this host.
     limit_heard_at : float
         Time at which it last stated that rate, or that there is none.
     limit_source : AnnouncementSource or None
@@ -43,6 +45,7 @@
         "leaving_source",
         "limit_heard_at",
         "limit_source",
+        "permit_due_at",
         "requests_per_second",
         "rests_until",
     )
@@ -52,6 +55,7 @@
         self.leaving_source = None
         self.rests_until = 0.0
         self.requests_per_second = None
+        self.permit_due_at = 0.0
         self.limit_heard_at = float("-inf")
         self.limit_source = None
 
@@ -108,6 +112,8 @@
         if requests_per_second is None and self.limit_source is None:
             return False
         is_change = requests_per_second != self.requests_per_second
+        if is_change:
+            self.permit_due_at = 0.0
         self.requests_per_second = requests_per_second
         self.limit_source = source
         self.limit_heard_at = heard_at
--- a/apricotseam/fleet/_target.py
+++ b/apricotseam/fleet/_target.py
@@ -121,6 +121,23 @@
         """Return whether this host may send a new request at present."""
         return self.accepts_requests and not self.is_resting(now)
 
+    @property
+    def is_limited(self):
+        """Whether each request to it needs a permit, see `SendPermits`."""
+        return self.announcements.requests_per_second is not None
+
+    def waits_for_permit(self, now):
+        """Return whether its limit admits no request of this host now."""
+        return now < self.announcements.permit_due_at
+
+    def opens_at(self):
+        """Return from when on neither a rest nor its limit keep it closed.
+
+        It is a monotonic time in seconds, and may be in the past.
+        """
+        announcements = self.announcements
+        return max(announcements.rests_until, announcements.permit_due_at)
+
     def is_resting(self, now):
         """Return whether the target wants no requests from this host."""
         return self.announcements.is_resting(now)
--- a/apricotseam/forwarding/__init__.py
+++ b/apricotseam/forwarding/__init__.py
@@ -6,6 +6,7 @@
 from apricotseam.forwarding._gateway import ForwardingContext
 from apricotseam.forwarding._gateway import Gateway
 from apricotseam.forwarding._metrics import RequestMetrics
+from apricotseam.forwarding._permits import SendPermits
 from apricotseam.forwarding._probes import TargetProber
 from apricotseam.forwarding._request_queue import RequestQueue
 from apricotseam.forwarding._retry_budget import HostRetryBudget
@@ -22,4 +23,5 @@
     "HostRetryBudget",
     "ForwardingContext",
     "RequestQueue",
+    "SendPermits",
 ]
--- a/apricotseam/forwarding/_announcements.py
+++ b/apricotseam/forwarding/_announcements.py
@@ -81,9 +81,11 @@
                 return
         if rate is not None:
             self._metrics.limited_answers.inc()
-        self._fleet.record_limit(
+        is_change = self._fleet.record_limit(
             incarnation, rate, AnnouncementSource.OWN_ANSWER, self._now()
         )
+        if is_change and rate is None:
+            self._request_queue.wake_next()
 
     def _log_invalid(self, event, incarnation):
         now = self._now()
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -117,7 +117,8 @@
         )
         by_zone = collections.defaultdict(list)
         for target in self._fleet.of_service(call.service.name):
-            by_zone[target.record.zone].append(target)
+            if not _is_closed_head(target, now):
+                by_zone[target.record.zone].append(target)
 
         @functools.cache
         def find_holders(zone):
@@ -225,49 +226,51 @@
         service : Service
             A service with an engine.
         at : float
-            Monotonic time in seconds; targets that rest until later are left
-            out.
+            Monotonic time in seconds; targets that rest until later, and
+            first ones whose limits admit requests only later, are left out.
         """
         held = (
             target.record.layers
             for target in self._fleet.of_service(service.name)
-            if target.record.layers is not None and not target.is_resting(at)
+            if target.record.layers is not None
+            and not target.is_resting(at)
+            and not _is_closed_head(target, at)
         )
         return covers_layers(held, service.engine.layers)
 
-    def rest_ends_at(self, service, now):
-        """Return when rests no longer keep a service from being served.
+    def opens_at(self, service, now):
+        """Return when rests and limits no longer keep a service closed.
 
         Returns
         -------
         float or None
-            Monotonic time in seconds of the first end of a rest after which
-            the targets that do not rest can serve requests, regardless of
-            load. None if they can now, or cannot after all rests either.
+            Monotonic time in seconds of the first end of a rest, or permit,
+            after which the targets that are open then can serve requests,
+            regardless of load. None if they can now, or never can.
         """
         if self._can_serve(service, now):
             return None
-        ends = {
-            target.announcements.rests_until
+        times = {
+            target.opens_at()
             for target in self._fleet.of_service(service.name)
-            if target.is_resting(now)
+            if target.opens_at() > now
         }
-        for end in sorted(ends):
-            if self._can_serve(service, end):
-                return end
+        for time in sorted(times):
+            if self._can_serve(service, time):
+                return time
         return None
 
     def _can_serve(self, service, at):
         if service.engine is not None:
             return self.has_layers(service, at)
         targets = self._fleet.of_service(service.name)
-        return any(not target.is_resting(at) for target in targets)
+        return any(target.opens_at() <= at for target in targets)
 
     def _candidates(self, call, now):
         targets = [
             target
             for target in self._fleet.of_service(call.service.name)
-            if not target.is_resting(now)
+            if target.opens_at() <= now
         ]
         untried = [t for t in targets if t.identity not in call.failed_targets]
         healthy = [t for t in untried if not t.health.is_suspect(now)]
@@ -328,6 +331,17 @@
         return Choice(targets[0][0], targets, path, tokens, _cost(stages))
 
 
+def _is_closed_head(target, now):
+    """Return whether a target can only begin a chain, and may not now.
+
+    A limit is about the requests that hosts send to a target, which are
+    those whose chains begin there.
+    """
+    layers = target.record.layers
+    is_head = layers is None or layers.first == 0
+    return is_head and target.waits_for_permit(now)
+
+
 def _least_cost(profile):
     """Return the cost of one idle target of the fastest kind."""
     fastest = min((k.step_factor for k in profile.kinds), default=0.0)
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -50,6 +50,7 @@
     __slots__ = (
         "announcements",
         "generator",
+        "permits",
         "retry_budget",
         "target_selector",
         "fleet",
@@ -88,6 +89,8 @@
             fleet, request_queue, metrics, time.monotonic
         )
         self.generator = random.Random()
+        # `SendPermits`, set before the first request is accepted.
+        self.permits = None
         # Active `RouteTable`; None until the first one is received.
         self.table = None
         # Loop time in seconds at which this host exits; set only at the end
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -111,6 +111,9 @@
         self._targets[task] = choice.head
 
     def _record(self, target, result):
+        if not result.was_sent:
+            # The target is not chosen again until it takes requests.
+            return
         call = self._call
         call.failed_targets.add(target.identity)
         if result.was_run:
@@ -166,7 +169,7 @@
             return result
         except OutdatedChoiceError:
             call.withdraw_attempt(target.identity)
-            return _AttemptResult(was_run=False)
+            return _AttemptResult(was_run=False, was_sent=False)
         except ConnectError:
             target.health.mark_unreachable(loop.time())
             call.record_outcome(target.identity, "no_connection")
@@ -217,12 +220,16 @@
 
     ``answer`` and ``body`` are the answer for the caller. If there is none,
     ``status`` is the HTTP status to report after the last attempt.
+    ``was_sent`` is False if the target took no requests any more.
     """
 
-    __slots__ = ("answer", "body", "status", "was_run")
+    __slots__ = ("answer", "body", "status", "was_run", "was_sent")
 
-    def __init__(self, was_run, answer=None, body=b"", status=502):
+    def __init__(
+        self, was_run, answer=None, body=b"", status=502, was_sent=True
+    ):
         self.was_run = was_run
+        self.was_sent = was_sent
         self.answer = answer
         self.body = body
         self.status = status
--- a/apricotseam/forwarding/_sender.py
+++ b/apricotseam/forwarding/_sender.py
@@ -41,6 +41,13 @@
         """
         target = choice.head
         loop = asyncio.get_running_loop()
+        if target.is_limited and not await self._context.permits.acquire(
+            target
+        ):
+            raise OutdatedChoiceError(
+                f"target {target.identity} accepts no more requests now",
+                "choose other targets",
+            )
         max_idle = None if call.route.is_repeatable else SAFE_IDLE_SECONDS
         deadline = min(call.deadline, loop.time() + CONNECT_TIMEOUT_SECONDS)
         connection = await self._context.pool.acquire(
@@ -58,7 +65,7 @@
 
     def send(self, call, connection, choice, last_event=None):
         """Send the request of a call to the head of a `Choice`."""
-        if choice.head.announcements.requests_per_second is not None:
+        if choice.head.is_limited:
             attempt = "first" if call.attempts <= 1 else "further"
             self._context.metrics.limited_sends.labels(attempt).inc()
         forwarding = Forwarding(
--- a/apricotseam/forwarding/_unserved.py
+++ b/apricotseam/forwarding/_unserved.py
@@ -4,11 +4,10 @@
 
 from apricotseam.forwarding._answering import refuse_call
 
-# Callers that are refused because of the same rest return at different
-# times: within this time, and a fraction of what is left of the rest, after
-# its end.
-REST_SPREAD_SECONDS = 0.2
-REST_SPREAD_FRACTION = 0.25
+# Callers that are refused because of the same rest or limit return at
+# different times: within this time, and a fraction of the wait, after its end.
+SPREAD_SECONDS = 0.2
+SPREAD_FRACTION = 0.25
 # Callers are told hundredths of a second; what is added must not be rounded
 # away.
 MIN_SPREAD_SECONDS = 0.01
@@ -17,8 +16,8 @@
 def refuse_unserved(context, call, cause, retry_after):
     """Reject a call that no target has run; return the HTTP status.
 
-    If the targets of its service rest and no other can serve it, the caller
-    is told the end of the first rest that matters instead.
+    If the targets of its service rest or admit no request at present, and no
+    other can serve it, the caller is told when the first of them does instead.
 
     Parameters
     ----------
@@ -27,16 +26,23 @@
     call : Call
         The request.
     cause : str
-        Why no target took it, unless it is a rest.
+        Why no target took it, unless it is a rest or a limit.
     retry_after : float
         Delay before a retry in that case, in seconds.
     """
     now = asyncio.get_running_loop().time()
-    rest_ends_at = context.target_selector.rest_ends_at(call.service, now)
-    if rest_ends_at is None:
+    opens_at = context.target_selector.opens_at(call.service, now)
+    if opens_at is None:
         return refuse_call(context, call, cause, retry_after)
-    delay = spread_delay(rest_ends_at - now, context.generator)
-    return refuse_call(context, call, "targets rest", delay)
+    delay = spread_delay(opens_at - now, context.generator)
+    return refuse_call(context, call, _closed_cause(context, call, now), delay)
+
+
+def _closed_cause(context, call, now):
+    targets = context.fleet.of_service(call.service.name)
+    if any(target.waits_for_permit(now) for target in targets):
+        return "targets limit requests"
+    return "targets rest"
 
 
 def spread_delay(seconds, generator):
@@ -55,5 +61,5 @@
     >>> 2.0 <= spread_delay(2.0, random.Random(1)) <= 2.7
     True
     """
-    spread = REST_SPREAD_SECONDS + REST_SPREAD_FRACTION * seconds
+    spread = SPREAD_SECONDS + SPREAD_FRACTION * seconds
     return seconds + generator.uniform(MIN_SPREAD_SECONDS, spread)
--- a/apricotseam/forwarding/tests/test_announcements.py
+++ b/apricotseam/forwarding/tests/test_announcements.py
@@ -21,8 +21,8 @@
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._sender import Sender
 from apricotseam.forwarding._unserved import refuse_unserved
-from apricotseam.forwarding._unserved import REST_SPREAD_FRACTION
-from apricotseam.forwarding._unserved import REST_SPREAD_SECONDS
+from apricotseam.forwarding._unserved import SPREAD_FRACTION
+from apricotseam.forwarding._unserved import SPREAD_SECONDS
 from apricotseam.forwarding import RequestMetrics
 from apricotseam.forwarding import RequestQueue
 from apricotseam.forwarding import TargetSelector
@@ -97,6 +97,13 @@
     return [t.identity for t, _ in choice.stages] if choice else None
 
 
+def check_choice(found, expected):
+    """Check chosen targets against the allowed ones of each stage."""
+    assert (found is None) is (expected is None)
+    for identity, allowed in zip(found or (), expected or ()):
+        assert allowed == "*" or identity in allowed
+
+
 # Description, service, targets that leave, rests by target in seconds, the
 # targets chosen.
 CHOICES = [
@@ -116,6 +123,34 @@
 ]
 
 
+# Description, service, targets that wait for permits, the targets chosen.
+LIMITED = [
+    ("head waits", ENGINE, ["e0"], ["e2", ("e1", "e3")]),
+    ("worker waits", ENGINE, ["e1"], [("e0", "e2"), ("e1", "e3")]),
+    ("both heads wait", ENGINE, ["e0", "e2"], None),
+    ("both workers wait", ENGINE, ["e1", "e3"], [("e0", "e2"), "*"]),
+    ("plain", PLAIN, ["p0"], ["p1"]),
+    ("all plain", PLAIN, ["p0", "p1"], None),
+]
+
+
+@pytest.mark.parametrize(
+    ("service", "waiting", "expected"),
+    [case[1:] for case in LIMITED],
+    ids=[case[0] for case in LIMITED],
+)
+def test_no_request_begins_at_a_target_that_waits_for_a_permit(
+    service, waiting, expected
+):
+    """Limits are about what hosts send: workers of chains are not asked."""
+    fleet = make_fleet()
+    wait_for_permit(fleet, 1.0, **dict.fromkeys(waiting, 1.0))
+    selector = TargetSelector(fleet, Ledger(), "a")
+    check_choice(choose(selector, service, 1.5), expected)
+    assert choose(selector, service, 2.0) is not None
+    assert (selector.opens_at(service, 1.5) is None) is (expected is not None)
+
+
 @pytest.mark.parametrize(
     ("service", "leaving", "rests", "expected"),
     [case[1:] for case in CHOICES],
@@ -126,10 +161,7 @@
     selector = TargetSelector(fleet, Ledger(), "a")
     leave(fleet, *leaving)
     rest(fleet, 0.0, **rests)
-    found = choose(selector, service, 0.5)
-    assert (found is None) is (expected is None)
-    for identity, allowed in zip(found or (), expected or ()):
-        assert allowed == "*" or identity in allowed
+    check_choice(choose(selector, service, 0.5), expected)
 
 
 def test_only_resting_target_is_not_chosen_although_others_failed():
@@ -189,7 +221,7 @@
     selector = TargetSelector(fleet, Ledger(), "a")
     leave(fleet, *leaving)
     rest(fleet, 0.0, **rests)
-    assert selector.rest_ends_at(service, 0.5) == expected
+    assert selector.opens_at(service, 0.5) == expected
 
 
 class FakeExchange:
@@ -205,14 +237,23 @@
         self.headers = dict(headers)
 
 
-def refuse_many(rests, count):
+def wait_for_permit(fleet, now, **seconds):
+    """Record how long limits admit no request to targets from a time on."""
+    for identity, value in seconds.items():
+        target = fleet.get(identity)
+        fleet.record_limit(target.incarnation, 1.0, OWN, now)
+        target.announcements.permit_due_at = now + value
+
+
+def refuse_many(rests, count, keep_away=rest):
     """Return the delays told to callers of the plain service."""
 
     async def scenario():
         loop = asyncio.get_running_loop()
         fleet = make_fleet()
-        rest(fleet, loop.time(), **rests)
+        keep_away(fleet, loop.time(), **rests)
         context = types.SimpleNamespace(
+            fleet=fleet,
             target_selector=TargetSelector(fleet, Ledger(), "a"),
             generator=random.Random(1),
             metrics=RequestMetrics(prometheus_client.CollectorRegistry()),
@@ -239,19 +280,20 @@
 ]
 
 
+@pytest.mark.parametrize("keep_away", [rest, wait_for_permit])
 @pytest.mark.parametrize(
     ("rests", "shortest", "longest"),
     [case[1:] for case in DELAYS],
     ids=[case[0] for case in DELAYS],
 )
 def test_refused_callers_are_told_the_first_end_and_spread(
-    rests, shortest, longest
+    rests, shortest, longest, keep_away
 ):
-    delays = refuse_many(rests, 40)
+    delays = refuse_many(rests, 40, keep_away)
     if len(rests) < 2:
         assert set(delays) == {shortest}
         return
-    spread = REST_SPREAD_SECONDS + REST_SPREAD_FRACTION * longest
+    spread = SPREAD_SECONDS + SPREAD_FRACTION * longest
     # The delays are told in hundredths of a second.
     assert shortest - 0.1 <= min(delays)
     assert max(delays) <= longest + spread + 0.01
@@ -425,7 +467,8 @@
     caplog.set_level(logging.INFO)
     now = [100.0]
     fleet = make_fleet()
-    recorder, registry = make_recorder(fleet, None, lambda: now[0])
+    queue = RequestQueue(lambda: now[0])
+    recorder, registry = make_recorder(fleet, queue, lambda: now[0])
     for stated in ([b"2.5"], values):
         headers = [(b"Server-Limit", value) for value in stated]
         recorder.record(("p0", 1), ResponseHead(200, b"", headers))
--- a/apricotseam/forwarding/tests/test_announcements_machine.py
+++ b/apricotseam/forwarding/tests/test_announcements_machine.py
@@ -166,7 +166,7 @@
 
     @invariant()
     def told_end_of_a_rest_is_the_first_that_helps(self):
-        end = self.selector.rest_ends_at(ENGINE, self.now)
+        end = self.selector.opens_at(ENGINE, self.now)
         if end is None:
             ends = [e for e in self.rests.values() if e > self.now]
             is_served = self.can_serve_engine(self.now)
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -41,6 +41,7 @@
 from apricotseam.node._listeners import Metrics
 from apricotseam.node._listeners import Readiness
 from apricotseam.node._listeners import start_server
+from apricotseam.node._permits import PermitExchange
 from apricotseam.node._placer import Placer
 from apricotseam.node._settings import load_node_settings
 from apricotseam.node._store_items import HOSTS_PREFIX
@@ -260,6 +261,9 @@
             None, settings.peers_address, self._started_ms
         )
         self._hosts = Hosts(own, transport, Facts, self._now)
+        self._context.permits = PermitExchange(
+            self._hosts, self._context.request_queue, self._now
+        )
         transport.handle(ChangesRequest, self._answer_changes, Changes)
         self._store = StoreClient(settings.store_address)
         self._mirror = Mirror(lambda item: self._item_handler.apply(item))
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -9,6 +9,7 @@
 from apricotseam.fleet import AnnouncementSource
 from apricotseam.node._delegates import DelegateReports
 from apricotseam.node._delegates import TAKEOVER_SECONDS
+from apricotseam.node._limit_notices import LimitNotices
 from apricotseam.node._zone_reports import HostState
 from apricotseam.node._zone_reports import LeavingNotice
 from apricotseam.node._zone_reports import NOTICE_SECONDS
@@ -100,6 +101,9 @@
         # Time of the last report by another zone, by suspect target.
         self._other_suspects = {}
         self._delegate_reports = DelegateReports()
+        self._limit_notices = LimitNotices(
+            context.fleet, context.request_queue, now
+        )
         hosts.transport.handle(HostState, self._receive)
         hosts.transport.handle(ZoneReport, self._receive_report)
 
@@ -113,10 +117,15 @@
         """Whether this host knows of the others by the delegates' reports."""
         return not self._is_direct and len(self._delegate_reports) > 0
 
+    @property
+    def limit_notices(self):
+        """The `LimitNotices` of this host."""
+        return self._limit_notices
+
     async def run(self):
         """Send states periodically, forever."""
         sent_changes = -1
-        sent_leaving = set()
+        sent_words = None
         unsent_periods = 0
         while True:
             await asyncio.sleep(self._send_period())
@@ -124,17 +133,17 @@
             self._update_delegates()
             suspects = self._suspect_targets()
             slow = self._slow_targets()
-            leaving = set(self.leaving_targets())
+            words = self._words_of_targets()
             unsent_periods += 1
             is_unchanged = (
                 self._ledger.changes == sent_changes
-                and leaving == sent_leaving
+                and words == sent_words
                 and not (suspects or slow)
             )
             if is_unchanged and unsent_periods < HEARTBEAT_PERIODS:
                 continue
             sent_changes = self._ledger.changes
-            sent_leaving = leaving
+            sent_words = words
             unsent_periods = 0
             self._send(suspects, slow)
 
@@ -246,6 +255,14 @@
             for state in self._collector.states(now):
                 self._apply_state(state, now)
 
+    def _words_of_targets(self):
+        """Return what targets say about themselves, without its age."""
+        limits = {
+            (identity, notice.requests_per_second)
+            for identity, notice in self._limit_notices.own().items()
+        }
+        return set(self.leaving_targets()), limits
+
     def _suspect_targets(self):
         return [
             target.identity
@@ -277,6 +294,7 @@
             self._context.request_queue.recently_refused(since),
             repeats,
             self.leaving_targets(),
+            self._limit_notices.own(),
         )
 
     def _send(self, suspects, slow):
@@ -314,6 +332,7 @@
             suspects=sorted({*report.suspects, *self._other_suspects}),
             other_zones=others,
             store_position=self._store_position(),
+            limits=self._limit_notices.known(),
         )
         self._hosts.transport.send_all(self._hosts.load_recipients, report)
 
@@ -366,6 +385,7 @@
         """Apply what a `HostState` or `ZoneReport` says of targets."""
         self._apply_suspects(message.suspects, now)
         self.notice_leaving(message.leaving)
+        self._limit_notices.apply(message.limits)
         for identity, factor in message.slow.items():
             target = self._context.fleet.get(identity)
             if target is not None:
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -12,6 +12,7 @@
 from apricotseam.chains import sum_usages
 from apricotseam.chains import Usage
 from apricotseam.forwarding import RepeatCount
+from apricotseam.node._limit_notices import LimitNotice
 from apricotseam.positions import NO_POSITION
 from apricotseam.positions import Position
 
@@ -45,7 +46,8 @@
     reported themselves slow, ``refused`` the retry keys of requests that it
     refused recently, and ``repeats`` its counts of retries by service.
     ``number`` counts its messages. ``leaving`` are the targets that, as it
-    knows, announced that they leave.
+    knows, announced that they leave, ``limits`` those that told it that they
+    limit requests or do so no more.
     """
 
     host: str
@@ -57,6 +59,7 @@
     refused: list[str]
     repeats: dict[str, RepeatCount]
     leaving: dict[str, LeavingNotice] = {}
+    limits: dict[str, LimitNotice] = {}
 
     @property
     def sender(self):
@@ -75,7 +78,7 @@
     whose states are overdue. ``store_position`` is the position in the store
     that the sender follows, `NO_POSITION` if it does not follow the store.
     ``leaving`` are the targets that, as the sender knows, announced that they
-    leave.
+    leave, ``limits`` those that told any host about limits.
     """
 
     zone: str
@@ -91,6 +94,7 @@
     silent: list[str]
     store_position: Position
     leaving: dict[str, LeavingNotice] = {}
+    limits: dict[str, LimitNotice] = {}
 
 
 def is_newer(message, known):
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -6,6 +6,7 @@
 
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
+from apricotseam.node._limit_notices import LimitNotice
 from apricotseam.node._zone_reports import is_newer
 from apricotseam.node._zone_reports import LeavingNotice
 
@@ -17,7 +18,8 @@
 
     ``sender`` identifies the process that computed the totals, ``number``
     counts its messages. ``suspects`` are targets that hosts of the zone
-    cannot reach, ``leaving`` those that announced that they leave.
+    cannot reach, ``leaving`` those that announced that they leave, and
+    ``limits`` those that told any host about limits.
     """
 
     zone: str
@@ -26,6 +28,7 @@
     usages: dict[str, Usage]
     suspects: list[str] = []
     leaving: dict[str, LeavingNotice] = {}
+    limits: dict[str, LimitNotice] = {}
 
 
 class ZoneUsageExchange:
@@ -87,6 +90,7 @@
             usages,
             self._usage_exchange.zone_suspects(),
             self._usage_exchange.leaving_targets(),
+            self._usage_exchange.limit_notices.known(),
         )
         addresses = self._hosts.other_zone_delegates
         self._hosts.transport.send_all(addresses, message)
@@ -98,6 +102,7 @@
         self._latest[message.zone] = message
         self._usage_exchange.notice_other_zone(message.suspects)
         self._usage_exchange.notice_leaving(message.leaving)
+        self._usage_exchange.limit_notices.apply(message.limits)
         if self._usage_exchange.uses_reports:
             return
         self._applied_count += 1
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -477,32 +477,27 @@
     assert not host.exchange._collector.states(zone.now)
 
 
-# A message, and the number of its fields before leaving targets were added.
+# Messages, and what was added to each of them since, in this order.
 MESSAGES = [
-    (HostState("h/1", "a", 1, {}, [], {}, [], {}), 8),
-    (
-        ZoneReport(
-            "a", "h/1", 1, {}, {}, None, [], {}, [], {}, [], NO_POSITION
-        ),
-        12,
-    ),
-    (ZoneState("a", "h/1", 1, {}), 5),
+    HostState("h/1", "a", 1, {}, [], {}, [], {}),
+    ZoneReport("a", "h/1", 1, {}, {}, None, [], {}, [], {}, [], NO_POSITION),
+    ZoneState("a", "h/1", 1, {}),
 ]
+ADDED = ["leaving", "limits"]
 
 
+@pytest.mark.parametrize("missing", range(1, len(ADDED) + 1))
 @pytest.mark.parametrize(
-    ("message", "count"),
-    MESSAGES,
-    ids=[type(message).__name__ for message, _ in MESSAGES],
+    "message", MESSAGES, ids=[type(message).__name__ for message in MESSAGES]
 )
-def test_message_of_a_host_that_does_not_tell_of_leaving_targets(
-    message, count
+def test_message_of_a_host_that_does_not_know_all_words_of_targets(
+    message, missing
 ):
     """Guards against a change of version in which hosts don't understand."""
     fields = msgspec.to_builtins(message, enc_hook=encode_hook)
-    assert len(fields) == count + 1
-    old = msgspec.msgpack.encode(fields[:count])
+    assert list(message.__struct_fields__[-len(ADDED) :]) == ADDED
+    old = msgspec.msgpack.encode(fields[:-missing])
     read = msgspec.msgpack.decode(
         old, type=type(message), dec_hook=decode_hook
     )
-    assert read == message and read.leaving == {}
+    assert read == message and read.leaving == {} and read.limits == {}
--- a/apricotseam/node/tests/test_zones.py
+++ b/apricotseam/node/tests/test_zones.py
@@ -4,6 +4,7 @@
 
 from apricotseam.chains import Ledger
 from apricotseam.chains import Usage
+from apricotseam.node._limit_notices import LimitNotice
 from apricotseam.node._zone_reports import LeavingNotice
 from apricotseam.node._zones import ZoneState
 from apricotseam.node._zones import ZoneUsageExchange
@@ -29,6 +30,21 @@
         self.sent.extend((address, message) for address in addresses)
 
 
+class FakeLimitNotices:
+    """One target that states a limit, and the notices of other zones."""
+
+    def __init__(self):
+        self.noticed = {}
+
+    def known(self):
+        """Return the target of this zone."""
+        return {"limited-here": LimitNotice(1, 2.5, 0.5)}
+
+    def apply(self, notices):
+        """Record the notices of another zone."""
+        self.noticed.update(notices)
+
+
 class FakeUsageExchange:
     """Exchange within a zone with one suspect and one leaving target."""
 
@@ -36,6 +52,7 @@
         self.uses_reports = uses_reports
         self.noticed = []
         self.noticed_leaving = {}
+        self.limit_notices = FakeLimitNotices()
 
     def leaving_targets(self):
         """Return the leaving target."""
--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -7,6 +7,7 @@
 from apricotseam.platform.standins._configuration import ACCELERATOR_KIND
 from apricotseam.platform.standins._configuration import ENGINE_SERVICE
 from apricotseam.platform.standins._configuration import PLAIN_SERVICE
+from apricotseam.platform.standins._target_side import limit_headers
 
 MILLISECONDS_PER_SECOND = 1000.0
 STREAM_PREFIX = b"/feed/"
@@ -54,6 +55,8 @@
         Length of that silence.
     is_leaving : bool
         Whether all its answers say that it is about to exit.
+    requests_per_second : float or None
+        Limit that all its answers state, None for none.
     rest_values : iterable of bytes
         Values of ``Retry-After`` with which it refuses requests until the
         end of its `rest`.
@@ -98,6 +101,7 @@
         self.answer_seconds = 0.0
         self._pauses_until = 0.0
         self.is_leaving = False
+        self.requests_per_second = None
         self.rest_values = ()
         self.fails_at = ""
         self._rests_until = 0.0
@@ -192,7 +196,8 @@
         exchange.answer(status, body, [*headers, *self._common_headers()])
 
     def _common_headers(self):
-        return [LEAVING] if self.is_leaving else []
+        leaving = [LEAVING] if self.is_leaving else []
+        return [*leaving, *limit_headers(self.requests_per_second)]
 
     async def _wait_while_paused(self):
         loop = asyncio.get_running_loop()
@@ -215,6 +220,7 @@
         """
         self.born += 1
         self.is_leaving = False
+        self.requests_per_second = None
         self._rests_until = 0.0
         self.layers = None
         self.orders.clear()
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -13,6 +13,7 @@
 from apricotseam.forwarding import HostRetryBudget
 from apricotseam.forwarding import RequestMetrics
 from apricotseam.forwarding import TargetProber
+from apricotseam.node._permits import PermitExchange
 from apricotseam.node._placer import Placer
 from apricotseam.node._usage import UsageExchange
 from apricotseam.node._zones import ZoneUsageExchange
@@ -77,6 +78,9 @@
         self.election = FixedElection()
         self.context = self._make_context(policy, seed)
         self.context.table = table
+        self.context.permits = PermitExchange(
+            self.hosts, self.context.request_queue, self._now
+        )
         self._gateway = Gateway(self.context)
         self.watcher = RecordWatcher(self.context.fleet, self._now)
         self._tasks = []
--- a/measure/emulator/_peers.py
+++ b/measure/emulator/_peers.py
@@ -1,11 +1,22 @@
 """Messages between emulated hosts, and what each knows of the others."""
 
+import asyncio
+
 from apricotseam.coordination import is_large_fleet
+from apricotseam.peers import PeerUnreachableError
 
 DELIVERY_SECONDS = 0.001
 DELEGATES_PER_ZONE = 2
 
 
+class HostTable(list):
+    """The `PeerHosts` of all running hosts, as a table of members."""
+
+    def live(self):
+        """Return all hosts of the table, which is replaced at a change."""
+        return self
+
+
 class PeerNetwork:
     """Delivers messages between the hosts of one simulation.
 
@@ -18,7 +29,7 @@
     def __init__(self, loop):
         self._loop = loop
         self._hosts = {}
-        self._sorted = []
+        self._sorted = HostTable()
         self.messages = 0
 
     @property
@@ -44,8 +55,29 @@
             DELIVERY_SECONDS, self._deliver, sender, address, message
         )
 
+    async def ask(self, sender, address, message):
+        """Send a request to the host at an address; return its answer.
+
+        Raises
+        ------
+        PeerUnreachableError
+            If no host runs there.
+        """
+        self.messages += 2
+        await asyncio.sleep(DELIVERY_SECONDS)
+        hosts = self._hosts.get(address)
+        if hosts is None:
+            raise PeerUnreachableError(
+                f"no host runs at {address}", "ask another one"
+            )
+        answer = hosts.transport.receive(sender, message)
+        await asyncio.sleep(DELIVERY_SECONDS)
+        return answer
+
     def _sort(self):
-        self._sorted = [self._hosts[key] for key in sorted(self._hosts)]
+        self._sorted = HostTable(
+            self._hosts[key] for key in sorted(self._hosts)
+        )
 
     def _deliver(self, sender, address, message):
         hosts = self._hosts.get(address)
@@ -78,11 +110,14 @@
         for address in addresses:
             self._network.send(self._address, address, message)
 
+    async def ask_async(self, address, message, timeout):
+        """Send a request to a host and return its answer."""
+        return await self._network.ask(self._address, address, message)
+
     def receive(self, sender, message):
-        """Handle a message that has arrived."""
+        """Handle a message that has arrived; return the answer, if any."""
         handler = self._handlers.get(type(message))
-        if handler is not None:
-            handler(sender, message)
+        return None if handler is None else handler(sender, message)
 
 
 class PeerHosts:
@@ -108,6 +143,11 @@
         # Addresses of delegates of the own zone whose reports are overdue.
         self.unheard_delegates = set()
 
+    @property
+    def peers_address(self):
+        """Address of this host, as a member of the table."""
+        return self.own_address
+
     @property
     def table(self):
         """All running hosts."""
