Parse answers as they are read, and bound what a server may send

Cause: Connection parsed all received bytes at once and queued the events without bound; while bytes arrived the deadline of a read was never looked at, and informational heads weren't counted. EventSplitter copied and searched an incomplete event anew for each piece.

Now the parser runs only as far as the reader takes events, reading from the server pauses at 256 KB unread, 16 informational heads are allowed, the deadline is checked and other tasks run each 64 events, and an event of more than 1 MB is malformed; its end is searched for in new bytes only.

--- a/apricotseam/http1/_client.py
+++ b/apricotseam/http1/_client.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 client connection that streams the response body."""
 
 import asyncio
-import collections
 
 import h11
 
@@ -14,6 +13,12 @@
 from apricotseam.http1._sockets import enable_keepalive
 
 MAX_HEAD_BYTES = 1 << 16
+# Heads of informational responses that may precede the response.
+MAX_INFORMATIONAL_HEADS = 16
+# Unread bytes at which reading from the server is paused.
+PAUSE_BYTES = 1 << 18
+# Events read without waiting after which other tasks get their turn.
+EVENTS_PER_TURN = 64
 
 
 class ResponseHead:
@@ -72,12 +77,17 @@
         self.idle_since = 0.0
         self.expires_at = None
         self._parser = None
-        self._events = collections.deque()
+        # Received bytes that the parser has not used up, at most.
+        self._unread_bytes = 0
+        self._is_paused = False
+        self._events_in_turn = 0
         self._waiter = None
         self._transport = None
         self._error = None
         self._is_busy = False
         self._is_closed = False
+        # Whether the server has ended its data within a response.
+        self._has_ended = False
         self._request_count = 0
 
     @property
@@ -102,13 +112,20 @@
             # request.
             self.close()
             return
-        self._parse_bytes(data)
+        self._parser.receive_data(data)
+        self._unread_bytes += len(data)
+        if self._unread_bytes >= PAUSE_BYTES and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+        self._wake_reader()
 
     def eof_received(self):
         """Handle the end of the server's data; called by the event loop."""
         self._is_closed = True
         if self._is_busy:
-            self._parse_bytes(b"")
+            self._parser.receive_data(b"")
+            self._has_ended = True
+            self._wake_reader()
         return False
 
     def connection_lost(self, error):
@@ -136,8 +153,10 @@
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._events.clear()
+        self._unread_bytes = 0
+        self._events_in_turn = 0
         self._error = None
+        self._has_ended = False
         self._is_busy = True
         self._request_count += 1
         request = h11.Request(method=method, target=target, headers=headers)
@@ -164,16 +183,17 @@
         TransportError
             If they were not received by the deadline.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_HEADS + 1):
             event = await self._next_event(deadline)
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
                 headers = event.headers.raw_items()
                 return ResponseHead(event.status_code, event.reason, headers)
-            raise self._response_error(
-                "the end of the message before its head"
-            )
+            raise self._fail("the end of the message before its head")
+        raise self._fail(
+            f"more than {MAX_INFORMATIONAL_HEADS} informational responses"
+        )
 
     async def read(self, deadline):
         """Return the next bytes of the body; empty at its regular end.
@@ -216,7 +236,7 @@
         while data := await self.read(deadline):
             size += len(data)
             if size > limit:
-                raise self._response_error(f"a body larger than {limit} bytes")
+                raise self._fail(f"a body larger than {limit} bytes")
             parts.append(data)
         return b"".join(parts)
 
@@ -249,23 +269,30 @@
         if trailing or unsent or not is_done:
             self.close()
 
-    def _parse_bytes(self, data):
+    def _parse_next(self):
+        """Return the next event of the received bytes, None if incomplete."""
         try:
-            self._parser.receive_data(data)
-            self._collect_events()
-        except (h11.RemoteProtocolError, h11.LocalProtocolError) as error:
-            self._error = self._response_error(str(error), data == b"")
-            self._is_closed = True
-        self._wake_reader()
-
-    def _collect_events(self):
-        while True:
             event = self._parser.next_event()
-            if event in (h11.NEED_DATA, h11.PAUSED):
-                return
-            if isinstance(event, h11.ConnectionClosed):
-                return
-            self._events.append(event)
+        except (h11.RemoteProtocolError, h11.LocalProtocolError) as error:
+            raise self._fail(str(error), self._has_ended) from None
+        if event in (h11.NEED_DATA, h11.PAUSED):
+            self._unread_bytes = 0
+            self._resume_reading()
+            return None
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        return event
+
+    def _resume_reading(self):
+        if self._is_paused and not self._is_closed:
+            self._is_paused = False
+            self._transport.resume_reading()
+
+    def _fail(self, description, is_end=False):
+        """Give the response up; return the error, which later reads raise."""
+        self._error = self._response_error(description, is_end)
+        self._is_closed = True
+        return self._error
 
     def _response_error(self, description, is_end=False):
         if is_end:
@@ -285,7 +312,18 @@
             waiter.set_result(None)
 
     async def _next_event(self, deadline):
-        while not self._events:
+        """Return the next event of the response.
+
+        Bytes are parsed only as they are read, so that a server which sends
+        without end costs no more than what the reader takes.
+        """
+        await self._let_others_run(deadline)
+        while True:
+            if isinstance(self._error, MalformedAnswerError):
+                raise self._error
+            event = self._parse_next()
+            if event is not None:
+                return event
             if self._error is not None:
                 raise self._error
             if self._is_closed:
@@ -293,8 +331,18 @@
                     f"{self.address} closed the connection",
                     "retry the call if it is idempotent",
                 )
+            self._events_in_turn = 0
             await self._wait_for_bytes(deadline)
-        return self._events.popleft()
+
+    async def _let_others_run(self, deadline):
+        """Yield now and then to other tasks, also while bytes arrive."""
+        self._events_in_turn += 1
+        if self._events_in_turn < EVENTS_PER_TURN:
+            return
+        self._events_in_turn = 0
+        await asyncio.sleep(0)
+        if asyncio.get_running_loop().time() >= deadline:
+            raise self._timeout_error()
 
     async def _wait_for_bytes(self, deadline):
         loop = asyncio.get_running_loop()
@@ -308,12 +356,13 @@
 
     def _time_out(self, waiter):
         if not waiter.done():
-            waiter.set_exception(
-                TransportTimeoutError(
-                    f"{self.address} sent nothing before the deadline",
-                    "retry the call if it is idempotent",
-                )
-            )
+            waiter.set_exception(self._timeout_error())
+
+    def _timeout_error(self):
+        return TransportTimeoutError(
+            f"{self.address} sent no complete response before the deadline",
+            "retry the call if it is idempotent",
+        )
 
 
 async def connect(address, deadline):
--- a/apricotseam/http1/_sse.py
+++ b/apricotseam/http1/_sse.py
@@ -1,5 +1,11 @@
 """Splits a byte stream into server-sent events."""
 
+from apricotseam.http1._errors import MalformedAnswerError
+
+# A longer event is given up; those of targets hold a few tokens.
+MAX_EVENT_BYTES = 1 << 20
+END_OF_EVENT = b"\n\n"
+
 
 class Event:
     """One complete server-sent event.
@@ -34,7 +40,7 @@
     __slots__ = ("_incomplete",)
 
     def __init__(self):
-        self._incomplete = b""
+        self._incomplete = bytearray()
 
     @property
     def has_incomplete_event(self):
@@ -42,18 +48,30 @@
         return bool(self._incomplete.strip())
 
     def feed(self, data):
-        """Add received bytes; return the `Event` objects they complete."""
-        buffered = self._incomplete + data
+        """Add received bytes; return the `Event` objects they complete.
+
+        Raises
+        ------
+        MalformedAnswerError
+            If the incomplete event is longer than `MAX_EVENT_BYTES`.
+        """
+        buffered = self._incomplete
+        # What was searched before can only hold the start of the end.
+        searched = max(0, len(buffered) - len(END_OF_EVENT) + 1)
+        buffered += data
         events = []
         start = 0
-        while True:
-            end = buffered.find(b"\n\n", start)
-            if end < 0:
-                break
-            event_bytes = buffered[start : end + 2]
+        while (end := buffered.find(END_OF_EVENT, searched)) >= 0:
+            searched = end + len(END_OF_EVENT)
+            event_bytes = bytes(buffered[start:searched])
             events.append(Event(event_bytes, _event_id(event_bytes)))
-            start = end + 2
-        self._incomplete = buffered[start:]
+            start = searched
+        del buffered[:start]
+        if len(buffered) > MAX_EVENT_BYTES:
+            raise MalformedAnswerError(
+                f"an event is longer than {MAX_EVENT_BYTES} bytes",
+                "repeat the request if it can be resumed",
+            )
         return events
 
 
