Count events, not bytes, as progress of a stream

Cause: each read of bytes restarted the time after which a silent chain is checked, so a stalled target that sent a byte now and then was never checked, and its callers' streams ended only at their deadlines. Now the check is due a time after the last event (or the head), whatever bytes arrive; time in which the caller accepts events doesn't count.

--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -75,7 +75,10 @@
         self._connection = None
         self._answer = None
         self._first_data = None
-        self._last_read_at = 0.0
+        # Loop times of the last event, and at which the chain is checked if
+        # no event has arrived until then.
+        self._progress_at = 0.0
+        self._check_at = 0.0
         self._typical_gap = EVENT_CHECK_SECONDS / TYPICAL_GAP_FACTOR
         self._has_events = False
         self._is_reading = False
@@ -201,11 +204,13 @@
         connection = self._connection
         self._sender.send(call, connection, choice, call.last_event)
         call.runs += 1
+        self._start_waiting(asyncio.get_running_loop().time())
         answer, metadata = await read_patiently(
             lambda deadline: self._sender.read_head(
                 call, connection, deadline, choice.head
             )
         )
+        self._record_progress()
         if answer.status != 200 or metadata.was_not_run:
             body = await connection.read_all(
                 self._deadline(ERROR_BODY_TIMEOUT_SECONDS), MAX_BODY_BYTES
@@ -232,8 +237,14 @@
         exchange = self._call.exchange
         splitter = EventSplitter()
         while data:
-            for event in splitter.feed(data):
+            events = splitter.feed(data)
+            if events:
+                self._record_progress()
+            for event in events:
                 await self._forward_event(answer, event)
+            if events:
+                # The caller may have taken its time to accept them.
+                self._start_waiting(asyncio.get_running_loop().time())
             data = await self._read_data()
         if splitter.has_incomplete_event:
             raise MalformedAnswerError(
@@ -249,7 +260,7 @@
         return await self._read_with_checks(self._connection.read)
 
     async def _read_with_checks(self, read):
-        """Read, checking the chain whenever the read times out.
+        """Read, checking the chain whenever no event arrives for too long.
 
         Parameters
         ----------
@@ -267,23 +278,31 @@
             If the attempt should be given up.
         """
         loop = asyncio.get_running_loop()
-        self._last_read_at = loop.time()
-        timeout = self._first_timeout()
         while True:
             self._is_reading = True
             try:
-                data = await read(self._deadline(timeout))
+                return await read(min(self._call.deadline, self._check_at))
             except (TransportTimeoutError, InterruptedReadError):
                 if self._call.seconds_left() <= 0:
                     raise
                 await self._handle_silence()
-                timeout = REPEAT_CHECK_SECONDS
-                continue
+                self._check_at = loop.time() + REPEAT_CHECK_SECONDS
             finally:
                 self._is_reading = False
-            self._drop_second()
-            self._record_gap(loop.time() - self._last_read_at)
-            return data
+
+    def _record_progress(self):
+        """Record that the head or an event has arrived.
+
+        Other bytes are no progress: a stalled target may send some.
+        """
+        self._drop_second()
+        now = asyncio.get_running_loop().time()
+        self._record_gap(now - self._progress_at)
+        self._start_waiting(now)
+
+    def _start_waiting(self, now):
+        self._progress_at = now
+        self._check_at = now + self._first_timeout()
 
     def _first_timeout(self):
         if not self._has_events:
@@ -333,7 +352,7 @@
             )
         choice = self._choice
         now = asyncio.get_running_loop().time()
-        silent_seconds = now - self._last_read_at
+        silent_seconds = now - self._progress_at
         targets = [target for target, _ in choice.stages]
         unresponsive = await self._context.prober.find_unresponsive(targets)
         to_avoid = [t for t in targets[1:] if self._should_avoid(t)]
--- a/apricotseam/node/tests/test_silence.py
+++ b/apricotseam/node/tests/test_silence.py
@@ -204,3 +204,48 @@
         return status, answer.header(b"apricotseam-server-signature"), body
 
     assert run(scenario) == (500, "stand-in", b"failed")
+
+
+# Path, and the number of events before the trickle.
+TRICKLES = [("/chat/x", 0), ("/chat/x", 2), ("/feed/x", 2)]
+
+
+@pytest.mark.parametrize(("path", "events_before"), TRICKLES)
+def test_bytes_without_an_event_are_no_progress(path, events_before):
+    """Guards against stalled streams that live on single bytes."""
+
+    async def scenario(platform):
+        first = [platform.engine_targets[0], platform.plain_targets[0]]
+        for target in first:
+            target.trickles_after = events_before
+        loop = asyncio.get_running_loop()
+        found = []
+        for _ in range(4):
+            started_at = loop.time()
+            status, _, body = await platform.send_request(path)
+            found.append((status, body, loop.time() - started_at < 2.5))
+        used = [len(target.requests) for target in first]
+        return found, sum(used)
+
+    found, used = run(scenario, engine_targets=4)
+    assert used
+    assert found == [(200, COMPLETE_BODY, True)] * 4
+
+
+def test_answer_that_only_trickles_never_looks_complete():
+    async def scenario(platform):
+        for target in platform.engine_targets:
+            target.trickles_after = 2
+        return await platform.send_request(
+            "/fixed/x", Apricotseam_Deadline_Ms="1000"
+        )
+
+    async def with_routes(platform):
+        platform.set_configuration(sample_configuration(2, ROUTES))
+        await platform.wait_until(
+            lambda: platform.nodes[0].configuration.version == 2
+        )
+        return await scenario(platform)
+
+    _, _, body = run(with_routes)
+    assert body is None
--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -12,6 +12,7 @@
 MILLISECONDS_PER_SECOND = 1000.0
 STREAM_PREFIX = b"/feed/"
 BLOCKED_POLL_SECONDS = 0.02
+TRICKLE_SECONDS = 0.03
 SIGNATURE = (b"Apricotseam-Server-Signature", b"stand-in")
 NOT_EXECUTED = (b"Apricotseam-Not-Executed", b"1")
 LEAVING = (b"Server-Leaving", b"1")
@@ -43,6 +44,9 @@
     cut_after : int or None
         Number of the last event that a stream sends in full; the connection
         is closed in the middle of the next one.
+    trickles_after : int or None
+        Number of the event after which a stream sends single bytes of the
+        next one, every `TRICKLE_SECONDS`, and never completes it.
     stalls_after : int or None
         Number of the event after which a stream waits for an order that
         changes its chain.
@@ -95,6 +99,7 @@
         self.events = 4
         self.event_seconds = 0.0
         self.cut_after = None
+        self.trickles_after = None
         self.stalls_after = None
         self.pauses_after = None
         self.pause_seconds = 0.0
@@ -292,6 +297,9 @@
                     await exchange.write(b"id: 9")
                     exchange.abort_response()
                     return
+                while number - 1 == self.trickles_after:
+                    await exchange.write(b":")
+                    await asyncio.sleep(TRICKLE_SECONDS)
                 if number - 1 == self.pauses_after:
                     self.pauses_after = None
                     self.pause()
