Accept only answers that name the request

A server may send a second copy of an answer late, on a connection that is in use again. Answers to requests name theirs, answers to reports and orders name none; both share the kept connections, and an answer without an identifier was taken for that of the request: shown for a signed answer (200 to the wrong caller) and for a refusal (503, 'not run', and the request ran again elsewhere). Four cases failed before. The stand-in's refusals name the request, as the platform's do.

--- a/apricotseam/forwarding/_sender.py
+++ b/apricotseam/forwarding/_sender.py
@@ -105,9 +105,12 @@
         answer = await connection.head(deadline)
         self._context.announcements.record(target.incarnation, answer)
         metadata = decode_response_metadata(answer)
-        if metadata.request_id not in (None, call.request_id):
+        if metadata.request_id != call.request_id:
+            # Without an identifier it may be a late answer to an earlier
+            # call on this connection.
             raise MalformedAnswerError(
-                f"{connection.address} sent the answer to another request",
+                f"{connection.address} sent an answer that does not name"
+                " this request",
                 "repeat the request if it is idempotent",
             )
         return answer, metadata
--- a/apricotseam/node/tests/test_requests.py
+++ b/apricotseam/node/tests/test_requests.py
@@ -78,6 +78,10 @@
         False,
     ),
     ("targets refuse, stream", "shed", "/chat/x", 503, 1, True),
+    ("answer to a call before", "nameless", "/once/x", 502, 1, False),
+    ("refusal of a call before", "nameless refusal", "/once/x", 502, 1, False),
+    ("the same, idempotent", "nameless refusal", "/read/x", 502, 2, False),
+    ("the same, stream", "nameless", "/chat/x", 502, 1, False),
 ]
 
 
--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -36,7 +36,9 @@
         ``good`` answers requests; ``shed`` refuses them as not executed;
         ``silent`` never answers; ``cut`` closes the connection without an
         answer; ``error`` answers with status 500; ``stray`` answers with
-        the identifier of another request.
+        the identifier of another request; ``nameless`` answers without an
+        identifier, and ``nameless refusal`` refuses so, as the late answer
+        to a call before would.
     events : int
         Number of events of a stream.
     event_seconds : float
@@ -189,12 +191,14 @@
         now = asyncio.get_running_loop().time()
         return max(0.0, self._rests_until - now)
 
-    def _refuse_to_rest(self, exchange):
+    def _refuse_to_rest(self, exchange, request_id_header):
         values = self.rest_values or (f"{self._rest_left():.3f}".encode(),)
         headers = [(b"Retry-After", value) for value in values]
         if self.fails_at:
             headers.append((b"At-Server", self.fails_at.encode()))
-        self._answer(exchange, 503, b"", [NOT_EXECUTED, *headers])
+        self._answer(
+            exchange, 503, b"", [request_id_header, NOT_EXECUTED, *headers]
+        )
 
     def _answer(self, exchange, status, body=b"", headers=()):
         """Answer completely, with what is said in all answers."""
@@ -260,15 +264,20 @@
             exchange.abort_response()
             return
         if self.behaviour == "shed":
-            self._answer(exchange, 503, b"", [NOT_EXECUTED])
+            self._answer(exchange, 503, b"", [headers[0], NOT_EXECUTED])
             return
         if self._rest_left():
-            self._refuse_to_rest(exchange)
+            self._refuse_to_rest(exchange, headers[0])
             return
         self.runs.append(request_id_of(request))
         if self.behaviour == "error":
             self._answer(exchange, 500, b"failed", headers)
             return
+        if self.behaviour == "nameless refusal":
+            self._answer(exchange, 421, b"", [NOT_EXECUTED])
+            return
+        if self.behaviour == "nameless":
+            del headers[0]
         if self.behaviour == "stray":
             headers[0] = (b"Apricotseam-Request-Id", b"another")
         if self.is_engine or request.target.startswith(STREAM_PREFIX):
