Answer half received requests before a planned stop of the own runtime

As a host of the product's own runtime decided to exit, requests that were received in part, or waited for a worker, didn't count as in progress; the listener gave its workers one second and then cut them: callers got '400 HTTP requires CRLF terminators' for requests that were whole. The shutdown now stops the callers' listener before the process ends and gives it what is left until the stop's deadline, so what was received is answered, by a refusal that says it did not run.

--- a/apricotseam/host/_drain.py
+++ b/apricotseam/host/_drain.py
@@ -54,6 +54,11 @@
         self._idle_since = None
         self.phase = DrainPhase.SERVING
 
+    @property
+    def deadline(self):
+        """Monotonic time in seconds at which requests are cut off."""
+        return self._deadline
+
     def begin(self, now, deadline):
         """Start the shutdown; a second call has no effect.
 
--- a/apricotseam/host/_entry.py
+++ b/apricotseam/host/_entry.py
@@ -289,6 +289,7 @@
             drain,
             self._drain_middleware,
             self.membership.announce_leaving,
+            lambda seconds: self._callers_listener.finish(seconds),
             self._stopped.set,
             self._clock,
             bounds.stop_timeout_seconds,
--- a/apricotseam/host/_leaving.py
+++ b/apricotseam/host/_leaving.py
@@ -24,6 +24,9 @@
         Counts and refuses requests.
     announce_leaving : callable
         Tells the other hosts that this one is leaving.
+    finish_requests : callable
+        Stops to accept connections and waits, for a number of seconds at
+        most, until all requests that were received in part are answered.
     exit_process : callable
         Makes the process exit.
     clock : Clock
@@ -39,6 +42,7 @@
         drain,
         middleware,
         announce_leaving,
+        finish_requests,
         exit_process,
         clock,
         stop_seconds,
@@ -46,6 +50,7 @@
         self._drain = drain
         self._middleware = middleware
         self._announce_leaving = announce_leaving
+        self._finish_requests = finish_requests
         self._exit_process = exit_process
         self._clock = clock
         self._stop_seconds = stop_seconds
@@ -86,4 +91,5 @@
         if phase in (DrainPhase.REFUSING, DrainPhase.ENDED):
             self._middleware.refuse()
         if phase is DrainPhase.ENDED:
+            self._finish_requests(max(0.0, self._drain.deadline - now))
             self._exit_process()
--- a/apricotseam/web/_listener.py
+++ b/apricotseam/web/_listener.py
@@ -9,6 +9,8 @@
 _LOG = logging.getLogger(__name__)
 
 MAX_CONNECTIONS = 4096
+# Time to end that worker threads always have.
+MIN_FINISH_SECONDS = 1.0
 
 
 class Listener:
@@ -80,6 +82,17 @@
         if self._thread is not None:
             self._thread.join(5)
 
+    def finish(self, seconds):
+        """Stop after answering what has been received, at least in part.
+
+        Parameters
+        ----------
+        seconds : float
+            Time after which requests that are still incomplete are cut off.
+        """
+        self._server.shutdown_timeout = max(MIN_FINISH_SECONDS, seconds)
+        self.stop()
+
     def abort(self):
         """Shut down every connection, as if the process had been killed."""
         self._server.shut_down_connections()
