Go on reading a kept connection after an answer that came at once

Found in the read-through: reading is paused at 256 KB unread and resumed when the parser wants more, which it never does if the whole answer is there; the connection went back to the pool paused, and its next answer would not have been read. The new test failed before.

--- a/apricotseam/http1/_client.py
+++ b/apricotseam/http1/_client.py
@@ -266,6 +266,7 @@
         )
         unsent = self._transport.get_write_buffer_size()
         self._is_busy = False
+        self._resume_reading()
         if trailing or unsent or not is_done:
             self.close()
 
--- a/apricotseam/http1/tests/test_endless.py
+++ b/apricotseam/http1/tests/test_endless.py
@@ -215,6 +215,27 @@
     assert asyncio.run(scenario()) == (body, True, False)
 
 
+def test_reading_goes_on_after_an_answer_that_came_at_once():
+    """Guards against a kept connection that stays paused."""
+    body = b"x" * MAX_BUFFERED_BYTES
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        server = EndlessServer(b"", b"", 0.0)
+        connection = server.connection
+        connection.send(b"GET", b"/", [(b"Host", b"a")])
+        size = str(len(body)).encode()
+        connection.data_received(
+            HEAD + b"Content-Length: " + size + b"\r\n\r\n" + body
+        )
+        deadline = loop.time() + GIVE_UP_SECONDS
+        await connection.head(deadline)
+        found = await connection.read_all(deadline, len(body))
+        return found, connection.is_usable, server.transport.is_paused
+
+    assert asyncio.run(scenario()) == (body, True, False)
+
+
 def feed_event(size, pieces=PIECE_BYTES):
     """Feed an event that never ends; return the processor time."""
     splitter = EventSplitter()
