--- a/apricotseam/fleet/_health.py
+++ b/apricotseam/fleet/_health.py
@@ -36,6 +36,7 @@
         "_last_failed_at",
         "_peer_silence_until",
         "_rejects_connections",
+        "_refuses_connections",
         "_silent_since",
         "failure_share",
         "latency_seconds",
@@ -52,6 +53,7 @@
         # Time of the last contact of this host in that silence, or None.
         self._last_failed_at = None
         self._rejects_connections = False
+        self._refuses_connections = False
         self._avoided_until = 0.0
         self._slowness = 1.0
         self._slow_until = 0.0
@@ -129,11 +131,17 @@
         """Mark the target as responding, whatever peers reported."""
         self._is_silent = False
         self._rejects_connections = False
+        self._refuses_connections = False
         self._last_failed_at = None
         self._silent_since = None
         self._peer_silence_until = 0.0
 
-    def record_contact_failure(self, now, is_rejected):
+    @property
+    def refuses_connections(self):
+        """Whether no process listened at its address at the last contact."""
+        return self._refuses_connections
+
+    def record_contact_failure(self, now, is_rejected, is_refused=False):
         """Record how a contact with the target failed.
 
         Parameters
@@ -142,8 +150,11 @@
             Time of its end.
         is_rejected : bool
             Whether the connection was refused or reset.
+        is_refused : bool
+            Whether it was refused, as no process listens there.
         """
         self._rejects_connections = is_rejected
+        self._refuses_connections = is_refused
         if self._is_silent:
             self._last_failed_at = now
 
--- a/apricotseam/fleet/tests/test_fleet.py
+++ b/apricotseam/fleet/tests/test_fleet.py
@@ -120,6 +120,7 @@
     health = Health()
     health.mark_unreachable(0.0)
     health.record_contact_failure(0.0, is_rejected)
+    assert not health.refuses_connections
     assert health.is_lost(seconds) is expected
     health.mark_reachable()
     assert not health.is_lost(seconds)
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -13,6 +13,7 @@
 from apricotseam.forwarding._plain import PlainRunner
 from apricotseam.forwarding._probes import TargetProber
 from apricotseam.forwarding._streams import StreamRunner
+from apricotseam.forwarding._target_ends import TargetEndDetector
 from apricotseam.http1 import EndCause
 from apricotseam.platform import decode_request_metadata
 from apricotseam.positions import NO_POSITION
@@ -52,6 +53,7 @@
         "generator",
         "permits",
         "retry_budget",
+        "target_ends",
         "target_selector",
         "fleet",
         "shutdown_at",
@@ -88,6 +90,7 @@
         self.announcements = AnnouncementRecorder(
             fleet, request_queue, metrics, time.monotonic
         )
+        self.target_ends = TargetEndDetector(metrics)
         self.generator = random.Random()
         # `SendPermits`, set before the first request is accepted.
         self.permits = None
@@ -199,6 +202,7 @@
                     (call.first_event_at or now) - call.request.received_at
                 ),
                 "waited_ms": _milliseconds(call.waited_seconds),
+                "parts": call.metadata.shared_parts,
                 "longest_pause_ms": _milliseconds(call.longest_gap),
             },
         )
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -68,6 +68,11 @@
             ["attempt"],
             registry=registry,
         )
+        self.target_ends = prometheus_client.Counter(
+            "apricotseam_target_ends",
+            "Processes of targets that ended with requests in progress.",
+            registry=registry,
+        )
         self._incomplete = prometheus_client.Counter(
             "apricotseam_incomplete_answers",
             "Requests that this host left without a complete answer.",
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -128,6 +128,7 @@
         if not call.may_run_again:
             return
         unresponsive = await self._context.prober.find_unresponsive([target])
+        self._context.target_ends.record_broken(call, unresponsive, None)
         now = asyncio.get_running_loop().time()
         if unresponsive or now >= self._second_at:
             choice = self._replacements.reserve(call, [target.identity])
@@ -176,6 +177,7 @@
             return _AttemptResult(was_run=False)
         except TransportError as error:
             await self._context.prober.find_unresponsive([target])
+            self._context.target_ends.record_broken(call, [target], None)
             return self._handle_broken_answer(target, error)
         finally:
             if connection is not None:
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -257,7 +257,11 @@
             is_rejected = isinstance(
                 error, (LostConnectionError, RefusedConnectionError)
             )
-            target.health.record_contact_failure(self._now(), is_rejected)
+            target.health.record_contact_failure(
+                self._now(),
+                is_rejected,
+                isinstance(error, RefusedConnectionError),
+            )
             return False
         except InvalidInputError as error:
             _LOG.info(
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -81,6 +81,8 @@
         self._check_at = 0.0
         self._typical_gap = EVENT_CHECK_SECONDS / TYPICAL_GAP_FACTOR
         self._has_events = False
+        # Loop time of the first event of this attempt, or None.
+        self._writing_since = None
         self._is_reading = False
         self._reroutes = 0
         # `SecondAttempt` that was started because of a silence, or None.
@@ -99,6 +101,15 @@
             self._second.attempt.choice if self._is_replaced else self._choice
         )
 
+    @property
+    def writing_since(self):
+        """Loop time in seconds of its first event, or None."""
+        return (
+            self._second.attempt.writing_since
+            if self._is_replaced
+            else self._writing_since
+        )
+
     async def run(self):
         """Send the call and forward its events to the caller.
 
@@ -324,6 +335,8 @@
                 return
             call.last_event = event.number
         self._has_events = True
+        if self._writing_since is None:
+            self._writing_since = asyncio.get_running_loop().time()
         exchange = call.exchange
         if not exchange.is_started:
             exchange.start(200, returned_headers(answer), answer.reason)
@@ -379,6 +392,9 @@
             return
         for identity in identities:
             call.record_outcome(identity, "silent")
+        self._context.target_ends.record_broken(
+            call, targets, self._writing_since
+        )
         attempt = StreamAttempt(
             self._context, self._sender, call, choice, self._record_result
         )
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -194,9 +194,7 @@
             )
             return 502
         except TransportError as error:
-            return await self._handle_broken_answer(
-                call, attempt.choice, error
-            )
+            return await self._handle_broken_answer(call, attempt, error)
         if failure is not None:
             return await self._handle_error_answer(
                 call, attempt.choice, *failure
@@ -210,8 +208,9 @@
             target.health.record_success()
         call.record_outcome(choice.chain or choice.head.identity, "200")
 
-    async def _handle_broken_answer(self, call, choice, error):
+    async def _handle_broken_answer(self, call, attempt, error):
         """Record an incomplete answer; return the HTTP status."""
+        choice = attempt.choice
         is_timeout = isinstance(error, TransportTimeoutError)
         call.record_outcome(choice.chain or choice.head.identity, error.code)
         targets = [target for target, _ in choice.stages]
@@ -220,6 +219,9 @@
             for target in targets:
                 self._context.prober.forget(target)
             await self._context.prober.find_unresponsive(targets)
+        self._context.target_ends.record_broken(
+            call, targets, attempt.writing_since
+        )
         now = asyncio.get_running_loop().time()
         suspects = [t for t in targets if t.health.is_suspect(now)]
         if suspects:
--- /dev/null
+++ b/apricotseam/forwarding/tests/test_target_ends.py
@@ -0,0 +1,63 @@
+"""Which broken answers count as the end of a target's process."""
+
+import asyncio
+import types
+
+import prometheus_client
+import pytest
+
+from apricotseam.fleet import Target
+from apricotseam.fleet import TargetRecord
+from apricotseam.forwarding._target_ends import TargetEndDetector
+from apricotseam.forwarding import RequestMetrics
+from apricotseam.platform import RequestMetadata
+
+CALL = types.SimpleNamespace(
+    request_id="r1",
+    retry_key="c/p1/1,1",
+    customer="c",
+    metadata=RequestMetadata(
+        request_id="r1", host="h", key="k", shared_parts=("a", "b")
+    ),
+)
+
+
+# Description, whether connections are refused at the break, whether the
+# entry is removed, whether it was draining then, expected ends.
+CASES = [
+    ("nothing listens there", True, False, False, 1),
+    ("the connection was reset", False, False, False, 0),
+    ("the entry disappears", False, True, False, 1),
+    ("both", True, True, False, 1),
+    ("a target that drained leaves", False, True, True, 0),
+]
+
+
+@pytest.mark.parametrize(
+    ("is_refused", "is_removed", "is_draining", "expected"),
+    [case[1:] for case in CASES],
+    ids=[case[0] for case in CASES],
+)
+def test_ends_of_processes(is_refused, is_removed, is_draining, expected):
+    registry = prometheus_client.CollectorRegistry()
+    detector = TargetEndDetector(RequestMetrics(registry))
+    target = Target(
+        TargetRecord(
+            identity="t",
+            service="s",
+            address="t:1",
+            zone="a",
+            is_draining=is_draining,
+        )
+    )
+
+    async def scenario():
+        target.health.record_contact_failure(0.0, True, is_refused)
+        for _ in range(2):
+            detector.record_broken(CALL, [target], None)
+        if is_removed:
+            detector.record_removal(target)
+
+    asyncio.run(scenario())
+    ends = registry.get_sample_value("apricotseam_target_ends_total")
+    assert ends == expected
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -237,6 +237,7 @@
 
     def _on_target_removed(self, target):
         self._pool.drop(target.incarnation)
+        self._context.target_ends.record_removal(target)
         self._context.prober.forget(target)
         self._context.active_streams.recheck(target.identity)
 
--- a/apricotseam/platform/_requests.py
+++ b/apricotseam/platform/_requests.py
@@ -25,6 +25,9 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 MISDIRECTED_REQUEST = 421
+# Shared parts of a prompt that are told apart, and the longest hash of one.
+MAX_SHARED_PARTS = 32
+MAX_PART_CHARACTERS = 64
 
 _REQUEST_ID_LOWER = REQUEST_ID_HEADER.lower()
 # Headers that are dropped before this host adds its own values, either
@@ -50,8 +53,9 @@
     ``seconds_left`` is the caller's timeout in seconds, counted from the
     first byte of the request. ``last_event`` is the id of the last stream
     event that the caller received. ``prompt_id`` is the hash of the last
-    part of the prompt, which is specific to this request. Numbers that are
-    missing or invalid are None.
+    part of the prompt, which is specific to this request or its session;
+    ``shared_parts`` are the hashes of the other parts, in order. Numbers
+    that are missing or invalid are None.
     """
 
     request_id: str
@@ -62,6 +66,7 @@
     max_answer_tokens: int | None = None
     expected_answer_tokens: int | None = None
     prompt_id: str = ""
+    shared_parts: tuple[str, ...] = ()
     last_event: int | None = None
 
 
@@ -107,7 +112,7 @@
     prompt_tokens, max_answer_tokens = _parse_integer_pair(
         request.header(TOKEN_COUNT_HEADER.lower())
     )
-    prefix_hashes = request.header(PREFIX_HASH_HEADER.lower())
+    parts = _parse_parts(request.header(PREFIX_HASH_HEADER.lower()))
     remaining_ms = _parse_integer(request.header(DEADLINE_HEADER.lower()))
     return RequestMetadata(
         request_id=request.header(_REQUEST_ID_LOWER),
@@ -123,7 +128,8 @@
         expected_answer_tokens=_parse_integer(
             request.header(LENGTH_HINT_HEADER.lower())
         ),
-        prompt_id=prefix_hashes.rpartition(",")[2].partition(":")[0],
+        prompt_id=parts[-1],
+        shared_parts=_unique(parts[:-1]),
         last_event=_parse_integer(request.header(LAST_EVENT_HEADER.lower())),
     )
 
@@ -246,6 +252,19 @@
     return _parse_integer(first), _parse_integer(second)
 
 
+def _parse_parts(text):
+    """Return the hashes of a prompt's parts, at least one."""
+    return [part.partition(":")[0].strip() for part in text.split(",")]
+
+
+def _unique(parts):
+    """Return the parts that identify anything, each once, in order."""
+    known = dict.fromkeys(
+        part for part in parts if 0 < len(part) <= MAX_PART_CHARACTERS
+    )
+    return tuple(known)[:MAX_SHARED_PARTS]
+
+
 def _parse_load(text):
     parts = (text or "").split(",")
     numbers = [_parse_integer(part) for part in parts]
--- a/apricotseam/platform/tests/test_decoding.py
+++ b/apricotseam/platform/tests/test_decoding.py
@@ -136,7 +136,7 @@
         (b"Apricotseam-Deadline-Ms", b"1500"),
         (b"Apricotseam-Token-Count", b"760,80"),
         (b"Apricotseam-Length-Hint", b"64"),
-        (b"Apricotseam-Prefix-Hash", b"5c1e07a2:800,e4402b7d:250"),
+        (b"Apricotseam-Prefix-Hash", b"5c1e07a2:800,91bd3f06:41,e4402b7d:250"),
         (b"Content-Length", b"2"),
         *extra,
     ]
@@ -152,6 +152,7 @@
     assert (metadata.prompt_tokens, metadata.max_answer_tokens) == (760, 80)
     assert metadata.expected_answer_tokens == 64
     assert metadata.prompt_id == "e4402b7d"
+    assert metadata.shared_parts == ("5c1e07a2", "91bd3f06")
     assert metadata.last_event == 12
 
 
