Show that a part of prompts ends target after target: failing test at 8, 22 and 195 hosts

Emulated engines end 0.1 s after their first event of a request with a fatal part; requests have several parts, those of a customer share the first.

The emulator reset nothing that arrived at an engine after its end, and ran it; it refuses connections to addresses where nothing listens, as the platform does.

--- a/apricotseam/platform/standins/_target_side.py
+++ b/apricotseam/platform/standins/_target_side.py
@@ -33,13 +33,14 @@
 
     ``target`` is the identity of the target for which the request is meant.
     ``last_event`` is the id of the last event that the caller received, 0 if
-    it received none.
+    it received none. ``prompt_parts`` are the hashes of the prompt's parts.
     """
 
     request_id: str
     target: str
     chain: tuple[Stage, ...]
     last_event: int = 0
+    prompt_parts: tuple[str, ...] = ()
 
 
 def generation_headers(
@@ -51,7 +52,7 @@
     prompt_tokens,
     max_answer_tokens,
     expected_answer_tokens,
-    prompt_id,
+    prompt_parts,
     last_event=0,
 ):
     """Return the headers of a caller's request for a stream of tokens.
@@ -64,8 +65,8 @@
         Time for which the caller waits.
     prompt_tokens, max_answer_tokens, expected_answer_tokens : int
         Size of the prompt, limit and estimate of the answer's.
-    prompt_id : str
-        Hash of the last part of the prompt.
+    prompt_parts : sequence of str
+        Hashes of the parts of the prompt, in order.
     last_event : int
         Last event that the caller received, 0 for none.
 
@@ -81,7 +82,7 @@
         (DEADLINE_HEADER, round(seconds_left * MILLISECONDS_PER_SECOND)),
         (TOKEN_COUNT_HEADER, f"{prompt_tokens},{max_answer_tokens}"),
         (LENGTH_HINT_HEADER, expected_answer_tokens),
-        (PREFIX_HASH_HEADER, f"{prompt_id}:{prompt_tokens}"),
+        (PREFIX_HASH_HEADER, _encode_parts(prompt_parts, prompt_tokens)),
         (b"Content-Length", 0),
     ]
     if last_event:
@@ -97,9 +98,19 @@
         target=values.get(EXPECTED_TARGET_HEADER.lower(), ""),
         chain=decode_chain(values.get(CHAIN_HEADER.lower(), "")),
         last_event=int(values.get(LAST_EVENT_HEADER.lower(), 0)),
+        prompt_parts=_decode_parts(values.get(PREFIX_HASH_HEADER.lower(), "")),
     )
 
 
+def _encode_parts(parts, tokens):
+    """Return the text form of a prompt whose parts are of equal size."""
+    return ",".join(f"{part}:{tokens // len(parts)}" for part in parts)
+
+
+def _decode_parts(text):
+    return tuple(part.partition(":")[0] for part in text.split(","))
+
+
 def decode_chain(text):
     """Return the stages of a chain in text form.
 
--- a/measure/emulator/__init__.py
+++ b/measure/emulator/__init__.py
@@ -9,7 +9,7 @@
 from measure.emulator._caller import Outcome
 from measure.emulator._caller import Result
 from measure.emulator._compare import compare_policies
-from measure.emulator._patterns import Pattern
+from measure.emulator._pattern import Pattern
 from measure.emulator._patterns import PATTERNS
 from measure.emulator._policy import BaselinePolicy
 from measure.emulator._policy import Policy
--- a/measure/emulator/_caller.py
+++ b/measure/emulator/_caller.py
@@ -251,7 +251,7 @@
             prompt_tokens=request.size.prompt,
             max_answer_tokens=round(3 * request.request_class.answer),
             expected_answer_tokens=request.expected_answer,
-            prompt_id=request.prompt_id,
+            prompt_parts=request.prompt_parts,
             last_event=self.result.events,
         )
 
--- a/measure/emulator/_engine.py
+++ b/measure/emulator/_engine.py
@@ -71,6 +71,8 @@
     def receive(self, connection, headers):
         """Handle a request whose chain begins here."""
         request = decode_forwarded_request(headers)
+        now = self._site.loop.time()
+        self._site.fatal.receive(request.prompt_parts, connection.host, now)
         if request.target != self.identity:
             refusal = not_run_headers(request.request_id)
             connection.answer(421, refusal, b"")
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -182,6 +182,7 @@
         self.context.announcements.record(incarnation, response)
 
     def _on_target_removed(self, target):
+        self.context.target_ends.record_removal(target)
         self.context.prober.forget(target)
         self.context.active_streams.recheck(target.identity)
 
--- a/measure/emulator/_network.py
+++ b/measure/emulator/_network.py
@@ -6,6 +6,7 @@
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import InterruptedReadError
 from apricotseam.http1 import LostConnectionError
+from apricotseam.http1 import RefusedConnectionError
 from apricotseam.http1 import ResponseHead
 from apricotseam.http1 import TransportTimeoutError
 
@@ -95,7 +96,9 @@
         target = self._network.at(address)
         if target is None:
             await asyncio.sleep(IN_ZONE_SECONDS)
-            raise ConnectError(f"{address} refused", "try another target")
+            raise RefusedConnectionError(
+                f"{address} refused", "try another target"
+            )
         if target.is_silent:
             loop = asyncio.get_running_loop()
             await asyncio.sleep(max(0.0, deadline - loop.time()))
@@ -146,6 +149,11 @@
         """Address of the target."""
         return self._target.address
 
+    @property
+    def host(self):
+        """Name of the host."""
+        return self._host
+
     def send(self, method, path, headers, body=b""):
         """Send a request for work."""
         self._deliver(self._receive_request, headers)
@@ -214,8 +222,12 @@
         )
 
     def _deliver_now(self, receive, arguments):
-        if not self._target.is_silent:
-            receive(self, *arguments)
+        if self._target.is_silent:
+            return
+        if self._target.is_dead:
+            self.reset()
+            return
+        receive(self, *arguments)
 
     def _receive(self, items):
         if self._target.is_silent:
--- a/measure/emulator/_patterns.py
+++ b/measure/emulator/_patterns.py
@@ -1,53 +1,20 @@
 """Named patterns of load and disturbance."""
 
-import abc
-
 import msgspec
 
 from measure.emulator._caller import EagerCaller
 from measure.emulator._caller import PatientCaller
+from measure.emulator._fatal_patterns import FatalFirstPart
+from measure.emulator._fatal_patterns import FatalPart
+from measure.emulator._fatal_patterns import TwoFatalParts
+from measure.emulator._pattern import DISTURBED_AT_SECONDS
+from measure.emulator._pattern import Pattern
 from measure.emulator._profile import make_customers
 
-# Time in seconds at which the disturbance of a pattern begins.
-DISTURBED_AT_SECONDS = 5.0
 SURGE_FACTOR = 7.5
 JOINED_ENGINES = 7
 
 
-class Pattern(abc.ABC):
-    """Load and disturbances of a play.
-
-    Attributes
-    ----------
-    name : str
-        Name on the command line.
-    about : str
-        One line for the list of patterns.
-    load : float
-        Usual load as a fraction of the capacity.
-    """
-
-    name = ""
-    about = ""
-    load = 0.6
-
-    def make_customers(self):
-        """Return the customers."""
-        return make_customers()
-
-    def factor(self, at, request_class, customer):
-        """Return by how much a rate exceeds the usual one at a time."""
-        return 1.0
-
-    def make_caller(self, simulation, request):
-        """Return the `Caller` of a request."""
-        return PatientCaller(simulation, request)
-
-    @abc.abstractmethod
-    def disturb(self, simulation):
-        """Schedule the disturbances of a `Simulation`."""
-
-
 class Calm(Pattern):
     """Less than half of the capacity is in use, and nothing happens."""
 
@@ -291,7 +258,7 @@
     def make_caller(self, simulation, request):
         """Return a caller; those of the first customer share a prompt."""
         if request.customer.name == self.customer:
-            request.prompt_id = "hot"
+            request.prompt_parts = (*request.prompt_parts[:-1], "hot")
         return PatientCaller(simulation, request)
 
     def disturb(self, simulation):
@@ -378,6 +345,9 @@
         FreshStart,
         LimitedEngines,
         AllEnginesLimited,
+        FatalPart,
+        FatalFirstPart,
+        TwoFatalParts,
     )
 }
 
--- a/measure/emulator/_simulation.py
+++ b/measure/emulator/_simulation.py
@@ -171,6 +171,25 @@
         self.site.network.detach(engine)
         self.add_engine(record.kind, record.zone, address=record.address)
 
+    def end_engine_later(self, engine, seconds, down_seconds):
+        """End the process of an engine, and start a new one in its place.
+
+        Parameters
+        ----------
+        engine : Engine
+            The engine; nothing happens if it has ended before.
+        seconds, down_seconds : float
+            Time until its end, and from there to the start.
+        """
+        self.loop.call_later(seconds, self._end_engine, engine, down_seconds)
+
+    def _end_engine(self, engine, down_seconds):
+        if engine not in self.engines:
+            return
+        self.site.fatal.ends.append(self.loop.time())
+        self.crash_engine(engine)
+        self.loop.call_later(down_seconds, self.restart_engine, engine)
+
     def stop_engine(self, engine):
         """End the process of an engine that was drained."""
         if engine in self.engines:
--- a/measure/emulator/_site.py
+++ b/measure/emulator/_site.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from apricotseam.positions import Position
+from measure.emulator._fatal import FatalRequests
 
 # Time from a change of a record until the hosts see it.
 WATCH_SECONDS = 0.02
@@ -118,6 +119,7 @@
         self.profile = profile
         self.network = network
         self.registry = Registry(loop)
+        self.fatal = FatalRequests()
         self._loads = 0
         self._sizes = {}
 
--- a/measure/emulator/_stream.py
+++ b/measure/emulator/_stream.py
@@ -76,6 +76,7 @@
         "_made",
         "_plan",
         "_previous",
+        "_prompt_parts",
         "_site",
         "_size",
         "connection",
@@ -95,6 +96,7 @@
         self._previous = None
         self._is_writing = False
         self._has_sent_head = False
+        self._prompt_parts = request.prompt_parts
         self.request_id = request.request_id
         self.connection = connection
         self.parts = parts
@@ -218,6 +220,7 @@
             self._has_sent_head = True
             headers = signed_headers(self.request_id)
             self.connection.answer(200, headers, event)
+            self._site.fatal.begin(self._prompt_parts, self.head)
         if self._made >= self._size.answer:
             self.connection.send_back(b"")
             self.head.discard(self)
--- a/measure/emulator/_workload.py
+++ b/measure/emulator/_workload.py
@@ -9,6 +9,8 @@
 LENGTH_SIGMA = 0.6
 # Spread of the logarithm of callers' estimates of the answer's length.
 HINT_SIGMA = 0.5
+# Documents that the prompts of a customer refer to, one each.
+DOCUMENTS = 20
 # Longest prompt or answer, as a multiple of the mean.
 MAX_LENGTH_FACTOR = 3.0
 
@@ -42,7 +44,7 @@
     """One request that a caller sends at a time, in seconds.
 
     ``expected_answer`` is the caller's estimate of the answer's tokens,
-    ``prompt_id`` the hash of the last part of its prompt.
+    ``prompt_parts`` are the hashes of the parts of its prompt, in order.
     """
 
     number: int
@@ -52,7 +54,7 @@
     size: AnswerSize
     expected_answer: int
     zone: str
-    prompt_id: str
+    prompt_parts: tuple[str, ...]
 
 
 class Workload(msgspec.Struct, kw_only=True):
@@ -135,7 +137,11 @@
         size=AnswerSize(_draw_length(generator, request_class.prompt), answer),
         expected_answer=max(1, round(hint)),
         zone=zones[generator.integers(len(zones))],
-        prompt_id=f"p{number}",
+        prompt_parts=(
+            f"instructions-{customer.name}",
+            f"document-{number % DOCUMENTS}-{customer.name}",
+            f"p{number}",
+        ),
     )
 
 
--- /dev/null
+++ b/measure/emulator/tests/test_fatal.py
@@ -0,0 +1,55 @@
+"""Requests that end the processes of targets, in fleets of every size."""
+
+import pytest
+
+from measure.emulator._fatal import ENDS_TO_LEARN
+from measure.emulator._pattern import DISTURBED_AT_SECONDS
+from measure.emulator import Scenario
+from measure.emulator import sent_between
+from measure.emulator.tests.plays import play
+
+HOSTS = [8, 22, 195]
+# Time after the last end that should happen until sound requests begin again.
+SETTLE_SECONDS = 6.0
+# Least share of sound requests that begin at once, compared with before.
+SOUND_FRACTION = 0.5
+
+
+def play_fatal(name, hosts, seconds=24.0):
+    """Play a pattern in which requests end the processes of engines."""
+    scenario = Scenario(hosts=hosts, targets=54, seconds=seconds)
+    return play(name, scenario=scenario)
+
+
+def begun_share(results):
+    """Return the share of requests that begin at their first attempt."""
+    begun = [r for r in results if r.attempts == 1 and r.first_event_at]
+    return len(begun) / len(results)
+
+
+# Guards against requests with one part that end target after target, each
+# treated as if it were the first.
+@pytest.mark.parametrize("hosts", HOSTS)
+def test_part_that_ends_targets_reaches_no_more_of_them(hosts):
+    simulation, _ = play_fatal("fatal-part", hosts)
+    fatal = simulation.site.fatal
+    assert fatal.ends
+    assert fatal.excess() <= 0
+
+
+# Guards against sound requests that get no answer while others with the same
+# first part end target after target.
+@pytest.mark.parametrize("hosts", HOSTS)
+def test_sound_requests_with_the_same_first_part_go_on(hosts):
+    simulation, results = play_fatal("fatal-part", hosts)
+    fatal = simulation.site.fatal
+    sound = [
+        r
+        for r in results
+        if r.request.prompt_parts[0] == "instructions-customer-0"
+        and not fatal.is_fatal(r.request.prompt_parts)
+    ]
+    usual = begun_share(sent_between(sound, 0.0, DISTURBED_AT_SECONDS))
+    begin = fatal.ends[:ENDS_TO_LEARN][-1] + SETTLE_SECONDS
+    after = sent_between(sound, begin, 1e9)
+    assert begun_share(after) >= SOUND_FRACTION * usual
