--- a/apricotseam/forwarding/__init__.py
+++ b/apricotseam/forwarding/__init__.py
@@ -8,6 +8,7 @@
 from apricotseam.forwarding._metrics import RequestMetrics
 from apricotseam.forwarding._permits import SendPermits
 from apricotseam.forwarding._probes import TargetProber
+from apricotseam.forwarding._quarantine_gate import Trials
 from apricotseam.forwarding._request_queue import RequestQueue
 from apricotseam.forwarding._retry_budget import HostRetryBudget
 from apricotseam.forwarding._retry_budget import RepeatCount
@@ -24,4 +25,5 @@
     "ForwardingContext",
     "RequestQueue",
     "SendPermits",
+    "Trials",
 ]
--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from apricotseam.quarantine import part_trait
+
 # Subtracted from the caller's deadline so that an answer of this host
 # arrives before the caller gives up.
 ANSWER_MARGIN_SECONDS = 0.02
@@ -35,6 +37,7 @@
         "exchange",
         "metadata",
         "first_event_at",
+        "is_trial",
         "last_event",
         "longest_gap",
         "send_outcomes",
@@ -45,6 +48,7 @@
         "table",
         "failed_answer",
         "failed_targets",
+        "traits",
         "waited_seconds",
     )
 
@@ -71,6 +75,10 @@
         # Attempts in total, and attempts that a target may have run.
         self.attempts = 0
         self.runs = 0
+        # What it has in common with others; see `Quarantine`.
+        self.traits = tuple(map(part_trait, metadata.shared_parts))
+        # Whether it is sent although one of its traits is held back.
+        self.is_trial = False
         # `FailedAnswer` of a target, for the caller if no attempt succeeds.
         self.failed_answer = None
         # Identities of the targets that failed this request.
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -12,11 +12,13 @@
 from apricotseam.forwarding._call import Call
 from apricotseam.forwarding._plain import PlainRunner
 from apricotseam.forwarding._probes import TargetProber
+from apricotseam.forwarding._quarantine_gate import QuarantineGate
 from apricotseam.forwarding._streams import StreamRunner
 from apricotseam.forwarding._target_ends import TargetEndDetector
 from apricotseam.http1 import EndCause
 from apricotseam.platform import decode_request_metadata
 from apricotseam.positions import NO_POSITION
+from apricotseam.quarantine import Quarantine
 from apricotseam.routes import RepeatPolicy
 
 _LOG = logging.getLogger(__name__)
@@ -46,12 +48,16 @@
         Request metrics.
     request_queue : RequestQueue
         Requests that wait until a chain has capacity.
+    now : callable, optional
+        Returns monotonic time in seconds.
     """
 
     __slots__ = (
         "announcements",
         "generator",
         "permits",
+        "quarantine",
+        "quarantine_gate",
         "retry_budget",
         "target_ends",
         "target_selector",
@@ -75,11 +81,12 @@
         retry_budget,
         metrics,
         request_queue,
+        now=time.monotonic,
     ):
         self.request_queue = request_queue
         self.active_streams = ActiveStreams()
         self.prober = TargetProber(
-            pool, ledger, time.monotonic, self.active_streams.recheck, fleet
+            pool, ledger, now, self.active_streams.recheck, fleet
         )
         self.fleet = fleet
         self.ledger = ledger
@@ -88,9 +95,11 @@
         self.retry_budget = retry_budget
         self.metrics = metrics
         self.announcements = AnnouncementRecorder(
-            fleet, request_queue, metrics, time.monotonic
+            fleet, request_queue, metrics, now
         )
-        self.target_ends = TargetEndDetector(metrics)
+        self.quarantine = Quarantine(now)
+        self.quarantine_gate = QuarantineGate(self.quarantine)
+        self.target_ends = TargetEndDetector(metrics, self.quarantine)
         self.generator = random.Random()
         # `SendPermits`, set before the first request is accepted.
         self.permits = None
@@ -120,7 +129,9 @@
         metadata = decode_request_metadata(request)
         exchange.request_id = metadata.request_id
         call, refusal = self._admit(request, exchange, metadata)
-        if call is None:
+        if call is not None:
+            refusal = await self._context.quarantine_gate.admit(call)
+        if refusal is not None:
             refuse(
                 self._context,
                 exchange,
@@ -202,7 +213,7 @@
                     (call.first_event_at or now) - call.request.received_at
                 ),
                 "waited_ms": _milliseconds(call.waited_seconds),
-                "parts": call.metadata.shared_parts,
+                "traits": call.traits,
                 "longest_pause_ms": _milliseconds(call.longest_gap),
             },
         )
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -146,6 +146,8 @@
         if call.runs and not call.may_run_again:
             return None
         context = self._context
+        if context.quarantine_gate.stops(call):
+            return None
         choice = context.target_selector.choose_target(call, now)
         if choice is None or not call.attempts:
             return choice
@@ -176,8 +178,11 @@
             call.record_outcome(target.identity, "no_connection")
             return _AttemptResult(was_run=False)
         except TransportError as error:
+            broken_at = loop.time()
             await self._context.prober.find_unresponsive([target])
-            self._context.target_ends.record_broken(call, [target], None)
+            self._context.target_ends.record_broken(
+                call, [target], None, broken_at
+            )
             return self._handle_broken_answer(target, error)
         finally:
             if connection is not None:
--- a/apricotseam/forwarding/_replacement.py
+++ b/apricotseam/forwarding/_replacement.py
@@ -32,6 +32,8 @@
         """
         if not call.may_run_again:
             return None
+        if self._context.quarantine_gate.stops(call):
+            return None
         added = set(silent) - call.failed_targets
         call.failed_targets |= added
         choice = self._choose(call)
--- a/apricotseam/forwarding/_sender.py
+++ b/apricotseam/forwarding/_sender.py
@@ -53,6 +53,13 @@
         connection = await self._context.pool.acquire(
             target.incarnation, target.address, deadline, max_idle
         )
+        if self._context.quarantine_gate.stops(call):
+            connection.close()
+            raise OutdatedChoiceError(
+                f"request {call.request_id} has a trait under which targets"
+                " ended",
+                "do not send it",
+            )
         for stage_target, _ in choice.stages:
             if not stage_target.may_send(loop.time()):
                 connection.close()
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -5,6 +5,7 @@
 from apricotseam.forwarding._head_control import HeadControl
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._second_attempt import SecondAttempt
+from apricotseam.forwarding._target_ends import SOUND_SECONDS
 from apricotseam.http1 import EventSplitter
 from apricotseam.http1 import InterruptedReadError
 from apricotseam.http1 import MalformedAnswerError
@@ -83,6 +84,8 @@
         self._has_events = False
         # Loop time of the first event of this attempt, or None.
         self._writing_since = None
+        # Whether the chain has written for long enough after that.
+        self._is_sound = False
         self._is_reading = False
         self._reroutes = 0
         # `SecondAttempt` that was started because of a silence, or None.
@@ -335,8 +338,7 @@
                 return
             call.last_event = event.number
         self._has_events = True
-        if self._writing_since is None:
-            self._writing_since = asyncio.get_running_loop().time()
+        self._record_written()
         exchange = call.exchange
         if not exchange.is_started:
             exchange.start(200, returned_headers(answer), answer.reason)
@@ -347,6 +349,15 @@
             self._context.metrics.first_byte.labels(kind).observe(seconds)
         await exchange.write(event.data, call.deadline)
 
+    def _record_written(self):
+        """Record an event, also as a sign that the request does no harm."""
+        now = asyncio.get_running_loop().time()
+        if self._writing_since is None:
+            self._writing_since = now
+        if not self._is_sound and now - self._writing_since >= SOUND_SECONDS:
+            self._is_sound = True
+            self._context.target_ends.record_survival(self._call)
+
     async def _handle_silence(self):
         """Check a silent chain; reroute it or start a second attempt.
 
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -78,6 +78,9 @@
             choice = await self._wait_for_capacity(call)
             if choice is None:
                 cause = "no_room"
+            elif self._context.quarantine_gate.stops(call):
+                choice = None
+                cause = "quarantined"
             elif not self._acquire_retry(call):
                 choice = None
                 cause = "retry_budget"
@@ -91,6 +94,8 @@
             return "deadline"
         if call.runs and not call.may_run_again:
             return "attempts"
+        if self._context.quarantine_gate.stops(call):
+            return "quarantined"
         return None
 
     def _acquire_retry(self, call):
@@ -200,17 +205,23 @@
                 call, attempt.choice, *failure
             )
         if call.exchange.is_ended:
-            self._record_success(call, attempt.choice)
+            self._record_success(call, attempt)
         return None
 
-    def _record_success(self, call, choice):
-        for target, _ in choice.stages:
+    def _record_success(self, call, attempt):
+        choice = attempt.choice
+        targets = [target for target, _ in choice.stages]
+        for target in targets:
             target.health.record_success()
+        self._context.target_ends.record_success(
+            call, targets, attempt.writing_since
+        )
         call.record_outcome(choice.chain or choice.head.identity, "200")
 
     async def _handle_broken_answer(self, call, attempt, error):
         """Record an incomplete answer; return the HTTP status."""
         choice = attempt.choice
+        broken_at = asyncio.get_running_loop().time()
         is_timeout = isinstance(error, TransportTimeoutError)
         call.record_outcome(choice.chain or choice.head.identity, error.code)
         targets = [target for target, _ in choice.stages]
@@ -220,7 +231,7 @@
                 self._context.prober.forget(target)
             await self._context.prober.find_unresponsive(targets)
         self._context.target_ends.record_broken(
-            call, targets, attempt.writing_since
+            call, targets, attempt.writing_since, broken_at
         )
         now = asyncio.get_running_loop().time()
         suspects = [t for t in targets if t.health.is_suspect(now)]
--- a/apricotseam/forwarding/_target_ends.py
+++ b/apricotseam/forwarding/_target_ends.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import collections
+import hashlib
 import logging
 
 import msgspec
 
+from apricotseam.quarantine import TargetEnd
+
 _LOG = logging.getLogger(__name__)
 
 # A broken attempt is assigned to the end of a process that is found out no
@@ -13,6 +16,9 @@
 CONFIRM_SECONDS = 8.0
 # Broken attempts of a process that are kept until it is known to have ended.
 MAX_BROKEN_ATTEMPTS = 32
+# A target that ends later than this after the first event of an answer has
+# survived its beginning, so that this request was not the cause.
+SOUND_SECONDS = 1.0
 # Processes whose end is awaited, or whose end was counted already.
 MAX_PROCESSES = 256
 
@@ -27,10 +33,16 @@
     request_id: str
     request_key: str
     customer: str
-    parts: tuple[str, ...]
+    traits: tuple[str, ...]
     at: float
     written_seconds: float | None
 
+    @property
+    def may_be_cause(self):
+        """Whether its target had only just begun to answer it, or hadn't."""
+        written = self.written_seconds
+        return written is None or written < SOUND_SECONDS
+
 
 class TargetEndDetector:
     """Tells the end of a target's process from a broken connection.
@@ -43,15 +55,18 @@
     ----------
     metrics : RequestMetrics
         Counts the ends.
+    quarantine : Quarantine
+        Told of the ends and the requests that may have caused them.
     """
 
-    def __init__(self, metrics):
+    def __init__(self, metrics, quarantine):
         self._metrics = metrics
+        self._quarantine = quarantine
         # `BrokenAttempt` objects by incarnation of the target.
         self._broken = collections.OrderedDict()
         self._ended = collections.OrderedDict()
 
-    def record_broken(self, call, targets, writing_since):
+    def record_broken(self, call, targets, writing_since, broken_at=None):
         """Record that the answer to a request broke off or is awaited in vain.
 
         Parameters
@@ -62,16 +77,19 @@
             Targets of its chain; they have been probed since the break.
         writing_since : float or None
             Loop time in seconds of the attempt's first event.
+        broken_at : float, optional
+            Loop time in seconds of the break; now by default.
         """
         now = asyncio.get_running_loop().time()
+        at = now if broken_at is None else broken_at
         broken = BrokenAttempt(
             request_id=call.request_id,
-            request_key=call.retry_key,
+            request_key=_short_key(call.retry_key or call.request_id),
             customer=call.customer,
-            parts=call.metadata.shared_parts,
-            at=now,
+            traits=call.traits,
+            at=at,
             written_seconds=(
-                None if writing_since is None else now - writing_since
+                None if writing_since is None else at - writing_since
             ),
         )
         for target in targets:
@@ -79,11 +97,48 @@
             if target.health.refuses_connections:
                 self._confirm(target, now)
 
+    def record_success(self, call, targets, writing_since):
+        """Record that a request was answered completely.
+
+        It does no harm if its targets live on for a while, since a short
+        answer may be complete before its target ends.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        targets : list of Target
+            Targets of its chain.
+        writing_since : float or None
+            Loop time in seconds of the attempt's first event.
+        """
+        loop = asyncio.get_running_loop()
+        since = loop.time() if writing_since is None else writing_since
+        loop.call_at(
+            since + SOUND_SECONDS, self._acquit_if_alive, call, targets
+        )
+
+    def record_survival(self, call):
+        """Record that a request is being answered for a while already."""
+        self._quarantine.record_sound(call.traits, call.customer)
+
     def record_removal(self, target):
         """Record that the entry of a target has disappeared."""
         if not target.is_draining:
             self._confirm(target, asyncio.get_running_loop().time())
 
+    def _acquit_if_alive(self, call, targets):
+        if all(self._seems_alive(target) for target in targets):
+            self.record_survival(call)
+
+    def _seems_alive(self, target):
+        if target.health.refuses_connections or not target.is_present:
+            return False
+        incarnation = target.incarnation
+        return incarnation not in self._ended and (
+            incarnation not in self._broken
+        )
+
     def _add(self, incarnation, broken):
         attempts = self._broken.setdefault(
             incarnation, collections.deque(maxlen=MAX_BROKEN_ATTEMPTS)
@@ -106,6 +161,16 @@
                 self._ended.popitem(last=False)
         for broken in recent:
             _log_end(target, broken)
+            if broken.may_be_cause:
+                self._quarantine.record_end(
+                    broken.traits,
+                    TargetEnd(
+                        process=target.incarnation,
+                        request_key=broken.request_key,
+                        customer=broken.customer,
+                        at=broken.at,
+                    ),
+                )
 
 
 def _log_end(target, broken):
@@ -117,7 +182,11 @@
             "born_ms": target.record.born_ms,
             "request": broken.request_id,
             "customer": broken.customer,
-            "parts": broken.parts,
+            "traits": broken.traits,
             "written_ms": None if written is None else round(written * 1000),
         },
     )
+
+
+def _short_key(text):
+    return hashlib.blake2b(text.encode(), digest_size=6).hexdigest()
--- a/apricotseam/forwarding/_unserved.py
+++ b/apricotseam/forwarding/_unserved.py
@@ -26,10 +26,14 @@
     call : Call
         The request.
     cause : str
-        Why no target took it, unless it is a rest or a limit.
+        Why no target took it, unless it is held back or it is a rest or a
+        limit.
     retry_after : float
         Delay before a retry in that case, in seconds.
     """
+    held = context.quarantine_gate.refusal(call)
+    if held is not None:
+        return refuse_call(context, call, held.cause, held.retry_after)
     now = asyncio.get_running_loop().time()
     opens_at = context.target_selector.opens_at(call.service, now)
     if opens_at is None:
--- a/apricotseam/forwarding/tests/test_announcements.py
+++ b/apricotseam/forwarding/tests/test_announcements.py
@@ -18,6 +18,7 @@
 from apricotseam.forwarding._announcements import AnnouncementRecorder
 from apricotseam.forwarding._contact import ConnectivityCheck
 from apricotseam.forwarding._errors import OutdatedChoiceError
+from apricotseam.forwarding._quarantine_gate import QuarantineGate
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._sender import Sender
 from apricotseam.forwarding._unserved import refuse_unserved
@@ -29,6 +30,7 @@
 from apricotseam.forwarding.tests.test_choice import PROFILE
 from apricotseam.http1 import ResponseHead
 from apricotseam.positions import Position
+from apricotseam.quarantine import Quarantine
 
 OWN = AnnouncementSource.OWN_ANSWER
 LAYERS = PROFILE.layers
@@ -72,9 +74,17 @@
         deadline=1e9,
         may_run_again=True,
         reserved_choice=None,
+        traits=(),
+        customer="c",
+        is_trial=False,
     )
 
 
+def make_gate():
+    """Return a gate that holds nothing back."""
+    return QuarantineGate(Quarantine(lambda: 0.0))
+
+
 def leave(fleet, *identities):
     """Record that targets leave."""
     for identity in identities:
@@ -254,6 +264,7 @@
         keep_away(fleet, loop.time(), **rests)
         context = types.SimpleNamespace(
             fleet=fleet,
+            quarantine_gate=make_gate(),
             target_selector=TargetSelector(fleet, Ledger(), "a"),
             generator=random.Random(1),
             metrics=RequestMetrics(prometheus_client.CollectorRegistry()),
@@ -360,7 +371,9 @@
         )
         now = asyncio.get_running_loop().time()
         pool = SlowPool(lambda: happen(fleet))
-        sender = Sender(types.SimpleNamespace(pool=pool))
+        sender = Sender(
+            types.SimpleNamespace(pool=pool, quarantine_gate=make_gate())
+        )
         call = make_call(ENGINE)
         call.deadline = now + 1
         try:
@@ -380,6 +393,7 @@
         now = asyncio.get_running_loop().time()
         rest(fleet, now, e0=60.0, p0=60.0)
         context = types.SimpleNamespace(
+            quarantine_gate=make_gate(),
             target_selector=TargetSelector(fleet, Ledger(), "a"),
             retry_budget=types.SimpleNamespace(
                 try_acquire=lambda service, now: True
--- a/apricotseam/forwarding/tests/test_target_ends.py
+++ b/apricotseam/forwarding/tests/test_target_ends.py
@@ -10,15 +10,13 @@
 from apricotseam.fleet import TargetRecord
 from apricotseam.forwarding._target_ends import TargetEndDetector
 from apricotseam.forwarding import RequestMetrics
-from apricotseam.platform import RequestMetadata
+from apricotseam.quarantine import Quarantine
 
 CALL = types.SimpleNamespace(
     request_id="r1",
     retry_key="c/p1/1,1",
     customer="c",
-    metadata=RequestMetadata(
-        request_id="r1", host="h", key="k", shared_parts=("a", "b")
-    ),
+    traits=("part/a", "part/b"),
 )
 
 
@@ -40,7 +38,8 @@
 )
 def test_ends_of_processes(is_refused, is_removed, is_draining, expected):
     registry = prometheus_client.CollectorRegistry()
-    detector = TargetEndDetector(RequestMetrics(registry))
+    quarantine = Quarantine(lambda: 0.0)
+    detector = TargetEndDetector(RequestMetrics(registry), quarantine)
     target = Target(
         TargetRecord(
             identity="t",
@@ -61,3 +60,5 @@
     asyncio.run(scenario())
     ends = registry.get_sample_value("apricotseam_target_ends_total")
     assert ends == expected
+    traits = [trait for trait, evidence in quarantine.items()]
+    assert traits == (list(CALL.traits) if expected else [])
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -43,6 +43,8 @@
 from apricotseam.node._listeners import start_server
 from apricotseam.node._permits import PermitExchange
 from apricotseam.node._placer import Placer
+from apricotseam.node._quarantine_keeper import QUARANTINE_PREFIX
+from apricotseam.node._quarantine_keeper import QuarantineKeeper
 from apricotseam.node._settings import load_node_settings
 from apricotseam.node._store_items import HOSTS_PREFIX
 from apricotseam.node._store_items import StoreItemHandler
@@ -265,9 +267,10 @@
         self._context.permits = PermitExchange(
             self._hosts, self._context.request_queue, self._now
         )
+        self._context.quarantine_gate.trials = self._context.permits
         transport.handle(ChangesRequest, self._answer_changes, Changes)
         self._store = StoreClient(settings.store_address)
-        self._mirror = Mirror(lambda item: self._item_handler.apply(item))
+        self._mirror = Mirror(self._apply_item)
         self._synchronizer = MirrorSynchronizer(
             self._store,
             self._mirror,
@@ -299,6 +302,13 @@
             self._now,
             self._synchronizer.era_events,
         )
+        self._quarantine_keeper = QuarantineKeeper(
+            self._store,
+            self._mirror,
+            self._context.quarantine,
+            self._hosts.rank,
+            self._now,
+        )
         self._registration = Registration(
             self._store,
             self._mirror,
@@ -350,6 +360,7 @@
             ("pushes", self._synchronizer.run_heartbeats),
             ("hosts", self._hosts.run),
             ("registration", self._registration.run),
+            ("quarantine", self._quarantine_keeper.run),
             ("election", self._election.run),
             ("placer", self._placer.run),
             ("usage", self._usage_exchange.run),
@@ -380,8 +391,16 @@
             self._find_hosts()
             self._item_handler.expire()
             self._fleet.expire(self._now())
+            self._context.quarantine.expire()
             self._pool.sweep()
 
+    def _apply_item(self, item):
+        """Apply a changed item of the store."""
+        if item.key.startswith(QUARANTINE_PREFIX):
+            self._quarantine_keeper.apply(item)
+        else:
+            self._item_handler.apply(item)
+
     def _find_hosts(self):
         """Look for other hosts in the settings and in the store."""
         records = self._item_handler.host_records
--- a/apricotseam/node/_permits.py
+++ b/apricotseam/node/_permits.py
@@ -7,6 +7,7 @@
 from apricotseam.coordination import PermitIssuer
 from apricotseam.coordination import PermitRequest
 from apricotseam.forwarding import SendPermits
+from apricotseam.forwarding import Trials
 from apricotseam.peers import PeerAnswerLostError
 from apricotseam.peers import PeerUnreachableError
 
@@ -17,9 +18,12 @@
 NO_ANSWER_WAIT_SECONDS = 0.3
 
 
-class PermitExchange(SendPermits):
+class PermitExchange(SendPermits, Trials):
     """Permits of this host, from the owner of each limit.
 
+    Trials of a trait are permits of a target process by its name that states
+    the lowest limit.
+
     Parameters
     ----------
     hosts : Hosts
@@ -56,6 +60,11 @@
             loop.call_at(due_at, self._request_queue.wake_next)
         return False
 
+    async def acquire_trial(self, trait):
+        """Return whether one request with a trait may be sent now."""
+        answer = await self._ask(PermitRequest(trait, 0, 0.0))
+        return answer.is_granted
+
     async def _ask(self, request):
         """Return the `PermitAnswer` of the owner; a refusal without one."""
         self._update_members()
--- /dev/null
+++ b/apricotseam/node/_trait_notices.py
@@ -0,0 +1,118 @@
+"""Tells hosts under which requests targets ended, and which did no harm."""
+
+import msgspec
+
+from apricotseam.quarantine import TargetEnd
+
+# Age up to which a change of the evidence is told to others.
+NOTICE_SECONDS = 5.0
+# Traits in one message: those that are held back first, then those with most
+# ends, then the latest.
+MAX_NOTICES = 32
+
+
+class EndNotice(msgspec.Struct, frozen=True, array_like=True):
+    """Notice of a `TargetEnd`; its time is given as an age."""
+
+    target: str
+    born_ms: int
+    request_key: str
+    customer: str
+    age_seconds: float
+
+
+class TraitNotice(msgspec.Struct, frozen=True, array_like=True):
+    """Notice of the `Evidence` of a trait.
+
+    ``sound_age`` is the time in seconds since a request with the trait was
+    last seen to do no harm, ``seen_age`` that since one was held back; None
+    if that never happened.
+    """
+
+    ends: list[EndNotice]
+    sound_age: float | None = None
+    seen_age: float | None = None
+
+
+class TraitNotices:
+    """Collects what to tell about traits, and applies what others tell.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        What this host knows.
+    now : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, quarantine, now):
+        self._quarantine = quarantine
+        self._now = now
+
+    @property
+    def changes(self):
+        """Number of changes that others should be told of."""
+        return self._quarantine.changes
+
+    def known(self):
+        """Return a `TraitNotice` by trait of what others should know."""
+        now = self._now()
+        told = [
+            (trait, evidence)
+            for trait, evidence in self._quarantine.items()
+            if evidence.is_held or now - evidence.changed_at < NOTICE_SECONDS
+        ]
+        told.sort(key=_urgency, reverse=True)
+        return {
+            trait: self._make_notice(evidence, now)
+            for trait, evidence in told[:MAX_NOTICES]
+        }
+
+    def apply(self, notices):
+        """Add the notices of a peer to the own evidence."""
+        now = self._now()
+        for trait, notice in notices.items():
+            ends = [
+                TargetEnd(
+                    process=(end.target, end.born_ms),
+                    request_key=end.request_key,
+                    customer=end.customer,
+                    at=now - end.age_seconds,
+                )
+                for end in notice.ends
+            ]
+            self._quarantine.merge(
+                trait,
+                ends,
+                _time_of(notice.sound_age, now),
+                _time_of(notice.seen_age, now),
+            )
+
+    def _make_notice(self, evidence, now):
+        ends = [
+            EndNotice(
+                *end.process,
+                end.request_key,
+                end.customer,
+                round(now - end.at, 3),
+            )
+            for end in evidence.ends.values()
+        ]
+        return TraitNotice(
+            ends,
+            _age_of(evidence.sound_at, now),
+            _age_of(evidence.seen_at, now),
+        )
+
+
+def _urgency(item):
+    _, evidence = item
+    return evidence.is_held, len(evidence.ends), evidence.changed_at
+
+
+def _age_of(at, now):
+    return None if at == float("-inf") else round(now - at, 3)
+
+
+def _time_of(age, now):
+    return float("-inf") if age is None else now - age
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -10,6 +10,7 @@
 from apricotseam.node._delegates import DelegateReports
 from apricotseam.node._delegates import TAKEOVER_SECONDS
 from apricotseam.node._limit_notices import LimitNotices
+from apricotseam.node._trait_notices import TraitNotices
 from apricotseam.node._zone_reports import HostState
 from apricotseam.node._zone_reports import LeavingNotice
 from apricotseam.node._zone_reports import NOTICE_SECONDS
@@ -104,6 +105,7 @@
         self._limit_notices = LimitNotices(
             context.fleet, context.request_queue, now
         )
+        self._trait_notices = TraitNotices(context.quarantine, now)
         hosts.transport.handle(HostState, self._receive)
         hosts.transport.handle(ZoneReport, self._receive_report)
 
@@ -122,6 +124,11 @@
         """The `LimitNotices` of this host."""
         return self._limit_notices
 
+    @property
+    def trait_notices(self):
+        """The `TraitNotices` of this host."""
+        return self._trait_notices
+
     async def run(self):
         """Send states periodically, forever."""
         sent_changes = -1
@@ -261,7 +268,11 @@
             (identity, notice.requests_per_second)
             for identity, notice in self._limit_notices.own().items()
         }
-        return set(self.leaving_targets()), limits
+        return (
+            set(self.leaving_targets()),
+            limits,
+            self._trait_notices.changes,
+        )
 
     def _suspect_targets(self):
         return [
@@ -295,6 +306,7 @@
             repeats,
             self.leaving_targets(),
             self._limit_notices.own(),
+            self._trait_notices.known(),
         )
 
     def _send(self, suspects, slow):
@@ -333,6 +345,7 @@
             other_zones=others,
             store_position=self._store_position(),
             limits=self._limit_notices.known(),
+            traits=self._trait_notices.known(),
         )
         self._hosts.transport.send_all(self._hosts.load_recipients, report)
 
@@ -386,6 +399,7 @@
         self._apply_suspects(message.suspects, now)
         self.notice_leaving(message.leaving)
         self._limit_notices.apply(message.limits)
+        self._trait_notices.apply(message.traits)
         for identity, factor in message.slow.items():
             target = self._context.fleet.get(identity)
             if target is not None:
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -13,6 +13,7 @@
 from apricotseam.chains import Usage
 from apricotseam.forwarding import RepeatCount
 from apricotseam.node._limit_notices import LimitNotice
+from apricotseam.node._trait_notices import TraitNotice
 from apricotseam.positions import NO_POSITION
 from apricotseam.positions import Position
 
@@ -47,7 +48,8 @@
     refused recently, and ``repeats`` its counts of retries by service.
     ``number`` counts its messages. ``leaving`` are the targets that, as it
     knows, announced that they leave, ``limits`` those that told it that they
-    limit requests or do so no more.
+    limit requests or do so no more. ``traits`` is what it knows of traits of
+    requests under which targets ended.
     """
 
     host: str
@@ -60,6 +62,7 @@
     repeats: dict[str, RepeatCount]
     leaving: dict[str, LeavingNotice] = {}
     limits: dict[str, LimitNotice] = {}
+    traits: dict[str, TraitNotice] = {}
 
     @property
     def sender(self):
@@ -78,7 +81,8 @@
     whose states are overdue. ``store_position`` is the position in the store
     that the sender follows, `NO_POSITION` if it does not follow the store.
     ``leaving`` are the targets that, as the sender knows, announced that they
-    leave, ``limits`` those that told any host about limits.
+    leave, ``limits`` those that told any host about limits, ``traits`` are
+    traits of requests under which targets ended at any host.
     """
 
     zone: str
@@ -95,6 +99,7 @@
     store_position: Position
     leaving: dict[str, LeavingNotice] = {}
     limits: dict[str, LimitNotice] = {}
+    traits: dict[str, TraitNotice] = {}
 
 
 def is_newer(message, known):
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -7,6 +7,7 @@
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
 from apricotseam.node._limit_notices import LimitNotice
+from apricotseam.node._trait_notices import TraitNotice
 from apricotseam.node._zone_reports import is_newer
 from apricotseam.node._zone_reports import LeavingNotice
 
@@ -19,7 +20,8 @@
     ``sender`` identifies the process that computed the totals, ``number``
     counts its messages. ``suspects`` are targets that hosts of the zone
     cannot reach, ``leaving`` those that announced that they leave, and
-    ``limits`` those that told any host about limits.
+    ``limits`` those that told any host about limits. ``traits`` are traits
+    of requests under which targets ended at any host.
     """
 
     zone: str
@@ -29,6 +31,7 @@
     suspects: list[str] = []
     leaving: dict[str, LeavingNotice] = {}
     limits: dict[str, LimitNotice] = {}
+    traits: dict[str, TraitNotice] = {}
 
 
 class ZoneUsageExchange:
@@ -91,6 +94,7 @@
             self._usage_exchange.zone_suspects(),
             self._usage_exchange.leaving_targets(),
             self._usage_exchange.limit_notices.known(),
+            self._usage_exchange.trait_notices.known(),
         )
         addresses = self._hosts.other_zone_delegates
         self._hosts.transport.send_all(addresses, message)
@@ -103,6 +107,7 @@
         self._usage_exchange.notice_other_zone(message.suspects)
         self._usage_exchange.notice_leaving(message.leaving)
         self._usage_exchange.limit_notices.apply(message.limits)
+        self._usage_exchange.trait_notices.apply(message.traits)
         if self._usage_exchange.uses_reports:
             return
         self._applied_count += 1
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -29,6 +29,8 @@
 from apricotseam.positions import decode_hook
 from apricotseam.positions import encode_hook
 from apricotseam.positions import NO_POSITION
+from apricotseam.quarantine import Quarantine
+from apricotseam.quarantine import TargetEnd
 
 TICK_SECONDS = 0.05
 # Time in which all hosts of a zone agree after the last fault: a report is
@@ -72,6 +74,7 @@
             0.2, 200.0, 10.0, lambda: len(self.hosts.table)
         )
         self.queue = Queue()
+        self.quarantine = Quarantine(lambda: zone.now)
         self.fleet = Fleet()
         self.heartbeats = 0
         context = types.SimpleNamespace(
@@ -79,6 +82,7 @@
             fleet=self.fleet,
             retry_budget=self.budget,
             request_queue=self.queue,
+            quarantine=self.quarantine,
         )
         self.exchange = UsageExchange(
             self.hosts,
@@ -483,7 +487,7 @@
     ZoneReport("a", "h/1", 1, {}, {}, None, [], {}, [], {}, [], NO_POSITION),
     ZoneState("a", "h/1", 1, {}),
 ]
-ADDED = ["leaving", "limits"]
+ADDED = ["leaving", "limits", "traits"]
 
 
 @pytest.mark.parametrize("missing", range(1, len(ADDED) + 1))
@@ -501,3 +505,32 @@
         old, type=type(message), dec_hook=decode_hook
     )
     assert read == message and read.leaving == {} and read.limits == {}
+    assert read.traits == {}
+
+
+def end_target(host, number):
+    """Let a host see the end of a target under a request with a part."""
+    end = TargetEnd(
+        process=(f"t{number}", 1),
+        request_key=f"r{number}",
+        customer="c",
+        at=host.zone.now,
+    )
+    host.quarantine.record_end(["part/a"], end)
+
+
+# Guards against hosts that each learn for themselves which requests end
+# targets.
+@pytest.mark.parametrize("hosts", [8, 28, 39])
+def test_ends_seen_by_different_hosts_add_up_at_all_hosts(hosts):
+    zone = Zone(hosts)
+    zone.run(6)
+    members = list(zone.hosts.values())
+    for number in range(3):
+        end_target(members[-1 - number], number)
+        zone.run(0.5)
+    zone.run(1.0)
+    assert all(h.quarantine.find_hold(["part/a"], "c") for h in members)
+    members[0].quarantine.record_sound(["part/a"], "c")
+    zone.run(1.5)
+    assert not any(h.quarantine.held for h in members)
--- a/apricotseam/node/tests/test_zones.py
+++ b/apricotseam/node/tests/test_zones.py
@@ -5,6 +5,7 @@
 from apricotseam.chains import Ledger
 from apricotseam.chains import Usage
 from apricotseam.node._limit_notices import LimitNotice
+from apricotseam.node._trait_notices import TraitNotice
 from apricotseam.node._zone_reports import LeavingNotice
 from apricotseam.node._zones import ZoneState
 from apricotseam.node._zones import ZoneUsageExchange
@@ -30,15 +31,16 @@
         self.sent.extend((address, message) for address in addresses)
 
 
-class FakeLimitNotices:
-    """One target that states a limit, and the notices of other zones."""
+class FakeNotices:
+    """Notices of this zone, and those that came from other zones."""
 
-    def __init__(self):
+    def __init__(self, known):
+        self._known = known
         self.noticed = {}
 
     def known(self):
-        """Return the target of this zone."""
-        return {"limited-here": LimitNotice(1, 2.5, 0.5)}
+        """Return the notices of this zone."""
+        return self._known
 
     def apply(self, notices):
         """Record the notices of another zone."""
@@ -52,7 +54,10 @@
         self.uses_reports = uses_reports
         self.noticed = []
         self.noticed_leaving = {}
-        self.limit_notices = FakeLimitNotices()
+        self.limit_notices = FakeNotices(
+            {"limited-here": LimitNotice(1, 2.5, 0.5)}
+        )
+        self.trait_notices = FakeNotices({"part/here": TraitNotice([], 0.5)})
 
     def leaving_targets(self):
         """Return the leaving target."""
@@ -75,7 +80,15 @@
     """Return a message about a used, a suspect and a leaving target."""
     usages = {"t": Usage(units, 1)}
     leaving = {"leaving-there": LeavingNotice(2, 1.5)}
-    return ZoneState(zone, sender, number, usages, ["silent-there"], leaving)
+    return ZoneState(
+        zone,
+        sender,
+        number,
+        usages,
+        ["silent-there"],
+        leaving,
+        traits={"part/there": TraitNotice([], 1.5)},
+    )
 
 
 # Description, whether this host knows the other zones by the reports of its
@@ -140,4 +153,8 @@
     assert usage_exchange.noticed == ["silent-there"]
     leaving = {"leaving-there": LeavingNotice(2, 1.5)}
     assert usage_exchange.noticed_leaving == leaving
+    assert message.limits == {"limited-here": LimitNotice(1, 2.5, 0.5)}
+    assert message.traits == {"part/here": TraitNotice([], 0.5)}
+    traits = {"part/there": TraitNotice([], 1.5)}
+    assert usage_exchange.trait_notices.noticed == traits
     assert ledger.used_units("t") == 70.0
--- /dev/null
+++ b/apricotseam/quarantine/__init__.py
@@ -0,0 +1,15 @@
+"""Requests that end the processes of targets, and how they are held back."""
+
+from apricotseam.quarantine._evidence import Evidence
+from apricotseam.quarantine._evidence import TargetEnd
+from apricotseam.quarantine._quarantine import Hold
+from apricotseam.quarantine._quarantine import Quarantine
+from apricotseam.quarantine._traits import part_trait
+
+__all__ = [
+    "Evidence",
+    "Hold",
+    "Quarantine",
+    "TargetEnd",
+    "part_trait",
+]
--- /dev/null
+++ b/apricotseam/quarantine/_evidence.py
@@ -0,0 +1,100 @@
+"""Evidence for and against one trait of requests."""
+
+import msgspec
+
+# Ends that are kept of each trait; more say nothing new.
+MAX_ENDS = 8
+NEVER = float("-inf")
+
+
+class TargetEnd(msgspec.Struct, frozen=True, kw_only=True):
+    """End of a target's process while it began to answer a request.
+
+    ``process`` is `Target.incarnation`. ``request_key`` is the same for a
+    request and its repeats. ``at`` is a monotonic time in seconds.
+    """
+
+    process: tuple[str, int]
+    request_key: str
+    customer: str
+    at: float
+
+
+class Evidence:
+    """What is known of one trait, from all hosts.
+
+    All times are monotonic, in seconds. Evidence of two hosts is merged by
+    adding that of one to the other, in any order and any number of times.
+
+    Attributes
+    ----------
+    ends : dict of tuple to TargetEnd
+        Ends under requests with the trait since `sound_at`, by process.
+    sound_at : float
+        Time at which a request with the trait was last seen to do no harm.
+    seen_at : float
+        Time of the last request with the trait that was held back.
+    changed_at : float
+        Time of the last change that peers should know.
+    is_held : bool
+        Whether requests with the trait are held back.
+    """
+
+    __slots__ = ("changed_at", "ends", "is_held", "seen_at", "sound_at")
+
+    def __init__(self, sound_at=NEVER):
+        self.ends = {}
+        self.sound_at = sound_at
+        self.seen_at = NEVER
+        self.changed_at = NEVER
+        self.is_held = False
+
+    @property
+    def customers(self):
+        """Customers of the requests under which targets ended."""
+        return {end.customer for end in self.ends.values()}
+
+    @property
+    def request_count(self):
+        """Number of different requests under which targets ended."""
+        return len({end.request_key for end in self.ends.values()})
+
+    @property
+    def first_at(self):
+        """Time of the first end."""
+        return min(end.at for end in self.ends.values())
+
+    @property
+    def last_at(self):
+        """Time of the last end, or `NEVER`."""
+        return max((end.at for end in self.ends.values()), default=NEVER)
+
+    def add_end(self, end, now):
+        """Add a `TargetEnd`; return whether it says anything new."""
+        if end.process in self.ends or end.at <= self.sound_at:
+            return False
+        if len(self.ends) >= MAX_ENDS:
+            return False
+        self.ends[end.process] = end
+        self.changed_at = now
+        return True
+
+    def add_sound(self, at, now):
+        """Add that a request with the trait has done no harm until a time.
+
+        It disproves that the trait was the cause of ends before.
+
+        Returns
+        -------
+        bool
+            Whether ends were disproved.
+        """
+        if at <= self.sound_at:
+            return False
+        self.sound_at = at
+        disproved = [p for p, end in self.ends.items() if end.at <= at]
+        for process in disproved:
+            del self.ends[process]
+        if disproved:
+            self.changed_at = now
+        return bool(disproved)
--- /dev/null
+++ b/apricotseam/quarantine/_quarantine.py
@@ -0,0 +1,290 @@
+"""Decides which requests are held back because they end targets."""
+
+import collections
+import logging
+
+import msgspec
+
+from apricotseam.quarantine._evidence import Evidence
+from apricotseam.quarantine._evidence import NEVER
+from apricotseam.quarantine._recent import RecentTimes
+
+_LOG = logging.getLogger(__name__)
+
+# Separate ends from which on a trait is held back, and the same for one that
+# requests without harm had shortly before the first end.
+MIN_ENDS = 3
+MIN_ENDS_COMMON = 5
+COMMON_SECONDS = 30.0
+# Different requests among these: a request and its repeats may have met
+# unrelated ends.
+MIN_REQUESTS = 2
+# Ends without a longer pause between them count as one: they may have a
+# common cause, such as a loss of power.
+JOINT_SECONDS = 0.1
+# Separate ends from which on no further trial is made.
+FINAL_ENDS = 5
+# Time from the last end to a trial with one request.
+TRIAL_WAIT_SECONDS = 10.0
+# A trait that no request had for this long is forgotten.
+FORGET_SECONDS = 600.0
+# Traits with evidence, in total and of the requests of one customer.
+MAX_TRAITS = 1024
+MAX_CUSTOMER_TRAITS = 64
+# Processes whose ends are compared in time.
+MAX_PROCESSES = 256
+
+
+class Hold(msgspec.Struct, frozen=True):
+    """Why a request is held back.
+
+    ``trial_at`` is the monotonic time in seconds from which one request with
+    the trait is tried, None if none is.
+    """
+
+    trait: str
+    trial_at: float | None
+
+
+class Quarantine:
+    """Traits of requests that end targets' processes, as all hosts know them.
+
+    A trait is held back once several processes have ended one after another
+    as they began to answer requests with it, and none of these requests has
+    been answered since. It is held back for the customers whose requests
+    these were, for all once they are two.
+
+    Parameters
+    ----------
+    now : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, now):
+        self._now = now
+        # `Evidence` by trait, the oldest first.
+        self._evidence = collections.OrderedDict()
+        self._sound = RecentTimes()
+        # Time of the end of each process, whatever trait it speaks against.
+        self._ended_at = collections.OrderedDict()
+        # Number of changes that peers should know.
+        self.changes = 0
+        # Called when a trait begins or ends to be held back.
+        self.on_hold_change = lambda: None
+
+    @property
+    def held(self):
+        """`Evidence` by trait of the traits that are held back."""
+        return {
+            trait: evidence
+            for trait, evidence in self._evidence.items()
+            if evidence.is_held
+        }
+
+    def items(self):
+        """Return pairs of a trait and its `Evidence`."""
+        return self._evidence.items()
+
+    def find_hold(self, traits, customer):
+        """Return the `Hold` of a request, or None if it may be sent.
+
+        Parameters
+        ----------
+        traits : iterable of str
+            Traits of the request.
+        customer : str
+            Customer that sent it.
+        """
+        for trait in traits:
+            evidence = self._evidence.get(trait)
+            if evidence is None or not evidence.is_held:
+                continue
+            customers = evidence.customers
+            if len(customers) > 1 or customer in customers:
+                return Hold(trait, self._trial_at(evidence))
+        return None
+
+    def record_held(self, trait):
+        """Record that a request with a trait was held back."""
+        self._evidence[trait].seen_at = self._now()
+
+    def record_end(self, traits, end):
+        """Record a `TargetEnd` under a request with some traits."""
+        for trait in traits:
+            self.merge(trait, [end])
+
+    def record_sound(self, traits, customer):
+        """Record that a request was answered, or is being, without harm."""
+        now = self._now()
+        for trait in traits:
+            self._sound.record(trait, customer, now)
+            evidence = self._evidence.get(trait)
+            if evidence is not None and evidence.add_sound(now, now):
+                self._decide(trait, evidence, "requests were answered")
+
+    def merge(self, trait, ends=(), sound_at=NEVER, seen_at=NEVER):
+        """Add what a host, or the store, knows of a trait.
+
+        Parameters
+        ----------
+        trait : str
+            The trait.
+        ends : iterable of TargetEnd
+            Ends under requests with it.
+        sound_at : float
+            Time at which such a request was last seen to do no harm.
+        seen_at : float
+            Time of the last request that was held back.
+        """
+        now = self._now()
+        known = self._evidence.get(trait)
+        evidence = known or Evidence(self._sound.get(trait, NEVER))
+        is_change = evidence.add_sound(sound_at, now)
+        for end in ends:
+            is_change |= evidence.add_end(end, now)
+            self._note_process(end)
+        evidence.seen_at = max(evidence.seen_at, seen_at)
+        if known is None and (evidence.ends or sound_at > NEVER):
+            self._insert(trait, evidence)
+            is_change = True
+        if is_change:
+            self._decide(trait, evidence, "requests were answered")
+
+    def release(self, trait):
+        """Hold a trait back no longer, unless targets end anew.
+
+        Returns
+        -------
+        bool
+            Whether it was held back.
+        """
+        evidence = self._evidence.get(trait)
+        was_held = evidence is not None and evidence.is_held
+        if was_held:
+            evidence.add_sound(self._now(), self._now())
+            self._decide(trait, evidence, "released by an operator")
+        return was_held
+
+    def expire(self):
+        """Forget the traits that no request had for a long time."""
+        forget_before = self._now() - FORGET_SECONDS
+        for trait, evidence in list(self._evidence.items()):
+            last_at = max(evidence.last_at, evidence.seen_at)
+            if max(last_at, evidence.changed_at) > forget_before:
+                continue
+            del self._evidence[trait]
+            if evidence.is_held:
+                _log_release(trait, "no request had it")
+                self.on_hold_change()
+
+    def end_count(self, evidence):
+        """Return the number of separate ends of an `Evidence`."""
+        own = {process: end.at for process, end in evidence.ends.items()}
+        groups = _joint_groups({**own, **self._ended_at})
+        return len({groups[process] for process in own})
+
+    def _trial_at(self, evidence):
+        """Return from when on a trial is allowed, or None."""
+        if self.end_count(evidence) >= self._final_ends(evidence):
+            return None
+        return evidence.last_at + TRIAL_WAIT_SECONDS
+
+    def _required_ends(self, evidence):
+        since = evidence.first_at - COMMON_SECONDS
+        return MIN_ENDS_COMMON if evidence.sound_at > since else MIN_ENDS
+
+    def _final_ends(self, evidence):
+        return max(FINAL_ENDS, self._required_ends(evidence) + 1)
+
+    def _is_guilty(self, evidence):
+        if evidence.request_count < MIN_REQUESTS:
+            return False
+        required = self._required_ends(evidence)
+        if len(evidence.ends) < required:
+            return False
+        return self.end_count(evidence) >= required
+
+    def _decide(self, trait, evidence, release_cause):
+        """Decide anew about a trait after a change of its evidence."""
+        self.changes += 1
+        if evidence.is_held:
+            evidence.is_held = bool(evidence.ends)
+            if not evidence.is_held:
+                _log_release(trait, release_cause)
+            self.on_hold_change()
+        elif self._is_guilty(evidence):
+            evidence.is_held = True
+            evidence.changed_at = self._now()
+            self._log_hold(trait, evidence)
+            self.on_hold_change()
+
+    def _note_process(self, end):
+        known = self._ended_at.get(end.process)
+        if known is None or end.at < known:
+            self._ended_at[end.process] = end.at
+        if len(self._ended_at) > MAX_PROCESSES:
+            self._ended_at.popitem(last=False)
+
+    def _insert(self, trait, evidence):
+        """Add evidence of a new trait within the bounds."""
+        self._evidence[trait] = evidence
+        customers = evidence.customers
+        same = [
+            t
+            for t, e in self._evidence.items()
+            if not e.is_held and e.customers <= customers and e is not evidence
+        ]
+        if len(same) >= MAX_CUSTOMER_TRAITS:
+            del self._evidence[same[0]]
+        if len(self._evidence) > MAX_TRAITS:
+            self._drop_oldest()
+
+    def _drop_oldest(self):
+        """Drop the oldest trait that is not held back, else the oldest."""
+        free = (t for t, e in self._evidence.items() if not e.is_held)
+        del self._evidence[next(free, next(iter(self._evidence)))]
+
+    def _log_hold(self, trait, evidence):
+        now = self._now()
+        _LOG.warning(
+            "quarantine_began",
+            extra={
+                "trait": trait,
+                "customers": sorted(evidence.customers),
+                "ends": [
+                    {
+                        "target": end.process[0],
+                        "request_key": end.request_key,
+                        "age_seconds": round(now - end.at, 3),
+                    }
+                    for end in evidence.ends.values()
+                ],
+            },
+        )
+
+
+def _joint_groups(ended_at):
+    """Return the number of the joint end by process.
+
+    Parameters
+    ----------
+    ended_at : dict of tuple to float
+        Time in seconds by process.
+    """
+    groups = {}
+    number = 0
+    last_at = NEVER
+    for process, at in sorted(ended_at.items(), key=_time_of):
+        if at - last_at > JOINT_SECONDS:
+            number += 1
+        groups[process] = number
+        last_at = at
+    return groups
+
+
+def _time_of(item):
+    return item[1]
+
+
+def _log_release(trait, cause):
+    _LOG.warning("quarantine_ended", extra={"trait": trait, "cause": cause})
--- /dev/null
+++ b/apricotseam/quarantine/tests/test_quarantine.py
@@ -0,0 +1,172 @@
+"""Which evidence makes requests be held back, and which releases them."""
+
+import msgspec
+import pytest
+
+from apricotseam.quarantine._evidence import TargetEnd
+from apricotseam.quarantine._quarantine import FINAL_ENDS
+from apricotseam.quarantine._quarantine import FORGET_SECONDS
+from apricotseam.quarantine._quarantine import MAX_CUSTOMER_TRAITS
+from apricotseam.quarantine._quarantine import MAX_TRAITS
+from apricotseam.quarantine._quarantine import Quarantine
+from apricotseam.quarantine._quarantine import TRIAL_WAIT_SECONDS
+
+TRAIT = "part/a"
+
+
+class Clock:
+    """Time that a test sets."""
+
+    def __init__(self):
+        self.time = 100.0
+
+    def __call__(self):
+        """Return the time."""
+        return self.time
+
+
+class Step(msgspec.Struct, frozen=True):
+    """An end, or a sound answer, some seconds after the one before."""
+
+    pause: float
+    process: str = ""
+    request: str = "r1"
+    customer: str = "c1"
+
+    def play(self, quarantine, clock):
+        """Record the step."""
+        clock.time += self.pause
+        if not self.process:
+            quarantine.record_sound([TRAIT], self.customer)
+            return
+        end = TargetEnd(
+            process=(self.process, 1),
+            request_key=self.request,
+            customer=self.customer,
+            at=clock.time,
+        )
+        quarantine.record_end([TRAIT], end)
+
+
+def ends(count, pause=1.0, first=0):
+    """Return steps in which targets end, each under another request."""
+    return [Step(pause, f"t{n}", f"r{n}") for n in range(first, first + count)]
+
+
+# Description, steps, whether a request of customer c1 and one of another
+# customer are held back after them.
+CASES = [
+    ("two ends are too few", ends(2), False, False),
+    ("three ends one after another", ends(3), True, False),
+    (
+        "three ends under one request and its repeats",
+        [Step(1.0, f"t{n}") for n in range(3)],
+        False,
+        False,
+    ),
+    (
+        "three ends under two requests",
+        [Step(1.0, "t1"), Step(1.0, "t2"), Step(1.0, "t3", "r2")],
+        True,
+        False,
+    ),
+    ("a loss of power ends many at once", ends(20, 0.02), False, False),
+    (
+        "an end that several requests report",
+        [Step(1.0, "t1", f"r{n}") for n in range(5)],
+        False,
+        False,
+    ),
+    (
+        "a sound answer in between",
+        [*ends(2), Step(0.5), *ends(2, first=2)],
+        False,
+        False,
+    ),
+    ("a sound answer afterwards", [*ends(3), Step(0.5)], False, False),
+    ("sound shortly before", [Step(0.0), *ends(4)], False, False),
+    ("sound before, five ends", [Step(0.0), *ends(5)], True, False),
+    (
+        "sound long before",
+        [Step(0.0), Step(40.0, "t1"), *ends(2, first=2)],
+        True,
+        False,
+    ),
+    (
+        "requests of two customers",
+        [*ends(2), Step(1.0, "t9", "r9", "c2")],
+        True,
+        True,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("steps", "is_held", "is_held_for_others"),
+    [case[1:] for case in CASES],
+    ids=[case[0] for case in CASES],
+)
+def test_requests_are_held_back(steps, is_held, is_held_for_others):
+    clock = Clock()
+    quarantine = Quarantine(clock)
+    for step in steps:
+        step.play(quarantine, clock)
+    traits = ["part/other", TRAIT]
+    assert bool(quarantine.find_hold(traits, "c1")) is is_held
+    assert bool(quarantine.find_hold(traits, "c3")) is is_held_for_others
+    assert quarantine.find_hold(["part/other"], "c1") is None
+
+
+@pytest.mark.parametrize("count", range(3, FINAL_ENDS + 2))
+def test_trials_end_with_the_fifth_end(count):
+    clock = Clock()
+    quarantine = Quarantine(clock)
+    for step in ends(count):
+        step.play(quarantine, clock)
+    hold = quarantine.find_hold([TRAIT], "c1")
+    trial_at = clock.time + TRIAL_WAIT_SECONDS
+    assert hold.trial_at == (trial_at if count < FINAL_ENDS else None)
+
+
+def test_operator_releases_a_trait_until_targets_end_anew():
+    clock = Clock()
+    quarantine = Quarantine(clock)
+    for step in ends(6):
+        step.play(quarantine, clock)
+    clock.time += 1.0
+    assert quarantine.release(TRAIT)
+    assert not quarantine.release(TRAIT)
+    assert quarantine.find_hold([TRAIT], "c1") is None
+    for step in ends(5, first=10):
+        step.play(quarantine, clock)
+    assert quarantine.find_hold([TRAIT], "c1")
+
+
+def test_trait_is_kept_while_requests_have_it():
+    clock = Clock()
+    quarantine = Quarantine(clock)
+    for step in ends(6):
+        step.play(quarantine, clock)
+    for _ in range(3):
+        clock.time += 0.9 * FORGET_SECONDS
+        quarantine.record_held(TRAIT)
+        quarantine.expire()
+        assert quarantine.held
+    clock.time += 1.1 * FORGET_SECONDS
+    quarantine.expire()
+    assert not quarantine.held
+
+
+def test_one_customer_displaces_only_its_own_traits():
+    clock = Clock()
+    quarantine = Quarantine(clock)
+    for step in ends(2):
+        step.play(quarantine, clock)
+    for number in range(2 * MAX_TRAITS):
+        end = TargetEnd(
+            process=("x", number), request_key="r", customer="c2", at=200.0
+        )
+        quarantine.record_end([f"part/{number}"], end)
+    assert len(quarantine.items()) == 1 + MAX_CUSTOMER_TRAITS
+    Step(1.0, "t9", "r9").play(quarantine, clock)
+    assert quarantine.find_hold([TRAIT], "c1")
--- a/measure/emulator/_fatal_patterns.py
+++ b/measure/emulator/_fatal_patterns.py
@@ -1,6 +1,7 @@
 """Patterns of requests that end the processes of targets."""
 
 from measure.emulator._fatal import END_SECONDS
+from measure.emulator._fatal import LEARN_SECONDS
 from measure.emulator._pattern import DISTURBED_AT_SECONDS
 from measure.emulator._pattern import Pattern
 
@@ -69,3 +70,64 @@
     name = "two-fatal-parts"
     about = "1 request a second has each of two parts that end each engine"
     parts = ("fatal-a", "fatal-b")
+
+
+class FatalPartAndRestarts(FatalPart):
+    """One host after another starts again while a part ends engines."""
+
+    name = "fatal-part-and-restarts"
+    about = "as fatal-part; all hosts are restarted one after another"
+    restarted_seconds = 6.0
+
+    def disturb(self, simulation):
+        """Schedule the restarts besides."""
+        super().disturb(simulation)
+        hosts = len(simulation.hosts)
+        begin = DISTURBED_AT_SECONDS + LEARN_SECONDS + 1.0
+        for number in range(hosts):
+            at = begin + self.restarted_seconds * number / hosts
+            simulation.at(at, simulation.restart_host, number)
+
+
+class FatalPartAndPowerLoss(FatalPart):
+    """All hosts lose power at once while a part ends engines."""
+
+    name = "fatal-part-and-power-loss"
+    about = "as fatal-part; all hosts end at once, and are back 0.8 s later"
+    at_seconds = DISTURBED_AT_SECONDS + LEARN_SECONDS + 2.0
+    down_seconds = 0.8
+
+    def disturb(self, simulation):
+        """Schedule the loss of power besides."""
+        super().disturb(simulation)
+        simulation.at(self.at_seconds, simulation.stop_hosts)
+        simulation.at(
+            self.at_seconds + self.down_seconds, simulation.start_hosts
+        )
+
+
+class FatalPartWithoutStore(FatalPartAndRestarts):
+    """Hosts start again while the store is silent."""
+
+    name = "fatal-part-without-store"
+    about = "as fatal-part-and-restarts; the store is silent all the time"
+
+    def disturb(self, simulation):
+        """Silence the store besides."""
+        super().disturb(simulation)
+        simulation.site.store.is_silent = True
+
+
+class FatalPartAndCutZone(FatalPart):
+    """A zone's hosts hear no others while a part ends engines."""
+
+    name = "fatal-part-and-cut-zone"
+    about = "as fatal-part; the hosts of a zone are cut off for 8 s"
+    cut_seconds = 8.0
+
+    def disturb(self, simulation):
+        """Schedule the cut and its end besides."""
+        super().disturb(simulation)
+        begin = DISTURBED_AT_SECONDS
+        simulation.at(begin, simulation.cut_zone, simulation.hosts[0].zone)
+        simulation.at(begin + self.cut_seconds, simulation.cut_zone, None)
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -15,6 +15,7 @@
 from apricotseam.forwarding import TargetProber
 from apricotseam.node._permits import PermitExchange
 from apricotseam.node._placer import Placer
+from apricotseam.node._quarantine_keeper import QuarantineKeeper
 from apricotseam.node._usage import UsageExchange
 from apricotseam.node._zones import ZoneUsageExchange
 from measure.emulator._network import SimulatedPool
@@ -74,6 +75,7 @@
         self._expect_peers_until = self._now() + PEER_USAGE_WAIT_SECONDS
         self.name = name
         self.zone = zone
+        self._store_view = None
         self.hosts = PeerHosts(peers, f"{name}:1", zone)
         self.election = FixedElection()
         self.context = self._make_context(policy, seed)
@@ -81,6 +83,7 @@
         self.context.permits = PermitExchange(
             self.hosts, self.context.request_queue, self._now
         )
+        self.context.quarantine_gate.trials = self.context.permits
         self._gateway = Gateway(self.context)
         self.watcher = RecordWatcher(self.context.fleet, self._now)
         self._tasks = []
@@ -90,6 +93,17 @@
         """Join the other hosts and start the periodic work."""
         self._peers.join(self.hosts)
         self._site.registry.watch(self.watcher)
+        self._store_view = self._site.store.open_view(
+            lambda item: keeper.apply(item)
+        )
+        keeper = QuarantineKeeper(
+            self._store_view,
+            self._store_view,
+            self.context.quarantine,
+            lambda: list(self.hosts.table).index(self.hosts),
+            self._now,
+            self._now,
+        )
         instance = f"{self.name}/{incarnation}"
         usage = UsageExchange(
             self.hosts, self.context, instance, self.zone, self._now
@@ -107,6 +121,7 @@
             usage.run(),
             usage.run_reports(),
             zones.run(),
+            keeper.run(),
             placer.run(),
             self.context.prober.watch(
                 lambda: 1 + len(self.hosts.load_recipients)
@@ -119,6 +134,7 @@
         """End the process: all requests in progress are cut."""
         self._peers.leave(self.hosts)
         self._site.registry.unwatch(self.watcher)
+        self._site.store.close_view(self._store_view)
         for task in [*self._tasks, *self._requests]:
             task.cancel()
 
@@ -161,8 +177,9 @@
             ),
             RequestMetrics(prometheus_client.CollectorRegistry()),
             queue,
+            self._now,
         )
-        # The context builds its own prober on the clock of the machine.
+        # The context draws the samples of its prober without a seed.
         context.prober = TargetProber(
             pool,
             ledger,
@@ -193,3 +210,4 @@
         while True:
             await asyncio.sleep(MAINTENANCE_PERIOD_SECONDS)
             self.context.fleet.expire(self._now())
+            self.context.quarantine.expire()
--- a/measure/emulator/_network.py
+++ b/measure/emulator/_network.py
@@ -140,6 +140,8 @@
         self._target = target
         self._delay_seconds = delay_seconds
         self._host = host
+        # What is under way to the host, and what has arrived there.
+        self._sent_back = collections.deque()
         self._received = collections.deque()
         self._waiter = None
         self.is_closed = False
@@ -199,7 +201,9 @@
 
     def send_back(self, *items):
         """Send items to the host; called by the target."""
-        self._loop.call_later(self._delay_seconds, self._receive, items)
+        # Timers that are due at the same time run in any order.
+        self._sent_back.append(items)
+        self._loop.call_later(self._delay_seconds, self._receive)
 
     def reset(self):
         """Break the connection; called by the target."""
@@ -229,7 +233,8 @@
             return
         receive(self, *arguments)
 
-    def _receive(self, items):
+    def _receive(self):
+        items = self._sent_back.popleft()
         if self._target.is_silent:
             return
         self._received.extend(items)
--- a/measure/emulator/_patterns.py
+++ b/measure/emulator/_patterns.py
@@ -6,6 +6,10 @@
 from measure.emulator._caller import PatientCaller
 from measure.emulator._fatal_patterns import FatalFirstPart
 from measure.emulator._fatal_patterns import FatalPart
+from measure.emulator._fatal_patterns import FatalPartAndCutZone
+from measure.emulator._fatal_patterns import FatalPartAndPowerLoss
+from measure.emulator._fatal_patterns import FatalPartAndRestarts
+from measure.emulator._fatal_patterns import FatalPartWithoutStore
 from measure.emulator._fatal_patterns import TwoFatalParts
 from measure.emulator._pattern import DISTURBED_AT_SECONDS
 from measure.emulator._pattern import Pattern
@@ -348,6 +352,10 @@
         FatalPart,
         FatalFirstPart,
         TwoFatalParts,
+        FatalPartAndRestarts,
+        FatalPartAndPowerLoss,
+        FatalPartWithoutStore,
+        FatalPartAndCutZone,
     )
 }
 
--- a/measure/emulator/_peers.py
+++ b/measure/emulator/_peers.py
@@ -30,6 +30,8 @@
         self._loop = loop
         self._hosts = {}
         self._sorted = HostTable()
+        # Zone whose hosts are cut off from those of other zones, or None.
+        self.cut_zone = None
         self.messages = 0
 
     @property
@@ -66,7 +68,7 @@
         self.messages += 2
         await asyncio.sleep(DELIVERY_SECONDS)
         hosts = self._hosts.get(address)
-        if hosts is None:
+        if hosts is None or self._is_cut(sender, address):
             raise PeerUnreachableError(
                 f"no host runs at {address}", "ask another one"
             )
@@ -81,9 +83,14 @@
 
     def _deliver(self, sender, address, message):
         hosts = self._hosts.get(address)
-        if hosts is not None:
+        if hosts is not None and not self._is_cut(sender, address):
             hosts.transport.receive(sender, message)
 
+    def _is_cut(self, *addresses):
+        """Return whether a message between two hosts is lost."""
+        zones = {self._hosts[a].zone for a in addresses if a in self._hosts}
+        return len(zones) > 1 and self.cut_zone in zones
+
 
 class PeerTransport:
     """Sends the messages of one host.
--- a/measure/emulator/_simulation.py
+++ b/measure/emulator/_simulation.py
@@ -31,6 +31,8 @@
 
 # Time in which hosts meet before the first request.
 START_SECONDS = 1.0
+# A host that was started or cut off is in touch again after this time.
+IN_TOUCH_SECONDS = 3.0
 REPORT_PERIOD_SECONDS = 0.2
 CONNECT_RETRY_SECONDS = 0.05
 # Targets that may run one stream after another before it counts as served.
@@ -98,6 +100,8 @@
         self._table = make_table(self._deployment, pattern.make_customers())
         self._engine_count = 0
         self._incarnation = 0
+        # Times from which hosts are in touch again, by name.
+        self._in_touch_from = {}
         self.engines = []
         self.hosts = []
         self.capacity = None
@@ -200,21 +204,57 @@
     def start_hosts(self):
         """Start all hosts; the first one places layers."""
         self._incarnation += 1
-        zones = self._scenario.zone_names
         for number in range(self._scenario.hosts):
-            host = EmulatedHost(
-                self.site,
-                self._peers,
-                f"host-{number:03d}",
-                zones[number % len(zones)],
-                self._policy,
-                self._table,
-                self._scenario.seed * 1000 + number,
-            )
-            host.start(self._incarnation)
-            self.hosts.append(host)
+            self.hosts.append(self._start_host(number))
         self.hosts[0].election.is_holder = True
 
+    def restart_host(self, number):
+        """End the process of a host without warning, and start another."""
+        self._incarnation += 1
+        ended = self.hosts[number]
+        ended.stop()
+        started = self._start_host(number)
+        started.election.is_holder = ended.election.is_holder
+        self.hosts[number] = started
+
+    def cut_zone(self, zone):
+        """Cut the hosts of a zone off from all other hosts.
+
+        Parameters
+        ----------
+        zone : str or None
+            The zone; None ends the cut.
+        """
+        in_touch_from = self.loop.time() + IN_TOUCH_SECONDS
+        for host in self.hosts:
+            if host.zone == zone:
+                self._in_touch_from[host.name] = float("inf")
+            elif host.zone == self._peers.cut_zone:
+                self._in_touch_from[host.name] = in_touch_from
+        self._peers.cut_zone = zone
+
+    def is_out_of_touch(self, arrival):
+        """Return whether a `FatalArrival` is from a host out of touch.
+
+        That is one that was started or cut off a short time before.
+        """
+        return arrival.at < self._in_touch_from.get(arrival.host, 0.0)
+
+    def _start_host(self, number):
+        zones = self._scenario.zone_names
+        host = EmulatedHost(
+            self.site,
+            self._peers,
+            f"host-{number:03d}",
+            zones[number % len(zones)],
+            self._policy,
+            self._table,
+            self._scenario.seed * 1000 + number,
+        )
+        host.start(self._incarnation)
+        self._in_touch_from[host.name] = self.loop.time() + IN_TOUCH_SECONDS
+        return host
+
     def stop_hosts(self):
         """End the processes of all hosts without warning."""
         for host in self.hosts:
--- a/measure/emulator/_site.py
+++ b/measure/emulator/_site.py
@@ -4,6 +4,7 @@
 
 from apricotseam.positions import Position
 from measure.emulator._fatal import FatalRequests
+from measure.emulator._store import EmulatedStore
 
 # Time from a change of a record until the hosts see it.
 WATCH_SECONDS = 0.02
@@ -119,6 +120,7 @@
         self.profile = profile
         self.network = network
         self.registry = Registry(loop)
+        self.store = EmulatedStore(loop)
         self.fatal = FatalRequests()
         self._loads = 0
         self._sizes = {}
--- a/measure/emulator/_stream.py
+++ b/measure/emulator/_stream.py
@@ -221,6 +221,8 @@
             headers = signed_headers(self.request_id)
             self.connection.answer(200, headers, event)
             self._site.fatal.begin(self._prompt_parts, self.head)
+        if self._site.fatal.is_fatal(self._prompt_parts):
+            return False
         if self._made >= self._size.answer:
             self.connection.send_back(b"")
             self.head.discard(self)
--- a/measure/emulator/tests/test_fatal.py
+++ b/measure/emulator/tests/test_fatal.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from measure.emulator._fatal import ALLOWED_AFTERWARDS
 from measure.emulator._fatal import ENDS_TO_LEARN
+from measure.emulator._fatal_patterns import FatalPartAndPowerLoss
 from measure.emulator._pattern import DISTURBED_AT_SECONDS
 from measure.emulator import Scenario
 from measure.emulator import sent_between
@@ -11,6 +13,8 @@
 HOSTS = [8, 22, 195]
 # Time after the last end that should happen until sound requests begin again.
 SETTLE_SECONDS = 6.0
+# Time in which no trial of what is held back may follow.
+TRIAL_PAUSE_SECONDS = 4.0
 # Least share of sound requests that begin at once, compared with before.
 SOUND_FRACTION = 0.5
 
@@ -37,6 +41,47 @@
     assert fatal.excess() <= 0
 
 
+DISTURBED = [
+    "fatal-part-and-restarts",
+    "fatal-part-and-power-loss",
+    "fatal-part-without-store",
+    "fatal-part-and-cut-zone",
+]
+
+
+# Guards against hosts that learn anew, after a restart or a cut, which part
+# ends targets.
+@pytest.mark.parametrize("hosts", HOSTS)
+@pytest.mark.parametrize("name", DISTURBED)
+def test_fleet_remembers_the_part_that_ends_targets(name, hosts):
+    simulation, _ = play_fatal(name, hosts)
+    fatal = simulation.site.fatal
+    assert fatal.ends
+    assert fatal.excess(simulation.is_out_of_touch) <= 0
+
+
+# Guards against hosts that all start at once and know nothing any more.
+@pytest.mark.parametrize("hosts", [8, 22])
+def test_what_is_held_back_outlives_a_loss_of_power(hosts):
+    simulation, _ = play_fatal("fatal-part-and-power-loss", hosts)
+    begin = FatalPartAndPowerLoss.at_seconds
+    ends = simulation.site.fatal.ends
+    assert not [at for at in ends if begin < at < begin + TRIAL_PAUSE_SECONDS]
+
+
+# Guards against a second part, or a first part, that goes on to end targets.
+@pytest.mark.parametrize("name", ["two-fatal-parts", "fatal-first-part"])
+def test_each_part_that_ends_targets_is_held_back(name):
+    simulation, results = play_fatal(name, 8)
+    fatal = simulation.site.fatal
+    late = [a for a in fatal.arrivals if a.at > fatal.ends[0] + 12.0]
+    assert len(late) <= ALLOWED_AFTERWARDS
+    sound = [r for r in results if not fatal.is_fatal(r.request.prompt_parts)]
+    usual = begun_share(sent_between(sound, 0.0, DISTURBED_AT_SECONDS))
+    after = sent_between(sound, fatal.ends[0] + 12.0, 1e9)
+    assert begun_share(after) >= SOUND_FRACTION * usual
+
+
 # Guards against sound requests that get no answer while others with the same
 # first part end target after target.
 @pytest.mark.parametrize("hosts", HOSTS)
