Show that broken answers without length or chunks count as complete: failing test

Four of nine cases fail on the present code: a stream without an event, whether its process ends or not, a stream cut between two events and half a plain answer reach the caller as complete, 200.

--- /dev/null
+++ b/apricotseam/node/tests/test_unframed.py
@@ -0,0 +1,131 @@
+"""Answers with neither length nor chunks, whole and broken off."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from apricotseam.node.tests.harness import run
+from apricotseam.platform.standins import TargetStandIn
+from apricotseam.web import free_address
+
+HEAD = (
+    "HTTP/1.1 200 OK\r\nApricotseam-Request-Id: {id}\r\n"
+    "Apricotseam-Server-Signature: raw\r\n{framing}\r\n"
+)
+EVENTS = [f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, 5)]
+WHOLE = b"".join(EVENTS)
+# Makes the close of a socket reset its connection.
+LINGER_NOT = struct.pack("ii", 1, 0)
+# Time in which bytes that were sent are read.
+READ_SECONDS = 0.15
+
+
+class UnframedTarget:
+    """Target that answers one request and ends the connection.
+
+    Parameters
+    ----------
+    body : bytes
+        What it sends after the head.
+    ending : str
+        ``lives`` closes the connection, ``ends`` also stops to listen as if
+        its process had ended, ``resets`` resets the connection.
+    """
+
+    def __init__(self, body, ending):
+        self._body = body
+        self._ending = ending
+        self._server = None
+        self.entry = TargetStandIn("raw", free_address())
+        self.other = TargetStandIn("other", free_address())
+        self.requests = 0
+
+    async def start(self, platform):
+        """Listen; the other target is registered with the first request."""
+        self._platform = platform
+        await self.other.start()
+        host, port = self.entry.address.split(":")
+        self._server = await asyncio.start_server(self._answer, host, port)
+        await self._register(self.entry)
+
+    def stop(self):
+        """Stop both targets."""
+        self._server.close()
+        self.other.stop()
+
+    async def _register(self, target):
+        """Write the entry of a target, and wait until the host knows it."""
+        self._platform.register(target)
+        fleet = self._platform.nodes[0].forwarding.fleet
+        await self._platform.wait_until(lambda: fleet.get(target.identity))
+
+    async def _answer(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.requests += 1
+        await self._register(self.other)
+        fields = dict(
+            line.split(b": ", 1)
+            for line in head.lower().split(b"\r\n")[1:]
+            if b": " in line
+        )
+        request_id = fields[b"apricotseam-request-id"].decode()
+        head = HEAD.format(id=request_id, framing="")
+        writer.write(head.encode() + self._body)
+        await writer.drain()
+        if self._ending == "ends":
+            self._server.close()
+        if self._ending == "resets":
+            # The bytes must arrive before the reset discards them.
+            await asyncio.sleep(READ_SECONDS)
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT
+            )
+        writer.close()
+
+
+# Description, path, body, how the answer ends, expected body, requests that
+# the other target receives.
+CASES = [
+    ("a whole stream", "/feed/x", WHOLE, "lives", WHOLE, 0),
+    ("a stream without an event", "/feed/x", b"", "lives", WHOLE, 1),
+    ("a stream whose process ends", "/feed/x", b"", "ends", WHOLE, 1),
+    ("a cut between events", "/feed/x", EVENTS[0], "ends", WHOLE, 1),
+    (
+        "a cut within an event",
+        "/feed/x",
+        EVENTS[0] + b"id: 2\nda",
+        "ends",
+        WHOLE,
+        1,
+    ),
+    ("a reset between events", "/feed/x", EVENTS[0], "resets", WHOLE, 1),
+    ("a whole answer", "/read/x", b"whole", "lives", b"whole", 0),
+    ("half an answer", "/read/x", b"ha", "ends", b"answer", 1),
+    ("a reset in an answer", "/read/x", b"ha", "resets", b"answer", 1),
+]
+
+
+# Guards against answers that are broken off by the end of a process and
+# reach the caller as complete.
+@pytest.mark.parametrize(
+    ("path", "body", "ending", "expected", "repeats"),
+    [case[1:] for case in CASES],
+    ids=[case[0] for case in CASES],
+)
+def test_answer_that_ends_with_its_connection(
+    path, body, ending, expected, repeats
+):
+    async def scenario(platform):
+        target = UnframedTarget(body, ending)
+        await target.start(platform)
+        try:
+            status, _, received = await platform.send_request(path)
+        finally:
+            target.stop()
+        return status, received, target.requests, len(target.other.requests)
+
+    answered = run(scenario, plain_targets=0)
+    assert answered == (200, expected, 1, repeats)
