Take an answer without length as broken off if its target's process ended

What callers saw: 200 with an empty or partial body, complete, after one attempt. Cause: where neither a length nor chunks are given, the end of a process looks like the end of the answer. A target that ends its answer goes on to listen, so a host that sees such an end asks whether it does; a stream without any event is broken off in any case, unless the caller resumes it. Answers with a length or chunks cost nothing more.

An answer whose process ends just after it is repeated, or failed where it must not be.

--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from apricotseam.forwarding._answer_end import check_answer_end
 from apricotseam.forwarding._answering import deliver
 from apricotseam.forwarding._answering import fail
 from apricotseam.forwarding._answering import FailedAnswer
@@ -194,6 +195,7 @@
             call, connection, call.deadline, target
         )
         body = await connection.read_all(call.deadline, MAX_ANSWER_BYTES)
+        await check_answer_end(self._context.prober, answer, target)
         if metadata.was_not_run:
             call.runs -= 1
             target.health.record_failure()
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from apricotseam.forwarding._answer_end import check_answer_end
 from apricotseam.forwarding._head_control import HeadControl
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._second_attempt import SecondAttempt
@@ -265,11 +266,29 @@
                 f"{self._connection.address} ended the stream within an event",
                 "repeat the request if it can be resumed",
             )
+        await self._check_end(answer)
         if not exchange.is_started:
             exchange.start(200, returned_headers(answer), answer.reason)
         exchange.end()
         self._return_connection(answer)
 
+    async def _check_end(self, answer):
+        """Check that a stream which has ended is complete.
+
+        Raises
+        ------
+        TransportError
+            If it isn't.
+        """
+        has_events = self._has_events or self._call.last_event is not None
+        if not answer.has_framing and not has_events:
+            raise MalformedAnswerError(
+                f"{self._connection.address} closed the stream before its"
+                " first event",
+                "repeat the request if it can be resumed",
+            )
+        await check_answer_end(self._context.prober, answer, self._choice.head)
+
     async def _read_data(self):
         return await self._read_with_checks(self._connection.read)
 
--- a/apricotseam/http1/_client.py
+++ b/apricotseam/http1/_client.py
@@ -15,6 +15,8 @@
 MAX_HEAD_BYTES = 1 << 16
 # Heads of informational responses that may precede the response.
 MAX_INFORMATIONAL_HEADS = 16
+# Answers that have no body (RFC 9112, section 6.3).
+BODILESS_STATUSES = (204, 304)
 # Unread bytes at which reading from the server is paused.
 PAUSE_BYTES = 1 << 18
 # Events read without waiting after which other tasks get their turn.
@@ -42,6 +44,19 @@
         self.headers = headers
         self._values_by_name = {name.lower(): value for name, value in headers}
 
+    @property
+    def has_framing(self):
+        """Whether the end of the body is stated by a length or in chunks.
+
+        If not, the body ends with the connection.
+        """
+        if self.status in BODILESS_STATUSES:
+            return True
+        if self.header(b"content-length") is not None:
+            return True
+        encoding = self.header(b"transfer-encoding") or ""
+        return "chunked" in encoding.lower()
+
     def header(self, name):
         """Return the last value of a header, or None if it is missing.
 
--- a/measure/emulator/_network.py
+++ b/measure/emulator/_network.py
@@ -13,6 +13,7 @@
 IN_ZONE_SECONDS = 0.0001
 CROSS_ZONE_SECONDS = 0.00075
 LINK_MEGABITS_PER_SECOND = 400000.0
+CHUNKED = (b"transfer-encoding", b"chunked")
 
 
 class Network:
@@ -196,7 +197,7 @@
         """Send a head and parts of a body; called by the target."""
         arrives_at = self._loop.time() + self._delay_seconds
         announced = self._target.announce(self._host, arrives_at)
-        headers = [*headers, *announced]
+        headers = [*headers, *announced, CHUNKED]
         self.send_back(ResponseHead(status, b"", headers), *parts)
 
     def send_back(self, *items):
