--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -1,12 +1,16 @@
 """State of one request while this host forwards it."""
 
 import asyncio
+import hashlib
 
 from apricotseam.quarantine import part_trait
 
 # Subtracted from the caller's deadline so that an answer of this host
 # arrives before the caller gives up.
 ANSWER_MARGIN_SECONDS = 0.02
+# Size of the digest of a request, and of the length before each part of it.
+DIGEST_BYTES = 10
+LENGTH_BYTES = 4
 
 
 class Call:
@@ -106,6 +110,28 @@
         lengths = f"{metadata.prompt_tokens},{metadata.expected_answer_tokens}"
         return f"{self.customer}/{metadata.prompt_id}/{lengths}"
 
+    @property
+    def digest(self):
+        """Hash of what is the same in all repeats of a request.
+
+        These are its method, path, caller, prompt and body.
+        """
+        metadata = self.metadata
+        parts = (
+            self.request.method,
+            metadata.host.encode(),
+            self.request.target,
+            (self.customer or metadata.key).encode(),
+            *(part.encode() for part in metadata.shared_parts),
+            metadata.prompt_id.encode(),
+            self.request.body,
+        )
+        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for part in parts:
+            digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
+            digest.update(part)
+        return digest.hexdigest()
+
     @property
     def may_run_again(self):
         """Whether the route permits another run after those so far."""
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -213,6 +213,7 @@
                     (call.first_event_at or now) - call.request.received_at
                 ),
                 "waited_ms": _milliseconds(call.waited_seconds),
+                "digest": call.digest,
                 "traits": call.traits,
                 "longest_pause_ms": _milliseconds(call.longest_gap),
             },
--- a/apricotseam/forwarding/_target_ends.py
+++ b/apricotseam/forwarding/_target_ends.py
@@ -31,6 +31,7 @@
     """
 
     request_id: str
+    digest: str
     request_key: str
     customer: str
     traits: tuple[str, ...]
@@ -84,6 +85,7 @@
         at = now if broken_at is None else broken_at
         broken = BrokenAttempt(
             request_id=call.request_id,
+            digest=call.digest,
             request_key=_short_key(call.retry_key or call.request_id),
             customer=call.customer,
             traits=call.traits,
@@ -181,6 +183,7 @@
             "target": target.identity,
             "born_ms": target.record.born_ms,
             "request": broken.request_id,
+            "digest": broken.digest,
             "customer": broken.customer,
             "traits": broken.traits,
             "written_ms": None if written is None else round(written * 1000),
--- a/apricotseam/forwarding/tests/test_target_ends.py
+++ b/apricotseam/forwarding/tests/test_target_ends.py
@@ -16,6 +16,7 @@
     request_id="r1",
     retry_key="c/p1/1,1",
     customer="c",
+    digest="d",
     traits=("part/a", "part/b"),
 )
 
