Show that one request ends target after target: failing test

Through three nodes with 3 and 8 plain targets that are back after 1 s, 12 and 28 repeats reach targets later than 3 s after the third end (3 allowed); on emulated engines 5 and 4 at 8 and 22 hosts. At 195 hosts the test passes: so many engines end that few requests reach any.

--- /dev/null
+++ b/apricotseam/node/tests/test_fatal_requests.py
@@ -0,0 +1,111 @@
+"""Plain requests that end the processes of targets, through complete nodes."""
+
+import asyncio
+import random
+
+import pytest
+
+from apricotseam.node.tests.harness import run
+from apricotseam.platform.standins import TargetStandIn
+
+HOSTS = 3
+TARGETS = 8
+# Time from the end of a process until the next one listens at its address.
+DOWN_SECONDS = 1.0
+LOAD_SECONDS = 7.0
+PERIOD_SECONDS = 0.08
+# Ends after which hosts should know the request, the time that they have for
+# this, and the requests that may reach targets afterwards.
+ENDS_TO_LEARN = 3
+LEARN_SECONDS = 3.0
+ALLOWED_AFTERWARDS = 3
+FATAL_PATH = "/read/fatal"
+
+
+class FatalLoad:
+    """Requests of which one kind ends each target that runs it.
+
+    Attributes
+    ----------
+    ends : list of float
+        Loop times at which processes ended.
+    arrivals : list of float
+        Loop times at which targets received the fatal request.
+    statuses : dict of str to list of int
+        Statuses of the answers by path.
+    """
+
+    def __init__(self, platform):
+        self._platform = platform
+        self._started = []
+        self._tasks = []
+        self.ends = []
+        self.arrivals = []
+        self.statuses = {FATAL_PATH: [], "/read/sound": []}
+        for target in platform.plain_targets:
+            self._make_fatal(target)
+
+    async def run(self):
+        """Send both kinds of requests to random hosts."""
+        generator = random.Random(1)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + LOAD_SECONDS
+        while loop.time() < until:
+            for path in self.statuses:
+                sending = self._send(path, generator.randrange(HOSTS))
+                self._tasks.append(loop.create_task(sending))
+            await asyncio.sleep(PERIOD_SECONDS)
+        await asyncio.gather(*self._tasks)
+        for target in self._started:
+            target.stop()
+
+    def late_arrivals(self):
+        """Return the fatal requests received after hosts should know."""
+        learnt_at = self.ends[ENDS_TO_LEARN - 1] + LEARN_SECONDS
+        return [at for at in self.arrivals if at > learnt_at]
+
+    async def _send(self, path, host_index):
+        status, _, _ = await self._platform.send_request(path, host_index)
+        self.statuses[path].append(status)
+
+    def _make_fatal(self, target):
+        target.ends_process = self._receive
+        target.on_end = self._end
+
+    def _receive(self, request):
+        is_fatal = request.target == FATAL_PATH.encode()
+        if is_fatal:
+            self.arrivals.append(asyncio.get_running_loop().time())
+        return is_fatal
+
+    def _end(self, target):
+        loop = asyncio.get_running_loop()
+        self.ends.append(loop.time())
+        self._tasks.append(loop.create_task(self._start_again(target)))
+
+    async def _start_again(self, ended):
+        """Start a process with another identity at the same address."""
+        await asyncio.sleep(DOWN_SECONDS)
+        identity = f"{ended.identity}+"
+        target = TargetStandIn(identity, ended.address)
+        self._make_fatal(target)
+        await target.start()
+        self._started.append(target)
+        self._platform.store.remove(ended)
+        self._platform.register(target)
+
+
+# Guards against a plain request that ends target after target as its caller
+# repeats it at other hosts.
+@pytest.mark.parametrize("targets", [3, TARGETS])
+def test_plain_request_that_ends_targets_reaches_no_more_of_them(targets):
+    async def scenario(platform):
+        load = FatalLoad(platform)
+        await load.run()
+        return load
+
+    load = run(scenario, hosts=HOSTS, plain_targets=targets)
+    assert len(load.late_arrivals()) <= ALLOWED_AFTERWARDS
+    sound = load.statuses["/read/sound"]
+    half = sound[len(sound) // 2 :]
+    assert half.count(200) >= 0.5 * len(half)
--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -13,6 +13,8 @@
 STREAM_PREFIX = b"/feed/"
 BLOCKED_POLL_SECONDS = 0.02
 TRICKLE_SECONDS = 0.03
+# Time from the receipt of a request that ends the process to its end.
+END_SECONDS = 0.03
 SIGNATURE = (b"Apricotseam-Server-Signature", b"stand-in")
 NOT_EXECUTED = (b"Apricotseam-Not-Executed", b"1")
 LEAVING = (b"Server-Leaving", b"1")
@@ -72,6 +74,11 @@
     is_blocked : callable
         Takes the chain of a stream as text; the stream waits while it
         returns True.
+    ends_process : callable
+        Takes a request; returns whether it ends the process, which closes
+        all connections and listens no more.
+    on_end : callable
+        Called with the target as its process ends.
     on_layers_changed : callable
         Called with this stand-in when an order has changed its layers.
     born : int
@@ -115,6 +122,8 @@
         self._rerouted = asyncio.Event()
         self.is_blocked = lambda chain: False
         self.on_layers_changed = lambda target: None
+        self.ends_process = lambda request: False
+        self.on_end = lambda target: None
         self.born = 1
         self.layers = None
         self.orders = []
@@ -270,6 +279,11 @@
             self._refuse_to_rest(exchange, headers[0])
             return
         self.runs.append(request_id_of(request))
+        if self.ends_process(request):
+            await asyncio.sleep(END_SECONDS)
+            self.stop()
+            self.on_end(self)
+            return
         if self.behaviour == "error":
             self._answer(exchange, 500, b"failed", headers)
             return
--- a/measure/emulator/_fatal.py
+++ b/measure/emulator/_fatal.py
@@ -6,6 +6,8 @@
 # time that it has for this.
 ENDS_TO_LEARN = 5
 LEARN_SECONDS = 3.0
+# The same where the requests are repeats of a single one.
+ENDS_TO_LEARN_REQUEST = 3
 # Requests that may reach targets after that, over all hosts.
 ALLOWED_AFTERWARDS = 3
 # Time from the first event of such a request to the end of the process.
@@ -32,9 +34,12 @@
         Times at which processes ended by them.
     on_begin : callable
         Called with the engine that begins to answer such a request.
+    ends_to_learn : int
+        Ends after which the fleet should know which requests cause them.
     """
 
     def __init__(self):
+        self.ends_to_learn = ENDS_TO_LEARN
         self.parts = set()
         self.arrivals = []
         self.ends = []
@@ -43,9 +48,9 @@
     @property
     def learnt_at(self):
         """Time from which hosts should hold such requests back, or None."""
-        if len(self.ends) < ENDS_TO_LEARN:
+        if len(self.ends) < self.ends_to_learn:
             return None
-        return self.ends[ENDS_TO_LEARN - 1] + LEARN_SECONDS
+        return self.ends[self.ends_to_learn - 1] + LEARN_SECONDS
 
     def is_fatal(self, parts):
         """Return whether a prompt with some parts ends processes."""
--- a/measure/emulator/_fatal_patterns.py
+++ b/measure/emulator/_fatal_patterns.py
@@ -1,9 +1,12 @@
 """Patterns of requests that end the processes of targets."""
 
 from measure.emulator._fatal import END_SECONDS
+from measure.emulator._fatal import ENDS_TO_LEARN_REQUEST
 from measure.emulator._fatal import LEARN_SECONDS
 from measure.emulator._pattern import DISTURBED_AT_SECONDS
 from measure.emulator._pattern import Pattern
+from measure.emulator._profile import TIGHT
+from measure.emulator._site import AnswerSize
 
 # Rate of the requests that end processes.
 FATAL_REQUESTS_PER_SECOND = 2.0
@@ -72,6 +75,32 @@
     parts = ("fatal-a", "fatal-b")
 
 
+class FatalRequest(FatalPart):
+    """One request ends engines, and its caller sends it again and again."""
+
+    name = "fatal-request"
+    about = "one request, sent twice a second, ends each engine"
+    parts = ("fatal-request",)
+    size = AnswerSize(prompt=700, answer=120)
+
+    def disturb(self, simulation):
+        """Make the request end each engine that begins to answer."""
+        super().disturb(simulation)
+        simulation.site.fatal.ends_to_learn = ENDS_TO_LEARN_REQUEST
+
+    def spoil(self, request, part):
+        """Make a request the same as all others that are spoilt."""
+        request.customer = self.make_customers()[0]
+        request.request_class = TIGHT.classes[0]
+        request.size = self.size
+        request.expected_answer = self.size.answer
+        request.prompt_parts = (
+            f"instructions-{self.customer}",
+            f"document-1-{self.customer}",
+            part,
+        )
+
+
 class FatalPartAndRestarts(FatalPart):
     """One host after another starts again while a part ends engines."""
 
--- a/measure/emulator/_patterns.py
+++ b/measure/emulator/_patterns.py
@@ -10,6 +10,7 @@
 from measure.emulator._fatal_patterns import FatalPartAndPowerLoss
 from measure.emulator._fatal_patterns import FatalPartAndRestarts
 from measure.emulator._fatal_patterns import FatalPartWithoutStore
+from measure.emulator._fatal_patterns import FatalRequest
 from measure.emulator._fatal_patterns import TwoFatalParts
 from measure.emulator._pattern import DISTURBED_AT_SECONDS
 from measure.emulator._pattern import Pattern
@@ -352,6 +353,7 @@
         FatalPart,
         FatalFirstPart,
         TwoFatalParts,
+        FatalRequest,
         FatalPartAndRestarts,
         FatalPartAndPowerLoss,
         FatalPartWithoutStore,
--- a/measure/emulator/tests/test_fatal.py
+++ b/measure/emulator/tests/test_fatal.py
@@ -41,6 +41,16 @@
     assert fatal.excess() <= 0
 
 
+# Guards against one request that ends target after target as its caller
+# repeats it at other hosts.
+@pytest.mark.parametrize("hosts", HOSTS)
+def test_request_that_ends_targets_reaches_no_more_of_them(hosts):
+    simulation, _ = play_fatal("fatal-request", hosts, seconds=16.0)
+    fatal = simulation.site.fatal
+    assert fatal.ends
+    assert fatal.excess() <= 0
+
+
 DISTURBED = [
     "fatal-part-and-restarts",
     "fatal-part-and-power-loss",
