Hold back a request and its repeats under which targets end

What callers saw: a plain request, repeated by its caller at any host, ended all three targets of a service again and again; 7 and 8 repeats came later than 3 s after the third end, 13 and 15 ended, and nobody else was answered by the service.

Change: a digest of method, path, caller, prompt and body is a trait as well, held back after two separate ends. An attempt that was sent after the end before makes a separate end however short the time, which needs the time of sending in what hosts tell each other. A complete plain answer disproves ends.

--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -4,6 +4,7 @@
 import hashlib
 
 from apricotseam.quarantine import part_trait
+from apricotseam.quarantine import request_trait
 
 # Subtracted from the caller's deadline so that an answer of this host
 # arrives before the caller gives up.
@@ -80,7 +81,10 @@
         self.attempts = 0
         self.runs = 0
         # What it has in common with others; see `Quarantine`.
-        self.traits = tuple(map(part_trait, metadata.shared_parts))
+        self.traits = (
+            *map(part_trait, metadata.shared_parts),
+            request_trait(self.digest),
+        )
         # Whether it is sent although one of its traits is held back.
         self.is_trial = False
         # `FailedAnswer` of a target, for the caller if no attempt succeeds.
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -9,6 +9,7 @@
 from apricotseam.forwarding._errors import OutdatedChoiceError
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._sender import Sender
+from apricotseam.forwarding._target_ends import AttemptTimes
 from apricotseam.forwarding._unserved import refuse_unserved
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import MalformedAnswerError
@@ -129,7 +130,9 @@
         if not call.may_run_again:
             return
         unresponsive = await self._context.prober.find_unresponsive([target])
-        self._context.target_ends.record_broken(call, unresponsive, None)
+        self._context.target_ends.record_broken(
+            call, unresponsive, AttemptTimes(call.request.received_at)
+        )
         now = asyncio.get_running_loop().time()
         if unresponsive or now >= self._second_at:
             choice = self._replacements.reserve(call, [target.identity])
@@ -167,6 +170,8 @@
             self._sender.send(call, connection, choice)
             call.runs += 1
             result = await self._read_answer(connection, target)
+            if result.was_run:
+                self._context.target_ends.record_survival(call)
             if result.is_final and result.answer.status < 500:
                 target.health.record_success(loop.time() - started_at)
             connection = None
@@ -182,7 +187,7 @@
             broken_at = loop.time()
             await self._context.prober.find_unresponsive([target])
             self._context.target_ends.record_broken(
-                call, [target], None, broken_at
+                call, [target], AttemptTimes(started_at), broken_at
             )
             return self._handle_broken_answer(target, error)
         finally:
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -6,6 +6,7 @@
 from apricotseam.forwarding._head_control import HeadControl
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._second_attempt import SecondAttempt
+from apricotseam.forwarding._target_ends import AttemptTimes
 from apricotseam.forwarding._target_ends import SOUND_SECONDS
 from apricotseam.http1 import EventSplitter
 from apricotseam.http1 import InterruptedReadError
@@ -83,7 +84,8 @@
         self._check_at = 0.0
         self._typical_gap = EVENT_CHECK_SECONDS / TYPICAL_GAP_FACTOR
         self._has_events = False
-        # Loop time of the first event of this attempt, or None.
+        # Loop times at which this attempt was sent and of its first event.
+        self._sent_at = asyncio.get_running_loop().time()
         self._writing_since = None
         # Whether the chain has written for long enough after that.
         self._is_sound = False
@@ -106,13 +108,11 @@
         )
 
     @property
-    def writing_since(self):
-        """Loop time in seconds of its first event, or None."""
-        return (
-            self._second.attempt.writing_since
-            if self._is_replaced
-            else self._writing_since
-        )
+    def times(self):
+        """The `AttemptTimes` of what runs the call."""
+        if self._is_replaced:
+            return self._second.attempt.times
+        return AttemptTimes(self._sent_at, self._writing_since)
 
     async def run(self):
         """Send the call and forward its events to the caller.
@@ -219,7 +219,8 @@
         connection = self._connection
         self._sender.send(call, connection, choice, call.last_event)
         call.runs += 1
-        self._start_waiting(asyncio.get_running_loop().time())
+        self._sent_at = asyncio.get_running_loop().time()
+        self._start_waiting(self._sent_at)
         answer, metadata = await read_patiently(
             lambda deadline: self._sender.read_head(
                 call, connection, deadline, choice.head
@@ -422,9 +423,7 @@
             return
         for identity in identities:
             call.record_outcome(identity, "silent")
-        self._context.target_ends.record_broken(
-            call, targets, self._writing_since
-        )
+        self._context.target_ends.record_broken(call, targets, self.times)
         attempt = StreamAttempt(
             self._context, self._sender, call, choice, self._record_result
         )
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -214,7 +214,7 @@
         for target in targets:
             target.health.record_success()
         self._context.target_ends.record_success(
-            call, targets, attempt.writing_since
+            call, targets, attempt.times.writing_since
         )
         call.record_outcome(choice.chain or choice.head.identity, "200")
 
@@ -231,7 +231,7 @@
                 self._context.prober.forget(target)
             await self._context.prober.find_unresponsive(targets)
         self._context.target_ends.record_broken(
-            call, targets, attempt.writing_since, broken_at
+            call, targets, attempt.times, broken_at
         )
         now = asyncio.get_running_loop().time()
         suspects = [t for t in targets if t.health.is_suspect(now)]
--- a/apricotseam/forwarding/_target_ends.py
+++ b/apricotseam/forwarding/_target_ends.py
@@ -23,11 +23,29 @@
 MAX_PROCESSES = 256
 
 
+class AttemptTimes(msgspec.Struct, frozen=True):
+    """Times of an attempt, in seconds of the loop.
+
+    ``sent_at`` is when the request was sent, ``writing_since`` when the first
+    event arrived, None if none has.
+    """
+
+    sent_at: float
+    writing_since: float | None = None
+
+    def written_seconds(self, now):
+        """Return the time since the first event, None if there was none."""
+        if self.writing_since is None:
+            return None
+        return now - self.writing_since
+
+
 class BrokenAttempt(msgspec.Struct, frozen=True, kw_only=True):
     """A request whose answer broke off, on one target process.
 
-    ``at`` is the loop time of the break in seconds. ``written_seconds`` is
-    the time since the first event of the attempt, None if there was none.
+    ``sent_at`` and ``at`` are the loop times in seconds at which it was sent
+    and broke off. ``written_seconds`` is the time since the first event of
+    the attempt, None if there was none.
     """
 
     request_id: str
@@ -35,6 +53,7 @@
     request_key: str
     customer: str
     traits: tuple[str, ...]
+    sent_at: float
     at: float
     written_seconds: float | None
 
@@ -67,7 +86,7 @@
         self._broken = collections.OrderedDict()
         self._ended = collections.OrderedDict()
 
-    def record_broken(self, call, targets, writing_since, broken_at=None):
+    def record_broken(self, call, targets, attempt, broken_at=None):
         """Record that the answer to a request broke off or is awaited in vain.
 
         Parameters
@@ -76,8 +95,8 @@
             The request.
         targets : list of Target
             Targets of its chain; they have been probed since the break.
-        writing_since : float or None
-            Loop time in seconds of the attempt's first event.
+        attempt : AttemptTimes
+            When the attempt was sent, and began to answer.
         broken_at : float, optional
             Loop time in seconds of the break; now by default.
         """
@@ -89,10 +108,9 @@
             request_key=_short_key(call.retry_key or call.request_id),
             customer=call.customer,
             traits=call.traits,
+            sent_at=attempt.sent_at,
             at=at,
-            written_seconds=(
-                None if writing_since is None else at - writing_since
-            ),
+            written_seconds=attempt.written_seconds(at),
         )
         for target in targets:
             self._add(target.incarnation, broken)
@@ -170,6 +188,7 @@
                         process=target.incarnation,
                         request_key=broken.request_key,
                         customer=broken.customer,
+                        sent_at=broken.sent_at,
                         at=broken.at,
                     ),
                 )
--- a/apricotseam/forwarding/tests/test_target_ends.py
+++ b/apricotseam/forwarding/tests/test_target_ends.py
@@ -8,6 +8,7 @@
 
 from apricotseam.fleet import Target
 from apricotseam.fleet import TargetRecord
+from apricotseam.forwarding._target_ends import AttemptTimes
 from apricotseam.forwarding._target_ends import TargetEndDetector
 from apricotseam.forwarding import RequestMetrics
 from apricotseam.quarantine import Quarantine
@@ -54,7 +55,7 @@
     async def scenario():
         target.health.record_contact_failure(0.0, True, is_refused)
         for _ in range(2):
-            detector.record_broken(CALL, [target], None)
+            detector.record_broken(CALL, [target], AttemptTimes(0.0))
         if is_removed:
             detector.record_removal(target)
 
--- a/apricotseam/node/_quarantine_keeper.py
+++ b/apricotseam/node/_quarantine_keeper.py
@@ -26,12 +26,13 @@
 
 
 class StoredEnd(msgspec.Struct, frozen=True):
-    """A `TargetEnd`; its time is in milliseconds since the epoch."""
+    """A `TargetEnd`; its times are in milliseconds since the epoch."""
 
     target: str
     born_ms: int
     request_key: str
     customer: str
+    sent_at_ms: float
     at_ms: float
 
 
@@ -160,6 +161,7 @@
                 born_ms=end.process[1],
                 request_key=end.request_key,
                 customer=end.customer,
+                sent_at_ms=round((end.sent_at + ahead) * MS_PER_SECOND),
                 at_ms=round((end.at + ahead) * MS_PER_SECOND),
             )
             for end in evidence.ends.values()
@@ -169,10 +171,12 @@
     def _read_end(self, end):
         ahead = self._wall_now() - self._now()
         at = min(self._now(), end.at_ms / MS_PER_SECOND - ahead)
+        sent_at = min(at, end.sent_at_ms / MS_PER_SECOND - ahead)
         return TargetEnd(
             process=(end.target, end.born_ms),
             request_key=end.request_key,
             customer=end.customer,
+            sent_at=sent_at,
             at=at,
         )
 
--- a/apricotseam/node/_trait_notices.py
+++ b/apricotseam/node/_trait_notices.py
@@ -12,12 +12,13 @@
 
 
 class EndNotice(msgspec.Struct, frozen=True, array_like=True):
-    """Notice of a `TargetEnd`; its time is given as an age."""
+    """Notice of a `TargetEnd`; its times are given as ages."""
 
     target: str
     born_ms: int
     request_key: str
     customer: str
+    sent_age: float
     age_seconds: float
 
 
@@ -77,6 +78,7 @@
                     process=(end.target, end.born_ms),
                     request_key=end.request_key,
                     customer=end.customer,
+                    sent_at=now - end.sent_age,
                     at=now - end.age_seconds,
                 )
                 for end in notice.ends
@@ -94,6 +96,7 @@
                 *end.process,
                 end.request_key,
                 end.customer,
+                round(now - end.sent_at, 3),
                 round(now - end.at, 3),
             )
             for end in evidence.ends.values()
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -514,6 +514,7 @@
         process=(f"t{number}", 1),
         request_key=f"r{number}",
         customer="c",
+        sent_at=host.zone.now - 0.1,
         at=host.zone.now,
     )
     host.quarantine.record_end(["part/a"], end)
--- a/apricotseam/quarantine/__init__.py
+++ b/apricotseam/quarantine/__init__.py
@@ -5,6 +5,7 @@
 from apricotseam.quarantine._quarantine import Hold
 from apricotseam.quarantine._quarantine import Quarantine
 from apricotseam.quarantine._traits import part_trait
+from apricotseam.quarantine._traits import request_trait
 
 __all__ = [
     "Evidence",
@@ -12,4 +13,5 @@
     "Quarantine",
     "TargetEnd",
     "part_trait",
+    "request_trait",
 ]
--- a/apricotseam/quarantine/_evidence.py
+++ b/apricotseam/quarantine/_evidence.py
@@ -11,12 +11,14 @@
     """End of a target's process while it began to answer a request.
 
     ``process`` is `Target.incarnation`. ``request_key`` is the same for a
-    request and its repeats. ``at`` is a monotonic time in seconds.
+    request and its repeats. ``sent_at`` and ``at`` are the monotonic times
+    in seconds at which the request was sent and the process ended.
     """
 
     process: tuple[str, int]
     request_key: str
     customer: str
+    sent_at: float
     at: float
 
 
--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -1,6 +1,7 @@
 """Decides which requests are held back because they end targets."""
 
 import collections
+import itertools
 import logging
 
 import msgspec
@@ -8,22 +9,16 @@
 from apricotseam.quarantine._evidence import Evidence
 from apricotseam.quarantine._evidence import NEVER
 from apricotseam.quarantine._recent import RecentTimes
+from apricotseam.quarantine._traits import hold_rule
 
 _LOG = logging.getLogger(__name__)
 
-# Separate ends from which on a trait is held back, and the same for one that
-# requests without harm had shortly before the first end.
-MIN_ENDS = 3
-MIN_ENDS_COMMON = 5
+# A trait that requests without harm had within this time before the first
+# end is a common one.
 COMMON_SECONDS = 30.0
-# Different requests among these: a request and its repeats may have met
-# unrelated ends.
-MIN_REQUESTS = 2
 # Ends without a longer pause between them count as one: they may have a
 # common cause, such as a loss of power.
 JOINT_SECONDS = 0.1
-# Separate ends from which on no further trial is made.
-FINAL_ENDS = 5
 # Time from the last end to a trial with one request.
 TRIAL_WAIT_SECONDS = 10.0
 # A trait that no request had for this long is forgotten.
@@ -101,7 +96,7 @@
                 continue
             customers = evidence.customers
             if len(customers) > 1 or customer in customers:
-                return Hold(trait, self._trial_at(evidence))
+                return Hold(trait, self._trial_at(trait, evidence))
         return None
 
     def record_held(self, trait):
@@ -178,28 +173,35 @@
                 self.on_hold_change()
 
     def end_count(self, evidence):
-        """Return the number of separate ends of an `Evidence`."""
-        own = {process: end.at for process, end in evidence.ends.items()}
+        """Return the number of separate ends of an `Evidence`.
+
+        Joint ends count once, unless the request was sent after the end
+        before.
+        """
+        ends = sorted(evidence.ends.values(), key=lambda end: end.at)
+        own = {end.process: end.at for end in ends}
         groups = _joint_groups({**own, **self._ended_at})
-        return len({groups[process] for process in own})
+        joint = sum(
+            groups[end.process] == groups[before.process]
+            and end.sent_at <= before.at
+            for before, end in itertools.pairwise(ends)
+        )
+        return len(ends) - joint
 
-    def _trial_at(self, evidence):
+    def _trial_at(self, trait, evidence):
         """Return from when on a trial is allowed, or None."""
-        if self.end_count(evidence) >= self._final_ends(evidence):
+        final_ends = max(
+            hold_rule(trait).final_ends,
+            _required_ends(trait, evidence) + 1,
+        )
+        if self.end_count(evidence) >= final_ends:
             return None
         return evidence.last_at + TRIAL_WAIT_SECONDS
 
-    def _required_ends(self, evidence):
-        since = evidence.first_at - COMMON_SECONDS
-        return MIN_ENDS_COMMON if evidence.sound_at > since else MIN_ENDS
-
-    def _final_ends(self, evidence):
-        return max(FINAL_ENDS, self._required_ends(evidence) + 1)
-
-    def _is_guilty(self, evidence):
-        if evidence.request_count < MIN_REQUESTS:
+    def _is_guilty(self, trait, evidence):
+        if evidence.request_count < hold_rule(trait).min_requests:
             return False
-        required = self._required_ends(evidence)
+        required = _required_ends(trait, evidence)
         if len(evidence.ends) < required:
             return False
         return self.end_count(evidence) >= required
@@ -212,7 +214,7 @@
             if not evidence.is_held:
                 _log_release(trait, release_cause)
             self.on_hold_change()
-        elif self._is_guilty(evidence):
+        elif self._is_guilty(trait, evidence):
             evidence.is_held = True
             evidence.changed_at = self._now()
             self._log_hold(trait, evidence)
@@ -263,6 +265,13 @@
         )
 
 
+def _required_ends(trait, evidence):
+    rule = hold_rule(trait)
+    since = evidence.first_at - COMMON_SECONDS
+    is_common = evidence.sound_at > since
+    return rule.min_ends_common if is_common else rule.min_ends
+
+
 def _joint_groups(ended_at):
     """Return the number of the joint end by process.
 
--- a/apricotseam/quarantine/tests/test_merging.py
+++ b/apricotseam/quarantine/tests/test_merging.py
@@ -17,6 +17,7 @@
     ),
     request_key=strategies.sampled_from("rst"),
     customer=strategies.sampled_from("xy"),
+    sent_at=strategies.just(90.0),
     at=strategies.integers(90, 99).map(float),
 )
 NOTICE = strategies.tuples(
--- a/apricotseam/quarantine/tests/test_quarantine.py
+++ b/apricotseam/quarantine/tests/test_quarantine.py
@@ -4,12 +4,13 @@
 import pytest
 
 from apricotseam.quarantine._evidence import TargetEnd
-from apricotseam.quarantine._quarantine import FINAL_ENDS
 from apricotseam.quarantine._quarantine import FORGET_SECONDS
 from apricotseam.quarantine._quarantine import MAX_CUSTOMER_TRAITS
 from apricotseam.quarantine._quarantine import MAX_TRAITS
 from apricotseam.quarantine._quarantine import Quarantine
 from apricotseam.quarantine._quarantine import TRIAL_WAIT_SECONDS
+from apricotseam.quarantine._traits import PART_RULE
+from apricotseam.quarantine._traits import REQUEST_RULE
 
 TRAIT = "part/a"
 
@@ -32,20 +33,22 @@
     process: str = ""
     request: str = "r1"
     customer: str = "c1"
+    run_seconds: float = 0.2
 
-    def play(self, quarantine, clock):
+    def play(self, quarantine, clock, trait=TRAIT):
         """Record the step."""
         clock.time += self.pause
         if not self.process:
-            quarantine.record_sound([TRAIT], self.customer)
+            quarantine.record_sound([trait], self.customer)
             return
         end = TargetEnd(
             process=(self.process, 1),
             request_key=self.request,
             customer=self.customer,
+            sent_at=clock.time - self.run_seconds,
             at=clock.time,
         )
-        quarantine.record_end([TRAIT], end)
+        quarantine.record_end([trait], end)
 
 
 def ends(count, pause=1.0, first=0):
@@ -117,15 +120,60 @@
     assert quarantine.find_hold(["part/other"], "c1") is None
 
 
-@pytest.mark.parametrize("count", range(3, FINAL_ENDS + 2))
-def test_trials_end_with_the_fifth_end(count):
+REQUEST = "request/a"
+# Description, steps, whether a request is held back after them.
+REQUEST_CASES = [
+    ("one end", [Step(1.0, "t1")], False),
+    ("two ends of a request", [Step(1.0, "t1"), Step(1.0, "t2")], True),
+    (
+        "two joint ends",
+        [Step(1.0, "t1"), Step(0.05, "t2")],
+        False,
+    ),
+    (
+        "a repeat that was sent after the first end",
+        [Step(1.0, "t1"), Step(0.05, "t2", run_seconds=0.03)],
+        True,
+    ),
+    (
+        "sound shortly before",
+        [Step(0.0), Step(1.0, "t1"), Step(1.0, "t2")],
+        False,
+    ),
+    (
+        "a sound answer in between",
+        [Step(1.0, "t1"), Step(1.0), Step(1.0, "t2")],
+        False,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("steps", "is_held"),
+    [case[1:] for case in REQUEST_CASES],
+    ids=[case[0] for case in REQUEST_CASES],
+)
+def test_repeats_of_a_request_are_held_back(steps, is_held):
     clock = Clock()
     quarantine = Quarantine(clock)
+    for step in steps:
+        step.play(quarantine, clock, REQUEST)
+    assert bool(quarantine.find_hold([REQUEST], "c1")) is is_held
+
+
+@pytest.mark.parametrize(
+    ("trait", "rule"), [(TRAIT, PART_RULE), (REQUEST, REQUEST_RULE)]
+)
+@pytest.mark.parametrize("extra", range(4))
+def test_trials_end_with_the_last_end_that_may_be_learnt(trait, rule, extra):
+    clock = Clock()
+    quarantine = Quarantine(clock)
+    count = rule.min_ends + extra
     for step in ends(count):
-        step.play(quarantine, clock)
-    hold = quarantine.find_hold([TRAIT], "c1")
+        step.play(quarantine, clock, trait)
+    hold = quarantine.find_hold([trait], "c1")
     trial_at = clock.time + TRIAL_WAIT_SECONDS
-    assert hold.trial_at == (trial_at if count < FINAL_ENDS else None)
+    assert hold.trial_at == (trial_at if count < rule.final_ends else None)
 
 
 def test_operator_releases_a_trait_until_targets_end_anew():
@@ -164,7 +212,11 @@
         step.play(quarantine, clock)
     for number in range(2 * MAX_TRAITS):
         end = TargetEnd(
-            process=("x", number), request_key="r", customer="c2", at=200.0
+            process=("x", number),
+            request_key="r",
+            customer="c2",
+            sent_at=199.0,
+            at=200.0,
         )
         quarantine.record_end([f"part/{number}"], end)
     assert len(quarantine.items()) == 1 + MAX_CUSTOMER_TRAITS
