Show operators what is held back, and release it on their request

The metrics address answers /quarantine, the command line has quarantine; a release is a sound answer as far as the evidence goes, so it spreads as one. The gauge apricotseam_quarantined_traits counts. Test: three nodes, released at one, free at all.

--- a/apricotseam/cli/_commands.py
+++ b/apricotseam/cli/_commands.py
@@ -7,6 +7,7 @@
 import pathlib
 import signal
 import ssl
+import urllib.parse
 
 import msgspec
 
@@ -29,6 +30,7 @@
 from apricotseam import standins
 from apricotseam.web import HttpClient
 
+OK_STATUS = 200
 KEY_VARIABLE = "APRICOTSEAM_KEY"
 AUTHORITY_VARIABLE = "APRICOTSEAM_AUTHORITY"
 
@@ -262,6 +264,30 @@
         print(json.dumps(event))
 
 
+def quarantine(*, host, release=""):
+    """Show the requests that are held back because they end targets.
+
+    Parameters
+    ----------
+    host : str
+        Metrics address of any host on the users' platform, ``ip:port``.
+    release : str
+        Trait to release, as the list names it; nothing is listed then.
+    """
+    client = http_client()
+    if release:
+        query = urllib.parse.urlencode({"trait": release})
+        path = f"/quarantine?{query}"
+        if client.call(host, "POST", path).status != OK_STATUS:
+            raise InvalidInputError(
+                f"trait {release} is not held back at {host}",
+                "list the traits without --release",
+            )
+        return
+    for held in client.call(host, "GET", "/quarantine").json(list[dict]):
+        print(json.dumps(held))
+
+
 def standin(kind, *, address="127.0.0.1:0", options="{}"):
     """Run a stand-in for one service of the platform until interrupted.
 
--- a/apricotseam/cli/_main.py
+++ b/apricotseam/cli/_main.py
@@ -22,6 +22,7 @@
     _commands.address,
     _commands.ask,
     _commands.explain,
+    _commands.quarantine,
     _commands.standin,
     _commands.demo,
 ]
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -98,6 +98,7 @@
             fleet, request_queue, metrics, now
         )
         self.quarantine = Quarantine(now)
+        metrics.watch_quarantine(self.quarantine)
         self.quarantine_gate = QuarantineGate(self.quarantine)
         self.target_ends = TargetEndDetector(metrics, self.quarantine)
         self.generator = random.Random()
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -73,6 +73,11 @@
             "Processes of targets that ended with requests in progress.",
             registry=registry,
         )
+        self._held_traits = prometheus_client.Gauge(
+            "apricotseam_quarantined_traits",
+            "Traits of requests that are held back.",
+            registry=registry,
+        )
         self._incomplete = prometheus_client.Counter(
             "apricotseam_incomplete_answers",
             "Requests that this host left without a complete answer.",
@@ -94,6 +99,10 @@
             registry=registry,
         )
 
+    def watch_quarantine(self, quarantine):
+        """Show how many traits a `Quarantine` holds back."""
+        self._held_traits.set_function(lambda: len(quarantine.held))
+
     def count_leaving(self, target):
         """Count a `Target` that started to leave."""
         source = (
--- a/apricotseam/node/_listeners.py
+++ b/apricotseam/node/_listeners.py
@@ -103,13 +103,19 @@
     ----------
     registry : prometheus_client.CollectorRegistry
         The metrics to serve.
+    quarantine_control : QuarantineControl
+        Answers operators' requests at the same address.
     """
 
-    def __init__(self, registry):
+    def __init__(self, registry, quarantine_control):
         self._registry = registry
+        self._quarantine_control = quarantine_control
 
     async def handle(self, request, exchange):
-        """Answer one scrape."""
+        """Answer one scrape, or a request of an operator."""
+        if self._quarantine_control.accepts(request):
+            self._quarantine_control.handle(request, exchange)
+            return
         body = prometheus_client.generate_latest(self._registry)
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         exchange.answer(200, body, headers)
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -43,6 +43,7 @@
 from apricotseam.node._listeners import start_server
 from apricotseam.node._permits import PermitExchange
 from apricotseam.node._placer import Placer
+from apricotseam.node._quarantine_control import QuarantineControl
 from apricotseam.node._quarantine_keeper import QUARANTINE_PREFIX
 from apricotseam.node._quarantine_keeper import QuarantineKeeper
 from apricotseam.node._settings import load_node_settings
@@ -122,7 +123,13 @@
         for address, endpoint in (
             (settings.directory_address, self._address_directory),
             (settings.readiness_address, Readiness(lambda: self.is_ready)),
-            (settings.metrics_address, Metrics(self._registry)),
+            (
+                settings.metrics_address,
+                Metrics(
+                    self._registry,
+                    QuarantineControl(self._context.quarantine, self._now),
+                ),
+            ),
         ):
             if address:
                 self._servers.append(
--- a/apricotseam/node/tests/test_fatal_requests.py
+++ b/apricotseam/node/tests/test_fatal_requests.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from apricotseam.http1 import Request
+from apricotseam.node._quarantine_control import QuarantineControl
 from apricotseam.node.tests.harness import run
 from apricotseam.platform.standins import TargetStandIn
 
@@ -95,6 +97,34 @@
         self._platform.register(target)
 
 
+async def release(platform, trait):
+    """Release a trait at one host; return whether all hosts know."""
+    exchange = FakeExchange()
+    control = QuarantineControl(
+        platform.nodes[0].forwarding.quarantine,
+        asyncio.get_running_loop().time,
+    )
+    control.handle(Request(b"GET", b"/quarantine", []), exchange)
+    assert trait.encode() in exchange.body
+    target = f"/quarantine?trait={trait}".encode()
+    control.handle(Request(b"POST", target, []), exchange)
+    assert exchange.status == 200
+    await platform.wait_until(
+        lambda: not any(n.forwarding.quarantine.held for n in platform.nodes)
+    )
+    control.handle(Request(b"POST", target, []), exchange)
+    return exchange.status == 404
+
+
+class FakeExchange:
+    """Exchange that keeps the last answer."""
+
+    def answer(self, status, body=b"", headers=()):
+        """Record an answer."""
+        self.status = status
+        self.body = body
+
+
 # Guards against a plain request that ends target after target as its caller
 # repeats it at other hosts.
 @pytest.mark.parametrize("targets", [3, TARGETS])
@@ -102,9 +132,12 @@
     async def scenario(platform):
         load = FatalLoad(platform)
         await load.run()
-        return load
+        held = [node.forwarding.quarantine.held for node in platform.nodes]
+        return load, held, await release(platform, *held[0])
 
-    load = run(scenario, hosts=HOSTS, plain_targets=targets)
+    load, held, is_released = run(scenario, hosts=HOSTS, plain_targets=targets)
+    assert [len(traits) for traits in held] == [1] * HOSTS
+    assert is_released
     assert len(load.late_arrivals()) <= ALLOWED_AFTERWARDS
     sound = load.statuses["/read/sound"]
     half = sound[len(sound) // 2 :]
