Count ends only against requests that their target may have begun

Change: of a chain, only the first target's end counts where an answer breaks off, as it is the one that answers; a request that got no head does not count where another had; three ends are needed for a request and its repeats (the platform allows three), and it is tried 2 s after the last.

--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -112,7 +112,9 @@
         """The `AttemptTimes` of what runs the call."""
         if self._is_replaced:
             return self._second.attempt.times
-        return AttemptTimes(self._sent_at, self._writing_since)
+        return AttemptTimes(
+            self._sent_at, self._writing_since, self._answer is not None
+        )
 
     async def run(self):
         """Send the call and forward its events to the caller.
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -231,7 +231,7 @@
                 self._context.prober.forget(target)
             await self._context.prober.find_unresponsive(targets)
         self._context.target_ends.record_broken(
-            call, targets, attempt.times, broken_at
+            call, [choice.head], attempt.times, broken_at
         )
         now = asyncio.get_running_loop().time()
         suspects = [t for t in targets if t.health.is_suspect(now)]
--- a/apricotseam/forwarding/_target_ends.py
+++ b/apricotseam/forwarding/_target_ends.py
@@ -27,11 +27,13 @@
     """Times of an attempt, in seconds of the loop.
 
     ``sent_at`` is when the request was sent, ``writing_since`` when the first
-    event arrived, None if none has.
+    event arrived, None if none has. ``has_head`` is whether the head of the
+    answer has arrived.
     """
 
     sent_at: float
     writing_since: float | None = None
+    has_head: bool = False
 
     def written_seconds(self, now):
         """Return the time since the first event, None if there was none."""
@@ -45,7 +47,8 @@
 
     ``sent_at`` and ``at`` are the loop times in seconds at which it was sent
     and broke off. ``written_seconds`` is the time since the first event of
-    the attempt, None if there was none.
+    the attempt, None if there was none. ``is_begun`` is whether the head of
+    the answer had arrived.
     """
 
     request_id: str
@@ -56,6 +59,7 @@
     sent_at: float
     at: float
     written_seconds: float | None
+    is_begun: bool
 
     @property
     def may_be_cause(self):
@@ -111,6 +115,7 @@
             sent_at=attempt.sent_at,
             at=at,
             written_seconds=attempt.written_seconds(at),
+            is_begun=attempt.has_head,
         )
         for target in targets:
             self._add(target.incarnation, broken)
@@ -190,6 +195,7 @@
                         customer=broken.customer,
                         sent_at=broken.sent_at,
                         at=broken.at,
+                        is_begun=broken.is_begun,
                     ),
                 )
 
@@ -205,6 +211,7 @@
             "digest": broken.digest,
             "customer": broken.customer,
             "traits": broken.traits,
+            "is_begun": broken.is_begun,
             "written_ms": None if written is None else round(written * 1000),
         },
     )
--- a/apricotseam/node/_quarantine_keeper.py
+++ b/apricotseam/node/_quarantine_keeper.py
@@ -34,6 +34,7 @@
     customer: str
     sent_at_ms: float
     at_ms: float
+    is_begun: bool = False
 
 
 class StoredTrait(msgspec.Struct, frozen=True):
@@ -163,6 +164,7 @@
                 customer=end.customer,
                 sent_at_ms=round((end.sent_at + ahead) * MS_PER_SECOND),
                 at_ms=round((end.at + ahead) * MS_PER_SECOND),
+                is_begun=end.is_begun,
             )
             for end in evidence.ends.values()
         ]
@@ -178,6 +180,7 @@
             customer=end.customer,
             sent_at=sent_at,
             at=at,
+            is_begun=end.is_begun,
         )
 
 
--- a/apricotseam/node/_trait_notices.py
+++ b/apricotseam/node/_trait_notices.py
@@ -20,6 +20,7 @@
     customer: str
     sent_age: float
     age_seconds: float
+    is_begun: bool = False
 
 
 class TraitNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -80,6 +81,7 @@
                     customer=end.customer,
                     sent_at=now - end.sent_age,
                     at=now - end.age_seconds,
+                    is_begun=end.is_begun,
                 )
                 for end in notice.ends
             ]
@@ -98,6 +100,7 @@
                 end.customer,
                 round(now - end.sent_at, 3),
                 round(now - end.at, 3),
+                end.is_begun,
             )
             for end in evidence.ends.values()
         ]
--- a/apricotseam/quarantine/_evidence.py
+++ b/apricotseam/quarantine/_evidence.py
@@ -13,6 +13,7 @@
     ``process`` is `Target.incarnation`. ``request_key`` is the same for a
     request and its repeats. ``sent_at`` and ``at`` are the monotonic times
     in seconds at which the request was sent and the process ended.
+    ``is_begun`` is whether the head of the answer had arrived.
     """
 
     process: tuple[str, int]
@@ -20,6 +21,7 @@
     customer: str
     sent_at: float
     at: float
+    is_begun: bool = False
 
 
 class Evidence:
--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -19,8 +19,6 @@
 # Ends without a longer pause between them count as one: they may have a
 # common cause, such as a loss of power.
 JOINT_SECONDS = 0.1
-# Time from the last end to a trial with one request.
-TRIAL_WAIT_SECONDS = 10.0
 # A trait that no request had for this long is forgotten.
 FORGET_SECONDS = 600.0
 # Traits with evidence, in total and of the requests of one customer.
@@ -60,8 +58,10 @@
         # `Evidence` by trait, the oldest first.
         self._evidence = collections.OrderedDict()
         self._sound = RecentTimes()
-        # Time of the end of each process, whatever trait it speaks against.
+        # Time of the end of each process, whatever trait it speaks against,
+        # and the processes that had begun to answer a request just before.
         self._ended_at = collections.OrderedDict()
+        self._begun = set()
         # Number of changes that peers should know.
         self.changes = 0
         # Called when a trait begins or ends to be held back.
@@ -176,9 +176,15 @@
         """Return the number of separate ends of an `Evidence`.
 
         Joint ends count once, unless the request was sent after the end
-        before.
+        before. A request that waited at a target is no cause if the target
+        had begun to answer another one.
         """
-        ends = sorted(evidence.ends.values(), key=lambda end: end.at)
+        ends = [
+            end
+            for end in evidence.ends.values()
+            if end.is_begun or end.process not in self._begun
+        ]
+        ends.sort(key=lambda end: end.at)
         own = {end.process: end.at for end in ends}
         groups = _joint_groups({**own, **self._ended_at})
         joint = sum(
@@ -196,7 +202,7 @@
         )
         if self.end_count(evidence) >= final_ends:
             return None
-        return evidence.last_at + TRIAL_WAIT_SECONDS
+        return evidence.last_at + hold_rule(trait).trial_wait_seconds
 
     def _is_guilty(self, trait, evidence):
         if evidence.request_count < hold_rule(trait).min_requests:
@@ -224,8 +230,11 @@
         known = self._ended_at.get(end.process)
         if known is None or end.at < known:
             self._ended_at[end.process] = end.at
+        if end.is_begun:
+            self._begun.add(end.process)
         if len(self._ended_at) > MAX_PROCESSES:
-            self._ended_at.popitem(last=False)
+            oldest, _ = self._ended_at.popitem(last=False)
+            self._begun.discard(oldest)
 
     def _insert(self, trait, evidence):
         """Add evidence of a new trait within the bounds."""
--- a/apricotseam/quarantine/_traits.py
+++ b/apricotseam/quarantine/_traits.py
@@ -13,20 +13,31 @@
     for a trait that requests without harm had shortly before.
     ``min_requests`` is the number of different requests among them: the
     other traits of a request and its repeats are in the same ends. From
-    ``final_ends`` on no trial is made.
+    ``final_ends`` on no trial is made; before, one request is tried after
+    ``trial_wait_seconds`` without a further end.
     """
 
     min_ends: int
     min_ends_common: int
     min_requests: int
     final_ends: int
+    trial_wait_seconds: float
 
 
 PART_RULE = HoldRule(
-    min_ends=3, min_ends_common=5, min_requests=2, final_ends=5
+    min_ends=3,
+    min_ends_common=5,
+    min_requests=2,
+    final_ends=5,
+    trial_wait_seconds=10.0,
 )
+# Some ends may have met one request by chance, so it is soon tried.
 REQUEST_RULE = HoldRule(
-    min_ends=2, min_ends_common=4, min_requests=1, final_ends=3
+    min_ends=3,
+    min_ends_common=4,
+    min_requests=1,
+    final_ends=4,
+    trial_wait_seconds=2.0,
 )
 
 
--- a/measure/emulator/_fatal_patterns.py
+++ b/measure/emulator/_fatal_patterns.py
@@ -160,3 +160,25 @@
         begin = DISTURBED_AT_SECONDS
         simulation.at(begin, simulation.cut_zone, simulation.hosts[0].zone)
         simulation.at(begin + self.cut_seconds, simulation.cut_zone, None)
+
+
+class EnginesEndInTurn(Pattern):
+    """All engines end one after another, whatever they run."""
+
+    name = "engines-end-in-turn"
+    about = "all engines end one after another within 5 s, and are back empty"
+    load = 0.4
+    all_seconds = 5.0
+
+    def disturb(self, simulation):
+        """Schedule the ends."""
+        engines = list(simulation.engines)
+        for number, engine in enumerate(engines):
+            delay = self.all_seconds * number / len(engines)
+            simulation.at(
+                DISTURBED_AT_SECONDS + delay,
+                simulation.end_engine_later,
+                engine,
+                0.0,
+                DOWN_SECONDS,
+            )
--- a/measure/emulator/_patterns.py
+++ b/measure/emulator/_patterns.py
@@ -4,6 +4,7 @@
 
 from measure.emulator._caller import EagerCaller
 from measure.emulator._caller import PatientCaller
+from measure.emulator._fatal_patterns import EnginesEndInTurn
 from measure.emulator._fatal_patterns import FatalFirstPart
 from measure.emulator._fatal_patterns import FatalPart
 from measure.emulator._fatal_patterns import FatalPartAndCutZone
@@ -358,6 +359,7 @@
         FatalPartAndPowerLoss,
         FatalPartWithoutStore,
         FatalPartAndCutZone,
+        EnginesEndInTurn,
     )
 }
 
--- a/measure/emulator/tests/test_fatal.py
+++ b/measure/emulator/tests/test_fatal.py
@@ -2,12 +2,16 @@
 
 import pytest
 
+from apricotseam.quarantine._traits import PART_PREFIX
 from measure.emulator._fatal import ALLOWED_AFTERWARDS
 from measure.emulator._fatal import ENDS_TO_LEARN
 from measure.emulator._fatal_patterns import FatalPartAndPowerLoss
 from measure.emulator._pattern import DISTURBED_AT_SECONDS
+from measure.emulator import PATTERNS
+from measure.emulator import ProductPolicy
 from measure.emulator import Scenario
 from measure.emulator import sent_between
+from measure.emulator import Simulation
 from measure.emulator.tests.plays import play
 
 HOSTS = [8, 22, 195]
@@ -79,6 +83,24 @@
     assert not [at for at in ends if begin < at < begin + TRIAL_PAUSE_SECONDS]
 
 
+# Guards against sound requests that are held back after an outage of all
+# targets, under which no request was to blame.
+@pytest.mark.parametrize("hosts", [8, 22])
+def test_an_outage_without_a_cause_holds_no_part_back(hosts):
+    scenario = Scenario(hosts=hosts, targets=54, seconds=24.0)
+    pattern = PATTERNS["engines-end-in-turn"]()
+    simulation = Simulation(pattern, scenario, ProductPolicy())
+    held = set()
+    simulation.at(
+        scenario.seconds - 1.0,
+        lambda: held.update(
+            *(host.context.quarantine.held for host in simulation.hosts)
+        ),
+    )
+    simulation.run()
+    assert not [trait for trait in held if trait.startswith(PART_PREFIX)]
+
+
 # Guards against a second part, or a first part, that goes on to end targets.
 @pytest.mark.parametrize("name", ["two-fatal-parts", "fatal-first-part"])
 def test_each_part_that_ends_targets_is_held_back(name):
