Tell hosts that count an end of a sound answer known elsewhere

A host that had a sound answer with a trait ignored earlier ends that others told it of, but told nobody why, so these went on counting them. It now keeps and tells the time of the answer. The test failed before (no such evidence).

--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -139,7 +139,9 @@
             is_change |= evidence.add_end(end, now)
             self._note_process(end)
         evidence.seen_at = max(evidence.seen_at, seen_at)
-        if known is None and (evidence.ends or sound_at > NEVER):
+        if known is None and (evidence.ends or evidence.sound_at > NEVER):
+            # Who tells of ends should hear of a sound answer known here.
+            evidence.changed_at = now
             self._insert(trait, evidence)
             is_change = True
         if is_change:
--- a/apricotseam/quarantine/tests/test_quarantine.py
+++ b/apricotseam/quarantine/tests/test_quarantine.py
@@ -244,3 +244,26 @@
     assert len(quarantine.items()) == 1 + MAX_CUSTOMER_TRAITS
     Step(1.0, "t9", "r9").play(quarantine, clock)
     assert quarantine.find_hold([TRAIT], "c1")
+
+
+# Guards against ends that others count although a host knows better.
+def test_sound_answer_is_told_to_those_who_tell_of_an_end_before():
+    clock = Clock()
+    quarantine = Quarantine(clock)
+    ended_at = clock.time
+    clock.time += 0.2
+    quarantine.record_sound([TRAIT], "c1")
+    sound_at = clock.time
+    clock.time += 0.1
+    end = TargetEnd(
+        process=("t1", 1),
+        request_key="r1",
+        customer="c1",
+        sent_at=ended_at - 0.2,
+        at=ended_at,
+    )
+    quarantine.merge(TRAIT, [end])
+    evidence = dict(quarantine.items())[TRAIT]
+    assert not evidence.ends
+    assert evidence.sound_at == sound_at
+    assert evidence.changed_at == clock.time
