Let short answers count although a connection to the target was reset before

A target on which any attempt had broken off without an end of its process never counted as living on, so no short answer of it disproved ends from then on. Only what broke off since the answer's first event speaks against it now. The test failed before.

--- a/apricotseam/forwarding/_target_ends.py
+++ b/apricotseam/forwarding/_target_ends.py
@@ -140,7 +140,7 @@
         loop = asyncio.get_running_loop()
         since = loop.time() if writing_since is None else writing_since
         loop.call_at(
-            since + SOUND_SECONDS, self._acquit_if_alive, call, targets
+            since + SOUND_SECONDS, self._acquit_if_alive, call, targets, since
         )
 
     def record_survival(self, call):
@@ -152,17 +152,18 @@
         if not target.is_draining:
             self._confirm(target, asyncio.get_running_loop().time())
 
-    def _acquit_if_alive(self, call, targets):
-        if all(self._seems_alive(target) for target in targets):
+    def _acquit_if_alive(self, call, targets, since):
+        if all(self._seems_alive(target, since) for target in targets):
             self.record_survival(call)
 
-    def _seems_alive(self, target):
+    def _seems_alive(self, target, since):
+        """Return whether nothing speaks for an end since a loop time."""
         if target.health.refuses_connections or not target.is_present:
             return False
-        incarnation = target.incarnation
-        return incarnation not in self._ended and (
-            incarnation not in self._broken
-        )
+        if target.incarnation in self._ended:
+            return False
+        broken = self._broken.get(target.incarnation, ())
+        return all(attempt.at < since for attempt in broken)
 
     def _add(self, incarnation, broken):
         attempts = self._broken.setdefault(
