Try no request that has another trait under which targets end

A request with two traits that are held back was tried for the first of them, although targets are known to end under the other. The stricter hold decides now. The test failed before.

--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -83,6 +83,9 @@
     def find_hold(self, traits, customer):
         """Return the `Hold` of a request, or None if it may be sent.
 
+        If several of its traits are held back, it is that of the one with
+        the latest trial, or with none.
+
         Parameters
         ----------
         traits : iterable of str
@@ -90,14 +93,16 @@
         customer : str
             Customer that sent it.
         """
+        strictest = None
         for trait in traits:
             evidence = self._evidence.get(trait)
             if evidence is None or not evidence.is_held:
                 continue
             customers = evidence.customers
             if len(customers) > 1 or customer in customers:
-                return Hold(trait, self._trial_at(trait, evidence))
-        return None
+                hold = Hold(trait, self._trial_at(trait, evidence))
+                strictest = max(strictest or hold, hold, key=_strictness)
+        return strictest
 
     def record_held(self, trait):
         """Record that a request with a trait was held back."""
@@ -276,6 +281,10 @@
         )
 
 
+def _strictness(hold):
+    return float("inf") if hold.trial_at is None else hold.trial_at
+
+
 def _required_ends(trait, evidence):
     rule = hold_rule(trait)
     since = evidence.first_at - COMMON_SECONDS
--- a/apricotseam/quarantine/tests/test_quarantine.py
+++ b/apricotseam/quarantine/tests/test_quarantine.py
@@ -267,3 +267,21 @@
     assert not evidence.ends
     assert evidence.sound_at == sound_at
     assert evidence.changed_at == clock.time
+
+
+# Guards against a trial of one trait with a request that has another, under
+# which targets are known to end.
+def test_request_with_two_traits_that_are_held_back_gets_the_stricter_hold():
+    clock = Clock()
+    quarantine = Quarantine(clock)
+    tried, final = TRAIT, "part/final"
+    for step in ends(3):
+        step.play(quarantine, clock, tried)
+    for step in ends(5, first=10):
+        step.play(quarantine, clock, final)
+    hold = quarantine.find_hold([tried, final], "c1")
+    assert (hold.trait, hold.trial_at) == (final, None)
+    later = "part/later"
+    for step in ends(3, first=20):
+        step.play(quarantine, clock, later)
+    assert quarantine.find_hold([tried, later], "c1").trait == later
