Hash a request once, not for each log line and broken attempt

Found in a read of the whole change: Call.digest was a property, so the body was hashed for the traits, again for request_done and again for each attempt that broke off. It is computed with the call and kept; the value is the same.

--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -39,6 +39,7 @@
         "attempts",
         "customer",
         "deadline",
+        "digest",
         "exchange",
         "metadata",
         "first_event_at",
@@ -80,6 +81,8 @@
         # Attempts in total, and attempts that a target may have run.
         self.attempts = 0
         self.runs = 0
+        # Hash that the repeats of the request share.
+        self.digest = _digest(self)
         # What it has in common with others; see `Quarantine`.
         self.traits = (
             *map(part_trait, metadata.shared_parts),
@@ -114,28 +117,6 @@
         lengths = f"{metadata.prompt_tokens},{metadata.expected_answer_tokens}"
         return f"{self.customer}/{metadata.prompt_id}/{lengths}"
 
-    @property
-    def digest(self):
-        """Hash of what is the same in all repeats of a request.
-
-        These are its method, path, caller, prompt and body.
-        """
-        metadata = self.metadata
-        parts = (
-            self.request.method,
-            metadata.host.encode(),
-            self.request.target,
-            (self.customer or metadata.key).encode(),
-            *(part.encode() for part in metadata.shared_parts),
-            metadata.prompt_id.encode(),
-            self.request.body,
-        )
-        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-        for part in parts:
-            digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
-            digest.update(part)
-        return digest.hexdigest()
-
     @property
     def may_run_again(self):
         """Whether the route permits another run after those so far."""
@@ -175,3 +156,25 @@
             reason.
         """
         self.send_outcomes.append(f"{target}:{outcome}")
+
+
+def _digest(call):
+    """Return the hash of what is the same in all repeats of a request.
+
+    These are its method, path, caller, prompt and body.
+    """
+    metadata = call.metadata
+    parts = (
+        call.request.method,
+        metadata.host.encode(),
+        call.request.target,
+        (call.customer or metadata.key).encode(),
+        *(part.encode() for part in metadata.shared_parts),
+        metadata.prompt_id.encode(),
+        call.request.body,
+    )
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
+        digest.update(part)
+    return digest.hexdigest()
