Log on whose word targets are avoided, and what kept a request unserved

The logs of the incident could not tell whether a host that refuses a request with 'no room' is out of capacity or avoids targets, nor on whose word, and a target that refuses a connection was marked as silent without a line. target_silent names its cause, target_suspected the host or zone that reports it, request_unserved counts the targets that are silent here or avoided, and apricotseam_targets shows the same as a gauge.

--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -99,6 +99,7 @@
         )
         self.quarantine = Quarantine(now)
         metrics.watch_quarantine(self.quarantine)
+        metrics.watch_fleet(fleet, now)
         self.quarantine_gate = QuarantineGate(self.quarantine)
         self.target_ends = TargetEndDetector(metrics, self.quarantine)
         self.generator = random.Random()
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -78,6 +78,13 @@
             "Traits of requests that are held back.",
             registry=registry,
         )
+        self._targets = prometheus_client.Gauge(
+            "apricotseam_targets",
+            "Known targets, those that are silent to this host, and those"
+            " that it avoids for their silence to it or to other hosts.",
+            ["state"],
+            registry=registry,
+        )
         self._incomplete = prometheus_client.Counter(
             "apricotseam_incomplete_answers",
             "Requests that this host left without a complete answer.",
@@ -103,6 +110,24 @@
         """Show how many traits a `Quarantine` holds back."""
         self._held_traits.set_function(lambda: len(quarantine.held))
 
+    def watch_fleet(self, fleet, now):
+        """Show how many targets of a `Fleet` this host reaches.
+
+        Parameters
+        ----------
+        fleet : Fleet
+            The known targets.
+        now : callable
+            Returns monotonic time in seconds.
+        """
+        self._targets.labels("known").set_function(lambda: len(fleet))
+        self._targets.labels("silent").set_function(
+            lambda: sum(target.health.is_silent for target in fleet)
+        )
+        self._targets.labels("avoided").set_function(
+            lambda: sum(target.health.is_suspect(now()) for target in fleet)
+        )
+
     def count_leaving(self, target):
         """Count a `Target` that started to leave."""
         source = (
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -179,8 +179,8 @@
         except OutdatedChoiceError:
             call.withdraw_attempt(target.identity)
             return _AttemptResult(was_run=False, was_sent=False)
-        except ConnectError:
-            target.health.mark_unreachable(loop.time())
+        except ConnectError as error:
+            self._context.prober.record_no_connection(target, error)
             call.record_outcome(target.identity, "no_connection")
             return _AttemptResult(was_run=False)
         except TransportError as error:
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -89,6 +89,21 @@
             if not is_responsive
         ]
 
+    def record_no_connection(self, target, error):
+        """Record that no connection to a target could be opened.
+
+        Parameters
+        ----------
+        target : Target
+            The target, which counts as silent from now.
+        error : ConnectError
+            Why not.
+        """
+        was_silent = target.health.is_silent
+        target.health.mark_unreachable(self._now())
+        if not was_silent:
+            _log_silent(target, error.code)
+
     async def reprobe(self, targets):
         """Probe targets that were found silent once more.
 
@@ -177,10 +192,7 @@
             target.health.mark_reachable()
             return True
         target.health.mark_unreachable(self._now())
-        _LOG.warning(
-            "target_silent",
-            extra={"target": target.identity, "address": target.address},
-        )
+        _log_silent(target, "unanswered_probes")
         self._on_silent(target.identity)
         return False
 
@@ -316,6 +328,17 @@
         self._responsive_until.pop(target.identity, None)
 
 
+def _log_silent(target, cause):
+    _LOG.warning(
+        "target_silent",
+        extra={
+            "target": target.identity,
+            "address": target.address,
+            "cause": cause,
+        },
+    )
+
+
 def _reprobe_rank(target):
     last_failed_at = target.health.last_failed_at
     return (last_failed_at is None, last_failed_at or 0.0)
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -193,10 +193,10 @@
             choice = attempt.choice
             call.withdraw_attempt(choice.chain or choice.head.identity)
             return 502
-        except ConnectError:
-            self._record_failure(
-                call, attempt.choice.head, "no_connection", True
-            )
+        except ConnectError as error:
+            head = attempt.choice.head
+            self._exclude(call, head, "no_connection")
+            self._context.prober.record_no_connection(head, error)
             return 502
         except TransportError as error:
             return await self._handle_broken_answer(call, attempt, error)
@@ -238,7 +238,7 @@
         if suspects:
             call.failed_targets.update(target.identity for target in suspects)
         else:
-            self._record_failure(call, choice.head, error.code, False)
+            self._record_failure(call, choice.head, error.code)
         return 504 if is_timeout else 502
 
     async def _handle_error_answer(self, call, choice, answer, metadata, body):
@@ -246,9 +246,7 @@
         at_fault = choice.target_at(metadata.failed_target) or choice.head
         if metadata.was_not_run:
             call.runs -= 1
-            self._record_failure(
-                call, at_fault, f"not_run_{answer.status}", False
-            )
+            self._record_failure(call, at_fault, f"not_run_{answer.status}")
             now = asyncio.get_running_loop().time()
             if at_fault.is_resting(now):
                 return 502
@@ -256,17 +254,17 @@
                 now = asyncio.get_running_loop().time()
                 at_fault.health.avoid(now + REFUSED_PAUSE_SECONDS)
             return 502
-        self._record_failure(call, at_fault, str(answer.status), False)
+        self._record_failure(call, at_fault, str(answer.status))
         call.failed_answer = FailedAnswer(answer, body)
         return 502
 
-    def _record_failure(self, call, target, outcome, is_unreachable):
+    def _record_failure(self, call, target, outcome):
         """Record that a target failed a call, and exclude it from retries."""
+        self._exclude(call, target, outcome)
+        target.health.record_failure()
+
+    def _exclude(self, call, target, outcome):
+        """Record the outcome of an attempt, and exclude its target."""
         call.failed_targets.add(target.identity)
         call.record_outcome(target.identity, outcome)
         self._context.metrics.sends.labels(outcome).inc()
-        if is_unreachable:
-            now = asyncio.get_running_loop().time()
-            target.health.mark_unreachable(now)
-        else:
-            target.health.record_failure()
--- a/apricotseam/forwarding/_unserved.py
+++ b/apricotseam/forwarding/_unserved.py
@@ -1,9 +1,12 @@
 """Refusal of calls that no target can take at present."""
 
 import asyncio
+import logging
 
 from apricotseam.forwarding._answering import refuse_call
 
+_LOG = logging.getLogger(__name__)
+
 # Callers that are refused because of the same rest or limit return at
 # different times: within this time, and a fraction of the wait, after its end.
 SPREAD_SECONDS = 0.2
@@ -31,6 +34,7 @@
     retry_after : float
         Delay before a retry in that case, in seconds.
     """
+    _log_unserved(context, call)
     held = context.quarantine_gate.refusal(call)
     if held is not None:
         return refuse_call(context, call, held.cause, held.retry_after)
@@ -42,6 +46,26 @@
     return refuse_call(context, call, _closed_cause(context, call, now), delay)
 
 
+def _log_unserved(context, call):
+    """Log how many targets of the service this host may use, and why not."""
+    now = asyncio.get_running_loop().time()
+    targets = context.fleet.of_service(call.service.name)
+    silent = [t for t in targets if t.health.is_silent]
+    suspects = [t for t in targets if t.health.is_suspect(now)]
+    _LOG.info(
+        "request_unserved",
+        extra={
+            "request": call.request_id,
+            "service": call.service.name,
+            "targets": len(targets),
+            "silent": len(silent),
+            "avoided": len(suspects) - len(silent),
+            "resting": sum(t.is_resting(now) for t in targets),
+            "failed": len(call.failed_targets),
+        },
+    )
+
+
 def _closed_cause(context, call, now):
     targets = context.fleet.of_service(call.service.name)
     if any(target.waits_for_permit(now) for target in targets):
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -1,6 +1,7 @@
 """Exchanges with peers how much work each host has on the targets."""
 
 import asyncio
+import logging
 
 import msgspec
 
@@ -19,6 +20,8 @@
 from apricotseam.node._zone_reports import ZoneReport
 from apricotseam.positions import NO_POSITION
 
+_LOG = logging.getLogger(__name__)
+
 SEND_PERIOD_SECONDS = 0.2
 # Longer, as the delegates of a zone get the states of all its hosts.
 LARGE_FLEET_SEND_PERIOD_SECONDS = 0.35
@@ -203,12 +206,12 @@
                 notice.age_seconds,
             )
 
-    def notice_other_zone(self, suspects):
+    def notice_other_zone(self, zone, suspects):
         """Record targets that hosts of another zone report as silent."""
         now = self._now()
         for identity in suspects:
             self._other_suspects[identity] = now
-        self._apply_suspects(suspects, now)
+        self._apply_suspects(suspects, zone, now)
 
     def _silent_senders(self):
         return self._collector.silent(self._silent_after(), self._now())
@@ -396,7 +399,7 @@
 
     def _apply_notices(self, message, now):
         """Apply what a `HostState` or `ZoneReport` says of targets."""
-        self._apply_suspects(message.suspects, now)
+        self._apply_suspects(message.suspects, message.sender, now)
         self.notice_leaving(message.leaving)
         self._limit_notices.apply(message.limits)
         self._trait_notices.apply(message.traits)
@@ -407,7 +410,7 @@
         for retry_key in message.refused:
             self._context.request_queue.remember_refused(retry_key)
 
-    def _apply_suspects(self, suspects, now):
+    def _apply_suspects(self, suspects, sender, now):
         for identity in suspects:
             target = self._context.fleet.get(identity)
             if target is None:
@@ -416,4 +419,8 @@
             target.health.record_peer_silence(now)
             target.health.avoid(now + SUSPICION_SECONDS)
             if is_new_suspicion:
+                _LOG.info(
+                    "target_suspected",
+                    extra={"target": identity, "reported_by": sender},
+                )
                 self._context.active_streams.recheck(identity)
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -104,7 +104,7 @@
         if message.zone == self._zone or not is_newer(message, known):
             return
         self._latest[message.zone] = message
-        self._usage_exchange.notice_other_zone(message.suspects)
+        self._usage_exchange.notice_other_zone(message.zone, message.suspects)
         self._usage_exchange.notice_leaving(message.leaving)
         self._usage_exchange.limit_notices.apply(message.limits)
         self._usage_exchange.trait_notices.apply(message.traits)
--- a/apricotseam/node/tests/test_zones.py
+++ b/apricotseam/node/tests/test_zones.py
@@ -71,7 +71,7 @@
         """Return the suspect target."""
         return ["silent-here"]
 
-    def notice_other_zone(self, suspects):
+    def notice_other_zone(self, zone, suspects):
         """Record suspects of another zone."""
         self.noticed.extend(suspects)
 
