--- a/measure/emulator/_caller.py
+++ b/measure/emulator/_caller.py
@@ -46,6 +46,8 @@
         How often it was sent and refused.
     is_out_of_order : bool
         Whether an event was missing or came twice.
+    hosts : list of str
+        Name of the host of each attempt.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         "ended_at",
         "events",
         "first_event_at",
+        "hosts",
         "is_out_of_order",
         "last_event_at",
         "longest_pause",
@@ -72,6 +75,12 @@
         self.attempts = 0
         self.refusals = 0
         self.is_out_of_order = False
+        self.hosts = []
+
+    @property
+    def is_served_at_once(self):
+        """Whether the first attempt brought a complete answer."""
+        return self.is_served and self.attempts == 1
 
     @property
     def is_served(self):
@@ -232,6 +241,7 @@
         request_id = f"{self.request.number}-{self.result.attempts}"
         self._simulation.site.declare(request_id, self.request.size)
         host = await self._simulation.connect(self.request)
+        self.result.hosts.append(host.name)
         now = self._loop.time()
         exchange = CallerExchange(self.result, self._loop.time)
         headers = self._headers(request_id, now)
--- /dev/null
+++ b/measure/emulator/_cut_patterns.py
@@ -0,0 +1,167 @@
+"""Patterns in which hosts lose their links to the targets."""
+
+from measure.emulator._links import LinkMode
+from measure.emulator._pattern import DISTURBED_AT_SECONDS
+from measure.emulator._pattern import Pattern
+
+CUT_SECONDS = 12.0
+# A host that is cut off is expected to have its requests served from here.
+ADAPT_SECONDS = 3.0
+
+
+class HostsCutOff(Pattern):
+    """Two hosts lose their links to all targets; nothing is delivered.
+
+    Attributes
+    ----------
+    mode : LinkMode
+        What happens to traffic on these links.
+    """
+
+    name = "hosts-cut-off"
+    about = "two hosts reach no target for 12 s, in silence"
+    load = 0.35
+    mode = LinkMode.SILENT
+
+    def choose_hosts(self, hosts):
+        """Return the hosts that are cut off; the first one places layers."""
+        return hosts[1:3]
+
+    def covers(self, target):
+        """Return whether a target is out of reach."""
+        return True
+
+    def disturb(self, simulation):
+        """Schedule the cut and its end."""
+        simulation.at(DISTURBED_AT_SECONDS, self._cut, simulation)
+        simulation.at(
+            DISTURBED_AT_SECONDS + CUT_SECONDS, self._restore, simulation
+        )
+
+    def _cut(self, simulation):
+        for host in self.choose_hosts(simulation.hosts):
+            host.link.cut(self.mode, self.covers)
+            simulation.cut_off.add(host.name)
+
+    def _restore(self, simulation):
+        for host in simulation.hosts:
+            host.link.restore()
+
+
+class HostsRefused(HostsCutOff):
+    """Connections of two hosts are refused, and open ones reset."""
+
+    name = "hosts-refused"
+    about = "as hosts-cut-off, with connections that are refused and reset"
+    mode = LinkMode.REFUSED
+
+
+class HostsReset(HostsCutOff):
+    """Connections of two hosts are reset as soon as they are used."""
+
+    name = "hosts-reset"
+    about = "as hosts-cut-off, with connections that open and are reset"
+    mode = LinkMode.RESET
+
+
+class HostsKept(HostsCutOff):
+    """Open connections of two hosts live on, new ones are refused."""
+
+    name = "hosts-kept"
+    about = "as hosts-cut-off, but open connections live on"
+    mode = LinkMode.KEPT
+
+
+class HostsOneWay(HostsCutOff):
+    """What two hosts send is lost; what they are sent arrives."""
+
+    name = "hosts-one-way"
+    about = "as hosts-cut-off, in one direction"
+    mode = LinkMode.ONE_WAY
+
+
+class PlacerCutOff(HostsCutOff):
+    """The host that places layers is one of those cut off."""
+
+    name = "placer-cut-off"
+    about = "as hosts-cut-off, with the host that places layers"
+
+    def choose_hosts(self, hosts):
+        """Return the first hosts."""
+        return hosts[:2]
+
+
+class ZoneCutOff(HostsCutOff):
+    """All hosts of an availability zone are cut off."""
+
+    name = "zone-cut-off"
+    about = "as hosts-cut-off, all hosts of a zone"
+
+    def choose_hosts(self, hosts):
+        """Return the hosts of the second host's zone."""
+        return [host for host in hosts if host.zone == hosts[1].zone]
+
+
+class MostCutOff(HostsCutOff):
+    """Two thirds of all hosts are cut off."""
+
+    name = "most-hosts-cut-off"
+    about = "as hosts-cut-off, two thirds of all hosts"
+    mode = LinkMode.REFUSED
+
+    def choose_hosts(self, hosts):
+        """Return the last two thirds."""
+        return hosts[len(hosts) // 3 :]
+
+
+class FirstTargetsCutOff(HostsCutOff):
+    """Two hosts don't reach the first targets of any chain."""
+
+    name = "first-targets-cut-off"
+    about = "as hosts-cut-off, but only the first target of each chain"
+
+    def covers(self, target):
+        """Return whether a target holds the first layer."""
+        layers = target.record.layers
+        return layers is not None and layers.first == 0
+
+
+class HostsFlapping(HostsCutOff):
+    """The cut comes and goes each second."""
+
+    name = "hosts-flapping"
+    about = "as hosts-cut-off, the cut comes and goes each second"
+    period_seconds = 1.0
+
+    def disturb(self, simulation):
+        """Schedule each cut and its end."""
+        for number in range(int(CUT_SECONDS / self.period_seconds)):
+            at = DISTURBED_AT_SECONDS + number * self.period_seconds
+            action = self._restore if number % 2 else self._cut
+            simulation.at(at, action, simulation)
+
+
+class AllCutOff(HostsCutOff):
+    """No host reaches any target."""
+
+    name = "all-hosts-cut-off"
+    about = "as hosts-cut-off, all hosts"
+
+    def choose_hosts(self, hosts):
+        """Return all hosts."""
+        return hosts
+
+
+CUT_PATTERNS = (
+    HostsCutOff,
+    HostsRefused,
+    HostsReset,
+    HostsKept,
+    HostsOneWay,
+    PlacerCutOff,
+    ZoneCutOff,
+    MostCutOff,
+    FirstTargetsCutOff,
+    HostsFlapping,
+    AllCutOff,
+)
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -18,6 +18,7 @@
 from apricotseam.node._quarantine_keeper import QuarantineKeeper
 from apricotseam.node._usage import UsageExchange
 from apricotseam.node._zones import ZoneUsageExchange
+from measure.emulator._links import TargetLink
 from measure.emulator._network import SimulatedPool
 from measure.emulator._peers import PeerHosts
 from measure.emulator._site import RecordWatcher
@@ -76,6 +77,8 @@
         self.name = name
         self.zone = zone
         self._store_view = None
+        # Link to the targets, which patterns cut.
+        self.link = TargetLink()
         self.hosts = PeerHosts(peers, f"{name}:1", zone)
         self.election = FixedElection()
         self.context = self._make_context(policy, seed)
@@ -162,7 +165,11 @@
         )
         fleet = Fleet(self._on_target_removed, self._on_target_draining)
         pool = SimulatedPool(
-            self._site.network, self.zone, self.name, self._on_response
+            self._site.network,
+            self.zone,
+            self.name,
+            self.link,
+            self._on_response,
         )
         context = ForwardingContext(
             fleet,
--- a/measure/emulator/_network.py
+++ b/measure/emulator/_network.py
@@ -75,12 +75,15 @@
         Availability zone of the host.
     host : str
         Name of the host.
+    link : TargetLink
+        Link of the host to the targets.
     on_response : callable
         Called with the key of the target and the `ResponseHead` of each
         answer to a control call.
     """
 
-    def __init__(self, network, zone, host, on_response):
+    def __init__(self, network, zone, host, link, on_response):
+        self._link = link
         self._network = network
         self._zone = zone
         self._host = host
@@ -95,17 +98,18 @@
             If nothing listens there, or nothing answers by the deadline.
         """
         target = self._network.at(address)
-        if target is None:
+        if target is None or self._link.refuses(target):
             await asyncio.sleep(IN_ZONE_SECONDS)
             raise RefusedConnectionError(
                 f"{address} refused", "try another target"
             )
-        if target.is_silent:
+        if target.is_silent or self._link.hangs(target):
             loop = asyncio.get_running_loop()
             await asyncio.sleep(max(0.0, deadline - loop.time()))
             raise ConnectError(f"{address} is silent", "try another target")
+        delay_seconds = self._network.delay(self._zone, target.zone)
         return SimulatedConnection(
-            target, self._network.delay(self._zone, target.zone), self._host
+            target, delay_seconds, self._host, self._link
         )
 
     async def call(self, key, address, method, path, body, deadline):
@@ -134,9 +138,12 @@
         One-way delay.
     host : str
         Name of the host.
+    link : TargetLink
+        Link of the host to the targets.
     """
 
-    def __init__(self, target, delay_seconds, host):
+    def __init__(self, target, delay_seconds, host, link):
+        self._link = link
         self._loop = asyncio.get_running_loop()
         self._target = target
         self._delay_seconds = delay_seconds
@@ -208,11 +215,12 @@
 
     def reset(self):
         """Break the connection; called by the target."""
-        self.send_back(
-            LostConnectionError(
-                f"{self.address} reset the connection",
-                "retry the call if it is idempotent",
-            )
+        self.send_back(self._reset_error())
+
+    def _reset_error(self):
+        return LostConnectionError(
+            f"{self.address} reset the connection",
+            "retry the call if it is idempotent",
         )
 
     @staticmethod
@@ -227,16 +235,26 @@
         )
 
     def _deliver_now(self, receive, arguments):
-        if self._target.is_silent:
+        if self._target.is_silent or self._link.hold_sent(
+            self._target, lambda: self._deliver_now(receive, arguments)
+        ):
             return
-        if self._target.is_dead:
+        if self._target.is_dead or self._link.resets(self._target):
             self.reset()
             return
         receive(self, *arguments)
 
     def _receive(self):
         items = self._sent_back.popleft()
-        if self._target.is_silent:
+        if self._link.resets(self._target):
+            items = [self._reset_error()]
+        self._take(items)
+
+    def _take(self, items):
+        """Pass items on to the reader unless the link holds them back."""
+        if self._target.is_silent or self._link.hold_received(
+            self._target, lambda: self._take(items)
+        ):
             return
         self._received.extend(items)
         if self._waiter is not None and not self._waiter.done():
--- a/measure/emulator/_patterns.py
+++ b/measure/emulator/_patterns.py
@@ -4,6 +4,7 @@
 
 from measure.emulator._caller import EagerCaller
 from measure.emulator._caller import PatientCaller
+from measure.emulator._cut_patterns import CUT_PATTERNS
 from measure.emulator._fatal_patterns import EnginesEndInTurn
 from measure.emulator._fatal_patterns import FatalFirstPart
 from measure.emulator._fatal_patterns import FatalPart
@@ -360,6 +361,7 @@
         FatalPartWithoutStore,
         FatalPartAndCutZone,
         EnginesEndInTurn,
+        *CUT_PATTERNS,
     )
 }
 
--- a/measure/emulator/_simulation.py
+++ b/measure/emulator/_simulation.py
@@ -78,6 +78,8 @@
         What the targets share.
     hosts : list of EmulatedHost
         Running hosts.
+    cut_off : set of str
+        Names of the hosts whose links to targets were cut.
     engines : list of Engine
         Engines whose processes run.
     capacity : Capacity
@@ -104,6 +106,7 @@
         self._in_touch_from = {}
         self.engines = []
         self.hosts = []
+        self.cut_off = set()
         self.capacity = None
 
     def run(self):
