Check targets that other hosts report as silent before avoiding them

Callers of hosts with sound links were refused (4 of 81 and 9 of 185 first tries served) while other hosts had lost theirs. Each host told the others of the targets that it found silent, and these avoided them on its word alone: one host without links took all its targets away from the whole fleet, although streams on them were flowing at the receivers.

A report is now a reason to look. A receiver probes a target that a peer newly reports, unless it has sent it something since; only its own finding counts, and is reported on in turn. In large fleets the delegates look, and a host believes what all its delegates found, against which its own contact counts.

--- a/apricotseam/fleet/_health.py
+++ b/apricotseam/fleet/_health.py
@@ -24,7 +24,7 @@
     for a short time after it refused a request or a peer reported it as
     silent. ``failure_share`` is the moving average of failed requests, from 0
     to 1, and ``latency_seconds`` that of latencies. Times passed to the
-    methods are monotonic, in seconds.
+    methods, and ``last_contact_at``, are monotonic, in seconds.
     """
 
     __slots__ = (
@@ -39,12 +39,15 @@
         "_refuses_connections",
         "_silent_since",
         "failure_share",
+        "last_contact_at",
         "latency_seconds",
     )
 
     def __init__(self):
         self.failure_share = 0.0
         self.latency_seconds = 0.0
+        # Time at which the target last sent this host anything.
+        self.last_contact_at = float("-inf")
         self._is_silent = False
         # Time of the first report of the silence that lasts, by this host or
         # by peers, and time until which the report of a peer is valid.
@@ -127,8 +130,13 @@
         self._is_silent = True
         self._last_failed_at = now
 
-    def mark_reachable(self):
+    def record_contact(self, now):
+        """Record that the target has sent this host something."""
+        self.last_contact_at = now
+
+    def mark_reachable(self, now):
         """Mark the target as responding, whatever peers reported."""
+        self.record_contact(now)
         self._is_silent = False
         self._rejects_connections = False
         self._refuses_connections = False
--- a/apricotseam/fleet/tests/test_fleet.py
+++ b/apricotseam/fleet/tests/test_fleet.py
@@ -96,7 +96,7 @@
     health = Health()
     health.mark_unreachable(0.0)
     assert health.is_suspect(1e9)
-    health.mark_reachable()
+    health.mark_reachable(1.0)
     assert not health.is_suspect(0.0)
 
 
@@ -122,7 +122,7 @@
     health.record_contact_failure(0.0, is_rejected)
     assert not health.refuses_connections
     assert health.is_lost(seconds) is expected
-    health.mark_reachable()
+    health.mark_reachable(seconds)
     assert not health.is_lost(seconds)
 
 
@@ -150,7 +150,7 @@
         health.record_contact_failure(10.0 + seconds, was_rejected)
     assert health.observed_silence_seconds() == pytest.approx(observed_seconds)
     assert health.rejects_connections is is_rejected
-    health.mark_reachable()
+    health.mark_reachable(12.0)
     assert health.observed_silence_seconds() == 0.0
     assert not health.rejects_connections
 
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -156,7 +156,7 @@
         was_silent = target.health.is_silent
         if not self._acquire_probe() or not await self._probe_once(target):
             return
-        target.health.mark_reachable()
+        target.health.mark_reachable(self._now())
         if was_silent:
             _LOG.info(
                 "target_answers_again", extra={"target": target.identity}
@@ -189,7 +189,7 @@
         if await self._check_target(target, started_at):
             until = self._now() + ANSWER_VALID_SECONDS
             self._responsive_until[target.identity] = until
-            target.health.mark_reachable()
+            target.health.mark_reachable(self._now())
             return True
         target.health.mark_unreachable(self._now())
         _log_silent(target, "unanswered_probes")
--- a/apricotseam/forwarding/_sender.py
+++ b/apricotseam/forwarding/_sender.py
@@ -110,6 +110,8 @@
             If no answer to this request was received.
         """
         answer = await connection.head(deadline)
+        now = asyncio.get_running_loop().time()
+        target.health.record_contact(now)
         self._context.announcements.record(target.incarnation, answer)
         metadata = decode_response_metadata(answer)
         if metadata.request_id != call.request_id:
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -333,6 +333,8 @@
         """
         self._drop_second()
         now = asyncio.get_running_loop().time()
+        for target, _ in self._choice.stages:
+            target.health.record_contact(now)
         self._record_gap(now - self._progress_at)
         self._start_waiting(now)
 
--- a/apricotseam/node/_delegates.py
+++ b/apricotseam/node/_delegates.py
@@ -49,6 +49,30 @@
         self._received[address] = _Received(report, now)
         return True
 
+    def suspects(self, valid_seconds, now):
+        """Return the targets that all delegates find silent.
+
+        A delegate that has lost its own links finds all others silent.
+
+        Parameters
+        ----------
+        valid_seconds : float
+            Age in seconds up to which reports count.
+        now : float
+            Current time.
+
+        Returns
+        -------
+        reporters : list of str
+            The delegates' processes.
+        suspects : set of str
+            Identities of the targets.
+        """
+        reports = self._recent(valid_seconds, now)
+        suspects = [set(report.suspects) for report in reports]
+        common = set.intersection(*suspects) if suspects else set()
+        return [report.sender for report in reports], common
+
     def silent_hosts(self, silent_after, now):
         """Return the hosts that all delegates report as silent.
 
@@ -62,9 +86,7 @@
             Current time.
         """
         silent = [
-            set(received.report.silent)
-            for received in self._received.values()
-            if now - received.received_at <= silent_after
+            set(report.silent) for report in self._recent(silent_after, now)
         ]
         return set.intersection(*silent) if silent else set()
 
@@ -105,6 +127,14 @@
             if now >= self._last_sign(address) + silent_after
         }
 
+    def _recent(self, valid_seconds, now):
+        """Return the reports that are no older than a number of seconds."""
+        return [
+            received.report
+            for received in self._received.values()
+            if now - received.received_at <= valid_seconds
+        ]
+
     def _last_sign(self, address):
         """Return the time of the last report, or that of the first one due."""
         first_due_at = self._known_since[address] + TAKEOVER_SECONDS
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -1,7 +1,6 @@
 """Exchanges with peers how much work each host has on the targets."""
 
 import asyncio
-import logging
 
 import msgspec
 
@@ -11,17 +10,15 @@
 from apricotseam.node._delegates import DelegateReports
 from apricotseam.node._delegates import TAKEOVER_SECONDS
 from apricotseam.node._limit_notices import LimitNotices
+from apricotseam.node._suspicions import Suspicions
 from apricotseam.node._trait_notices import TraitNotices
 from apricotseam.node._zone_reports import HostState
 from apricotseam.node._zone_reports import LeavingNotice
-from apricotseam.node._zone_reports import NOTICE_SECONDS
 from apricotseam.node._zone_reports import SentStates
 from apricotseam.node._zone_reports import ZoneCollector
 from apricotseam.node._zone_reports import ZoneReport
 from apricotseam.positions import NO_POSITION
 
-_LOG = logging.getLogger(__name__)
-
 SEND_PERIOD_SECONDS = 0.2
 # Longer, as the delegates of a zone get the states of all its hosts.
 LARGE_FLEET_SEND_PERIOD_SECONDS = 0.35
@@ -39,8 +36,6 @@
 # time between two messages, as one message may be late.
 SILENT_AFTER_SECONDS = 1.1
 LARGE_FLEET_SILENT_AFTER_SECONDS = 1.8
-# How long a target is avoided after a peer reported it unreachable.
-SUSPICION_SECONDS = 0.5
 # Age up to which refusals of requests are reported to peers.
 REFUSED_REPORT_SECONDS = 0.5
 # Names under which the sums in reports are recorded.
@@ -102,8 +97,7 @@
         self._delegate_since = None
         # Whether the ledger has the states of single hosts, not their sum.
         self._is_direct = True
-        # Time of the last report by another zone, by suspect target.
-        self._other_suspects = {}
+        self._suspicions = Suspicions(context, now)
         self._delegate_reports = DelegateReports()
         self._limit_notices = LimitNotices(
             context.fleet, context.request_queue, now
@@ -140,6 +134,7 @@
         while True:
             await asyncio.sleep(self._send_period())
             self._ledger.expire(self._now())
+            self._suspicions.expire()
             self._update_delegates()
             suspects = self._suspect_targets()
             slow = self._slow_targets()
@@ -175,10 +170,9 @@
         )
         return silent | self._hosts.unheard_delegates
 
-    def zone_suspects(self):
-        """Return the targets that hosts of this zone report as silent."""
-        reported = self._collector.suspects(self._now())
-        return sorted({*reported, *self._suspect_targets()})
+    def suspects(self):
+        """Return the targets that this host itself finds silent."""
+        return self._suspect_targets()
 
     def leaving_targets(self):
         """Return a `LeavingNotice` of each target that announced to leave.
@@ -207,11 +201,8 @@
             )
 
     def notice_other_zone(self, zone, suspects):
-        """Record targets that hosts of another zone report as silent."""
-        now = self._now()
-        for identity in suspects:
-            self._other_suspects[identity] = now
-        self._apply_suspects(suspects, zone, now)
+        """Check targets that a host of another zone finds silent."""
+        self._suspicions.check(zone, suspects)
 
     def _silent_senders(self):
         return self._collector.silent(self._silent_after(), self._now())
@@ -337,14 +328,8 @@
         others = None
         if self._report_number % OTHER_ZONES_REPORTS == 0:
             others = self._ledger.other_zones_totals()
-        self._other_suspects = {
-            identity: reported_at
-            for identity, reported_at in self._other_suspects.items()
-            if now - reported_at < NOTICE_SECONDS
-        }
         report = msgspec.structs.replace(
             report,
-            suspects=sorted({*report.suspects, *self._other_suspects}),
             other_zones=others,
             store_position=self._store_position(),
             limits=self._limit_notices.known(),
@@ -362,6 +347,7 @@
             return
         if self._is_direct:
             self._apply_state(message, now)
+        self._suspicions.check(message.host, message.suspects)
         self._apply_notices(message, now)
 
     def _apply_state(self, state, now):
@@ -378,7 +364,12 @@
         if report.store_position:
             self._on_store_position(report.store_position)
         self._apply_notices(report, now)
-        if not self._is_direct:
+        if self._is_direct:
+            self._suspicions.check(report.sender, report.suspects)
+        else:
+            self._suspicions.trust(
+                *self._delegate_reports.suspects(self._silent_after(), now)
+            )
             self._apply_sums(report, now)
 
     def _apply_sums(self, report, now):
@@ -399,7 +390,6 @@
 
     def _apply_notices(self, message, now):
         """Apply what a `HostState` or `ZoneReport` says of targets."""
-        self._apply_suspects(message.suspects, message.sender, now)
         self.notice_leaving(message.leaving)
         self._limit_notices.apply(message.limits)
         self._trait_notices.apply(message.traits)
@@ -409,18 +399,3 @@
                 target.health.record_peer_slowness(factor, now)
         for retry_key in message.refused:
             self._context.request_queue.remember_refused(retry_key)
-
-    def _apply_suspects(self, suspects, sender, now):
-        for identity in suspects:
-            target = self._context.fleet.get(identity)
-            if target is None:
-                continue
-            is_new_suspicion = not target.health.is_suspect(now)
-            target.health.record_peer_silence(now)
-            target.health.avoid(now + SUSPICION_SECONDS)
-            if is_new_suspicion:
-                _LOG.info(
-                    "target_suspected",
-                    extra={"target": identity, "reported_by": sender},
-                )
-                self._context.active_streams.recheck(identity)
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -165,10 +165,6 @@
             if now - received.received_at < STATE_EXPIRY_SECONDS
         ]
 
-    def suspects(self, now):
-        """Return the targets that hosts recently reported as silent."""
-        return {t for state in self._noticed(now) for t in state.suspects}
-
     def silent(self, silent_after, now):
         """Return the addresses of hosts that sent nothing for too long.
 
@@ -214,7 +210,7 @@
             included={state.host: state.number for state in states},
             usages=sum_usages(state.usages for state in states),
             other_zones=None,
-            suspects=sorted({*own.suspects, *self.suspects(now)}),
+            suspects=own.suspects,
             slow=slow,
             refused=[*self._refused_at, *own.refused],
             repeats=_sum_repeats(state.repeats for state in states),
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -18,7 +18,7 @@
     """Work in progress of all hosts of an availability zone, by target.
 
     ``sender`` identifies the process that computed the totals, ``number``
-    counts its messages. ``suspects`` are targets that hosts of the zone
+    counts its messages. ``suspects`` are targets that the sender
     cannot reach, ``leaving`` those that announced that they leave, and
     ``limits`` those that told any host about limits. ``traits`` are traits
     of requests under which targets ended at any host.
@@ -91,7 +91,7 @@
             self._instance,
             self._number,
             usages,
-            self._usage_exchange.zone_suspects(),
+            self._usage_exchange.suspects(),
             self._usage_exchange.leaving_targets(),
             self._usage_exchange.limit_notices.known(),
             self._usage_exchange.trait_notices.known(),
--- a/apricotseam/node/tests/test_zones.py
+++ b/apricotseam/node/tests/test_zones.py
@@ -67,7 +67,7 @@
         """Record leaving targets of another zone."""
         self.noticed_leaving.update(leaving)
 
-    def zone_suspects(self):
+    def suspects(self):
         """Return the suspect target."""
         return ["silent-here"]
 
