--- a/apricotseam/coordination/_election.py
+++ b/apricotseam/coordination/_election.py
@@ -49,6 +49,9 @@
     rank : callable
         Returns this host's rank among the candidates, from 0. A higher
         rank delays the claim.
+    is_able : callable, optional
+        Returns whether this host can carry out the duty. If not, it gives
+        the duty up, and doesn't claim it.
 
     Attributes
     ----------
@@ -58,7 +61,8 @@
         all earlier ones, also if the store has gone back in between.
     """
 
-    def __init__(self, store, mirror, key, name, rank):
+    def __init__(self, store, mirror, key, name, rank, is_able=None):
+        self._is_able = is_able or (lambda: True)
         self._store = store
         self._mirror = mirror
         self._key = key
@@ -87,7 +91,7 @@
         """
         if self._has_resigned or self.fence.era != self._store.era:
             return False
-        return self._holds_lease
+        return self._holds_lease and self._is_able()
 
     @property
     def _holds_lease(self):
@@ -106,6 +110,10 @@
     async def resign(self):
         """Give up the duty immediately and do not claim it again."""
         self._has_resigned = True
+        await self._give_up()
+
+    async def _give_up(self):
+        """Let another host claim the duty at once."""
         lease, self._lease = self._lease, None
         if self.fence:
             _LOG.info("duty_resigned", extra={"duty": self._key})
@@ -114,6 +122,8 @@
             await self._store.end_lease(lease)
 
     async def _run_once(self):
+        if self.fence and self._holds_lease and not self._is_able():
+            await self._give_up()
         if self.fence and not self.is_holder:
             self._lapse()
         if self.fence:
@@ -158,6 +168,8 @@
         """
         if self._has_resigned or self._mirror.position == NO_POSITION:
             return False
+        if not self._is_able():
+            return False
         if self._seen_era is None:
             self._seen_era = self._mirror.position.era
         if self._seen_era != self._store.era:
--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -223,6 +223,7 @@
                 operators_address="",
                 availability_zone=record.zone,
                 incarnation=record.started_ms,
+                relay_address=record.relay_address,
             )
             for name, record in records.items()
             if record.started_ms >= oldest_ms
@@ -234,6 +235,11 @@
         self._send(self._membership.announce_leaving())
         self._publish()
 
+    def announce_reach(self, is_cut_off):
+        """Tell the others whether this host reaches no target."""
+        self._send(self._membership.announce_reach(is_cut_off))
+        self._publish()
+
     def rank(self):
         """Return the index of this host among the live ones, by name."""
         names = sorted(member.name for member in self.table.live())
--- a/apricotseam/coordination/_messages.py
+++ b/apricotseam/coordination/_messages.py
@@ -55,9 +55,11 @@
     """Record that a host writes about itself to the store.
 
     ``started_ms`` is the start time in milliseconds since the epoch.
+    ``relay_address`` is where it takes requests of other hosts, or empty.
     """
 
     peers_address: str
     callers_address: str
     zone: str
     started_ms: int
+    relay_address: str = ""
--- a/apricotseam/forwarding/__init__.py
+++ b/apricotseam/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from apricotseam.forwarding._permits import SendPermits
 from apricotseam.forwarding._probes import TargetProber
 from apricotseam.forwarding._quarantine_gate import Trials
+from apricotseam.forwarding._relay_receiver import RelayReceiver
 from apricotseam.forwarding._request_queue import RequestQueue
 from apricotseam.forwarding._retry_budget import HostRetryBudget
 from apricotseam.forwarding._retry_budget import RepeatCount
@@ -19,6 +20,7 @@
     "TargetSelector",
     "Gateway",
     "TargetProber",
+    "RelayReceiver",
     "RepeatCount",
     "RequestMetrics",
     "HostRetryBudget",
--- a/apricotseam/forwarding/_answering.py
+++ b/apricotseam/forwarding/_answering.py
@@ -7,9 +7,12 @@
 from apricotseam.http1 import ResponseHead
 from apricotseam.platform import refusal_headers
 from apricotseam.platform import returned_headers
+from apricotseam.relay import DECLINED_HEADER
 
 _LOG = logging.getLogger(__name__)
 
+DECLINED_STATUS = 503
+
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
     """Why a request is rejected without having run on any target.
@@ -70,6 +73,26 @@
     )
 
 
+def decline(exchange, cause):
+    """Answer another host that its request wasn't run here.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        Exchange on which the answer is sent.
+    cause : str
+        A short label.
+
+    Returns
+    -------
+    int
+        The HTTP status.
+    """
+    headers = [(DECLINED_HEADER, cause.encode())]
+    exchange.answer(DECLINED_STATUS, headers=headers)
+    return DECLINED_STATUS
+
+
 class FailedAnswer(msgspec.Struct, frozen=True):
     """A target's complete answer that reports a failure."""
 
--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -33,6 +33,8 @@
         Name of the customer, empty on public routes.
     table : RouteTable
         Configuration under which the request was admitted.
+    hop : RelayHop, optional
+        State of the request at the host that passed it on to this one.
     """
 
     __slots__ = (
@@ -43,10 +45,13 @@
         "exchange",
         "metadata",
         "first_event_at",
+        "hop",
         "is_trial",
         "last_event",
         "longest_gap",
         "send_outcomes",
+        "sends",
+        "relayed_to",
         "request",
         "route",
         "runs",
@@ -59,8 +64,17 @@
     )
 
     def __init__(
-        self, request, exchange, metadata, route, service, customer, table
+        self,
+        request,
+        exchange,
+        metadata,
+        route,
+        service,
+        customer,
+        table,
+        hop=None,
     ):
+        self.hop = hop
         self.request = request
         self.exchange = exchange
         self.metadata = metadata
@@ -69,18 +83,24 @@
         self.customer = customer
         self.table = table
         seconds = route.timeout_seconds
-        if metadata.seconds_left is not None:
+        if hop is not None:
+            seconds = hop.seconds_left
+        elif metadata.seconds_left is not None:
             seconds = min(seconds, metadata.seconds_left)
         self.deadline = request.received_at + seconds - ANSWER_MARGIN_SECONDS
-        self.last_event = metadata.last_event
+        self.last_event = (hop or metadata).last_event
         # Loop time of the first event, and the seconds spent in the queue.
         self.first_event_at = None
         self.waited_seconds = 0.0
         # Longest time between two reads of events, in seconds.
         self.longest_gap = 0.0
-        # Attempts in total, and attempts that a target may have run.
+        # Attempts in total, those sent to targets, and those that a target
+        # may have run.
         self.attempts = 0
-        self.runs = 0
+        self.sends = 0
+        self.runs = 0 if hop is None else hop.runs
+        # Name of the host that it was passed on to, or empty.
+        self.relayed_to = ""
         # Hash that the repeats of the request share.
         self.digest = _digest(self)
         # What it has in common with others; see `Quarantine`.
@@ -128,6 +148,11 @@
         """Request identifier from the request headers."""
         return self.metadata.request_id
 
+    @property
+    def is_relayed(self):
+        """Whether another host received it from its caller."""
+        return self.hop is not None
+
     def withdraw_attempt(self, target):
         """Take back an attempt of which nothing was sent.
 
--- /dev/null
+++ b/apricotseam/forwarding/_event_writer.py
@@ -0,0 +1,63 @@
+"""Writes the events of a stream to the caller, each once and in order."""
+
+import asyncio
+
+from apricotseam.platform import returned_headers
+
+
+class EventWriter:
+    """Writes events of one call, whichever attempt they come from.
+
+    Parameters
+    ----------
+    context : ForwardingContext
+        State shared by all requests.
+    call : Call
+        The request.
+    """
+
+    __slots__ = ("_call", "_context")
+
+    def __init__(self, context, call):
+        self._context = context
+        self._call = call
+
+    def accept(self, event):
+        """Return whether the caller has not received an event yet."""
+        call = self._call
+        if event.number is None:
+            return True
+        if call.last_event is not None and event.number <= call.last_event:
+            return False
+        call.last_event = event.number
+        return True
+
+    async def write(self, answer, event):
+        """Write an event, after the head of the answer if it is the first.
+
+        Parameters
+        ----------
+        answer : ResponseHead
+            Head of the answer that the event belongs to.
+        event : Event
+            An event that `accept` accepted.
+        """
+        call = self._call
+        if not call.exchange.is_started:
+            self.start(answer)
+            self._record_first_event()
+        await call.exchange.write(event.data, call.deadline)
+
+    def start(self, answer):
+        """Send the head of an answer unless one was sent already."""
+        exchange = self._call.exchange
+        if not exchange.is_started:
+            exchange.start(200, returned_headers(answer), answer.reason)
+
+    def _record_first_event(self):
+        call = self._call
+        now = asyncio.get_running_loop().time()
+        call.first_event_at = now
+        kind = call.route.repeat.value
+        seconds = now - call.request.received_at
+        self._context.metrics.first_byte.labels(kind).observe(seconds)
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -13,6 +13,7 @@
 from apricotseam.forwarding._plain import PlainRunner
 from apricotseam.forwarding._probes import TargetProber
 from apricotseam.forwarding._quarantine_gate import QuarantineGate
+from apricotseam.forwarding._relay import RelayRunner
 from apricotseam.forwarding._streams import StreamRunner
 from apricotseam.forwarding._target_ends import TargetEndDetector
 from apricotseam.http1 import EndCause
@@ -55,9 +56,13 @@
     __slots__ = (
         "announcements",
         "generator",
+        "host",
+        "is_silent_to_peers",
         "permits",
         "quarantine",
         "quarantine_gate",
+        "relay_hosts",
+        "relay_pool",
         "retry_budget",
         "target_ends",
         "target_selector",
@@ -100,11 +105,20 @@
         self.quarantine = Quarantine(now)
         metrics.watch_quarantine(self.quarantine)
         metrics.watch_fleet(fleet, now)
+        metrics.watch_reach(self.prober.reach)
         self.quarantine_gate = QuarantineGate(self.quarantine)
         self.target_ends = TargetEndDetector(metrics, self.quarantine)
         self.generator = random.Random()
         # `SendPermits`, set before the first request is accepted.
         self.permits = None
+        # Name of this host.
+        self.host = ""
+        # `RelayHosts` and the connections to them; None if this host passes
+        # no requests on.
+        self.relay_hosts = None
+        self.relay_pool = None
+        # Returns whether other hosts find the target with an identity silent.
+        self.is_silent_to_peers = lambda identity: False
         # Active `RouteTable`; None until the first one is received.
         self.table = None
         # Loop time in seconds at which this host exits; set only at the end
@@ -125,13 +139,24 @@
         self._context = context
         self._streams = StreamRunner(context)
         self._plain = PlainRunner(context)
+        self._relay = RelayRunner(context)
 
-    async def handle(self, request, exchange):
-        """Admit, forward, answer and log one request of a caller."""
+    async def handle(self, request, exchange, hop=None):
+        """Admit, forward, answer and log one request.
+
+        Parameters
+        ----------
+        request : Request
+            The request as its caller sent it.
+        exchange : Exchange
+            Exchange on which it is answered.
+        hop : RelayHop, optional
+            State of the request at the host that passed it on to this one.
+        """
         metadata = decode_request_metadata(request)
         exchange.request_id = metadata.request_id
-        call, refusal = self._admit(request, exchange, metadata)
-        if call is not None:
+        call, refusal = self._admit(request, exchange, metadata, hop)
+        if call is not None and not self._relay.may_help(call):
             refusal = await self._context.quarantine_gate.admit(call)
         if refusal is not None:
             refuse(
@@ -144,7 +169,8 @@
             return
         context = self._context
         loop = asyncio.get_running_loop()
-        context.retry_budget.count(call.service.name, loop.time())
+        if not call.is_relayed:
+            context.retry_budget.count(call.service.name, loop.time())
         status = "cut"
         try:
             if call.route.repeat is RepeatPolicy.STREAM:
@@ -157,7 +183,7 @@
         finally:
             self._finish(call, status, loop.time())
 
-    def _admit(self, request, exchange, metadata):
+    def _admit(self, request, exchange, metadata, hop):
         """Return the admitted `Call` and None, or None and a `Refusal`."""
         context = self._context
         table = context.table
@@ -180,7 +206,7 @@
                 cause="no such service", retry_after=NO_SERVICE_RETRY_SECONDS
             )
         call = Call(
-            request, exchange, metadata, route, service, customer, table
+            request, exchange, metadata, route, service, customer, table, hop
         )
         if context.shutdown_at is not None:
             exchange.must_close = True
@@ -209,6 +235,8 @@
                 "revision": call.table.position,
                 "status": status,
                 "sends": call.send_outcomes,
+                "relayed_to": call.relayed_to,
+                "relayed_for": call.hop.host if call.is_relayed else "",
                 "milliseconds": _milliseconds(seconds),
                 "last_event": call.last_event,
                 "first_event_ms": _milliseconds(
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -78,6 +78,17 @@
             "Traits of requests that are held back.",
             registry=registry,
         )
+        self.relayed = prometheus_client.Counter(
+            "apricotseam_relayed",
+            "Requests passed on to other hosts, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+        self._links_lost = prometheus_client.Gauge(
+            "apricotseam_links_lost",
+            "Whether this host reaches no target, 0 or 1.",
+            registry=registry,
+        )
         self._targets = prometheus_client.Gauge(
             "apricotseam_targets",
             "Known targets, those that are silent to this host, and those"
@@ -128,6 +139,10 @@
             lambda: sum(target.health.is_suspect(now()) for target in fleet)
         )
 
+    def watch_reach(self, reach):
+        """Show whether a `TargetReach` has lost the links to targets."""
+        self._links_lost.set_function(lambda: float(reach.is_lost))
+
     def count_leaving(self, target):
         """Count a `Target` that started to leave."""
         source = (
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -7,6 +7,7 @@
 from apricotseam.forwarding._answering import fail
 from apricotseam.forwarding._answering import FailedAnswer
 from apricotseam.forwarding._errors import OutdatedChoiceError
+from apricotseam.forwarding._relay import RelayRunner
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._sender import Sender
 from apricotseam.forwarding._target_ends import AttemptTimes
@@ -56,6 +57,7 @@
         self._context = context
         self._sender = sender
         self._replacements = ReplacementReserver(context)
+        self._relay = RelayRunner(context)
         self._call = call
         # Target of each attempt that is running, by its task.
         self._targets = {}
@@ -75,6 +77,11 @@
         call = self._call
         if answered is not None:
             return deliver(call, answered.answer, answered.body)
+        await self._context.prober.reach.check_before_refusal()
+        if self._relay.may_help(call):
+            relayed = await self._relay.run(call)
+            if relayed is not None:
+                return relayed
         if call.runs == 0:
             return refuse_unserved(
                 self._context, call, "no target took it", BUSY_RETRY_SECONDS
@@ -101,6 +108,8 @@
                 if result.is_final:
                     return result
                 self._record(target, result)
+            if not done and self._should_move():
+                return None
             if not done and len(self._targets) == 1:
                 await self._start_second()
 
@@ -123,6 +132,13 @@
         else:
             self._unrun_attempts += 1
 
+    def _should_move(self):
+        """Return whether to leave a late attempt for one of another host."""
+        now = asyncio.get_running_loop().time()
+        if now < self._second_at or not self._context.prober.reach.is_lost:
+            return False
+        return self._relay.may_help(self._call)
+
     async def _start_second(self):
         """Start a second attempt if the target is silent or slow."""
         (target,) = self._targets.values()
@@ -147,6 +163,8 @@
             return None
         if self._unrun_attempts > MAX_UNRUN_ATTEMPTS:
             return None
+        if self._context.prober.reach.is_lost:
+            return None
         if call.runs and not call.may_run_again:
             return None
         context = self._context
@@ -180,15 +198,18 @@
             call.withdraw_attempt(target.identity)
             return _AttemptResult(was_run=False, was_sent=False)
         except ConnectError as error:
-            self._context.prober.record_no_connection(target, error)
+            prober = self._context.prober
+            if not await prober.reach.check_after_failure(target):
+                prober.record_no_connection(target, error)
             call.record_outcome(target.identity, "no_connection")
             return _AttemptResult(was_run=False)
         except TransportError as error:
             broken_at = loop.time()
             await self._context.prober.find_unresponsive([target])
-            self._context.target_ends.record_broken(
-                call, [target], AttemptTimes(started_at), broken_at
-            )
+            if not self._context.prober.reach.is_lost:
+                self._context.target_ends.record_broken(
+                    call, [target], AttemptTimes(started_at), broken_at
+                )
             return self._handle_broken_answer(target, error)
         finally:
             if connection is not None:
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -5,8 +5,7 @@
 import random
 
 from apricotseam.errors import InvalidInputError
-from apricotseam.forwarding._contact import ConnectivityCheck
-from apricotseam.http1 import connect
+from apricotseam.forwarding._reach import TargetReach
 from apricotseam.http1 import LostConnectionError
 from apricotseam.http1 import RefusedConnectionError
 from apricotseam.http1 import TransportError
@@ -60,9 +59,7 @@
     def __init__(self, pool, ledger, now, on_silent, targets, generator=None):
         self._targets = targets
         self._random = generator or random.Random()
-        self._connectivity = ConnectivityCheck(
-            targets, self._probe_within_budget, now, self._random
-        )
+        self._reach = TargetReach(targets, self._probe_anew, now, self._random)
         self._ledger = ledger
         self._on_silent = on_silent
         self._pool = pool
@@ -72,6 +69,11 @@
         self._available_probes = float(BURST_PROBES)
         self._refilled_at = now()
 
+    @property
+    def reach(self):
+        """The `TargetReach` of this host."""
+        return self._reach
+
     async def find_unresponsive(self, targets):
         """Return the targets that do not respond, and update their health.
 
@@ -168,6 +170,8 @@
         A target counts as responsive while the rate limit permits no probe.
         """
         now = self._now()
+        if self._reach.is_lost:
+            return True
         if target.health.is_silent:
             return False
         if self._responsive_until.get(target.identity, 0.0) > now:
@@ -214,11 +218,11 @@
         """
         if await self._probe_with_retries(target):
             return True
-        if self._connectivity.has_answer_since(started_at):
+        if self._reach.has_answer_since(started_at):
             return False
         is_responsive, is_connected = await asyncio.gather(
             self._probe_once(target),
-            self._connectivity.is_connected(self._pending_probes),
+            self._reach.is_connected(self._pending_probes),
         )
         return is_responsive or not is_connected
 
@@ -234,7 +238,7 @@
                 self._now() + PROBE_TIMEOUT_SECONDS + HOST_STALL_SECONDS
             )
             if await self._probe_once(target):
-                self._connectivity.record_answer()
+                self._reach.record_answer()
                 return True
             if self._now() >= stalled_at:
                 stalled_attempts += 1
@@ -255,16 +259,43 @@
         self._available_probes -= 1
         return True
 
-    async def _probe_within_budget(self, target):
-        return self._acquire_probe() and await self._probe_once(target)
+    async def _probe_anew(self, target, timeout_seconds):
+        """Probe a target over a new connection.
+
+        Returns
+        -------
+        bool or None
+            Whether it responds; None if the rate limit permits no probe, or
+            if the event loop of this host was blocked meanwhile.
+        """
+        if not self._acquire_probe():
+            return None
+        deadline = self._now() + timeout_seconds
+        if await self._probe_once(target, deadline, must_open=True):
+            return True
+        is_stalled = self._now() >= deadline + HOST_STALL_SECONDS
+        return None if is_stalled else False
+
+    async def _probe_once(self, target, deadline=None, must_open=False):
+        """Send one probe; return whether the target responds.
 
-    async def _probe_once(self, target):
-        """Send one probe; return whether the target responds."""
+        Parameters
+        ----------
+        target : Target
+            The target.
+        deadline : float, optional
+            Monotonic time in seconds; `PROBE_TIMEOUT_SECONDS` from now by
+            default.
+        must_open : bool
+            Whether to use a new connection.
+        """
+        if deadline is None:
+            deadline = self._now() + PROBE_TIMEOUT_SECONDS
         try:
             if target.record.is_placeable:
-                await self._read_report(target)
+                await self._read_report(target, deadline, must_open)
             else:
-                await self._connect(target)
+                await self._connect(target, deadline)
         except TransportError as error:
             is_rejected = isinstance(
                 error, (LostConnectionError, RefusedConnectionError)
@@ -282,8 +313,7 @@
             )
         return True
 
-    async def _read_report(self, target):
-        deadline = self._now() + PROBE_TIMEOUT_SECONDS
+    async def _read_report(self, target, deadline, must_open):
         answer, body = await self._pool.call(
             target.incarnation,
             target.address,
@@ -291,6 +321,7 @@
             REPORT_PATH,
             b"",
             deadline,
+            must_open=must_open,
         )
         if answer.status == OK_STATUS:
             self._apply_report(target, decode_report(body))
@@ -316,11 +347,9 @@
             },
         )
 
-    async def _connect(self, target):
+    async def _connect(self, target, deadline):
         """Probe by connecting only; a request would wait for a free slot."""
-        connection = await connect(
-            target.address, self._now() + PROBE_TIMEOUT_SECONDS
-        )
+        connection = await self._pool.open(target.address, deadline)
         self._pool.release(target.incarnation, connection)
 
     def forget(self, target):
--- a/apricotseam/forwarding/_sender.py
+++ b/apricotseam/forwarding/_sender.py
@@ -72,6 +72,7 @@
 
     def send(self, call, connection, choice, last_event=None):
         """Send the request of a call to the head of a `Choice`."""
+        call.sends += 1
         if choice.head.is_limited:
             attempt = "first" if call.attempts <= 1 else "further"
             self._context.metrics.limited_sends.labels(attempt).inc()
@@ -112,6 +113,8 @@
         answer = await connection.head(deadline)
         now = asyncio.get_running_loop().time()
         target.health.record_contact(now)
+        if connection.calls == 1:
+            self._context.prober.reach.record_connection()
         self._context.announcements.record(target.incarnation, answer)
         metadata = decode_response_metadata(answer)
         if metadata.request_id != call.request_id:
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -3,7 +3,9 @@
 import asyncio
 
 from apricotseam.forwarding._answer_end import check_answer_end
+from apricotseam.forwarding._event_writer import EventWriter
 from apricotseam.forwarding._head_control import HeadControl
+from apricotseam.forwarding._relay import RelayRunner
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._second_attempt import SecondAttempt
 from apricotseam.forwarding._target_ends import AttemptTimes
@@ -13,7 +15,6 @@
 from apricotseam.http1 import MalformedAnswerError
 from apricotseam.http1 import TransportError
 from apricotseam.http1 import TransportTimeoutError
-from apricotseam.platform import returned_headers
 
 # Silence after which a second attempt is started, if a chain has capacity,
 # although the targets respond to probes. It is below the two seconds after
@@ -43,6 +44,12 @@
     code = "replaced"
 
 
+class LinksLostError(TransportError):
+    """This host has lost its links to the targets; another one goes on."""
+
+    code = "links_lost"
+
+
 class StreamAttempt:
     """An attempt to run a call on a chain, including its reroutes.
 
@@ -71,6 +78,8 @@
         self._sender = sender
         self._replacements = ReplacementReserver(context)
         self._head_control = HeadControl(context, call)
+        self._writer = EventWriter(context, call)
+        self._relays = RelayRunner(context)
         self._record_result = record_result
         self._call = call
         self._choice = choice
@@ -270,8 +279,7 @@
                 "repeat the request if it can be resumed",
             )
         await self._check_end(answer)
-        if not exchange.is_started:
-            exchange.start(200, returned_headers(answer), answer.reason)
+        self._writer.start(answer)
         exchange.end()
         self._return_connection(answer)
 
@@ -355,23 +363,11 @@
             call.longest_gap = max(call.longest_gap, seconds)
 
     async def _forward_event(self, answer, event):
-        call = self._call
-        if event.number is not None:
-            last = call.last_event
-            if last is not None and event.number <= last:
-                return
-            call.last_event = event.number
+        if not self._writer.accept(event):
+            return
         self._has_events = True
         self._record_written()
-        exchange = call.exchange
-        if not exchange.is_started:
-            exchange.start(200, returned_headers(answer), answer.reason)
-            now = asyncio.get_running_loop().time()
-            call.first_event_at = now
-            kind = call.route.repeat.value
-            seconds = now - call.request.received_at
-            self._context.metrics.first_byte.labels(kind).observe(seconds)
-        await exchange.write(event.data, call.deadline)
+        await self._writer.write(answer, event)
 
     def _record_written(self):
         """Record an event, also as a sign that the request does no harm."""
@@ -403,8 +399,10 @@
         silent_seconds = now - self._progress_at
         targets = [target for target, _ in choice.stages]
         unresponsive = await self._context.prober.find_unresponsive(targets)
-        to_avoid = [t for t in targets[1:] if self._should_avoid(t)]
         is_long = silent_seconds >= REPEAT_CHECK_SECONDS
+        if is_long:
+            self._check_links()
+        to_avoid = [t for t in targets[1:] if self._should_avoid(t)]
         if is_long and choice.path and not unresponsive:
             unresponsive = await self._head_control.stalled_targets(
                 choice.head
@@ -418,6 +416,21 @@
         elif silent_seconds >= MAX_SILENCE_SECONDS:
             self._start_second([choice.head])
 
+    def _check_links(self):
+        """Give up a silent chain if another host can go on in its place.
+
+        Raises
+        ------
+        LinksLostError
+            If it can, since this host reaches no target.
+        """
+        is_lost = self._context.prober.reach.is_lost
+        if is_lost and self._relays.may_help(self._call):
+            raise LinksLostError(
+                f"{self._connection.address} is silent, as all targets are",
+                "continue through another host",
+            )
+
     def _start_second(self, targets):
         """Start a second attempt without some targets, if possible."""
         call = self._call
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -6,6 +6,7 @@
 from apricotseam.forwarding._answering import fail
 from apricotseam.forwarding._answering import FailedAnswer
 from apricotseam.forwarding._errors import OutdatedChoiceError
+from apricotseam.forwarding._relay import RelayRunner
 from apricotseam.forwarding._request_queue import WAIT_FRACTION
 from apricotseam.forwarding._sender import Sender
 from apricotseam.forwarding._stream_attempt import StreamAttempt
@@ -42,6 +43,7 @@
     def __init__(self, context):
         self._context = context
         self._sender = Sender(context)
+        self._relay = RelayRunner(context)
 
     async def run(self, call):
         """Answer a call; return the HTTP status, or ``cut`` if aborted."""
@@ -56,6 +58,11 @@
             if failure is None:
                 return 200
             status = failure
+        await self._context.prober.reach.check_before_refusal()
+        if self._relay.may_help(call):
+            relayed = await self._relay.run(call)
+            if relayed is not None:
+                return relayed
         if call.exchange.is_started:
             call.exchange.abort_response()
             return "cut"
@@ -94,6 +101,8 @@
             return "deadline"
         if call.runs and not call.may_run_again:
             return "attempts"
+        if self._context.prober.reach.is_lost:
+            return "links_lost"
         if self._context.quarantine_gate.stops(call):
             return "quarantined"
         return None
@@ -166,6 +175,8 @@
         target_selector = self._context.target_selector
         if not target_selector.has_layers(call.service, until):
             return False
+        if self._relay.may_help(call):
+            return False
         if call.exchange.is_started:
             return True
         request_queue = self._context.request_queue
@@ -196,7 +207,8 @@
         except ConnectError as error:
             head = attempt.choice.head
             self._exclude(call, head, "no_connection")
-            self._context.prober.record_no_connection(head, error)
+            if not await self._context.prober.reach.check_after_failure(head):
+                self._context.prober.record_no_connection(head, error)
             return 502
         except TransportError as error:
             return await self._handle_broken_answer(call, attempt, error)
@@ -230,6 +242,9 @@
             for target in targets:
                 self._context.prober.forget(target)
             await self._context.prober.find_unresponsive(targets)
+        if self._context.prober.reach.is_lost:
+            # The break shows nothing about the targets.
+            return 504 if is_timeout else 502
         self._context.target_ends.record_broken(
             call, [choice.head], attempt.times, broken_at
         )
--- a/apricotseam/forwarding/_unserved.py
+++ b/apricotseam/forwarding/_unserved.py
@@ -3,10 +3,13 @@
 import asyncio
 import logging
 
+from apricotseam.forwarding._answering import decline
 from apricotseam.forwarding._answering import refuse_call
 
 _LOG = logging.getLogger(__name__)
 
+# A host that has lost its links looks for them twice in this time.
+CUT_OFF_RETRY_SECONDS = 1.0
 # Callers that are refused because of the same rest or limit return at
 # different times: within this time, and a fraction of the wait, after its end.
 SPREAD_SECONDS = 0.2
@@ -38,6 +41,8 @@
     held = context.quarantine_gate.refusal(call)
     if held is not None:
         return refuse_call(context, call, held.cause, held.retry_after)
+    if context.prober.reach.is_lost:
+        return _refuse_cut_off(context, call)
     now = asyncio.get_running_loop().time()
     opens_at = context.target_selector.opens_at(call.service, now)
     if opens_at is None:
@@ -46,6 +51,14 @@
     return refuse_call(context, call, _closed_cause(context, call, now), delay)
 
 
+def _refuse_cut_off(context, call):
+    """Reject a call because this host, and any other asked, is cut off."""
+    if call.is_relayed:
+        return decline(call.exchange, "cut_off")
+    delay = spread_delay(CUT_OFF_RETRY_SECONDS, context.generator)
+    return refuse_call(context, call, "links lost", delay)
+
+
 def _log_unserved(context, call):
     """Log how many targets of the service this host may use, and why not."""
     now = asyncio.get_running_loop().time()
--- a/apricotseam/forwarding/tests/test_announcements.py
+++ b/apricotseam/forwarding/tests/test_announcements.py
@@ -16,9 +16,9 @@
 from apricotseam.fleet import LayerRange
 from apricotseam.fleet import TargetRecord
 from apricotseam.forwarding._announcements import AnnouncementRecorder
-from apricotseam.forwarding._contact import ConnectivityCheck
 from apricotseam.forwarding._errors import OutdatedChoiceError
 from apricotseam.forwarding._quarantine_gate import QuarantineGate
+from apricotseam.forwarding._reach import TargetReach
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._sender import Sender
 from apricotseam.forwarding._unserved import refuse_unserved
@@ -267,6 +267,9 @@
             quarantine_gate=make_gate(),
             target_selector=TargetSelector(fleet, Ledger(), "a"),
             generator=random.Random(1),
+            prober=types.SimpleNamespace(
+                reach=types.SimpleNamespace(is_lost=False)
+            ),
             metrics=RequestMetrics(prometheus_client.CollectorRegistry()),
         )
         delays = []
@@ -540,7 +543,7 @@
 def test_contact_is_checked_at_targets_that_do_not_rest():
     fleet = make_fleet()
     rest(fleet, 0.0, e0=9.0, e1=9.0, e2=9.0, e3=9.0)
-    check = ConnectivityCheck(fleet, None, lambda: 1.0, random.Random(1))
+    check = TargetReach(fleet, None, lambda: 1.0, random.Random(1))
     sample = check._choose_sample(())
     assert sorted(t.identity for t in sample) == ["p0", "p1"]
     rest(fleet, 0.0, p0=9.0, p1=9.0)
--- a/apricotseam/forwarding/tests/test_probes.py
+++ b/apricotseam/forwarding/tests/test_probes.py
@@ -25,7 +25,9 @@
         self.answering = answering
         self.probed = []
 
-    async def call(self, key, address, method, path, body, deadline):
+    async def call(
+        self, key, address, method, path, body, deadline, must_open=False
+    ):
         """Return an answer without a report, or fail to connect."""
         self.probed.append(address)
         await asyncio.sleep(0)
@@ -41,7 +43,9 @@
         super().__init__(answering)
         self.stalls = stalls
 
-    async def call(self, key, address, method, path, body, deadline):
+    async def call(
+        self, key, address, method, path, body, deadline, must_open=False
+    ):
         """Block the loop past the time-out, or answer if no stall is left."""
         if self.stalls:
             self.stalls -= 1
@@ -57,7 +61,9 @@
         super().__init__(answering)
         self.opens_at = opens_at
 
-    async def call(self, key, address, method, path, body, deadline):
+    async def call(
+        self, key, address, method, path, body, deadline, must_open=False
+    ):
         """Answer once the link is free, or fail at the deadline."""
         loop = asyncio.get_running_loop()
         if deadline < self.opens_at:
--- a/apricotseam/http1/_exchange.py
+++ b/apricotseam/http1/_exchange.py
@@ -50,6 +50,11 @@
         self.must_close = False
         self.request_id = ""
 
+    @property
+    def client_ip(self):
+        """IP address of the client, empty if the connection is closed."""
+        return self._connection.client_ip
+
     @property
     def end_cause(self):
         """`EndCause` of the connection, or None while it is open."""
--- a/apricotseam/http1/_pool.py
+++ b/apricotseam/http1/_pool.py
@@ -27,7 +27,7 @@
     Attributes
     ----------
     opened : int
-        Number of connections that `acquire` opened or tried to open.
+        Number of connections that were opened or tried to open.
     """
 
     def __init__(self, on_response=None):
@@ -72,6 +72,16 @@
                 if now < connection.expires_at:
                     return connection
             connection.close()
+        return await self.open(address, deadline)
+
+    async def open(self, address, deadline):
+        """Return a new connection to a server.
+
+        Raises
+        ------
+        ConnectError
+            If it was not open by a time on the event loop's clock.
+        """
         self.opened += 1
         return await connect(address, deadline)
 
@@ -97,7 +107,9 @@
         connection.expires_at = now + _keepalive_seconds(response)
         idle.append(connection)
 
-    async def call(self, key, address, method, path, body, deadline):
+    async def call(
+        self, key, address, method, path, body, deadline, must_open=False
+    ):
         """Send one short request and receive the complete response.
 
         Parameters
@@ -112,6 +124,9 @@
             JSON body, or empty.
         deadline : float
             Time on the event loop's clock.
+        must_open : bool
+            Whether to open a new connection, as kept ones may outlive the
+            ability to open others.
 
         Returns
         -------
@@ -129,9 +144,12 @@
         if body:
             headers.append((b"Content-Type", b"application/json"))
             headers.append((b"Content-Length", str(len(body)).encode()))
-        connection = await self.acquire(
-            key, address, deadline, MAX_CALL_IDLE_SECONDS
-        )
+        if must_open:
+            connection = await self.open(address, deadline)
+        else:
+            connection = await self.acquire(
+                key, address, deadline, MAX_CALL_IDLE_SECONDS
+            )
         try:
             connection.send(method, path, headers, body)
             response = await connection.head(deadline)
--- a/apricotseam/http1/_server_connection.py
+++ b/apricotseam/http1/_server_connection.py
@@ -74,6 +74,12 @@
         """The `asyncio.Transport` of the connection."""
         return self._transport
 
+    @property
+    def client_ip(self):
+        """IP address of the client, empty if the connection is closed."""
+        peer = self._transport.get_extra_info("peername")
+        return peer[0] if peer else ""
+
     @property
     def _unsent_bytes(self):
         return self._transport.get_write_buffer_size()
--- a/apricotseam/membership/_member.py
+++ b/apricotseam/membership/_member.py
@@ -57,6 +57,11 @@
         Revision of the host's configuration, or 0 if it has none.
     load : int
         Number of requests in progress.
+    relay_address : str
+        Address at which the host takes requests that others pass on, empty
+        if it takes none.
+    is_cut_off : bool
+        Whether the host itself finds that it reaches no target.
     """
 
     name: str
@@ -70,6 +75,8 @@
     is_leaving: bool = False
     revision: int = 0
     load: int = 0
+    relay_address: str = ""
+    is_cut_off: bool = False
 
     @property
     def state(self):
--- a/apricotseam/membership/_membership.py
+++ b/apricotseam/membership/_membership.py
@@ -165,6 +165,21 @@
             self._ping(address, self._last_tick) for address in self.partners
         ]
 
+    def announce_reach(self, is_cut_off):
+        """Publish whether this host finds that it reaches no target.
+
+        Returns
+        -------
+        list of tuple
+            ``(address, message)`` pairs to send.
+        """
+        if self.own.is_cut_off is is_cut_off:
+            return []
+        self._records.publish(is_cut_off=is_cut_off)
+        return [
+            self._ping(address, self._last_tick) for address in self.partners
+        ]
+
     def tick(self, now):
         """Run the periodic work that is due.
 
--- a/apricotseam/node/_leaving.py
+++ b/apricotseam/node/_leaving.py
@@ -44,14 +44,17 @@
         started_at = loop.time()
         deadline = started_at + self._grace_seconds - KILL_MARGIN_SECONDS
         server = self._node.caller_server
+        relays = self._node.relay_server
         _LOG.info("stop_requested", extra={"in_progress": server.in_progress})
         _run_step(self._node.withdraw)
         await self._serve_until_idle(started_at, deadline)
         # From here on no request is read that could not be answered.
         server.stop_listening()
-        while server.has_unfinished and loop.time() < deadline:
+        relays.stop_listening()
+        while self._has_unfinished() and loop.time() < deadline:
             await asyncio.sleep(CHECK_PERIOD_SECONDS)
             server.close_idle()
+            relays.close_idle()
         _LOG.info(
             "stopped",
             extra={
@@ -78,9 +81,17 @@
             if loop.time() >= full_service_until:
                 _run_step(self._node.refuse_unfinishable, closing_at)
             has_stayed = loop.time() >= started_at + MIN_SHUTDOWN_SECONDS
-            if has_stayed and not self._node.caller_server.has_unfinished:
+            if has_stayed and not self._has_unfinished():
                 return
 
+    def _has_unfinished(self):
+        """Return whether a request of a caller or a host is unanswered."""
+        node = self._node
+        return (
+            node.caller_server.has_unfinished
+            or node.relay_server.has_unfinished
+        )
+
 
 def _run_step(step, *arguments):
     """Run one step of the shutdown; the shutdown goes on if it fails."""
--- a/apricotseam/node/_listeners.py
+++ b/apricotseam/node/_listeners.py
@@ -50,9 +50,9 @@
     """Return the host addresses that a caller in a zone should use.
 
     Returns the hosts of the caller's availability zone if it has at least
-    ``MIN_ZONE_HOSTS`` usable ones, otherwise those of all zones. Suspect and
-    silent hosts are included only if there is no usable host; leaving hosts
-    never are.
+    ``MIN_ZONE_HOSTS`` usable ones, otherwise those of all zones. Hosts that
+    are cut off from the targets are included only if all are, suspect and
+    silent ones only if there is no other; leaving hosts never are.
 
     Parameters
     ----------
@@ -68,7 +68,8 @@
     list of str
         At most ``MAX_ADDRESSES`` callers' addresses, each ``ip:port``.
     """
-    live = [m for m in table.live() if m.peers_address not in silent_peers]
+    heard = [m for m in table.live() if m.peers_address not in silent_peers]
+    live = [m for m in heard if not m.is_cut_off] or heard
     if not live:
         live = [m for m in table.present() if not m.is_leaving]
     same_zone = [m for m in live if m.availability_zone == zone]
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -27,6 +27,7 @@
 from apricotseam.forwarding import ForwardingContext
 from apricotseam.forwarding import Gateway
 from apricotseam.forwarding import HostRetryBudget
+from apricotseam.forwarding import RelayReceiver
 from apricotseam.forwarding import RequestMetrics
 from apricotseam.forwarding import RequestQueue
 from apricotseam.forwarding import TargetSelector
@@ -52,10 +53,12 @@
 from apricotseam.node._traffic import log_traffic
 from apricotseam.node._traffic import TrafficCollector
 from apricotseam.node._usage import UsageExchange
+from apricotseam.node._zone_links import ZoneLinks
 from apricotseam.node._zones import ZoneUsageExchange
 from apricotseam.peers import PeerTransport
 from apricotseam.platform import ROUTER_PREFIX
 from apricotseam.platform import StoreClient
+from apricotseam.relay import RelayHosts
 from apricotseam.supervision import TaskSupervisor
 
 _LOG = logging.getLogger(__name__)
@@ -136,6 +139,8 @@
                     await start_server(address, endpoint.handle)
                 )
         await self.caller_server.start(settings.callers_address)
+        if settings.relay_address:
+            await self.relay_server.start(settings.relay_address)
         for name, run in self._children():
             self._supervisor.start(name, run)
         self._install_signal_handlers()
@@ -158,6 +163,7 @@
     async def abort(self):
         """Stop all components without waiting for requests."""
         self.caller_server.abort()
+        self.relay_server.abort()
         for server in self._servers:
             server.abort()
         with contextlib.suppress(TimeoutError):
@@ -182,6 +188,7 @@
         self._is_leaving = True
         self._hosts.announce_leaving()
         self.caller_server.announce_close()
+        self.relay_server.announce_close()
         loop = asyncio.get_running_loop()
         self._withdraw_task = loop.create_task(self._withdraw())
 
@@ -225,11 +232,15 @@
             request_queue,
         )
         gateway = Gateway(self._context)
+        self._context.host = settings.host
         self.caller_server = Server(
             gateway.handle,
             self._limits,
             self._context.metrics.count_incomplete,
         )
+        self.relay_server = Server(
+            RelayReceiver(self._context, gateway).handle, self._limits
+        )
 
     def _expected_peers(self):
         """Return how many peers should report their usage after a start.
@@ -266,6 +277,7 @@
             operators_address="",
             availability_zone=settings.zone,
             incarnation=self._started_ms,
+            relay_address=settings.relay_address,
         )
         transport = PeerTransport(
             None, settings.peers_address, self._started_ms
@@ -325,6 +337,7 @@
                 callers_address=settings.callers_address,
                 zone=settings.zone,
                 started_ms=self._started_ms,
+                relay_address=settings.relay_address,
             ),
             lambda: self._hosts.is_contact,
         )
@@ -334,6 +347,7 @@
             PLACER_KEY,
             settings.host,
             self._hosts.rank,
+            lambda: not self._context.prober.reach.is_lost,
         )
         self._placer = Placer(self._context, self._election, self._now)
         instance = f"{settings.host}/{self._started_ms}"
@@ -355,12 +369,29 @@
             self._now,
             self._usage_exchange,
         )
+        self._build_relays()
         self._address_directory = AddressDirectory(
             self._hosts,
             address_lifetime_seconds(settings.bounds),
             self._usage_exchange.silent_peers,
         )
 
+    def _build_relays(self):
+        """Let this host pass requests on while it is cut off."""
+        context = self._context
+        reach = context.prober.reach
+        reach.on_change = lambda: self._hosts.announce_reach(reach.is_lost)
+        context.is_silent_to_peers = self._usage_exchange.is_silent_to_peers
+        context.relay_hosts = RelayHosts(
+            self._hosts,
+            self._settings.zone,
+            self._usage_exchange.silent_peers,
+            self._now,
+        )
+        self._zone_links = ZoneLinks(self._hosts, self._settings.zone, reach)
+        if self._settings.relay_address:
+            context.relay_pool = ConnectionPool()
+
     def _children(self):
         return [
             ("store", self._synchronizer.run),
@@ -374,6 +405,8 @@
             ("reports", self._usage_exchange.run_reports),
             ("zones", self._zone_exchange.run),
             ("probes", self._run_probes),
+            ("reach", self._context.prober.reach.watch),
+            ("zone links", self._zone_links.run),
             ("care", self._run_maintenance),
             ("traffic", self._log_traffic),
         ]
@@ -400,6 +433,8 @@
             self._fleet.expire(self._now())
             self._context.quarantine.expire()
             self._pool.sweep()
+            if self._context.relay_pool is not None:
+                self._context.relay_pool.sweep()
 
     def _apply_item(self, item):
         """Apply a changed item of the store."""
--- a/apricotseam/node/_settings.py
+++ b/apricotseam/node/_settings.py
@@ -26,7 +26,11 @@
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Settings of one process; addresses are ``ip:port``."""
+    """Settings of one process; addresses are ``ip:port``.
+
+    At ``relay_address`` it takes requests of hosts that are cut off from the
+    targets. If it is empty, this host takes none and passes none on.
+    """
 
     host: str
     zone: str
@@ -35,6 +39,7 @@
     readiness_address: str
     directory_address: str
     peers_address: str
+    relay_address: str = ""
     metrics_address: str = ""
     store_address: str
     seeds: list[str] = []
--- a/apricotseam/node/_suspicions.py
+++ b/apricotseam/node/_suspicions.py
@@ -51,6 +51,23 @@
         # `_Claim` by reporter and identity of the target.
         self._claims = {}
         self._checks = set()
+        # Time at which each peer was heard last.
+        self._heard_at = {}
+
+    def is_shared(self, identity):
+        """Return whether at least half of the peers find a target silent."""
+        now = self._now()
+        heard = [
+            reporter
+            for reporter, heard_at in self._heard_at.items()
+            if now - heard_at < CLAIM_VALID_SECONDS
+        ]
+        agreeing = sum(
+            now - claim.repeated_at < CLAIM_VALID_SECONDS
+            for (_, claimed), claim in self._claims.items()
+            if claimed == identity
+        )
+        return agreeing > 0 and 2 * agreeing >= len(heard)
 
     def check(self, reporter, suspects):
         """Check targets that a peer newly reports as silent.
@@ -62,6 +79,7 @@
         suspects : list of str
             Identities of all targets that it finds silent.
         """
+        self._heard_at[reporter] = self._now()
         found = self._find_new(reporter, suspects)
         if not found:
             return
@@ -81,6 +99,7 @@
             Identities of the targets that all of them report.
         """
         now = self._now()
+        self._heard_at[OWN_DELEGATES] = now
         for identity in suspects:
             claim = self._repeat(OWN_DELEGATES, identity, now)
             target = self._context.fleet.get(identity)
@@ -101,6 +120,11 @@
             for key, claim in self._claims.items()
             if now - claim.repeated_at < CLAIM_VALID_SECONDS
         }
+        self._heard_at = {
+            reporter: heard_at
+            for reporter, heard_at in self._heard_at.items()
+            if now - heard_at < CLAIM_VALID_SECONDS
+        }
 
     def _find_new(self, reporter, suspects):
         """Return the targets that a reporter did not report before."""
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -174,6 +174,10 @@
         """Return the targets that this host itself finds silent."""
         return self._suspect_targets()
 
+    def is_silent_to_peers(self, identity):
+        """Return whether most peers that report find a target silent."""
+        return self._suspicions.is_shared(identity)
+
     def leaving_targets(self):
         """Return a `LeavingNotice` of each target that announced to leave.
 
--- a/apricotseam/node/tests/harness.py
+++ b/apricotseam/node/tests/harness.py
@@ -110,6 +110,7 @@
             readiness_address=free_address(),
             directory_address=free_address(),
             peers_address=free_address(),
+            relay_address=free_address(),
             store_address=self.store_addresses[host_index],
         )
 
--- a/apricotseam/node/tests/test_addresses.py
+++ b/apricotseam/node/tests/test_addresses.py
@@ -23,9 +23,10 @@
 ]
 
 
-def make_member(number, zone):
+def make_member(number, zone, is_cut_off=False):
     """Return a live member."""
     return Member(
+        is_cut_off=is_cut_off,
         name=f"h{number}",
         peers_address=f"h{number}:1",
         callers_address=f"h{number}:2",
@@ -46,6 +47,29 @@
     assert found == [f"h{n}:2" for n in expected]
 
 
+# Description, zones, numbers of the hosts that are cut off, and of those that
+# are returned.
+CUT_OFF = [
+    ("one of the zone", "aaab", [1], [0, 2]),
+    ("all of the zone", "aabb", [0, 1], [2, 3]),
+    ("all hosts", "aab", [0, 1, 2], [0, 1]),
+]
+
+
+# Guards against callers that are sent to hosts which reach no target.
+@pytest.mark.parametrize(
+    ("zones", "cut_off", "expected"),
+    [case[1:] for case in CUT_OFF],
+    ids=[case[0] for case in CUT_OFF],
+)
+def test_hosts_that_are_cut_off_are_left_out(zones, cut_off, expected):
+    table = MemberTable(
+        [make_member(n, z, n in cut_off) for n, z in enumerate(zones)]
+    )
+    found = choose_addresses(table, "a")
+    assert found == [f"h{n}:2" for n in expected]
+
+
 class AnyComponent:
     """Stub for any component that receives parts of a usage message."""
 
--- a/apricotseam/node/tests/test_joined_loss.py
+++ b/apricotseam/node/tests/test_joined_loss.py
@@ -60,7 +60,9 @@
     def __init__(self):
         self.failures = {}
 
-    async def call(self, key, address, method, path, body, deadline):
+    async def call(
+        self, key, address, method, path, body, deadline, must_open=False
+    ):
         """Return an answer without a report, or raise the target's error."""
         if address in self.failures:
             raise self.failures[address]("no answer", "ask again")
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -11,16 +11,20 @@
 from apricotseam.forwarding import ForwardingContext
 from apricotseam.forwarding import Gateway
 from apricotseam.forwarding import HostRetryBudget
+from apricotseam.forwarding import RelayReceiver
 from apricotseam.forwarding import RequestMetrics
 from apricotseam.forwarding import TargetProber
 from apricotseam.node._permits import PermitExchange
 from apricotseam.node._placer import Placer
 from apricotseam.node._quarantine_keeper import QuarantineKeeper
 from apricotseam.node._usage import UsageExchange
+from apricotseam.node._zone_links import ZoneLinks
 from apricotseam.node._zones import ZoneUsageExchange
+from apricotseam.relay import RelayHosts
 from measure.emulator._links import TargetLink
 from measure.emulator._network import SimulatedPool
 from measure.emulator._peers import PeerHosts
+from measure.emulator._relay import SimulatedRelayPool
 from measure.emulator._site import RecordWatcher
 
 _LOG = logging.getLogger(__name__)
@@ -36,18 +40,29 @@
 class FixedElection:
     """Tells whether this host is the one that places layers.
 
+    Parameters
+    ----------
+    may_hold : callable
+        Returns whether it is able to.
+
     Attributes
     ----------
-    is_holder : bool
-        Whether it is.
+    is_chosen : bool
+        Whether it is the one, as long as it is able to.
     fence : int
         Fencing token of its orders.
     """
 
-    def __init__(self):
-        self.is_holder = False
+    def __init__(self, may_hold):
+        self._may_hold = may_hold
+        self.is_chosen = False
         self.fence = 1
 
+    @property
+    def is_holder(self):
+        """Whether this host places layers at present."""
+        return self.is_chosen and self._may_hold()
+
 
 class EmulatedHost:
     """One host: gateway, queue, ledger, prober, placer and exchanges.
@@ -80,18 +95,40 @@
         # Link to the targets, which patterns cut.
         self.link = TargetLink()
         self.hosts = PeerHosts(peers, f"{name}:1", zone)
-        self.election = FixedElection()
         self.context = self._make_context(policy, seed)
+        reach = self.context.prober.reach
+        self.election = FixedElection(lambda: not reach.is_lost)
         self.context.table = table
         self.context.permits = PermitExchange(
             self.hosts, self.context.request_queue, self._now
         )
         self.context.quarantine_gate.trials = self.context.permits
         self._gateway = Gateway(self.context)
+        self._join_relays(reach, seed)
         self.watcher = RecordWatcher(self.context.fleet, self._now)
         self._tasks = []
         self._requests = set()
 
+    def _join_relays(self, reach, seed):
+        """Take requests of other hosts, and pass own ones on to them."""
+        context = self.context
+        context.host = self.name
+        context.relay_hosts = RelayHosts(
+            self.hosts, self.zone, set, self._now, random.Random(seed)
+        )
+        context.relay_pool = SimulatedRelayPool(
+            self._peers, self.hosts.own_address
+        )
+        receiver = RelayReceiver(context, self._gateway)
+        self.hosts.take_relayed = lambda request, exchange: self._run(
+            receiver.handle(request, exchange)
+        )
+
+        def announce():
+            self.hosts.is_cut_off = reach.is_lost
+
+        reach.on_change = announce
+
     def start(self, incarnation=1):
         """Join the other hosts and start the periodic work."""
         self._peers.join(self.hosts)
@@ -119,6 +156,7 @@
             self._now,
             usage,
         )
+        self.context.is_silent_to_peers = usage.is_silent_to_peers
         placer = Placer(self.context, self.election, self._now)
         for coroutine in (
             usage.run(),
@@ -129,6 +167,8 @@
             self.context.prober.watch(
                 lambda: 1 + len(self.hosts.load_recipients)
             ),
+            self.context.prober.reach.watch(),
+            ZoneLinks(self.hosts, self.zone, self.context.prober.reach).run(),
             self._maintain(),
         ):
             self._tasks.append(self._loop.create_task(coroutine))
@@ -143,7 +183,10 @@
 
     def handle(self, request, exchange):
         """Start to handle a request; return the task that does."""
-        task = self._loop.create_task(self._gateway.handle(request, exchange))
+        return self._run(self._gateway.handle(request, exchange))
+
+    def _run(self, coroutine):
+        task = self._loop.create_task(coroutine)
         self._requests.add(task)
         task.add_done_callback(self._requests.discard)
         return task
--- a/measure/emulator/_network.py
+++ b/measure/emulator/_network.py
@@ -4,11 +4,10 @@
 import collections
 
 from apricotseam.http1 import ConnectError
-from apricotseam.http1 import InterruptedReadError
 from apricotseam.http1 import LostConnectionError
 from apricotseam.http1 import RefusedConnectionError
 from apricotseam.http1 import ResponseHead
-from apricotseam.http1 import TransportTimeoutError
+from measure.emulator._inbox import Inbox
 
 IN_ZONE_SECONDS = 0.0001
 CROSS_ZONE_SECONDS = 0.00075
@@ -112,7 +111,9 @@
             target, delay_seconds, self._host, self._link
         )
 
-    async def call(self, key, address, method, path, body, deadline):
+    async def call(
+        self, key, address, method, path, body, deadline, must_open=False
+    ):
         """Send a control call; return the head and body of its answer."""
         connection = await self.acquire(key, address, deadline)
         connection.call(path, body)
@@ -148,10 +149,9 @@
         self._target = target
         self._delay_seconds = delay_seconds
         self._host = host
-        # What is under way to the host, and what has arrived there.
+        # What is under way to the host.
         self._sent_back = collections.deque()
-        self._received = collections.deque()
-        self._waiter = None
+        self._inbox = Inbox(target.address)
         self.is_closed = False
 
     @property
@@ -159,6 +159,11 @@
         """Address of the target."""
         return self._target.address
 
+    @property
+    def calls(self):
+        """Number of requests sent; no connection is used twice."""
+        return 1
+
     @property
     def host(self):
         """Name of the host."""
@@ -180,18 +185,15 @@
 
     def interrupt(self):
         """Make a pending read raise `InterruptedReadError`."""
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(
-                InterruptedReadError("the read was interrupted", "read again")
-            )
+        self._inbox.interrupt()
 
     async def head(self, deadline):
         """Return the `ResponseHead`."""
-        return await self._next(deadline)
+        return await self._inbox.next(deadline)
 
     async def read(self, deadline):
         """Return the next bytes of the body, empty at its end."""
-        return await self._next(deadline)
+        return await self._inbox.next(deadline)
 
     async def read_all(self, deadline, limit):
         """Return the complete body."""
@@ -256,29 +258,4 @@
             self._target, lambda: self._take(items)
         ):
             return
-        self._received.extend(items)
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-    async def _next(self, deadline):
-        while not self._received:
-            self._waiter = self._loop.create_future()
-            timer = self._loop.call_at(deadline, self._time_out, self._waiter)
-            try:
-                await self._waiter
-            finally:
-                timer.cancel()
-                self._waiter = None
-        item = self._received.popleft()
-        if isinstance(item, Exception):
-            raise item
-        return item
-
-    def _time_out(self, waiter):
-        if not waiter.done():
-            waiter.set_exception(
-                TransportTimeoutError(
-                    f"{self.address} sent nothing before the deadline",
-                    "retry the call if it is idempotent",
-                )
-            )
+        self._inbox.put(items)
--- a/measure/emulator/_peers.py
+++ b/measure/emulator/_peers.py
@@ -16,6 +16,10 @@
         """Return all hosts of the table, which is replaced at a change."""
         return self
 
+    def present(self):
+        """Return all hosts of the table."""
+        return self
+
 
 class PeerNetwork:
     """Delivers messages between the hosts of one simulation.
@@ -57,6 +61,11 @@
             DELIVERY_SECONDS, self._deliver, sender, address, message
         )
 
+    def find(self, sender, address):
+        """Return the `PeerHosts` at an address, None if out of reach."""
+        hosts = self._hosts.get(address)
+        return None if self._is_cut(sender, address) else hosts
+
     async def ask(self, sender, address, message):
         """Send a request to the host at an address; return its answer.
 
@@ -149,6 +158,25 @@
         self.transport = PeerTransport(network, address)
         # Addresses of delegates of the own zone whose reports are overdue.
         self.unheard_delegates = set()
+        # Whether this host tells the others that it reaches no target.
+        self.is_cut_off = False
+        # Handles requests of other hosts; set by `EmulatedHost`.
+        self.take_relayed = None
+
+    @property
+    def name(self):
+        """Name of this host, as a member of the table."""
+        return self.own_address.rpartition(":")[0]
+
+    @property
+    def availability_zone(self):
+        """Availability zone, as a member of the table."""
+        return self.zone
+
+    @property
+    def relay_address(self):
+        """Address for relayed requests, as a member of the table."""
+        return self.own_address
 
     @property
     def peers_address(self):
--- a/measure/emulator/_simulation.py
+++ b/measure/emulator/_simulation.py
@@ -209,7 +209,7 @@
         self._incarnation += 1
         for number in range(self._scenario.hosts):
             self.hosts.append(self._start_host(number))
-        self.hosts[0].election.is_holder = True
+        self.hosts[0].election.is_chosen = True
 
     def restart_host(self, number):
         """End the process of a host without warning, and start another."""
@@ -217,7 +217,7 @@
         ended = self.hosts[number]
         ended.stop()
         started = self._start_host(number)
-        started.election.is_holder = ended.election.is_holder
+        started.election.is_chosen = ended.election.is_chosen
         self.hosts[number] = started
 
     def cut_zone(self, zone):
--- a/soak/_hosts.py
+++ b/soak/_hosts.py
@@ -50,6 +50,7 @@
             readiness_address=allocator.allocate(),
             directory_address=allocator.allocate(),
             peers_address=allocator.allocate(),
+            relay_address=allocator.allocate(),
             store_address=store_address,
         )
 
