Show operators which hosts reach the targets, and bound relayed requests

apricotseam reach HOST... prints what hosts find of their own links, silent targets, and hosts that are cut off. A relayed request may have a head that is larger by what the other host adds. Tests: a stream outlives the host that it passes through, and a request that may have run is not sent again.

--- a/apricotseam/cli/_commands.py
+++ b/apricotseam/cli/_commands.py
@@ -288,6 +288,19 @@
         print(json.dumps(held))
 
 
+def reach(*hosts):
+    """Show which targets hosts reach, one line a host.
+
+    Parameters
+    ----------
+    hosts : str
+        Metrics addresses of hosts on the users' platform, ``ip:port``.
+    """
+    client = http_client()
+    for host in hosts:
+        print(json.dumps(client.call(host, "GET", "/reach").json(dict)))
+
+
 def standin(kind, *, address="127.0.0.1:0", options="{}"):
     """Run a stand-in for one service of the platform until interrupted.
 
--- a/apricotseam/cli/_main.py
+++ b/apricotseam/cli/_main.py
@@ -23,6 +23,7 @@
     _commands.ask,
     _commands.explain,
     _commands.quarantine,
+    _commands.reach,
     _commands.standin,
     _commands.demo,
 ]
--- a/apricotseam/node/_listeners.py
+++ b/apricotseam/node/_listeners.py
@@ -104,19 +104,20 @@
     ----------
     registry : prometheus_client.CollectorRegistry
         The metrics to serve.
-    quarantine_control : QuarantineControl
-        Answers operators' requests at the same address.
+    controls : list of QuarantineControl and ReachControl
+        Answer operators' requests at the same address.
     """
 
-    def __init__(self, registry, quarantine_control):
+    def __init__(self, registry, controls):
         self._registry = registry
-        self._quarantine_control = quarantine_control
+        self._controls = controls
 
     async def handle(self, request, exchange):
         """Answer one scrape, or a request of an operator."""
-        if self._quarantine_control.accepts(request):
-            self._quarantine_control.handle(request, exchange)
-            return
+        for control in self._controls:
+            if control.accepts(request):
+                control.handle(request, exchange)
+                return
         body = prometheus_client.generate_latest(self._registry)
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         exchange.answer(200, body, headers)
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -7,6 +7,7 @@
 import signal
 import time
 
+import msgspec
 import prometheus_client
 
 from apricotseam import _early_signals
@@ -47,6 +48,7 @@
 from apricotseam.node._quarantine_control import QuarantineControl
 from apricotseam.node._quarantine_keeper import QUARANTINE_PREFIX
 from apricotseam.node._quarantine_keeper import QuarantineKeeper
+from apricotseam.node._reach_control import ReachControl
 from apricotseam.node._settings import load_node_settings
 from apricotseam.node._store_items import HOSTS_PREFIX
 from apricotseam.node._store_items import StoreItemHandler
@@ -58,6 +60,7 @@
 from apricotseam.peers import PeerTransport
 from apricotseam.platform import ROUTER_PREFIX
 from apricotseam.platform import StoreClient
+from apricotseam.relay import MAX_HOP_BYTES
 from apricotseam.relay import RelayHosts
 from apricotseam.supervision import TaskSupervisor
 
@@ -128,10 +131,7 @@
             (settings.readiness_address, Readiness(lambda: self.is_ready)),
             (
                 settings.metrics_address,
-                Metrics(
-                    self._registry,
-                    QuarantineControl(self._context.quarantine, self._now),
-                ),
+                Metrics(self._registry, self._make_controls()),
             ),
         ):
             if address:
@@ -239,7 +239,7 @@
             self._context.metrics.count_incomplete,
         )
         self.relay_server = Server(
-            RelayReceiver(self._context, gateway).handle, self._limits
+            RelayReceiver(self._context, gateway).handle, self._relay_limits
         )
 
     def _expected_peers(self):
@@ -457,6 +457,19 @@
     def _answer_changes(self, sender, request):
         return self._mirror.changes_since(request.after)
 
+    def _make_controls(self):
+        """Return the endpoints for operators."""
+        return [
+            QuarantineControl(self._context.quarantine, self._now),
+            ReachControl(self._context, self._hosts),
+        ]
+
+    def _relay_limits(self):
+        """Return the limits on requests to which a host has added its part."""
+        limits = self._limits()
+        head_bytes = limits.head_bytes + MAX_HOP_BYTES
+        return msgspec.structs.replace(limits, head_bytes=head_bytes)
+
     def _limits(self):
         table = self._context.table
         return table.limits if table is not None else Limits()
--- a/apricotseam/node/tests/test_relay.py
+++ b/apricotseam/node/tests/test_relay.py
@@ -3,12 +3,15 @@
 import asyncio
 import dataclasses
 
+import msgspec
 import pytest
 
 from apricotseam.http1 import connect
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import RefusedConnectionError
 from apricotseam.http1 import Request
+from apricotseam.node._reach_control import ReachControl
+from apricotseam.node._reach_control import ReachStatus
 from apricotseam.node.tests.harness import run
 from apricotseam.platform.standins import caller_headers
 from apricotseam.relay import relayed_headers
@@ -328,3 +331,81 @@
     status, relayed = run(scenario, hosts=2)
     assert status == 200
     assert not relayed[0].samples
+
+
+def test_operators_see_which_hosts_are_cut_off():
+    async def scenario(platform):
+        await cut_and_notice(platform, 0)
+        found = []
+        for node in platform.nodes:
+            control = ReachControl(node.forwarding, node._hosts)
+            exchange = AnsweredExchange()
+            request = Request(b"GET", b"/reach", [])
+            assert control.accepts(request)
+            control.handle(request, exchange)
+            found.append(msgspec.json.decode(exchange.body, type=ReachStatus))
+        return found
+
+    own, other = run(scenario, hosts=2)
+    assert (own.host, own.links_lost, own.targets) == ("host-0", True, 4)
+    assert not other.links_lost
+    assert own.cut_off_hosts == other.cut_off_hosts == ["host-0"]
+
+
+class AnsweredExchange:
+    """Keeps the body of an answer."""
+
+    def __init__(self):
+        self.body = b""
+
+    def answer(self, status, body=b"", headers=()):
+        """Record a successful answer."""
+        assert status == 200
+        self.body = body
+
+
+# Guards against requests that only fit without the header of the other host.
+def test_largest_request_of_a_caller_passes_through():
+    async def scenario(platform):
+        await cut_and_notice(platform, 0)
+        limit = platform.nodes[0]._limits().head_bytes
+        filler = "x" * (limit - 900)
+        status, _, _ = await platform.send_request("/once/x", Filler=filler)
+        return status
+
+    assert run(scenario, hosts=2) == 200
+
+
+# Guards against a host that ends while a request passes through it.
+def test_stream_outlives_the_host_that_it_passes_through():
+    async def scenario(platform):
+        for target in platform.engine_targets:
+            target.event_seconds = 0.2
+        await cut_and_notice(platform, 0)
+        sent = asyncio.create_task(platform.send_request("/chat/x"))
+        await platform.wait_until(lambda: received(platform))
+        await asyncio.sleep(0.3)
+        (through,) = [
+            node for node in platform.nodes if node.relay_server.in_progress
+        ]
+        through.relay_server.abort()
+        return await sent
+
+    status, _, body = run(scenario, hosts=3)
+    assert (status, body) == (200, COMPLETE_BODY)
+
+
+# Guards against a request that runs twice because a host ended.
+def test_request_that_may_have_run_is_not_sent_through_another_host():
+    async def scenario(platform):
+        for target in platform.plain_targets:
+            target.answer_seconds = 0.5
+        await cut_and_notice(platform, 0)
+        sent = asyncio.create_task(platform.send_request("/once/x"))
+        await platform.wait_until(lambda: received(platform))
+        for node in platform.nodes[1:]:
+            node.relay_server.abort()
+        status, _, _ = await sent
+        return status, sum(len(t.runs) for t in platform.plain_targets)
+
+    assert run(scenario, hosts=3) == (502, 1)
--- a/apricotseam/relay/__init__.py
+++ b/apricotseam/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from apricotseam.relay._hop import declined_cause
 from apricotseam.relay._hop import DECLINED_HEADER
+from apricotseam.relay._hop import MAX_HOP_BYTES
 from apricotseam.relay._hop import relayed_headers
 from apricotseam.relay._hop import RelayHop
 from apricotseam.relay._hop import take_hop
@@ -10,6 +11,7 @@
 
 __all__ = [
     "DECLINED_HEADER",
+    "MAX_HOP_BYTES",
     "RelayHop",
     "RelayHost",
     "RelayHosts",
--- a/apricotseam/relay/_hop.py
+++ b/apricotseam/relay/_hop.py
@@ -8,6 +8,8 @@
 
 HOP_HEADER = b"Relay-Hop"
 DECLINED_HEADER = b"Relay-Declined"
+# Room for the header that a host adds.
+MAX_HOP_BYTES = 1024
 _HOP_LOWER = HOP_HEADER.lower()
 _CONTENT_LENGTH = b"content-length"
 
