Tell for each service whether this host reaches its targets

A sample of three targets hit the other service's now and then, so that the links counted as regained, each request tried targets in vain first, and what seven hosts reported as silent counted as silent for all. Links are now lost and regained by service; only if no other target of it is left to ask are those of other services asked. Hosts publish the services, and the directory, the choice of the other host, the duty of the placer and apricotseam reach go by them.

--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -235,9 +235,9 @@
         self._send(self._membership.announce_leaving())
         self._publish()
 
-    def announce_reach(self, is_cut_off):
-        """Tell the others whether this host reaches no target."""
-        self._send(self._membership.announce_reach(is_cut_off))
+    def announce_reach(self, lost_services):
+        """Tell the others of which services this host reaches no target."""
+        self._send(self._membership.announce_reach(lost_services))
         self._publish()
 
     def rank(self):
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -86,7 +86,7 @@
         )
         self._links_lost = prometheus_client.Gauge(
             "apricotseam_links_lost",
-            "Whether this host reaches no target, 0 or 1.",
+            "Services of which this host reaches no target.",
             registry=registry,
         )
         self._targets = prometheus_client.Gauge(
@@ -141,7 +141,7 @@
 
     def watch_reach(self, reach):
         """Show whether a `TargetReach` has lost the links to targets."""
-        self._links_lost.set_function(lambda: float(reach.is_lost))
+        self._links_lost.set_function(lambda: len(reach.lost_services))
 
     def count_leaving(self, target):
         """Count a `Target` that started to leave."""
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -77,7 +77,9 @@
         call = self._call
         if answered is not None:
             return deliver(call, answered.answer, answered.body)
-        await self._context.prober.reach.check_before_refusal()
+        await self._context.prober.reach.check_before_refusal(
+            call.service.name
+        )
         if self._relay.may_help(call):
             relayed = await self._relay.run(call)
             if relayed is not None:
@@ -134,10 +136,12 @@
 
     def _should_move(self):
         """Return whether to leave a late attempt for one of another host."""
+        call = self._call
         now = asyncio.get_running_loop().time()
-        if now < self._second_at or not self._context.prober.reach.is_lost:
+        reach = self._context.prober.reach
+        if now < self._second_at or not reach.is_lost(call.service.name):
             return False
-        return self._relay.may_help(self._call)
+        return self._relay.may_help(call)
 
     async def _start_second(self):
         """Start a second attempt if the target is silent or slow."""
@@ -163,7 +167,7 @@
             return None
         if self._unrun_attempts > MAX_UNRUN_ATTEMPTS:
             return None
-        if self._context.prober.reach.is_lost:
+        if self._context.prober.reach.is_lost(call.service.name):
             return None
         if call.runs and not call.may_run_again:
             return None
@@ -206,7 +210,7 @@
         except TransportError as error:
             broken_at = loop.time()
             await self._context.prober.find_unresponsive([target])
-            if not self._context.prober.reach.is_lost:
+            if not self._context.prober.reach.is_lost(call.service.name):
                 self._context.target_ends.record_broken(
                     call, [target], AttemptTimes(started_at), broken_at
                 )
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -170,7 +170,7 @@
         A target counts as responsive while the rate limit permits no probe.
         """
         now = self._now()
-        if self._reach.is_lost:
+        if self._reach.is_lost(target.record.service):
             return True
         if target.health.is_silent:
             return False
@@ -222,7 +222,9 @@
             return False
         is_responsive, is_connected = await asyncio.gather(
             self._probe_once(target),
-            self._reach.is_connected(self._pending_probes),
+            self._reach.is_connected(
+                target.record.service, self._pending_probes
+            ),
         )
         return is_responsive or not is_connected
 
--- a/apricotseam/forwarding/_reach.py
+++ b/apricotseam/forwarding/_reach.py
@@ -1,6 +1,7 @@
-"""Tells unresponsive targets from a host that is cut off from them all."""
+"""Tells unresponsive targets from a host that is cut off from a service."""
 
 import asyncio
+import collections
 import logging
 
 _LOG = logging.getLogger(__name__)
@@ -19,7 +20,7 @@
 
 
 class TargetReach:
-    """Whether this host reaches any targets at all.
+    """Whether this host reaches any targets of each service.
 
     A congested or severed link makes all targets look silent at once. In
     that case the targets are not to blame: streams that still flow are left
@@ -41,7 +42,7 @@
     Attributes
     ----------
     on_change : callable
-        Called when this host has lost its links to the targets, and when it
+        Called when this host has lost its links to a service, and when it
         has them again.
     """
 
@@ -51,16 +52,29 @@
         self._probe = probe
         self._now = now
         self._last_answer_at = float("-inf")
-        self._check = None
-        # Targets to which no connection could be opened since one could.
-        self._failed = set()
-        self._lost_since = None
+        # Checks that are running, by service.
+        self._checks = {}
+        # Targets to which no connection could be opened since one could, by
+        # service.
+        self._failed = collections.defaultdict(set)
+        # Times at which the links were lost, by service.
+        self._lost_since = {}
         self.on_change = lambda: None
 
     @property
-    def is_lost(self):
-        """Whether this host found that it reaches no target."""
-        return self._lost_since is not None
+    def lost_services(self):
+        """Names of the services of which this host reaches no target."""
+        return tuple(sorted(self._lost_since))
+
+    def is_lost(self, service):
+        """Return whether this host reaches no target of a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        """
+        return service in self._lost_since
 
     def record_answer(self):
         """Record that a target has answered a probe just now."""
@@ -70,9 +84,9 @@
         """Return whether any target has answered since a monotonic time."""
         return self._last_answer_at >= since
 
-    def record_connection(self):
+    def record_connection(self, service):
         """Record that a target has answered over a new connection."""
-        self._failed.clear()
+        self._failed.pop(service, None)
 
     async def check_after_failure(self, target):
         """Check the own links if several connections failed in turn.
@@ -87,23 +101,28 @@
         bool
             Whether this host, and not the target, is at fault.
         """
-        if self.is_lost:
+        service = target.record.service
+        if self.is_lost(service):
             return True
-        self._failed.add(target.identity)
-        if len(self._failed) < FAILURES_BEFORE_CHECK:
+        failed = self._failed[service]
+        failed.add(target.identity)
+        if len(failed) < FAILURES_BEFORE_CHECK:
             return False
-        return not await self.is_connected(self._failed)
+        return not await self.is_connected(service, failed)
 
-    async def check_before_refusal(self):
+    async def check_before_refusal(self, service):
         """Check the own links if the last connection could not be opened."""
-        if self._failed and not self.is_lost:
-            await self.is_connected(self._failed)
+        failed = self._failed.get(service)
+        if failed and not self.is_lost(service):
+            await self.is_connected(service, failed)
 
-    async def is_connected(self, probed):
+    async def is_connected(self, service, probed=()):
         """Probe a sample of targets; return whether any of them responds.
 
         Parameters
         ----------
+        service : str
+            Name of the service that the targets belong to.
         probed : container of str
             Identities of targets to leave out, if there are others.
 
@@ -112,24 +131,34 @@
         bool
             Also true if that could not be found out.
         """
-        if self._check is None:
+        check = self._checks.get(service)
+        if check is None:
             loop = asyncio.get_running_loop()
-            self._check = loop.create_task(self._probe_sample(set(probed)))
-            self._check.add_done_callback(self._clear)
-        return await asyncio.shield(self._check)
+            check = loop.create_task(
+                self._probe_sample(service, frozenset(probed))
+            )
+            self._checks[service] = check
+            check.add_done_callback(lambda _: self._checks.pop(service))
+        return await asyncio.shield(check)
 
     async def watch(self):
         """Find out when targets are reached again; never return."""
         while True:
             await asyncio.sleep(RECHECK_PERIOD_SECONDS)
-            if self.is_lost:
-                await self.is_connected(())
+            for service in self.lost_services:
+                await self.is_connected(service)
+
+    def _choose_sample(self, probed, service=None):
+        """Return targets to probe, if possible ones that should respond.
 
-    def _choose_sample(self, probed):
-        """Return targets to probe, if possible ones that should respond."""
+        They are those of one service, if there are others than the probed
+        ones.
+        """
         now = self._now()
         known = list(self._targets)
         others = [t for t in known if t.identity not in probed]
+        of_service = [t for t in others if service in (None, t.record.service)]
+        others = of_service or others
         if not others and len(known) > SAMPLE_SIZE:
             others = known
         sound = [t for t in others if not t.health.is_silent]
@@ -138,8 +167,8 @@
         size = min(SAMPLE_SIZE, len(candidates))
         return self._random.sample(candidates, size)
 
-    async def _probe_sample(self, probed):
-        sampled = self._choose_sample(probed)
+    async def _probe_sample(self, service, probed):
+        sampled = self._choose_sample(probed, service)
         timeouts = list(SAMPLE_TIMEOUTS_SECONDS)
         for _ in range(MAX_SAMPLE_ROUNDS):
             answers = await asyncio.gather(
@@ -147,31 +176,31 @@
             )
             if True in answers:
                 self.record_answer()
-                self._record_reached()
+                self._record_reached(service)
                 return True
             if answers and None not in answers:
                 del timeouts[0]
             if not timeouts:
-                self._record_lost(sampled)
+                self._record_lost(service, sampled)
                 return False
-        return not self.is_lost
+        return not self.is_lost(service)
 
-    def _record_lost(self, sampled):
-        if self.is_lost:
+    def _record_lost(self, service, sampled):
+        if self.is_lost(service):
             return
-        self._lost_since = self._now()
+        self._lost_since[service] = self._now()
         asked = [target.identity for target in sampled]
-        _LOG.warning("links_lost", extra={"asked": asked})
+        _LOG.warning("links_lost", extra={"service": service, "asked": asked})
         self.on_change()
 
-    def _record_reached(self):
-        self._failed.clear()
-        if not self.is_lost:
+    def _record_reached(self, service):
+        self._failed.pop(service, None)
+        lost_since = self._lost_since.pop(service, None)
+        if lost_since is None:
             return
-        seconds = self._now() - self._lost_since
-        self._lost_since = None
-        _LOG.info("links_regained", extra={"seconds": round(seconds, 3)})
+        seconds = self._now() - lost_since
+        _LOG.info(
+            "links_regained",
+            extra={"service": service, "seconds": round(seconds, 3)},
+        )
         self.on_change()
-
-    def _clear(self, _):
-        self._check = None
--- a/apricotseam/forwarding/_relay.py
+++ b/apricotseam/forwarding/_relay.py
@@ -57,7 +57,8 @@
             return False
         if call.runs and not call.may_run_again:
             return False
-        return context.prober.reach.is_lost or self._lacks_targets(call)
+        reach = context.prober.reach
+        return reach.is_lost(call.service.name) or self._lacks_targets(call)
 
     def _lacks_targets(self, call):
         """Return whether targets of a call are silent to this host alone."""
@@ -86,7 +87,7 @@
         while len(tried) < MAX_HOSTS:
             if not self._may_send(call, bool(tried)):
                 break
-            host = self._context.relay_hosts.choose(tried)
+            host = self._context.relay_hosts.choose(call.service.name, tried)
             if host is None:
                 break
             tried.append(host)
@@ -224,6 +225,7 @@
         hop = RelayHop(
             host=self._context.host,
             seconds_left=call.seconds_left(),
+            service=call.service.name,
             position=int(call.table.position),
             runs=call.runs,
             last_event=call.last_event,
--- a/apricotseam/forwarding/_relay_receiver.py
+++ b/apricotseam/forwarding/_relay_receiver.py
@@ -54,7 +54,7 @@
         context = self._context
         if context.shutdown_at is not None:
             return "leaving"
-        if context.prober.reach.is_lost:
+        if context.prober.reach.is_lost(hop.service):
             return "cut_off"
         if context.table is None or context.table.position < hop.position:
             return "outdated"
--- a/apricotseam/forwarding/_sender.py
+++ b/apricotseam/forwarding/_sender.py
@@ -114,7 +114,7 @@
         now = asyncio.get_running_loop().time()
         target.health.record_contact(now)
         if connection.calls == 1:
-            self._context.prober.reach.record_connection()
+            self._context.prober.reach.record_connection(call.service.name)
         self._context.announcements.record(target.incarnation, answer)
         metadata = decode_response_metadata(answer)
         if metadata.request_id != call.request_id:
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -424,7 +424,8 @@
         LinksLostError
             If it can, since this host reaches no target.
         """
-        is_lost = self._context.prober.reach.is_lost
+        service = self._call.service.name
+        is_lost = self._context.prober.reach.is_lost(service)
         if is_lost and self._relays.may_help(self._call):
             raise LinksLostError(
                 f"{self._connection.address} is silent, as all targets are",
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -58,7 +58,9 @@
             if failure is None:
                 return 200
             status = failure
-        await self._context.prober.reach.check_before_refusal()
+        await self._context.prober.reach.check_before_refusal(
+            call.service.name
+        )
         if self._relay.may_help(call):
             relayed = await self._relay.run(call)
             if relayed is not None:
@@ -101,7 +103,7 @@
             return "deadline"
         if call.runs and not call.may_run_again:
             return "attempts"
-        if self._context.prober.reach.is_lost:
+        if self._context.prober.reach.is_lost(call.service.name):
             return "links_lost"
         if self._context.quarantine_gate.stops(call):
             return "quarantined"
@@ -242,7 +244,7 @@
             for target in targets:
                 self._context.prober.forget(target)
             await self._context.prober.find_unresponsive(targets)
-        if self._context.prober.reach.is_lost:
+        if self._context.prober.reach.is_lost(call.service.name):
             # The break shows nothing about the targets.
             return 504 if is_timeout else 502
         self._context.target_ends.record_broken(
--- a/apricotseam/forwarding/_unserved.py
+++ b/apricotseam/forwarding/_unserved.py
@@ -41,7 +41,7 @@
     held = context.quarantine_gate.refusal(call)
     if held is not None:
         return refuse_call(context, call, held.cause, held.retry_after)
-    if context.prober.reach.is_lost:
+    if context.prober.reach.is_lost(call.service.name):
         return _refuse_cut_off(context, call)
     now = asyncio.get_running_loop().time()
     opens_at = context.target_selector.opens_at(call.service, now)
--- a/apricotseam/forwarding/tests/test_announcements.py
+++ b/apricotseam/forwarding/tests/test_announcements.py
@@ -268,7 +268,7 @@
             target_selector=TargetSelector(fleet, Ledger(), "a"),
             generator=random.Random(1),
             prober=types.SimpleNamespace(
-                reach=types.SimpleNamespace(is_lost=False)
+                reach=types.SimpleNamespace(is_lost=lambda service: False)
             ),
             metrics=RequestMetrics(prometheus_client.CollectorRegistry()),
         )
--- a/apricotseam/membership/_member.py
+++ b/apricotseam/membership/_member.py
@@ -60,8 +60,8 @@
     relay_address : str
         Address at which the host takes requests that others pass on, empty
         if it takes none.
-    is_cut_off : bool
-        Whether the host itself finds that it reaches no target.
+    lost_services : tuple of str
+        Services of which the host itself finds that it reaches no target.
     """
 
     name: str
@@ -76,7 +76,7 @@
     revision: int = 0
     load: int = 0
     relay_address: str = ""
-    is_cut_off: bool = False
+    lost_services: tuple[str, ...] = ()
 
     @property
     def state(self):
--- a/apricotseam/membership/_membership.py
+++ b/apricotseam/membership/_membership.py
@@ -165,17 +165,22 @@
             self._ping(address, self._last_tick) for address in self.partners
         ]
 
-    def announce_reach(self, is_cut_off):
-        """Publish whether this host finds that it reaches no target.
+    def announce_reach(self, lost_services):
+        """Publish of which services this host reaches no target.
+
+        Parameters
+        ----------
+        lost_services : tuple of str
+            Names of the services.
 
         Returns
         -------
         list of tuple
             ``(address, message)`` pairs to send.
         """
-        if self.own.is_cut_off is is_cut_off:
+        if self.own.lost_services == lost_services:
             return []
-        self._records.publish(is_cut_off=is_cut_off)
+        self._records.publish(lost_services=lost_services)
         return [
             self._ping(address, self._last_tick) for address in self.partners
         ]
--- a/apricotseam/membership/_table.py
+++ b/apricotseam/membership/_table.py
@@ -274,7 +274,7 @@
         # Comparisons of tables recover lost records of new members.
         is_state_change = known is not None and (
             known.state is not record.state
-            or known.is_cut_off != record.is_cut_off
+            or known.lost_services != record.lost_services
             or known.incarnation != record.incarnation
         )
         self._updates.add(address, len(self._by_address), is_state_change)
--- a/apricotseam/node/_listeners.py
+++ b/apricotseam/node/_listeners.py
@@ -51,7 +51,7 @@
 
     Returns the hosts of the caller's availability zone if it has at least
     ``MIN_ZONE_HOSTS`` usable ones, otherwise those of all zones. Hosts that
-    are cut off from the targets are included only if all are, suspect and
+    are cut off from a service are included only if all are, suspect and
     silent ones only if there is no other; leaving hosts never are.
 
     Parameters
@@ -69,7 +69,7 @@
         At most ``MAX_ADDRESSES`` callers' addresses, each ``ip:port``.
     """
     heard = [m for m in table.live() if m.peers_address not in silent_peers]
-    live = [m for m in heard if not m.is_cut_off] or heard
+    live = [m for m in heard if not m.lost_services] or heard
     if not live:
         live = [m for m in table.present() if not m.is_leaving]
     same_zone = [m for m in live if m.availability_zone == zone]
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -347,7 +347,7 @@
             PLACER_KEY,
             settings.host,
             self._hosts.rank,
-            lambda: not self._context.prober.reach.is_lost,
+            self._reaches_engines,
         )
         self._placer = Placer(self._context, self._election, self._now)
         instance = f"{settings.host}/{self._started_ms}"
@@ -380,7 +380,9 @@
         """Let this host pass requests on while it is cut off."""
         context = self._context
         reach = context.prober.reach
-        reach.on_change = lambda: self._hosts.announce_reach(reach.is_lost)
+        reach.on_change = lambda: self._hosts.announce_reach(
+            reach.lost_services
+        )
         context.is_silent_to_peers = self._usage_exchange.is_silent_to_peers
         context.relay_hosts = RelayHosts(
             self._hosts,
@@ -392,6 +394,16 @@
         if self._settings.relay_address:
             context.relay_pool = ConnectionPool()
 
+    def _reaches_engines(self):
+        """Return whether this host can order layers to engines."""
+        table = self._context.table
+        if table is None:
+            return True
+        found = map(
+            table.services.get, self._context.prober.reach.lost_services
+        )
+        return not any(service and service.engine for service in found)
+
     def _children(self):
         return [
             ("store", self._synchronizer.run),
--- a/apricotseam/node/_reach_control.py
+++ b/apricotseam/node/_reach_control.py
@@ -9,18 +9,18 @@
 class ReachStatus(msgspec.Struct, frozen=True):
     """What a host knows of its own and of the others' links.
 
-    ``links_lost`` is whether it reaches no target. ``silent`` are targets
-    that it finds silent, ``silent_to_peers`` those of them that most other
-    hosts find silent, too. ``cut_off_hosts`` are the hosts that say of
-    themselves that they reach no target.
+    ``lost_services`` are those of which it reaches no target. ``silent`` are
+    targets that it finds silent, ``silent_to_peers`` those of them that most
+    other hosts find silent, too. ``cut_off_hosts`` has the lost services of
+    each host that has any.
     """
 
     host: str
-    links_lost: bool
+    lost_services: list[str]
     targets: int
     silent: list[str]
     silent_to_peers: list[str]
-    cut_off_hosts: list[str]
+    cut_off_hosts: dict[str, list[str]]
 
 
 class ReachControl:
@@ -52,7 +52,7 @@
         silent = [t.identity for t in context.fleet if t.health.is_silent]
         return ReachStatus(
             host=context.host,
-            links_lost=context.prober.reach.is_lost,
+            lost_services=list(context.prober.reach.lost_services),
             targets=len(context.fleet),
             silent=silent,
             silent_to_peers=[
@@ -60,9 +60,9 @@
                 for identity in silent
                 if context.is_silent_to_peers(identity)
             ],
-            cut_off_hosts=sorted(
-                member.name
+            cut_off_hosts={
+                member.name: list(member.lost_services)
                 for member in self._hosts.table.present()
-                if member.is_cut_off
-            ),
+                if member.lost_services
+            },
         )
--- a/apricotseam/node/_zone_links.py
+++ b/apricotseam/node/_zone_links.py
@@ -34,12 +34,14 @@
             await self._look()
 
     async def _look(self):
-        cut_off = {
-            member.peers_address
+        lost = {
+            (member.peers_address, service)
             for member in self._hosts.table.live()
-            if member.is_cut_off and member.availability_zone == self._zone
+            if member.availability_zone == self._zone
+            for service in member.lost_services
         }
-        has_news = bool(cut_off - self._known)
-        self._known = cut_off
-        if has_news and not self._reach.is_lost:
-            await self._reach.is_connected(())
+        news = {service for _, service in lost - self._known}
+        self._known = lost
+        for service in news:
+            if not self._reach.is_lost(service):
+                await self._reach.is_connected(service)
--- a/apricotseam/node/tests/test_addresses.py
+++ b/apricotseam/node/tests/test_addresses.py
@@ -26,7 +26,7 @@
 def make_member(number, zone, is_cut_off=False):
     """Return a live member."""
     return Member(
-        is_cut_off=is_cut_off,
+        lost_services=("s",) if is_cut_off else (),
         name=f"h{number}",
         peers_address=f"h{number}:1",
         callers_address=f"h{number}:2",
--- a/apricotseam/node/tests/test_relay.py
+++ b/apricotseam/node/tests/test_relay.py
@@ -14,9 +14,12 @@
 from apricotseam.node._reach_control import ReachStatus
 from apricotseam.node.tests.harness import run
 from apricotseam.platform.standins import caller_headers
+from apricotseam.platform.standins import ENGINE_SERVICE
+from apricotseam.platform.standins import PLAIN_SERVICE
 from apricotseam.relay import relayed_headers
 from apricotseam.relay import RelayHop
 
+SERVICES = tuple(sorted([ENGINE_SERVICE, PLAIN_SERVICE]))
 EVENTS = [f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, 5)]
 COMPLETE_BODY = b"".join(EVENTS)
 # Longest time after which a caller's close must have reached a target.
@@ -51,8 +54,10 @@
     """Cut a node off and wait until it and the others know."""
     node = platform.nodes[index]
     cut_off(node, way)
-    await node.forwarding.prober.reach.is_connected(())
-    assert node.forwarding.prober.reach.is_lost
+    reach = node.forwarding.prober.reach
+    for service in SERVICES:
+        await reach.is_connected(service)
+    assert reach.lost_services == SERVICES
     others = [n for n in platform.nodes if n is not node]
     await platform.wait_until(
         lambda: all(knows_cut_off(other, node) for other in others)
@@ -70,7 +75,7 @@
 def knows_cut_off(node, other):
     """Return whether a node knows that another one is cut off."""
     member = node._hosts.table.find(other._settings.peers_address)
-    return member is not None and member.is_cut_off
+    return member is not None and member.lost_services == SERVICES
 
 
 def received(platform):
@@ -225,7 +230,7 @@
             getattr(platform.settings[0], address), loop.time() + 1.0
         )
         headers = caller_headers({"Apricotseam_Key": "other"})
-        hop = RelayHop(host="h", seconds_left=1.0, position=0)
+        hop = RelayHop(host="h", service="s", seconds_left=1.0, position=0)
         headers = relayed_headers(Request(b"POST", b"/", headers), hop)
         if changes:
             headers = caller_headers({"Apricotseam_Key": "other", **changes})
@@ -245,7 +250,7 @@
         connection = await connect(
             platform.settings[0].relay_address, loop.time() + 1.0
         )
-        hop = RelayHop(host="h", seconds_left=1.0, position=0)
+        hop = RelayHop(host="h", service="s", seconds_left=1.0, position=0)
         request = Request(b"POST", b"/once/x", caller_headers())
         connection.send(b"POST", b"/once/x", relayed_headers(request, hop))
         answer = await connection.head(loop.time() + 1.0)
@@ -299,7 +304,7 @@
     async def scenario(platform):
         await cut_and_notice(platform, 0)
         node = platform.nodes[0]
-        assert node.forwarding.relay_hosts.choose() is not None
+        assert node.forwarding.relay_hosts.choose(ENGINE_SERVICE) is not None
         table = node._hosts.table
         for address, member in list(table._by_address.items()):
             changed = type(member)(
@@ -311,7 +316,7 @@
             )
             table._by_address[address] = changed
         table._live = None
-        return node.forwarding.relay_hosts.choose()
+        return node.forwarding.relay_hosts.choose(ENGINE_SERVICE)
 
     assert run(scenario, hosts=2) is None
 
@@ -323,7 +328,7 @@
         await cut_and_notice(platform, 0)
         node.forwarding.pool.open = open_connection
         await platform.wait_until(
-            lambda: not node.forwarding.prober.reach.is_lost
+            lambda: not node.forwarding.prober.reach.lost_services
         )
         answer = await platform.send_request("/chat/x")
         return answer[0], node.forwarding.metrics.relayed.collect()
@@ -347,9 +352,11 @@
         return found
 
     own, other = run(scenario, hosts=2)
-    assert (own.host, own.links_lost, own.targets) == ("host-0", True, 4)
-    assert not other.links_lost
-    assert own.cut_off_hosts == other.cut_off_hosts == ["host-0"]
+    assert (own.host, own.targets) == ("host-0", 4)
+    assert own.lost_services == list(SERVICES)
+    assert not other.lost_services
+    cut_off = {"host-0": list(SERVICES)}
+    assert own.cut_off_hosts == other.cut_off_hosts == cut_off
 
 
 class AnsweredExchange:
--- a/apricotseam/relay/_hop.py
+++ b/apricotseam/relay/_hop.py
@@ -21,6 +21,8 @@
     ----------
     host : str
         Name of that host.
+    service : str
+        Name of the service that the request is for.
     seconds_left : float
         Time in which the answer has to be complete.
     position : int
@@ -33,6 +35,7 @@
     """
 
     host: str
+    service: str
     seconds_left: float
     position: int
     runs: int = 0
@@ -80,7 +83,7 @@
 
     Examples
     --------
-    >>> hop = RelayHop(host="a", seconds_left=2.5, position=7)
+    >>> hop = RelayHop(host="a", service="s", seconds_left=2.5, position=7)
     >>> request = Request(b"GET", b"/", [(b"Host", b"x")])
     >>> relayed = Request(b"GET", b"/", relayed_headers(request, hop))
     >>> taken, found = take_hop(relayed)
--- a/apricotseam/relay/_hosts.py
+++ b/apricotseam/relay/_hosts.py
@@ -50,7 +50,7 @@
         self._in_progress = collections.Counter()
         self._avoided_until = {}
 
-    def choose(self, tried=()):
+    def choose(self, service, tried=()):
         """Return the `RelayHost` that should take a request, or None.
 
         Hosts of a zone are often cut off together, so that another zone is
@@ -58,6 +58,8 @@
 
         Parameters
         ----------
+        service : str
+            Name of the service that the request is for.
         tried : container of RelayHost
             Hosts that were asked before.
         """
@@ -66,7 +68,7 @@
         tried_zones = {host.zone for host in tried}
         candidates = [
             host
-            for host in self._able_hosts()
+            for host in self._able_hosts(service)
             if host not in tried
             and host.peers_address not in silent
             and self._avoided_until.get(host.address, 0.0) <= now
@@ -104,8 +106,8 @@
             for member in self._hosts.table.present()
         )
 
-    def _able_hosts(self):
-        """Return the hosts that take requests and reach the targets."""
+    def _able_hosts(self, service):
+        """Return the hosts that take requests and reach a service."""
         return [
             RelayHost(
                 member.name,
@@ -115,7 +117,7 @@
             )
             for member in self._hosts.table.live()
             if member.relay_address
-            and not member.is_cut_off
+            and service not in member.lost_services
             and member.peers_address != self._hosts.own_address
         ]
 
--- a/apricotseam/relay/tests/test_hosts.py
+++ b/apricotseam/relay/tests/test_hosts.py
@@ -38,12 +38,13 @@
 # ones, name of the chosen host.
 CHOICES = [
     ("own zone", [("a", {}), ("b", {})], [], "h1"),
-    ("cut off", [("a", {"is_cut_off": True}), ("b", {})], [], "h2"),
+    ("cut off", [("a", {"lost_services": ("s",)}), ("b", {})], [], "h2"),
+    ("other service", [("a", {"lost_services": ("t",)})], [], "h1"),
     ("leaving", [("a", {"is_leaving": True}), ("b", {})], [], "h2"),
     ("suspect", [("a", {"health": 1}), ("b", {})], [], "h2"),
     ("earlier version", [("a", {"relay_address": ""}), ("b", {})], [], "h2"),
     ("silent", [("a", {}), ("b", {})], [1], "h2"),
-    ("nobody", [("a", {"is_cut_off": True})], [], None),
+    ("nobody", [("a", {"lost_services": ("s",)})], [], None),
 ]
 
 
@@ -59,7 +60,7 @@
         make_member(number, zone, **fields)
         for number, (zone, fields) in enumerate(others, 1)
     ]
-    found = make_hosts(members, silent).choose()
+    found = make_hosts(members, silent).choose("s")
     assert (found.name if found else None) == expected
 
 
@@ -68,7 +69,7 @@
     hosts = make_hosts(members)
     taken = {member.name: 0 for member in members}
     for _ in range(50):
-        host = hosts.choose()
+        host = hosts.choose("s")
         hosts.begin(host)
         taken[host.name] += 1
     assert max(taken.values()) - min(taken.values()) <= 9
@@ -78,18 +79,18 @@
 def test_another_zone_is_tried_after_a_host_has_declined():
     members = [make_member(1, "a"), make_member(2, "a"), make_member(3, "b")]
     hosts = make_hosts(members)
-    first = hosts.choose()
+    first = hosts.choose("s")
     assert first.zone == "a"
-    assert hosts.choose([first]).zone == "b"
+    assert hosts.choose("s", [first]).zone == "b"
 
 
 def test_host_that_failed_is_avoided_for_a_while():
     now = [0.0]
     hosts = make_hosts([make_member(1, "a")], now=lambda: now[0])
-    hosts.avoid(hosts.choose())
-    assert hosts.choose() is None
+    hosts.avoid(hosts.choose("s"))
+    assert hosts.choose("s") is None
     now[0] = 1.1
-    assert hosts.choose().name == "h1"
+    assert hosts.choose("s").name == "h1"
 
 
 @pytest.mark.parametrize(
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -97,7 +97,7 @@
         self.hosts = PeerHosts(peers, f"{name}:1", zone)
         self.context = self._make_context(policy, seed)
         reach = self.context.prober.reach
-        self.election = FixedElection(lambda: not reach.is_lost)
+        self.election = FixedElection(lambda: not reach.lost_services)
         self.context.table = table
         self.context.permits = PermitExchange(
             self.hosts, self.context.request_queue, self._now
@@ -125,7 +125,7 @@
         )
 
         def announce():
-            self.hosts.is_cut_off = reach.is_lost
+            self.hosts.lost_services = reach.lost_services
 
         reach.on_change = announce
 
--- a/measure/emulator/_peers.py
+++ b/measure/emulator/_peers.py
@@ -158,8 +158,8 @@
         self.transport = PeerTransport(network, address)
         # Addresses of delegates of the own zone whose reports are overdue.
         self.unheard_delegates = set()
-        # Whether this host tells the others that it reaches no target.
-        self.is_cut_off = False
+        # Services of which this host tells that it reaches no target.
+        self.lost_services = ()
         # Handles requests of other hosts; set by `EmulatedHost`.
         self.take_relayed = None
 
