Move no layers of targets that are silent to the placer's host only

A placer that missed some targets, while the other hosts reached them, took them for lost and ordered others to load their layers. It was the same fault as that of the other hosts: what one host sees was taken for the state of a target. A silent target now counts as lost only unless most peers that look at what others report find it sound. In a large fleet these are the delegates and the other zones, as the other hosts of a zone rely on their delegates.

Emulator, 8 and 22 hosts, the placer's host cut off from the first target of each chain: layers were ordered before, none now (test failed before).

--- a/apricotseam/forwarding/__init__.py
+++ b/apricotseam/forwarding/__init__.py
@@ -5,6 +5,7 @@
 from apricotseam.forwarding._choice import TargetSelector
 from apricotseam.forwarding._gateway import ForwardingContext
 from apricotseam.forwarding._gateway import Gateway
+from apricotseam.forwarding._gateway import PeerViews
 from apricotseam.forwarding._metrics import RequestMetrics
 from apricotseam.forwarding._permits import SendPermits
 from apricotseam.forwarding._probes import TargetProber
@@ -20,6 +21,7 @@
     "TargetSelector",
     "Gateway",
     "TargetProber",
+    "PeerViews",
     "RelayReceiver",
     "RepeatCount",
     "RequestMetrics",
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -30,6 +30,18 @@
 NO_SERVICE_RETRY_SECONDS = 1.0
 
 
+class PeerViews:
+    """What other hosts find of targets; here those of a single host."""
+
+    def is_shared(self, identity):
+        """Return whether at least half of them find a target silent."""
+        return False
+
+    def is_disputed(self, identity):
+        """Return whether most of them do not find a target silent."""
+        return False
+
+
 class ForwardingContext:
     """State shared by all requests of one host.
 
@@ -57,7 +69,7 @@
         "announcements",
         "generator",
         "host",
-        "is_silent_to_peers",
+        "peer_views",
         "permits",
         "quarantine",
         "quarantine_gate",
@@ -117,8 +129,8 @@
         # no requests on.
         self.relay_hosts = None
         self.relay_pool = None
-        # Returns whether other hosts find the target with an identity silent.
-        self.is_silent_to_peers = lambda identity: False
+        # What other hosts find of silent targets.
+        self.peer_views = PeerViews()
         # Active `RouteTable`; None until the first one is received.
         self.table = None
         # Loop time in seconds at which this host exits; set only at the end
--- a/apricotseam/forwarding/_relay.py
+++ b/apricotseam/forwarding/_relay.py
@@ -70,7 +70,7 @@
             for target in targets
             if target.health.is_silent
             and target.health.silent_seconds(now) >= ALONE_AFTER_SECONDS
-            and not context.is_silent_to_peers(target.identity)
+            and not context.peer_views.is_shared(target.identity)
         ]
         return len(lacking) > MIN_LACKING_SHARE * len(targets)
 
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -383,7 +383,7 @@
         reach.on_change = lambda: self._hosts.announce_reach(
             reach.lost_services
         )
-        context.is_silent_to_peers = self._usage_exchange.is_silent_to_peers
+        context.peer_views = self._usage_exchange.suspicions
         context.relay_hosts = RelayHosts(
             self._hosts,
             self._settings.zone,
--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -147,10 +147,17 @@
         """Return the targets that are lost because they are silent.
 
         A target that only peers report as silent has to be silent to probes
-        of this host, too. If it sends nothing, the last of them comes at the
-        end of the time after which the target counts as lost.
+        of this host, too. One that most peers reach isn't lost. If a target
+        sends nothing, the last probe comes at the end of the time after
+        which it counts as lost.
         """
-        silent = [t for t in targets if self._silent_seconds(t)]
+        is_disputed = self._context.peer_views.is_disputed
+        silent = [
+            target
+            for target in targets
+            if self._silent_seconds(target)
+            and not is_disputed(target.identity)
+        ]
         if not silent:
             return []
         prober = self._context.prober
--- a/apricotseam/node/_reach_control.py
+++ b/apricotseam/node/_reach_control.py
@@ -58,7 +58,7 @@
             silent_to_peers=[
                 identity
                 for identity in silent
-                if context.is_silent_to_peers(identity)
+                if context.peer_views.is_shared(identity)
             ],
             cut_off_hosts={
                 member.name: list(member.lost_services)
--- a/apricotseam/node/_suspicions.py
+++ b/apricotseam/node/_suspicions.py
@@ -56,20 +56,29 @@
 
     def is_shared(self, identity):
         """Return whether at least half of the peers find a target silent."""
+        agreeing, heard = self._votes(identity)
+        return agreeing > 0 and 2 * agreeing >= heard
+
+    def is_disputed(self, identity):
+        """Return whether most peers do not find a target silent."""
+        agreeing, heard = self._votes(identity)
+        return 2 * agreeing < heard
+
+    def _votes(self, identity):
+        """Return how many peers find a target silent, and how many look."""
         now = self._now()
-        heard = [
-            reporter
-            for reporter, heard_at in self._heard_at.items()
-            if now - heard_at < CLAIM_VALID_SECONDS
-        ]
+        heard = sum(
+            now - heard_at < CLAIM_VALID_SECONDS
+            for heard_at in self._heard_at.values()
+        )
         agreeing = sum(
             now - claim.repeated_at < CLAIM_VALID_SECONDS
-            for (_, claimed), claim in self._claims.items()
-            if claimed == identity
+            for (reporter, claimed), claim in self._claims.items()
+            if claimed == identity and reporter in self._heard_at
         )
-        return agreeing > 0 and 2 * agreeing >= len(heard)
+        return agreeing, heard
 
-    def check(self, reporter, suspects):
+    def check(self, reporter, suspects, has_looked=True):
         """Check targets that a peer newly reports as silent.
 
         Parameters
@@ -78,8 +87,11 @@
             Process or zone that reports them.
         suspects : list of str
             Identities of all targets that it finds silent.
+        has_looked : bool
+            Whether it looks for itself at targets that others report.
         """
-        self._heard_at[reporter] = self._now()
+        if has_looked:
+            self._heard_at[reporter] = self._now()
         found = self._find_new(reporter, suspects)
         if not found:
             return
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -174,9 +174,10 @@
         """Return the targets that this host itself finds silent."""
         return self._suspect_targets()
 
-    def is_silent_to_peers(self, identity):
-        """Return whether most peers that report find a target silent."""
-        return self._suspicions.is_shared(identity)
+    @property
+    def suspicions(self):
+        """The `Suspicions` of this host."""
+        return self._suspicions
 
     def leaving_targets(self):
         """Return a `LeavingNotice` of each target that announced to leave.
@@ -351,7 +352,9 @@
             return
         if self._is_direct:
             self._apply_state(message, now)
-        self._suspicions.check(message.host, message.suspects)
+        # In a large fleet only the delegates look at what others report.
+        has_looked = not self._hosts.is_large
+        self._suspicions.check(message.host, message.suspects, has_looked)
         self._apply_notices(message, now)
 
     def _apply_state(self, state, now):
--- a/apricotseam/node/tests/test_joined_loss.py
+++ b/apricotseam/node/tests/test_joined_loss.py
@@ -18,6 +18,7 @@
 from apricotseam.chains.tests.profiles import PROFILE
 from apricotseam.fleet import AnnouncementSource
 from apricotseam.fleet import Fleet
+from apricotseam.forwarding import PeerViews
 from apricotseam.forwarding import TargetProber
 from apricotseam.http1 import LostConnectionError
 from apricotseam.http1 import RefusedConnectionError
@@ -87,7 +88,7 @@
         service = types.SimpleNamespace(name="s", engine=PROFILE)
         table = types.SimpleNamespace(services={"s": service})
         context = types.SimpleNamespace(
-            fleet=fleet, table=table, prober=prober
+            peer_views=PeerViews(), fleet=fleet, table=table, prober=prober
         )
         election = types.SimpleNamespace(is_holder=True)
         super().__init__(context, election, now)
--- a/apricotseam/node/tests/test_suspicions.py
+++ b/apricotseam/node/tests/test_suspicions.py
@@ -163,3 +163,33 @@
         [],
         NO_POSITION,
     )
+
+
+# Name of the case, what each peer reports and whether it looks for itself,
+# whether the silence of t1 is shared, and whether it is disputed.
+VOTES = [
+    ("nobody is heard", [], False, False),
+    ("all agree", [(["t1"], True), (["t1"], True)], True, False),
+    ("half agree", [(["t1"], True), ([], True)], True, False),
+    ("few agree", [(["t1"], True), ([], True), ([], True)], False, True),
+    ("nobody agrees", [([], True), (["t2"], True)], False, True),
+    ("most do not look", [(["t1"], True), ([], False)], True, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("reports", "is_shared", "is_disputed"),
+    [case[1:] for case in VOTES],
+    ids=[case[0] for case in VOTES],
+)
+def test_peers_that_look_decide_whether_a_silence_is_this_hosts_own(
+    reports, is_shared, is_disputed
+):
+    async def play():
+        host = Receiver()
+        for number, (suspects, has_looked) in enumerate(reports):
+            host.suspicions.check(f"p{number}/1", suspects, has_looked)
+        found = host.suspicions
+        return found.is_shared("t1"), found.is_disputed("t1")
+
+    assert asyncio.run(play()) == (is_shared, is_disputed)
--- a/measure/emulator/_cut_patterns.py
+++ b/measure/emulator/_cut_patterns.py
@@ -126,6 +126,17 @@
         return layers is not None and layers.first == 0
 
 
+class PlacerMissesFirstTargets(FirstTargetsCutOff):
+    """The host that places layers misses the first target of each chain."""
+
+    name = "placer-misses-first-targets"
+    about = "as first-targets-cut-off, with the host that places layers"
+
+    def choose_hosts(self, hosts):
+        """Return the first host."""
+        return hosts[:1]
+
+
 class HostsFlapping(HostsCutOff):
     """The cut comes and goes each second."""
 
@@ -162,6 +173,7 @@
     ZoneCutOff,
     MostCutOff,
     FirstTargetsCutOff,
+    PlacerMissesFirstTargets,
     HostsFlapping,
     AllCutOff,
 )
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -156,7 +156,7 @@
             self._now,
             usage,
         )
-        self.context.is_silent_to_peers = usage.is_silent_to_peers
+        self.context.peer_views = usage.suspicions
         placer = Placer(self.context, self.election, self._now)
         for coroutine in (
             usage.run(),
--- a/measure/emulator/tests/test_cut.py
+++ b/measure/emulator/tests/test_cut.py
@@ -104,3 +104,14 @@
     assert after >= UNHARMED * cut_play.share_before()
     for host in cut_play.simulation.hosts:
         assert not host.context.quarantine.held
+
+
+# Guards against a placer that moves the layers of targets which are silent to
+# its own host only.
+@pytest.mark.parametrize("hosts", HOSTS)
+@pytest.mark.parametrize(
+    "name", ["placer-misses-first-targets", "placer-cut-off"]
+)
+def test_placer_that_misses_targets_moves_no_layers(name, hosts):
+    cut_play = CutPlay(name, hosts)
+    assert not [e for e in cut_play.simulation.engines if e.record.orders]
