Count links as regained only once most sampled targets answer

While links are lost, most of a sample must answer; one answer still clears a host that has not lost them.

--- a/apricotseam/forwarding/_reach.py
+++ b/apricotseam/forwarding/_reach.py
@@ -176,6 +176,7 @@
             )
             if True in answers:
                 self.record_answer()
+            if self._is_enough(service, answers):
                 self._record_reached(service)
                 return True
             if answers and None not in answers:
@@ -185,6 +186,17 @@
                 return False
         return not self.is_lost(service)
 
+    def _is_enough(self, service, answers):
+        """Return whether the answers to a sample clear the own links.
+
+        One answer does, but most of the sample must answer once they were
+        lost, or a host that reaches few targets would go back and forth.
+        """
+        count = answers.count(True)
+        if self.is_lost(service):
+            return 2 * count > len(answers)
+        return count > 0
+
     def _record_lost(self, service, sampled):
         if self.is_lost(service):
             return
