Test cut hosts beside restarts, a burst, a silent store, and short silences

Emulated plays at 8 and 22 hosts: two hosts cut off while four others restart, while twice the load comes, while the store is silent: served at least two thirds as often as the others. Sound targets that are silent for a second in turn make no host count its links as lost. With all hosts cut off, requests are refused within 0.25 s.

--- a/apricotseam/http1/_sockets.py
+++ b/apricotseam/http1/_sockets.py
@@ -6,7 +6,9 @@
 KEEPALIVE_IDLE_SECONDS = 2
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
-# The kernel closes a connection whose peer accepts no data for this long.
+# The kernel closes a connection whose peer accepts no data for this long. On
+# Linux it also decides when unanswered keep-alive probes end a connection,
+# whatever their number.
 USER_TIMEOUT_MILLISECONDS = 3000
 # The same while bytes wait for a client: one that reads slowly, or sits behind
 # a full link, is still there.
--- a/measure/emulator/_caller.py
+++ b/measure/emulator/_caller.py
@@ -36,7 +36,7 @@
         The request.
     outcome : Outcome or None
         How it ended; None while it runs.
-    first_event_at, ended_at : float or None
+    first_event_at, first_refused_at, ended_at : float or None
         Times in seconds.
     longest_pause : float
         Longest time between two events, in seconds.
@@ -55,6 +55,7 @@
         "ended_at",
         "events",
         "first_event_at",
+        "first_refused_at",
         "hosts",
         "is_out_of_order",
         "last_event_at",
@@ -68,6 +69,7 @@
         self.request = request
         self.outcome = None
         self.first_event_at = None
+        self.first_refused_at = None
         self.last_event_at = None
         self.ended_at = None
         self.longest_pause = 0.0
@@ -99,6 +101,12 @@
             self.longest_pause = max(self.longest_pause, pause)
         self.last_event_at = now
 
+    def record_refusal(self, now):
+        """Record that an attempt was refused."""
+        self.refusals += 1
+        if self.first_refused_at is None:
+            self.first_refused_at = now
+
     def complete(self, now):
         """Record that the answer was complete."""
         kind = self.request.request_class
@@ -224,7 +232,8 @@
                     result.complete(now)
                     return result
             is_refused = exchange.status in (429, 503)
-            result.refusals += is_refused
+            if is_refused:
+                result.record_refusal(now)
             outcome = Outcome.REFUSED if is_refused else Outcome.FAILED
             left = self._deadline - now
             if exchange.end_cause == "left" or left <= 0:
--- a/measure/emulator/_cut_patterns.py
+++ b/measure/emulator/_cut_patterns.py
@@ -152,6 +152,76 @@
             simulation.at(at, action, simulation)
 
 
+class CutAndRestarts(HostsCutOff):
+    """Other hosts start again one after another while two are cut off."""
+
+    name = "cut-and-restarts"
+    about = "as hosts-cut-off; four other hosts are restarted meanwhile"
+    mode = LinkMode.REFUSED
+    restarted = range(3, 7)
+
+    def disturb(self, simulation):
+        """Schedule the restarts besides."""
+        super().disturb(simulation)
+        begin = DISTURBED_AT_SECONDS + ADAPT_SECONDS
+        pause = (CUT_SECONDS - ADAPT_SECONDS) / (len(self.restarted) + 1)
+        for count, number in enumerate(self.restarted, 1):
+            at = begin + count * pause
+            simulation.at(at, simulation.restart_host, number)
+
+
+class CutAndBurst(HostsCutOff):
+    """Twice as many requests come while two hosts are cut off."""
+
+    name = "cut-and-burst"
+    about = "as hosts-cut-off; twice the load from 4 s after its begin"
+    burst_at_seconds = DISTURBED_AT_SECONDS + 4.0
+
+    def factor(self, at, request_class, customer):
+        """Return 2 during the burst, else 1."""
+        cut_end = DISTURBED_AT_SECONDS + CUT_SECONDS
+        return 2.0 if self.burst_at_seconds <= at < cut_end else 1.0
+
+
+class CutWithoutStore(HostsCutOff):
+    """The store is silent while two hosts are cut off."""
+
+    name = "cut-without-store"
+    about = "as hosts-cut-off; the store is silent all the time"
+
+    def disturb(self, simulation):
+        """Silence the store besides."""
+        super().disturb(simulation)
+        simulation.site.store.is_silent = True
+
+
+class ShortSilences(HostsCutOff):
+    """No link is cut; sound targets are silent for a second, in turn."""
+
+    name = "short-silences"
+    about = "each second another first target is silent for a second"
+    silent_seconds = 1.0
+
+    def choose_hosts(self, hosts):
+        """Return no host."""
+        return []
+
+    def disturb(self, simulation):
+        """Schedule the silences."""
+        for number in range(int(CUT_SECONDS)):
+            at = DISTURBED_AT_SECONDS + number
+            simulation.at(at, self._silence, simulation, number)
+
+    def _silence(self, simulation, number):
+        engines = simulation.first_engines()
+        engine = engines[number % len(engines)]
+        engine.is_silent = True
+        simulation.loop.call_later(self.silent_seconds, self._wake, engine)
+
+    def _wake(self, engine):
+        engine.is_silent = False
+
+
 class AllCutOff(HostsCutOff):
     """No host reaches any target."""
 
@@ -175,5 +245,9 @@
     FirstTargetsCutOff,
     PlacerMissesFirstTargets,
     HostsFlapping,
+    CutAndRestarts,
+    CutAndBurst,
+    CutWithoutStore,
+    ShortSilences,
     AllCutOff,
 )
--- a/measure/emulator/tests/test_cut.py
+++ b/measure/emulator/tests/test_cut.py
@@ -5,8 +5,11 @@
 from measure.emulator._cut_patterns import ADAPT_SECONDS
 from measure.emulator._cut_patterns import CUT_SECONDS
 from measure.emulator._pattern import DISTURBED_AT_SECONDS
+from measure.emulator import PATTERNS
+from measure.emulator import ProductPolicy
 from measure.emulator import Scenario
 from measure.emulator import sent_between
+from measure.emulator import Simulation
 from measure.emulator.tests.plays import play
 
 CUT_END_SECONDS = DISTURBED_AT_SECONDS + CUT_SECONDS
@@ -17,6 +20,8 @@
 LEAST_RATIO = 2 / 3
 # Least share of first tries that others serve, compared with before the cut.
 UNHARMED = 0.95
+# Longest time until a request that no host can serve is refused.
+REFUSED_SECONDS = 0.25
 HOSTS = [8, 22]
 NAMES = [
     "hosts-cut-off",
@@ -115,3 +120,47 @@
 def test_placer_that_misses_targets_moves_no_layers(name, hosts):
     cut_play = CutPlay(name, hosts)
     assert not [e for e in cut_play.simulation.engines if e.record.orders]
+
+
+# Guards against a way through other hosts that another trouble closes.
+@pytest.mark.parametrize("hosts", HOSTS)
+@pytest.mark.parametrize(
+    "name", ["cut-and-restarts", "cut-and-burst", "cut-without-store"]
+)
+def test_requests_are_served_also_beside_other_trouble(name, hosts):
+    cut_play = CutPlay(name, hosts)
+    others = cut_play.share_during(is_cut_off=False)
+    assert others >= LEAST_RATIO * cut_play.share_before()
+    assert cut_play.share_during(is_cut_off=True) >= LEAST_RATIO * others
+
+
+# Guards against hosts that take the silence of a target for a cut.
+@pytest.mark.parametrize("hosts", HOSTS)
+def test_short_silence_of_targets_is_no_loss_of_links(hosts):
+    scenario = Scenario(hosts=hosts, targets=54, seconds=18.0)
+    pattern = PATTERNS["short-silences"]()
+    simulation = Simulation(pattern, scenario, ProductPolicy())
+    lost = set()
+    for number in range(180):
+        simulation.at(
+            number / 10,
+            lambda: lost.update(
+                host.name
+                for host in simulation.hosts
+                if host.hosts.lost_services
+            ),
+        )
+    simulation.run()
+    assert not lost
+
+
+# Guards against callers that wait although no host reaches a target.
+@pytest.mark.parametrize("hosts", HOSTS)
+def test_requests_are_refused_at_once_if_all_hosts_are_cut_off(hosts):
+    cut_play = CutPlay("all-hosts-cut-off", hosts)
+    begin = DISTURBED_AT_SECONDS + ADAPT_SECONDS
+    tries = sent_between(cut_play.results, begin, CUT_END_SECONDS - 4.0)
+    assert tries
+    for result in tries:
+        assert result.refusals
+        assert result.first_refused_at - result.request.at <= REFUSED_SECONDS
