Drop hop-by-hop headers once, also of relayed requests; end moved streams as cut

A header that Connection names was dropped on the way to a target, but passed on to another host without that name. One function now serves requests, responses and relayed requests, and a request without a body gets no length. A stream that has begun and whose other host answers with an error counts as cut, not with that status. One check decides whether a call may run again.

--- a/apricotseam/forwarding/_relay.py
+++ b/apricotseam/forwarding/_relay.py
@@ -53,13 +53,17 @@
         context = self._context
         if call.is_relayed or context.relay_pool is None:
             return False
-        if call.seconds_left() <= 0:
-            return False
-        if call.runs and not call.may_run_again:
+        if not self._may_run(call):
             return False
         reach = context.prober.reach
         return reach.is_lost(call.service.name) or self._lacks_targets(call)
 
+    def _may_run(self, call):
+        """Return whether a call has time and leave for another run."""
+        if call.seconds_left() <= 0:
+            return False
+        return not call.runs or call.may_run_again
+
     def _lacks_targets(self, call):
         """Return whether targets of a call are silent to this host alone."""
         context = self._context
@@ -85,7 +89,7 @@
         """
         tried = []
         while len(tried) < MAX_HOSTS:
-            if not self._may_send(call, bool(tried)):
+            if not self._may_send(call):
                 break
             host = self._context.relay_hosts.choose(call.service.name, tried)
             if host is None:
@@ -96,11 +100,12 @@
                 return status
         return None
 
-    def _may_send(self, call, is_repeat):
-        """Return whether the call may be sent to another host now."""
-        if call.seconds_left() <= 0:
-            return False
-        if call.runs and not call.may_run_again:
+    def _may_send(self, call):
+        """Return whether the call may be sent to another host now.
+
+        It needs the retry budget if it was sent to a target before.
+        """
+        if not self._may_run(call):
             return False
         if not (call.sends or call.runs):
             return True
@@ -177,8 +182,9 @@
 
         Returns
         -------
-        int or None
-            HTTP status of the complete answer; None if the host declined.
+        int or str or None
+            HTTP status of the complete answer, ``cut`` if a stream that has
+            begun cannot go on; None if the host declined.
 
         Raises
         ------
@@ -201,14 +207,15 @@
             )
         call.relayed_to = self._host.name
         is_stream = call.route.repeat is RepeatPolicy.STREAM
-        if is_stream and answer.status == 200:
+        status = answer.status
+        if is_stream and status == 200:
             await self._relay_events(connection, answer)
         else:
             body = await connection.read_all(call.deadline, MAX_ANSWER_BYTES)
-            self._deliver(answer, body)
+            status = self._deliver(answer, body)
         self._release(connection, answer)
         self.record(str(answer.status))
-        return answer.status
+        return status
 
     async def _open(self):
         loop = asyncio.get_running_loop()
@@ -262,12 +269,15 @@
         self._call.exchange.end()
 
     def _deliver(self, answer, body):
-        """Pass a whole answer on, unless a stream has begun already."""
+        """Pass a whole answer on; return its status.
+
+        A stream that has begun breaks off instead.
+        """
         exchange = self._call.exchange
         if exchange.is_started:
             exchange.abort_response()
-        else:
-            deliver(self._call, answer, body)
+            return "cut"
+        return deliver(self._call, answer, body)
 
     def _release(self, connection, answer):
         self._connection = None
--- a/apricotseam/http1/__init__.py
+++ b/apricotseam/http1/__init__.py
@@ -13,7 +13,7 @@
 from apricotseam.http1._exchange import EndCause
 from apricotseam.http1._exchange import Exchange
 from apricotseam.http1._limits import Limits
-from apricotseam.http1._message import is_hop_by_hop_header
+from apricotseam.http1._message import end_to_end_headers
 from apricotseam.http1._message import Request
 from apricotseam.http1._pool import ConnectionPool
 from apricotseam.http1._server import Server
@@ -40,6 +40,6 @@
     "TransportError",
     "TransportTimeoutError",
     "connect",
-    "is_hop_by_hop_header",
+    "end_to_end_headers",
     "enable_keepalive",
 ]
--- a/apricotseam/http1/_message.py
+++ b/apricotseam/http1/_message.py
@@ -32,6 +32,37 @@
     return name in _HOP_BY_HOP_HEADERS
 
 
+def end_to_end_headers(headers):
+    """Return the headers that are not hop-by-hop, in their order.
+
+    The header ``Connection`` names further ones that are.
+
+    Parameters
+    ----------
+    headers : list of (bytes, bytes)
+        Names and values.
+
+    Examples
+    --------
+    >>> headers = [(b"Host", b"x"), (b"Connection", b"a"), (b"A", b"1")]
+    >>> end_to_end_headers(headers)
+    [(b'Host', b'x')]
+    """
+    options = {
+        option.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for option in value.split(b",")
+    }
+    options -= {b"close", b"keep-alive"}
+    return [
+        (name, value)
+        for name, value in headers
+        if not is_hop_by_hop_header(lower := name.lower())
+        and lower not in options
+    ]
+
+
 class Request:
     """One request, received completely.
 
--- a/apricotseam/node/tests/test_relay.py
+++ b/apricotseam/node/tests/test_relay.py
@@ -416,3 +416,36 @@
         return status, sum(len(t.runs) for t in platform.plain_targets)
 
     assert run(scenario, hosts=3) == (502, 1)
+
+
+# Method, headers and body of a request, and what must not reach a target.
+HEADERS = [
+    ("named by Connection", {"Connection": "x-one", "X_One": "1"}, b"x-one"),
+    ("of the hop", {"Relay_Hop": "{}"}, b"relay-hop"),
+]
+
+
+@pytest.mark.parametrize(
+    ("changes", "dropped"),
+    [case[1:] for case in HEADERS],
+    ids=[case[0] for case in HEADERS],
+)
+def test_targets_see_the_same_headers_as_without_another_host(
+    changes, dropped
+):
+    async def scenario(platform):
+        await cut_and_notice(platform, 0)
+        for index in (0, 1):
+            await platform.send_request(
+                "/once/x", host_index=index, X_Other="2", **changes
+            )
+        return received(platform)
+
+    requests = run(scenario, hosts=2)
+    assert len(requests) == 2
+    names = [
+        {name.lower() for name, _ in request.headers} for request in requests
+    ]
+    assert names[0] - {dropped} == names[1] - {dropped}
+    assert dropped not in names[0]
+    assert b"x-other" in names[0]
--- a/apricotseam/platform/_requests.py
+++ b/apricotseam/platform/_requests.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from apricotseam.http1 import is_hop_by_hop_header
+from apricotseam.http1 import end_to_end_headers
 
 REQUEST_ID_HEADER = b"Apricotseam-Request-Id"
 API_KEY_HEADER = b"Apricotseam-Key"
@@ -149,13 +149,10 @@
     list of tuple
         Pairs of a name and a value, both bytes.
     """
-    dropped = _connection_options(request.header(b"connection"))
     headers = [
         (name, value)
-        for name, value in request.headers
-        if not is_hop_by_hop_header(lower := name.lower())
-        and lower not in _NOT_FORWARDED
-        and lower not in dropped
+        for name, value in end_to_end_headers(request.headers)
+        if name.lower() not in _NOT_FORWARDED
     ]
     remaining_ms = max(
         1, round(forwarding.seconds_left * MILLISECONDS_PER_SECOND)
@@ -204,13 +201,10 @@
     list of tuple
         Pairs of a name and a value, both bytes.
     """
-    dropped = _connection_options(response.header(b"connection") or "")
     return [
         (name, value)
-        for name, value in response.headers
-        if not is_hop_by_hop_header(lower := name.lower())
-        and lower != b"content-length"
-        and lower not in dropped
+        for name, value in end_to_end_headers(response.headers)
+        if name.lower() != b"content-length"
     ]
 
 
@@ -237,11 +231,6 @@
     return headers
 
 
-def _connection_options(value):
-    options = {part.strip().lower().encode() for part in value.split(",")}
-    return options - {b"", b"close", b"keep-alive"}
-
-
 def _parse_integer(text):
     text = text.strip()
     return int(text) if text.isascii() and text.isdigit() else None
--- a/apricotseam/relay/_hop.py
+++ b/apricotseam/relay/_hop.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from apricotseam.errors import InvalidInputError
-from apricotseam.http1 import is_hop_by_hop_header
+from apricotseam.http1 import end_to_end_headers
 from apricotseam.http1 import Request
 
 HOP_HEADER = b"Relay-Hop"
@@ -11,7 +11,7 @@
 # Room for the header that a host adds.
 MAX_HOP_BYTES = 1024
 _HOP_LOWER = HOP_HEADER.lower()
-_CONTENT_LENGTH = b"content-length"
+_LENGTH_LOWER = b"content-length"
 
 
 class RelayHop(msgspec.Struct, frozen=True, kw_only=True):
@@ -59,12 +59,13 @@
     """
     headers = [
         (name, value)
-        for name, value in request.headers
-        if not is_hop_by_hop_header(lower := name.lower())
-        and lower not in (_HOP_LOWER, _CONTENT_LENGTH)
+        for name, value in end_to_end_headers(request.headers)
+        if name.lower() not in (_HOP_LOWER, _LENGTH_LOWER)
     ]
     headers.append((HOP_HEADER, msgspec.json.encode(hop)))
-    headers.append((b"Content-Length", str(len(request.body)).encode()))
+    if request.body or request.header(_LENGTH_LOWER):
+        length = str(len(request.body)).encode()
+        headers.append((b"Content-Length", length))
     return headers
 
 
@@ -88,7 +89,7 @@
     >>> relayed = Request(b"GET", b"/", relayed_headers(request, hop))
     >>> taken, found = take_hop(relayed)
     >>> taken.headers, found == hop
-    ([(b'Host', b'x'), (b'Content-Length', b'0')], True)
+    ([(b'Host', b'x')], True)
     """
     try:
         hop = msgspec.json.decode(
