--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -126,6 +126,11 @@
         """The `TraitNotices` of this host."""
         return self._trait_notices
 
+    @property
+    def suspicions(self):
+        """The `Suspicions` of this host."""
+        return self._suspicions
+
     async def run(self):
         """Send states periodically, forever."""
         sent_changes = -1
@@ -174,11 +179,6 @@
         """Return the targets that this host itself finds silent."""
         return self._suspect_targets()
 
-    @property
-    def suspicions(self):
-        """The `Suspicions` of this host."""
-        return self._suspicions
-
     def leaving_targets(self):
         """Return a `LeavingNotice` of each target that announced to leave.
 
