Wait for a slow other host, decline in place of 4xx, and send suspects once

A host that has just started would have had its callers told 403, as the hosts that it passes requests on to don't know it yet; a silent target of a slow stream would have ended its way through a sound host after 2 s. Both found by reading; tests added.

Each host that found a target silent sent its state in each period for as long as that lasted, and probed it twice a second. Suspects are now sent when they change and with each heartbeat, and a silence that most hosts share is probed by six of them in each interval.

--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -26,7 +26,8 @@
 ANSWER_VALID_SECONDS = 0.3
 # Interval between probes of silent and slow targets.
 REPROBE_PERIOD_SECONDS = 0.5
-# Mean number of hosts that probe a slow target in each interval, among the
+# Mean number of hosts that probe a target in each interval whose slowness or
+# silence is known to all, among the
 # hosts that exchange slowness reports.
 PROBING_HOSTS = 6
 # Refill rate and size of the token bucket that limits the probes.
@@ -64,6 +65,8 @@
         self._on_silent = on_silent
         self._pool = pool
         self._now = now
+        # Returns whether most hosts find the target with an identity silent.
+        self.is_shared_silence = lambda identity: False
         self._pending_probes = {}
         self._responsive_until = {}
         self._available_probes = float(BURST_PROBES)
@@ -130,13 +133,13 @@
                 self._targets_to_reprobe(PROBING_HOSTS / max(1, hosts()))
             )
 
-    def _targets_to_reprobe(self, slow_fraction):
+    def _targets_to_reprobe(self, shared_fraction):
         """Return the targets to probe in this interval.
 
-        Silent targets are always included, because reachability differs
-        between hosts. A slow target's report is the same for all hosts, so
-        each host probes only a random fraction of the slow targets, and none
-        that asked it for a rest.
+        Targets that are silent to this host only are always included. Of
+        those that are silent to most, and of slow ones, whose report is the
+        same for all hosts, each host probes a random fraction; it probes no
+        slow one that asked it for a rest.
 
         Silent targets come first, the least recently contacted one before
         the others, as the rate limit may not permit all probes.
@@ -145,15 +148,20 @@
         targets = [
             target
             for target in self._targets
-            if target.health.is_silent
-            or (
-                target.health.is_self_reported_slow(now)
-                and not target.is_resting(now)
-                and self._random.random() < slow_fraction
-            )
+            if self._is_due(target, shared_fraction, now)
         ]
         return sorted(targets, key=_reprobe_rank)
 
+    def _is_due(self, target, shared_fraction, now):
+        """Return whether to probe a target in this interval."""
+        health = target.health
+        if health.is_silent and not self.is_shared_silence(target.identity):
+            return True
+        is_slow = health.is_self_reported_slow(now)
+        if health.is_silent or (is_slow and not target.is_resting(now)):
+            return self._random.random() < shared_fraction
+        return False
+
     async def _reprobe(self, target):
         was_silent = target.health.is_silent
         if not self._acquire_probe() or not await self._probe_once(target):
--- a/apricotseam/forwarding/_relay.py
+++ b/apricotseam/forwarding/_relay.py
@@ -22,9 +22,9 @@
 # A connection idle for longer may be closed by the other host just as the
 # next request is sent.
 MAX_IDLE_SECONDS = 0.25
-# The other host answers within this time if it has lost its way, too, or
-# waits for capacity. A repeatable request is then sent to another one.
-MAX_SILENCE_SECONDS = 2.0
+# Interval at which a host that sends nothing is looked up among those that
+# may have failed. One that is only slow has its own means against silence.
+CHECK_PERIOD_SECONDS = 0.3
 # A target has to be silent to this host alone for so long, in which the other
 # hosts would have found it silent as well if it were.
 ALONE_AFTER_SECONDS = 1.2
@@ -194,7 +194,7 @@
         call = self._call
         connection = await self._open()
         self._send(connection)
-        answer = await connection.head(self._deadline())
+        answer = await self._read(connection.head)
         cause = declined_cause(answer)
         if cause is not None:
             self.record(f"declined_{cause}")
@@ -245,18 +245,34 @@
             request.body,
         )
 
-    def _deadline(self):
-        """Return the loop time until which the host may be silent."""
+    async def _read(self, read):
+        """Read, and give the host up if it has failed meanwhile.
+
+        Parameters
+        ----------
+        read : callable
+            Coroutine function that takes a deadline in loop time.
+
+        Raises
+        ------
+        TransportError
+            If nothing was read.
+        """
         call = self._call
-        if not call.route.is_repeatable:
-            return call.deadline
-        now = asyncio.get_running_loop().time()
-        return min(call.deadline, now + MAX_SILENCE_SECONDS)
+        loop = asyncio.get_running_loop()
+        while True:
+            check_at = loop.time() + CHECK_PERIOD_SECONDS
+            try:
+                return await read(min(call.deadline, check_at))
+            except TransportTimeoutError:
+                has_failed = self._context.relay_hosts.has_failed(self._host)
+                if has_failed or call.seconds_left() <= 0:
+                    raise
 
     async def _relay_events(self, connection, answer):
         """Pass events on as they arrive, each once and in order."""
         splitter = EventSplitter()
-        while data := await connection.read(self._deadline()):
+        while data := await self._read(connection.read):
             for event in splitter.feed(data):
                 if self._writer.accept(event):
                     await self._writer.write(answer, event)
--- a/apricotseam/forwarding/_relay_receiver.py
+++ b/apricotseam/forwarding/_relay_receiver.py
@@ -8,9 +8,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-FORBIDDEN = 403
-BAD_REQUEST = 400
-
 
 class RelayReceiver:
     """Request handler of the listener for other hosts.
@@ -35,13 +32,13 @@
         ip = exchange.client_ip
         if not self._context.relay_hosts.is_known(ip):
             _LOG.warning("relay_forbidden", extra={"client": ip})
-            exchange.answer(FORBIDDEN)
+            decline(exchange, "unknown_host")
             return
         try:
             request, hop = take_hop(request)
         except InvalidInputError as error:
             _LOG.warning("relay_invalid", extra={"error": str(error)})
-            exchange.answer(BAD_REQUEST)
+            decline(exchange, "invalid")
             return
         cause = self._declining_cause(hop)
         if cause is not None:
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -384,6 +384,7 @@
             reach.lost_services
         )
         context.peer_views = self._usage_exchange.suspicions
+        context.prober.is_shared_silence = context.peer_views.is_shared
         context.relay_hosts = RelayHosts(
             self._hosts,
             self._settings.zone,
--- a/apricotseam/node/_suspicions.py
+++ b/apricotseam/node/_suspicions.py
@@ -7,8 +7,9 @@
 
 _LOG = logging.getLogger(__name__)
 
-# A report that isn't repeated for this long has ended.
-CLAIM_VALID_SECONDS = 1.3
+# A report that isn't repeated for this long has ended. Hosts repeat it with
+# each state that they send, which is at least every 1.4 s.
+CLAIM_VALID_SECONDS = 2.0
 # How long a target is avoided after a delegate reported it as silent.
 AVOID_SECONDS = 0.5
 # With more new reports than this at once, the reporter may have lost its own
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -143,12 +143,12 @@
             self._update_delegates()
             suspects = self._suspect_targets()
             slow = self._slow_targets()
-            words = self._words_of_targets()
+            words = (suspects, *self._words_of_targets())
             unsent_periods += 1
             is_unchanged = (
                 self._ledger.changes == sent_changes
                 and words == sent_words
-                and not (suspects or slow)
+                and not slow
             )
             if is_unchanged and unsent_periods < HEARTBEAT_PERIODS:
                 continue
--- a/apricotseam/relay/_hosts.py
+++ b/apricotseam/relay/_hosts.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from apricotseam.membership import MemberState
+
 # Requests that a host of the own availability zone takes more than others:
 # bytes between zones are dear, but few hosts must not carry all.
 REMOTE_ZONE_REQUESTS = 8
@@ -99,6 +101,12 @@
         }
         self._avoided_until[host.address] = now + AVOID_SECONDS
 
+    def has_failed(self, host):
+        """Return whether a host may have failed since it was chosen."""
+        member = self._hosts.table.find(host.peers_address)
+        is_gone = member is None or member.state is MemberState.DEAD
+        return is_gone or host.peers_address in self._list_silent_peers()
+
     def is_known(self, ip):
         """Return whether a host of the fleet has an IP address."""
         return any(
--- a/apricotseam/relay/tests/test_hosts.py
+++ b/apricotseam/relay/tests/test_hosts.py
@@ -98,3 +98,25 @@
 )
 def test_only_addresses_of_hosts_are_known(ip, expected):
     assert make_hosts([make_member(1, "b")]).is_known(ip) is expected
+
+
+# Description, fields of the host now, whether it is silent, whether it failed.
+FAILURES = [
+    ("live", {}, [], False),
+    ("cut off itself", {"lost_services": ("s",)}, [], False),
+    ("dead", {"health": 2}, [], True),
+    ("silent", {}, [1], True),
+]
+
+
+@pytest.mark.parametrize(
+    ("fields", "silent", "expected"),
+    [case[1:] for case in FAILURES],
+    ids=[case[0] for case in FAILURES],
+)
+def test_host_under_way_is_looked_up_among_the_failed(
+    fields, silent, expected
+):
+    host = make_hosts([make_member(1, "a")]).choose("s")
+    hosts = make_hosts([make_member(1, "a", **fields)], silent)
+    assert hosts.has_failed(host) is expected
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -157,6 +157,7 @@
             usage,
         )
         self.context.peer_views = usage.suspicions
+        self.context.prober.is_shared_silence = usage.suspicions.is_shared
         placer = Placer(self.context, self.election, self._now)
         for coroutine in (
             usage.run(),
--- a/measure/emulator/_peers.py
+++ b/measure/emulator/_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from apricotseam.coordination import is_large_fleet
+from apricotseam.membership import MemberState
 from apricotseam.peers import PeerUnreachableError
 
 DELIVERY_SECONDS = 0.001
@@ -20,6 +21,10 @@
         """Return all hosts of the table."""
         return self
 
+    def find(self, address):
+        """Return the host at an address, or None."""
+        return next((h for h in self if h.own_address == address), None)
+
 
 class PeerNetwork:
     """Delivers messages between the hosts of one simulation.
@@ -158,6 +163,8 @@
         self.transport = PeerTransport(network, address)
         # Addresses of delegates of the own zone whose reports are overdue.
         self.unheard_delegates = set()
+        # State of this host, as a member of the table.
+        self.state = MemberState.LIVE
         # Services of which this host tells that it reaches no target.
         self.lost_services = ()
         # Handles requests of other hosts; set by `EmulatedHost`.
