Let nodes of a relay test meet before one of them is cut off

The log shows that both nodes that were cut off declined; the fourth, which reaches the targets, was not in the first one's table yet. The test waited only until the others knew of the cut.

--- a/apricotseam/node/tests/test_relay.py
+++ b/apricotseam/node/tests/test_relay.py
@@ -51,7 +51,11 @@
 
 
 async def cut_and_notice(platform, index, way="refused"):
-    """Cut a node off and wait until it and the others know."""
+    """Cut a node off and wait until it and the others know.
+
+    Nodes that do not know of one another yet have nobody to ask.
+    """
+    await meet(platform)
     node = platform.nodes[index]
     cut_off(node, way)
     reach = node.forwarding.prober.reach
