--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -27,8 +27,7 @@
 # Interval between probes of silent and slow targets.
 REPROBE_PERIOD_SECONDS = 0.5
 # Mean number of hosts that probe a target in each interval whose slowness or
-# silence is known to all, among the
-# hosts that exchange slowness reports.
+# silence is known to all, among the hosts that exchange reports.
 PROBING_HOSTS = 6
 # Refill rate and size of the token bucket that limits the probes.
 PROBES_PER_SECOND = 15
