Let one method decide whether a call goes through another host

Both runners looked at the own links, asked whether another host may help, and ran the call there, in the same six lines; RelayRunner does it now, and the largest answer has one constant.

--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -7,6 +7,7 @@
 from apricotseam.forwarding._answering import fail
 from apricotseam.forwarding._answering import FailedAnswer
 from apricotseam.forwarding._errors import OutdatedChoiceError
+from apricotseam.forwarding._relay import MAX_ANSWER_BYTES
 from apricotseam.forwarding._relay import RelayRunner
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._sender import Sender
@@ -17,7 +18,6 @@
 from apricotseam.http1 import TransportError
 from apricotseam.http1 import TransportTimeoutError
 
-MAX_ANSWER_BYTES = 8 << 20
 # Attempts that no target ran, in addition to those that the route allows.
 MAX_UNRUN_ATTEMPTS = 3
 # Fraction of the time of a request after which a second attempt is started
@@ -77,13 +77,9 @@
         call = self._call
         if answered is not None:
             return deliver(call, answered.answer, answered.body)
-        await self._context.prober.reach.check_before_refusal(
-            call.service.name
-        )
-        if self._relay.may_help(call):
-            relayed = await self._relay.run(call)
-            if relayed is not None:
-                return relayed
+        relayed = await self._relay.run_if_better(call)
+        if relayed is not None:
+            return relayed
         if call.runs == 0:
             return refuse_unserved(
                 self._context, call, "no target took it", BUSY_RETRY_SECONDS
--- a/apricotseam/forwarding/_relay.py
+++ b/apricotseam/forwarding/_relay.py
@@ -78,6 +78,17 @@
         ]
         return len(lacking) > MIN_LACKING_SHARE * len(targets)
 
+    async def run_if_better(self, call):
+        """Answer a call that this host can't send, if another one may.
+
+        It looks at its own links first. See `run` for what it returns.
+        """
+        reach = self._context.prober.reach
+        await reach.check_before_refusal(call.service.name)
+        if not self.may_help(call):
+            return None
+        return await self.run(call)
+
     async def run(self, call):
         """Answer a call through other hosts.
 
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -58,13 +58,9 @@
             if failure is None:
                 return 200
             status = failure
-        await self._context.prober.reach.check_before_refusal(
-            call.service.name
-        )
-        if self._relay.may_help(call):
-            relayed = await self._relay.run(call)
-            if relayed is not None:
-                return relayed
+        relayed = await self._relay.run_if_better(call)
+        if relayed is not None:
+            return relayed
         if call.exchange.is_started:
             call.exchange.abort_response()
             return "cut"
