Say which decisions under load a service asks for, and book start work

Change: settings section `load`, resolved for each service from its declared priorities and kinds (`LoadPolicy.features`); the bandwidth of the link between zones; `Usage.start_ms` in the ledger and in the messages of hosts, with fields for paces and demand, which older hosts ignore. Nothing uses them yet.

--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -4,17 +4,26 @@
 
 # A peer's usage is discarded if it sends no message for this time.
 PEER_EXPIRY_SECONDS = 4.0
+# Less start work than this is a rounding error.
+LEAST_START_MS = 1e-3
 
 
 class Usage(msgspec.Struct, array_like=True):
-    """Usage of one target by one host or by several hosts together.
+    """Usage of one resource by one host or by several hosts together.
 
-    ``units`` is the memory in use, in tokens times layers. ``requests`` is
-    the number of requests in progress.
+    A resource is a target or the link between zones. ``units`` is the memory
+    in use, in tokens times layers. ``requests`` is the number of requests in
+    progress. ``start_ms`` is the time in milliseconds that the resource needs
+    for the prompts of requests whose answers have not begun.
     """
 
     units: float = 0.0
     requests: int = 0
+    start_ms: float = 0.0
+
+    def rounded(self):
+        """Return a copy in whole numbers, which take up few bytes."""
+        return Usage(round(self.units), self.requests, round(self.start_ms))
 
 
 _NO_USAGE = Usage()
@@ -43,13 +52,16 @@
         Number of tokens that it is expected to hold.
     shares : list of tuple
         Pairs of target identity and number of layers that the target runs.
+    start_work : iterable of tuple
+        Pairs of resource and milliseconds that it needs for the prompt.
     """
 
-    __slots__ = ("shares", "tokens")
+    __slots__ = ("shares", "start_work", "tokens")
 
-    def __init__(self, tokens, shares):
+    def __init__(self, tokens, shares, start_work=()):
         self.tokens = tokens
         self.shares = shares
+        self.start_work = tuple(start_work)
 
 
 class Ledger:
@@ -102,16 +114,32 @@
         """Return the number of expected peers that have sent no usage."""
         return max(0, self._expected_peers() - self._peer_host_count)
 
-    def book(self, tokens, shares):
-        """Book memory for a request and return its `Booking`.
+    def start_ms(self, resource):
+        """Return the start work under way on a resource, in milliseconds.
+
+        Peers that should have sent their usage but have not count as much
+        as this host.
+        """
+        own, peers = self._usages(resource)
+        return own.start_ms * (1 + self._missing_peers()) + peers.start_ms
+
+    def book(self, tokens, shares, start_work=()):
+        """Book memory and time for a request and return its `Booking`.
 
         The parameters are those of `Booking`.
         """
-        booking = Booking(tokens, shares)
+        booking = Booking(tokens, shares, start_work)
         self._bookings.add(booking)
         self._add(booking, 1)
         return booking
 
+    def record_start(self, booking):
+        """Release the time of a booking, as the answer has begun."""
+        if booking in self._bookings and booking.start_work:
+            self._add_start_work(booking, -1)
+            booking.start_work = ()
+            self._on_release(False)
+
     def release(self, booking):
         """Release a booking; releasing it again does nothing."""
         if booking in self._bookings:
@@ -184,8 +212,27 @@
                 usage = self._own[identity] = Usage()
             usage.units += sign * booking.tokens * layers
             usage.requests += sign
-            if usage.requests <= 0:
-                del self._own[identity]
+        self._add_start_work(booking, sign)
+        for identity, _ in booking.shares:
+            self._drop_unused(identity)
+
+    def _add_start_work(self, booking, sign):
+        """Add a booking's start work (1) or subtract it (-1)."""
+        self.changes += 1
+        for resource, milliseconds in booking.start_work:
+            usage = self._own.get(resource)
+            if usage is None:
+                usage = self._own[resource] = Usage()
+            usage.start_ms += sign * milliseconds
+            self._drop_unused(resource)
+
+    def _drop_unused(self, resource):
+        """Forget a resource without requests; fractions may leave a rest."""
+        usage = self._own.get(resource)
+        if usage is None or usage.requests > 0:
+            return
+        if usage.start_ms < LEAST_START_MS:
+            del self._own[resource]
 
     def _usages(self, identity):
         """Return the usage of a target by this host and by all peers."""
@@ -214,4 +261,5 @@
             total = totals.setdefault(identity, Usage())
             total.units += usage.units
             total.requests += usage.requests
+            total.start_ms += usage.start_ms
     return totals
--- a/apricotseam/fleet/__init__.py
+++ b/apricotseam/fleet/__init__.py
@@ -5,6 +5,7 @@
 from apricotseam.fleet._announcements import MAX_REST_SECONDS
 from apricotseam.fleet._fleet import Fleet
 from apricotseam.fleet._health import Health
+from apricotseam.fleet._pace import PaceNotice
 from apricotseam.fleet._states import is_outdated
 from apricotseam.fleet._target import LayerRange
 from apricotseam.fleet._target import Target
@@ -17,6 +18,7 @@
     "LayerRange",
     "AnnouncementSource",
     "MAX_REST_SECONDS",
+    "PaceNotice",
     "Target",
     "TargetRecord",
     "is_outdated",
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -20,6 +20,7 @@
 from apricotseam.platform import decode_request_metadata
 from apricotseam.positions import NO_POSITION
 from apricotseam.quarantine import Quarantine
+from apricotseam.routes import LoadPolicy
 from apricotseam.routes import RepeatPolicy
 
 _LOG = logging.getLogger(__name__)
@@ -69,6 +70,7 @@
         "announcements",
         "generator",
         "host",
+        "load_policy",
         "peer_views",
         "permits",
         "quarantine",
@@ -129,6 +131,8 @@
         # no requests on.
         self.relay_hosts = None
         self.relay_pool = None
+        # Which decisions under load are used.
+        self.load_policy = LoadPolicy()
         # What other hosts find of silent targets.
         self.peer_views = PeerViews()
         # Active `RouteTable`; None until the first one is received.
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -233,6 +233,7 @@
         )
         gateway = Gateway(self._context)
         self._context.host = settings.host
+        self._context.load_policy = settings.load
         self.caller_server = Server(
             gateway.handle,
             self._limits,
--- a/apricotseam/node/_settings.py
+++ b/apricotseam/node/_settings.py
@@ -4,10 +4,14 @@
 import yaml
 
 from apricotseam.errors import InvalidFileError
+from apricotseam.routes import LoadPolicy
+from apricotseam.routes import Switch
 
 # The C loader is about ten times faster; PyYAML may be built without it.
 _Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
+SWITCH_BY_TRUTH = {True: Switch.ON, False: Switch.OFF}
+
 
 class NodeBounds(msgspec.Struct, frozen=True, kw_only=True):
     """Limits of one process; times in seconds.
@@ -29,7 +33,8 @@
     """Settings of one process; addresses are ``ip:port``.
 
     At ``relay_address`` it takes requests of hosts that are cut off from the
-    targets. If it is empty, this host takes none and passes none on.
+    targets. If it is empty, this host takes none and passes none on. ``load``
+    says which decisions under load are used.
     """
 
     host: str
@@ -44,6 +49,7 @@
     store_address: str
     seeds: list[str] = []
     bounds: NodeBounds = NodeBounds()
+    load: LoadPolicy = LoadPolicy()
 
 
 def load_node_settings(text, source="<settings>"):
@@ -62,7 +68,7 @@
         If the text is not YAML, or a field is missing or invalid.
     """
     try:
-        data = yaml.load(text, Loader=_Loader)
+        data = _with_named_switches(yaml.load(text, Loader=_Loader))
         return msgspec.convert(data, NodeSettings, strict=False)
     except (yaml.YAMLError, msgspec.ValidationError) as error:
         raise InvalidFileError(
@@ -70,6 +76,20 @@
         ) from None
 
 
+def _with_named_switches(data):
+    """Return settings whose switches are words.
+
+    YAML reads ``on`` and ``off`` without quotes as truth values.
+    """
+    if not isinstance(data, dict) or not isinstance(data.get("load"), dict):
+        return data
+    switches = {
+        name: SWITCH_BY_TRUTH[value] if isinstance(value, bool) else value
+        for name, value in data["load"].items()
+    }
+    return {**data, "load": switches}
+
+
 def is_node_settings(text):
     """Return whether a text holds settings of a `Node`.
 
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from apricotseam.chains import PeerUsage
-from apricotseam.chains import Usage
 from apricotseam.fleet import AnnouncementSource
 from apricotseam.node._delegates import DelegateReports
 from apricotseam.node._delegates import TAKEOVER_SECONDS
@@ -290,7 +289,7 @@
 
     def _make_state(self, suspects, slow, repeats):
         usages = {
-            identity: Usage(round(usage.units), usage.requests)
+            identity: usage.rounded()
             for identity, usage in self._ledger.own.items()
         }
         since = self._now() - REFUSED_REPORT_SECONDS
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -11,11 +11,13 @@
 
 from apricotseam.chains import sum_usages
 from apricotseam.chains import Usage
+from apricotseam.fleet import PaceNotice
 from apricotseam.forwarding import RepeatCount
 from apricotseam.node._limit_notices import LimitNotice
 from apricotseam.node._trait_notices import TraitNotice
 from apricotseam.positions import NO_POSITION
 from apricotseam.positions import Position
+from apricotseam.sharing import DemandCount
 
 # A host that sent nothing for this long no longer counts in reports.
 STATE_EXPIRY_SECONDS = 4.0
@@ -49,7 +51,8 @@
     ``number`` counts its messages. ``leaving`` are the targets that, as it
     knows, announced that they leave, ``limits`` those that told it that they
     limit requests or do so no more. ``traits`` is what it knows of traits of
-    requests under which targets ended.
+    requests under which targets ended, ``paces`` those of targets that have
+    just started or recovered, ``demand`` its counts by class and customer.
     """
 
     host: str
@@ -63,6 +66,8 @@
     leaving: dict[str, LeavingNotice] = {}
     limits: dict[str, LimitNotice] = {}
     traits: dict[str, TraitNotice] = {}
+    paces: dict[str, PaceNotice] = {}
+    demand: dict[str, DemandCount] = {}
 
     @property
     def sender(self):
@@ -82,7 +87,9 @@
     that the sender follows, `NO_POSITION` if it does not follow the store.
     ``leaving`` are the targets that, as the sender knows, announced that they
     leave, ``limits`` those that told any host about limits, ``traits`` are
-    traits of requests under which targets ended at any host.
+    traits of requests under which targets ended at any host. ``paces`` are
+    those of paced targets, ``demand`` is the sum over the same hosts as
+    ``usages``.
     """
 
     zone: str
@@ -100,6 +107,8 @@
     leaving: dict[str, LeavingNotice] = {}
     limits: dict[str, LimitNotice] = {}
     traits: dict[str, TraitNotice] = {}
+    paces: dict[str, PaceNotice] = {}
+    demand: dict[str, DemandCount] = {}
 
 
 def is_newer(message, known):
@@ -289,8 +298,9 @@
         own = part.get(target, Usage())
         units = max(0.0, usage.units - own.units)
         requests = max(0, usage.requests - own.requests)
-        if requests:
-            rest[target] = Usage(units, requests)
+        start_ms = max(0.0, usage.start_ms - own.start_ms)
+        if requests or start_ms:
+            rest[target] = Usage(units, requests, start_ms)
     return rest
 
 
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -6,10 +6,12 @@
 
 from apricotseam.chains import PeerUsage
 from apricotseam.chains import Usage
+from apricotseam.fleet import PaceNotice
 from apricotseam.node._limit_notices import LimitNotice
 from apricotseam.node._trait_notices import TraitNotice
 from apricotseam.node._zone_reports import is_newer
 from apricotseam.node._zone_reports import LeavingNotice
+from apricotseam.sharing import DemandCount
 
 SEND_PERIOD_SECONDS = 0.6
 
@@ -21,7 +23,8 @@
     counts its messages. ``suspects`` are targets that the sender
     cannot reach, ``leaving`` those that announced that they leave, and
     ``limits`` those that told any host about limits. ``traits`` are traits
-    of requests under which targets ended at any host.
+    of requests under which targets ended at any host. ``paces`` are those of
+    paced targets, ``demand`` is the sum over the zone's hosts.
     """
 
     zone: str
@@ -32,6 +35,8 @@
     leaving: dict[str, LeavingNotice] = {}
     limits: dict[str, LimitNotice] = {}
     traits: dict[str, TraitNotice] = {}
+    paces: dict[str, PaceNotice] = {}
+    demand: dict[str, DemandCount] = {}
 
 
 class ZoneUsageExchange:
@@ -83,7 +88,7 @@
     def _send(self):
         self._number += 1
         usages = {
-            identity: Usage(round(usage.units), usage.requests)
+            identity: usage.rounded()
             for identity, usage in self._ledger.zone_totals().items()
         }
         message = ZoneState(
--- a/apricotseam/node/tests/test_settings.py
+++ b/apricotseam/node/tests/test_settings.py
@@ -56,8 +56,21 @@
     assert load_node_settings(VALID_SETTINGS + "later: 1\n").host == "h"
 
 
+@pytest.mark.parametrize(
+    ("text", "switch"),
+    [("auto", "auto"), ("on", "on"), ("off", "off"), ("'off'", "off")],
+)
+def test_switches_may_be_written_without_quotes(text, switch):
+    """Guards against YAML, which reads on and off as truth values."""
+    settings = load_node_settings(
+        VALID_SETTINGS + f"load:\n  pacing: {text}\n"
+    )
+    assert settings.load.pacing == switch
+
+
 # Description, text of the settings, part of the error message.
 INVALID_SETTINGS = [
+    ("switch", VALID_SETTINGS + "load:\n  pacing: often\n", "load.pacing"),
     ("missing field", VALID_SETTINGS.replace("zone: a", ""), "zone"),
     (
         "wrong type",
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -16,6 +16,7 @@
 import pytest
 
 from apricotseam.chains import Ledger
+from apricotseam.chains import Usage
 from apricotseam.coordination import Hosts
 from apricotseam.fleet import AnnouncementSource
 from apricotseam.fleet import Fleet
@@ -487,7 +488,7 @@
     ZoneReport("a", "h/1", 1, {}, {}, None, [], {}, [], {}, [], NO_POSITION),
     ZoneState("a", "h/1", 1, {}),
 ]
-ADDED = ["leaving", "limits", "traits"]
+ADDED = ["leaving", "limits", "traits", "paces", "demand"]
 
 
 @pytest.mark.parametrize("missing", range(1, len(ADDED) + 1))
@@ -505,7 +506,22 @@
         old, type=type(message), dec_hook=decode_hook
     )
     assert read == message and read.leaving == {} and read.limits == {}
-    assert read.traits == {}
+    assert read.traits == {} and read.paces == {} and read.demand == {}
+
+
+def test_usage_of_a_host_without_start_work_is_read():
+    """Guards against peers whose usage is dropped in a change of version."""
+    old = msgspec.msgpack.encode([12.0, 3])
+    assert msgspec.msgpack.decode(old, type=Usage) == Usage(12.0, 3, 0.0)
+    new = msgspec.msgpack.encode(Usage(12.0, 3, 40.0))
+    assert msgspec.msgpack.decode(new, type=OldUsage) == OldUsage(12.0, 3)
+
+
+class OldUsage(msgspec.Struct, array_like=True):
+    """Usage as hosts of earlier versions read it."""
+
+    units: float
+    requests: int
 
 
 def end_target(host, number):
--- a/apricotseam/platform/_configuration.py
+++ b/apricotseam/platform/_configuration.py
@@ -88,6 +88,9 @@
     layers: int = 0
     layer_mb: float = 0.0
     activation_bytes: float = 0.0
+    # Link between zones that all chains of the service share, in 10**6
+    # bits a second.
+    inter_zone_mbps: float = 0.0
     kinds: list[_AcceleratorKind] = []
     # Duration of a decoding step over all layers: a constant part, a part
     # per request and a part per 1000 tokens of context, all in ms.
@@ -233,6 +236,7 @@
         usual_answer_tokens=engine.usual.answer,
         simultaneous_loads=engine.loads_at_once,
         activation_bytes=engine.activation_bytes,
+        inter_zone_mbps=engine.inter_zone_mbps,
     )
 
 
--- a/apricotseam/routes/__init__.py
+++ b/apricotseam/routes/__init__.py
@@ -2,6 +2,10 @@
 
 from apricotseam.routes._engine import AcceleratorKind
 from apricotseam.routes._engine import EngineProfile
+from apricotseam.routes._load_policy import LoadFeatures
+from apricotseam.routes._load_policy import LoadPolicy
+from apricotseam.routes._load_policy import NO_FEATURES
+from apricotseam.routes._load_policy import Switch
 from apricotseam.routes._routes import Customer
 from apricotseam.routes._routes import RepeatPolicy
 from apricotseam.routes._routes import Route
@@ -13,9 +17,13 @@
     "AcceleratorKind",
     "Customer",
     "EngineProfile",
+    "LoadFeatures",
+    "LoadPolicy",
+    "NO_FEATURES",
     "RepeatPolicy",
     "Route",
     "RouteTable",
     "Service",
     "ServiceShare",
+    "Switch",
 ]
--- a/apricotseam/routes/_engine.py
+++ b/apricotseam/routes/_engine.py
@@ -24,7 +24,9 @@
     the processing of prompts, whose attention cost grows with the number
     of token pairs. ``token_bytes`` is the cache memory of one token in all
     layers, ``slots`` the number of requests that a target runs at once, and
-    ``load_seconds`` the time to load all layers.
+    ``load_seconds`` the time to load all layers. ``inter_zone_mbps`` is the
+    bandwidth of the link between zones that all chains share, in 10**6 bits a
+    second, 0 if none is declared.
     """
 
     layers: int
@@ -44,6 +46,7 @@
     usual_answer_tokens: float = 1.0
     simultaneous_loads: int = 1
     activation_bytes: float = 0.0
+    inter_zone_mbps: float = 0.0
 
     @property
     def unit_bytes(self):
--- a/apricotseam/routes/_table.py
+++ b/apricotseam/routes/_table.py
@@ -32,6 +32,7 @@
         "has_customers",
         "limits",
         "position",
+        "routes",
         "services",
         "version",
     )
@@ -49,8 +50,9 @@
         self.version = version
         self.services = {service.name: service for service in services}
         self.limits = limits or Limits()
+        self.routes = tuple(routes)
         self._by_host = collections.defaultdict(dict)
-        for route in routes:
+        for route in self.routes:
             self._by_host[route.host.lower()][route.prefix] = route
         self._by_key = {}
         self.has_customers = False
--- a/release/shares.py
+++ b/release/shares.py
@@ -26,6 +26,7 @@
     "pipelines",
     "routes",
     "routing",
+    "sharing",
 )
 # The soak has to stay below this ratio to the code without tests.
 MAX_SOAK_RATIO = 1 / 10
