Admit requests by when their answers would begin

Cause: admission booked memory only. An order that a target refused as it was busy replaced the one that it carried out, so a gap stayed for 6 s.

Change: reading and transfer times are booked beside memory until the first event; a chain is used only if the answer would begin in time. Requests have a random place among those of all hosts, after losses and where more arrive than chains can read. Refused callers are spread over the time that they honour. The placer counts on the order that a busy target carries out.

--- a/apricotseam/chains/__init__.py
+++ b/apricotseam/chains/__init__.py
@@ -14,6 +14,11 @@
 from apricotseam.chains._paths import Holder
 from apricotseam.chains._repair import choose_orders
 from apricotseam.chains._repair import LayerOrder
+from apricotseam.chains._start_model import link_resource
+from apricotseam.chains._start_model import StageLoad
+from apricotseam.chains._start_model import StartEstimate
+from apricotseam.chains._start_model import StartModel
+from apricotseam.chains._start_model import tokens_to_read
 
 __all__ = [
     "Booking",
@@ -24,10 +29,15 @@
     "LayerOrder",
     "Ledger",
     "PeerUsage",
+    "StageLoad",
+    "StartEstimate",
+    "StartModel",
     "Usage",
     "choose_orders",
     "covers_layers",
     "find_chain",
+    "link_resource",
     "plan_zone",
     "sum_usages",
+    "tokens_to_read",
 ]
--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -110,6 +110,26 @@
         """Return the number of requests in progress at a target."""
         return sum(usage.requests for usage in self._usages(identity))
 
+    def peer_requests(self, identity):
+        """Return the requests of other hosts in progress at a target."""
+        return self._usages(identity)[1].requests
+
+    def news_seconds(self, now):
+        """Return the age of the oldest news of peers that still counts.
+
+        It is 0 if no peer has sent any.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        ages = (
+            now - until + PEER_EXPIRY_SECONDS
+            for _, until in self._peers.values()
+        )
+        return max(ages, default=0.0)
+
     def _missing_peers(self):
         """Return the number of expected peers that have sent no usage."""
         return max(0, self._expected_peers() - self._peer_host_count)
--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -5,6 +5,7 @@
 
 from apricotseam.quarantine import part_trait
 from apricotseam.quarantine import request_trait
+from apricotseam.routes import NO_FEATURES
 
 # Subtracted from the caller's deadline so that an answer of this host
 # arrives before the caller gives up.
@@ -48,7 +49,9 @@
         "hop",
         "is_trial",
         "last_event",
+        "load",
         "longest_gap",
+        "progress_at",
         "send_outcomes",
         "sends",
         "relayed_to",
@@ -56,9 +59,11 @@
         "route",
         "runs",
         "service",
+        "start_verdict",
         "table",
         "failed_answer",
         "failed_targets",
+        "_place",
         "traits",
         "waited_seconds",
     )
@@ -89,6 +94,14 @@
             seconds = min(seconds, metadata.seconds_left)
         self.deadline = request.received_at + seconds - ANSWER_MARGIN_SECONDS
         self.last_event = (hop or metadata).last_event
+        # `LoadFeatures` that apply to it.
+        self.load = NO_FEATURES
+        # Loop time of the last event that the caller got from this host; at
+        # first that of its request.
+        self.progress_at = request.received_at
+        # Last `StartVerdict` on a chain; None before the first one.
+        self.start_verdict = None
+        self._place = None
         # Loop time of the first event, and the seconds spent in the queue.
         self.first_event_at = None
         self.waited_seconds = 0.0
@@ -137,6 +150,13 @@
         lengths = f"{metadata.prompt_tokens},{metadata.expected_answer_tokens}"
         return f"{self.customer}/{metadata.prompt_id}/{lengths}"
 
+    @property
+    def waits_until(self):
+        """Loop time until which its caller waits for the next event."""
+        return min(
+            self.deadline, self.progress_at + self.route.patience_seconds
+        )
+
     @property
     def may_run_again(self):
         """Whether the route permits another run after those so far."""
@@ -153,6 +173,18 @@
         """Whether another host received it from its caller."""
         return self.hop is not None
 
+    def draw_place(self, generator):
+        """Return its random place among the requests of all hosts.
+
+        Parameters
+        ----------
+        generator : random.Random
+            Draws the place, from 0 to 1, when it is first asked for.
+        """
+        if self._place is None:
+            self._place = generator.random()
+        return self._place
+
     def withdraw_attempt(self, target):
         """Take back an attempt of which nothing was sent.
 
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -11,6 +11,7 @@
 from apricotseam.chains import find_chain
 from apricotseam.chains import Holder
 from apricotseam.fleet import Target
+from apricotseam.forwarding._start_estimates import stage_load
 from apricotseam.platform import format_chain
 from apricotseam.platform import Stage
 
@@ -39,7 +40,9 @@
     ``stages`` pairs each target with the number of layers that it runs.
     ``path`` holds the address and layers of each stage of a chain; it is
     empty for a single target. ``tokens`` is the number of tokens to book,
-    ``token_ms`` the estimated time per token in milliseconds.
+    ``token_ms`` the estimated time per token in milliseconds. ``start_ms``
+    is the estimated time until the first event, and ``start_work`` the time
+    that the prompt needs by resource, if starts are estimated.
     """
 
     head: Target
@@ -47,6 +50,8 @@
     path: tuple[Stage, ...]
     tokens: float
     token_ms: float = 0.0
+    start_ms: float = 0.0
+    start_work: tuple[tuple[str, float], ...] = ()
 
     @property
     def chain(self):
@@ -83,6 +88,8 @@
         self._fleet = fleet
         self._ledger = ledger
         self._zone = zone
+        # `StartEstimator` of this host, set before the first request.
+        self.starts = None
 
     def expected_tokens(self, call):
         """Return the expected mean number of tokens that a request holds."""
@@ -128,6 +135,9 @@
             )
             return [holder for holder in found if holder is not None]
 
+        if call.load.start_estimates:
+            zones = [self._zone, *(z for z in by_zone if z != self._zone)]
+            return self._choose_in_time(call, find_holders, zones, tokens, now)
         best = self._cheapest(find_holders, list(by_zone), profile, tokens)
         if best is None:
             all_holders = [h for zone in by_zone for h in find_holders(zone)]
@@ -136,6 +146,102 @@
             return None
         return self._make_choice(best, tokens)
 
+    def _choose_in_time(self, call, find_holders, zones, tokens, now):
+        """Return the cheapest chain whose answer would begin in time.
+
+        A chain of another zone must be clearly cheaper than one of the own
+        zone that is in time. Chains over several zones are a last resort.
+
+        Parameters
+        ----------
+        call : Call
+            The request. Its `start_verdict` becomes that on the chosen
+            chain, or on the one that would begin first if there is none.
+        find_holders : callable
+            Returns the usable holders of a zone.
+        zones : list of str
+            All zones, the own one first.
+        tokens : float
+            Tokens that the request will hold.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Choice or None
+        """
+        layers = call.service.engine.layers
+        call.start_verdict = None
+        best = None
+        bound = math.inf
+        for zone in zones:
+            is_own = zone == self._zone
+            cost_limit = bound
+            if not is_own:
+                cost_limit = (
+                    bound - REMOTE_ZONE_COST_MS
+                ) / REMOTE_ZONE_COST_FACTOR
+            if cost_limit < _least_cost(call.service.engine):
+                continue
+            stages = find_chain(
+                find_holders(zone), layers, tokens, max_cost_ms=cost_limit
+            )
+            choice = self._judge(call, stages, tokens, now)
+            if choice is not None:
+                best = choice
+                bound = choice.token_ms
+                if not is_own:
+                    bound = (
+                        bound * REMOTE_ZONE_COST_FACTOR + REMOTE_ZONE_COST_MS
+                    )
+        if best is not None:
+            return best
+        holders = [h for zone in zones for h in find_holders(zone)]
+        return self._judge(
+            call, find_chain(holders, layers, tokens), tokens, now
+        )
+
+    def _judge(self, call, stages, tokens, now):
+        """Return a chain as a `Choice` if its answer would begin in time."""
+        if stages is None:
+            return None
+        loads = [
+            self._stage_load(call.service, stage, now) for stage in stages
+        ]
+        verdict = self.starts.judge(
+            call, loads, self._count_heads(call.service, now), now
+        )
+        known = call.start_verdict
+        if (
+            known is None
+            or verdict.is_in_time
+            or verdict.excess_ms < known.excess_ms
+        ):
+            call.start_verdict = verdict
+        if not verdict.is_in_time:
+            return None
+        return msgspec.structs.replace(
+            self._make_choice(stages, tokens),
+            start_ms=verdict.estimate.milliseconds,
+            start_work=verdict.estimate.start_work,
+        )
+
+    def _stage_load(self, service, stage, now):
+        """Return the `StageLoad` of a `ChainStage`."""
+        target = self._fleet.get(stage.holder.identity)
+        kind = service.engine.kind(target.record.kind)
+        return stage_load(target, stage.layers.size, kind, self._ledger, now)
+
+    def _count_heads(self, service, now):
+        """Return the number of targets at which chains can begin, or 1."""
+        heads = sum(
+            target.record.layers is not None
+            and target.record.layers.first == 0
+            and not target.health.is_suspect(now)
+            for target in self._fleet.of_service(service.name)
+        )
+        return max(1, heads)
+
     def _cheapest(self, find_holders, zones, profile, tokens):
         """Return the cheapest chain within one availability zone, or None.
 
@@ -208,8 +314,19 @@
             (choice.path[0], *tail.path),
             choice.tokens,
             choice.token_ms,
+            start_work=self._tail_work(call, rest, now),
         )
 
+    def _tail_work(self, call, stages, now):
+        """Return the time that a stream needs on its new stages."""
+        if not call.load.start_estimates:
+            return ()
+        loads = [
+            self._stage_load(call.service, stage, now) for stage in stages
+        ]
+        verdict = self.starts.judge(call, loads, 1, now)
+        return verdict.estimate.start_work
+
     def choose_target(self, call, now):
         """Return the best single target as a `Choice`, or None."""
         candidates = self._candidates(call, now)
@@ -314,6 +431,16 @@
         pressure = 1.0 + (1.0 - free / capacity) ** 2
         cost = step_ms / profile.layers * pressure * target.health.penalty()
         cost *= target.health.slowness(now)
+        if call.load.start_estimates:
+            load = stage_load(
+                target, record.layers.size, kind, self._ledger, now
+            )
+            queue_ms = self.starts.queue_ms(call, load)
+            if queue_ms > self.starts.limit_ms(call, now):
+                return None
+            # The wait counts as spread over the tokens of the answer.
+            answer_layers = profile.usual_answer_tokens * record.layers.size
+            cost += queue_ms / max(1.0, answer_layers)
         return Holder(
             record.identity,
             record.address,
--- a/apricotseam/forwarding/_event_writer.py
+++ b/apricotseam/forwarding/_event_writer.py
@@ -47,6 +47,7 @@
             self.start(answer)
             self._record_first_event()
         await call.exchange.write(event.data, call.deadline)
+        call.progress_at = asyncio.get_running_loop().time()
 
     def start(self, answer):
         """Send the head of an answer unless one was sent already."""
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -14,6 +14,8 @@
 from apricotseam.forwarding._probes import TargetProber
 from apricotseam.forwarding._quarantine_gate import QuarantineGate
 from apricotseam.forwarding._relay import RelayRunner
+from apricotseam.forwarding._return_schedule import ReturnSchedule
+from apricotseam.forwarding._start_estimates import StartEstimator
 from apricotseam.forwarding._streams import StreamRunner
 from apricotseam.forwarding._target_ends import TargetEndDetector
 from apricotseam.http1 import EndCause
@@ -70,6 +72,7 @@
         "announcements",
         "generator",
         "host",
+        "_now",
         "load_policy",
         "peer_views",
         "permits",
@@ -78,6 +81,8 @@
         "relay_hosts",
         "relay_pool",
         "retry_budget",
+        "returns",
+        "starts",
         "target_ends",
         "target_selector",
         "fleet",
@@ -104,8 +109,9 @@
     ):
         self.request_queue = request_queue
         self.active_streams = ActiveStreams()
+        self._now = now
         self.prober = TargetProber(
-            pool, ledger, now, self.active_streams.recheck, fleet
+            pool, ledger, now, self.record_silence, fleet
         )
         self.fleet = fleet
         self.ledger = ledger
@@ -123,6 +129,11 @@
         self.quarantine_gate = QuarantineGate(self.quarantine)
         self.target_ends = TargetEndDetector(metrics, self.quarantine)
         self.generator = random.Random()
+        self.starts = StartEstimator(
+            ledger, self.generator, retry_budget.requests_per_second
+        )
+        self.returns = ReturnSchedule(self.generator)
+        target_selector.starts = self.starts
         # `SendPermits`, set before the first request is accepted.
         self.permits = None
         # Name of this host.
@@ -141,6 +152,19 @@
         # of a graceful shutdown.
         self.shutdown_at = None
 
+    def record_silence(self, identity):
+        """Record that a target answers no more; its streams are checked.
+
+        Parameters
+        ----------
+        identity : str
+            Identity of the target.
+        """
+        target = self.fleet.get(identity)
+        if target is not None:
+            self.starts.record_loss(target, self._now())
+        self.active_streams.recheck(identity)
+
 
 class Gateway:
     """Request handler of the listener for callers.
@@ -224,6 +248,7 @@
         call = Call(
             request, exchange, metadata, route, service, customer, table, hop
         )
+        call.load = context.load_policy.features(table, service)
         if context.shutdown_at is not None:
             exchange.must_close = True
             if not _ends_before(call, context.shutdown_at):
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -4,6 +4,7 @@
 
 from apricotseam.fleet import AnnouncementSource
 
+MS_PER_SECOND = 1000.0
 # Upper bounds of the latency buckets.
 BUCKETS_SECONDS = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 20.0)
 
@@ -117,6 +118,35 @@
             registry=registry,
         )
 
+        self._start_estimate = prometheus_client.Histogram(
+            "apricotseam_start_estimate_seconds",
+            "Estimated time from a send to its first event.",
+            buckets=BUCKETS_SECONDS,
+            registry=registry,
+        )
+        self._start_error = prometheus_client.Histogram(
+            "apricotseam_start_error_seconds",
+            "Difference between that time and its estimate.",
+            ["sign"],
+            buckets=BUCKETS_SECONDS,
+            registry=registry,
+        )
+
+    def record_start(self, estimated_ms, seconds):
+        """Record the first event of a send whose start was estimated.
+
+        Parameters
+        ----------
+        estimated_ms : float
+            Estimated time from the send to its first event, in ms.
+        seconds : float
+            The time that it took.
+        """
+        estimated = estimated_ms / MS_PER_SECOND
+        sign = "late" if seconds > estimated else "early"
+        self._start_estimate.observe(estimated)
+        self._start_error.labels(sign).observe(abs(seconds - estimated))
+
     def watch_quarantine(self, quarantine):
         """Show how many traits a `Quarantine` holds back."""
         self._held_traits.set_function(lambda: len(quarantine.held))
--- a/apricotseam/forwarding/_retry_budget.py
+++ b/apricotseam/forwarding/_retry_budget.py
@@ -174,6 +174,22 @@
         """
         self._peers[host] = _Peer(counts, hosts, now)
 
+    def requests_per_second(self, service, now):
+        """Return the rate of requests for a service, of all hosts.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        now : float
+            Monotonic time in seconds.
+        """
+        requests = self._recent(self._requests[service], now)
+        for peer in self._peers.values():
+            if now - peer.reported_at < self._window_seconds:
+                requests += peer.counts.get(service, _NO_COUNT).requests
+        return requests / self._window_seconds
+
     def forget_peers(self):
         """Discard the counts of all peers."""
         self._peers.clear()
--- /dev/null
+++ b/apricotseam/forwarding/_start_estimates.py
@@ -0,0 +1,269 @@
+"""Whether a request's answer would begin in time on a chain."""
+
+import logging
+
+import msgspec
+
+from apricotseam.chains import StageLoad
+from apricotseam.chains import StartEstimate
+from apricotseam.chains import StartModel
+from apricotseam.chains import tokens_to_read
+
+_LOG = logging.getLogger(__name__)
+
+MS_PER_SECOND = 1000.0
+# Share of the objective within which an answer has to begin by the estimate.
+# The rest is for news from other hosts that is older than what they do.
+OBJECTIVE_SHARE = 0.8
+# An answer has to begin this long before its caller leaves.
+PATIENCE_MARGIN_SECONDS = 0.15
+# Time after the loss of a target in which the callers of its streams wait:
+# once for this answer and once for that to a repeat.
+LOSS_SECONDS = 4.0
+# Demand up to which all requests are admitted, as a fraction of what a chain
+# can read.
+FULL_DEMAND = 1.0
+
+
+class StartVerdict(msgspec.Struct, frozen=True):
+    """An estimate, and the latest start that counts as in time.
+
+    ``limit_ms`` is in milliseconds from now, like the estimate.
+    ``admitted_share`` is the fraction of all requests that the chain can
+    take, ``place`` that of this request among them, both from 0 to 1.
+    """
+
+    estimate: StartEstimate
+    limit_ms: float
+    admitted_share: float = 1.0
+    place: float = 0.0
+
+    @property
+    def is_in_time(self):
+        """Whether the request may be sent."""
+        if self.place > self.admitted_share:
+            return False
+        return self.estimate.milliseconds <= self.limit_ms
+
+    @property
+    def excess_ms(self):
+        """By how many milliseconds the estimate exceeds the limit."""
+        return max(0.0, self.estimate.milliseconds - self.limit_ms)
+
+
+class _LostStreams(msgspec.Struct):
+    """Streams of all hosts on the lost targets of one zone."""
+
+    count: int
+    since: float
+
+
+class StartEstimator:
+    """Estimates starts from what all hosts have booked.
+
+    Hosts know of each other's bookings with a delay, so in an overload each
+    of them would find the same room. A request therefore has a random place
+    among those of all hosts, and is sent only if those before it leave room:
+
+    - after a loss, the streams that used the lost targets compete for other
+      chains; the hosts' last messages tell how many there are;
+    - if more requests arrive at all hosts than a chain can read, only the
+      part that it can read is sent there.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Capacity in use on the targets.
+    generator : random.Random
+        Draws the places.
+    request_rate : callable, optional
+        Returns the requests per second of all hosts for a service, by its
+        name and the monotonic time in seconds.
+    """
+
+    def __init__(self, ledger, generator, request_rate=None):
+        self._ledger = ledger
+        self._random = generator
+        self._request_rate = request_rate or (lambda service, now: 0.0)
+        self._lost_by_zone = {}
+
+    def record_loss(self, target, now):
+        """Record that a target answers no more.
+
+        Targets of one zone mostly run the same streams, so the largest
+        number counts, not the sum.
+
+        Parameters
+        ----------
+        target : Target
+            The target.
+        now : float
+            Monotonic time in seconds.
+        """
+        count = self._ledger.running(target.identity)
+        zone = target.record.zone
+        known = self._lost_by_zone.get(zone)
+        if known is not None and now - known.since < LOSS_SECONDS:
+            known.count = max(count, known.count)
+        else:
+            self._lost_by_zone[zone] = _LostStreams(count, now)
+
+    def limit_ms(self, call, now):
+        """Return within which time an answer has to begin, in ms.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        now : float
+            Monotonic time in seconds.
+        """
+        if call.last_event is not None:
+            return self._patience_ms(call, now)
+        objective = OBJECTIVE_SHARE * call.route.objective_seconds
+        until = min(call.request.received_at + objective, call.deadline)
+        return max(0.0, until - now) * MS_PER_SECOND
+
+    def queue_ms(self, call, stage):
+        """Return how long a prompt waits at a stage, in milliseconds."""
+        return StartModel(call.service).queue_ms(stage)
+
+    def judge(self, call, stages, chains, now):
+        """Return the `StartVerdict` on a chain.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        stages : list of StageLoad
+            The stages of the chain.
+        chains : int
+            Number of chains that share what was lost.
+        now : float
+            Monotonic time in seconds.
+        """
+        model = StartModel(call.service)
+        tokens = tokens_to_read(
+            call.metadata.prompt_tokens or 0,
+            call.last_event or 0,
+            call.service.engine,
+        )
+        estimate = model.estimate(
+            stages, tokens, self._ledger.start_ms(model.link)
+        )
+        # Time that the scarcest resource of the chains needs for it.
+        scarcest_ms = max(
+            milliseconds if resource == model.link else milliseconds / chains
+            for resource, milliseconds in estimate.start_work
+        )
+        place = call.draw_place(self._random)
+        ahead_ms = self._ahead_ms(place, scarcest_ms, now)
+        estimate = msgspec.structs.replace(
+            estimate,
+            milliseconds=estimate.milliseconds + ahead_ms,
+            queue_ms=estimate.queue_ms + ahead_ms,
+        )
+        return StartVerdict(
+            estimate,
+            self._allowed_ms(call, estimate, now),
+            self._admitted_share(call, scarcest_ms, now),
+            place,
+        )
+
+    def _allowed_ms(self, call, estimate, now):
+        """Return the latest start that is accepted, in ms from now.
+
+        A request that is late even on an idle chain may wait there for as
+        long as others do.
+        """
+        limit_ms = self.limit_ms(call, now)
+        own_ms = estimate.milliseconds - estimate.queue_ms
+        if own_ms <= limit_ms:
+            return limit_ms
+        return min(own_ms + limit_ms, self._patience_ms(call, now))
+
+    def _patience_ms(self, call, now):
+        """Return for how long the caller waits for an event, in ms."""
+        left = call.waits_until - PATIENCE_MARGIN_SECONDS - now
+        return max(0.0, left) * MS_PER_SECOND
+
+    def _ahead_ms(self, place, scarcest_ms, now):
+        """Return the work of lost streams that comes first, in ms."""
+        ahead_ms = 0.0
+        for lost in self._lost_by_zone.values():
+            elapsed_ms = (now - lost.since) * MS_PER_SECOND
+            if elapsed_ms < LOSS_SECONDS * MS_PER_SECOND:
+                work_ms = place * lost.count * scarcest_ms
+                ahead_ms += max(0.0, work_ms - elapsed_ms)
+        return ahead_ms
+
+    def _admitted_share(self, call, scarcest_ms, now):
+        """Return the fraction of all requests that the chains can read.
+
+        Streams that had begun are admitted in any case.
+        """
+        if call.last_event is not None or not scarcest_ms:
+            return 1.0
+        rate = self._request_rate(call.service.name, now)
+        demand = rate * scarcest_ms / MS_PER_SECOND
+        return min(1.0, FULL_DEMAND / demand) if demand else 1.0
+
+
+def log_late_start(call, verdict, ledger, now):
+    """Log that a call is refused since its answer would begin too late.
+
+    Parameters
+    ----------
+    call : Call
+        The request.
+    verdict : StartVerdict
+        The one on the chain that would begin first.
+    ledger : Ledger
+        Capacity in use on the targets.
+    now : float
+        Monotonic time in seconds.
+    """
+    estimate = verdict.estimate
+    _LOG.info(
+        "start_refused",
+        extra={
+            "request": call.request_id,
+            "customer": call.customer,
+            "priority": call.effective_priority,
+            "estimate_ms": round(estimate.milliseconds),
+            "limit_ms": round(verdict.limit_ms),
+            "queue_ms": round(estimate.queue_ms),
+            "resource": estimate.resource,
+            "admitted_share": round(verdict.admitted_share, 3),
+            "place": round(verdict.place, 3),
+            "news_ms": round(ledger.news_seconds(now) * MS_PER_SECOND),
+        },
+    )
+
+
+def stage_load(target, layers, kind, ledger, now):
+    """Return the `StageLoad` of a target in a chain.
+
+    Parameters
+    ----------
+    target : Target
+        The target.
+    layers : int
+        Number of layers that the stage runs.
+    kind : AcceleratorKind
+        Its accelerator.
+    ledger : Ledger
+        Capacity in use on the targets.
+    now : float
+        Monotonic time in seconds.
+    """
+    slowness = target.health.slowness(now)
+    return StageLoad(
+        target.identity,
+        target.record.zone,
+        layers,
+        kind.step_factor * slowness,
+        kind.read_factor * slowness,
+        ledger.running(target.identity),
+        ledger.start_ms(target.identity),
+    )
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -99,6 +99,8 @@
         # Whether the chain has written for long enough after that.
         self._is_sound = False
         self._is_reading = False
+        # Whether the first event on the present chain has come.
+        self._is_begun = False
         self._reroutes = 0
         # `SecondAttempt` that was started because of a silence, or None.
         self._second = None
@@ -162,6 +164,7 @@
                 self._first_data = await self._connection.read(
                     self._call.deadline
                 )
+                self._record_start()
                 is_prepared = True
             return failure
         finally:
@@ -175,7 +178,9 @@
     def book_capacity(self):
         """Book the capacity that the chain uses until `close`."""
         choice = self._choice
-        self._booking = self._context.ledger.book(choice.tokens, choice.shares)
+        self._booking = self._context.ledger.book(
+            choice.tokens, choice.shares, choice.start_work
+        )
         self._context.active_streams.add(self, self._identities())
 
     def close(self):
@@ -267,6 +272,7 @@
             events = splitter.feed(data)
             if events:
                 self._record_progress()
+                self._record_start()
             for event in events:
                 await self._forward_event(answer, event)
             if events:
@@ -346,6 +352,18 @@
         self._record_gap(now - self._progress_at)
         self._start_waiting(now)
 
+    def _record_start(self):
+        """Release the time that was booked until the answer's begin."""
+        if self._is_begun:
+            return
+        self._is_begun = True
+        self._context.ledger.record_start(self._booking)
+        if self._choice.start_ms:
+            now = asyncio.get_running_loop().time()
+            self._context.metrics.record_start(
+                self._choice.start_ms, now - self._sent_at
+            )
+
     def _start_waiting(self, now):
         self._progress_at = now
         self._check_at = now + self._first_timeout()
@@ -492,6 +510,7 @@
         if is_done:
             self._release_capacity()
             self._choice = choice
+            self._is_begun = False
             self.book_capacity()
         return is_done
 
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -9,6 +9,9 @@
 from apricotseam.forwarding._relay import RelayRunner
 from apricotseam.forwarding._request_queue import WAIT_FRACTION
 from apricotseam.forwarding._sender import Sender
+from apricotseam.forwarding._start_estimates import log_late_start
+from apricotseam.forwarding._start_estimates import MS_PER_SECOND
+from apricotseam.forwarding._start_estimates import PATIENCE_MARGIN_SECONDS
 from apricotseam.forwarding._stream_attempt import StreamAttempt
 from apricotseam.forwarding._unserved import refuse_unserved
 from apricotseam.http1 import ConnectError
@@ -66,10 +69,22 @@
             return "cut"
         if call.runs == 0:
             return refuse_unserved(
-                self._context, call, "no room", self._retry_after(call)
+                self._context,
+                call,
+                self._refusal_cause(call),
+                self._retry_after(call),
             )
         return fail(call, status)
 
+    def _refusal_cause(self, call):
+        """Log why a call is refused, and return the cause in a few words."""
+        verdict = call.start_verdict
+        if verdict is None or verdict.is_in_time:
+            return "no room"
+        now = asyncio.get_running_loop().time()
+        log_late_start(call, verdict, self._context.ledger, now)
+        return "late start"
+
     def _make_attempt(self, call, choice):
         return StreamAttempt(
             self._context, self._sender, call, choice, self._record_result
@@ -153,6 +168,8 @@
     def _wait_deadline(self, call):
         """Return the loop time until which a call may wait for capacity."""
         now = asyncio.get_running_loop().time()
+        if call.load.start_estimates and call.last_event is not None:
+            return call.waits_until - PATIENCE_MARGIN_SECONDS
         if call.exchange.is_started:
             return min(call.deadline, now + RESUME_WAIT_SECONDS)
         wait_seconds = WAIT_FRACTION * call.route.objective_seconds
@@ -178,12 +195,25 @@
         if call.exchange.is_started:
             return True
         request_queue = self._context.request_queue
+        if call.load.start_estimates:
+            if call.last_event is not None:
+                return True
+            verdict = call.start_verdict
+            if verdict is not None and not verdict.is_in_time:
+                # A later send would begin later still.
+                return request_queue.was_refused_before(call)
         return now + request_queue.expected_wait_seconds(rank) <= until
 
     def _retry_after(self, call):
         """Record a refusal; return the suggested retry delay in seconds."""
         request_queue = self._context.request_queue
         request_queue.record_refusal(call)
+        if call.load.start_estimates:
+            verdict = call.start_verdict
+            excess_ms = verdict.excess_ms if verdict is not None else 0.0
+            return self._context.returns.delay_seconds(
+                call.seconds_left(), excess_ms / MS_PER_SECOND
+            )
         wait = request_queue.reserve_return_seconds()
         return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait))
 
--- a/apricotseam/forwarding/tests/test_announcements.py
+++ b/apricotseam/forwarding/tests/test_announcements.py
@@ -31,6 +31,7 @@
 from apricotseam.http1 import ResponseHead
 from apricotseam.positions import Position
 from apricotseam.quarantine import Quarantine
+from apricotseam.routes import NO_FEATURES
 
 OWN = AnnouncementSource.OWN_ANSWER
 LAYERS = PROFILE.layers
@@ -70,6 +71,7 @@
         metadata=metadata,
         service=service,
         failed_targets=set(),
+        load=NO_FEATURES,
         route=types.SimpleNamespace(is_repeatable=True),
         deadline=1e9,
         may_run_again=True,
--- a/apricotseam/forwarding/tests/test_announcements_machine.py
+++ b/apricotseam/forwarding/tests/test_announcements_machine.py
@@ -16,6 +16,7 @@
 from apricotseam.forwarding import TargetSelector
 from apricotseam.forwarding.tests.test_choice import PROFILE
 from apricotseam.positions import Position
+from apricotseam.routes import NO_FEATURES
 
 TARGETS = 5
 # Layers of each target; the last one serves the plain service.
@@ -143,7 +144,10 @@
             prompt_tokens=10, expected_answer_tokens=10, max_answer_tokens=None
         )
         return types.SimpleNamespace(
-            metadata=metadata, service=service, failed_targets=set()
+            metadata=metadata,
+            service=service,
+            failed_targets=set(),
+            load=NO_FEATURES,
         )
 
     @invariant()
--- a/apricotseam/forwarding/tests/test_choice.py
+++ b/apricotseam/forwarding/tests/test_choice.py
@@ -12,6 +12,7 @@
 from apricotseam.positions import Position
 from apricotseam.routes import AcceleratorKind
 from apricotseam.routes import EngineProfile
+from apricotseam.routes import NO_FEATURES
 
 LAYERS = 4
 PROFILE = EngineProfile(
@@ -38,7 +39,10 @@
     )
     service = types.SimpleNamespace(name="model", engine=PROFILE)
     return types.SimpleNamespace(
-        metadata=metadata, service=service, failed_targets=set()
+        metadata=metadata,
+        service=service,
+        failed_targets=set(),
+        load=NO_FEATURES,
     )
 
 
--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -42,14 +42,18 @@
 
 
 class _PendingOrder:
-    """An order whose effect is not yet visible in the store."""
+    """An order whose effect is not yet visible in the store.
 
-    __slots__ = ("check_at", "incarnation", "layers")
+    ``is_begun`` tells whether the target has said that it carries it out.
+    """
+
+    __slots__ = ("check_at", "incarnation", "is_begun", "layers")
 
     def __init__(self, incarnation, layers, check_at):
         self.incarnation = incarnation
         self.layers = layers
         self.check_at = check_at
+        self.is_begun = False
 
 
 class Placer:
@@ -70,6 +74,9 @@
         self._election = election
         self._now = now
         self._pending = {}
+        # Times until which targets that are still busy with an order get no
+        # other one, by identity.
+        self._busy_until = {}
         self._seen_changes = -1
         self._settled_at = 0.0
 
@@ -118,12 +125,23 @@
         records = [await self._expected_record(target) for target in targets]
         orders = choose_orders(records, service.engine)
         resting = _resting_at(self._now(), targets)
-        orders = [o for o in orders if o.identity not in resting]
+        busy = self._busy_targets()
+        orders = [o for o in orders if o.identity not in resting | busy]
         if orders:
             await asyncio.gather(
                 *(self._issue_order(order) for order in orders)
             )
 
+    def _busy_targets(self):
+        """Return the identities of targets that get no order at present."""
+        now = self._now()
+        self._busy_until = {
+            identity: until
+            for identity, until in self._busy_until.items()
+            if now < until
+        }
+        return set(self._busy_until)
+
     async def _without_lost(self, targets):
         """Return the targets that are not silent or resting for long."""
         resting = _resting_at(self._now() + LOST_REST_SECONDS, targets)
@@ -196,7 +214,12 @@
         return _with_layers(record, pending.layers)
 
     async def _verify_order(self, target, pending):
-        pending.check_at = self._now() + CONFIRM_TIMEOUT_SECONDS
+        period = (
+            CONFIRM_TIMEOUT_SECONDS
+            if pending.is_begun
+            else UNACCEPTED_RETRY_SECONDS
+        )
+        pending.check_at = self._now() + period
         try:
             report = await self._fetch_report(target)
         except ApricotseamError as error:
@@ -225,6 +248,7 @@
         target = self._context.fleet.get(order.identity)
         if target is None:
             return
+        earlier = self._pending.get(order.identity)
         pending = _PendingOrder(
             target.incarnation,
             order.layers,
@@ -232,8 +256,12 @@
         )
         self._pending[order.identity] = pending
         outcome = await self._send_order(target, order)
-        if outcome not in (OrderOutcome.BEGUN, OrderOutcome.HOLDS):
+        if outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS):
+            pending.is_begun = True
+        else:
             pending.check_at = self._now() + UNACCEPTED_RETRY_SECONDS
+        if outcome is OrderOutcome.CONFLICT:
+            self._keep_earlier_order(target, earlier)
         _LOG.info(
             "layers_ordered",
             extra={
@@ -245,6 +273,27 @@
             },
         )
 
+    def _keep_earlier_order(self, target, earlier):
+        """Count on the order that a target is busy with, not on a later one.
+
+        A target carries out one order at a time. While it gives up layers
+        that streams still use, that takes as long as the streams.
+
+        Parameters
+        ----------
+        target : Target
+            The target, which refused a later order.
+        earlier : _PendingOrder or None
+            The order that this host knows it is busy with.
+        """
+        retry_at = self._now() + UNACCEPTED_RETRY_SECONDS
+        self._busy_until[target.identity] = retry_at
+        if earlier is None or earlier.incarnation != target.incarnation:
+            return
+        if earlier.is_begun:
+            earlier.check_at = retry_at
+            self._pending[target.identity] = earlier
+
     async def _send_order(self, target, order):
         """Send an order; return its outcome.
 
--- a/apricotseam/routes/_load_policy.py
+++ b/apricotseam/routes/_load_policy.py
@@ -4,8 +4,6 @@
 
 import msgspec
 
-from apricotseam.routes._routes import RepeatPolicy
-
 # Ratio of the slowest to the fastest declared read factor from which the
 # kinds of a service count as uneven: a prompt then waits several times as
 # long in one chain as in another.
@@ -76,7 +74,7 @@
         """
         if service.engine is None:
             return NO_FEATURES
-        has_priorities = len(_priorities(table, service)) > 1
+        has_priorities = len(table.stream_priorities(service.name)) > 1
         has_uneven_kinds = _read_ratio(service.engine) >= UNEVEN_READ_RATIO
         if not self.start_estimates.resolve(
             has_priorities or has_uneven_kinds
@@ -89,19 +87,6 @@
         )
 
 
-def _priorities(table, service):
-    """Return the priorities of the stream routes to a service."""
-    return {
-        route.priority
-        for route in table.routes
-        if route.repeat is RepeatPolicy.STREAM
-        and any(
-            share.service == service.name and share.weight > 0
-            for share in route.shares
-        )
-    }
-
-
 def _read_ratio(profile):
     """Return the ratio of the slowest to the fastest read factor."""
     factors = [kind.read_factor for kind in profile.kinds]
--- a/apricotseam/routes/_routes.py
+++ b/apricotseam/routes/_routes.py
@@ -6,6 +6,12 @@
 
 from apricotseam.routes._engine import EngineProfile
 
+# Callers leave a stream after a gap of these seconds, or of a multiple of
+# the objective or of the longest pause if that is longer.
+MIN_PATIENCE_SECONDS = 2.0
+OBJECTIVE_PATIENCE_FACTOR = 4.0
+PAUSE_PATIENCE_FACTOR = 8.0
+
 
 class RepeatPolicy(enum.Enum):
     """Whether and how requests of a route may be retried.
@@ -48,6 +54,15 @@
     is_generation: bool = False
     is_resumable: bool = False
 
+    @property
+    def patience_seconds(self):
+        """Longest gap, also before the first event, that callers accept."""
+        return max(
+            MIN_PATIENCE_SECONDS,
+            OBJECTIVE_PATIENCE_FACTOR * self.objective_seconds,
+            PAUSE_PATIENCE_FACTOR * self.pause_seconds,
+        )
+
     @property
     def is_repeatable(self):
         """Whether a failed request may be run again on another target."""
--- a/apricotseam/routes/_table.py
+++ b/apricotseam/routes/_table.py
@@ -5,6 +5,7 @@
 
 from apricotseam.http1 import Limits
 from apricotseam.positions import NO_POSITION
+from apricotseam.routes._routes import RepeatPolicy
 
 
 class RouteTable:
@@ -31,8 +32,8 @@
         "_by_key",
         "has_customers",
         "limits",
+        "_stream_priorities",
         "position",
-        "routes",
         "services",
         "version",
     )
@@ -50,10 +51,16 @@
         self.version = version
         self.services = {service.name: service for service in services}
         self.limits = limits or Limits()
-        self.routes = tuple(routes)
         self._by_host = collections.defaultdict(dict)
-        for route in self.routes:
+        self._stream_priorities = collections.defaultdict(set)
+        for route in routes:
             self._by_host[route.host.lower()][route.prefix] = route
+            if route.repeat is RepeatPolicy.STREAM:
+                for share in route.shares:
+                    if share.weight > 0:
+                        self._stream_priorities[share.service].add(
+                            route.priority
+                        )
         self._by_key = {}
         self.has_customers = False
         for customer in customers:
@@ -83,6 +90,16 @@
                 return route
         return None
 
+    def stream_priorities(self, service):
+        """Return the priorities of the stream routes to a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        """
+        return self._stream_priorities.get(service, frozenset())
+
     def find_customer(self, key):
         """Return the customer that holds a key, or None."""
         return self._by_key.get(key)
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -235,7 +235,7 @@
             pool,
             ledger,
             self._now,
-            context.active_streams.recheck,
+            context.record_silence,
             fleet,
             generator,
         )
--- a/measure/emulator/_profile.py
+++ b/measure/emulator/_profile.py
@@ -52,6 +52,7 @@
         usual_answer_tokens=200.0,
         simultaneous_loads=5,
         activation_bytes=91800.0,
+        inter_zone_mbps=18000.0,
     ),
     classes=[
         RequestClass(name="interactive", priority=0, share=0.3, answer=150.0),
@@ -72,6 +73,7 @@
         read_tokens_per_second=105000.0,
         tokens_per_event=3,
         activation_bytes=45900.0,
+        inter_zone_mbps=26000.0,
     ),
     classes=[
         msgspec.structs.replace(kind, objective_seconds=0.5, pause_seconds=0.2)
