Correct the admitted share by the queue, and leave loading targets alone

Orders to targets that were loading were refused three times in a row, and the gap stayed.

Change: the queue that is known raises or lowers the share, the usual prompt decides for all; the placer fills gaps with targets that are not loading.

--- a/apricotseam/chains/_repair.py
+++ b/apricotseam/chains/_repair.py
@@ -24,7 +24,7 @@
     cause: str
 
 
-def choose_orders(records, profile):
+def choose_orders(records, profile, busy=frozenset()):
     """Return the orders that improve the layout of layers over targets.
 
     Each availability zone is considered by itself, but zones that are too
@@ -39,6 +39,9 @@
         hold or are loading.
     profile : EngineProfile
         Profile of the model that they run.
+    busy : collection of str
+        Identities of targets that are loading and take no order now; others
+        fill the gaps.
 
     Returns
     -------
@@ -51,8 +54,8 @@
     merged_zone, large_zones = _split_by_memory(zones, profile)
     orders = []
     for zone in [*large_zones, merged_zone] if merged_zone else large_zones:
-        orders.extend(_choose_zone_orders(zone, profile))
-    return orders
+        orders.extend(_choose_zone_orders(zone, profile, busy))
+    return [order for order in orders if order.identity not in busy]
 
 
 def _split_by_memory(zones, profile):
@@ -76,7 +79,7 @@
     return merged_zone, large_zones
 
 
-def _choose_zone_orders(records, profile):
+def _choose_zone_orders(records, profile, busy):
     """Return the orders for the targets of one zone."""
     empty = [r for r in records if r.layers is None]
     holding = [r for r in records if r.layers is not None]
@@ -95,7 +98,7 @@
     updated = [r for r in updated if r.layers is not None]
     if 0 not in _coverage(updated, profile):
         return orders
-    gap_orders = _order_for_gap(updated, profile)
+    gap_orders = _order_for_gap(updated, profile, busy)
     if gap_orders:
         return [*orders, *(o for o in gap_orders if o.identity not in ordered)]
     return _replan(records, profile) or orders
@@ -161,7 +164,7 @@
     return orders
 
 
-def _order_for_gap(records, profile):
+def _order_for_gap(records, profile, busy):
     """Order a target to hold layers that no target holds.
 
     The target's own layers must all be held by others too. The list is
@@ -172,7 +175,8 @@
     candidates = [
         r
         for r in records
-        if all(counts[i] > 1 for i in range(r.layers.first, r.layers.last))
+        if r.identity not in busy
+        and all(counts[i] > 1 for i in range(r.layers.first, r.layers.last))
     ]
     if not candidates:
         return []
--- a/apricotseam/chains/_start_model.py
+++ b/apricotseam/chains/_start_model.py
@@ -94,12 +94,6 @@
         bits_per_second = profile.inter_zone_mbps * BITS_PER_MEGABIT
         return bits * MS_PER_SECOND / bits_per_second
 
-    def usual_read_ms(self, read_factor, layers):
-        """Return the time in which a stage reads a usual prompt."""
-        return self._model.read_ms(
-            read_factor, layers, self._profile.usual_prompt_tokens
-        )
-
     def queue_ms(self, stage):
         """Return how long a prompt waits for those booked at a stage.
 
@@ -127,6 +121,33 @@
         link_ms : float
             Start work booked on the link between zones, in milliseconds.
         """
+        work = self._work(stages, tokens)
+        queues = [(self.queue_ms(stage), stage.resource) for stage in stages]
+        if _count_crossings(stages):
+            queues.append((link_ms, self._link))
+        queue_ms, resource = max(queues)
+        own_ms = sum(ms for _, ms in work)
+        own_ms += sum(2 * self._write_ms(stage) for stage in stages)
+        return StartEstimate(
+            queue_ms + own_ms, queue_ms, resource, tuple(work)
+        )
+
+    def usual_work(self, stages):
+        """Return the start work of a usual prompt on a chain.
+
+        Parameters
+        ----------
+        stages : list of StageLoad
+            The stages in order.
+
+        Returns
+        -------
+        list of tuple
+            Pairs of resource and milliseconds.
+        """
+        return self._work(stages, self._profile.usual_prompt_tokens)
+
+    def _work(self, stages, tokens):
         work = [
             (
                 stage.resource,
@@ -134,19 +155,10 @@
             )
             for stage in stages
         ]
-        queues = [(self.queue_ms(stage), stage.resource) for stage in stages]
-        own_ms = sum(ms for _, ms in work)
-        own_ms += sum(2 * self._write_ms(stage) for stage in stages)
         crossings = _count_crossings(stages)
         if crossings:
-            transfer_ms = crossings * self.transfer_ms(tokens)
-            work.append((self._link, transfer_ms))
-            queues.append((link_ms, self._link))
-            own_ms += transfer_ms
-        queue_ms, resource = max(queues)
-        return StartEstimate(
-            queue_ms + own_ms, queue_ms, resource, tuple(work)
-        )
+            work.append((self._link, crossings * self.transfer_ms(tokens)))
+        return work
 
     def _write_ms(self, stage):
         """Return the time of one event's steps of all writing requests."""
--- a/apricotseam/forwarding/_start_estimates.py
+++ b/apricotseam/forwarding/_start_estimates.py
@@ -20,9 +20,11 @@
 # Time after the loss of a target in which the callers of its streams wait:
 # once for this answer and once for that to a repeat.
 LOSS_SECONDS = 4.0
-# Demand up to which all requests are admitted, as a fraction of what a chain
-# can read.
-FULL_DEMAND = 1.0
+# Queue, as a fraction of the objective, at which a chain gets as many requests
+# as it can read. A shorter one gets more, a longer one fewer, within bounds.
+TARGET_QUEUE_SHARE = 0.4
+MAX_INCREASE = 2.0
+MAX_DECREASE = 4.0
 
 
 class StartVerdict(msgspec.Struct, frozen=True):
@@ -151,23 +153,28 @@
         estimate = model.estimate(
             stages, tokens, self._ledger.start_ms(model.link)
         )
-        # Time that the scarcest resource of the chains needs for it.
-        scarcest_ms = max(
-            milliseconds if resource == model.link else milliseconds / chains
-            for resource, milliseconds in estimate.start_work
-        )
+        usual_ms = self._scarcest_ms(model, stages, chains)
         place = call.draw_place(self._random)
-        ahead_ms = self._ahead_ms(place, scarcest_ms, now)
+        ahead_ms = self._ahead_ms(place, usual_ms, now)
+        share = self._admitted_share(call, estimate.queue_ms, usual_ms, now)
         estimate = msgspec.structs.replace(
             estimate,
             milliseconds=estimate.milliseconds + ahead_ms,
             queue_ms=estimate.queue_ms + ahead_ms,
         )
         return StartVerdict(
-            estimate,
-            self._allowed_ms(call, estimate, now),
-            self._admitted_share(call, scarcest_ms, now),
-            place,
+            estimate, self._allowed_ms(call, estimate, now), share, place
+        )
+
+    def _scarcest_ms(self, model, stages, chains):
+        """Return what a usual prompt takes from the scarcest resource.
+
+        The targets of parallel chains share the work, the link doesn't.
+        """
+        work = model.usual_work(stages)
+        return max(
+            milliseconds if resource == model.link else milliseconds / chains
+            for resource, milliseconds in work
         )
 
     def _allowed_ms(self, call, estimate, now):
@@ -187,26 +194,44 @@
         left = call.waits_until - PATIENCE_MARGIN_SECONDS - now
         return max(0.0, left) * MS_PER_SECOND
 
-    def _ahead_ms(self, place, scarcest_ms, now):
-        """Return the work of lost streams that comes first, in ms."""
+    def _ahead_ms(self, place, usual_ms, now):
+        """Return the work of lost streams that comes first, in ms.
+
+        Parameters
+        ----------
+        place : float
+            Place of the request among all, from 0 to 1.
+        usual_ms : float
+            What a usual prompt takes from the scarcest resource.
+        now : float
+            Monotonic time in seconds.
+        """
         ahead_ms = 0.0
         for lost in self._lost_by_zone.values():
             elapsed_ms = (now - lost.since) * MS_PER_SECOND
             if elapsed_ms < LOSS_SECONDS * MS_PER_SECOND:
-                work_ms = place * lost.count * scarcest_ms
+                work_ms = place * lost.count * usual_ms
                 ahead_ms += max(0.0, work_ms - elapsed_ms)
         return ahead_ms
 
-    def _admitted_share(self, call, scarcest_ms, now):
-        """Return the fraction of all requests that the chains can read.
+    def _admitted_share(self, call, queue_ms, usual_ms, now):
+        """Return the fraction of all requests that the chains can take.
 
-        Streams that had begun are admitted in any case.
+        It follows the rate of all requests, corrected by the queue. Streams
+        that had begun are admitted in any case.
         """
-        if call.last_event is not None or not scarcest_ms:
+        if call.last_event is not None:
             return 1.0
         rate = self._request_rate(call.service.name, now)
-        demand = rate * scarcest_ms / MS_PER_SECOND
-        return min(1.0, FULL_DEMAND / demand) if demand else 1.0
+        demand = rate * usual_ms / MS_PER_SECOND
+        if demand <= 0:
+            return 1.0
+        target_ms = (
+            TARGET_QUEUE_SHARE * call.route.objective_seconds * MS_PER_SECOND
+        )
+        correction = target_ms / max(queue_ms, target_ms / MAX_INCREASE)
+        correction = max(correction, 1.0 / MAX_DECREASE)
+        return min(1.0, correction / demand)
 
 
 def log_late_start(call, verdict, ledger, now):
--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -123,24 +123,25 @@
             self._context.fleet.of_service(service.name)
         )
         records = [await self._expected_record(target) for target in targets]
-        orders = choose_orders(records, service.engine)
-        resting = _resting_at(self._now(), targets)
         busy = self._busy_targets()
-        orders = [o for o in orders if o.identity not in resting | busy]
+        orders = choose_orders(records, service.engine, busy)
+        resting = _resting_at(self._now(), targets)
+        orders = [o for o in orders if o.identity not in resting]
         if orders:
             await asyncio.gather(
                 *(self._issue_order(order) for order in orders)
             )
 
     def _busy_targets(self):
-        """Return the identities of targets that get no order at present."""
+        """Return the identities of targets that are loading layers."""
         now = self._now()
         self._busy_until = {
             identity: until
             for identity, until in self._busy_until.items()
             if now < until
         }
-        return set(self._busy_until)
+        loading = (i for i, order in self._pending.items() if order.is_begun)
+        return {*self._busy_until, *loading}
 
     async def _without_lost(self, targets):
         """Return the targets that are not silent or resting for long."""
