--- a/apricotseam/chains/_start_model.py
+++ b/apricotseam/chains/_start_model.py
@@ -107,7 +107,9 @@
         pass_ms = self._model.read_ms(
             stage.read_factor, stage.layers, pass_tokens
         )
-        return stage.start_ms * (1.0 + self._write_ms(stage) / pass_ms)
+        return stage.start_ms * (
+            1.0 + self._write_ms(stage, stage.running) / pass_ms
+        )
 
     def estimate(self, stages, tokens, link_ms=0.0):
         """Return the `StartEstimate` of a request on a chain.
@@ -127,7 +129,12 @@
             queues.append((link_ms, self._link))
         queue_ms, resource = max(queues)
         own_ms = sum(ms for _, ms in work)
-        own_ms += sum(2 * self._write_ms(stage) for stage in stages)
+        # It waits for the pass in progress, then its own first steps run.
+        own_ms += sum(
+            self._write_ms(stage, stage.running)
+            + self._write_ms(stage, stage.running + 1)
+            for stage in stages
+        )
         return StartEstimate(
             queue_ms + own_ms, queue_ms, resource, tuple(work)
         )
@@ -160,11 +167,13 @@
             work.append((self._link, crossings * self.transfer_ms(tokens)))
         return work
 
-    def _write_ms(self, stage):
-        """Return the time of one event's steps of all writing requests."""
+    def _write_ms(self, stage, running):
+        """Return the time of one event's steps of all running requests."""
+        if not running:
+            return 0.0
         steps = self._profile.tokens_per_event
         return steps * self._model.step_ms(
-            stage.step_factor, stage.layers, stage.running
+            stage.step_factor, stage.layers, running
         )
 
 
--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -47,6 +47,7 @@
         "metadata",
         "first_event_at",
         "hop",
+        "is_return",
         "is_trial",
         "last_event",
         "load",
@@ -121,6 +122,8 @@
             *map(part_trait, metadata.shared_parts),
             request_trait(self.digest),
         )
+        # Whether it is the repeat of a refused request.
+        self.is_return = False
         # Whether it is sent although one of its traits is held back.
         self.is_trial = False
         # `FailedAnswer` of a target, for the caller if no attempt succeeds.
--- a/apricotseam/forwarding/_start_estimates.py
+++ b/apricotseam/forwarding/_start_estimates.py
@@ -24,6 +24,9 @@
 # as it can read. A shorter one gets more, a longer one fewer, within bounds.
 TARGET_QUEUE_SHARE = 0.4
 MAX_INCREASE = 2.0
+# A second refusal is final, so callers that return as they were asked to come
+# before most others.
+RETURN_PLACE_FACTOR = 0.3
 MAX_DECREASE = 4.0
 
 
@@ -155,6 +158,8 @@
         )
         usual_ms = self._scarcest_ms(model, stages, chains)
         place = call.draw_place(self._random)
+        if call.is_return:
+            place *= RETURN_PLACE_FACTOR
         ahead_ms = self._ahead_ms(place, usual_ms, now)
         share = self._admitted_share(call, estimate.queue_ms, usual_ms, now)
         estimate = msgspec.structs.replace(
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -135,6 +135,7 @@
         loop = asyncio.get_running_loop()
         request_queue = self._context.request_queue
         rank = request_queue.rank(call)
+        call.is_return = request_queue.was_refused_before(call)
         choice = None
         if call.exchange.is_started or request_queue.is_first(rank):
             choice = self._choose_now(call)
--- a/apricotseam/node/tests/test_placer.py
+++ b/apricotseam/node/tests/test_placer.py
@@ -1,13 +1,16 @@
 """When the placer regards the set of known targets as complete."""
 
+import asyncio
 import types
 
 import pytest
 
+from apricotseam.chains import LayerOrder
 from apricotseam.fleet import Fleet
 from apricotseam.fleet import LayerRange
 from apricotseam.fleet import TargetRecord
 from apricotseam.node._placer import Placer
+from apricotseam.platform import OrderOutcome
 from apricotseam.positions import Position
 
 
@@ -71,3 +74,51 @@
         if now[0] in [at for at, _ in checks]:
             found.append((now[0], has_settled))
     assert found == checks
+
+
+class ScriptedPlacer(Placer):
+    """Placer whose orders have given outcomes."""
+
+    def __init__(self, fleet, outcomes, now):
+        context = types.SimpleNamespace(fleet=fleet)
+        election = types.SimpleNamespace(fence=1, is_holder=True)
+        super().__init__(context, election, now)
+        self.outcomes = list(outcomes)
+
+    async def _send_order(self, target, order):
+        return self.outcomes.pop(0)
+
+
+# Outcomes of two orders, layers that are expected then, and whether the
+# target may get another order at once.
+ORDERS = [
+    ("both begun", ["BEGUN", "BEGUN"], LayerRange(4, 8), False),
+    ("busy with the first", ["BEGUN", "CONFLICT"], LayerRange(0, 4), False),
+    ("no answer to the second", ["BEGUN", "FAILED"], LayerRange(4, 8), True),
+    ("busy with an unknown one", ["FAILED", "CONFLICT"], None, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "expected", "is_free"),
+    [case[1:] for case in ORDERS],
+    ids=[case[0] for case in ORDERS],
+)
+def test_order_that_a_busy_target_refused(outcomes, expected, is_free):
+    """Guards against gaps that stay, as a refused order counts as begun."""
+    fleet = Fleet()
+    fleet.update(make_record(1))
+    placer = ScriptedPlacer(
+        fleet, [OrderOutcome[name] for name in outcomes], lambda: 1.0
+    )
+    target = fleet.get("t1")
+
+    async def give_orders():
+        for layers in (LayerRange(0, 4), LayerRange(4, 8)):
+            await placer._issue_order(LayerOrder("t1", layers, "gap"))
+        return await placer._expected_record(target)
+
+    record = asyncio.run(give_orders())
+    if expected is not None:
+        assert record.layers == expected
+    assert ("t1" not in placer._busy_targets()) is is_free
