Look at start work only where some is booked

Cause: the choice of a chain over 96 targets took 2.0 ms with start estimates, 1.0 ms without, on a busy machine.

Change: one model of the service for all requests; queues are computed for targets that have start work.

--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -431,11 +431,10 @@
         pressure = 1.0 + (1.0 - free / capacity) ** 2
         cost = step_ms / profile.layers * pressure * target.health.penalty()
         cost *= target.health.slowness(now)
-        if call.load.start_estimates:
-            load = stage_load(
-                target, record.layers.size, kind, self._ledger, now
-            )
-            queue_ms = self.starts.queue_ms(call, load)
+        if call.load.start_estimates and self._ledger.start_ms(
+            record.identity
+        ):
+            queue_ms = self._queue_ms(call, target, kind, now)
             if queue_ms > self.starts.limit_ms(call, now):
                 return None
             # The wait counts as spread over the tokens of the answer.
@@ -450,6 +449,13 @@
             free,
         )
 
+    def _queue_ms(self, call, target, kind, now):
+        """Return how long a prompt waits at a target, in milliseconds."""
+        load = stage_load(
+            target, target.record.layers.size, kind, self._ledger, now
+        )
+        return self.starts.queue_ms(call, load)
+
     def _make_choice(self, stages, tokens):
         targets = tuple(
             (self._fleet.get(s.holder.identity), s.layers.size) for s in stages
--- a/apricotseam/forwarding/_start_estimates.py
+++ b/apricotseam/forwarding/_start_estimates.py
@@ -91,6 +91,9 @@
         self._random = generator
         self._request_rate = request_rate or (lambda service, now: 0.0)
         self._lost_by_zone = {}
+        # Last `StartModel` and the service that it is made for.
+        self._model = None
+        self._service = None
 
     def record_loss(self, target, now):
         """Record that a target answers no more.
@@ -131,7 +134,7 @@
 
     def queue_ms(self, call, stage):
         """Return how long a prompt waits at a stage, in milliseconds."""
-        return StartModel(call.service).queue_ms(stage)
+        return self._model_of(call.service).queue_ms(stage)
 
     def judge(self, call, stages, chains, now):
         """Return the `StartVerdict` on a chain.
@@ -147,7 +150,7 @@
         now : float
             Monotonic time in seconds.
         """
-        model = StartModel(call.service)
+        model = self._model_of(call.service)
         tokens = tokens_to_read(
             call.metadata.prompt_tokens or 0,
             call.last_event or 0,
@@ -171,6 +174,12 @@
             estimate, self._allowed_ms(call, estimate, now), share, place
         )
 
+    def _model_of(self, service):
+        if self._service is not service:
+            self._service = service
+            self._model = StartModel(service)
+        return self._model
+
     def _scarcest_ms(self, model, stages, chains):
         """Return what a usual prompt takes from the scarcest resource.
 
