--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -137,11 +137,11 @@
     def start_ms(self, resource):
         """Return the start work under way on a resource, in milliseconds.
 
-        Peers that should have sent their usage but have not count as much
-        as this host.
+        Peers that have sent no usage count as 0. Unlike memory, prompts are
+        read within a fraction of the time after which peers are heard.
         """
         own, peers = self._usages(resource)
-        return own.start_ms * (1 + self._missing_peers()) + peers.start_ms
+        return own.start_ms + peers.start_ms
 
     def book(self, tokens, shares, start_work=()):
         """Book memory and time for a request and return its `Booking`.
--- a/apricotseam/chains/tests/test_start_model.py
+++ b/apricotseam/chains/tests/test_start_model.py
@@ -97,3 +97,11 @@
     assert ledger.news_seconds(0.7) == pytest.approx(0.7)
     ledger.expire(4.0)
     assert ledger.start_ms("t1") == 5.0
+
+
+def test_peers_that_are_not_heard_yet_add_no_start_work():
+    """Guards against hosts that refuse everything right after a restart."""
+    ledger = Ledger(expected_peers=lambda: 41)
+    ledger.book(100.0, [("t1", 1)], [("t1", 5.0)])
+    assert ledger.start_ms("t1") == 5.0
+    assert ledger.used_units("t1") == 4200.0
