Pass on a target's 503 only where it proves that nothing has run

A target's answer with status 408, 429 or 503 but without its not-run mark reached callers unchanged, though the target may have run the request. Callers take these statuses as a promise and repeat also what must run at most once.

Such an answer now gets status 502, keeps its body and loses Retry-After. The same holds for another host's answer if an attempt of this host may have run.

--- a/apricotseam/forwarding/_answering.py
+++ b/apricotseam/forwarding/_answering.py
@@ -6,12 +6,18 @@
 
 from apricotseam.http1 import ResponseHead
 from apricotseam.platform import refusal_headers
+from apricotseam.platform import RETRY_AFTER_HEADER
 from apricotseam.platform import returned_headers
 from apricotseam.relay import DECLINED_HEADER
 
 _LOG = logging.getLogger(__name__)
 
 DECLINED_STATUS = 503
+# Statuses that promise callers that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Given in place of these where that is not proved.
+UNPROVED_STATUS = 502
+_RETRY_AFTER_LOWER = RETRY_AFTER_HEADER.lower()
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
@@ -114,8 +120,27 @@
 
 
 def deliver(call, answer, body):
-    """Send a target's complete answer to the caller; return its status."""
-    call.exchange.answer(
-        answer.status, body, returned_headers(answer), answer.reason
-    )
-    return answer.status
+    """Send a complete answer to the caller; return the status that was sent.
+
+    An answer that says that a call has not run is passed on unchanged only if
+    no attempt of this host may have run it. A target that did not run a call
+    marks its answer, which then does not get here.
+
+    Parameters
+    ----------
+    call : Call
+        The request.
+    answer : ResponseHead
+        Head of the answer of a target or of another host.
+    body : bytes
+        Body of the answer.
+    """
+    status = answer.status
+    reason = answer.reason
+    headers = returned_headers(answer)
+    if status in NOT_RUN_STATUSES and call.runs:
+        status = UNPROVED_STATUS
+        reason = b""
+        headers = [h for h in headers if h[0].lower() != _RETRY_AFTER_LOWER]
+    call.exchange.answer(status, body, headers, reason)
+    return status
--- a/apricotseam/node/tests/test_requests.py
+++ b/apricotseam/node/tests/test_requests.py
@@ -104,6 +104,20 @@
     assert run(scenario) == (expected, expected_requests, has_retry_after)
 
 
+# Guards against a status that lets callers repeat a request that has run.
+@pytest.mark.parametrize("path", ["/once/x", "/read/x", "/chat/x"])
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_targets_status_is_no_proof_that_a_request_has_not_run(status, path):
+    async def scenario(platform):
+        for target in [*platform.engine_targets, *platform.plain_targets]:
+            target.behaviour = "error"
+            target.error_status = status
+        status_got, answer, body = await platform.send_request(path)
+        return status_got, answer.header(b"retry-after"), body
+
+    assert run(scenario) == (502, None, b"failed")
+
+
 def test_idempotent_request_goes_to_the_second_target():
     async def scenario(platform):
         platform.plain_targets[0].behaviour = "cut"
--- a/apricotseam/platform/__init__.py
+++ b/apricotseam/platform/__init__.py
@@ -35,6 +35,7 @@
 from apricotseam.platform._requests import refusal_headers
 from apricotseam.platform._requests import RequestMetadata
 from apricotseam.platform._requests import ResponseMetadata
+from apricotseam.platform._requests import RETRY_AFTER_HEADER
 from apricotseam.platform._requests import returned_headers
 from apricotseam.platform._store import HistoryLostError
 from apricotseam.platform._store import Item
@@ -66,6 +67,7 @@
     "Placement",
     "READINESS_PATH",
     "REPORT_PATH",
+    "RETRY_AFTER_HEADER",
     "Reroute",
     "Stage",
     "StalledRequest",
--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -37,10 +37,13 @@
     behaviour : str
         ``good`` answers requests; ``shed`` refuses them as not executed;
         ``silent`` never answers; ``cut`` closes the connection without an
-        answer; ``error`` answers with status 500; ``stray`` answers with
+        answer; ``error`` runs a request and answers with `error_status`, as
+        a proxy before the process would; ``stray`` answers with
         the identifier of another request; ``nameless`` answers without an
         identifier, and ``nameless refusal`` refuses so, as the late answer
         to a call before would.
+    error_status : int
+        Status of these answers.
     events : int
         Number of events of a stream.
     event_seconds : float
@@ -105,6 +108,7 @@
         self.advertised_address = address
         self.is_engine = is_engine
         self.behaviour = "good"
+        self.error_status = 500
         self.events = 4
         self.event_seconds = 0.0
         self.cut_after = None
@@ -285,7 +289,7 @@
             self.on_end(self)
             return
         if self.behaviour == "error":
-            self._answer(exchange, 500, b"failed", headers)
+            self._answer(exchange, self.error_status, b"failed", headers)
             return
         if self.behaviour == "nameless refusal":
             self._answer(exchange, 421, b"", [NOT_EXECUTED])
