Decline a relayed request that may have run, in place of refusing it

A host refused at admission with 503 also what another host had passed on after an attempt that may have run (quarantine, unknown service, no configuration).

Such a request is declined now, so that the first host asks another one or says 502.

--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -7,6 +7,7 @@
 
 from apricotseam.forwarding._active_streams import ActiveStreams
 from apricotseam.forwarding._announcements import AnnouncementRecorder
+from apricotseam.forwarding._answering import decline
 from apricotseam.forwarding._answering import Refusal
 from apricotseam.forwarding._answering import refuse
 from apricotseam.forwarding._call import Call
@@ -199,6 +200,10 @@
         if call is not None and not self._relay.may_help(call):
             refusal = await self._context.quarantine_gate.admit(call)
         if refusal is not None:
+            if hop is not None and hop.runs:
+                # It may have run before, which a refusal would deny.
+                decline(exchange, "refused")
+                return
             refuse(
                 self._context,
                 exchange,
