Take a promise of another host only if it names the request

An answer of another host without an identifier was accepted with any status, so a stray 503 or 408 became a promise for this request. With 408, 421, 429 or 503 the identifier has to match now; otherwise the attempt counts as one that may have run.

--- a/apricotseam/forwarding/_relay.py
+++ b/apricotseam/forwarding/_relay.py
@@ -4,6 +4,7 @@
 
 from apricotseam.forwarding._answering import deliver
 from apricotseam.forwarding._answering import fail
+from apricotseam.forwarding._answering import NOT_RUN_STATUSES
 from apricotseam.forwarding._event_writer import EventWriter
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import EventSplitter
@@ -210,12 +211,7 @@
         if cause is not None:
             self.record(f"declined_{cause}")
             return None
-        metadata = decode_response_metadata(answer)
-        if metadata.request_id not in (None, call.request_id):
-            raise MalformedAnswerError(
-                f"{self._host.address} answered another request",
-                "repeat the request if it is idempotent",
-            )
+        self._check_request(answer)
         call.relayed_to = self._host.name
         is_stream = call.route.repeat is RepeatPolicy.STREAM
         status = answer.status
@@ -228,6 +224,27 @@
         self.record(str(answer.status))
         return status
 
+    def _check_request(self, answer):
+        """Check that an answer is one to this request.
+
+        One that promises that the request has not run has to name it.
+
+        Raises
+        ------
+        MalformedAnswerError
+            If it isn't.
+        """
+        request_id = self._call.request_id
+        answered = decode_response_metadata(answer).request_id
+        if answered is None and answer.status not in NOT_RUN_STATUSES:
+            return
+        if (answered or "") != request_id:
+            raise MalformedAnswerError(
+                f"{self._host.address} sent an answer that does not name"
+                " this request",
+                "repeat the request if it is idempotent",
+            )
+
     async def _open(self):
         loop = asyncio.get_running_loop()
         deadline = min(
--- a/apricotseam/node/tests/test_relay.py
+++ b/apricotseam/node/tests/test_relay.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from apricotseam.forwarding._answering import Refusal
 from apricotseam.http1 import connect
 from apricotseam.http1 import ConnectError
 from apricotseam.http1 import RefusedConnectionError
@@ -475,6 +476,54 @@
     assert run(scenario, hosts=3) == (502, 1)
 
 
+# Guards against a promise of a host that does not know of an earlier run.
+def test_refusal_through_another_host_does_not_deny_an_earlier_run():
+    async def scenario(platform):
+        for target in platform.plain_targets:
+            target.answer_seconds = 0.5
+        for node in platform.nodes[1:]:
+            node.forwarding.quarantine_gate.admit = refuse_all
+        await meet(platform)
+        sent = asyncio.create_task(platform.send_request("/read/x"))
+        await platform.wait_until(lambda: received(platform))
+        cut_off(platform.nodes[0])
+        for target in platform.plain_targets:
+            for connection in list(target._server.connections):
+                connection.abort()
+        status, _, _ = await sent
+        relayed = platform.nodes[0].forwarding.metrics.relayed.collect()
+        outcomes = {s.labels["outcome"] for s in relayed[0].samples}
+        return status, len(received(platform)), outcomes
+
+    status, requests, outcomes = run(scenario, hosts=2)
+    assert (status, requests) == (502, 1)
+    assert outcomes == {"declined_refused"}
+
+
+async def refuse_all(call):
+    """Refuse a call, as a quarantine may."""
+    return Refusal(cause="quarantined")
+
+
+# Status of an answer that names no request, and what the caller gets.
+NAMELESS = [(503, 502), (408, 502), (404, 404)]
+
+
+# Guards against a promise that was meant for another request.
+@pytest.mark.parametrize(("status", "expected"), NAMELESS)
+def test_promise_of_another_host_has_to_name_the_request(status, expected):
+    async def answer(request, exchange):
+        exchange.answer(status)
+
+    async def scenario(platform):
+        platform.nodes[1].relay_server.handler = answer
+        await cut_and_notice(platform, 0)
+        status, _, _ = await platform.send_request("/once/x")
+        return status
+
+    assert run(scenario, hosts=2) == expected
+
+
 # Method, headers and body of a request, and what must not reach a target.
 HEADERS = [
     ("named by Connection", {"Connection": "x-one", "X_One": "1"}, b"x-one"),
