--- a/apricotseam/platform/tests/test_decoding.py
+++ b/apricotseam/platform/tests/test_decoding.py
@@ -43,7 +43,23 @@
     ("address of another type", {"Address": 7}),
     ("address without a port", {"Address": "10.0.0.1"}),
     ("port that is not a number", {"Address": "10.0.0.1:x"}),
+    ("port out of range", {"Address": "10.0.0.1:99999"}),
+    ("port zero", {"Address": "10.0.0.1:0"}),
+    ("port in digits that are not ASCII", {"Address": "10.0.0.1:²"}),
+    ("address that breaks a header", {"Address": "10.0.0.1\n:80"}),
+    ("address that breaks a chain", {"Address": "10.0.0.1=0-2,x:80"}),
+    ("address that is not ASCII", {"Address": "hôst:80"}),
     ("unknown state", {"State": "resting"}),
+    ("state of another type", {"State": 1}),
+    ("missing service", {"Service": None}),
+    ("missing zone", {"Zone": None}),
+    ("missing state", {"State": None}),
+    ("zone of another type", {"Zone": 4}),
+    ("start time out of range", {"born": 10**30}),
+    ("negative start time", {"born": -1}),
+    ("negative number of orders", {"Sequence": -1}),
+    ("negative layer", {"Layers": {"From": -4, "Target": 8}}),
+    ("layers without an end", {"Layers": {"From": 0}}),
     ("zero slots", {"Slots": 0}),
     ("slots of another type", {"Slots": "many"}),
     ("start time that is not an integer", {"born": 1.5}),
@@ -77,11 +93,30 @@
     assert decode_target("servers/i-1", encode_entry(changes), 9) is None
 
 
-@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"null", b"{"])
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b"null",
+        b"{",
+        b'{"Service":"\xff"}',
+        b'{"x":' + b"[" * 100_000,
+    ],
+    ids=range(7),
+)
 def test_undecodable_entry_is_invalid(value):
     assert decode_target("servers/i-1", value, 9) is None
 
 
+# Guards against an identity that no request to its target could name.
+@pytest.mark.parametrize("identity", ["", "i 1", "i\n1", "ï"])
+def test_entry_of_an_unusable_identity_is_invalid(identity):
+    key = f"servers/{identity}"
+    assert decode_target(key, encode_entry({}), 9) is None
+
+
 @pytest.mark.parametrize(
     "value",
     [
