Name no target by an entry to which no request could be sent

Ports out of range raised an OverflowError in connect, identities and addresses that cannot stand in a header failed each request with status 500, and a deeply nested entry raised a RecursionError in the handler of the store's items. Negative counts and layers were taken as they are.

--- a/apricotseam/node/tests/test_store_items.py
+++ b/apricotseam/node/tests/test_store_items.py
@@ -1,12 +1,17 @@
-"""Number of peers that should report their usage, by host records."""
+"""Entries of hosts and targets in the store, also such as cannot be used."""
+
+import types
 
 import msgspec
 import pytest
 
 from apricotseam.coordination import HostRecord
 from apricotseam.coordination import MirrorItem
+from apricotseam.fleet import Fleet
 from apricotseam.node._store_items import HOSTS_PREFIX
 from apricotseam.node._store_items import StoreItemHandler
+from apricotseam.platform import TARGETS_PREFIX
+from apricotseam.platform.standins import TargetStandIn
 from apricotseam.positions import Position
 
 # Number of registered hosts, spread over three availability zones; number of
@@ -29,3 +34,21 @@
         key = f"{HOSTS_PREFIX}h{number}"
         handler.apply(MirrorItem(key, value, Position(number + 1)))
     assert handler.count_peers("z0") == peers
+
+
+# Guards against an entry of another program that stops the updates of others.
+@pytest.mark.parametrize(
+    "value", [b"", b"\xff", b"{}", b'{"x":' + b"[" * 100_000], ids=range(4)
+)
+def test_unusable_entry_removes_its_target_only(value):
+    fleet = Fleet()
+    context = types.SimpleNamespace(fleet=fleet)
+    handler = StoreItemHandler(context, lambda: False, lambda: 0.0)
+    for number, identity in enumerate(["p1", "p2"]):
+        entry = TargetStandIn(identity, f"10.0.0.1:{80 + number}").entry()
+        key = TARGETS_PREFIX + identity
+        handler.apply(MirrorItem(key, entry, Position(number + 1)))
+    kept = fleet.get("p2")
+    handler.apply(MirrorItem(TARGETS_PREFIX + "p1", value, Position(3)))
+    assert list(fleet) == [kept]
+    assert kept.accepts_requests
