Keep busy and pending orders of the placer by process

A target that refused an order as busy, and restarted then, got no other order until the old one's time was over; an order begun by the old process also kept the new one from being ordered, and a late report could drop the order to it. Both are kept by incarnation now (test_restarts, keeps_pending_order).

--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -75,7 +75,7 @@
         self._now = now
         self._pending = {}
         # Times until which targets that are still busy with an order get no
-        # other one, by identity.
+        # other one, by incarnation.
         self._busy_until = {}
         self._seen_changes = -1
         self._settled_at = 0.0
@@ -136,12 +136,19 @@
         """Return the identities of targets that are loading layers."""
         now = self._now()
         self._busy_until = {
-            identity: until
-            for identity, until in self._busy_until.items()
+            incarnation: until
+            for incarnation, until in self._busy_until.items()
             if now < until
         }
-        loading = (i for i, order in self._pending.items() if order.is_begun)
-        return {*self._busy_until, *loading}
+        loading = {
+            order.incarnation
+            for order in self._pending.values()
+            if order.is_begun
+        }
+        busy = loading.union(self._busy_until)
+        return {
+            t.identity for t in self._context.fleet if t.incarnation in busy
+        }
 
     async def _without_lost(self, targets):
         """Return the targets that are not silent or resting for long."""
@@ -229,8 +236,10 @@
                 extra={"target": target.identity, "error": str(error)},
             )
             return
+        if self._pending.get(target.identity) is not pending:
+            return
         if not report.is_busy and report.layers != pending.layers:
-            self._pending.pop(target.identity, None)
+            del self._pending[target.identity]
             _LOG.warning(
                 "order_lost",
                 extra={"target": target.identity, "orders": report.orders},
@@ -288,7 +297,7 @@
             The order that this host knows it is busy with.
         """
         retry_at = self._now() + UNACCEPTED_RETRY_SECONDS
-        self._busy_until[target.identity] = retry_at
+        self._busy_until[target.incarnation] = retry_at
         if earlier is None or earlier.incarnation != target.incarnation:
             return
         if earlier.is_begun:
