Keep probe results by process, and take a replaced process for ended

A probe of the old process that ended after the restart counted as an answer of the new one, and an answer of the new one, at the same address, as one of the old. The latter kept streams on a chain that cannot go on.

Results are kept by incarnation, and a target that another process has replaced is unresponsive without a probe. Fleet.on_restart tells of such starts, also after the entry was gone for a while (test_restarts: keeps_probe, keeps_pending_probe and takes_new_process_for_old failed before).

--- a/apricotseam/fleet/_fleet.py
+++ b/apricotseam/fleet/_fleet.py
@@ -56,6 +56,8 @@
         self._position = NO_POSITION
         self._on_end = on_end or (lambda target: None)
         self._on_drain = on_drain or (lambda target: None)
+        # Called with the identity under which another process has started.
+        self.on_restart = lambda identity: None
         # Number of changes so far; readers compare it to detect new ones.
         self.changes = 0
 
@@ -109,6 +111,7 @@
                 self._on_drain(known)
             return
         if known is not None:
+            known.is_replaced = True
             self._remove_target(known, "replaced")
         if self._is_superseded(record):
             return
@@ -124,9 +127,11 @@
                 "born_ms": record.born_ms,
             },
         )
-        self._removed.pop(record.identity, None)
+        former = self._removed.pop(record.identity, None)
         announcements = self._announcements.get(record.incarnation)
         self._link(Target(record, announcements))
+        if former and former.record.incarnation != record.incarnation:
+            self.on_restart(record.identity)
 
     def record_leaving(self, incarnation, source, now, age_seconds=0.0):
         """Record that a target process announced that it leaves.
--- a/apricotseam/fleet/_target.py
+++ b/apricotseam/fleet/_target.py
@@ -78,6 +78,7 @@
         "health",
         "removal_due_at",
         "is_present",
+        "is_replaced",
         "record",
     )
 
@@ -86,6 +87,8 @@
         self.announcements = announcements or Announcements()
         self.health = Health()
         self.is_present = True
+        # Whether another process has started under its identity.
+        self.is_replaced = False
         self._used_units = 0.0
         self._queued = 0
         self._report_valid_until = 0.0
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -66,6 +66,8 @@
         self._now = now
         # Returns whether most hosts find the target with an identity silent.
         self.is_shared_silence = lambda identity: False
+        # Probes that are running, and until when an answer counts, both by
+        # incarnation.
         self._pending_probes = {}
         self._responsive_until = {}
         self._available_probes = float(BURST_PROBES)
@@ -176,22 +178,26 @@
 
         A target counts as responsive while the rate limit permits no probe.
         """
+        if target.is_replaced:
+            # What answers at its address is another process.
+            return False
         now = self._now()
         if self._reach.is_lost(target.record.service):
             return True
         if target.health.is_silent:
             return False
-        if self._responsive_until.get(target.identity, 0.0) > now:
+        key = target.incarnation
+        if self._responsive_until.get(key, 0.0) > now:
             return True
-        task = self._pending_probes.get(target.identity)
+        task = self._pending_probes.get(key)
         if task is None:
             if not self._acquire_probe():
                 return True
             loop = asyncio.get_running_loop()
             task = loop.create_task(self._probe(target))
-            self._pending_probes[target.identity] = task
+            self._pending_probes[key] = task
             task.add_done_callback(
-                lambda _: self._pending_probes.pop(target.identity, None)
+                lambda _: self._pending_probes.pop(key, None)
             )
         return await asyncio.shield(task)
 
@@ -199,12 +205,13 @@
         started_at = self._now()
         if await self._check_target(target, started_at):
             until = self._now() + ANSWER_VALID_SECONDS
-            self._responsive_until[target.identity] = until
+            self._responsive_until[target.incarnation] = until
             target.health.mark_reachable(self._now())
             return True
         target.health.mark_unreachable(self._now())
         _log_silent(target, "unanswered_probes")
-        self._on_silent(target.identity)
+        if not target.is_replaced:
+            self._on_silent(target.identity)
         return False
 
     async def _check_target(self, target, started_at):
@@ -230,7 +237,8 @@
         is_responsive, is_connected = await asyncio.gather(
             self._probe_once(target),
             self._reach.is_connected(
-                target.record.service, self._pending_probes
+                target.record.service,
+                {identity for identity, _ in self._pending_probes},
             ),
         )
         return is_responsive or not is_connected
@@ -363,7 +371,7 @@
 
     def forget(self, target):
         """Discard the probe result of a target that was removed."""
-        self._responsive_until.pop(target.identity, None)
+        self._responsive_until.pop(target.incarnation, None)
 
 
 def _log_silent(target, cause):
