Exclude processes, not identities, from further attempts of a call

A call that failed at a target was not sent to the process that had started there since, and a stall that the head of a chain reported by address was put down to the new process at that address. Failed targets are incarnations now, and stalls are looked up in the chain (test_restarts: keeps_failure_of_call and blames_new_process_for_stall failed before).

--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -125,7 +125,8 @@
         self.is_trial = False
         # `FailedAnswer` of a target, for the caller if no attempt succeeds.
         self.failed_answer = None
-        # Identities of the targets that failed this request.
+        # Incarnations of the targets that failed this request. A process that
+        # has started since under the same identity may be tried.
         self.failed_targets = set()
         # Outcome of each attempt, as ``target:outcome``, for the log.
         self.send_outcomes = []
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -290,7 +290,7 @@
         head = choice.head
         first = choice.path[0].layers
         if (
-            head.identity in call.failed_targets
+            head.incarnation in call.failed_targets
             or first.last >= profile.layers
         ):
             return None
@@ -389,7 +389,9 @@
             for target in self._fleet.of_service(call.service.name)
             if target.opens_at() <= now
         ]
-        untried = [t for t in targets if t.identity not in call.failed_targets]
+        untried = [
+            t for t in targets if t.incarnation not in call.failed_targets
+        ]
         healthy = [t for t in untried if not t.health.is_suspect(now)]
         return healthy or untried
 
@@ -413,7 +415,7 @@
         if (
             target.health.is_suspect(now)
             or target.is_resting(now)
-            or target.identity in call.failed_targets
+            or target.incarnation in call.failed_targets
         ):
             return None
         capacity = max_utilization * profile.capacity_units(
--- a/apricotseam/forwarding/_head_control.py
+++ b/apricotseam/forwarding/_head_control.py
@@ -33,15 +33,19 @@
         self._context = context
         self._call = call
 
-    async def stalled_targets(self, head):
+    async def stalled_targets(self, choice):
         """Return the targets that, by its report, the head waits for.
 
+        These are targets of the chain; another process that has taken the
+        address of one since is not to blame.
+
         Parameters
         ----------
-        head : Target
-            Head of the chain. If it does not report, it is itself returned.
+        choice : Choice
+            The chain. If its head does not report, the head is returned.
         """
         call = self._call
+        head = choice.head
         try:
             _, body = await self._send(head, b"GET", REPORT_PATH)
             report = decode_report(body)
@@ -53,7 +57,7 @@
             return [head]
         targets = []
         for stalled in report.stalled:
-            target = self._context.fleet.at(stalled.address)
+            target = choice.target_at(stalled.address)
             if stalled.request_id == call.request_id and target is not None:
                 target.health.record_failure()
                 targets.append(target)
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -124,7 +124,7 @@
             # The target is not chosen again until it takes requests.
             return
         call = self._call
-        call.failed_targets.add(target.identity)
+        call.failed_targets.add(target.incarnation)
         if result.was_run:
             self._failure_status = result.status
         else:
@@ -151,7 +151,7 @@
         )
         now = asyncio.get_running_loop().time()
         if unresponsive or now >= self._second_at:
-            choice = self._replacements.reserve(call, [target.identity])
+            choice = self._replacements.reserve(call, [target.incarnation])
             if choice is not None:
                 self._start(choice)
 
--- a/apricotseam/forwarding/_replacement.py
+++ b/apricotseam/forwarding/_replacement.py
@@ -26,8 +26,8 @@
         ----------
         call : Call
             The request. Its attempts are counted up if there is a choice.
-        silent : collection of str
-            Identities of the targets that the choice must not use. They
+        silent : collection of tuple
+            Incarnations of the targets that the choice must not use. They
             count as failed for this call if there is a choice.
         """
         if not call.may_run_again:
@@ -57,7 +57,15 @@
         """Take a retry, as for a failure if a target has surely crashed."""
         now = asyncio.get_running_loop().time()
         retry_budget = self._context.retry_budget
-        targets = filter(None, map(self._context.fleet.get, silent))
-        if any(target.health.is_lost(now) for target in targets):
+        if any(self._is_lost(incarnation, now) for incarnation in silent):
             return retry_budget.try_acquire(call.service.name, now)
         return retry_budget.try_acquire_early(call.service.name, now)
+
+    def _is_lost(self, incarnation, now):
+        """Return whether a process has surely ended."""
+        target = self._context.fleet.get(incarnation[0])
+        if target is None:
+            return False
+        if target.incarnation != incarnation:
+            return True
+        return target.health.is_lost(now)
--- a/apricotseam/forwarding/_second_attempt.py
+++ b/apricotseam/forwarding/_second_attempt.py
@@ -10,8 +10,8 @@
     ----------
     attempt : StreamAttempt
         The second attempt.
-    silent : frozenset of str
-        Identities of the targets whose silence led to it. They count as
+    silent : frozenset of tuple
+        Incarnations of the targets whose silence led to it. They count as
         failed for the call until it turns out that the second attempt fails
         or isn't needed.
     record_result : callable
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -422,9 +422,7 @@
             self._check_links()
         to_avoid = [t for t in targets[1:] if self._should_avoid(t)]
         if is_long and choice.path and not unresponsive:
-            unresponsive = await self._head_control.stalled_targets(
-                choice.head
-            )
+            unresponsive = await self._head_control.stalled_targets(choice)
         is_head_silent = choice.head in unresponsive
         if not is_head_silent and (unresponsive or to_avoid):
             if await self._reroute([*unresponsive, *to_avoid]):
@@ -453,18 +451,18 @@
     def _start_second(self, targets):
         """Start a second attempt without some targets, if possible."""
         call = self._call
-        identities = frozenset(target.identity for target in targets)
-        choice = self._replacements.reserve(call, identities)
+        silent = frozenset(target.incarnation for target in targets)
+        choice = self._replacements.reserve(call, silent)
         if choice is None:
             return
-        for identity in identities:
+        for identity, _ in silent:
             call.record_outcome(identity, "silent")
         self._context.target_ends.record_broken(call, targets, self.times)
         attempt = StreamAttempt(
             self._context, self._sender, call, choice, self._record_result
         )
         self._second = SecondAttempt(
-            attempt, identities, self._record_result, self.check_chain
+            attempt, silent, self._record_result, self.check_chain
         )
 
     async def _is_second_ready(self):
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -279,7 +279,7 @@
         now = asyncio.get_running_loop().time()
         suspects = [t for t in targets if t.health.is_suspect(now)]
         if suspects:
-            call.failed_targets.update(target.identity for target in suspects)
+            call.failed_targets.update(t.incarnation for t in suspects)
         else:
             self._record_failure(call, choice.head, error.code)
         return 504 if is_timeout else 502
@@ -308,6 +308,6 @@
 
     def _exclude(self, call, target, outcome):
         """Record the outcome of an attempt, and exclude its target."""
-        call.failed_targets.add(target.identity)
+        call.failed_targets.add(target.incarnation)
         call.record_outcome(target.identity, outcome)
         self._context.metrics.sends.labels(outcome).inc()
--- a/apricotseam/forwarding/tests/test_announcements.py
+++ b/apricotseam/forwarding/tests/test_announcements.py
@@ -182,7 +182,7 @@
     selector = TargetSelector(fleet, Ledger(), "a")
     rest(fleet, 0.0, p0=1.0)
     call = make_call(PLAIN)
-    call.failed_targets.add("p1")
+    call.failed_targets.add(fleet.get("p1").incarnation)
     fleet.get("p1").health.mark_unreachable(0.0)
     assert selector.choose_target(call, 0.5) is None
 
@@ -398,6 +398,7 @@
         now = asyncio.get_running_loop().time()
         rest(fleet, now, e0=60.0, p0=60.0)
         context = types.SimpleNamespace(
+            fleet=fleet,
             quarantine_gate=make_gate(),
             target_selector=TargetSelector(fleet, Ledger(), "a"),
             retry_budget=types.SimpleNamespace(
@@ -405,7 +406,8 @@
             ),
         )
         call = make_call(service)
-        left = ["e2"] if service is ENGINE else ["p1"]
+        other = fleet.get("e2" if service is ENGINE else "p1")
+        left = [other.incarnation]
         return ReplacementReserver(context).reserve(call, left)
 
     assert asyncio.run(scenario()) is None
