Drop what hosts said of a target's former process

Memory, start work, slowness and silence that a host or its peers had recorded for a process counted for the next one under the same identity until the streams had ended and all peers had learned of the restart.

At a restart a host now forgets its own bookings on the target, the sums of peers and their claims of silence. Messages have a trailing field with the start times of processes that lately replaced others; for 3 s after a restart, words about the target count only with the same start time. Hosts of an earlier version name none, so what they say of it is left out for that time.

--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -183,6 +183,28 @@
         self._peers[usage.host] = (usage, now + PEER_EXPIRY_SECONDS)
         self._invalidate_totals()
 
+    def forget_target(self, identity):
+        """Discard what is booked on a target whose process has ended.
+
+        Parameters
+        ----------
+        identity : str
+            Its identity, which another process has taken.
+        """
+        for booking in self._bookings:
+            self._add(booking, -1)
+            booking.shares = [s for s in booking.shares if s[0] != identity]
+            booking.start_work = tuple(
+                work for work in booking.start_work if work[0] != identity
+            )
+            self._add(booking, 1)
+        self._own.pop(identity, None)
+        for host, (usage, until) in self._peers.items():
+            usages = {i: u for i, u in usage.usages.items() if i != identity}
+            changed = msgspec.structs.replace(usage, usages=usages)
+            self._peers[host] = (changed, until)
+        self._invalidate_totals()
+
     def forget_peers(self):
         """Discard the usage by all peers."""
         self._peers.clear()
--- a/apricotseam/node/_delegates.py
+++ b/apricotseam/node/_delegates.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from apricotseam.node._restarts import without_targets
 from apricotseam.node._zone_reports import FORGET_AFTER_SECONDS
 from apricotseam.node._zone_reports import is_newer
 from apricotseam.node._zone_reports import ZoneReport
@@ -49,6 +50,16 @@
         self._received[address] = _Received(report, now)
         return True
 
+    def forget_target(self, identity):
+        """Forget what was said of a target whose process has ended."""
+        self._received = {
+            address: _Received(
+                without_targets(received.report, {identity}),
+                received.received_at,
+            )
+            for address, received in self._received.items()
+        }
+
     def suspects(self, valid_seconds, now):
         """Return the targets that all delegates find silent.
 
--- a/apricotseam/node/_suspicions.py
+++ b/apricotseam/node/_suspicions.py
@@ -125,6 +125,14 @@
                 _log_suspected(identity, ",".join(sorted(reporters)))
                 self._context.active_streams.recheck(identity)
 
+    def forget_target(self, identity):
+        """Forget reports about a target whose process has ended."""
+        self._claims = {
+            key: claim
+            for key, claim in self._claims.items()
+            if key[1] != identity
+        }
+
     def expire(self):
         """Forget reports that are no longer repeated."""
         now = self._now()
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -9,6 +9,7 @@
 from apricotseam.node._delegates import DelegateReports
 from apricotseam.node._delegates import TAKEOVER_SECONDS
 from apricotseam.node._limit_notices import LimitNotices
+from apricotseam.node._restarts import Restarts
 from apricotseam.node._suspicions import Suspicions
 from apricotseam.node._trait_notices import TraitNotices
 from apricotseam.node._zone_reports import HostState
@@ -102,6 +103,8 @@
             context.fleet, context.request_queue, now
         )
         self._trait_notices = TraitNotices(context.quarantine, now)
+        self._restarts = Restarts(context.fleet, now)
+        context.fleet.on_restart = self._record_restart
         hosts.transport.handle(HostState, self._receive)
         hosts.transport.handle(ZoneReport, self._receive_report)
 
@@ -125,6 +128,11 @@
         """The `TraitNotices` of this host."""
         return self._trait_notices
 
+    @property
+    def restarts(self):
+        """The `Restarts` of targets that this host knows of."""
+        return self._restarts
+
     @property
     def suspicions(self):
         """The `Suspicions` of this host."""
@@ -208,6 +216,17 @@
         """Check targets that a host of another zone finds silent."""
         self._suspicions.check(zone, suspects)
 
+    def _record_restart(self, identity):
+        """Forget what was said of the former process of a target."""
+        self._restarts.record(identity)
+        for record in (
+            self._ledger,
+            self._suspicions,
+            self._collector,
+            self._delegate_reports,
+        ):
+            record.forget_target(identity)
+
     def _silent_senders(self):
         return self._collector.silent(self._silent_after(), self._now())
 
@@ -305,6 +324,7 @@
             self.leaving_targets(),
             self._limit_notices.own(),
             self._trait_notices.known(),
+            restarts=self._restarts.notices(),
         )
 
     def _send(self, suspects, slow):
@@ -347,6 +367,7 @@
         if self._hosts.is_large and message.zone != self._zone:
             return
         now = self._now()
+        message = self._restarts.current(message)
         if not self._collector.receive(sender, message, now):
             return
         if self._is_direct:
@@ -365,6 +386,7 @@
         if report.zone != self._zone or not self._hosts.is_large:
             return
         now = self._now()
+        report = self._restarts.current(report)
         if not self._delegate_reports.receive(sender, report, now):
             return
         if report.store_position:
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -14,6 +14,7 @@
 from apricotseam.fleet import PaceNotice
 from apricotseam.forwarding import RepeatCount
 from apricotseam.node._limit_notices import LimitNotice
+from apricotseam.node._restarts import without_targets
 from apricotseam.node._trait_notices import TraitNotice
 from apricotseam.positions import NO_POSITION
 from apricotseam.positions import Position
@@ -53,6 +54,8 @@
     limit requests or do so no more. ``traits`` is what it knows of traits of
     requests under which targets ended, ``paces`` those of targets that have
     just started or recovered, ``demand`` its counts by class and customer.
+    ``restarts`` are the start times in ms of processes that lately took the
+    identity of others; what the message says of a target is about these.
     """
 
     host: str
@@ -68,6 +71,7 @@
     traits: dict[str, TraitNotice] = {}
     paces: dict[str, PaceNotice] = {}
     demand: dict[str, DemandCount] = {}
+    restarts: dict[str, int] = {}
 
     @property
     def sender(self):
@@ -89,7 +93,7 @@
     leave, ``limits`` those that told any host about limits, ``traits`` are
     traits of requests under which targets ended at any host. ``paces`` are
     those of paced targets, ``demand`` is the sum over the same hosts as
-    ``usages``.
+    ``usages``. ``restarts`` is as in `HostState`, as the sender knows.
     """
 
     zone: str
@@ -109,6 +113,7 @@
     traits: dict[str, TraitNotice] = {}
     paces: dict[str, PaceNotice] = {}
     demand: dict[str, DemandCount] = {}
+    restarts: dict[str, int] = {}
 
 
 def is_newer(message, known):
@@ -166,6 +171,15 @@
             self._refused_at[retry_key] = now
         return True
 
+    def forget_target(self, identity):
+        """Forget what was said of a target whose process has ended."""
+        self._received = {
+            address: msgspec.structs.replace(
+                received, state=without_targets(received.state, {identity})
+            )
+            for address, received in self._received.items()
+        }
+
     def states(self, now):
         """Return the `HostState` of each host that sent one recently."""
         return [
@@ -226,6 +240,7 @@
             silent=silent,
             store_position=NO_POSITION,
             leaving=own.leaving,
+            restarts=own.restarts,
         )
 
     def _noticed(self, now):
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -24,7 +24,8 @@
     cannot reach, ``leaving`` those that announced that they leave, and
     ``limits`` those that told any host about limits. ``traits`` are traits
     of requests under which targets ended at any host. ``paces`` are those of
-    paced targets, ``demand`` is the sum over the zone's hosts.
+    paced targets, ``demand`` is the sum over the zone's hosts. ``restarts``
+    is as in `HostState`.
     """
 
     zone: str
@@ -37,6 +38,7 @@
     traits: dict[str, TraitNotice] = {}
     paces: dict[str, PaceNotice] = {}
     demand: dict[str, DemandCount] = {}
+    restarts: dict[str, int] = {}
 
 
 class ZoneUsageExchange:
@@ -100,6 +102,7 @@
             self._usage_exchange.leaving_targets(),
             self._usage_exchange.limit_notices.known(),
             self._usage_exchange.trait_notices.known(),
+            restarts=self._usage_exchange.restarts.notices(),
         )
         addresses = self._hosts.other_zone_delegates
         self._hosts.transport.send_all(addresses, message)
@@ -109,6 +112,7 @@
         if message.zone == self._zone or not is_newer(message, known):
             return
         self._latest[message.zone] = message
+        message = self._usage_exchange.restarts.current(message)
         self._usage_exchange.notice_other_zone(message.zone, message.suspects)
         self._usage_exchange.notice_leaving(message.leaving)
         self._usage_exchange.limit_notices.apply(message.limits)
--- a/apricotseam/node/tests/test_store_items.py
+++ b/apricotseam/node/tests/test_store_items.py
@@ -10,8 +10,8 @@
 from apricotseam.fleet import Fleet
 from apricotseam.node._store_items import HOSTS_PREFIX
 from apricotseam.node._store_items import StoreItemHandler
-from apricotseam.platform import TARGETS_PREFIX
 from apricotseam.platform.standins import TargetStandIn
+from apricotseam.platform import TARGETS_PREFIX
 from apricotseam.positions import Position
 
 # Number of registered hosts, spread over three availability zones; number of
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -488,7 +488,7 @@
     ZoneReport("a", "h/1", 1, {}, {}, None, [], {}, [], {}, [], NO_POSITION),
     ZoneState("a", "h/1", 1, {}),
 ]
-ADDED = ["leaving", "limits", "traits", "paces", "demand"]
+ADDED = ["leaving", "limits", "traits", "paces", "demand", "restarts"]
 
 
 @pytest.mark.parametrize("missing", range(1, len(ADDED) + 1))
@@ -507,6 +507,7 @@
     )
     assert read == message and read.leaving == {} and read.limits == {}
     assert read.traits == {} and read.paces == {} and read.demand == {}
+    assert read.restarts == {}
 
 
 def test_usage_of_a_host_without_start_work_is_read():
