Take own former states out of reports only for the same process

A report about the new process of a target was reduced by what this host had on the old one, so others' work was counted too low for up to a second (test_restarts, keeps_sent_states, failed before).

--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -192,6 +192,8 @@
             Its identity, which another process has taken.
         """
         for booking in self._bookings:
+            if identity not in dict(booking.shares):
+                continue
             self._add(booking, -1)
             booking.shares = [s for s in booking.shares if s[0] != identity]
             booking.start_work = tuple(
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -224,6 +224,7 @@
             self._suspicions,
             self._collector,
             self._delegate_reports,
+            self._sent,
         ):
             record.forget_target(identity)
 
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -286,6 +286,11 @@
         if len(self._states) > MAX_SENT_STATES:
             self._states.popitem(last=False)
 
+    def forget_target(self, identity):
+        """Forget this host's part in a target whose process has ended."""
+        for number, state in self._states.items():
+            self._states[number] = without_targets(state, {identity})
+
     def others(self, report, host):
         """Return the `OtherHosts` of a report.
 
--- a/apricotseam/node/tests/test_restarts.py
+++ b/apricotseam/node/tests/test_restarts.py
@@ -4,6 +4,7 @@
 import types
 from unittest import mock
 
+import msgspec
 import pytest
 
 from apricotseam.chains import Ledger
@@ -29,6 +30,7 @@
 from apricotseam.node._placer import Placer
 from apricotseam.node._suspicions import Suspicions
 from apricotseam.node._zone_reports import HostState
+from apricotseam.node._zone_reports import SentStates
 from apricotseam.node._zone_reports import ZoneReport
 from apricotseam.node._zones import ZoneState
 from apricotseam.node.tests.test_zone_reports import use_simulated_sleep
@@ -204,6 +206,18 @@
     return any(kept)
 
 
+def keeps_sent_states(fleet, old, now):
+    sent = SentStates()
+    fleet.on_restart = sent.forget_target
+    usages = {"t": Usage(9.0, 2, 7.0)}
+    sent.add(HostState("h/1", "a", 3, usages, [], {}, [], {}))
+    restart(fleet)
+    report = msgspec.structs.replace(
+        MESSAGES[1][1], included={"h/1": 3}, usages=usages
+    )
+    return sent.others(report, "h/1").usages != usages
+
+
 def keeps_connections(fleet, old, now):
     async def scenario():
         server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
@@ -277,6 +291,7 @@
     blames_new_process_for_stall,
     keeps_claims,
     keeps_own_bookings,
+    keeps_sent_states,
     keeps_connections,
     keeps_evidence,
     keeps_streams,
