Give the stand-in of a zone's exchange the restarts that it tells

test_zones failed in 6 cases since the messages between zones have the field restarts, as its stand-in did not have them. It uses the real Restarts now, and checks that the field is sent.

--- a/apricotseam/node/tests/test_zones.py
+++ b/apricotseam/node/tests/test_zones.py
@@ -4,7 +4,10 @@
 
 from apricotseam.chains import Ledger
 from apricotseam.chains import Usage
+from apricotseam.fleet import Fleet
+from apricotseam.fleet import TargetRecord
 from apricotseam.node._limit_notices import LimitNotice
+from apricotseam.node._restarts import Restarts
 from apricotseam.node._trait_notices import TraitNotice
 from apricotseam.node._zone_reports import LeavingNotice
 from apricotseam.node._zones import ZoneState
@@ -58,6 +61,19 @@
             {"limited-here": LimitNotice(1, 2.5, 0.5)}
         )
         self.trait_notices = FakeNotices({"part/here": TraitNotice([], 0.5)})
+        fleet = Fleet()
+        self.restarts = Restarts(fleet, lambda: 0.0)
+        fleet.on_restart = self.restarts.record
+        for born_ms in (4, 5):
+            fleet.update(
+                TargetRecord(
+                    identity="restarted-here",
+                    service="s",
+                    address="10.0.0.1:1",
+                    zone="a",
+                    born_ms=born_ms,
+                )
+            )
 
     def leaving_targets(self):
         """Return the leaving target."""
@@ -154,6 +170,7 @@
     leaving = {"leaving-there": LeavingNotice(2, 1.5)}
     assert usage_exchange.noticed_leaving == leaving
     assert message.limits == {"limited-here": LimitNotice(1, 2.5, 0.5)}
+    assert message.restarts == {"restarted-here": 5}
     assert message.traits == {"part/here": TraitNotice([], 0.5)}
     traits = {"part/there": TraitNotice([], 1.5)}
     assert usage_exchange.trait_notices.noticed == traits
