Give an unproved promise of a target an empty 502 without its signature

Cause: a target's 503 without a mark got status 502 with the target's own headers, its signature among them, which is for the status that it gave.

Change: this host's own failure takes its place.

--- a/apricotseam/forwarding/_answering.py
+++ b/apricotseam/forwarding/_answering.py
@@ -6,7 +6,6 @@
 
 from apricotseam.http1 import ResponseHead
 from apricotseam.platform import refusal_headers
-from apricotseam.platform import RETRY_AFTER_HEADER
 from apricotseam.platform import returned_headers
 from apricotseam.relay import DECLINED_HEADER
 
@@ -17,7 +16,6 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Given in place of these where that is not proved.
 UNPROVED_STATUS = 502
-_RETRY_AFTER_LOWER = RETRY_AFTER_HEADER.lower()
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
@@ -135,12 +133,12 @@
     body : bytes
         Body of the answer.
     """
-    status = answer.status
-    reason = answer.reason
-    headers = returned_headers(answer)
-    if status in NOT_RUN_STATUSES and call.runs:
-        status = UNPROVED_STATUS
-        reason = b""
-        headers = [h for h in headers if h[0].lower() != _RETRY_AFTER_LOWER]
-    call.exchange.answer(status, body, headers, reason)
-    return status
+    if answer.status in NOT_RUN_STATUSES and call.runs:
+        # Without the target's signature, which is for its own status only.
+        headers = refusal_headers(call.request_id)
+        call.exchange.answer(UNPROVED_STATUS, headers=headers)
+        return UNPROVED_STATUS
+    call.exchange.answer(
+        answer.status, body, returned_headers(answer), answer.reason
+    )
+    return answer.status
