Admit requests by the shares of their class and customer

A customer at 7.5 times its usual took room wherever it found some. With fair shares on, limits for starts follow the factors of class and customer, the memory limit that of the customer, and the place of a request those of both. Hosts learn the demand of the others from the field demand of the messages that they exchange; reports include other zones, as the factors are meant to follow the whole fleet and a host gets nothing else from there.

--- a/apricotseam/chains/_start_model.py
+++ b/apricotseam/chains/_start_model.py
@@ -94,6 +94,13 @@
         bits_per_second = profile.inter_zone_mbps * BITS_PER_MEGABIT
         return bits * MS_PER_SECOND / bits_per_second
 
+    def demand_ms(self, tokens):
+        """Return the start work of a prompt on a chain of reference speed.
+
+        It serves to compare requests, whatever chain they run on.
+        """
+        return self._model.read_ms(1.0, self._profile.layers, tokens)
+
     def queue_ms(self, stage):
         """Return how long a prompt waits for those booked at a stage.
 
--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -6,6 +6,7 @@
 from apricotseam.quarantine import part_trait
 from apricotseam.quarantine import request_trait
 from apricotseam.routes import NO_FEATURES
+from apricotseam.sharing import DemandKey
 
 # Subtracted from the caller's deadline so that an answer of this host
 # arrives before the caller gives up.
@@ -42,11 +43,13 @@
         "attempts",
         "customer",
         "deadline",
+        "demand_key",
         "digest",
         "exchange",
         "metadata",
         "first_event_at",
         "hop",
+        "is_return",
         "is_trial",
         "last_event",
         "load",
@@ -96,6 +99,12 @@
         self.last_event = (hop or metadata).last_event
         # `LoadFeatures` that apply to it.
         self.load = NO_FEATURES
+        # Customer and class with which it shares room.
+        self.demand_key = DemandKey(
+            service.name, self.effective_priority, customer
+        )
+        # Whether it was refused before and returns as it was told.
+        self.is_return = False
         # Loop time of the last event that the caller got from this host; at
         # first that of its request.
         self.progress_at = request.received_at
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -88,8 +88,10 @@
         self._fleet = fleet
         self._ledger = ledger
         self._zone = zone
-        # `StartEstimator` of this host, set before the first request.
+        # `StartEstimator` and `ShareRules` of this host, set before the first
+        # request.
         self.starts = None
+        self.share_rules = None
 
     def expected_tokens(self, call):
         """Return the expected mean number of tokens that a request holds."""
@@ -119,9 +121,7 @@
         """
         profile = call.service.engine
         tokens = self.expected_tokens(call)
-        max_utilization = (
-            RETRY_MAX_UTILIZATION if may_use_reserve else MAX_UTILIZATION
-        )
+        max_utilization = self._max_utilization(call, may_use_reserve)
         by_zone = collections.defaultdict(list)
         for target in self._fleet.of_service(call.service.name):
             if not _is_closed_head(target, now):
@@ -146,6 +146,14 @@
             return None
         return self._make_choice(best, tokens)
 
+    def _max_utilization(self, call, may_use_reserve):
+        """Return up to which fraction a request may fill targets."""
+        if may_use_reserve:
+            return RETRY_MAX_UTILIZATION
+        if not call.load.fair_shares or call.last_event is not None:
+            return MAX_UTILIZATION
+        return self.share_rules.max_utilization(call.demand_key)
+
     def _choose_in_time(self, call, find_holders, zones, tokens, now):
         """Return the cheapest chain whose answer would begin in time.
 
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -24,6 +24,8 @@
 from apricotseam.quarantine import Quarantine
 from apricotseam.routes import LoadPolicy
 from apricotseam.routes import RepeatPolicy
+from apricotseam.sharing import DemandMeter
+from apricotseam.sharing import ShareRules
 
 _LOG = logging.getLogger(__name__)
 
@@ -70,6 +72,7 @@
 
     __slots__ = (
         "announcements",
+        "demand",
         "generator",
         "host",
         "_now",
@@ -82,6 +85,7 @@
         "relay_pool",
         "retry_budget",
         "returns",
+        "share_rules",
         "starts",
         "target_ends",
         "target_selector",
@@ -129,11 +133,17 @@
         self.quarantine_gate = QuarantineGate(self.quarantine)
         self.target_ends = TargetEndDetector(metrics, self.quarantine)
         self.generator = random.Random()
+        self.demand = DemandMeter(now)
+        self.share_rules = ShareRules(self.demand)
         self.starts = StartEstimator(
-            ledger, self.generator, retry_budget.requests_per_second
+            ledger,
+            self.generator,
+            retry_budget.requests_per_second,
+            self.share_rules,
         )
         self.returns = ReturnSchedule(self.generator)
         target_selector.starts = self.starts
+        target_selector.share_rules = self.share_rules
         # `SendPermits`, set before the first request is accepted.
         self.permits = None
         # Name of this host.
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -7,6 +7,8 @@
 MS_PER_SECOND = 1000.0
 # Upper bounds of the latency buckets.
 BUCKETS_SECONDS = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 20.0)
+# The same for factors from 0.25 to 1.
+BUCKETS_FACTOR = (0.25, 0.4, 0.55, 0.7, 0.85, 0.999, 1.0)
 
 
 class RequestMetrics:
@@ -131,6 +133,19 @@
             buckets=BUCKETS_SECONDS,
             registry=registry,
         )
+        self._share_factor = prometheus_client.Histogram(
+            "apricotseam_share_factor",
+            "Factors of new requests by what they are due to, if room is"
+            " shared fairly.",
+            ["part"],
+            buckets=BUCKETS_FACTOR,
+            registry=registry,
+        )
+
+    def record_share_factors(self, class_factor, customer_factor):
+        """Record the factors of a request that arrived."""
+        self._share_factor.labels("class").observe(class_factor)
+        self._share_factor.labels("customer").observe(customer_factor)
 
     def record_start(self, estimated_ms, seconds):
         """Record the first event of a send whose start was estimated.
--- a/apricotseam/forwarding/_start_estimates.py
+++ b/apricotseam/forwarding/_start_estimates.py
@@ -30,7 +30,8 @@
 class StartVerdict(msgspec.Struct, frozen=True):
     """An estimate, and the latest start that counts as in time.
 
-    ``limit_ms`` is in milliseconds from now, like the estimate.
+    ``limit_ms`` is in milliseconds from now, like the estimate. It includes
+    the factors of the request's class and customer.
     ``admitted_share`` is the fraction of all requests that the chain can
     take, ``place`` that of this request among them, both from 0 to 1.
     """
@@ -39,6 +40,8 @@
     limit_ms: float
     admitted_share: float = 1.0
     place: float = 0.0
+    class_factor: float = 1.0
+    customer_factor: float = 1.0
 
     @property
     def is_in_time(self):
@@ -81,12 +84,15 @@
     request_rate : callable, optional
         Returns the requests per second of all hosts for a service, by its
         name and the monotonic time in seconds.
+    share_rules : ShareRules, optional
+        Factors of classes and customers; without them all are equal.
     """
 
-    def __init__(self, ledger, generator, request_rate=None):
+    def __init__(self, ledger, generator, request_rate=None, share_rules=None):
         self._ledger = ledger
         self._random = generator
         self._request_rate = request_rate or (lambda service, now: 0.0)
+        self._share_rules = share_rules
         self._lost_by_zone = {}
 
     def record_loss(self, target, now):
@@ -124,7 +130,29 @@
             return self._patience_ms(call, now)
         objective = OBJECTIVE_SHARE * call.route.objective_seconds
         until = min(call.request.received_at + objective, call.deadline)
-        return max(0.0, until - now) * MS_PER_SECOND
+        class_factor, customer_factor = self._factors(call)
+        factor = class_factor * customer_factor
+        return max(0.0, until - now) * MS_PER_SECOND * factor
+
+    def _factors(self, call):
+        """Return the factors of a call's class and customer.
+
+        They apply to new requests. A caller returns once, so a second
+        refusal is final, and a stream that had begun goes on.
+        """
+        if not call.load.fair_shares or call.is_return:
+            return 1.0, 1.0
+        if call.last_event is not None:
+            return 1.0, 1.0
+        rules, key = self._share_rules, call.demand_key
+        return rules.class_factor(key), rules.customer_factor(key)
+
+    def _place(self, call):
+        """Return the place of a call among the requests of all hosts."""
+        draw = call.draw_place(self._random)
+        if not call.load.fair_shares:
+            return draw
+        return self._share_rules.place(call.demand_key, draw)
 
     def queue_ms(self, call, stage):
         """Return how long a prompt waits at a stage, in milliseconds."""
@@ -154,7 +182,7 @@
             stages, tokens, self._ledger.start_ms(model.link)
         )
         usual_ms = self._scarcest_ms(model, stages, chains)
-        place = call.draw_place(self._random)
+        place = self._place(call)
         ahead_ms = self._ahead_ms(place, usual_ms, now)
         share = self._admitted_share(call, estimate.queue_ms, usual_ms, now)
         estimate = msgspec.structs.replace(
@@ -163,7 +191,11 @@
             queue_ms=estimate.queue_ms + ahead_ms,
         )
         return StartVerdict(
-            estimate, self._allowed_ms(call, estimate, now), share, place
+            estimate,
+            self._allowed_ms(call, estimate, now),
+            share,
+            place,
+            *self._factors(call),
         )
 
     def _scarcest_ms(self, model, stages, chains):
@@ -261,6 +293,8 @@
             "resource": estimate.resource,
             "admitted_share": round(verdict.admitted_share, 3),
             "place": round(verdict.place, 3),
+            "class_factor": round(verdict.class_factor, 3),
+            "customer_factor": round(verdict.customer_factor, 3),
             "news_ms": round(ledger.news_seconds(now) * MS_PER_SECOND),
         },
     )
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -1,6 +1,7 @@
 """Requests that are answered by a stream of events."""
 
 import asyncio
+import contextlib
 import logging
 
 from apricotseam.forwarding._answering import fail
@@ -9,6 +10,7 @@
 from apricotseam.forwarding._relay import RelayRunner
 from apricotseam.forwarding._request_queue import WAIT_FRACTION
 from apricotseam.forwarding._sender import Sender
+from apricotseam.forwarding._share_count import ShareCounter
 from apricotseam.forwarding._start_estimates import log_late_start
 from apricotseam.forwarding._start_estimates import MS_PER_SECOND
 from apricotseam.forwarding._start_estimates import PATIENCE_MARGIN_SECONDS
@@ -47,20 +49,18 @@
         self._context = context
         self._sender = Sender(context)
         self._relay = RelayRunner(context)
+        self._shares = ShareCounter(context)
 
     async def run(self, call):
         """Answer a call; return the HTTP status, or ``cut`` if aborted."""
-        status = 502
-        while call.attempts < MAX_ATTEMPTS:
-            choice = await self._next_choice(call)
-            if choice is None:
-                break
-            call.attempts += 1
-            attempt = self._make_attempt(call, choice)
-            failure = await self._record_result(attempt, attempt.run)
-            if failure is None:
-                return 200
-            status = failure
+        if call.load.fair_shares:
+            share = self._shares.open(call)
+            with contextlib.closing(share):
+                status = await self._run_attempts(call, share.begin)
+        else:
+            status = await self._run_attempts(call, _begin_uncounted)
+        if status == 200:
+            return status
         relayed = await self._relay.run_if_better(call)
         if relayed is not None:
             return relayed
@@ -76,6 +76,30 @@
             )
         return fail(call, status)
 
+    async def _run_attempts(self, call, begin):
+        """Run attempts until one succeeds; return the last HTTP status.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        begin : callable
+            Called before each attempt.
+        """
+        status = 502
+        while call.attempts < MAX_ATTEMPTS:
+            choice = await self._next_choice(call)
+            if choice is None:
+                break
+            call.attempts += 1
+            begin()
+            attempt = self._make_attempt(call, choice)
+            failure = await self._record_result(attempt, attempt.run)
+            if failure is None:
+                return 200
+            status = failure
+        return status
+
     def _refusal_cause(self, call):
         """Log why a call is refused, and return the cause in a few words."""
         verdict = call.start_verdict
@@ -311,3 +335,7 @@
         call.failed_targets.add(target.identity)
         call.record_outcome(target.identity, outcome)
         self._context.metrics.sends.labels(outcome).inc()
+
+
+def _begin_uncounted():
+    """Count nothing, as no shares are computed."""
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -17,6 +17,8 @@
 from apricotseam.node._zone_reports import ZoneCollector
 from apricotseam.node._zone_reports import ZoneReport
 from apricotseam.positions import NO_POSITION
+from apricotseam.sharing import largest_entries
+from apricotseam.sharing import sum_demand
 
 SEND_PERIOD_SECONDS = 0.2
 # Longer, as the delegates of a zone get the states of all its hosts.
@@ -102,6 +104,8 @@
             context.fleet, context.request_queue, now
         )
         self._trait_notices = TraitNotices(context.quarantine, now)
+        # Zones that have sent their demand.
+        self._other_zones = set()
         hosts.transport.handle(HostState, self._receive)
         hosts.transport.handle(ZoneReport, self._receive_report)
 
@@ -204,6 +208,23 @@
                 notice.age_seconds,
             )
 
+    def zone_demand(self):
+        """Return the demand at all hosts of this zone, for a message."""
+        demand = self._context.demand
+        states = self._collector.states(self._now())
+        counts = [demand.counts(), *(state.demand for state in states)]
+        return largest_entries(sum_demand(counts))
+
+    def notice_demand(self, zone, counts):
+        """Record the demand at the hosts of another zone."""
+        self._other_zones.add(zone)
+        self._context.demand.update_peers(f"zone {zone}", counts)
+
+    def _other_zones_demand(self):
+        return self._context.demand.peer_counts(
+            f"zone {zone}" for zone in self._other_zones
+        )
+
     def notice_other_zone(self, zone, suspects):
         """Check targets that a host of another zone finds silent."""
         self._suspicions.check(zone, suspects)
@@ -256,6 +277,7 @@
         self._is_direct = is_direct
         self._ledger.forget_peers()
         self._context.retry_budget.forget_peers()
+        self._context.demand.forget_peers()
         if is_direct:
             for state in self._collector.states(now):
                 self._apply_state(state, now)
@@ -305,6 +327,7 @@
             self.leaving_targets(),
             self._limit_notices.own(),
             self._trait_notices.known(),
+            demand=self._context.demand.counts(),
         )
 
     def _send(self, suspects, slow):
@@ -332,8 +355,10 @@
         others = None
         if self._report_number % OTHER_ZONES_REPORTS == 0:
             others = self._ledger.other_zones_totals()
+        demand = sum_demand([report.demand, self._other_zones_demand()])
         report = msgspec.structs.replace(
             report,
+            demand=largest_entries(demand),
             other_zones=others,
             store_position=self._store_position(),
             limits=self._limit_notices.known(),
@@ -360,6 +385,7 @@
         usage = PeerUsage(state.host, state.number, state.usages)
         self._ledger.update_peer(usage, now)
         self._context.retry_budget.update_peer(state.host, state.repeats, now)
+        self._context.demand.update_peers(state.host, state.demand)
 
     def _receive_report(self, sender, report):
         if report.zone != self._zone or not self._hosts.is_large:
@@ -393,6 +419,7 @@
         self._context.retry_budget.update_peer(
             OWN_ZONE, others.repeats, now, others.hosts
         )
+        self._context.demand.update_peers(OWN_ZONE, others.demand)
 
     def _apply_notices(self, message, now):
         """Apply what a `HostState` or `ZoneReport` says of targets."""
--- a/apricotseam/node/_zone_reports.py
+++ b/apricotseam/node/_zone_reports.py
@@ -18,6 +18,9 @@
 from apricotseam.positions import NO_POSITION
 from apricotseam.positions import Position
 from apricotseam.sharing import DemandCount
+from apricotseam.sharing import largest_entries
+from apricotseam.sharing import subtract_demand
+from apricotseam.sharing import sum_demand
 
 # A host that sent nothing for this long no longer counts in reports.
 STATE_EXPIRY_SECONDS = 4.0
@@ -88,8 +91,8 @@
     ``leaving`` are the targets that, as the sender knows, announced that they
     leave, ``limits`` those that told any host about limits, ``traits`` are
     traits of requests under which targets ended at any host. ``paces`` are
-    those of paced targets, ``demand`` is the sum over the same hosts as
-    ``usages``.
+    those of paced targets. ``demand`` is the sum over the same hosts as
+    ``usages`` and, as the sender knows it, over those of the other zones.
     """
 
     zone: str
@@ -226,6 +229,9 @@
             silent=silent,
             store_position=NO_POSITION,
             leaving=own.leaving,
+            demand=largest_entries(
+                sum_demand(state.demand for state in states)
+            ),
         )
 
     def _noticed(self, now):
@@ -251,12 +257,14 @@
 class OtherHosts(msgspec.Struct, frozen=True):
     """What a report says about the hosts other than the receiver.
 
-    ``hosts`` is their number, ``usages`` and ``repeats`` are sums.
+    ``hosts`` is their number, ``usages``, ``repeats`` and ``demand`` are
+    sums.
     """
 
     hosts: int
     usages: dict[str, Usage]
     repeats: dict[str, RepeatCount]
+    demand: dict[str, DemandCount] = {}
 
 
 class SentStates:
@@ -284,11 +292,14 @@
         own = self._states.get(report.included.get(host))
         hosts = len(report.included) - (host in report.included)
         if own is None:
-            return OtherHosts(hosts, report.usages, report.repeats)
+            return OtherHosts(
+                hosts, report.usages, report.repeats, report.demand
+            )
         return OtherHosts(
             hosts,
             _subtract_usages(report.usages, own.usages),
             _subtract_repeats(report.repeats, own.repeats),
+            subtract_demand(report.demand, own.demand),
         )
 
 
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -100,6 +100,7 @@
             self._usage_exchange.leaving_targets(),
             self._usage_exchange.limit_notices.known(),
             self._usage_exchange.trait_notices.known(),
+            demand=self._usage_exchange.zone_demand(),
         )
         addresses = self._hosts.other_zone_delegates
         self._hosts.transport.send_all(addresses, message)
@@ -120,3 +121,4 @@
             f"zone {message.zone}", self._applied_count, message.usages, 0
         )
         self._ledger.update_peer(usage, self._now())
+        self._usage_exchange.notice_demand(message.zone, message.demand)
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -32,6 +32,9 @@
 from apricotseam.positions import NO_POSITION
 from apricotseam.quarantine import Quarantine
 from apricotseam.quarantine import TargetEnd
+from apricotseam.sharing import DemandCount
+from apricotseam.sharing import DemandKey
+from apricotseam.sharing import DemandMeter
 
 TICK_SECONDS = 0.05
 # Time in which all hosts of a zone agree after the last fault: a report is
@@ -76,6 +79,7 @@
         )
         self.queue = Queue()
         self.quarantine = Quarantine(lambda: zone.now)
+        self.demand = DemandMeter(lambda: zone.now)
         self.fleet = Fleet()
         self.heartbeats = 0
         context = types.SimpleNamespace(
@@ -84,6 +88,7 @@
             retry_budget=self.budget,
             request_queue=self.queue,
             quarantine=self.quarantine,
+            demand=self.demand,
         )
         self.exchange = UsageExchange(
             self.hosts,
@@ -272,6 +277,24 @@
     assert set(zone.beliefs().values()) == {zone.truth()}
 
 
+@pytest.mark.parametrize("count", [3, 39])
+def test_all_hosts_know_the_demand_of_all_zones(count):
+    """Guards against factors from a part of the fleet or counted twice."""
+    zone = Zone(count)
+    zone.run(6)
+    key = DemandKey("model", 1, "acme")
+    elsewhere = {key.text(): DemandCount(0.0, 500.0, 7)}
+    for host in zone.hosts.values():
+        host.demand.record_begin(key, 10.0)
+    for _ in range(6):
+        for host in zone.hosts.values():
+            if host.exchange.reports_zone:
+                host.exchange.notice_demand("b", elsewhere)
+        zone.run(0.5)
+    requests = {h.demand.totals()[key].requests for h in zone.hosts.values()}
+    assert requests == {count + 7 if count > 25 else count}
+
+
 def test_released_bookings_are_taken_out_of_reports():
     zone = Zone(39)
     zone.run(6)
--- a/apricotseam/node/tests/test_zones.py
+++ b/apricotseam/node/tests/test_zones.py
@@ -9,6 +9,7 @@
 from apricotseam.node._zone_reports import LeavingNotice
 from apricotseam.node._zones import ZoneState
 from apricotseam.node._zones import ZoneUsageExchange
+from apricotseam.sharing import DemandCount
 
 
 class FakeHosts:
@@ -54,6 +55,7 @@
         self.uses_reports = uses_reports
         self.noticed = []
         self.noticed_leaving = {}
+        self.noticed_demand = {}
         self.limit_notices = FakeNotices(
             {"limited-here": LimitNotice(1, 2.5, 0.5)}
         )
@@ -71,6 +73,14 @@
         """Return the suspect target."""
         return ["silent-here"]
 
+    def zone_demand(self):
+        """Return the demand of the zone."""
+        return {"here": DemandCount(1.0)}
+
+    def notice_demand(self, zone, counts):
+        """Record the demand of another zone."""
+        self.noticed_demand[zone] = counts
+
     def notice_other_zone(self, zone, suspects):
         """Record suspects of another zone."""
         self.noticed.extend(suspects)
@@ -88,6 +98,7 @@
         ["silent-there"],
         leaving,
         traits={"part/there": TraitNotice([], 1.5)},
+        demand={"there": DemandCount(2.0)},
     )
 
 
@@ -157,4 +168,6 @@
     assert message.traits == {"part/here": TraitNotice([], 0.5)}
     traits = {"part/there": TraitNotice([], 1.5)}
     assert usage_exchange.trait_notices.noticed == traits
+    assert message.demand == {"here": DemandCount(1.0)}
+    assert usage_exchange.noticed_demand == {"b": {"there": DemandCount(2.0)}}
     assert ledger.used_units("t") == 70.0
