Order the queue by shares, and judge waiting requests after a loss

The queue put any return before a new request of the most urgent class, and a caller that returned at once, whatever it was told, before all others. After a loss, requests went on waiting for a turn. A return is early by what this host told its caller; hosts do not tell each other these times, so elsewhere it counts as a return. A loss wakes all requests that wait for the service, also one that all delegates report.

--- a/apricotseam/forwarding/_answering.py
+++ b/apricotseam/forwarding/_answering.py
@@ -64,6 +64,8 @@
 
 def refuse_call(context, call, cause, retry_after):
     """Reject a call that no target has run; return the HTTP status."""
+    if call.load.fair_shares and retry_after is not None:
+        context.request_queue.record_return(call, retry_after)
     return refuse(
         context,
         call.exchange,
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -144,6 +144,7 @@
         self.returns = ReturnSchedule(self.generator)
         target_selector.starts = self.starts
         target_selector.share_rules = self.share_rules
+        request_queue.share_rules = self.share_rules
         # `SendPermits`, set before the first request is accepted.
         self.permits = None
         # Name of this host.
@@ -163,7 +164,10 @@
         self.shutdown_at = None
 
     def record_silence(self, identity):
-        """Record that a target answers no more; its streams are checked.
+        """Record that a target answers no more.
+
+        Its streams are checked, and the requests that wait for its service
+        are judged again.
 
         Parameters
         ----------
@@ -174,6 +178,8 @@
         if target is not None:
             self.starts.record_loss(target, self._now())
         self.active_streams.recheck(identity)
+        if target is not None:
+            self.request_queue.wake_all(target.record.service)
 
 
 class Gateway:
--- a/apricotseam/forwarding/_request_queue.py
+++ b/apricotseam/forwarding/_request_queue.py
@@ -16,6 +16,9 @@
 # Refused requests are asked to return at this fraction of the rate of
 # completions, which leaves room for new ones.
 RETURN_RATE_SHARE = 0.3
+# A caller may return this much earlier than it was told, as the time that it
+# is told is rounded.
+RETURN_TOLERANCE_SECONDS = 0.02
 
 
 class RequestQueue:
@@ -33,6 +36,10 @@
         self._arrival_numbers = itertools.count()
         self._completions = collections.deque()
         self._refused_until = collections.OrderedDict()
+        # Times at which this host told callers to return, by retry key.
+        self._returns_at = collections.OrderedDict()
+        # `ShareRules` of this host, set before the first request.
+        self.share_rules = None
         self._recent_refusals = collections.deque(
             maxlen=MAX_REMEMBERED_REFUSALS
         )
@@ -49,9 +56,18 @@
     def rank(self, call):
         """Return the sort key of a call; the lowest is served first.
 
-        Requests that were refused before precede the others.
+        Requests that were refused before precede the others. With fair
+        shares they do so within their class, and requests of customers with
+        less work in progress precede others of the class.
         """
         was_refused = self.was_refused_before(call)
+        if call.load.fair_shares:
+            return (
+                call.effective_priority,
+                not was_refused,
+                self.share_rules.active_ms(call.demand_key),
+                call.request.received_at,
+            )
         return (
             not was_refused,
             call.effective_priority,
@@ -97,7 +113,7 @@
         self._last_return_at = return_at
         return return_at - now
 
-    async def wait(self, rank, until):
+    async def wait(self, rank, until, service=""):
         """Wait until woken; return whether that happened in time.
 
         Parameters
@@ -106,10 +122,12 @@
             Sort key in the queue, from `rank`.
         until : float
             Latest loop time in seconds.
+        service : str, optional
+            Name of the service after whose losses it is woken.
         """
         loop = asyncio.get_running_loop()
         future = loop.create_future()
-        entry = (rank, next(self._arrival_numbers), future)
+        entry = (rank, next(self._arrival_numbers), future, service)
         heapq.heappush(self._queue, entry)
         timer = loop.call_at(until, _set_result, future, False)
         try:
@@ -132,11 +150,28 @@
     def wake_next(self):
         """Wake the first queued request."""
         while self._queue:
-            _, _, future = heapq.heappop(self._queue)
+            future = heapq.heappop(self._queue)[2]
             if not future.done():
                 future.set_result(True)
                 return
 
+    def wake_all(self, service):
+        """Wake all requests that wait for a service, in their order.
+
+        After a loss of targets, room elsewhere may suit any of them, and
+        those that it does not suit are refused at once.
+
+        Parameters
+        ----------
+        service : str
+            Name that was passed to `wait`.
+        """
+        woken = [entry for entry in self._queue if entry[3] == service]
+        self._queue = [e for e in self._queue if e[3] != service]
+        heapq.heapify(self._queue)
+        for entry in sorted(woken):
+            _set_result(entry[2], True)
+
     def wake_behind(self, rank):
         """Wake the first request behind one that could not use its turn.
 
@@ -172,9 +207,36 @@
         if len(self._refused_until) > MAX_REMEMBERED_REFUSALS:
             self._refused_until.popitem(last=False)
 
+    def record_return(self, call, seconds):
+        """Remember when the caller of a refused request is to return.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        seconds : float
+            Delay that its caller is told.
+        """
+        if not call.retry_key:
+            return
+        self._returns_at[call.retry_key] = self._now() + seconds
+        self._returns_at.move_to_end(call.retry_key)
+        if len(self._returns_at) > MAX_REMEMBERED_REFUSALS:
+            self._returns_at.popitem(last=False)
+
     def was_refused_before(self, call):
-        """Return whether a call is the retry of a refused request."""
-        return self._refused_until.get(call.retry_key, 0.0) > self._now()
+        """Return whether a call is the retry of a refused request.
+
+        With fair shares, one that comes earlier than this host has told its
+        caller counts as new. Hosts do not tell each other these times.
+        """
+        if self._refused_until.get(call.retry_key, 0.0) <= self._now():
+            return False
+        if not call.load.fair_shares:
+            return True
+        returns_at = self._returns_at.get(call.retry_key, 0.0)
+        earliest = returns_at - RETURN_TOLERANCE_SECONDS
+        return call.request.received_at >= earliest
 
     def recently_refused(self, since):
         """Return the retry keys of the requests refused by this host.
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -165,7 +165,11 @@
         until = self._wait_deadline(call)
         while choice is None and self._should_wait(call, rank, until):
             started_at = loop.time()
-            has_turn = await request_queue.wait(rank, until)
+            has_turn = await request_queue.wait(
+                rank,
+                until,
+                call.service.name if call.load.fair_shares else "",
+            )
             call.waited_seconds += loop.time() - started_at
             if not has_turn:
                 return None
--- a/apricotseam/node/_suspicions.py
+++ b/apricotseam/node/_suspicions.py
@@ -124,6 +124,7 @@
             if is_new:
                 _log_suspected(identity, ",".join(sorted(reporters)))
                 self._context.active_streams.recheck(identity)
+                self._context.request_queue.wake_all(target.record.service)
 
     def expire(self):
         """Forget reports that are no longer repeated."""
--- a/apricotseam/node/tests/test_suspicions.py
+++ b/apricotseam/node/tests/test_suspicions.py
@@ -51,12 +51,14 @@
         self.now = loop.time
         self.prober = Prober(silent, self.now)
         self.rechecked = []
+        self.woken = []
         context = types.SimpleNamespace(
             fleet=self.fleet,
             prober=self.prober,
             active_streams=types.SimpleNamespace(
                 recheck=self.rechecked.append
             ),
+            request_queue=types.SimpleNamespace(wake_all=self.woken.append),
         )
         self.suspicions = Suspicions(context, self.now)
 
@@ -142,6 +144,8 @@
                 target = host.fleet.get(f"t{used}")
                 target.health.record_contact(host.now())
         await asyncio.sleep(0.2)
+        # Requests that wait for them are judged again.
+        assert set(host.woken) == ({"s"} if host.rechecked else set())
         return host.avoided()
 
     assert asyncio.run(play()) == expected
