Let requests that are late by their share wait for their turn

It now waits as long as its objective allows, as its limit would let it start without the factors.

The emulated hosts drew places and delays without a seed, so plays of one seed differed. They are seeded now.

--- a/apricotseam/forwarding/_start_estimates.py
+++ b/apricotseam/forwarding/_start_estimates.py
@@ -50,6 +50,20 @@
             return False
         return self.estimate.milliseconds <= self.limit_ms
 
+    @property
+    def is_late_by_share(self):
+        """Whether it is late only because of its class or customer.
+
+        It may be sent later, when those that go first are through.
+        """
+        factor = self.class_factor * self.customer_factor
+        is_placed = self.place <= self.admitted_share
+        full_limit_ms = self.limit_ms / factor
+        return (
+            is_placed
+            and self.limit_ms < self.estimate.milliseconds <= full_limit_ms
+        )
+
     @property
     def excess_ms(self):
         """By how many milliseconds the estimate exceeds the limit."""
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -227,7 +227,9 @@
             if call.last_event is not None:
                 return True
             verdict = call.start_verdict
-            if verdict is not None and not verdict.is_in_time:
+            if verdict is not None and not (
+                verdict.is_in_time or verdict.is_late_by_share
+            ):
                 # A later send would begin later still.
                 return request_queue.was_refused_before(call)
         return now + request_queue.expected_wait_seconds(rank) <= until
--- a/apricotseam/forwarding/tests/test_fair_shares.py
+++ b/apricotseam/forwarding/tests/test_fair_shares.py
@@ -8,10 +8,12 @@
 import pytest
 
 from apricotseam.chains import Ledger
+from apricotseam.chains import StartEstimate
 from apricotseam.fleet import Fleet
 from apricotseam.forwarding._request_queue import MAX_REMEMBERED_REFUSALS
 from apricotseam.forwarding._start_estimates import OBJECTIVE_SHARE
 from apricotseam.forwarding._start_estimates import StartEstimator
+from apricotseam.forwarding._start_estimates import StartVerdict
 from apricotseam.forwarding._streams import StreamRunner
 from apricotseam.forwarding import ForwardingContext
 from apricotseam.forwarding import HostRetryBudget
@@ -166,6 +168,28 @@
     assert starts.limit_ms(call, 0.0) == pytest.approx(factor * usual_ms)
 
 
+# Estimate in ms, factors, place, whether a request may wait for its turn.
+LATE = [
+    ("late by its share", 150.0, (0.5, 1.0), 0.0, True),
+    ("late in any case", 250.0, (0.5, 1.0), 0.0, False),
+    ("late without a factor", 150.0, (1.0, 1.0), 0.0, False),
+    ("no place", 150.0, (0.5, 1.0), 0.9, False),
+    ("in time", 90.0, (0.5, 1.0), 0.0, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("estimate_ms", "factors", "place", "waits"),
+    [case[1:] for case in LATE],
+    ids=[case[0] for case in LATE],
+)
+def test_who_is_late_by_its_share(estimate_ms, factors, place, waits):
+    """Guards against refusals of requests that a moment later would fit."""
+    estimate = StartEstimate(estimate_ms, 0.0, "t", ())
+    verdict = StartVerdict(estimate, 100.0, 0.5, place, *factors)
+    assert verdict.is_late_by_share == waits
+
+
 def test_memory_limit_of_a_customer_above_its_share():
     """Guards against a customer that fills the targets beside others."""
     selector = TargetSelector(Fleet(), Ledger(), "a")
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -230,7 +230,9 @@
             queue,
             self._now,
         )
-        # The context draws the samples of its prober without a seed.
+        # The context draws places, delays of returns and the samples of its
+        # prober without a seed.
+        context.generator.seed(seed)
         context.prober = TargetProber(
             pool,
             ledger,
