--- a/apricotseam/forwarding/tests/test_fair_shares.py
+++ b/apricotseam/forwarding/tests/test_fair_shares.py
@@ -25,8 +25,8 @@
 from apricotseam.routes import LoadFeatures
 from apricotseam.routes import NO_FEATURES
 from apricotseam.sharing import DemandKey
-from apricotseam.sharing import DemandMeter
 from apricotseam.sharing import ShareRules
+from apricotseam.sharing.tests.test_sharing import make_meter
 
 FAIR = LoadFeatures(start_estimates=True, fair_shares=True)
 
@@ -55,13 +55,7 @@
 
 def make_rules(active=(), arrived=()):
     """Return rules; the work is given by priority and customer."""
-    meter = DemandMeter(lambda: 0.0)
-    for priority, customer, requests in active:
-        for _ in range(requests):
-            meter.record_begin(DemandKey("model", priority, customer), 10.0)
-    for priority, customer, ms in arrived:
-        meter.record_arrival(DemandKey("model", priority, customer), ms)
-    return ShareRules(meter)
+    return ShareRules(make_meter(arrived, active))
 
 
 # Load, requests in progress, requests that wait in the order of arrival, as
