--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -25,6 +25,8 @@
 from apricotseam.quarantine import Quarantine
 from apricotseam.routes import LoadPolicy
 from apricotseam.routes import RepeatPolicy
+from apricotseam.sharing import DemandMeter
+from apricotseam.sharing import ShareRules
 
 _LOG = logging.getLogger(__name__)
 
@@ -71,6 +73,7 @@
 
     __slots__ = (
         "announcements",
+        "demand",
         "generator",
         "host",
         "_now",
@@ -83,6 +86,7 @@
         "relay_pool",
         "retry_budget",
         "returns",
+        "share_rules",
         "starts",
         "target_ends",
         "target_selector",
@@ -130,11 +134,18 @@
         self.quarantine_gate = QuarantineGate(self.quarantine)
         self.target_ends = TargetEndDetector(metrics, self.quarantine)
         self.generator = random.Random()
+        self.demand = DemandMeter(now)
+        self.share_rules = ShareRules(self.demand)
         self.starts = StartEstimator(
-            ledger, self.generator, retry_budget.requests_per_second
+            ledger,
+            self.generator,
+            retry_budget.requests_per_second,
+            self.share_rules,
         )
         self.returns = ReturnSchedule(self.generator)
         target_selector.starts = self.starts
+        target_selector.share_rules = self.share_rules
+        request_queue.share_rules = self.share_rules
         # `SendPermits`, set before the first request is accepted.
         self.permits = None
         # Name of this host.
@@ -154,7 +165,10 @@
         self.shutdown_at = None
 
     def record_silence(self, identity):
-        """Record that a target answers no more; its streams are checked.
+        """Record that a target answers no more.
+
+        Its streams are checked, and the requests that wait for its service
+        are judged again.
 
         Parameters
         ----------
@@ -165,6 +179,8 @@
         if target is not None:
             self.starts.record_loss(target, self._now())
         self.active_streams.recheck(identity)
+        if target is not None:
+            self.request_queue.wake_all(target.record.service)
 
 
 class Gateway:
--- a/apricotseam/forwarding/_start_estimates.py
+++ b/apricotseam/forwarding/_start_estimates.py
@@ -33,7 +33,8 @@
 class StartVerdict(msgspec.Struct, frozen=True):
     """An estimate, and the latest start that counts as in time.
 
-    ``limit_ms`` is in milliseconds from now, like the estimate.
+    ``limit_ms`` is in milliseconds from now, like the estimate. It includes
+    the factors of the request's class and customer.
     ``admitted_share`` is the fraction of all requests that the chain can
     take, ``place`` that of this request among them, both from 0 to 1.
     """
@@ -42,6 +43,8 @@
     limit_ms: float
     admitted_share: float = 1.0
     place: float = 0.0
+    class_factor: float = 1.0
+    customer_factor: float = 1.0
 
     @property
     def is_in_time(self):
@@ -50,6 +53,20 @@
             return False
         return self.estimate.milliseconds <= self.limit_ms
 
+    @property
+    def is_late_by_share(self):
+        """Whether it is late only because of its class or customer.
+
+        It may be sent later, when those that go first are through.
+        """
+        factor = self.class_factor * self.customer_factor
+        is_placed = self.place <= self.admitted_share
+        full_limit_ms = self.limit_ms / factor
+        return (
+            is_placed
+            and self.limit_ms < self.estimate.milliseconds <= full_limit_ms
+        )
+
     @property
     def excess_ms(self):
         """By how many milliseconds the estimate exceeds the limit."""
@@ -84,12 +101,15 @@
     request_rate : callable, optional
         Returns the requests per second of all hosts for a service, by its
         name and the monotonic time in seconds.
+    share_rules : ShareRules, optional
+        Factors of classes and customers; without them all are equal.
     """
 
-    def __init__(self, ledger, generator, request_rate=None):
+    def __init__(self, ledger, generator, request_rate=None, share_rules=None):
         self._ledger = ledger
         self._random = generator
         self._request_rate = request_rate or (lambda service, now: 0.0)
+        self._share_rules = share_rules
         self._lost_by_zone = {}
         # Last `StartModel` and the service that it is made for.
         self._model = None
@@ -130,7 +150,31 @@
             return self._patience_ms(call, now)
         objective = OBJECTIVE_SHARE * call.route.objective_seconds
         until = min(call.request.received_at + objective, call.deadline)
-        return max(0.0, until - now) * MS_PER_SECOND
+        class_factor, customer_factor = self._factors(call)
+        factor = class_factor * customer_factor
+        return max(0.0, until - now) * MS_PER_SECOND * factor
+
+    def _factors(self, call):
+        """Return the factors of a call's class and customer.
+
+        They apply to new requests. A caller returns once, so a second
+        refusal is final, and a stream that had begun goes on.
+        """
+        if not call.load.fair_shares or call.is_return:
+            return 1.0, 1.0
+        if call.last_event is not None:
+            return 1.0, 1.0
+        rules, key = self._share_rules, call.demand_key
+        return rules.class_factor(key), rules.customer_factor(key)
+
+    def _place(self, call):
+        """Return the place of a call among the requests of all hosts."""
+        draw = call.draw_place(self._random)
+        if call.is_return:
+            draw *= RETURN_PLACE_FACTOR
+        if not call.load.fair_shares:
+            return draw
+        return self._share_rules.place(call.demand_key, draw)
 
     def queue_ms(self, call, stage):
         """Return how long a prompt waits at a stage, in milliseconds."""
@@ -160,9 +204,7 @@
             stages, tokens, self._ledger.start_ms(model.link)
         )
         usual_ms = self._scarcest_ms(model, stages, chains)
-        place = call.draw_place(self._random)
-        if call.is_return:
-            place *= RETURN_PLACE_FACTOR
+        place = self._place(call)
         ahead_ms = self._ahead_ms(place, usual_ms, now)
         share = self._admitted_share(call, estimate.queue_ms, usual_ms, now)
         estimate = msgspec.structs.replace(
@@ -171,7 +213,11 @@
             queue_ms=estimate.queue_ms + ahead_ms,
         )
         return StartVerdict(
-            estimate, self._allowed_ms(call, estimate, now), share, place
+            estimate,
+            self._allowed_ms(call, estimate, now),
+            share,
+            place,
+            *self._factors(call),
         )
 
     def _model_of(self, service):
@@ -275,6 +321,8 @@
             "resource": estimate.resource,
             "admitted_share": round(verdict.admitted_share, 3),
             "place": round(verdict.place, 3),
+            "class_factor": round(verdict.class_factor, 3),
+            "customer_factor": round(verdict.customer_factor, 3),
             "news_ms": round(ledger.news_seconds(now) * MS_PER_SECOND),
         },
     )
--- a/apricotseam/forwarding/tests/test_start_estimates.py
+++ b/apricotseam/forwarding/tests/test_start_estimates.py
@@ -18,6 +18,7 @@
 from apricotseam.forwarding._return_schedule import ReturnSchedule
 from apricotseam.forwarding._start_estimates import LOSS_SECONDS
 from apricotseam.forwarding._start_estimates import StartEstimator
+from apricotseam.routes import NO_FEATURES
 from apricotseam.routes import Service
 
 SERVICE = Service(name="model", engine=PROFILE)
@@ -31,6 +32,7 @@
 
     def __init__(self, received_at=0.0, last_event=None, is_return=False):
         self.service = SERVICE
+        self.load = NO_FEATURES
         self.metadata = types.SimpleNamespace(prompt_tokens=800)
         self.route = types.SimpleNamespace(objective_seconds=OBJECTIVE_SECONDS)
         self.request = types.SimpleNamespace(received_at=received_at)
--- a/apricotseam/node/_suspicions.py
+++ b/apricotseam/node/_suspicions.py
@@ -124,6 +124,7 @@
             if is_new:
                 _log_suspected(identity, ",".join(sorted(reporters)))
                 self._context.active_streams.recheck(identity)
+                self._context.request_queue.wake_all(target.record.service)
 
     def forget_target(self, identity):
         """Forget reports about a target whose process has ended."""
