Add the pace of a target process, a slow start

Cause: a target that has just started or answers again has the lowest cost of all, and gets everything at once from all hosts (docs/design/hard-load.md, "What is missing today", 7).

Change: `Pace` holds how much start work a process may have under way, as a function of its answers and of what peers tell. `Target.pace` is one of each process; the fleet tells when it finds a process for the first time. Nothing uses it yet.

--- a/apricotseam/fleet/__init__.py
+++ b/apricotseam/fleet/__init__.py
@@ -5,6 +5,7 @@
 from apricotseam.fleet._announcements import MAX_REST_SECONDS
 from apricotseam.fleet._fleet import Fleet
 from apricotseam.fleet._health import Health
+from apricotseam.fleet._pace import Pace
 from apricotseam.fleet._pace import PaceNotice
 from apricotseam.fleet._states import is_outdated
 from apricotseam.fleet._target import LayerRange
@@ -18,6 +19,7 @@
     "LayerRange",
     "AnnouncementSource",
     "MAX_REST_SECONDS",
+    "Pace",
     "PaceNotice",
     "Target",
     "TargetRecord",
--- a/apricotseam/fleet/_fleet.py
+++ b/apricotseam/fleet/_fleet.py
@@ -56,6 +56,8 @@
         self._position = NO_POSITION
         self._on_end = on_end or (lambda target: None)
         self._on_drain = on_drain or (lambda target: None)
+        # Called with each `Target` whose process was not known before.
+        self.on_new = lambda target: None
         # Number of changes so far; readers compare it to detect new ones.
         self.changes = 0
 
@@ -124,9 +126,12 @@
                 "born_ms": record.born_ms,
             },
         )
-        self._removed.pop(record.identity, None)
+        removed = self._removed.pop(record.identity, None)
         announcements = self._announcements.get(record.incarnation)
-        self._link(Target(record, announcements))
+        target = Target(record, announcements)
+        self._link(target)
+        if removed is None or removed.record.incarnation != record.incarnation:
+            self.on_new(target)
 
     def record_leaving(self, incarnation, source, now, age_seconds=0.0):
         """Record that a target process announced that it leaves.
--- a/apricotseam/fleet/_target.py
+++ b/apricotseam/fleet/_target.py
@@ -4,6 +4,7 @@
 
 from apricotseam.fleet._announcements import Announcements
 from apricotseam.fleet._health import Health
+from apricotseam.fleet._pace import Pace
 from apricotseam.positions import NO_POSITION
 from apricotseam.positions import Position
 
@@ -78,6 +79,7 @@
         "health",
         "removal_due_at",
         "is_present",
+        "pace",
         "record",
     )
 
@@ -85,6 +87,7 @@
         self.record = record
         self.announcements = announcements or Announcements()
         self.health = Health()
+        self.pace = Pace(record.born_ms)
         self.is_present = True
         self._used_units = 0.0
         self._queued = 0
