Limit what targets get that start, return or answer late

Cause: a target that has just started or answers again is the cheapest one, and all hosts send to it at once (docs/design/hard-load.md, part B).

Change: `PaceRecorder` begins the pace of new and returning processes and adjusts it by first events and failures; `TargetSelector` keeps to it for all stages of chains; `PaceNotices` tells other hosts. If targets that are not paced do not cover all layers, as when a fleet starts as a whole, pacing ends for those that answered nothing late. Log event `pace_changed`, two metrics.

--- a/apricotseam/fleet/_pace.py
+++ b/apricotseam/fleet/_pace.py
@@ -41,14 +41,17 @@
     Attributes
     ----------
     usual_ms : float
-        Time in milliseconds that the target needs to read a usual prompt,
-        below which the allowance never falls.
+        Time in milliseconds that the target needs for its layers of a usual
+        prompt.
+    least_ms : float
+        Time in milliseconds that it would need for all layers of one, below
+        which the allowance never falls.
 
     Examples
     --------
     >>> pace = Pace()
     >>> pace.begin(0.0)
-    >>> pace.usual_ms = 100.0
+    >>> pace.usual_ms = pace.least_ms = 100.0
     >>> pace.may_start(100.0, 0.1), pace.record_start(0.2, 0.5, 0.3)
     (False, True)
     >>> pace.allowance_ms, pace.may_start(100.0, 0.4)
@@ -66,12 +69,14 @@
         "_round_began_at",
         "_sent_at",
         "_was_lowered",
+        "least_ms",
         "usual_ms",
     )
 
     def __init__(self, born_ms=0):
         self._born_ms = born_ms
         self.usual_ms = 0.0
+        self.least_ms = 0.0
         self._allowance_ms = math.inf
         # Time of the last change that answers led to, here or at a peer.
         self._changed_at = -math.inf
@@ -89,7 +94,7 @@
     @property
     def allowance_ms(self):
         """Start work of all hosts that may be under way, in milliseconds."""
-        return max(self._allowance_ms, self.usual_ms)
+        return max(self._allowance_ms, self.least_ms)
 
     @property
     def is_limited(self):
@@ -97,9 +102,9 @@
         return self._allowance_ms < math.inf
 
     @property
-    def has_been_lowered(self):
-        """Whether an answer was late or failed since pacing began."""
-        return self.is_limited and self._has_been_lowered
+    def is_untested(self):
+        """Whether the target is paced, and answered nothing late so far."""
+        return self.is_limited and not self._has_been_lowered
 
     @property
     def changed_at(self):
@@ -121,6 +126,13 @@
         self._round_began_at = now
         self._answered_at = now
 
+    def end(self, now):
+        """End pacing without any answer; peers are not told."""
+        self._allowance_ms = math.inf
+        self._changed_at = -math.inf
+        self._was_lowered = False
+        self._round_began_at = now
+
     def may_start(self, under_way_ms, now):
         """Return whether the target may get one more request.
 
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -10,6 +10,7 @@
 from apricotseam.chains import covers_layers
 from apricotseam.chains import find_chain
 from apricotseam.chains import Holder
+from apricotseam.chains import StartModel
 from apricotseam.fleet import Target
 from apricotseam.forwarding._start_estimates import stage_load
 from apricotseam.platform import format_chain
@@ -88,8 +89,10 @@
         self._fleet = fleet
         self._ledger = ledger
         self._zone = zone
-        # `StartEstimator` of this host, set before the first request.
+        # `StartEstimator` and `PaceRecorder` of this host, set before the
+        # first request.
         self.starts = None
+        self.paces = None
 
     def expected_tokens(self, call):
         """Return the expected mean number of tokens that a request holds."""
@@ -117,6 +120,8 @@
             Whether the request may use the capacity reserved for requests
             that were refused or interrupted before.
         """
+        if call.load.pacing:
+            self.paces.release_needed(call.service, now)
         profile = call.service.engine
         tokens = self.expected_tokens(call)
         max_utilization = (
@@ -438,6 +443,10 @@
             queue_ms = self.starts.queue_ms(call, load)
             if queue_ms > self.starts.limit_ms(call, now):
                 return None
+            if call.load.pacing and not _is_within_pace(
+                target, call.service, load, now
+            ):
+                return None
             # The wait counts as spread over the tokens of the answer.
             answer_layers = profile.usual_answer_tokens * record.layers.size
             cost += queue_ms / max(1.0, answer_layers)
@@ -458,6 +467,19 @@
         return Choice(targets[0][0], targets, path, tokens, _cost(stages))
 
 
+def _is_within_pace(target, service, load, now):
+    """Return whether the pace of a target allows one more request."""
+    pace = target.pace
+    if not pace.is_limited:
+        return True
+    model = StartModel(service)
+    [(_, pace.usual_ms)] = model.usual_work([load])
+    # The work stays booked until the whole chain has read the prompt.
+    whole = msgspec.structs.replace(load, layers=service.engine.layers)
+    [(_, pace.least_ms)] = model.usual_work([whole])
+    return pace.may_start(load.start_ms, now)
+
+
 def _is_closed_head(target, now):
     """Return whether a target can only begin a chain, and may not now.
 
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -10,6 +10,7 @@
 from apricotseam.forwarding._answering import Refusal
 from apricotseam.forwarding._answering import refuse
 from apricotseam.forwarding._call import Call
+from apricotseam.forwarding._paces import PaceRecorder
 from apricotseam.forwarding._plain import PlainRunner
 from apricotseam.forwarding._probes import TargetProber
 from apricotseam.forwarding._quarantine_gate import QuarantineGate
@@ -66,6 +67,8 @@
         Requests that wait until a chain has capacity.
     now : callable, optional
         Returns monotonic time in seconds.
+    wall_time : callable, optional
+        Returns the wall-clock time in seconds.
     """
 
     __slots__ = (
@@ -74,6 +77,7 @@
         "host",
         "_now",
         "load_policy",
+        "paces",
         "peer_views",
         "permits",
         "quarantine",
@@ -106,6 +110,7 @@
         metrics,
         request_queue,
         now=time.monotonic,
+        wall_time=time.time,
     ):
         self.request_queue = request_queue
         self.active_streams = ActiveStreams()
@@ -115,6 +120,10 @@
         )
         self.fleet = fleet
         self.ledger = ledger
+        self.paces = PaceRecorder(self, now, wall_time)
+        fleet.on_new = self.paces.record_found
+        target_selector.paces = self.paces
+        self.prober.on_return = self.paces.record_return
         self.target_selector = target_selector
         self.pool = pool
         self.retry_budget = retry_budget
@@ -126,6 +135,7 @@
         metrics.watch_quarantine(self.quarantine)
         metrics.watch_fleet(fleet, now)
         metrics.watch_reach(self.prober.reach)
+        metrics.watch_paces(self.paces)
         self.quarantine_gate = QuarantineGate(self.quarantine)
         self.target_ends = TargetEndDetector(metrics, self.quarantine)
         self.generator = random.Random()
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -132,6 +132,18 @@
             registry=registry,
         )
 
+        self._paced_targets = prometheus_client.Gauge(
+            "apricotseam_paced_targets",
+            "Targets that are limited since they started or answered late.",
+            registry=registry,
+        )
+        self.pace_changes = prometheus_client.Counter(
+            "apricotseam_pace_changes",
+            "Changes of the pace of targets, by cause.",
+            ["cause"],
+            registry=registry,
+        )
+
     def record_start(self, estimated_ms, seconds):
         """Record the first event of a send whose start was estimated.
 
@@ -173,6 +185,10 @@
         """Show whether a `TargetReach` has lost the links to targets."""
         self._links_lost.set_function(lambda: len(reach.lost_services))
 
+    def watch_paces(self, paces):
+        """Show how many targets a `PaceRecorder` finds paced."""
+        self._paced_targets.set_function(paces.count_paced)
+
     def count_leaving(self, target):
         """Count a `Target` that started to leave."""
         source = (
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -66,6 +66,8 @@
         self._now = now
         # Returns whether most hosts find the target with an identity silent.
         self.is_shared_silence = lambda identity: False
+        # Called with each `Target` that answers again after silence.
+        self.on_return = lambda target: None
         self._pending_probes = {}
         self._responsive_until = {}
         self._available_probes = float(BURST_PROBES)
@@ -170,6 +172,7 @@
             _LOG.info(
                 "target_answers_again", extra={"target": target.identity}
             )
+            self.on_return(target)
 
     async def _is_responsive(self, target):
         """Return whether a target responds; concurrent calls share a probe.
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -36,6 +36,8 @@
 REROUTE_SLOW_FACTOR = 2.5
 MAX_REROUTES = 3
 MAX_BODY_BYTES = 1 << 20
+# Statuses of targets that have too much work.
+BUSY_STATUSES = (429, 503)
 
 
 class ReplacedError(TransportError):
@@ -96,6 +98,9 @@
         # Loop times at which this attempt was sent and of its first event.
         self._sent_at = asyncio.get_running_loop().time()
         self._writing_since = None
+        # Loop time since which the present chain owes its first event; None
+        # before the request was sent.
+        self._awaited_since = None
         # Whether the chain has written for long enough after that.
         self._is_sound = False
         self._is_reading = False
@@ -167,6 +172,9 @@
                 self._record_start()
                 is_prepared = True
             return failure
+        except TransportError as error:
+            self._record_failure(error)
+            raise
         finally:
             if not is_prepared:
                 self.close()
@@ -181,6 +189,7 @@
         self._booking = self._context.ledger.book(
             choice.tokens, choice.shares, choice.start_work
         )
+        self._context.paces.record_send(self._call, choice)
         self._context.active_streams.add(self, self._identities())
 
     def close(self):
@@ -197,6 +206,7 @@
             failure = await running
         except TransportError as caught:
             error = caught
+            self._record_failure(caught)
         except BaseException:
             self._drop_second()
             raise
@@ -236,6 +246,7 @@
         self._sender.send(call, connection, choice, call.last_event)
         call.runs += 1
         self._sent_at = asyncio.get_running_loop().time()
+        self._awaited_since = self._sent_at
         self._start_waiting(self._sent_at)
         answer, metadata = await read_patiently(
             lambda deadline: self._sender.read_head(
@@ -248,6 +259,12 @@
                 self._deadline(ERROR_BODY_TIMEOUT_SECONDS), MAX_BODY_BYTES
             )
             self._return_connection(answer)
+            if not metadata.was_not_run or answer.status in BUSY_STATUSES:
+                at_fault = choice.target_at(metadata.failed_target)
+                self._context.paces.record_failure(
+                    call, at_fault or choice.head
+                )
+            self._awaited_since = None
             return answer, metadata, body
         if metadata.is_encoded or not metadata.is_signed:
             raise MalformedAnswerError(
@@ -357,13 +374,34 @@
         if self._is_begun:
             return
         self._is_begun = True
+        now = asyncio.get_running_loop().time()
+        # Requests that the ledger wakes use the new pace.
+        self._context.paces.record_start(
+            self._call, self._choice, now - self._awaited_since
+        )
         self._context.ledger.record_start(self._booking)
         if self._choice.start_ms:
-            now = asyncio.get_running_loop().time()
             self._context.metrics.record_start(
                 self._choice.start_ms, now - self._sent_at
             )
 
+    def _record_failure(self, error):
+        """Record that the answer ended before its first event."""
+        if self._is_begun or self._awaited_since is None:
+            return
+        if isinstance(error, (LinksLostError, ReplacedError)):
+            return
+        self._context.paces.record_failure(self._call, self._choice.head)
+
+    def _record_wait(self):
+        """Record a wait for the first event that ended in vain."""
+        if self._is_begun or self._awaited_since is None:
+            return
+        seconds = asyncio.get_running_loop().time() - self._awaited_since
+        self._awaited_since = None
+        if seconds > self._call.route.objective_seconds:
+            self._context.paces.record_start(self._call, self._choice, seconds)
+
     def _start_waiting(self, now):
         self._progress_at = now
         self._check_at = now + self._first_timeout()
@@ -511,6 +549,7 @@
             self._release_capacity()
             self._choice = choice
             self._is_begun = False
+            self._awaited_since = now
             self.book_capacity()
         return is_done
 
@@ -522,6 +561,8 @@
     def _release_capacity(self):
         """Release the capacity that is booked on the current chain."""
         context = self._context
+        if self._booking is not None:
+            self._record_wait()
         context.ledger.release(self._booking)
         self._booking = None
         context.active_streams.remove(self, self._identities())
--- a/apricotseam/forwarding/tests/test_choice.py
+++ b/apricotseam/forwarding/tests/test_choice.py
@@ -1,5 +1,6 @@
 """Selection of the availability zone whose chain runs a request."""
 
+import random
 import types
 
 import pytest
@@ -8,10 +9,13 @@
 from apricotseam.fleet import Fleet
 from apricotseam.fleet import LayerRange
 from apricotseam.fleet import TargetRecord
+from apricotseam.forwarding._paces import PaceRecorder
+from apricotseam.forwarding._start_estimates import StartEstimator
 from apricotseam.forwarding import TargetSelector
 from apricotseam.positions import Position
 from apricotseam.routes import AcceleratorKind
 from apricotseam.routes import EngineProfile
+from apricotseam.routes import LoadFeatures
 from apricotseam.routes import NO_FEATURES
 
 LAYERS = 4
@@ -117,3 +121,45 @@
     selector = TargetSelector(make_fleet(kinds), CountingLedger(), "a")
     assert selector.choose_chain(make_call(), 0.0) is not None
     assert len(looked_at) == searched
+
+
+# Start work under way at the own zone's target, which has just started,
+# whether the other zone's has too, whether answers of the first one were
+# late, the zone that is selected.
+PACED = [
+    ("idle", 0.0, False, False, "a"),
+    ("one prompt under way", 10.0, False, False, "b"),
+    ("all have just started", 10.0, True, False, "a"),
+    ("all have, and the first is late", 10.0, True, True, "b"),
+]
+
+
+@pytest.mark.parametrize(
+    ("work_ms", "are_all_new", "is_late", "chosen"),
+    [case[1:] for case in PACED],
+    ids=[case[0] for case in PACED],
+)
+def test_paced_targets(work_ms, are_all_new, is_late, chosen):
+    """Guards against overrun new targets, and fleets that refuse as new."""
+    ledger = Ledger()
+    fleet = make_fleet({"b": "fast", "a": "fast"})
+    for target in fleet:
+        if target.identity == "a" or are_all_new:
+            target.pace.begin(0.0)
+            ledger.book(1.0, [(target.identity, 1)], [("a", work_ms / 2)])
+            ledger.book(1.0, [(target.identity, 1)], [("b", work_ms / 2)])
+    if is_late:
+        fleet.get("a").pace.record_failure(0.5, 0.1)
+    call = make_call()
+    call.load = LoadFeatures(start_estimates=True, pacing=True)
+    call.last_event = None
+    call.deadline = 20.0
+    call.request = types.SimpleNamespace(received_at=0.0)
+    call.route = types.SimpleNamespace(objective_seconds=0.5)
+    call.draw_place = lambda generator: 0.0
+    target_selector = TargetSelector(fleet, ledger, "a")
+    target_selector.starts = StartEstimator(ledger, random.Random(1))
+    context = types.SimpleNamespace(fleet=fleet, table=None)
+    target_selector.paces = PaceRecorder(context, lambda: 0.2)
+    choice = target_selector.choose_chain(call, 0.2)
+    assert choice.head.identity == chosen
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -9,6 +9,7 @@
 from apricotseam.node._delegates import DelegateReports
 from apricotseam.node._delegates import TAKEOVER_SECONDS
 from apricotseam.node._limit_notices import LimitNotices
+from apricotseam.node._pace_notices import PaceNotices
 from apricotseam.node._suspicions import Suspicions
 from apricotseam.node._trait_notices import TraitNotices
 from apricotseam.node._zone_reports import HostState
@@ -102,6 +103,7 @@
             context.fleet, context.request_queue, now
         )
         self._trait_notices = TraitNotices(context.quarantine, now)
+        self._pace_notices = PaceNotices(context, now)
         hosts.transport.handle(HostState, self._receive)
         hosts.transport.handle(ZoneReport, self._receive_report)
 
@@ -125,6 +127,11 @@
         """The `TraitNotices` of this host."""
         return self._trait_notices
 
+    @property
+    def pace_notices(self):
+        """The `PaceNotices` of this host."""
+        return self._pace_notices
+
     @property
     def suspicions(self):
         """The `Suspicions` of this host."""
@@ -266,10 +273,15 @@
             (identity, notice.requests_per_second)
             for identity, notice in self._limit_notices.own().items()
         }
+        paces = {
+            (identity, notice.allowance_ms)
+            for identity, notice in self._pace_notices.own().items()
+        }
         return (
             set(self.leaving_targets()),
             limits,
             self._trait_notices.changes,
+            paces,
         )
 
     def _suspect_targets(self):
@@ -305,6 +317,7 @@
             self.leaving_targets(),
             self._limit_notices.own(),
             self._trait_notices.known(),
+            self._pace_notices.own(),
         )
 
     def _send(self, suspects, slow):
@@ -338,6 +351,7 @@
             store_position=self._store_position(),
             limits=self._limit_notices.known(),
             traits=self._trait_notices.known(),
+            paces=self._pace_notices.known(),
         )
         self._hosts.transport.send_all(self._hosts.load_recipients, report)
 
@@ -399,6 +413,7 @@
         self.notice_leaving(message.leaving)
         self._limit_notices.apply(message.limits)
         self._trait_notices.apply(message.traits)
+        self._pace_notices.apply(message.paces)
         for identity, factor in message.slow.items():
             target = self._context.fleet.get(identity)
             if target is not None:
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -100,6 +100,7 @@
             self._usage_exchange.leaving_targets(),
             self._usage_exchange.limit_notices.known(),
             self._usage_exchange.trait_notices.known(),
+            self._usage_exchange.pace_notices.known(),
         )
         addresses = self._hosts.other_zone_delegates
         self._hosts.transport.send_all(addresses, message)
@@ -113,6 +114,7 @@
         self._usage_exchange.notice_leaving(message.leaving)
         self._usage_exchange.limit_notices.apply(message.limits)
         self._usage_exchange.trait_notices.apply(message.traits)
+        self._usage_exchange.pace_notices.apply(message.paces)
         if self._usage_exchange.uses_reports:
             return
         self._applied_count += 1
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -45,6 +45,7 @@
     """Remembers the refusals that it is told of."""
 
     def __init__(self):
+        self.wakes = 0
         self.remembered = []
 
     def recently_refused(self, since):
@@ -55,6 +56,10 @@
         """Remember a refusal of another host."""
         self.remembered.append(retry_key)
 
+    def wake_next(self):
+        """Count that a request may have room now."""
+        self.wakes += 1
+
 
 class ZoneHost:
     """One process: the real exchange, ledger and view of the fleet."""
@@ -84,6 +89,7 @@
             retry_budget=self.budget,
             request_queue=self.queue,
             quarantine=self.quarantine,
+            paces=self,
         )
         self.exchange = UsageExchange(
             self.hosts,
@@ -101,6 +107,14 @@
         assert position == 7
         self.heartbeats += 1
 
+    def is_used(self, target):
+        """Return True: all services are paced."""
+        return True
+
+    def apply(self, target, notice):
+        """Apply a notice of a target's pace."""
+        return target.pace.apply(notice, self.zone.now)
+
     def handle(self, record_type, handler, answer_type=None):
         """Record the handler of a message type."""
         self.handlers[record_type] = handler
@@ -551,3 +565,23 @@
     members[0].quarantine.record_sound(["part/a"], "c")
     zone.run(1.5)
     assert not any(h.quarantine.held for h in members)
+
+
+# Guards against targets that hosts load on while another finds them late.
+@pytest.mark.parametrize("hosts", [8, 28, 39])
+def test_a_pace_is_the_same_at_all_hosts(hosts):
+    zone = Zone(hosts)
+    zone.run(6)
+    paces = []
+    for host in zone.hosts.values():
+        host.fleet.update(
+            TargetRecord(identity="p", service="s", address="p:1", zone="a")
+        )
+        paces.append(host.fleet.get("p").pace)
+    paces[-1].record_start(0.6, 0.5, zone.now)
+    zone.run(1.2)
+    assert {pace.allowance_ms for pace in paces} == {250.0}
+    paces[0].record_start(0.1, 0.5, zone.now)
+    zone.run(1.2)
+    assert not any(pace.is_limited for pace in paces)
+    assert all(h.queue.wakes for h in list(zone.hosts.values())[1:])
--- a/apricotseam/node/tests/test_zones.py
+++ b/apricotseam/node/tests/test_zones.py
@@ -4,6 +4,7 @@
 
 from apricotseam.chains import Ledger
 from apricotseam.chains import Usage
+from apricotseam.fleet import PaceNotice
 from apricotseam.node._limit_notices import LimitNotice
 from apricotseam.node._trait_notices import TraitNotice
 from apricotseam.node._zone_reports import LeavingNotice
@@ -58,6 +59,9 @@
             {"limited-here": LimitNotice(1, 2.5, 0.5)}
         )
         self.trait_notices = FakeNotices({"part/here": TraitNotice([], 0.5)})
+        self.pace_notices = FakeNotices(
+            {"paced-here": PaceNotice(1, 40.0, False, 0.5)}
+        )
 
     def leaving_targets(self):
         """Return the leaving target."""
@@ -88,6 +92,7 @@
         ["silent-there"],
         leaving,
         traits={"part/there": TraitNotice([], 1.5)},
+        paces={"paced-there": PaceNotice(2, 80.0, True, 0.2)},
     )
 
 
@@ -157,4 +162,7 @@
     assert message.traits == {"part/here": TraitNotice([], 0.5)}
     traits = {"part/there": TraitNotice([], 1.5)}
     assert usage_exchange.trait_notices.noticed == traits
+    assert message.paces == {"paced-here": PaceNotice(1, 40.0, False, 0.5)}
+    paces = {"paced-there": PaceNotice(2, 80.0, True, 0.2)}
+    assert usage_exchange.pace_notices.noticed == paces
     assert ledger.used_units("t") == 70.0
