Add an emulated pattern of engines that come back empty

Cause: no pattern showed what pacing changes for engines that return at high load, and two plays of one seed differed, as the places of requests were drawn without a seed.

Change: pattern empty-return; a pattern can set the `LoadPolicy` of its hosts; the generator of a host is seeded.

--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -229,7 +229,10 @@
             RequestMetrics(prometheus_client.CollectorRegistry()),
             queue,
             self._now,
+            # Start times of engines are in simulated time.
+            self._now,
         )
+        context.generator.seed(seed)
         # The context draws the samples of its prober without a seed.
         context.prober = TargetProber(
             pool,
@@ -239,6 +242,7 @@
             fleet,
             generator,
         )
+        context.prober.on_return = context.paces.record_return
         return context
 
     def _expected_peers(self):
--- a/measure/emulator/_pattern.py
+++ b/measure/emulator/_pattern.py
@@ -2,6 +2,7 @@
 
 import abc
 
+from apricotseam.routes import LoadPolicy
 from measure.emulator._caller import PatientCaller
 from measure.emulator._profile import make_customers
 
@@ -20,11 +21,14 @@
         One line for the list of patterns.
     load : float
         Usual load as a fraction of the capacity.
+    load_policy : LoadPolicy
+        Decisions under load that the hosts use.
     """
 
     name = ""
     about = ""
     load = 0.6
+    load_policy = LoadPolicy()
 
     def make_customers(self):
         """Return the customers."""
--- a/measure/emulator/_patterns.py
+++ b/measure/emulator/_patterns.py
@@ -14,6 +14,7 @@
 from measure.emulator._fatal_patterns import FatalPartWithoutStore
 from measure.emulator._fatal_patterns import FatalRequest
 from measure.emulator._fatal_patterns import TwoFatalParts
+from measure.emulator._pace_patterns import EmptyReturn
 from measure.emulator._pattern import DISTURBED_AT_SECONDS
 from measure.emulator._pattern import Pattern
 from measure.emulator._profile import make_customers
@@ -361,6 +362,7 @@
         FatalPartWithoutStore,
         FatalPartAndCutZone,
         EnginesEndInTurn,
+        EmptyReturn,
         *CUT_PATTERNS,
     )
 }
--- a/measure/emulator/_simulation.py
+++ b/measure/emulator/_simulation.py
@@ -254,6 +254,7 @@
             self._table,
             self._scenario.seed * 1000 + number,
         )
+        host.context.load_policy = self._pattern.load_policy
         host.start(self._incarnation)
         self._in_touch_from[host.name] = self.loop.time() + IN_TOUCH_SECONDS
         return host
