--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -436,16 +436,15 @@
         pressure = 1.0 + (1.0 - free / capacity) ** 2
         cost = step_ms / profile.layers * pressure * target.health.penalty()
         cost *= target.health.slowness(now)
-        if call.load.start_estimates:
-            load = stage_load(
-                target, record.layers.size, kind, self._ledger, now
-            )
-            queue_ms = self.starts.queue_ms(call, load)
-            if queue_ms > self.starts.limit_ms(call, now):
+        if call.load.pacing and target.pace.is_limited:
+            load = self._target_load(target, kind, now)
+            if not _is_within_pace(target.pace, call.service, load, now):
                 return None
-            if call.load.pacing and not _is_within_pace(
-                target, call.service, load, now
-            ):
+        if call.load.start_estimates and self._ledger.start_ms(
+            record.identity
+        ):
+            queue_ms = self._queue_ms(call, target, kind, now)
+            if queue_ms > self.starts.limit_ms(call, now):
                 return None
             # The wait counts as spread over the tokens of the answer.
             answer_layers = profile.usual_answer_tokens * record.layers.size
@@ -459,6 +458,15 @@
             free,
         )
 
+    def _queue_ms(self, call, target, kind, now):
+        """Return how long a prompt waits at a target, in milliseconds."""
+        return self.starts.queue_ms(call, self._target_load(target, kind, now))
+
+    def _target_load(self, target, kind, now):
+        """Return the `StageLoad` of a target that runs all its layers."""
+        layers = target.record.layers.size
+        return stage_load(target, layers, kind, self._ledger, now)
+
     def _make_choice(self, stages, tokens):
         targets = tuple(
             (self._fleet.get(s.holder.identity), s.layers.size) for s in stages
@@ -467,11 +475,8 @@
         return Choice(targets[0][0], targets, path, tokens, _cost(stages))
 
 
-def _is_within_pace(target, service, load, now):
-    """Return whether the pace of a target allows one more request."""
-    pace = target.pace
-    if not pace.is_limited:
-        return True
+def _is_within_pace(pace, service, load, now):
+    """Return whether the `Pace` of a target allows one more request."""
     model = StartModel(service)
     [(_, pace.usual_ms)] = model.usual_work([load])
     # The work stays booked until the whole chain has read the prompt.
--- a/apricotseam/forwarding/_start_estimates.py
+++ b/apricotseam/forwarding/_start_estimates.py
@@ -24,6 +24,9 @@
 # as it can read. A shorter one gets more, a longer one fewer, within bounds.
 TARGET_QUEUE_SHARE = 0.4
 MAX_INCREASE = 2.0
+# A second refusal is final, so callers that return as they were asked to come
+# before most others.
+RETURN_PLACE_FACTOR = 0.3
 MAX_DECREASE = 4.0
 
 
@@ -88,6 +91,9 @@
         self._random = generator
         self._request_rate = request_rate or (lambda service, now: 0.0)
         self._lost_by_zone = {}
+        # Last `StartModel` and the service that it is made for.
+        self._model = None
+        self._service = None
 
     def record_loss(self, target, now):
         """Record that a target answers no more.
@@ -128,7 +134,7 @@
 
     def queue_ms(self, call, stage):
         """Return how long a prompt waits at a stage, in milliseconds."""
-        return StartModel(call.service).queue_ms(stage)
+        return self._model_of(call.service).queue_ms(stage)
 
     def judge(self, call, stages, chains, now):
         """Return the `StartVerdict` on a chain.
@@ -144,7 +150,7 @@
         now : float
             Monotonic time in seconds.
         """
-        model = StartModel(call.service)
+        model = self._model_of(call.service)
         tokens = tokens_to_read(
             call.metadata.prompt_tokens or 0,
             call.last_event or 0,
@@ -155,6 +161,8 @@
         )
         usual_ms = self._scarcest_ms(model, stages, chains)
         place = call.draw_place(self._random)
+        if call.is_return:
+            place *= RETURN_PLACE_FACTOR
         ahead_ms = self._ahead_ms(place, usual_ms, now)
         share = self._admitted_share(call, estimate.queue_ms, usual_ms, now)
         estimate = msgspec.structs.replace(
@@ -166,6 +174,12 @@
             estimate, self._allowed_ms(call, estimate, now), share, place
         )
 
+    def _model_of(self, service):
+        if self._service is not service:
+            self._service = service
+            self._model = StartModel(service)
+        return self._model
+
     def _scarcest_ms(self, model, stages, chains):
         """Return what a usual prompt takes from the scarcest resource.
 
--- a/apricotseam/forwarding/tests/test_choice.py
+++ b/apricotseam/forwarding/tests/test_choice.py
@@ -153,6 +153,7 @@
     call = make_call()
     call.load = LoadFeatures(start_estimates=True, pacing=True)
     call.last_event = None
+    call.is_return = False
     call.deadline = 20.0
     call.request = types.SimpleNamespace(received_at=0.0)
     call.route = types.SimpleNamespace(objective_seconds=0.5)
