--- a/apricotseam/fleet/_fleet.py
+++ b/apricotseam/fleet/_fleet.py
@@ -58,6 +58,8 @@
         self._on_drain = on_drain or (lambda target: None)
         # Called with the identity under which another process has started.
         self.on_restart = lambda identity: None
+        # Called with each `Target` whose process was not known before.
+        self.on_new = lambda target: None
         # Number of changes so far; readers compare it to detect new ones.
         self.changes = 0
 
@@ -129,9 +131,13 @@
         )
         former = self._removed.pop(record.identity, None)
         announcements = self._announcements.get(record.incarnation)
-        self._link(Target(record, announcements))
-        if former and former.record.incarnation != record.incarnation:
+        target = Target(record, announcements)
+        self._link(target)
+        is_same = former and former.record.incarnation == record.incarnation
+        if former and not is_same:
             self.on_restart(record.identity)
+        if not is_same:
+            self.on_new(target)
 
     def record_leaving(self, incarnation, source, now, age_seconds=0.0):
         """Record that a target process announced that it leaves.
--- a/apricotseam/fleet/_target.py
+++ b/apricotseam/fleet/_target.py
@@ -4,6 +4,7 @@
 
 from apricotseam.fleet._announcements import Announcements
 from apricotseam.fleet._health import Health
+from apricotseam.fleet._pace import Pace
 from apricotseam.positions import NO_POSITION
 from apricotseam.positions import Position
 
@@ -79,6 +80,7 @@
         "removal_due_at",
         "is_present",
         "is_replaced",
+        "pace",
         "record",
     )
 
@@ -86,6 +88,7 @@
         self.record = record
         self.announcements = announcements or Announcements()
         self.health = Health()
+        self.pace = Pace(record.born_ms)
         self.is_present = True
         # Whether another process has started under its identity.
         self.is_replaced = False
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -10,6 +10,7 @@
 from apricotseam.chains import covers_layers
 from apricotseam.chains import find_chain
 from apricotseam.chains import Holder
+from apricotseam.chains import StartModel
 from apricotseam.fleet import Target
 from apricotseam.forwarding._start_estimates import stage_load
 from apricotseam.platform import format_chain
@@ -88,10 +89,11 @@
         self._fleet = fleet
         self._ledger = ledger
         self._zone = zone
-        # `StartEstimator` and `ShareRules` of this host, set before the first
-        # request.
+        # `StartEstimator`, `ShareRules` and `PaceRecorder` of this host, set
+        # before the first request.
         self.starts = None
         self.share_rules = None
+        self.paces = None
 
     def expected_tokens(self, call):
         """Return the expected mean number of tokens that a request holds."""
@@ -119,6 +121,8 @@
             Whether the request may use the capacity reserved for requests
             that were refused or interrupted before.
         """
+        if call.load.pacing:
+            self.paces.release_needed(call.service, now)
         profile = call.service.engine
         tokens = self.expected_tokens(call)
         max_utilization = self._max_utilization(call, may_use_reserve)
@@ -441,6 +445,10 @@
         pressure = 1.0 + (1.0 - free / capacity) ** 2
         cost = step_ms / profile.layers * pressure * target.health.penalty()
         cost *= target.health.slowness(now)
+        if call.load.pacing and target.pace.is_limited:
+            load = self._target_load(target, kind, now)
+            if not _is_within_pace(target.pace, call.service, load, now):
+                return None
         if call.load.start_estimates and self._ledger.start_ms(
             record.identity
         ):
@@ -461,10 +469,12 @@
 
     def _queue_ms(self, call, target, kind, now):
         """Return how long a prompt waits at a target, in milliseconds."""
-        load = stage_load(
-            target, target.record.layers.size, kind, self._ledger, now
-        )
-        return self.starts.queue_ms(call, load)
+        return self.starts.queue_ms(call, self._target_load(target, kind, now))
+
+    def _target_load(self, target, kind, now):
+        """Return the `StageLoad` of a target that runs all its layers."""
+        layers = target.record.layers.size
+        return stage_load(target, layers, kind, self._ledger, now)
 
     def _make_choice(self, stages, tokens):
         targets = tuple(
@@ -474,6 +484,16 @@
         return Choice(targets[0][0], targets, path, tokens, _cost(stages))
 
 
+def _is_within_pace(pace, service, load, now):
+    """Return whether the `Pace` of a target allows one more request."""
+    model = StartModel(service)
+    [(_, pace.usual_ms)] = model.usual_work([load])
+    # The work stays booked until the whole chain has read the prompt.
+    whole = msgspec.structs.replace(load, layers=service.engine.layers)
+    [(_, pace.least_ms)] = model.usual_work([whole])
+    return pace.may_start(load.start_ms, now)
+
+
 def _is_closed_head(target, now):
     """Return whether a target can only begin a chain, and may not now.
 
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -119,7 +119,6 @@
             buckets=BUCKETS_SECONDS,
             registry=registry,
         )
-
         self._start_estimate = prometheus_client.Histogram(
             "apricotseam_start_estimate_seconds",
             "Estimated time from a send to its first event.",
@@ -141,6 +140,17 @@
             buckets=BUCKETS_FACTOR,
             registry=registry,
         )
+        self._paced_targets = prometheus_client.Gauge(
+            "apricotseam_paced_targets",
+            "Targets that are limited since they started or answered late.",
+            registry=registry,
+        )
+        self.pace_changes = prometheus_client.Counter(
+            "apricotseam_pace_changes",
+            "Changes of the pace of targets, by cause.",
+            ["cause"],
+            registry=registry,
+        )
 
     def record_share_factors(self, class_factor, customer_factor):
         """Record the factors of a request that arrived."""
@@ -188,6 +198,10 @@
         """Show whether a `TargetReach` has lost the links to targets."""
         self._links_lost.set_function(lambda: len(reach.lost_services))
 
+    def watch_paces(self, paces):
+        """Show how many targets a `PaceRecorder` finds paced."""
+        self._paced_targets.set_function(paces.count_paced)
+
     def count_leaving(self, target):
         """Count a `Target` that started to leave."""
         source = (
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -66,6 +66,8 @@
         self._now = now
         # Returns whether most hosts find the target with an identity silent.
         self.is_shared_silence = lambda identity: False
+        # Called with each `Target` that answers again after silence.
+        self.on_return = lambda target: None
         # Probes that are running, and until when an answer counts, both by
         # incarnation.
         self._pending_probes = {}
@@ -172,6 +174,7 @@
             _LOG.info(
                 "target_answers_again", extra={"target": target.identity}
             )
+            self.on_return(target)
 
     async def _is_responsive(self, target):
         """Return whether a target responds; concurrent calls share a probe.
--- a/apricotseam/node/tests/test_zones.py
+++ b/apricotseam/node/tests/test_zones.py
@@ -5,6 +5,7 @@
 from apricotseam.chains import Ledger
 from apricotseam.chains import Usage
 from apricotseam.fleet import Fleet
+from apricotseam.fleet import PaceNotice
 from apricotseam.fleet import TargetRecord
 from apricotseam.node._limit_notices import LimitNotice
 from apricotseam.node._restarts import Restarts
@@ -76,6 +77,9 @@
                     born_ms=born_ms,
                 )
             )
+        self.pace_notices = FakeNotices(
+            {"paced-here": PaceNotice(1, 40.0, False, 0.5)}
+        )
 
     def leaving_targets(self):
         """Return the leaving target."""
@@ -115,6 +119,7 @@
         leaving,
         traits={"part/there": TraitNotice([], 1.5)},
         demand={"there": DemandCount(2.0)},
+        paces={"paced-there": PaceNotice(2, 80.0, True, 0.2)},
     )
 
 
@@ -187,4 +192,7 @@
     assert usage_exchange.trait_notices.noticed == traits
     assert message.demand == {"here": DemandCount(1.0)}
     assert usage_exchange.noticed_demand == {"b": {"there": DemandCount(2.0)}}
+    assert message.paces == {"paced-here": PaceNotice(1, 40.0, False, 0.5)}
+    paces = {"paced-there": PaceNotice(2, 80.0, True, 0.2)}
+    assert usage_exchange.pace_notices.noticed == paces
     assert ledger.used_units("t") == 70.0
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -229,6 +229,8 @@
             RequestMetrics(prometheus_client.CollectorRegistry()),
             queue,
             self._now,
+            # Start times of engines are in simulated time.
+            self._now,
         )
         # The context draws places, delays of returns and the samples of its
         # prober without a seed.
@@ -241,6 +243,7 @@
             fleet,
             generator,
         )
+        context.prober.on_return = context.paces.record_return
         return context
 
     def _expected_peers(self):
