Play the loads of hard-load.md on uneven zones in the emulator

Cause: the emulator knows even zones only, one objective for all classes and none of the loads beyond the capacity that docs/design/hard-load.md names.

The generator of a host is seeded.

--- a/measure/emulator/__init__.py
+++ b/measure/emulator/__init__.py
@@ -17,6 +17,7 @@
 from measure.emulator._report import by_class
 from measure.emulator._report import by_customer
 from measure.emulator._report import count_results
+from measure.emulator._report import credit_share
 from measure.emulator._report import Figures
 from measure.emulator._report import format_report
 from measure.emulator._report import sent_between
@@ -38,6 +39,7 @@
     "by_customer",
     "compare_policies",
     "count_results",
+    "credit_share",
     "format_report",
     "sent_between",
 ]
--- a/measure/emulator/_caller.py
+++ b/measure/emulator/_caller.py
@@ -202,6 +202,16 @@
         timeout = request.request_class.timeout_seconds
         self._deadline = request.at + timeout
 
+    @property
+    def longest_gap_seconds(self):
+        """Longest time without an event until it leaves."""
+        kind = self.request.request_class
+        return max(
+            MIN_GAP_SECONDS,
+            OBJECTIVE_GAP_FACTOR * kind.objective_seconds,
+            PAUSE_GAP_FACTOR * kind.pause_seconds,
+        )
+
     @property
     @abc.abstractmethod
     def max_attempts(self):
@@ -276,14 +286,9 @@
 
     async def _wait(self, task, exchange):
         """Wait for an answer; leave after too long a gap."""
-        kind = self.request.request_class
-        longest_gap = max(
-            MIN_GAP_SECONDS,
-            OBJECTIVE_GAP_FACTOR * kind.objective_seconds,
-            PAUSE_GAP_FACTOR * kind.pause_seconds,
-        )
         while not task.done():
-            until = min(exchange.progress_at + longest_gap, self._deadline)
+            leaves_at = exchange.progress_at + self.longest_gap_seconds
+            until = min(leaves_at, self._deadline)
             left = until - self._loop.time()
             if left <= 0:
                 exchange.end_cause = "left"
@@ -304,6 +309,12 @@
         return min(retry_after, MAX_DELAY_SHARE * seconds_left)
 
 
+class HurriedCaller(PatientCaller):
+    """Leaves after the shortest gap, whatever the objective is."""
+
+    longest_gap_seconds = MIN_GAP_SECONDS
+
+
 class EagerCaller(Caller):
     """Returns early and often, whatever delay a refusal asks for."""
 
--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -230,7 +230,9 @@
             queue,
             self._now,
         )
-        # The context draws the samples of its prober without a seed.
+        # Without a seed, the context draws the places of requests, the delays
+        # of returns and the samples of its prober differently in each play.
+        context.generator.seed(seed)
         context.prober = TargetProber(
             pool,
             ledger,
--- a/measure/emulator/_pattern.py
+++ b/measure/emulator/_pattern.py
@@ -7,6 +7,7 @@
 
 # Time in seconds at which the disturbance of a pattern begins.
 DISTURBED_AT_SECONDS = 5.0
+JOINED_ENGINES = 7
 
 
 class Pattern(abc.ABC):
@@ -41,3 +42,33 @@
     @abc.abstractmethod
     def disturb(self, simulation):
         """Schedule the disturbances of a `Simulation`."""
+
+
+def joined_engines(engines, count=JOINED_ENGINES):
+    """Return engines that run stages of the same streams.
+
+    Beginning with the engine that most streams use, the one that shares
+    most streams with those chosen is added until there are enough.
+
+    Parameters
+    ----------
+    engines : list of Engine
+        Engines to choose from.
+    count : int
+        Number of engines to choose.
+    """
+    streams = {engine: set(engine.memory.holders) for engine in engines}
+    chosen = []
+    shared = set()
+    while len(chosen) < min(count, len(engines)):
+        left = [engine for engine in engines if engine not in chosen]
+        best = max(
+            left,
+            key=lambda e: (
+                len(streams[e] & shared if shared else streams[e]),
+                e.identity,
+            ),
+        )
+        chosen.append(best)
+        shared |= streams[best]
+    return chosen
--- a/measure/emulator/_patterns.py
+++ b/measure/emulator/_patterns.py
@@ -14,12 +14,13 @@
 from measure.emulator._fatal_patterns import FatalPartWithoutStore
 from measure.emulator._fatal_patterns import FatalRequest
 from measure.emulator._fatal_patterns import TwoFatalParts
+from measure.emulator._load_patterns import LOAD_PATTERNS
 from measure.emulator._pattern import DISTURBED_AT_SECONDS
+from measure.emulator._pattern import joined_engines
 from measure.emulator._pattern import Pattern
 from measure.emulator._profile import make_customers
 
 SURGE_FACTOR = 7.5
-JOINED_ENGINES = 7
 
 
 class Calm(Pattern):
@@ -362,35 +363,6 @@
         FatalPartAndCutZone,
         EnginesEndInTurn,
         *CUT_PATTERNS,
+        *LOAD_PATTERNS,
     )
 }
-
-
-def joined_engines(engines, count=JOINED_ENGINES):
-    """Return engines that run stages of the same streams.
-
-    Beginning with the engine that most streams use, the one that shares
-    most streams with those chosen is added until there are enough.
-
-    Parameters
-    ----------
-    engines : list of Engine
-        Engines to choose from.
-    count : int
-        Number of engines to choose.
-    """
-    streams = {engine: set(engine.memory.holders) for engine in engines}
-    chosen = []
-    shared = set()
-    while len(chosen) < min(count, len(engines)):
-        left = [engine for engine in engines if engine not in chosen]
-        best = max(
-            left,
-            key=lambda e: (
-                len(streams[e] & shared if shared else streams[e]),
-                e.identity,
-            ),
-        )
-        chosen.append(best)
-        shared |= streams[best]
-    return chosen
--- a/measure/emulator/_peers.py
+++ b/measure/emulator/_peers.py
@@ -41,6 +41,8 @@
         self._sorted = HostTable()
         # Zone whose hosts are cut off from those of other zones, or None.
         self.cut_zone = None
+        # Whether all messages are lost. Relayed requests are not.
+        self.is_silent = False
         self.messages = 0
 
     @property
@@ -66,6 +68,10 @@
             DELIVERY_SECONDS, self._deliver, sender, address, message
         )
 
+    def end_silence(self):
+        """Deliver messages again."""
+        self.is_silent = False
+
     def find(self, sender, address):
         """Return the `PeerHosts` at an address, None if out of reach."""
         hosts = self._hosts.get(address)
@@ -82,7 +88,7 @@
         self.messages += 2
         await asyncio.sleep(DELIVERY_SECONDS)
         hosts = self._hosts.get(address)
-        if hosts is None or self._is_cut(sender, address):
+        if hosts is None or self._is_lost(sender, address):
             raise PeerUnreachableError(
                 f"no host runs at {address}", "ask another one"
             )
@@ -97,11 +103,15 @@
 
     def _deliver(self, sender, address, message):
         hosts = self._hosts.get(address)
-        if hosts is not None and not self._is_cut(sender, address):
+        if hosts is not None and not self._is_lost(sender, address):
             hosts.transport.receive(sender, message)
 
-    def _is_cut(self, *addresses):
+    def _is_lost(self, *addresses):
         """Return whether a message between two hosts is lost."""
+        return self.is_silent or self._is_cut(*addresses)
+
+    def _is_cut(self, *addresses):
+        """Return whether two hosts are cut off from each other."""
         zones = {self._hosts[a].zone for a in addresses if a in self._hosts}
         return len(zones) > 1 and self.cut_zone in zones
 
--- a/measure/emulator/_profile.py
+++ b/measure/emulator/_profile.py
@@ -26,11 +26,43 @@
 
 
 class Deployment(msgspec.Struct, frozen=True, kw_only=True):
-    """Engines, links and request classes, the most urgent class first."""
+    """Engines, links and request classes, the most urgent class first.
+
+    ``zone_kinds`` holds the kinds of the targets of each zone, repeated as
+    often as needed; ``zone_shares`` holds the share of the targets in each
+    zone, empty for equal shares. Further zones begin with the first again.
+    """
 
     profile: EngineProfile
     classes: list[RequestClass]
     pipe_megabits_per_second: float
+    zone_kinds: tuple[tuple[str, ...], ...] = (KIND_ORDER,)
+    zone_shares: tuple[float, ...] = ()
+
+    def place_targets(self, count, zones):
+        """Return the zone and kind of each target, zone after zone in turn.
+
+        Parameters
+        ----------
+        count : int
+            Number of targets.
+        zones : list of str
+            Names of the zones.
+        """
+        repeats = len(zones)
+        shares = (self.zone_shares or (1.0,)) * repeats
+        kinds = (self.zone_kinds * repeats)[:repeats]
+        placed = [0] * len(zones)
+        targets = []
+        for _ in range(count):
+            # The zone that is furthest below its share comes next.
+            number = min(
+                range(len(zones)), key=lambda n: (placed[n] / shares[n], n)
+            )
+            kind = kinds[number][placed[number] % len(kinds[number])]
+            targets.append((zones[number], kind))
+            placed[number] += 1
+        return targets
 
 
 # Few tokens fit in memory, an event has six of them.
@@ -82,7 +114,99 @@
     pipe_megabits_per_second=26000.0,
 )
 
-DEPLOYMENTS = {"tight": TIGHT, "ample": AMPLE}
+# The two deployments of docs/design/hard-load.md. Most of the fastest targets
+# are in the zone with the fewest. The page states no rate of reading: at this
+# one a usual prompt takes 77 to 430 ms of an objective of 500 ms, by kind.
+# Further numbers that it does not state are those of `AMPLE`.
+_FAST_ZONE = ("large", "large", "middle")
+_SLOW_ZONE = ("small", "middle", "small", "middle", "small", "small")
+_HARD_PROFILE = msgspec.structs.replace(
+    AMPLE.profile,
+    token_bytes=720000.0,
+    activation_bytes=36000.0,
+    read_tokens_per_second=25000.0,
+    chunk_tokens=128,
+)
+
+# Three classes, of which the least urgent one has another objective.
+MIXED = Deployment(
+    profile=msgspec.structs.replace(
+        _HARD_PROFILE,
+        tokens_per_event=4,
+        usual_prompt_tokens=717.0,
+        usual_answer_tokens=212.0,
+        inter_zone_mbps=4100.0,
+    ),
+    classes=[
+        RequestClass(
+            name=name,
+            priority=priority,
+            share=share,
+            prompt=prompt,
+            answer=4.0 * events,
+            objective_seconds=objective_seconds,
+            pause_seconds=0.25,
+            worth=worth,
+            late_worth=late_worth,
+        )
+        for (
+            name,
+            priority,
+            share,
+            prompt,
+            events,
+            objective_seconds,
+            worth,
+            late_worth,
+        ) in (
+            ("interactive", 0, 0.3, 674.0, 43.0, 0.5, 2.7, 0.27),
+            ("standard", 1, 0.45, 717.0, 53.0, 0.5, 1.5, 0.38),
+            ("background", 2, 0.25, 760.0, 63.0, 1.0, 0.81, 0.3),
+        )
+    ],
+    pipe_megabits_per_second=4100.0,
+    zone_kinds=(KIND_ORDER, _SLOW_ZONE, _FAST_ZONE),
+    zone_shares=(0.43, 0.34, 0.23),
+)
+
+# One class, slower kinds and a narrow link between zones.
+NARROW = Deployment(
+    profile=msgspec.structs.replace(
+        _HARD_PROFILE,
+        kinds=(
+            msgspec.structs.replace(KINDS[0], step_factor=3.1),
+            msgspec.structs.replace(KINDS[1], read_factor=5.6),
+            msgspec.structs.replace(KINDS[2], read_factor=15.0),
+        ),
+        tokens_per_event=2,
+        usual_prompt_tokens=717.0,
+        usual_answer_tokens=142.0,
+        inter_zone_mbps=790.0,
+    ),
+    classes=[
+        RequestClass(
+            name="standard",
+            priority=1,
+            share=1.0,
+            prompt=717.0,
+            answer=142.0,
+            objective_seconds=0.5,
+            pause_seconds=0.25,
+            worth=2.0,
+            late_worth=0.5,
+        )
+    ],
+    pipe_megabits_per_second=790.0,
+    zone_kinds=MIXED.zone_kinds,
+    zone_shares=MIXED.zone_shares,
+)
+
+DEPLOYMENTS = {
+    "tight": TIGHT,
+    "ample": AMPLE,
+    "mixed": MIXED,
+    "narrow": NARROW,
+}
 
 
 def make_customers(first_share=None):
--- a/measure/emulator/_report.py
+++ b/measure/emulator/_report.py
@@ -65,6 +65,22 @@
     return Figures(worst_window=worst, **sums)
 
 
+def credit_share(results):
+    """Return the share of the credit for results that callers give.
+
+    All of it is what they would give if each answer were on time.
+    """
+    earned = sum(
+        result.request.request_class.worth
+        if result.outcome is Outcome.ON_TIME
+        else result.request.request_class.late_worth
+        for result in results
+        if result.is_served
+    )
+    most = sum(result.request.request_class.worth for result in results)
+    return earned / most if most else 1.0
+
+
 def by_class(results):
     """Return lists of results by name of the request class."""
     return _group(results, lambda request: request.request_class.name)
--- a/measure/emulator/_simulation.py
+++ b/measure/emulator/_simulation.py
@@ -23,7 +23,6 @@
 from measure.emulator._peers import PeerNetwork
 from measure.emulator._pipe import Pipe
 from measure.emulator._profile import DEPLOYMENTS
-from measure.emulator._profile import KIND_ORDER
 from measure.emulator._profile import SERVICE
 from measure.emulator._site import Site
 from measure.emulator._workload import plan_requests
@@ -40,9 +39,10 @@
 
 
 class Scenario(msgspec.Struct, frozen=True, kw_only=True):
-    """Size of a play; targets are spread evenly over the zones.
+    """Size of a play.
 
-    ``deployment`` is a name in `DEPLOYMENTS`.
+    ``deployment`` is a name in `DEPLOYMENTS`, which says how targets are
+    spread over the zones.
     """
 
     hosts: int = 6
@@ -145,12 +145,12 @@
             and engine.record.layers.first == 0
         ]
 
-    def add_engine(self, kind, zone, layers=None, address=None):
+    def add_engine(self, kind, zone, layers=None, address=None, identity=None):
         """Start the process of an engine and return it."""
         self._engine_count += 1
         number = self._engine_count
         record = TargetRecord(
-            identity=f"engine-{number}",
+            identity=identity or f"engine-{number}",
             service=SERVICE,
             address=address or f"10.0.{number // 200}.{number % 200}:80",
             zone=zone,
@@ -172,11 +172,27 @@
         engine.crash(is_silent)
         self.site.registry.remove_expired(engine)
 
-    def restart_engine(self, engine):
-        """Start a new, empty process in place of one that has ended."""
+    def restart_engine(self, engine, keeps_identity=False, layers=None):
+        """Start a new process in place of one that has ended.
+
+        Parameters
+        ----------
+        engine : Engine
+            The one that has ended.
+        keeps_identity : bool
+            Whether the new process is registered under the old identity.
+        layers : LayerRange, optional
+            Layers that the new process holds; none by default.
+        """
         record = engine.record
         self.site.network.detach(engine)
-        self.add_engine(record.kind, record.zone, address=record.address)
+        self.add_engine(
+            record.kind,
+            record.zone,
+            layers,
+            record.address,
+            record.identity if keeps_identity else None,
+        )
 
     def end_engine_later(self, engine, seconds, down_seconds):
         """End the process of an engine, and start a new one in its place.
@@ -236,6 +252,11 @@
                 self._in_touch_from[host.name] = in_touch_from
         self._peers.cut_zone = zone
 
+    def silence_peers(self, seconds):
+        """Lose all messages between hosts for a time."""
+        self._peers.is_silent = True
+        self.loop.call_later(seconds, self._peers.end_silence)
+
     def is_out_of_touch(self, arrival):
         """Return whether a `FatalArrival` is from a host out of touch.
 
@@ -313,10 +334,10 @@
 
     def _start_engines(self):
         """Start all engines with the layers of the product's first layout."""
-        zones = self._scenario.zone_names
-        for number in range(self._scenario.targets):
-            kind = KIND_ORDER[number // len(zones) % len(KIND_ORDER)]
-            self.add_engine(kind, zones[number % len(zones)])
+        for zone, kind in self._deployment.place_targets(
+            self._scenario.targets, self._scenario.zone_names
+        ):
+            self.add_engine(kind, zone)
         records = [engine.record for engine in self.engines]
         layers = {
             order.identity: order.layers
--- a/measure/emulator/_site.py
+++ b/measure/emulator/_site.py
@@ -53,9 +53,10 @@
         self._loop.call_later(WATCH_SECONDS, self._tell)
 
     def remove(self, target):
-        """Remove the record of a target."""
-        self._records.pop(target.identity, None)
-        self._loop.call_later(WATCH_SECONDS, self._tell)
+        """Remove the record of a target, unless another has its identity."""
+        if self._records.get(target.identity) is target.record:
+            del self._records[target.identity]
+            self._loop.call_later(WATCH_SECONDS, self._tell)
 
     def remove_expired(self, target):
         """Remove the record of a dead target once its lease has ended."""
--- a/measure/emulator/_workload.py
+++ b/measure/emulator/_workload.py
@@ -21,6 +21,8 @@
     ``share`` is the fraction of all requests, ``prompt`` and ``answer`` are
     mean numbers of tokens. A request is on time if its first event comes
     within ``objective_seconds`` and no pause exceeds ``pause_seconds``.
+    ``worth`` and ``late_worth`` are what its caller credits for an answer
+    that is on time and for one that is late.
     """
 
     name: str
@@ -31,6 +33,8 @@
     objective_seconds: float = 0.6
     pause_seconds: float = 0.3
     timeout_seconds: float = 20.0
+    worth: float = 1.0
+    late_worth: float = 0.0
 
 
 class CustomerSpec(msgspec.Struct, frozen=True):
