Overload a small pool of engines and targets in some seeds of the soak

Cause: no seed of the soak had more requests than its targets serve, so refusals under load were not held against what targets ran.

--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -59,6 +59,8 @@
         `pause_seconds`, once: it accepts connections and sends nothing.
     answer_seconds : float
         Time that it takes for an answer that is not a stream.
+    slots : int
+        Number of requests that its store entry states as its limit.
     pause_seconds : float
         Length of that silence.
     is_leaving : bool
@@ -113,6 +115,7 @@
         self.pauses_after = None
         self.pause_seconds = 0.0
         self.answer_seconds = 0.0
+        self.slots = 8
         self._pauses_until = 0.0
         self.is_leaving = False
         self.requests_per_second = None
@@ -163,7 +166,7 @@
             "Address": self.advertised_address,
             "Zone": "a",
             "Version": "v1",
-            "Slots": 8,
+            "Slots": self.slots,
             "State": state,
             "ColdLeftMs": 0,
             "Sequence": len(self.orders),
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -34,9 +34,12 @@
         Source of their random choices.
     count : int
         Number of callers.
+    prefix : str
+        First letter of the identifiers of their requests.
     """
 
-    def __init__(self, cluster, rng, count=6):
+    def __init__(self, cluster, rng, count=6, prefix="q"):
+        self._prefix = prefix
         self._cluster = cluster
         self._rng = rng
         self._count = count
@@ -142,7 +145,7 @@
         addresses = [h.settings.callers_address for h in self._cluster.hosts]
         loop = asyncio.get_running_loop()
         return Attempt(
-            request_id=f"q{number}",
+            request_id=f"{self._prefix}{number}",
             kind=kind,
             path=path,
             host_number=addresses.index(connection.address),
--- a/soak/_invariants.py
+++ b/soak/_invariants.py
@@ -51,6 +51,7 @@
                 violations.append(Violation(name, attempt.request_id, detail))
     violations.extend(_unanswered_requests(records, executions))
     violations.extend(_lost_sound_requests(records))
+    violations.extend(_refused_in_overload(records, executions))
     violations.extend(_unsent_requests(records, executions))
     violations.extend(_excess_retries(records, executions))
     violations.extend(_recovery_failures(records))
@@ -183,6 +184,27 @@
     ]
 
 
+def _refused_in_overload(records, executions):
+    """Return a violation for each request that was refused, but executed.
+
+    While an overload is the only fault, this holds for requests of all
+    kinds. Otherwise an idempotent request may be refused after a target
+    that executed it has failed.
+    """
+    return [
+        Violation(
+            "refused_do_not_run",
+            a.request_id,
+            f"status {a.status}, but the request was executed",
+        )
+        for a in records.attempts
+        if a.sent_at >= records.overloaded_from
+        and 0.0 < a.ended_at <= records.overloaded_until
+        and a.status in NOT_EXECUTED_STATUSES
+        and executions[a.request_id]
+    ]
+
+
 def _is_lost(attempt):
     """Return whether an attempt failed, other than by a refusal."""
     is_failure = attempt.status >= 500 and attempt.status != 503
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -102,6 +102,10 @@
     # Monotonic time in seconds until which targets and hosts were sound:
     # targets fell silent for a moment, and planned work was done.
     sound_until: float = 0.0
+    # Monotonic times in seconds between which too many requests came while
+    # targets and hosts were sound.
+    overloaded_from: float = 0.0
+    overloaded_until: float = 0.0
     # Monotonic time in seconds at which the last fault ended.
     faults_ended_at: float = 0.0
     # Longest time for which the process of the soak itself stood still.
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -9,6 +9,9 @@
 from soak._faults import draw_sound_events
 from soak._invariants import find_violations
 from soak._invariants import RECOVERY_SECONDS
+from soak._overload import draw_overload
+from soak._overload import LEAD_SECONDS
+from soak._overload import shrink_pool
 from soak._queries import fetch_callers_addresses
 from soak._queries import is_ready
 
@@ -44,16 +47,20 @@
     drawn = draw_faults(rng)
     injected = drawn if faults is None else faults
     events = draw_sound_events(rng)
-    records = asyncio.run(_run(rng, folder, events, injected))
+    overload = draw_overload(seed)
+    records = asyncio.run(_run(rng, folder, events, injected, overload))
     return records, find_violations(records)
 
 
-async def _run(rng, folder, sound_events, faults):
+async def _run(rng, folder, sound_events, faults, overload):
     """Run all phases and return the records.
 
-    The sound phase, with pauses and planned work only, comes first.
+    The sound phase, with pauses and planned work only, comes first. An
+    overload, if there is one, begins before the other faults.
     """
     cluster = Cluster(folder)
+    if overload is not None:
+        shrink_pool(cluster)
     callers = CallerPool(cluster, rng)
     loop = asyncio.get_running_loop()
     stall_check = loop.create_task(_measure_stalls(cluster.records))
@@ -65,7 +72,12 @@
             await asyncio.sleep(WARM_UP_SECONDS)
             await _run_all(sound_events, cluster)
             cluster.records.sound_until = loop.time()
-            await _run_all(faults, cluster)
+            if overload is None:
+                await _run_all(faults, cluster)
+            else:
+                await asyncio.gather(
+                    overload.run(cluster), _run_after_lead(faults, cluster)
+                )
             cluster.records.faults_ended_at = loop.time()
             await asyncio.sleep(RECOVERY_SECONDS + POST_RECOVERY_SECONDS)
             _record_unexpected_exits(cluster)
@@ -93,6 +105,15 @@
     await asyncio.gather(*(fault.run(cluster) for fault in faults))
 
 
+async def _run_after_lead(faults, cluster):
+    """Run faults after the time in which an overload is the only one."""
+    loop = asyncio.get_running_loop()
+    cluster.records.overloaded_from = loop.time()
+    await asyncio.sleep(LEAD_SECONDS)
+    cluster.records.overloaded_until = loop.time()
+    await _run_all(faults, cluster)
+
+
 async def _wait_until_ready(cluster):
     """Wait until all hosts have a configuration and know each other."""
     async with asyncio.timeout(READY_TIMEOUT_SECONDS):
--- a/soak/tests/test_invariants.py
+++ b/soak/tests/test_invariants.py
@@ -50,7 +50,7 @@
 
 
 def make_records(
-    attempt, executions=(), kills=(), unexpected_exits=(), sound_until=0.0
+    attempt, executions=(), kills=(), unexpected_exits=(), **times
 ):
     """Return records of an attempt and of a successful later request.
 
@@ -69,9 +69,9 @@
         executions=list(executions),
         kills=list(kills),
         unexpected_exits=list(unexpected_exits),
-        sound_until=sound_until,
         faults_ended_at=2.0,
         newest_route_path=NEWEST_ROUTE_PATH,
+        **times,
     )
 
 
@@ -165,6 +165,20 @@
         make_records(make_attempt(outcome=AttemptOutcome.HUNG)),
         ["nothing_hangs"],
     ),
+    (
+        "refusal of a stream that ran in an overload",
+        make_records(
+            make_attempt(
+                RequestKind.FEED,
+                status=503,
+                response_body=b"",
+                retry_after="1",
+            ),
+            [EXECUTION],
+            overloaded_until=1.5,
+        ),
+        ["refused_do_not_run"],
+    ),
     (
         "chain that lacks the last layers",
         make_records(
--- a/soak/tests/test_runs.py
+++ b/soak/tests/test_runs.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from soak._invariants import NOT_EXECUTED_STATUSES
+from soak._overload import draw_overload
 from soak import draw_faults
 from soak import run_seed
 
@@ -24,6 +26,10 @@
 ]
 
 
+# A seed with an overload.
+OVERLOAD_SEED = 1
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_invariants_hold(seed, tmp_path):
     records, violations = run_seed(seed, tmp_path)
@@ -31,6 +37,14 @@
     assert len(records.attempts) > 0
 
 
+def test_small_pool_refuses_requests_that_are_too_many(tmp_path):
+    """A seed without faults: what is refused has not run, and all ends."""
+    assert draw_overload(OVERLOAD_SEED) is not None
+    records, violations = run_seed(OVERLOAD_SEED, tmp_path, faults=[])
+    assert violations == []
+    assert any(a.status in NOT_EXECUTED_STATUSES for a in records.attempts)
+
+
 def test_faults_are_drawn_by_the_seed_alone():
     first, second = (repr(draw_faults(random.Random(7))) for _ in range(2))
     assert first == second
