--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -232,8 +232,8 @@
             # Start times of engines are in simulated time.
             self._now,
         )
-        # The context draws places, delays of returns and the samples of its
-        # prober without a seed.
+        # Without a seed, the context draws the places of requests, the delays
+        # of returns and the samples of its prober differently in each play.
         context.generator.seed(seed)
         context.prober = TargetProber(
             pool,
