Let the factors of shares lessen the wait only, and bound queues by class

Change: the factors apply to the time in the queue, with a least part that is open to all; no class adds work to a queue longer than the objective of a more urgent one.

--- a/apricotseam/forwarding/_start_estimates.py
+++ b/apricotseam/forwarding/_start_estimates.py
@@ -24,6 +24,9 @@
 # as it can read. A shorter one gets more, a longer one fewer, within bounds.
 TARGET_QUEUE_SHARE = 0.4
 MAX_INCREASE = 2.0
+# Queue, as a fraction of the objective, that is no overload: it is open to
+# all classes and customers.
+LEAST_QUEUE_SHARE = 0.3
 # A second refusal is final, so callers that return as they were asked to come
 # before most others.
 RETURN_PLACE_FACTOR = 0.3
@@ -34,13 +37,15 @@
     """An estimate, and the latest start that counts as in time.
 
     ``limit_ms`` is in milliseconds from now, like the estimate. It includes
-    the factors of the request's class and customer.
+    the factors of the request's class and customer, ``full_limit_ms`` does
+    not.
     ``admitted_share`` is the fraction of all requests that the chain can
     take, ``place`` that of this request among them, both from 0 to 1.
     """
 
     estimate: StartEstimate
     limit_ms: float
+    full_limit_ms: float
     admitted_share: float = 1.0
     place: float = 0.0
     class_factor: float = 1.0
@@ -59,13 +64,10 @@
 
         It may be sent later, when those that go first are through.
         """
-        factor = self.class_factor * self.customer_factor
-        is_placed = self.place <= self.admitted_share
-        full_limit_ms = self.limit_ms / factor
-        return (
-            is_placed
-            and self.limit_ms < self.estimate.milliseconds <= full_limit_ms
-        )
+        if self.place > self.admitted_share:
+            return False
+        estimate_ms = self.estimate.milliseconds
+        return self.limit_ms < estimate_ms <= self.full_limit_ms
 
     @property
     def excess_ms(self):
@@ -150,9 +152,7 @@
             return self._patience_ms(call, now)
         objective = OBJECTIVE_SHARE * call.route.objective_seconds
         until = min(call.request.received_at + objective, call.deadline)
-        class_factor, customer_factor = self._factors(call)
-        factor = class_factor * customer_factor
-        return max(0.0, until - now) * MS_PER_SECOND * factor
+        return max(0.0, until - now) * MS_PER_SECOND
 
     def _factors(self, call):
         """Return the factors of a call's class and customer.
@@ -167,6 +167,10 @@
         rules, key = self._share_rules, call.demand_key
         return rules.class_factor(key), rules.customer_factor(key)
 
+    def _factor(self, call):
+        class_factor, customer_factor = self._factors(call)
+        return class_factor * customer_factor
+
     def _place(self, call):
         """Return the place of a call among the requests of all hosts."""
         draw = call.draw_place(self._random)
@@ -214,7 +218,8 @@
         )
         return StartVerdict(
             estimate,
-            self._allowed_ms(call, estimate, now),
+            self._allowed_ms(call, estimate, now, self._factor(call)),
+            self._allowed_ms(call, estimate, now, 1.0),
             share,
             place,
             *self._factors(call),
@@ -237,17 +242,45 @@
             for resource, milliseconds in work
         )
 
-    def _allowed_ms(self, call, estimate, now):
+    def _allowed_ms(self, call, estimate, now, factor):
         """Return the latest start that is accepted, in ms from now.
 
         A request that is late even on an idle chain may wait there for as
-        long as others do.
+        long as others do. Otherwise the factor lessens the time that it may
+        wait, not that of its own work.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        estimate : StartEstimate
+            When its answer would begin.
+        now : float
+            Monotonic time in seconds.
+        factor : float
+            Factor of its class and customer.
         """
         limit_ms = self.limit_ms(call, now)
         own_ms = estimate.milliseconds - estimate.queue_ms
-        if own_ms <= limit_ms:
+        if own_ms > limit_ms:
+            return min(own_ms + limit_ms, self._patience_ms(call, now))
+        if not call.load.fair_shares or call.last_event is not None:
             return limit_ms
-        return min(own_ms + limit_ms, self._patience_ms(call, now))
+        longest_ms = self._longest_queue_ms(call)
+        room_ms = min(limit_ms - own_ms, longest_ms)
+        least_ms = min(room_ms, LEAST_QUEUE_SHARE * longest_ms)
+        return own_ms + max(least_ms, room_ms * factor)
+
+    def _longest_queue_ms(self, call):
+        """Return up to which queue a class may add work, in milliseconds.
+
+        A class with a long objective must not fill queues in which more
+        urgent ones with short objectives would be late.
+        """
+        objective = call.table.least_objective(
+            call.service.name, call.effective_priority
+        )
+        return OBJECTIVE_SHARE * objective * MS_PER_SECOND
 
     def _patience_ms(self, call, now):
         """Return for how long the caller waits for an event, in ms."""
--- a/apricotseam/routes/_table.py
+++ b/apricotseam/routes/_table.py
@@ -2,6 +2,7 @@
 
 import collections
 import hashlib
+import math
 
 from apricotseam.http1 import Limits
 from apricotseam.positions import NO_POSITION
@@ -32,7 +33,7 @@
         "_by_key",
         "has_customers",
         "limits",
-        "_stream_priorities",
+        "_objectives",
         "position",
         "services",
         "version",
@@ -52,15 +53,14 @@
         self.services = {service.name: service for service in services}
         self.limits = limits or Limits()
         self._by_host = collections.defaultdict(dict)
-        self._stream_priorities = collections.defaultdict(set)
+        # Least objective of the stream routes by service and priority.
+        self._objectives = collections.defaultdict(dict)
         for route in routes:
             self._by_host[route.host.lower()][route.prefix] = route
             if route.repeat is RepeatPolicy.STREAM:
                 for share in route.shares:
                     if share.weight > 0:
-                        self._stream_priorities[share.service].add(
-                            route.priority
-                        )
+                        self._add_objective(share.service, route)
         self._by_key = {}
         self.has_customers = False
         for customer in customers:
@@ -98,7 +98,33 @@
         service : str
             Name of the service.
         """
-        return self._stream_priorities.get(service, frozenset())
+        return set(self._objectives.get(service, ()))
+
+    def least_objective(self, service, priority):
+        """Return the least objective of classes that are as urgent or more.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        priority : int
+            Priority of the class.
+
+        Returns
+        -------
+        float
+            Seconds until the first event; infinite if there is no such class.
+        """
+        objectives = self._objectives.get(service, {})
+        return min(
+            (o for p, o in objectives.items() if p <= priority),
+            default=math.inf,
+        )
+
+    def _add_objective(self, service, route):
+        objectives = self._objectives[service]
+        known = objectives.get(route.priority, math.inf)
+        objectives[route.priority] = min(known, route.objective_seconds)
 
     def find_customer(self, key):
         """Return the customer that holds a key, or None."""
