--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -4,6 +4,9 @@
 
 # A peer's usage is discarded if it sends no message for this time.
 PEER_EXPIRY_SECONDS = 4.0
+# Peers that are not heard yet whose start work counts. With all of them, hosts
+# refused most requests after a restart; with none, they sent too much.
+MAX_SILENT_STARTERS = 3
 # Less start work than this is a rounding error.
 LEAST_START_MS = 1e-3
 
@@ -137,11 +140,13 @@
     def start_ms(self, resource):
         """Return the start work under way on a resource, in milliseconds.
 
-        Peers that have sent no usage count as 0. Unlike memory, prompts are
-        read within a fraction of the time after which peers are heard.
+        Peers that should have sent their usage but have not count as much
+        as this host, up to `MAX_SILENT_STARTERS`. Unlike memory, prompts
+        are read within a fraction of the time after which peers are heard.
         """
         own, peers = self._usages(resource)
-        return own.start_ms + peers.start_ms
+        silent = min(self._missing_peers(), MAX_SILENT_STARTERS)
+        return own.start_ms * (1 + silent) + peers.start_ms
 
     def book(self, tokens, shares, start_work=()):
         """Book memory and time for a request and return its `Booking`.
