--- a/measure/emulator/_host.py
+++ b/measure/emulator/_host.py
@@ -107,7 +107,9 @@
         self._join_relays(reach, seed)
         self.watcher = RecordWatcher(self.context.fleet, self._now)
         self._tasks = []
-        self._requests = set()
+        # Requests in progress, in the order of arrival: the end of a host
+        # ends them in this order in each play.
+        self._requests = {}
 
     def _join_relays(self, reach, seed):
         """Take requests of other hosts, and pass own ones on to them."""
@@ -188,8 +190,8 @@
 
     def _run(self, coroutine):
         task = self._loop.create_task(coroutine)
-        self._requests.add(task)
-        task.add_done_callback(self._requests.discard)
+        self._requests[task] = None
+        task.add_done_callback(self._requests.pop)
         return task
 
     def check_tasks(self):
