Search chains by one method, and compute starts once

Cause: the search with start estimates repeated that by cost with one check more; factors of shares were looked up twice for each verdict, and a model of the service made for each paced target and each arriving request.

Change: `_cheapest` takes what accepts a chain; one verdict gives the work of a rerouted tail as well; the estimator's model serves pace and counts.

--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -10,7 +10,7 @@
 from apricotseam.chains import covers_layers
 from apricotseam.chains import find_chain
 from apricotseam.chains import Holder
-from apricotseam.chains import StartModel
+from apricotseam.chains import StartEstimate
 from apricotseam.fleet import Target
 from apricotseam.forwarding._start_estimates import stage_load
 from apricotseam.platform import format_chain
@@ -31,6 +31,8 @@
 REMOTE_ZONE_COST_FACTOR = 1.5
 REMOTE_ZONE_COST_MS = 5.0
 DEFAULT_ANSWER_TOKENS = 200
+# Estimate of chains whose starts are not estimated.
+NO_ESTIMATE = StartEstimate(0.0, 0.0, "", ())
 # Latencies below this make no difference between targets.
 MIN_LATENCY_SECONDS = 0.05
 
@@ -139,16 +141,21 @@
             )
             return [holder for holder in found if holder is not None]
 
+        zones = list(by_zone)
+        accepts = _accepts_any
         if call.load.start_estimates:
-            zones = [self._zone, *(z for z in by_zone if z != self._zone)]
-            return self._choose_in_time(call, find_holders, zones, tokens, now)
-        best = self._cheapest(find_holders, list(by_zone), profile, tokens)
+            call.start_verdict = None
+            zones = [self._zone, *(z for z in zones if z != self._zone)]
+            accepts = functools.partial(self._begins_in_time, call, now)
+        best = self._cheapest(find_holders, zones, profile, tokens, accepts)
         if best is None:
-            all_holders = [h for zone in by_zone for h in find_holders(zone)]
+            all_holders = [h for zone in zones for h in find_holders(zone)]
             best = find_chain(all_holders, profile.layers, tokens)
-        if best is None:
-            return None
-        return self._make_choice(best, tokens)
+            if best is None or not accepts(best):
+                return None
+        if not call.load.start_estimates:
+            return self._make_choice(best, tokens)
+        return self._make_choice(best, tokens, call.start_verdict.estimate)
 
     def _max_utilization(self, call, may_use_reserve):
         """Return up to which fraction a request may fill targets."""
@@ -158,71 +165,13 @@
             return MAX_UTILIZATION
         return self.share_rules.max_utilization(call.demand_key)
 
-    def _choose_in_time(self, call, find_holders, zones, tokens, now):
-        """Return the cheapest chain whose answer would begin in time.
-
-        A chain of another zone must be clearly cheaper than one of the own
-        zone that is in time. Chains over several zones are a last resort.
+    def _begins_in_time(self, call, now, stages):
+        """Return whether the answer on a chain would begin in time.
 
-        Parameters
-        ----------
-        call : Call
-            The request. Its `start_verdict` becomes that on the chosen
-            chain, or on the one that would begin first if there is none.
-        find_holders : callable
-            Returns the usable holders of a zone.
-        zones : list of str
-            All zones, the own one first.
-        tokens : float
-            Tokens that the request will hold.
-        now : float
-            Monotonic time in seconds.
-
-        Returns
-        -------
-        Choice or None
+        The request's `start_verdict` becomes that on the chain, unless the
+        answer would begin later than on one that was judged before.
         """
-        layers = call.service.engine.layers
-        call.start_verdict = None
-        best = None
-        bound = math.inf
-        for zone in zones:
-            is_own = zone == self._zone
-            cost_limit = bound
-            if not is_own:
-                cost_limit = (
-                    bound - REMOTE_ZONE_COST_MS
-                ) / REMOTE_ZONE_COST_FACTOR
-            if cost_limit < _least_cost(call.service.engine):
-                continue
-            stages = find_chain(
-                find_holders(zone), layers, tokens, max_cost_ms=cost_limit
-            )
-            choice = self._judge(call, stages, tokens, now)
-            if choice is not None:
-                best = choice
-                bound = choice.token_ms
-                if not is_own:
-                    bound = (
-                        bound * REMOTE_ZONE_COST_FACTOR + REMOTE_ZONE_COST_MS
-                    )
-        if best is not None:
-            return best
-        holders = [h for zone in zones for h in find_holders(zone)]
-        return self._judge(
-            call, find_chain(holders, layers, tokens), tokens, now
-        )
-
-    def _judge(self, call, stages, tokens, now):
-        """Return a chain as a `Choice` if its answer would begin in time."""
-        if stages is None:
-            return None
-        loads = [
-            self._stage_load(call.service, stage, now) for stage in stages
-        ]
-        verdict = self.starts.judge(
-            call, loads, self._count_heads(call.service, now), now
-        )
+        verdict = self._judge(call, stages, now)
         known = call.start_verdict
         if (
             known is None
@@ -230,12 +179,14 @@
             or verdict.excess_ms < known.excess_ms
         ):
             call.start_verdict = verdict
-        if not verdict.is_in_time:
-            return None
-        return msgspec.structs.replace(
-            self._make_choice(stages, tokens),
-            start_ms=verdict.estimate.milliseconds,
-            start_work=verdict.estimate.start_work,
+        return verdict.is_in_time
+
+    def _judge(self, call, stages, now):
+        """Return the `StartVerdict` of a request on a chain."""
+        service = call.service
+        loads = [self._stage_load(service, stage, now) for stage in stages]
+        return self.starts.judge(
+            call, loads, self._count_heads(service, now), now
         )
 
     def _stage_load(self, service, stage, now):
@@ -254,32 +205,50 @@
         )
         return max(1, heads)
 
-    def _cheapest(self, find_holders, zones, profile, tokens):
+    def _cheapest(self, find_holders, zones, profile, tokens, accepts):
         """Return the cheapest chain within one availability zone, or None.
 
         A chain of another zone must be clearly cheaper than that of the own
         zone. The own zone is searched first, as its cost bounds the search
         of the others. These are left out if no chain costs that little.
+
+        Parameters
+        ----------
+        find_holders : callable
+            Returns the usable holders of a zone.
+        zones : list of str
+            Zones of the targets.
+        profile : EngineProfile
+            Profile of the engines.
+        tokens : float
+            Tokens that the request will hold.
+        accepts : callable
+            Returns whether a chain, as a tuple of `ChainStage`, may be used.
         """
-        layers = profile.layers
-        best = find_chain(find_holders(self._zone), layers, tokens)
-        bound = _cost(best) if best is not None else math.inf
         least_cost = _least_cost(profile)
-        for zone in zones:
-            cost_limit = (
-                bound - REMOTE_ZONE_COST_MS
-            ) / REMOTE_ZONE_COST_FACTOR
-            if zone == self._zone or cost_limit < least_cost:
+        best = None
+        bound = math.inf
+        for zone in [self._zone, *(z for z in zones if z != self._zone)]:
+            is_own = zone == self._zone
+            cost_limit = math.inf
+            if not is_own:
+                cost_limit = (
+                    bound - REMOTE_ZONE_COST_MS
+                ) / REMOTE_ZONE_COST_FACTOR
+            if cost_limit < least_cost:
                 continue
             stages = find_chain(
-                find_holders(zone), layers, tokens, max_cost_ms=cost_limit
+                find_holders(zone),
+                profile.layers,
+                tokens,
+                max_cost_ms=cost_limit,
             )
-            if stages is not None:
-                best = stages
-                bound = (
-                    _cost(stages) * REMOTE_ZONE_COST_FACTOR
-                    + REMOTE_ZONE_COST_MS
-                )
+            if stages is None or not accepts(stages):
+                continue
+            best = stages
+            bound = _cost(stages)
+            if not is_own:
+                bound = bound * REMOTE_ZONE_COST_FACTOR + REMOTE_ZONE_COST_MS
         return best
 
     def choose_tail(self, call, choice, now, avoided):
@@ -333,11 +302,7 @@
         """Return the time that a stream needs on its new stages."""
         if not call.load.start_estimates:
             return ()
-        loads = [
-            self._stage_load(call.service, stage, now) for stage in stages
-        ]
-        verdict = self.starts.judge(call, loads, 1, now)
-        return verdict.estimate.start_work
+        return self._judge(call, stages, now).estimate.start_work
 
     def choose_target(self, call, now):
         """Return the best single target as a `Choice`, or None."""
@@ -445,19 +410,12 @@
         pressure = 1.0 + (1.0 - free / capacity) ** 2
         cost = step_ms / profile.layers * pressure * target.health.penalty()
         cost *= target.health.slowness(now)
-        if call.load.pacing and target.pace.is_limited:
-            load = self._target_load(target, kind, now)
-            if not _is_within_pace(target.pace, call.service, load, now):
-                return None
-        if call.load.start_estimates and self._ledger.start_ms(
-            record.identity
-        ):
-            queue_ms = self._queue_ms(call, target, kind, now)
-            if queue_ms > self.starts.limit_ms(call, now):
-                return None
-            # The wait counts as spread over the tokens of the answer.
-            answer_layers = profile.usual_answer_tokens * record.layers.size
-            cost += queue_ms / max(1.0, answer_layers)
+        queue_ms = self._admitted_queue_ms(call, target, kind, now)
+        if queue_ms is None:
+            return None
+        # The wait counts as spread over the tokens of the answer.
+        answer_layers = profile.usual_answer_tokens * record.layers.size
+        cost += queue_ms / max(1.0, answer_layers)
         return Holder(
             record.identity,
             record.address,
@@ -467,29 +425,54 @@
             free,
         )
 
-    def _queue_ms(self, call, target, kind, now):
-        """Return how long a prompt waits at a target, in milliseconds."""
-        return self.starts.queue_ms(call, self._target_load(target, kind, now))
+    def _admitted_queue_ms(self, call, target, kind, now):
+        """Return how long a prompt waits at a target, None if too long.
 
-    def _target_load(self, target, kind, now):
-        """Return the `StageLoad` of a target that runs all its layers."""
+        It is 0 if nothing is booked there or starts are not estimated.
+        """
+        if not call.load.start_estimates:
+            return 0.0
+        is_paced = call.load.pacing and target.pace.is_limited
+        if not (is_paced or self._ledger.start_ms(target.identity)):
+            return 0.0
         layers = target.record.layers.size
-        return stage_load(target, layers, kind, self._ledger, now)
+        load = stage_load(target, layers, kind, self._ledger, now)
+        model = self.starts.model_of(call.service)
+        if is_paced and not _is_within_pace(
+            target.pace, model, load, call.service.engine.layers, now
+        ):
+            return None
+        queue_ms = model.queue_ms(load)
+        return (
+            queue_ms if queue_ms <= self.starts.limit_ms(call, now) else None
+        )
 
-    def _make_choice(self, stages, tokens):
+    def _make_choice(self, stages, tokens, estimate=NO_ESTIMATE):
         targets = tuple(
             (self._fleet.get(s.holder.identity), s.layers.size) for s in stages
         )
         path = tuple(Stage(s.holder.address, s.layers) for s in stages)
-        return Choice(targets[0][0], targets, path, tokens, _cost(stages))
+        return Choice(
+            targets[0][0],
+            targets,
+            path,
+            tokens,
+            _cost(stages),
+            estimate.milliseconds,
+            estimate.start_work,
+        )
+
+
+def _accepts_any(stages):
+    """Return True, as any chain with room may be used."""
+    return True
 
 
-def _is_within_pace(pace, service, load, now):
+def _is_within_pace(pace, model, load, all_layers, now):
     """Return whether the `Pace` of a target allows one more request."""
-    model = StartModel(service)
     [(_, pace.usual_ms)] = model.usual_work([load])
     # The work stays booked until the whole chain has read the prompt.
-    whole = msgspec.structs.replace(load, layers=service.engine.layers)
+    whole = msgspec.structs.replace(load, layers=all_layers)
     [(_, pace.least_ms)] = model.usual_work([whole])
     return pace.may_start(load.start_ms, now)
 
--- a/apricotseam/forwarding/_share_count.py
+++ b/apricotseam/forwarding/_share_count.py
@@ -1,6 +1,5 @@
 """Counts the requests that share room, by class and customer."""
 
-from apricotseam.chains import StartModel
 from apricotseam.chains import tokens_to_read
 
 
@@ -22,7 +21,7 @@
         One that another host has passed on was counted there.
         """
         context = self._context
-        milliseconds = StartModel(call.service).demand_ms(
+        milliseconds = context.starts.model_of(call.service).demand_ms(
             tokens_to_read(
                 call.metadata.prompt_tokens or 0, 0, call.service.engine
             )
--- a/apricotseam/forwarding/_start_estimates.py
+++ b/apricotseam/forwarding/_start_estimates.py
@@ -24,13 +24,13 @@
 # as it can read. A shorter one gets more, a longer one fewer, within bounds.
 TARGET_QUEUE_SHARE = 0.4
 MAX_INCREASE = 2.0
+MAX_DECREASE = 4.0
 # Queue, as a fraction of the objective, that is no overload: it is open to
 # all classes and customers.
 LEAST_QUEUE_SHARE = 0.3
 # A second refusal is final, so callers that return as they were asked to come
 # before most others.
 RETURN_PLACE_FACTOR = 0.3
-MAX_DECREASE = 4.0
 
 
 class StartVerdict(msgspec.Struct, frozen=True):
@@ -160,17 +160,12 @@
         They apply to new requests. A caller returns once, so a second
         refusal is final, and a stream that had begun goes on.
         """
-        if not call.load.fair_shares or call.is_return:
-            return 1.0, 1.0
-        if call.last_event is not None:
+        is_new = not call.is_return and call.last_event is None
+        if not (call.load.fair_shares and is_new):
             return 1.0, 1.0
         rules, key = self._share_rules, call.demand_key
         return rules.class_factor(key), rules.customer_factor(key)
 
-    def _factor(self, call):
-        class_factor, customer_factor = self._factors(call)
-        return class_factor * customer_factor
-
     def _place(self, call):
         """Return the place of a call among the requests of all hosts."""
         draw = call.draw_place(self._random)
@@ -180,10 +175,6 @@
             return draw
         return self._share_rules.place(call.demand_key, draw)
 
-    def queue_ms(self, call, stage):
-        """Return how long a prompt waits at a stage, in milliseconds."""
-        return self._model_of(call.service).queue_ms(stage)
-
     def judge(self, call, stages, chains, now):
         """Return the `StartVerdict` on a chain.
 
@@ -198,7 +189,7 @@
         now : float
             Monotonic time in seconds.
         """
-        model = self._model_of(call.service)
+        model = self.model_of(call.service)
         tokens = tokens_to_read(
             call.metadata.prompt_tokens or 0,
             call.last_event or 0,
@@ -216,16 +207,20 @@
             milliseconds=estimate.milliseconds + ahead_ms,
             queue_ms=estimate.queue_ms + ahead_ms,
         )
+        class_factor, customer_factor = self._factors(call)
+        factor = class_factor * customer_factor
         return StartVerdict(
             estimate,
-            self._allowed_ms(call, estimate, now, self._factor(call)),
+            self._allowed_ms(call, estimate, now, factor),
             self._allowed_ms(call, estimate, now, 1.0),
             share,
             place,
-            *self._factors(call),
+            class_factor,
+            customer_factor,
         )
 
-    def _model_of(self, service):
+    def model_of(self, service):
+        """Return the `StartModel` of a service."""
         if self._service is not service:
             self._service = service
             self._model = StartModel(service)
