Write repeated pieces of the change once, and drop what nothing calls

Cause: each metric named its registry, both connections of the emulator read their inbox by the same methods, both questions to delegates intersected sets, and Ledger.peer_requests and ShareRules.start_factor had no caller.

Change: one constructor a kind of metric, InboxReader, one intersection; the two methods are gone.

--- a/apricotseam/chains/_ledger.py
+++ b/apricotseam/chains/_ledger.py
@@ -113,10 +113,6 @@
         """Return the number of requests in progress at a target."""
         return sum(usage.requests for usage in self._usages(identity))
 
-    def peer_requests(self, identity):
-        """Return the requests of other hosts in progress at a target."""
-        return self._usages(identity)[1].requests
-
     def news_seconds(self, now):
         """Return the age of the oldest news of peers that still counts.
 
--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of forwarded requests."""
 
+import functools
+
 import prometheus_client
 
 from apricotseam.fleet import AnnouncementSource
@@ -21,135 +23,116 @@
     """
 
     def __init__(self, registry):
-        self.requests = prometheus_client.Counter(
+        counter = _registering(prometheus_client.Counter, registry)
+        gauge = _registering(prometheus_client.Gauge, registry)
+        histogram = _registering(prometheus_client.Histogram, registry)
+        self.requests = counter(
             "apricotseam_requests",
             "Answered requests by kind of route and status.",
             ["kind", "status"],
-            registry=registry,
         )
-        self.sends = prometheus_client.Counter(
+        self.sends = counter(
             "apricotseam_sends",
             "Sends to targets by outcome.",
             ["outcome"],
-            registry=registry,
         )
-        self.refusals = prometheus_client.Counter(
+        self.refusals = counter(
             "apricotseam_refusals",
             "Requests that were refused, by cause.",
             ["cause"],
-            registry=registry,
         )
-        self._leaving = prometheus_client.Counter(
+        self._leaving = counter(
             "apricotseam_targets_leaving",
             "Targets that started to leave, by source of the first word.",
             ["source"],
-            registry=registry,
         )
-        self.rests = prometheus_client.Counter(
+        self.rests = counter(
             "apricotseam_target_rests",
             "Answers in which a target asked for a rest.",
-            registry=registry,
         )
-        self.invalid_rests = prometheus_client.Counter(
+        self.invalid_rests = counter(
             "apricotseam_target_rests_invalid",
             "Answers in which a target asked for a rest unintelligibly.",
-            registry=registry,
         )
-        self.limited_answers = prometheus_client.Counter(
+        self.limited_answers = counter(
             "apricotseam_target_limits",
             "Answers in which a target stated the rate that it accepts.",
-            registry=registry,
         )
-        self.invalid_limits = prometheus_client.Counter(
+        self.invalid_limits = counter(
             "apricotseam_target_limits_invalid",
             "Answers in which a target stated a rate unintelligibly.",
-            registry=registry,
         )
-        self.limited_sends = prometheus_client.Counter(
+        self.limited_sends = counter(
             "apricotseam_limited_sends",
             "Requests sent to targets that stated a rate, by attempt.",
             ["attempt"],
-            registry=registry,
         )
-        self.target_ends = prometheus_client.Counter(
+        self.target_ends = counter(
             "apricotseam_target_ends",
             "Processes of targets that ended with requests in progress.",
-            registry=registry,
         )
-        self._held_traits = prometheus_client.Gauge(
+        self._held_traits = gauge(
             "apricotseam_quarantined_traits",
             "Traits of requests that are held back.",
-            registry=registry,
         )
-        self.relayed = prometheus_client.Counter(
+        self.relayed = counter(
             "apricotseam_relayed",
             "Requests passed on to other hosts, by outcome.",
             ["outcome"],
-            registry=registry,
         )
-        self._links_lost = prometheus_client.Gauge(
+        self._links_lost = gauge(
             "apricotseam_links_lost",
             "Services of which this host reaches no target.",
-            registry=registry,
         )
-        self._targets = prometheus_client.Gauge(
+        self._targets = gauge(
             "apricotseam_targets",
             "Known targets, those that are silent to this host, and those"
             " that it avoids for their silence to it or to other hosts.",
             ["state"],
-            registry=registry,
         )
-        self._incomplete = prometheus_client.Counter(
+        self._incomplete = counter(
             "apricotseam_incomplete_answers",
             "Requests that this host left without a complete answer.",
             ["cause"],
-            registry=registry,
         )
-        self.first_byte = prometheus_client.Histogram(
+        self.first_byte = histogram(
             "apricotseam_first_byte_seconds",
             "Time from a request's first byte to its answer's.",
             ["kind"],
             buckets=BUCKETS_SECONDS,
-            registry=registry,
         )
-        self.duration = prometheus_client.Histogram(
+        self.duration = histogram(
             "apricotseam_request_seconds",
             "Time from a request's first byte to its answer's last.",
             ["kind"],
             buckets=BUCKETS_SECONDS,
-            registry=registry,
         )
-        self._start_estimate = prometheus_client.Histogram(
+        self._start_estimate = histogram(
             "apricotseam_start_estimate_seconds",
             "Estimated time from a send to its first event.",
             buckets=BUCKETS_SECONDS,
-            registry=registry,
         )
-        self._start_error = prometheus_client.Histogram(
+        self._start_error = histogram(
             "apricotseam_start_error_seconds",
             "Difference between that time and its estimate.",
             ["sign"],
             buckets=BUCKETS_SECONDS,
-            registry=registry,
         )
-        self._share_factor = prometheus_client.Histogram(
+        self._share_factor = histogram(
             "apricotseam_share_factor",
             "Factors of new requests by what they are due to, if room is"
             " shared fairly.",
             ["part"],
             buckets=BUCKETS_FACTOR,
-            registry=registry,
         )
-        self._paced_targets = prometheus_client.Gauge(
+        self._paced_targets = gauge(
             "apricotseam_paced_targets",
             "Targets that are limited since they started or answered late.",
-            registry=registry,
         )
-        self.pace_changes = prometheus_client.Counter(
+        self.pace_changes = counter(
             "apricotseam_pace_changes",
             "Changes of the pace of targets, by cause.",
             ["cause"],
-            registry=registry,
         )
 
     def record_share_factors(self, class_factor, customer_factor):
@@ -218,3 +201,8 @@
             Why its connection was closed.
         """
         self._incomplete.labels(str(cause)).inc()
+
+
+def _registering(kind, registry):
+    """Return a kind of metric whose instances register themselves."""
+    return functools.partial(kind, registry=registry)
--- a/apricotseam/node/_delegates.py
+++ b/apricotseam/node/_delegates.py
@@ -80,8 +80,7 @@
             Identities of the targets.
         """
         reports = self._recent(valid_seconds, now)
-        suspects = [set(report.suspects) for report in reports]
-        common = set.intersection(*suspects) if suspects else set()
+        common = _in_all(report.suspects for report in reports)
         return [report.sender for report in reports], common
 
     def silent_hosts(self, silent_after, now):
@@ -96,10 +95,8 @@
         now : float
             Current time.
         """
-        silent = [
-            set(report.silent) for report in self._recent(silent_after, now)
-        ]
-        return set.intersection(*silent) if silent else set()
+        reports = self._recent(silent_after, now)
+        return _in_all(report.silent for report in reports)
 
     def expect(self, delegates, now):
         """Note the present delegates, from which reports are due."""
@@ -153,3 +150,9 @@
         if received is None:
             return first_due_at
         return max(received.received_at, first_due_at)
+
+
+def _in_all(collections):
+    """Return the set of what is in each collection; empty if there is none."""
+    sets = [set(collection) for collection in collections]
+    return set.intersection(*sets) if sets else set()
--- a/apricotseam/sharing/_rules.py
+++ b/apricotseam/sharing/_rules.py
@@ -41,7 +41,7 @@
     >>> meter = DemandMeter(lambda: 0.0)
     >>> meter.record_arrival(DemandKey("model", 0, "acme"), 60.0)
     >>> meter.record_arrival(DemandKey("model", 1, "acme"), 40.0)
-    >>> ShareRules(meter).start_factor(DemandKey("model", 1, "acme"))
+    >>> ShareRules(meter).class_factor(DemandKey("model", 1, "acme"))
     0.4
     """
 
@@ -50,16 +50,6 @@
         self._services = {}
         self._valid_until = float("-inf")
 
-    def start_factor(self, key):
-        """Return the factor of the limit for new requests.
-
-        Parameters
-        ----------
-        key : DemandKey
-            Customer and class of the request.
-        """
-        return self.class_factor(key) * self.customer_factor(key)
-
     def class_factor(self, key):
         """Return the part of the factor that is due to the class."""
         return self._of_service(key).class_factor(key.priority)
--- a/measure/emulator/_inbox.py
+++ b/measure/emulator/_inbox.py
@@ -64,3 +64,31 @@
                     "retry the call if it is idempotent",
                 )
             )
+
+
+class InboxReader:
+    """Base of connections whose answer is read from an `Inbox`.
+
+    Parameters
+    ----------
+    address : str
+        Address of the sender, for messages of errors.
+    """
+
+    def __init__(self, address):
+        self._inbox = Inbox(address)
+
+    async def head(self, deadline):
+        """Return the `ResponseHead`."""
+        return await self._inbox.next(deadline)
+
+    async def read(self, deadline):
+        """Return the next bytes of the body, empty at its end."""
+        return await self._inbox.next(deadline)
+
+    async def read_all(self, deadline, limit):
+        """Return the complete body."""
+        parts = []
+        while data := await self.read(deadline):
+            parts.append(data)
+        return b"".join(parts)
--- a/measure/emulator/_network.py
+++ b/measure/emulator/_network.py
@@ -7,7 +7,7 @@
 from apricotseam.http1 import LostConnectionError
 from apricotseam.http1 import RefusedConnectionError
 from apricotseam.http1 import ResponseHead
-from measure.emulator._inbox import Inbox
+from measure.emulator._inbox import InboxReader
 
 IN_ZONE_SECONDS = 0.0001
 CROSS_ZONE_SECONDS = 0.00075
@@ -128,7 +128,7 @@
         """Forget the connections to a target; none is kept."""
 
 
-class SimulatedConnection:
+class SimulatedConnection(InboxReader):
     """Connection to an emulated target, for one request.
 
     Parameters
@@ -144,6 +144,7 @@
     """
 
     def __init__(self, target, delay_seconds, host, link):
+        super().__init__(target.address)
         self._link = link
         self._loop = asyncio.get_running_loop()
         self._target = target
@@ -151,7 +152,6 @@
         self._host = host
         # What is under way to the host.
         self._sent_back = collections.deque()
-        self._inbox = Inbox(target.address)
         self.is_closed = False
 
     @property
@@ -187,21 +187,6 @@
         """Make a pending read raise `InterruptedReadError`."""
         self._inbox.interrupt()
 
-    async def head(self, deadline):
-        """Return the `ResponseHead`."""
-        return await self._inbox.next(deadline)
-
-    async def read(self, deadline):
-        """Return the next bytes of the body, empty at its end."""
-        return await self._inbox.next(deadline)
-
-    async def read_all(self, deadline, limit):
-        """Return the complete body."""
-        parts = []
-        while data := await self.read(deadline):
-            parts.append(data)
-        return b"".join(parts)
-
     def answer(self, status, headers=(), *parts):
         """Send a head and parts of a body; called by the target."""
         arrives_at = self._loop.time() + self._delay_seconds
--- a/measure/emulator/_relay.py
+++ b/measure/emulator/_relay.py
@@ -7,7 +7,7 @@
 from apricotseam.http1 import LostConnectionError
 from apricotseam.http1 import Request
 from apricotseam.http1 import ResponseHead
-from measure.emulator._inbox import Inbox
+from measure.emulator._inbox import InboxReader
 
 DELIVERY_SECONDS = 0.001
 CHUNKED = (b"transfer-encoding", b"chunked")
@@ -46,7 +46,7 @@
         """Accept a connection whose answer was read."""
 
 
-class RelayConnection:
+class RelayConnection(InboxReader):
     """Connection from one emulated host to another, for one request.
 
     Parameters
@@ -58,9 +58,9 @@
     """
 
     def __init__(self, hosts, address):
+        super().__init__(hosts.own_address)
         self._loop = asyncio.get_running_loop()
         self._hosts = hosts
-        self._inbox = Inbox(hosts.own_address)
         self._sent_back = collections.deque()
         self._task = None
         self.client_ip = address.rpartition(":")[0]
@@ -71,21 +71,6 @@
             DELIVERY_SECONDS, self._deliver, method, target, headers, body
         )
 
-    async def head(self, deadline):
-        """Return the `ResponseHead`."""
-        return await self._inbox.next(deadline)
-
-    async def read(self, deadline):
-        """Return the next bytes of the body, empty at its end."""
-        return await self._inbox.next(deadline)
-
-    async def read_all(self, deadline, limit):
-        """Return the complete body."""
-        parts = []
-        while data := await self.read(deadline):
-            parts.append(data)
-        return b"".join(parts)
-
     def close(self):
         """Close the connection; the other host stops its work."""
         if self._task is not None:
