Let a loss hold back requests of its own service only

Cause: streams on lost targets were kept by zone, so a loss of one model's targets refused requests of another model in all zones.

Change: they are kept by service and zone.

--- a/apricotseam/forwarding/_start_estimates.py
+++ b/apricotseam/forwarding/_start_estimates.py
@@ -76,7 +76,7 @@
 
 
 class _LostStreams(msgspec.Struct):
-    """Streams of all hosts on the lost targets of one zone."""
+    """Streams of all hosts on the lost targets of a service in one zone."""
 
     count: int
     since: float
@@ -112,7 +112,8 @@
         self._random = generator
         self._request_rate = request_rate or (lambda service, now: 0.0)
         self._share_rules = share_rules
-        self._lost_by_zone = {}
+        # `_LostStreams` by service and zone.
+        self._lost = {}
         # Last `StartModel` and the service that it is made for.
         self._model = None
         self._service = None
@@ -120,8 +121,8 @@
     def record_loss(self, target, now):
         """Record that a target answers no more.
 
-        Targets of one zone mostly run the same streams, so the largest
-        number counts, not the sum.
+        Targets of one service and zone mostly run the same streams, so the
+        largest number counts, not the sum.
 
         Parameters
         ----------
@@ -131,12 +132,12 @@
             Monotonic time in seconds.
         """
         count = self._ledger.running(target.identity)
-        zone = target.record.zone
-        known = self._lost_by_zone.get(zone)
+        key = (target.record.service, target.record.zone)
+        known = self._lost.get(key)
         if known is not None and now - known.since < LOSS_SECONDS:
             known.count = max(count, known.count)
         else:
-            self._lost_by_zone[zone] = _LostStreams(count, now)
+            self._lost[key] = _LostStreams(count, now)
 
     def limit_ms(self, call, now):
         """Return within which time an answer has to begin, in ms.
@@ -200,7 +201,7 @@
         )
         usual_ms = self._scarcest_ms(model, stages, chains)
         place = self._place(call)
-        ahead_ms = self._ahead_ms(place, usual_ms, now)
+        ahead_ms = self._ahead_ms(call.service.name, place, usual_ms, now)
         share = self._admitted_share(call, estimate.queue_ms, usual_ms, now)
         estimate = msgspec.structs.replace(
             estimate,
@@ -282,11 +283,13 @@
         left = call.waits_until - PATIENCE_MARGIN_SECONDS - now
         return max(0.0, left) * MS_PER_SECOND
 
-    def _ahead_ms(self, place, usual_ms, now):
+    def _ahead_ms(self, service, place, usual_ms, now):
         """Return the work of lost streams that comes first, in ms.
 
         Parameters
         ----------
+        service : str
+            Name of the service.
         place : float
             Place of the request among all, from 0 to 1.
         usual_ms : float
@@ -295,9 +298,10 @@
             Monotonic time in seconds.
         """
         ahead_ms = 0.0
-        for lost in self._lost_by_zone.values():
+        for (lost_service, _), lost in self._lost.items():
             elapsed_ms = (now - lost.since) * MS_PER_SECOND
-            if elapsed_ms < LOSS_SECONDS * MS_PER_SECOND:
+            is_recent = elapsed_ms < LOSS_SECONDS * MS_PER_SECOND
+            if lost_service == service and is_recent:
                 work_ms = place * lost.count * usual_ms
                 ahead_ms += max(0.0, work_ms - elapsed_ms)
         return ahead_ms
--- a/apricotseam/forwarding/tests/test_start_estimates.py
+++ b/apricotseam/forwarding/tests/test_start_estimates.py
@@ -77,7 +77,8 @@
 def lose(hosts, streams_by_host):
     """Return the estimators of hosts that lose a target with streams."""
     target = types.SimpleNamespace(
-        identity="lost", record=types.SimpleNamespace(zone="a")
+        identity="lost",
+        record=types.SimpleNamespace(zone="a", service=SERVICE.name),
     )
     estimators = []
     for number in range(hosts):
@@ -163,3 +164,20 @@
         sum(low <= d < low + width for d in delays) for low in set(delays)
     )
     assert longest <= 0.5 or fullest < 300
+
+
+def test_lost_streams_of_another_service_leave_room():
+    """Guards against losses of one model that hold back another one's."""
+    estimator = StartEstimator(Ledger(), random.Random(1))
+    other = types.SimpleNamespace(
+        identity="lost",
+        record=types.SimpleNamespace(zone="a", service="other"),
+    )
+    for _ in range(500):
+        estimator._ledger.book(1.0, [("lost", 1)])
+    estimator.record_loss(other, 0.0)
+    verdicts = [
+        estimator.judge(FakeCall(last_event=3), make_stages(), 1, 0.0)
+        for _ in range(20)
+    ]
+    assert all(verdict.is_in_time for verdict in verdicts)
