Give targets without room for a layer no orders

Cause: the choice of orders assumes that every target has room for a layer. A card of 14,000 MB takes one layer of 12,000 MB at a share of 0.86 of its memory, above the share of 0.82 for spare targets, and the plan leaves it out; so it got a range of 0 layers. The search for the range with the least capacity then took the minimum of an empty window (ValueError). Where a layer was missing, the range for the gap was empty in the same way, was ordered as such, and its size divided by (ZeroDivisionError); the same for a target that holds a layer and has room for none. The child "placer" failed six times and the process ended; the next holder of the duty met the same targets.

Change: the number of layers that fit is computed in one place. A target without room for one gets no order; where a layer is missing, one that has room at the larger share of a repair takes it.

--- a/apricotseam/chains/_repair.py
+++ b/apricotseam/chains/_repair.py
@@ -141,7 +141,8 @@
 def _order_empty_targets(empty, holding, plan, profile):
     """Order empty targets to hold the layers with the least token capacity.
 
-    Layers that no target holds come first.
+    Layers that no target holds come first. A target without room for a layer
+    gets no order.
     """
     coverage = _coverage(holding, profile)
     orders = []
@@ -149,26 +150,46 @@
         empty, key=lambda r: (-profile.kind(r.kind).memory_mb, r.identity)
     )
     for record in largest_first:
-        memory = profile.kind(record.kind).memory_mb
         planned_layers = plan.get(record.identity)
-        max_layers = int(memory * SPARE_WEIGHT_SHARE / profile.layer_mb)
-        size = min(max_layers, profile.layers)
-        if planned_layers is not None:
-            size = max(1, min(size, planned_layers.size))
-        layers = _least_covered_range(coverage, size)
-        if 0 in coverage:
-            layers = _gap_range(coverage, max_layers)
+        layers = _range_for_empty(record, planned_layers, coverage, profile)
+        if layers is None:
+            continue
+        memory = profile.kind(record.kind).memory_mb
+        units = profile.capacity_units(memory, layers.size)
         for layer in range(layers.first, layers.last):
-            coverage[layer] += profile.capacity_units(memory, size) / size
+            coverage[layer] += units / layers.size
         orders.append(LayerOrder(record.identity, layers, "empty target"))
     return orders
 
 
+def _range_for_empty(record, planned_layers, coverage, profile):
+    """Return the layers for an empty target, None if it has no room.
+
+    Weights fill more of its memory only if no target holds some layer.
+    """
+    max_layers = _max_layers(record, profile, SPARE_WEIGHT_SHARE)
+    if 0 in coverage:
+        max_layers = max_layers or _max_layers(
+            record, profile, REPAIR_WEIGHT_SHARE
+        )
+        return _gap_range(coverage, max_layers) if max_layers else None
+    size = min(max_layers, profile.layers)
+    if planned_layers is not None:
+        size = max(1, min(size, planned_layers.size))
+    return _least_covered_range(coverage, size) if size else None
+
+
+def _max_layers(record, profile, weight_share):
+    """Return how many layers fit in a share of a target's memory."""
+    memory = profile.kind(record.kind).memory_mb
+    return int(memory * weight_share / profile.layer_mb)
+
+
 def _order_for_gap(records, profile, busy):
     """Order a target to hold layers that no target holds.
 
-    The target's own layers must all be held by others too. The list is
-    empty if there is no such target.
+    It must have room for a layer, and its own layers must all be held by
+    others too. The list is empty if there is no such target.
     """
     coverage = _coverage(records, profile)
     counts = _holder_counts(records, profile)
@@ -176,6 +197,7 @@
         r
         for r in records
         if r.identity not in busy
+        and _max_layers(r, profile, REPAIR_WEIGHT_SHARE)
         and all(counts[i] > 1 for i in range(r.layers.first, r.layers.last))
     ]
     if not candidates:
@@ -183,8 +205,7 @@
     chosen = max(
         candidates, key=lambda r: (profile.kind(r.kind).memory_mb, r.identity)
     )
-    memory = profile.kind(chosen.kind).memory_mb
-    max_layers = int(memory * REPAIR_WEIGHT_SHARE / profile.layer_mb)
+    max_layers = _max_layers(chosen, profile, REPAIR_WEIGHT_SHARE)
     return [
         LayerOrder(chosen.identity, _gap_range(coverage, max_layers), "gap")
     ]
