Place layers only within the model that is declared

What callers would see: hosts that end again and again, or hang, while a target holds layers that the model does not have. That may be an entry of another program, or the state after the operator has declared fewer layers.

With a gap a range beyond the model raised IndexError; a range up to 2**62 was walked layer by layer, so that the process did nothing else any more. Chains ended at the end of the target's range instead of the model's.

Change: `LayerRange.within` gives the part of a range that the model has; the choice of orders and of chains use it. A target with none of it counts as empty.

--- a/apricotseam/chains/_repair.py
+++ b/apricotseam/chains/_repair.py
@@ -30,7 +30,8 @@
     Each availability zone is considered by itself, but zones that are too
     small for a copy of the model are treated as one zone. Targets that
     hold layers keep them, unless some layer is held by no target of their
-    zone. A target without layers gets those with the least token capacity.
+    zone. A target without layers of the model gets those with the least
+    token capacity.
 
     Parameters
     ----------
@@ -50,6 +51,7 @@
     zones = {}
     for record in records:
         if profile.kind(record.kind) is not None:
+            record = _within_model(record, profile)
             zones.setdefault(record.zone, []).append(record)
     merged_zone, large_zones = _split_by_memory(zones, profile)
     orders = []
@@ -58,6 +60,14 @@
     return [order for order in orders if order.identity not in busy]
 
 
+def _within_model(record, profile):
+    """Return a record without layers that the model does not have."""
+    if record.layers is None or record.layers.last <= profile.layers:
+        return record
+    layers = record.layers.within(profile.layers)
+    return msgspec.structs.replace(record, layers=layers)
+
+
 def _split_by_memory(zones, profile):
     """Separate zones that are too small for a copy of the model.
 
@@ -241,8 +251,7 @@
         size = record.layers.size
         tokens = max(1.0, profile.capacity_units(memory, size) / size)
         for layer in range(record.layers.first, record.layers.last):
-            if layer < profile.layers:
-                coverage[layer] += tokens
+            coverage[layer] += tokens
     return coverage
 
 
@@ -251,8 +260,7 @@
     counts = [0] * profile.layers
     for record in records:
         for layer in range(record.layers.first, record.layers.last):
-            if layer < profile.layers:
-                counts[layer] += 1
+            counts[layer] += 1
     return counts
 
 
--- a/apricotseam/chains/tests/test_repair.py
+++ b/apricotseam/chains/tests/test_repair.py
@@ -7,6 +7,7 @@
 import pytest
 
 from apricotseam.chains import choose_orders
+from apricotseam.chains import covers_layers
 from apricotseam.chains.tests.profiles import make_records
 from apricotseam.chains.tests.profiles import PROFILE
 from apricotseam.routes import AcceleratorKind
@@ -14,6 +15,7 @@
 LAYERS = 20
 LAYER_MB = 12_000.0
 MAX_ROUNDS = 12
+ANY_SIZE = strategies.integers(1, 1 << 62)
 # Memory of the accelerators, in units of 10**6 bytes. One layer takes 0.86 of
 # a narrow one, more than an accelerator should use that is not needed for a
 # gap, and more than all of a tiny one.
@@ -112,6 +114,44 @@
     assert found == expected
 
 
+# Description, layers that targets of a whole chain of 20 layers hold in place
+# of their own, and number of layers that the model has now.
+BEYOND = [
+    (
+        "a gap and a range that ends beyond the model",
+        {"a-wide-0": (16, 20), "a-wide-5": (18, 30)},
+        20,
+    ),
+    ("a gap and a range beyond the model", {"a-wide-0": (40, 44)}, 20),
+    ("a range without end", {"a-wide-5": (0, 1 << 62)}, 20),
+    (
+        "a gap and fewer layers than before",
+        {"a-wide-0": (8, 12), "a-wide-5": (8, 12)},
+        10,
+    ),
+    ("more layers than before", {"a-wide-5": (0, 4)}, 24),
+]
+
+
+@pytest.mark.parametrize(
+    ("changed", "layers"),
+    [case[1:] for case in BEYOND],
+    ids=[case[0] for case in BEYOND],
+)
+def test_targets_with_layers_beyond_the_model(changed, layers):
+    """Guards against hosts that end or hang as a target holds such layers."""
+    profile = msgspec.structs.replace(
+        make_profile({"wide": WIDE_MB}), layers=layers
+    )
+    records = make_records({"wide": 6}, layers={**WHOLE, **changed})
+    settled = settle(records, profile)
+    held = {r.identity: r.layers for r in records}
+    for orders in settled:
+        held.update({order.identity: order.layers for order in orders})
+    found = [r for r in held.values() if r is not None]
+    assert covers_layers(found, layers)
+
+
 @settings(deadline=None)
 @given(
     sizes=strategies.lists(
@@ -144,6 +184,6 @@
     """Draw what a target holds: often nothing, or any range."""
     if draw(strategies.booleans()):
         return None
-    first = draw(strategies.integers(0, LAYERS - 1))
-    last = draw(strategies.integers(first + 1, LAYERS))
+    first = draw(strategies.integers(0, 2 * LAYERS))
+    last = first + draw(strategies.integers(1, 2 * LAYERS) | ANY_SIZE)
     return make_records({"x": 1}, layers={"a-x-0": (first, last)})[0].layers
--- a/apricotseam/fleet/_target.py
+++ b/apricotseam/fleet/_target.py
@@ -31,6 +31,22 @@
         """Return whether this range includes all layers of another one."""
         return self.first <= other.first and other.last <= self.last
 
+    def within(self, layers):
+        """Return the part that is in a model of some layers, None if none is.
+
+        A target may hold layers of a model of which the operator has
+        declared fewer since.
+
+        Examples
+        --------
+        >>> LayerRange(2, 9).within(4)
+        LayerRange(first=2, last=4)
+        >>> LayerRange(4, 9).within(4) is None
+        True
+        """
+        last = min(self.last, layers)
+        return LayerRange(self.first, last) if self.first < last else None
+
 
 class TargetRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Registration record that a target publishes about itself.
--- a/apricotseam/forwarding/_choice.py
+++ b/apricotseam/forwarding/_choice.py
@@ -387,7 +387,8 @@
         """Return a target as a `Holder`, or None if it is not usable."""
         record = target.record
         kind = profile.kind(record.kind)
-        if record.layers is None or kind is None:
+        layers = record.layers and record.layers.within(profile.layers)
+        if layers is None or kind is None:
             return None
         if (
             target.health.is_suspect(now)
@@ -420,7 +421,7 @@
             record.identity,
             record.address,
             record.zone,
-            record.layers,
+            layers,
             cost,
             free,
         )
--- a/apricotseam/forwarding/tests/test_choice.py
+++ b/apricotseam/forwarding/tests/test_choice.py
@@ -3,6 +3,7 @@
 import random
 import types
 
+import msgspec
 import pytest
 
 from apricotseam.chains import Ledger
@@ -19,6 +20,8 @@
 from apricotseam.routes import NO_FEATURES
 
 LAYERS = 4
+# Layers that leave a target room for requests.
+MAX_HELD = 5
 PROFILE = EngineProfile(
     layers=LAYERS,
     layer_mb=10.0,
@@ -96,6 +99,20 @@
     assert found == chosen
 
 
+@pytest.mark.parametrize("last", [LAYERS, LAYERS + 1, 1 << 62])
+def test_chain_of_a_target_with_layers_beyond_the_model(last):
+    """Guards against chains that run layers which the model has not."""
+    fleet = make_fleet({"a": "fast"})
+    record = msgspec.structs.replace(
+        fleet.get("a").record, layers=LayerRange(0, last)
+    )
+    fleet.update(record)
+    selector = TargetSelector(fleet, Ledger(), "a")
+    choice = selector.choose_chain(make_call(), 0.0)
+    found = [stage.layers for stage in choice.path] if choice else None
+    assert found == (None if last > MAX_HELD else [LayerRange(0, LAYERS)])
+
+
 # Accelerator kinds of the own zone and of four others, and the number of
 # targets that are looked at for a chain.
 SEARCHED = [
