Refuse entries of hosts that cannot be used

What callers would see: one odd entry among those of the hosts ends every host again and again, until it goes: one that is nested deeply, with a start time beyond 64 bits, or with a port out of range.

Cause: the entry of a host was decoded by type only. Nesting raised RecursionError, which nothing caught, in the component "store"; a start time of 10**30 became the incarnation of a member, which no message can hold, so that "hosts" raised OverflowError in each round; an address with a port of 99999 or an empty label raised OverflowError or UnicodeError when peers were asked during an outage of the store, again in "store". An address without a port, or one that breaks a header, was passed on to callers by the directory.

A connection to a peer whose address cannot be used counts as not possible, as older hosts pass such addresses on.

Evidence: a play of two hosts with 20 odd entries, an outage of the store and a new configuration afterwards. On the former code the components "hosts" and "store" of both hosts failed (OverflowError, RecursionError); now none does, the configuration is in force and all requests are served. Six new tests of addresses failed before.

--- a/apricotseam/coordination/__init__.py
+++ b/apricotseam/coordination/__init__.py
@@ -5,6 +5,7 @@
 from apricotseam.coordination._hosts import is_large_fleet
 from apricotseam.coordination._messages import Changes
 from apricotseam.coordination._messages import ChangesRequest
+from apricotseam.coordination._messages import decode_host_record
 from apricotseam.coordination._messages import HostRecord
 from apricotseam.coordination._messages import MirrorItem
 from apricotseam.coordination._messages import PackedPush
@@ -35,5 +36,6 @@
     "Push",
     "Registration",
     "SuspensionDetector",
+    "decode_host_record",
     "is_large_fleet",
 ]
--- a/apricotseam/coordination/_messages.py
+++ b/apricotseam/coordination/_messages.py
@@ -2,8 +2,16 @@
 
 import msgspec
 
+from apricotseam.decoding import Count
+from apricotseam.decoding import decode_json
+from apricotseam.decoding import is_address
+from apricotseam.decoding import Name
+from apricotseam.errors import InvalidInputError
 from apricotseam.positions import Position
 
+# Length of the part of an invalid address that an error shows.
+MAX_SHOWN_CHARACTERS = 64
+
 
 class MirrorItem(msgspec.Struct, frozen=True, array_like=True):
     """A key of the store; ``value`` is None if the key was deleted."""
@@ -60,6 +68,35 @@
 
     peers_address: str
     callers_address: str
-    zone: str
-    started_ms: int
+    zone: Name
+    started_ms: Count
     relay_address: str = ""
+
+
+_HOST_RECORD_DECODER = msgspec.json.Decoder(HostRecord)
+
+
+def decode_host_record(value):
+    """Return the `HostRecord` in an entry of the store.
+
+    Parameters
+    ----------
+    value : bytes
+        JSON value of the entry; another program may have written it.
+
+    Raises
+    ------
+    InvalidInputError
+        If it is not a record, or names an address that cannot be used.
+    """
+    record = decode_json(_HOST_RECORD_DECODER, value)
+    addresses = [record.peers_address, record.callers_address]
+    if record.relay_address:
+        addresses.append(record.relay_address)
+    for address in addresses:
+        if not is_address(address):
+            raise InvalidInputError(
+                f"invalid address {address[:MAX_SHOWN_CHARACTERS]!r}",
+                "write a host and a port from 1 to 65535",
+            )
+    return record
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -130,6 +130,11 @@
         """The `TaskSupervisor` of the components."""
         return self._supervisor
 
+    @property
+    def registry(self):
+        """The `prometheus_client.CollectorRegistry` of the metrics."""
+        return self._registry
+
     @property
     def placer(self):
         """The `Placer` of this host."""
--- a/apricotseam/node/_store_items.py
+++ b/apricotseam/node/_store_items.py
@@ -3,11 +3,10 @@
 import collections
 import logging
 
-import msgspec
-
-from apricotseam.coordination import HostRecord
+from apricotseam.coordination import decode_host_record
 from apricotseam.coordination import is_large_fleet
 from apricotseam.errors import InvalidFileError
+from apricotseam.errors import InvalidInputError
 from apricotseam.fleet import is_outdated
 from apricotseam.node._held import HeldEntries
 from apricotseam.platform import CONFIGURATION_KEY
@@ -237,8 +236,8 @@
             self._host_records.pop(item.key, None)
             return
         try:
-            record = msgspec.json.decode(item.value, type=HostRecord)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            record = decode_host_record(item.value)
+        except InvalidInputError as error:
             _LOG.warning(
                 "host_record_refused",
                 extra={"key": item.key, "error": str(error)},
--- /dev/null
+++ b/apricotseam/node/tests/test_odd_entries.py
@@ -0,0 +1,135 @@
+"""Hosts that read entries of the store which another program has written."""
+
+import asyncio
+import json
+import time
+
+import msgspec
+import pytest
+
+from apricotseam.coordination import decode_host_record
+from apricotseam.coordination import HostRecord
+from apricotseam.errors import InvalidInputError
+from apricotseam.node._store_items import HOSTS_PREFIX
+from apricotseam.node.tests.harness import run
+from apricotseam.platform.standins import sample_configuration
+from apricotseam.web import free_address
+
+HOSTS = 2
+# Time after which hosts have read an entry, and after which they have acted
+# on it several times.
+READ_SECONDS = 0.4
+ACT_SECONDS = 3.2
+# Time for which the store answers nobody, so that hosts ask each other.
+OUTAGE_SECONDS = 1.0
+NESTED = b'{"x":' + b"[" * 100_000
+HUGE = 10**30
+
+
+def failures(node):
+    """Return the names of the components of a host that have failed."""
+    return {
+        sample.labels["child"]
+        for metric in node.registry.collect()
+        if metric.name == "apricotseam_child_failures"
+        for sample in metric.samples
+        if sample.name.endswith("_total") and sample.value
+    }
+
+
+async def act(platform):
+    """Let the hosts act on what they read, also without the store."""
+    await asyncio.sleep(READ_SECONDS)
+    platform.store.refused.update(platform.store_addresses)
+    # Ends the watches that wait for a change.
+    platform.store.put("other/key", b"")
+    await asyncio.sleep(OUTAGE_SECONDS)
+    platform.store.refused.clear()
+    await asyncio.sleep(ACT_SECONDS)
+
+
+async def check(platform):
+    """Check that all hosts still work, follow the store and serve."""
+    configuration = sample_configuration()
+    configuration["Version"] = 1_000
+    platform.set_configuration(configuration)
+    await platform.wait_until(
+        lambda: all(n.configuration.version == 1_000 for n in platform.nodes)
+    )
+    assert [failures(node) for node in platform.nodes] == [set()] * HOSTS
+    for number in range(HOSTS):
+        for path in ("/chat/x", "/read/x"):
+            status, _, body = await platform.send_request(path, number)
+            assert (status, body is not None) == (200, True)
+
+
+def play(entries):
+    """Write entries, by key, to the store of hosts that serve."""
+
+    async def scenario(platform):
+        for key, value in entries.items():
+            platform.store.put(key, value)
+        await act(platform)
+        await check(platform)
+
+    run(scenario, hosts=HOSTS)
+
+
+def host_entry(**changes):
+    """Return the entry of a host that has just started, with changes."""
+    record = HostRecord(
+        peers_address=free_address(),
+        callers_address=free_address(),
+        zone="a",
+        started_ms=int(time.time() * 1000),
+    )
+    return json.dumps(msgspec.structs.asdict(record) | changes).encode()
+
+
+# Description and what replaces fields of a host's record.
+HOST_FIELDS = [
+    ("start too large", {"started_ms": HUGE}),
+    ("start of 64 bits", {"started_ms": (1 << 64) - 1}),
+    ("start before 1970", {"started_ms": -HUGE}),
+    ("port out of range", {"peers_address": "127.0.0.1:99999"}),
+    ("port of many digits", {"peers_address": f"127.0.0.1:{'9' * 5000}"}),
+    ("no port", {"peers_address": "127.0.0.1"}),
+    ("no address", {"peers_address": ""}),
+    ("host name with an empty label", {"peers_address": "a..b:80"}),
+    ("host name that is too long", {"peers_address": f"{'a' * 70}:80"}),
+    ("callers' port out of range", {"callers_address": "127.0.0.1:99999"}),
+    ("relays' port out of range", {"relay_address": "127.0.0.1:99999"}),
+    ("zone of a megabyte", {"zone": "z" * 1_000_000}),
+    ("zone of another type", {"zone": 4}),
+]
+
+
+# Values of entries that are no records.
+VALUES = [b"", b"\xff", b"null", b"[]", b"{}", b'{"x":1e999}', NESTED]
+
+
+def host_entries():
+    """Return odd entries of hosts, by key."""
+    values = [*VALUES, *(host_entry(**case[1]) for case in HOST_FIELDS)]
+    return {f"{HOSTS_PREFIX}odd-{n}": v for n, v in enumerate(values)}
+
+
+def test_odd_entries_of_hosts():
+    """Guards against hosts that end again and again on a host's entry."""
+    play(host_entries())
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [case[1] for case in HOST_FIELDS],
+    ids=[case[0] for case in HOST_FIELDS],
+)
+def test_host_entry_with_an_odd_field_is_refused(changes):
+    with pytest.raises(InvalidInputError):
+        decode_host_record(host_entry(**changes))
+
+
+@pytest.mark.parametrize("value", VALUES)
+def test_host_entry_that_is_no_record_is_refused(value):
+    with pytest.raises(InvalidInputError):
+        decode_host_record(value)
--- a/apricotseam/peers/_channels.py
+++ b/apricotseam/peers/_channels.py
@@ -80,6 +80,20 @@
         PeerUnreachableError
             If no connection could be established.
         """
+        try:
+            channel = self._find_or_make(address)
+            await asyncio.wait_for(
+                channel.__connect__(), min(timeout, CONNECT_TIMEOUT_SECONDS)
+            )
+        except (OSError, OverflowError, ValueError, asyncio.TimeoutError):
+            # A value error means that the address cannot be used.
+            self.close(address)
+            raise PeerUnreachableError(
+                f"cannot connect to peer {address}", "try another host"
+            ) from None
+        return channel
+
+    def _find_or_make(self, address):
         channel = self._channels.get(address)
         if channel is None:
             host, port = address.rsplit(":", 1)
@@ -93,15 +107,6 @@
             self._traffic.connections_opened += 1
             self._evict_least_recently_used()
         self._channels.move_to_end(address)
-        try:
-            await asyncio.wait_for(
-                channel.__connect__(), min(timeout, CONNECT_TIMEOUT_SECONDS)
-            )
-        except (OSError, asyncio.TimeoutError):
-            self.close(address)
-            raise PeerUnreachableError(
-                f"cannot connect to peer {address}", "try another host"
-            ) from None
         return channel
 
     def mark_used(self, address):
--- a/apricotseam/peers/tests/test_transport.py
+++ b/apricotseam/peers/tests/test_transport.py
@@ -81,6 +81,17 @@
         first.ask(free_address(), Text("a"))
 
 
+@pytest.mark.parametrize(
+    "address",
+    ["", "10.0.0.1", "127.0.0.1:99999", "a..b:80", f"{'a' * 70}:80", "h:x"],
+)
+def test_address_that_cannot_be_used_is_unreachable(pair, address):
+    """Guards against hosts that end on an odd address of another host."""
+    _, first, _, _, _ = pair
+    with pytest.raises(PeerUnreachableError):
+        first.ask(address, Text("a"))
+
+
 def test_message_over_the_bound_is_not_sent(pair):
     _, first, second, received, _ = pair
     with pytest.raises(PeerMessageError):
