Ignore records of hosts in versions that no message can exceed

A host refutes a newer record of itself with a version that is higher by one. For an incarnation or a sequence of 2**64 - 1 no message can hold that version, so the component "hosts" would fail in each round. Such records come from peers that took them from the store. They are ignored now.

--- a/apricotseam/membership/_table.py
+++ b/apricotseam/membership/_table.py
@@ -25,6 +25,8 @@
 # refutation or of the death from those that watch the suspect.
 HEARSAY_FACTOR = 2.0
 DIGEST_BYTES = 16
+# Largest incarnation and sequence; those of messages have 64 bits.
+MAX_VERSION = 1 << 63
 
 
 class RecordTable:
@@ -104,13 +106,17 @@
 
         A record of this host that is newer than its own one, for example
         because a peer suspects this host, is refuted: the host publishes
-        its own record again with a higher version.
+        its own record again with a higher version. A record of a version
+        above `MAX_VERSION` is ignored, as no message could hold the one that
+        refutes it.
 
         Returns
         -------
         bool
             Whether the table changed.
         """
+        if max(record.incarnation, record.sequence) > MAX_VERSION:
+            return False
         if record.peers_address == self.own.peers_address:
             return self._refute(record)
         known = self._by_address.get(record.peers_address)
--- a/apricotseam/membership/tests/test_membership.py
+++ b/apricotseam/membership/tests/test_membership.py
@@ -6,11 +6,13 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+import msgspec
 import pytest
 import yaml
 
 from apricotseam.membership import Member
 from apricotseam.membership import Membership
+from apricotseam.membership._messages import Ping
 from apricotseam.membership import MemberState
 
 TICK_SECONDS = 0.2
@@ -168,6 +170,17 @@
     assert net.hosts["h3"].own.incarnation > before
 
 
+@pytest.mark.parametrize("field", ["incarnation", "sequence"])
+def test_record_of_a_version_that_no_message_can_exceed_is_ignored(field):
+    """Guards against hosts that end as they refute such a record."""
+    table = network(2).hosts
+    first, second = table
+    own = table[first].own
+    odd = msgspec.structs.replace(own, **{field: (1 << 64) - 1})
+    table[first].receive(second, Ping(1, 0, 0, [odd]), 200.0)
+    assert table[first].own == own
+
+
 def test_paused_host_is_left_out_and_returns():
     net = network(6)
     assert net.converge()
