Count a listed host as live only if its start is near

A host that the store lists as just started counts as live before it was heard. Any start in the future was taken as such, so an entry with a time that is too large counted again and again, whatever the host's silence, and could make it a delegate of its zone, which reads the store for the others. Now the start may be 10 s before or after the own clock; clocks of hosts differ a little. Other listed hosts are looked for as before.

Evidence: the row with a start far in the future failed before.

--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -205,7 +205,8 @@
 
         Hosts that start together all read the same list, so that they need
         not tell one another who is there. The record of a host that started
-        long ago may have outlived it; such hosts are looked for as seeds.
+        long ago may have outlived it; such hosts are looked for as seeds, and
+        so are those that state a start in the future.
 
         Parameters
         ----------
@@ -214,7 +215,7 @@
         wall_now_ms : float
             Current time in milliseconds since the epoch.
         """
-        oldest_ms = wall_now_ms - RECENT_START_SECONDS * MS_PER_SECOND
+        recent_ms = RECENT_START_SECONDS * MS_PER_SECOND
         self._membership.add_listed(
             Member(
                 name=name,
@@ -226,7 +227,7 @@
                 relay_address=record.relay_address,
             )
             for name, record in records.items()
-            if record.started_ms >= oldest_ms
+            if abs(wall_now_ms - record.started_ms) <= recent_ms
         )
         self._publish()
 
--- a/apricotseam/coordination/tests/test_audience.py
+++ b/apricotseam/coordination/tests/test_audience.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from apricotseam.coordination import HostRecord
 from apricotseam.coordination import Hosts
 from apricotseam.membership import Facts
 from apricotseam.membership import Member
@@ -98,3 +99,25 @@
     assert len(searches) == 1
     own.table = MemberTable(members[:60], members[0].peers_address)
     assert len(own.load_recipients) == 19
+
+
+# Seconds from the start that a record states until now, and whether the host
+# counts as live.
+STARTS = [(0.0, True), (8.0, True), (12.0, False), (-8.0, True), (-1e9, False)]
+
+
+@pytest.mark.parametrize(("age_seconds", "is_live"), STARTS)
+def test_listed_host_that_has_just_started(age_seconds, is_live):
+    """Guards against hosts that count as live for good by a future start."""
+    now_ms = 1_700_000_000_000
+    own = make_member(0, 1)
+    hosts = Hosts(own, SilentTransport(), Facts, lambda: 0.0)
+    record = HostRecord(
+        peers_address="10.0.0.1:1",
+        callers_address="10.0.0.1:2",
+        zone="z0",
+        started_ms=int(now_ms - age_seconds * 1000),
+    )
+    hosts.add_listed({"h1": record}, now_ms)
+    found = {m.name for m in hosts.table.live()} - {own.name}
+    assert found == ({"h1"} if is_live else set())
