--- a/apricotseam/membership/tests/test_membership.py
+++ b/apricotseam/membership/tests/test_membership.py
@@ -10,9 +10,9 @@
 import pytest
 import yaml
 
+from apricotseam.membership._messages import Ping
 from apricotseam.membership import Member
 from apricotseam.membership import Membership
-from apricotseam.membership._messages import Ping
 from apricotseam.membership import MemberState
 
 TICK_SECONDS = 0.2
--- a/apricotseam/node/tests/test_store_era_machine.py
+++ b/apricotseam/node/tests/test_store_era_machine.py
@@ -15,7 +15,7 @@
 from apricotseam.node.tests.memory_fleet import MemoryFleet
 from apricotseam.node.tests.store_writers import SILENCE_SECONDS
 from apricotseam.node.tests.store_writers import StoreWriters
-from apricotseam.node.tests.virtual_time import VirtualTimeLoop
+from apricotseam.supervision.tests.virtual_time import VirtualTimeLoop
 
 ZONES = 2
 IDENTITIES = ["t0", "t1", "t2"]
--- a/apricotseam/node/tests/test_store_eras.py
+++ b/apricotseam/node/tests/test_store_eras.py
@@ -12,7 +12,7 @@
 from apricotseam.node.tests.store_writers import MAX_REWRITE_SECONDS
 from apricotseam.node.tests.store_writers import SILENCE_SECONDS
 from apricotseam.node.tests.store_writers import StoreWriters
-from apricotseam.node.tests.virtual_time import VirtualTimeLoop
+from apricotseam.supervision.tests.virtual_time import VirtualTimeLoop
 
 TARGETS = 20
 # Hosts, zones, hosts that read the store, and seconds within which all hosts
--- a/apricotseam/supervision/tests/test_tasks.py
+++ b/apricotseam/supervision/tests/test_tasks.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from apricotseam.node.tests.virtual_time import VirtualTimeLoop
+from apricotseam.supervision.tests.virtual_time import VirtualTimeLoop
 from apricotseam.supervision import TaskSupervisor
 
 PLAY_SECONDS = 600.0
