Bound the numbers of the configuration, and refuse one that is nested

What callers would see: hosts that end again and again while such a configuration is stored, or that follow the operator no longer; while nothing divides the sizes of an engine, requests to it fail, too.

Cause: the configuration was decoded by type only. One that is nested deeply raised RecursionError in the component "store".

Change: numbers are bounded as they are decoded, else the configuration is refused and the last one stays. A model has at most 1024 layers. Sizes, speeds and lengths below the least that can be divided by count as that, a kind of accelerator without memory does not count; the rest of such a configuration stays in force.

--- a/apricotseam/platform/_configuration.py
+++ b/apricotseam/platform/_configuration.py
@@ -2,7 +2,12 @@
 
 import msgspec
 
+from apricotseam.decoding import Amount
+from apricotseam.decoding import Count
+from apricotseam.decoding import decode_json
+from apricotseam.decoding import Signed
 from apricotseam.errors import InvalidFileError
+from apricotseam.errors import InvalidInputError
 from apricotseam.http1 import Limits
 from apricotseam.routes import AcceleratorKind
 from apricotseam.routes import Customer
@@ -15,6 +20,15 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 DEFAULT_TIMEOUT_MS = 30000.0
+# The search for the best layout grows with the square of the layers.
+MAX_LAYERS = 1024
+# Least sizes, speeds and lengths of an engine, in place of lower ones that
+# nothing can be divided by.
+MIN_LAYER_MB = 0.001
+MIN_TOKEN_BYTES = 1.0
+MIN_TOKENS_PER_SECOND = 1.0
+MIN_FACTOR = 0.001
+MIN_TOKENS = 1.0
 
 _REPEAT_BY_ROUTE_KIND = {
     "safe": RepeatPolicy.IDEMPOTENT,
@@ -32,7 +46,7 @@
 
 class _ServiceShare(_Record, kw_only=True):
     service: str
-    weight: float = 1.0
+    weight: Amount = 1.0
 
 
 class _Route(_Record, kw_only=True):
@@ -42,14 +56,14 @@
     # Retry policy of the route. On a target the field of this name is its
     # kind of accelerator instead.
     route_kind: str
-    timeout_ms: float = DEFAULT_TIMEOUT_MS
-    target_latency_ms: float = MILLISECONDS_PER_SECOND
+    timeout_ms: Amount = DEFAULT_TIMEOUT_MS
+    target_latency_ms: Amount = MILLISECONDS_PER_SECOND
     # Objective for the time between two events of a stream.
-    gap_aim_ms: float = MILLISECONDS_PER_SECOND
-    priority: int = 0
+    gap_aim_ms: Amount = MILLISECONDS_PER_SECOND
+    priority: Signed = 0
     service: str = ""
     split: list[_ServiceShare] | None = None
-    max_attempts: int = 1
+    max_attempts: Signed = 1
     public: bool = False
     # Set on routes to language models, whose requests carry a prompt and
     # whose answers are generated from it.
@@ -60,50 +74,50 @@
 class _AcceleratorKind(_Record, kw_only=True):
     name: str
     # Memory in units of 10**6 bytes.
-    size_mb: float
+    size_mb: Amount
     # Factor on the duration of prompt processing.
-    read_factor: float = 1.0
+    read_factor: Amount = 1.0
     # Factor on the duration of decoding steps.
-    pace: float = msgspec.field(name="pace", default=1.0)
+    pace: Amount = msgspec.field(name="pace", default=1.0)
 
 
 class _Model(_Record, kw_only=True):
     name: str = ""
-    load_s: float = 0.0
+    load_s: Amount = 0.0
 
 
 class _TypicalLengths(msgspec.Struct):
     # Both in tokens.
-    prompt: float = 1.0
-    answer: float = 1.0
+    prompt: Amount = 1.0
+    answer: Amount = 1.0
 
 
 class _Engine(_Record, kw_only=True):
-    slots: int = 1
+    slots: Count = 1
     # KV cache of one token over all layers.
-    kv_token_bytes: float = 0.0
+    kv_token_bytes: Amount = 0.0
     # Tokens per stream event.
-    stride: int = 1
+    stride: Count = 1
     models: list[_Model] = []
-    layers: int = 0
-    layer_mb: float = 0.0
-    activation_bytes: float = 0.0
+    layers: Count = 0
+    layer_mb: Amount = 0.0
+    activation_bytes: Amount = 0.0
     # Link between zones that all chains of the service share, in 10**6
     # bits a second.
-    inter_zone_mbps: float = 0.0
+    inter_zone_mbps: Amount = 0.0
     kinds: list[_AcceleratorKind] = []
     # Duration of a decoding step over all layers: a constant part, a part
     # per request and a part per 1000 tokens of context, all in ms.
-    step_ms: float = msgspec.field(name="step_ms", default=1.0)
-    per_seq_ms: float = msgspec.field(name="per_seq_ms", default=0.0)
-    context_per_k: float = msgspec.field(name="context_per_k", default=0.0)
+    step_ms: Amount = msgspec.field(name="step_ms", default=1.0)
+    per_seq_ms: Amount = msgspec.field(name="per_seq_ms", default=0.0)
+    context_per_k: Amount = msgspec.field(name="context_per_k", default=0.0)
     # Prompt processing: tokens per second, and ms per million pairs of
     # tokens.
-    read_per_s: float = msgspec.field(name="read_per_s", default=1e5)
-    pairs_per_m: float = msgspec.field(name="pairs_per_m", default=0.0)
+    read_per_s: Amount = msgspec.field(name="read_per_s", default=1e5)
+    pairs_per_m: Amount = msgspec.field(name="pairs_per_m", default=0.0)
     # Tokens per chunk of prompt processing.
-    chunk: int = msgspec.field(name="chunk", default=512)
-    loads_at_once: int = msgspec.field(name="loads_at_once", default=1)
+    chunk: Count = msgspec.field(name="chunk", default=512)
+    loads_at_once: Count = msgspec.field(name="loads_at_once", default=1)
     usual: _TypicalLengths = msgspec.field(
         name="usual", default_factory=_TypicalLengths
     )
@@ -112,25 +126,25 @@
 class _Service(_Record, kw_only=True):
     name: str
     health_path: str = "/"
-    max_conns: int = 100
+    max_conns: Signed = 100
     engine: _Engine | None = None
 
 
 class _Limits(_Record, kw_only=True):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 << 20
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    max_header_bytes: Count = 16384
+    max_body_bytes: Count = 4 << 20
+    header_timeout_ms: Amount = 3000.0
+    idle_timeout_ms: Amount = 15000.0
 
 
 class _Tenant(_Record, kw_only=True):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Signed | None = None
 
 
 class _Configuration(_Record, kw_only=True):
-    version: int = 0
+    version: Signed = 0
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -160,7 +174,7 @@
         If the value is not a valid configuration.
     """
     try:
-        configuration = _DECODER.decode(value)
+        configuration = decode_json(_DECODER, value)
         return RouteTable(
             position=position,
             version=configuration.version,
@@ -169,7 +183,7 @@
             customers=[_customer(tenant) for tenant in configuration.tenants],
             limits=_limits(configuration.limits),
         )
-    except (msgspec.DecodeError, UnicodeDecodeError, KeyError) as error:
+    except (InvalidInputError, KeyError) as error:
         raise InvalidFileError(
             f"the stored configuration is invalid ({error})",
             "write a corrected one; the last valid configuration stays",
@@ -209,32 +223,39 @@
 
 
 def _engine(engine):
+    if engine.layers > MAX_LAYERS:
+        raise InvalidInputError(
+            f"a model has {engine.layers} layers, at most {MAX_LAYERS} are"
+            " supported",
+            "declare fewer layers",
+        )
     kinds = tuple(
         AcceleratorKind(
             name=kind.name,
             memory_mb=kind.size_mb,
-            step_factor=kind.pace,
-            read_factor=kind.read_factor,
+            step_factor=max(MIN_FACTOR, kind.pace),
+            read_factor=max(MIN_FACTOR, kind.read_factor),
         )
         for kind in engine.kinds
+        if kind.size_mb > 0
     )
     return EngineProfile(
         layers=engine.layers,
-        layer_mb=engine.layer_mb,
-        token_bytes=engine.kv_token_bytes,
+        layer_mb=max(MIN_LAYER_MB, engine.layer_mb),
+        token_bytes=max(MIN_TOKEN_BYTES, engine.kv_token_bytes),
         kinds=kinds,
-        slots=engine.slots,
+        slots=max(1, engine.slots),
         step_ms=engine.step_ms,
         step_ms_per_request=engine.per_seq_ms,
         step_ms_per_1000_tokens=engine.context_per_k,
-        read_tokens_per_second=engine.read_per_s,
+        read_tokens_per_second=max(MIN_TOKENS_PER_SECOND, engine.read_per_s),
         read_ms_per_million_pairs=engine.pairs_per_m,
-        chunk_tokens=engine.chunk,
-        tokens_per_event=engine.stride,
+        chunk_tokens=max(1, engine.chunk),
+        tokens_per_event=max(1, engine.stride),
         load_seconds=max((m.load_s for m in engine.models), default=0.0),
-        usual_prompt_tokens=engine.usual.prompt,
-        usual_answer_tokens=engine.usual.answer,
-        simultaneous_loads=engine.loads_at_once,
+        usual_prompt_tokens=max(MIN_TOKENS, engine.usual.prompt),
+        usual_answer_tokens=max(MIN_TOKENS, engine.usual.answer),
+        simultaneous_loads=max(1, engine.loads_at_once),
         activation_bytes=engine.activation_bytes,
         inter_zone_mbps=engine.inter_zone_mbps,
     )
--- a/apricotseam/supervision/tests/test_tasks.py
+++ b/apricotseam/supervision/tests/test_tasks.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from apricotseam.supervision.tests.virtual_time import VirtualTimeLoop
 from apricotseam.supervision import TaskSupervisor
+from apricotseam.supervision.tests.virtual_time import VirtualTimeLoop
 
 PLAY_SECONDS = 600.0
 # An end of the first failures, of which the process would never hear.
