Refuse entries of quarantine that cannot be used

What callers would see: hosts that end again and again while an odd entry stands among those of the quarantine: one that is nested deeply, or whose numbers are too large.

Cause: RecursionError was not caught as the entry was read, nor as it was compared with what is known ("store", "quarantine"); a start time of 10**30 was passed on to peers, in no message of which it fits ("usage"); a time of 10**400 ms cannot be divided.

Change: the entries are decoded with the bounds of `decoding`, and name at most 256 ends.

--- a/apricotseam/node/_quarantine_keeper.py
+++ b/apricotseam/node/_quarantine_keeper.py
@@ -4,10 +4,16 @@
 import hashlib
 import logging
 import time
+from typing import Annotated
 
 import msgspec
 
+from apricotseam.decoding import Amount
+from apricotseam.decoding import Count
+from apricotseam.decoding import decode_json
+from apricotseam.decoding import Name
 from apricotseam.errors import ConflictError
+from apricotseam.errors import InvalidInputError
 from apricotseam.platform import Item
 from apricotseam.platform import ROUTER_PREFIX
 from apricotseam.platform import StoreError
@@ -23,25 +29,30 @@
 RANK_DELAY_SECONDS = 1.0
 MAX_DELAY_SECONDS = 4.0
 MS_PER_SECOND = 1000.0
+# Hosts write a few ends of a trait.
+MAX_STORED_ENDS = 256
 
 
 class StoredEnd(msgspec.Struct, frozen=True):
     """A `TargetEnd`; its times are in milliseconds since the epoch."""
 
-    target: str
-    born_ms: int
-    request_key: str
-    customer: str
-    sent_at_ms: float
-    at_ms: float
+    target: Name
+    born_ms: Count
+    request_key: Name
+    customer: Name
+    sent_at_ms: Amount
+    at_ms: Amount
     is_begun: bool = False
 
 
 class StoredTrait(msgspec.Struct, frozen=True):
     """Entry of a trait that is held back."""
 
-    trait: str
-    ends: list[StoredEnd]
+    trait: Name
+    ends: Annotated[list[StoredEnd], msgspec.Meta(max_length=MAX_STORED_ENDS)]
+
+
+_DECODER = msgspec.json.Decoder(StoredTrait)
 
 
 class QuarantineKeeper:
@@ -97,8 +108,8 @@
         if item.value is None:
             return
         try:
-            stored = msgspec.json.decode(item.value, type=StoredTrait)
-        except msgspec.DecodeError as error:
+            stored = decode_json(_DECODER, item.value)
+        except InvalidInputError as error:
             _LOG.warning(
                 "quarantine_entry_refused",
                 extra={"key": item.key, "error": str(error)},
@@ -198,6 +209,6 @@
     if value is None:
         return 0
     try:
-        return len(msgspec.json.decode(value, type=StoredTrait).ends)
-    except msgspec.DecodeError:
+        return len(decode_json(_DECODER, value).ends)
+    except InvalidInputError:
         return 0
--- a/apricotseam/node/tests/test_odd_entries.py
+++ b/apricotseam/node/tests/test_odd_entries.py
@@ -10,6 +10,8 @@
 from apricotseam.coordination import decode_host_record
 from apricotseam.coordination import HostRecord
 from apricotseam.errors import InvalidInputError
+from apricotseam.node._quarantine_keeper import QUARANTINE_PREFIX
+from apricotseam.node._quarantine_keeper import StoredEnd
 from apricotseam.node._store_items import HOSTS_PREFIX
 from apricotseam.node.tests.harness import run
 from apricotseam.platform.standins import sample_configuration
@@ -133,3 +135,37 @@
 def test_host_entry_that_is_no_record_is_refused(value):
     with pytest.raises(InvalidInputError):
         decode_host_record(value)
+
+
+def quarantine_entry(**changes):
+    """Return the entry of a part of prompts under which targets ended."""
+    now_ms = time.time() * 1000
+    ends = [
+        StoredEnd(f"t{n}", 1, f"r{n}", "c", now_ms, now_ms, True)
+        for n in range(2)
+    ]
+    ends = [msgspec.structs.asdict(end) | changes for end in ends]
+    return json.dumps({"trait": "part:1f", "ends": ends}).encode()
+
+
+# Description and what replaces fields of the ends of a stored trait.
+END_FIELDS = [
+    ("start too large", {"born_ms": HUGE}),
+    ("time beyond the floats", {"at_ms": 10**400}),
+    ("time of sending beyond the floats", {"sent_at_ms": 10**400}),
+    ("time before 1970", {"at_ms": -1e300}),
+    ("target of a megabyte", {"target": "t" * 1_000_000}),
+    ("customer of another type", {"customer": 4}),
+]
+
+
+def test_odd_entries_of_quarantine():
+    """Guards against hosts that end again and again on a stored trait."""
+    values = [*VALUES, *(quarantine_entry(**case[1]) for case in END_FIELDS)]
+    many = {"trait": "part:2f", "ends": [{}] * 100_000}
+    unknown = {"trait": "other", "ends": []}
+    values += [json.dumps(many).encode(), json.dumps(unknown).encode()]
+    entries = {
+        f"{QUARANTINE_PREFIX}odd-{n}": value for n, value in enumerate(values)
+    }
+    play(entries)
