Read numbers in headers without raising

What they would see besides: hosts that end again and again while a target answers orders with `Keep-Alive: timeout=²`, or with 400 digits there.

Cause: `str.isdigit` holds for digits that `int` does not read, `int` refuses texts of more than 4,300 digits, and a number of 400 digits cannot be turned into a float. Pooled calls raised ValueError and OverflowError in the component that made them ("placer").

Change: headers are read by one function, which takes 1 to 18 ASCII digits.

--- a/apricotseam/http1/_pool.py
+++ b/apricotseam/http1/_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+from apricotseam.decoding import parse_count
 from apricotseam.http1._client import connect
 
 DEFAULT_IDLE_SECONDS = 4.0
@@ -189,7 +190,8 @@
     text = response.header(b"keep-alive") if response is not None else None
     for part in (text or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            seconds = int(value) - KEEPALIVE_MARGIN_SECONDS
+        number = parse_count(value)
+        if name.lower() == "timeout" and number is not None:
+            seconds = number - KEEPALIVE_MARGIN_SECONDS
             return min(DEFAULT_IDLE_SECONDS, max(0.0, seconds))
     return DEFAULT_IDLE_SECONDS
--- a/apricotseam/platform/_requests.py
+++ b/apricotseam/platform/_requests.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from apricotseam.decoding import parse_count
 from apricotseam.http1 import end_to_end_headers
 
 REQUEST_ID_HEADER = b"Apricotseam-Request-Id"
@@ -232,8 +233,7 @@
 
 
 def _parse_integer(text):
-    text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+    return parse_count(text.strip())
 
 
 def _parse_integer_pair(text):
