Refuse reports of targets whose numbers or nesting cannot be used

What callers would see: hosts that end again and again while a target gets an order and reports a deeply nested text (RecursionError in "placer"). A report with a negative or huge number was believed, and the order then stated that number.

Change: reports are decoded with the bounds of `decoding`. One that is refused counts as none, as before: the order waits, a probe counts as answered.

--- a/apricotseam/node/tests/test_odd_words.py
+++ b/apricotseam/node/tests/test_odd_words.py
@@ -4,8 +4,12 @@
 
 import pytest
 
+from apricotseam.errors import InvalidInputError
 from apricotseam.node.tests.harness import run
 from apricotseam.node.tests.test_odd_entries import failures
+from apricotseam.node.tests.test_odd_entries import NESTED
+from apricotseam.platform import decode_report
+from apricotseam.platform.standins import LAYERS
 from apricotseam.platform.standins import TargetStandIn
 from apricotseam.web import free_address
 
@@ -99,3 +103,62 @@
         await target.start()
         targets.append(target)
         platform.register(target)
+
+
+class OddReporter(TargetStandIn):
+    """A target whose reports are odd."""
+
+    def __init__(self, identity, address, body):
+        super().__init__(identity, address, is_engine=True)
+        self._body = body
+        self.reports = 0
+
+    async def _handle(self, request, exchange):
+        if request.target == b"/v1/report":
+            self.reports += 1
+            exchange.answer(200, self._body)
+            return
+        await super()._handle(request, exchange)
+
+
+# Bodies of reports that are odd.
+REPORTS = [
+    b"",
+    b"null",
+    b'{"Sequence":-1}',
+    b'{"Sequence":1' + b"0" * 400 + b"}",
+    b'{"Sequence":18446744073709551616}',
+    b'{"KvUsed":-1,"pace":1e308}',
+    b'{"Layers":{"From":0,"Target":1' + b"0" * 30 + b"}}",
+    NESTED,
+]
+
+
+@pytest.mark.parametrize("body", REPORTS, ids=range(len(REPORTS)))
+def test_odd_report_is_refused(body):
+    with pytest.raises(InvalidInputError):
+        decode_report(body)
+
+
+@pytest.mark.parametrize("body", REPORTS, ids=range(len(REPORTS)))
+def test_odd_report_of_a_target_that_gets_an_order(body):
+    """Guards against hosts that end again and again on a target's report."""
+
+    async def scenario(platform):
+        node = platform.nodes[0]
+        odd = OddReporter("odd", free_address(), body)
+        odd.layers = (0, LAYERS // 2)
+        platform.engine_targets.append(odd)
+        await odd.start()
+        platform.register(odd)
+        # The odd target is to fill the gap.
+        platform.store.remove(platform.engine_targets[1])
+        await platform.wait_until(lambda: odd.reports > 1)
+        await asyncio.sleep(0.1)
+        assert failures(node) == set()
+        platform.register(platform.engine_targets[1])
+        await platform.wait_until(lambda: len(node.forwarding.fleet) == 5)
+        status, _, answered = await platform.send_request("/chat/x")
+        assert (status, answered is not None) == (200, True)
+
+    run(scenario)
--- a/apricotseam/platform/_orders.py
+++ b/apricotseam/platform/_orders.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from apricotseam.decoding import Amount
+from apricotseam.decoding import Count
+from apricotseam.decoding import decode_json
 from apricotseam.errors import InvalidInputError
 from apricotseam.fleet import LayerRange
 from apricotseam.positions import Position
@@ -136,21 +139,21 @@
 
 
 class _Layers(msgspec.Struct, rename="pascal"):
-    from_: int = msgspec.field(name="From", default=0)
-    target: int = 0
+    from_: Count = msgspec.field(name="From", default=0)
+    target: Count = 0
 
 
 class _Report(msgspec.Struct, rename="pascal"):
     busy: bool = False
-    sequence: int = 0
-    queued: int = 0
-    active: int = 0
-    kv_used: float = 0.0
-    kv_total: float = 0.0
+    sequence: Count = 0
+    queued: Count = 0
+    active: Count = 0
+    kv_used: Amount = 0.0
+    kv_total: Amount = 0.0
     layers: _Layers | None = None
     stalled: list[_StalledEntry] = []
-    pace: float = msgspec.field(name="pace", default=1.0)
-    born: int = msgspec.field(name="born", default=0)
+    pace: Amount = msgspec.field(name="pace", default=1.0)
+    born: Count = msgspec.field(name="born", default=0)
 
 
 _DECODER = msgspec.json.Decoder(_Report)
@@ -169,10 +172,10 @@
         If the body is not a valid report.
     """
     try:
-        report = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        report = decode_json(_DECODER, body)
+    except InvalidInputError as error:
         raise InvalidInputError(
-            f"invalid report from a target ({error})", "ask again later"
+            f"invalid report from a target ({error.found})", "ask again later"
         ) from None
     layers = report.layers
     return TargetReport(
