Read entries of targets with the bounds of all entries

An entry could name slots beyond 64 bits, a host name that no look-up takes, and a zone, a service or a kind of a megabyte, which messages between hosts would have to hold. Entries of targets are decoded with the bounds of `decoding` now, as those of hosts are.

--- a/apricotseam/node/tests/test_odd_entries.py
+++ b/apricotseam/node/tests/test_odd_entries.py
@@ -15,6 +15,8 @@
 from apricotseam.node._store_items import HOSTS_PREFIX
 from apricotseam.node.tests.harness import run
 from apricotseam.platform.standins import sample_configuration
+from apricotseam.platform.standins import TargetStandIn
+from apricotseam.platform import TARGETS_PREFIX
 from apricotseam.web import free_address
 
 HOSTS = 2
@@ -169,3 +171,36 @@
         f"{QUARANTINE_PREFIX}odd-{n}": value for n, value in enumerate(values)
     }
     play(entries)
+
+
+# Description and what replaces fields of the entry of a target.
+TARGET_FIELDS = [
+    ("layers without end", {"Layers": {"From": 0, "Target": 1 << 61}}),
+    ("layers beyond the model", {"Layers": {"From": 90, "Target": 99}}),
+    ("no layers", {"Layers": {"From": 2, "Target": 2}}),
+    ("many slots", {"Slots": 1 << 61}),
+    ("slots beyond 64 bits", {"Slots": HUGE}),
+    ("start beyond 64 bits", {"born": HUGE}),
+    ("start at the bound", {"born": (1 << 62) - 1}),
+    ("orders at the bound", {"Sequence": (1 << 62) - 1}),
+    ("port out of range", {"Address": "127.0.0.1:99999"}),
+    ("host name with an empty label", {"Address": "a..b:80"}),
+    ("host name", {"Address": "nobody.invalid:80"}),
+    ("another kind", {"RouteKind": "other"}),
+    ("another service", {"Service": "other"}),
+    ("zone of a megabyte", {"Zone": "z" * 1_000_000}),
+    ("kind of a megabyte", {"RouteKind": "k" * 1_000_000}),
+    ("service of a megabyte", {"Service": "s" * 1_000_000}),
+    ("service without a name", {"Service": ""}),
+]
+
+
+@pytest.mark.parametrize("is_engine", [False, True], ids=["plain", "engine"])
+def test_odd_entries_of_targets(is_engine):
+    """Guards against hosts that end again and again on a target's entry."""
+    values = list(VALUES)
+    for _, changes in TARGET_FIELDS:
+        entry = TargetStandIn("odd", free_address(), is_engine).entry()
+        fields = json.loads(entry) | changes
+        values.append(json.dumps(fields).encode())
+    play({f"{TARGETS_PREFIX}odd-{n}": v for n, v in enumerate(values)})
--- a/apricotseam/platform/_targets.py
+++ b/apricotseam/platform/_targets.py
@@ -1,44 +1,44 @@
 """Store entries with which targets register themselves."""
 
 import re
-from typing import Annotated
 
 import msgspec
 
+from apricotseam.decoding import Count
+from apricotseam.decoding import decode_json
+from apricotseam.decoding import is_address
+from apricotseam.decoding import Name
+from apricotseam.errors import InvalidInputError
 from apricotseam.fleet import LayerRange
 from apricotseam.fleet import TargetRecord
 from apricotseam.platform._keys import target_identity
 
 # Whether a target in each state is draining.
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
-# Identities and addresses are sent to targets in headers, and addresses as
-# parts of chains, which ``,`` and ``=`` divide.
+# Identities are sent to targets in headers.
 _IDENTITY = re.compile(r"[!-~]+")
-_ADDRESS = re.compile(r"[0-9A-Za-z._:\[\]-]+:[0-9]{1,5}")
-MAX_PORT = (1 << 16) - 1
-_Count = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 
 
 class _Layers(msgspec.Struct, rename="pascal"):
     # The range is half-open: `Target` is the first layer not held.
-    from_: _Count = msgspec.field(name="From")
-    target: _Count = msgspec.field(name="Target")
+    from_: Count = msgspec.field(name="From")
+    target: Count = msgspec.field(name="Target")
 
 
 class _Entry(msgspec.Struct, rename="pascal"):
-    service: str
+    service: Name
     address: str
-    zone: str
+    zone: Name
     state: str
-    slots: int = 1
+    slots: Count = 1
     # Incremented by each heartbeat and order, not by a restart.
-    sequence: _Count = 0
+    sequence: Count = 0
     # Kind of accelerator of the target. On a route the field of this name
     # is its retry policy instead.
-    route_kind: str = ""
+    route_kind: Name = ""
     layers: _Layers | None = None
     # Start time of the process, Unix time in milliseconds.
-    born: _Count = msgspec.field(name="born", default=0)
+    born: Count = msgspec.field(name="born", default=0)
 
 
 _DECODER = msgspec.json.Decoder(_Entry)
@@ -66,12 +66,12 @@
     """
     identity = target_identity(key)
     try:
-        entry = _DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        entry = decode_json(_DECODER, value)
+    except InvalidInputError:
         return None
     if entry.state not in _DRAINING_BY_STATE or entry.slots < 1:
         return None
-    if not (_IDENTITY.fullmatch(identity) and _is_address(entry.address)):
+    if not (_IDENTITY.fullmatch(identity) and is_address(entry.address)):
         return None
     return TargetRecord(
         identity=identity,
@@ -89,12 +89,6 @@
     )
 
 
-def _is_address(text):
-    if not _ADDRESS.fullmatch(text):
-        return False
-    return 0 < int(text.rpartition(":")[2]) <= MAX_PORT
-
-
 def _layer_range(layers):
     if layers is None or layers.target <= layers.from_:
         return None
