Take answers of the store that cannot be read as failed calls

A deeply nested answer raised RecursionError, and a `Store-Era` of 5,000 digits ValueError, in whichever component had called the store. Both count as failed calls now, which the callers expect and repeat.

Evidence: the new rows with 5,000 digits and with a nested listing failed before; all pass.

--- a/apricotseam/platform/_store.py
+++ b/apricotseam/platform/_store.py
@@ -8,8 +8,11 @@
 
 import msgspec
 
+from apricotseam.decoding import decode_json
+from apricotseam.decoding import parse_count
 from apricotseam.errors import ApricotseamError
 from apricotseam.errors import ConflictError
+from apricotseam.errors import InvalidInputError
 from apricotseam.http1 import ConnectionPool
 from apricotseam.http1 import TransportError
 from apricotseam.positions import MAX_ERA
@@ -23,6 +26,8 @@
 MILLISECONDS_PER_SECOND = 1000
 # Header of all answers; it rises when the store goes back to an older state.
 ERA_HEADER = b"store-era"
+# Length of the part of an invalid header that an error shows.
+MAX_SHOWN_CHARACTERS = 64
 
 
 class StoreError(ApricotseamError):
@@ -136,6 +141,12 @@
     revision: int = 0
 
 
+_DECODERS = {
+    kind: msgspec.json.Decoder(kind)
+    for kind in (_Page, _WatchResult, _GrantedLease, _ChangeResult)
+}
+
+
 class _Answer(msgspec.Struct, frozen=True):
     """Body of an answer and the era of the store that gave it."""
 
@@ -436,13 +447,15 @@
     """Return the era in a header; the known one if the header is missing."""
     if value is None:
         return known_era
-    if not (value.isascii() and value.isdigit()) or int(value) > MAX_ERA:
+    era = parse_count(value)
+    if era is None or era > MAX_ERA:
         raise StoreError(
-            f"invalid era {value!r} in an answer of the store",
+            f"invalid era {value[:MAX_SHOWN_CHARACTERS]!r} in an answer of the"
+            " store",
             f"let the store state a number from 0 to {MAX_ERA}",
             may_have_executed=True,
         )
-    return int(value)
+    return era
 
 
 def _position(era, revision):
@@ -458,8 +471,8 @@
 
 def _decode(body, kind):
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(_DECODERS[kind], body)
+    except InvalidInputError as error:
         raise StoreError(
             f"invalid response from the store ({error})",
             "call again",
--- a/apricotseam/platform/tests/test_store_eras.py
+++ b/apricotseam/platform/tests/test_store_eras.py
@@ -77,7 +77,9 @@
     assert client.era == expected.era
 
 
-@pytest.mark.parametrize("era", [b"x", b"-1", b"1.5", b"8192", b" "])
+@pytest.mark.parametrize(
+    "era", [b"x", b"-1", b"1.5", b"8192", b" ", b"\xb2", b"9" * 5000]
+)
 def test_invalid_era(era):
     client, _ = make_client(era)
     with pytest.raises(StoreError, match="invalid era"):
@@ -134,3 +136,15 @@
     with pytest.raises(LeaseEndedError):
         asyncio.run(call(client))
     assert noticed == [1]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"[]", b'{"x":' + b"[" * 100_000, b'{"At": 1e999}', b'{"At": -1}'],
+    ids=range(5),
+)
+def test_listing_that_cannot_be_read(body):
+    """Guards against hosts that end on an answer of the store."""
+    client, _ = make_client(b"1", body=body)
+    with pytest.raises(StoreError, match="invalid response"):
+        asyncio.run(client.list_page(""))
