Let no entry and no service keep the others from what they need

What callers would see if an entry of the store, or the placement of a service, met a fault that is not known yet: the entries after it were not applied until the host read them again, those that were held after the store had gone back were lost for good, and the services after the failing one got no orders.

Change: an entry that cannot be applied is logged and counted, and the next one is applied; held entries are forgotten one by one; the placer goes on to the other services and reports what failed at the end of the cycle, so that a host that cannot place gives the duty up.

Evidence: both new tests fail without the change (the component "store" fails; services "last" is not placed), and pass.

--- a/apricotseam/node/_held.py
+++ b/apricotseam/node/_held.py
@@ -65,8 +65,6 @@
         self._entries.pop(key, None)
 
     def take_due(self):
-        """Return all entries and forget them once their time has passed."""
-        if not self._entries or self.is_open:
-            return []
-        entries, self._entries = self._entries, {}
-        return [held.item for held in entries.values()]
+        """Yield all entries once their time has passed, and forget each."""
+        while self._entries and not self.is_open:
+            yield self._entries.pop(next(iter(self._entries))).item
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -70,6 +70,8 @@
 PLACER_KEY = ROUTER_PREFIX + "placer"
 # Name of the component that carries out that duty.
 PLACER_CHILD = "placer"
+# Name under which entries that could not be applied are counted.
+ENTRY_CHILD = "entry"
 MAINTENANCE_PERIOD_SECONDS = 0.25
 STOP_TIMEOUT_SECONDS = 0.5
 # Time after the start within which every peer should have sent its usage.
@@ -475,11 +477,18 @@
                 self._context.relay_pool.sweep()
 
     def _apply_item(self, item):
-        """Apply a changed item of the store."""
-        if item.key.startswith(QUARANTINE_PREFIX):
-            self._quarantine_keeper.apply(item)
-        else:
-            self._item_handler.apply(item)
+        """Apply a changed item of the store.
+
+        One that cannot be applied must not keep the others from it.
+        """
+        try:
+            if item.key.startswith(QUARANTINE_PREFIX):
+                self._quarantine_keeper.apply(item)
+            else:
+                self._item_handler.apply(item)
+        except Exception:
+            _LOG.exception("entry_failed", extra={"key": item.key})
+            self._child_failures.labels(ENTRY_CHILD).inc()
 
     def _find_hosts(self):
         """Look for other hosts in the settings and in the store."""
--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -98,9 +98,17 @@
         context = self._context
         if context.table is None or not self._has_settled():
             return
+        errors = []
         for service in context.table.services.values():
-            if service.engine is not None:
+            if service.engine is None:
+                continue
+            try:
                 await self._place_service(service)
+            except Exception as error:
+                # The other services still get their orders.
+                errors.append(error)
+        if errors:
+            raise ExceptionGroup("layers could not be placed", errors)
 
     def _has_settled(self):
         """Return whether the targets have been unchanged for long enough."""
--- a/apricotseam/node/tests/test_odd_entries.py
+++ b/apricotseam/node/tests/test_odd_entries.py
@@ -12,6 +12,7 @@
 from apricotseam.errors import InvalidInputError
 from apricotseam.node._quarantine_keeper import QUARANTINE_PREFIX
 from apricotseam.node._quarantine_keeper import StoredEnd
+from apricotseam.node import _store_items
 from apricotseam.node._store_items import HOSTS_PREFIX
 from apricotseam.node.tests.harness import run
 from apricotseam.platform.standins import sample_configuration
@@ -204,3 +205,28 @@
         fields = json.loads(entry) | changes
         values.append(json.dumps(fields).encode())
     play({f"{TARGETS_PREFIX}odd-{n}": v for n, v in enumerate(values)})
+
+
+def test_entry_that_cannot_be_applied_keeps_no_other_back(monkeypatch):
+    """Guards against hosts that follow the store no longer after a fault."""
+    decode = _store_items.decode_target
+
+    def decode_or_fail(key, value, position):
+        if "odd" in key:
+            raise RuntimeError("cannot go on")
+        return decode(key, value, position)
+
+    monkeypatch.setattr(_store_items, "decode_target", decode_or_fail)
+
+    async def scenario(platform):
+        target = TargetStandIn("last", free_address())
+        for number in range(10):
+            platform.store.put(f"{TARGETS_PREFIX}odd-{number}", b"{}")
+        platform.register(target)
+        for node in platform.nodes:
+            await platform.wait_until(
+                lambda node=node: node.forwarding.fleet.get("last")
+            )
+        return [failures(node) for node in platform.nodes]
+
+    assert run(scenario, hosts=HOSTS) == [{"entry"}] * HOSTS
--- a/apricotseam/node/tests/test_placer.py
+++ b/apricotseam/node/tests/test_placer.py
@@ -122,3 +122,28 @@
     if expected is not None:
         assert record.layers == expected
     assert ("t1" not in placer._busy_targets()) is is_free
+
+
+def test_service_that_cannot_be_placed_keeps_no_other_back(monkeypatch):
+    """Guards against services without layers after a fault of another."""
+    profile = types.SimpleNamespace()
+    services = {
+        name: types.SimpleNamespace(name=name, engine=profile)
+        for name in ("first", "odd", "last")
+    }
+    context = types.SimpleNamespace(
+        fleet=Fleet(), table=types.SimpleNamespace(services=services)
+    )
+    placer = Placer(context, None, lambda: 0.0)
+    placed = []
+
+    async def place(service):
+        if service.name == "odd":
+            raise ZeroDivisionError
+        placed.append(service.name)
+
+    monkeypatch.setattr(placer, "_has_settled", lambda: True)
+    monkeypatch.setattr(placer, "_place_service", place)
+    with pytest.raises(ExceptionGroup):
+        asyncio.run(placer._cycle())
+    assert placed == ["first", "last"]
