Drop messages to peers that cannot be encoded

What callers would see: hosts that end again and again because of something they know and tell others, as when an odd number or thousands of odd entries have come in: a state of over 1 MiB, or with a number beyond 64 bits, raised an error in the component that sends it ("usage", "reports", "hosts").

Change: such a one-way message is dropped and logged as an error, like one to a peer with a full queue. Questions raise the same error as before, also for numbers.

Evidence: all 3 rows of the new test failed before, and pass.

--- a/apricotseam/peers/_transport.py
+++ b/apricotseam/peers/_transport.py
@@ -189,10 +189,15 @@
     def send_all(self, addresses, record):
         """Queue a one-way message to several peers, encoding it once.
 
-        Messages are dropped as by `send`. Must be called on the control
-        loop.
+        Messages are dropped as by `send`. One that is too large, or that
+        holds a number which no message can, is dropped and logged. Must be
+        called on the control loop.
         """
-        envelope = self._pack(record)
+        try:
+            envelope = self._pack(record)
+        except PeerMessageError as error:
+            _LOG.error("peer_message_dropped", extra={"error": str(error)})
+            return
         for address in addresses:
             self._count_sent(envelope)
             self._enqueue(address, envelope)
@@ -273,7 +278,13 @@
             await stream.send_message(envelope)
 
     def _pack(self, record):
-        body = msgspec.msgpack.encode(record, enc_hook=encode_hook)
+        try:
+            body = msgspec.msgpack.encode(record, enc_hook=encode_hook)
+        except (OverflowError, UnicodeEncodeError) as error:
+            raise PeerMessageError(
+                f"a {type(record).__name__} cannot be encoded ({error})",
+                "send only numbers of 64 bits and valid text",
+            ) from None
         if len(body) > MAX_MESSAGE_BYTES:
             raise PeerMessageError(
                 f"message has {len(body)} bytes, limit is {MAX_MESSAGE_BYTES}",
--- a/apricotseam/peers/tests/test_transport.py
+++ b/apricotseam/peers/tests/test_transport.py
@@ -92,6 +92,30 @@
         first.ask(address, Text("a"))
 
 
+class Number(msgspec.Struct):
+    """Message with a number."""
+
+    value: int
+
+
+@pytest.mark.parametrize(
+    "message",
+    [Text("x" * (MAX_MESSAGE_BYTES + 1)), Number(1 << 64), Number(-(1 << 64))],
+    ids=["too large", "number too large", "number too small"],
+)
+def test_message_that_cannot_be_sent_is_dropped(pair, message):
+    """Guards against components that fail on what they tell others."""
+    loop, first, second, received, arrived = pair
+
+    async def send():
+        first.send(second.address, message)
+        first.send(second.address, Text("next"))
+
+    loop.run(send())
+    assert arrived.wait(10)
+    assert received == [(first.address, "next")]
+
+
 def test_message_over_the_bound_is_not_sent(pair):
     _, first, second, received, _ = pair
     with pytest.raises(PeerMessageError):
