Send a request on each connection once at most

Cause: a refusal that blames another target of a chain leaves the head of the chain as it is, so that the next attempt may go to the same head, on the same kept connection. A faulty target that writes the earlier refusal once more has it taken for the answer to the new attempt, as the identifier is the right one.

Change: a call remembers the connections on which it was sent, and the pool gives it others. For other requests the identifier tells, as before.

Looked for elsewhere: a plain target that has refused a request is not asked again by it; a host asks each other host once; extra bytes on an idle connection close it, and an answer with another identifier, or none, ends the attempt as one that may have run.

--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -41,6 +41,7 @@
 
     __slots__ = (
         "attempts",
+        "connections",
         "customer",
         "deadline",
         "demand_key",
@@ -137,6 +138,8 @@
         # Incarnations of the targets that failed this request. A process that
         # has started since under the same identity may be tried.
         self.failed_targets = set()
+        # Connections on which it was sent to targets.
+        self.connections = set()
         # Outcome of each attempt, as ``target:outcome``, for the log.
         self.send_outcomes = []
 
--- a/apricotseam/forwarding/_sender.py
+++ b/apricotseam/forwarding/_sender.py
@@ -50,8 +50,14 @@
             )
         max_idle = None if call.route.is_repeatable else SAFE_IDLE_SECONDS
         deadline = min(call.deadline, loop.time() + CONNECT_TIMEOUT_SECONDS)
+        # A target may write an answer to the request once more; on a
+        # connection of an earlier attempt it would pass for the new answer.
         connection = await self._context.pool.acquire(
-            target.incarnation, target.address, deadline, max_idle
+            target.incarnation,
+            target.address,
+            deadline,
+            max_idle,
+            call.connections,
         )
         if self._context.quarantine_gate.stops(call):
             connection.close()
@@ -73,6 +79,7 @@
     def send(self, call, connection, choice, last_event=None):
         """Send the request of a call to the head of a `Choice`."""
         call.sends += 1
+        call.connections.add(connection)
         if choice.head.is_limited:
             attempt = "first" if call.attempts <= 1 else "further"
             self._context.metrics.limited_sends.labels(attempt).inc()
--- a/apricotseam/forwarding/tests/test_announcements.py
+++ b/apricotseam/forwarding/tests/test_announcements.py
@@ -71,6 +71,7 @@
         metadata=metadata,
         service=service,
         failed_targets=set(),
+        connections=set(),
         load=NO_FEATURES,
         route=types.SimpleNamespace(is_repeatable=True),
         deadline=1e9,
@@ -327,7 +328,9 @@
         self.action = action
         self.is_closed = False
 
-    async def acquire(self, key, address, deadline, max_idle=None):
+    async def acquire(
+        self, key, address, deadline, max_idle=None, excluded=()
+    ):
         """Return a connection after the action."""
         await asyncio.sleep(0)
         self.action()
--- a/apricotseam/http1/_pool.py
+++ b/apricotseam/http1/_pool.py
@@ -36,7 +36,9 @@
         self._idle = collections.defaultdict(list)
         self.opened = 0
 
-    async def acquire(self, key, address, deadline, max_idle=None):
+    async def acquire(
+        self, key, address, deadline, max_idle=None, excluded=frozenset()
+    ):
         """Return an idle connection to a server or open a new one.
 
         Parameters
@@ -52,6 +54,8 @@
         max_idle : float, optional
             Longest time in seconds for which a reused connection may have
             been idle; unlimited by default.
+        excluded : collection of Connection, optional
+            Connections that are not to be used; they stay in the pool.
 
         Returns
         -------
@@ -63,9 +67,9 @@
             If no connection could be opened.
         """
         now = asyncio.get_running_loop().time()
-        idle = self._idle.get(key)
-        while idle:
-            connection = idle.pop()
+        idle = self._idle.get(key, ())
+        for connection in [c for c in reversed(idle) if c not in excluded]:
+            idle.remove(connection)
             is_fresh = max_idle is None or (
                 now - connection.idle_since <= max_idle
             )
--- a/measure/emulator/_network.py
+++ b/measure/emulator/_network.py
@@ -88,7 +88,9 @@
         self._host = host
         self._on_response = on_response
 
-    async def acquire(self, key, address, deadline, max_idle=None):
+    async def acquire(
+        self, key, address, deadline, max_idle=None, excluded=()
+    ):
         """Return a connection to a target.
 
         Raises
