Give an answer up whose events contain the head of another one

Cause: a stream without a length ends with its connection, and one in chunks holds what its target puts there; so a refusal that a faulty target writes once more becomes part of an event, whose number is the expected one. Only where an event ends was looked at.

Change: an event with the status line of a response is malformed, and the attempt ends as one whose answer broke off; the stream goes on elsewhere or is cut. Lines of data may say what they like. The number of an event is read as those of headers are: one of 5,000 digits raised ValueError.

--- a/apricotseam/http1/_sse.py
+++ b/apricotseam/http1/_sse.py
@@ -1,10 +1,15 @@
 """Splits a byte stream into server-sent events."""
 
+import re
+
+from apricotseam.decoding import parse_count
 from apricotseam.http1._errors import MalformedAnswerError
 
 # A longer event is given up; those of targets hold a few tokens.
 MAX_EVENT_BYTES = 1 << 20
 END_OF_EVENT = b"\n\n"
+# First line of the head of another response.
+_STATUS_LINE = re.compile(rb"^HTTP/[0-9.]+ [0-9]{3}", re.MULTILINE)
 
 
 class Event:
@@ -15,7 +20,8 @@
     data : bytes
         Bytes of the event, including the blank line that ends it.
     number : int or None
-        Value of the ``id`` field; None if it is missing or no integer.
+        Value of the ``id`` field; None if it is missing or no integer of at
+        most 18 digits.
     """
 
     __slots__ = ("data", "number")
@@ -53,7 +59,8 @@
         Raises
         ------
         MalformedAnswerError
-            If the incomplete event is longer than `MAX_EVENT_BYTES`.
+            If the incomplete event is longer than `MAX_EVENT_BYTES`, or a
+            complete one contains the head of another response.
         """
         buffered = self._incomplete
         # What was searched before can only hold the start of the end.
@@ -64,6 +71,11 @@
         while (end := buffered.find(END_OF_EVENT, searched)) >= 0:
             searched = end + len(END_OF_EVENT)
             event_bytes = bytes(buffered[start:searched])
+            if _STATUS_LINE.search(event_bytes):
+                raise MalformedAnswerError(
+                    "an event contains the head of another response",
+                    "repeat the request if it can be resumed",
+                )
             events.append(Event(event_bytes, _event_id(event_bytes)))
             start = searched
         del buffered[:start]
@@ -78,6 +90,5 @@
 def _event_id(event_bytes):
     for line in event_bytes.split(b"\n"):
         if line.startswith(b"id:"):
-            value = line[3:].strip()
-            return int(value) if value.isdigit() else None
+            return parse_count(line[3:].strip().decode("latin-1"))
     return None
