Let an answer go on with a stream only by a numbered event

Cause: an event without a number was taken as one that the caller has not got yet, whichever attempt it came from. So any bytes with a blank line passed for an event of a resumed stream, in answers of targets as in those of hosts that a request was passed on to.

Change: where an answer goes on after an earlier event, the first event of it must have a number, else the answer is malformed and the attempt counts as broken off. Later events without a number are passed on as before, and so are all of a stream's first answer.

Statuses other than 200, unsigned answers and parts of events were cut before, too.

--- a/apricotseam/forwarding/_event_writer.py
+++ b/apricotseam/forwarding/_event_writer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from apricotseam.http1 import MalformedAnswerError
 from apricotseam.platform import returned_headers
 
 
@@ -16,17 +17,40 @@
         The request.
     """
 
-    __slots__ = ("_call", "_context")
+    __slots__ = ("_call", "_context", "_must_be_numbered")
 
     def __init__(self, context, call):
         self._context = context
         self._call = call
+        # Whether the next event has to show where an answer goes on.
+        self._must_be_numbered = False
+
+    def begin(self):
+        """Prepare for the events of another answer.
+
+        If it goes on after an earlier event, its first one must have a
+        number; otherwise it may be the text of an error.
+        """
+        self._must_be_numbered = self._call.last_event is not None
 
     def accept(self, event):
-        """Return whether the caller has not received an event yet."""
+        """Return whether the caller has not received an event yet.
+
+        Raises
+        ------
+        MalformedAnswerError
+            If the event doesn't show that the answer goes on.
+        """
         call = self._call
         if event.number is None:
+            if self._must_be_numbered:
+                raise MalformedAnswerError(
+                    "an answer that should go on with a stream begins without"
+                    " the number of an event",
+                    "repeat the request if it can be resumed",
+                )
             return True
+        self._must_be_numbered = False
         if call.last_event is not None and event.number <= call.last_event:
             return False
         call.last_event = event.number
--- a/apricotseam/forwarding/_relay.py
+++ b/apricotseam/forwarding/_relay.py
@@ -300,6 +300,7 @@
     async def _relay_events(self, connection, answer):
         """Pass events on as they arrive, each once and in order."""
         splitter = EventSplitter()
+        self._writer.begin()
         while data := await self._read(connection.read):
             for event in splitter.feed(data):
                 if self._writer.accept(event):
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -285,6 +285,7 @@
         answer = self._answer
         exchange = self._call.exchange
         splitter = EventSplitter()
+        self._writer.begin()
         while data:
             events = splitter.feed(data)
             if events:
