Cut a stream that broke off after an event without a number

A stream of a resumable route broke off after events that had no number. The next target was asked to start again, as nothing said where to go on, and callers got the events twice (a play: both rows of the new test without numbers failed). Such a call may not run again once the caller has an event that nothing tells from a repeated one; comments don't count.

--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -67,6 +67,7 @@
         "table",
         "failed_answer",
         "failed_targets",
+        "has_unnumbered_events",
         "_place",
         "traits",
         "waited_seconds",
@@ -138,6 +139,8 @@
         # Incarnations of the targets that failed this request. A process that
         # has started since under the same identity may be tried.
         self.failed_targets = set()
+        # Whether the caller got events that nothing tells from repeated ones.
+        self.has_unnumbered_events = False
         # Connections on which it was sent to targets.
         self.connections = set()
         # Outcome of each attempt, as ``target:outcome``, for the log.
@@ -172,7 +175,12 @@
 
     @property
     def may_run_again(self):
-        """Whether the route permits another run after those so far."""
+        """Whether another run is permitted after those so far.
+
+        The route has to permit it, and no event may come twice by it.
+        """
+        if self.has_unnumbered_events:
+            return False
         route = self.route
         return route.is_repeatable and self.runs < route.max_attempts
 
--- a/apricotseam/forwarding/_event_writer.py
+++ b/apricotseam/forwarding/_event_writer.py
@@ -5,6 +5,9 @@
 from apricotseam.http1 import MalformedAnswerError
 from apricotseam.platform import returned_headers
 
+# Start of a comment, which keeps a connection open.
+COMMENT = b":"
+
 
 class EventWriter:
     """Writes events of one call, whichever attempt they come from.
@@ -70,6 +73,8 @@
         if not call.exchange.is_started:
             self.start(answer)
             self._record_first_event()
+        if event.number is None and not event.data.startswith(COMMENT):
+            call.has_unnumbered_events = True
         await call.exchange.write(event.data, call.deadline)
         call.progress_at = asyncio.get_running_loop().time()
 
--- a/apricotseam/node/tests/test_stream_breaks.py
+++ b/apricotseam/node/tests/test_stream_breaks.py
@@ -215,3 +215,30 @@
     assert body.startswith(b"".join(EVENTS[:SENT]))
     assert is_found_whole is is_whole
     assert not is_whole or body == WHOLE
+
+
+# Description, events of the first target before it breaks off, and whether
+# the stream may go on at another target.
+FIRST_EVENTS = [
+    ("numbered", EVENTS[:SENT], True),
+    ("a comment", [b": comment\n\n"], True),
+    ("without numbers", [b"data: t1\n\n", b"data: t2\n\n"], False),
+    ("the last without a number", [EVENTS[0], b"data: x\n\n"], False),
+]
+
+
+@pytest.mark.parametrize(
+    ("parts", "may_go_on"),
+    [case[1:] for case in FIRST_EVENTS],
+    ids=[case[0] for case in FIRST_EVENTS],
+)
+def test_stream_whose_events_have_no_numbers(parts, may_go_on):
+    """Guards against events that come twice as nothing tells them apart."""
+    first = RawTarget("first", "200 OK", parts, is_cut=True)
+    following = RawTarget("next", "200 OK", EVENTS)
+    _, body, is_whole, requests = play(first, following)
+    assert body.startswith(b"".join(parts))
+    assert is_whole is may_go_on
+    assert requests == may_go_on
+    if not may_go_on:
+        assert body == b"".join(parts)
