Close a second attempt once the first one has ended

If a target was silent between the last event of a stream and the end of its answer, a second attempt was begun beside it. When the first one then ended, the second was left as it was; once it got its first data, nothing ever closed it, and its room stayed booked at this host and, by its reports, at all others. It is closed now.

Evidence: a play in which the second attempt gets its answer after the end; its request was still booked 1.8 s after it on the former code, and is not now.

--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -216,6 +216,7 @@
         if is_incomplete and await self._is_second_ready():
             self._is_replaced = True
             return await self._second.attempt.continue_run()
+        self._drop_second()
         if error is not None:
             raise error
         return failure
--- a/apricotseam/node/tests/test_stream_breaks.py
+++ b/apricotseam/node/tests/test_stream_breaks.py
@@ -26,6 +26,8 @@
     b"Apricotseam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 )
 TIMEOUT_SECONDS = 5.0
+# Silence after which hosts have started a second attempt.
+END_SECONDS = 1.8
 
 
 class RawTarget:
@@ -54,7 +56,8 @@
         self._server = None
         self._writers = []
         self.requests = 0
-        # Awaited before the connection ends.
+        # Awaited before the answer begins, and before it ends.
+        self.before_begin = None
         self.before_end = None
 
     async def start(self):
@@ -82,14 +85,16 @@
             id=fields["apricotseam-request-id"],
             signature=self._signature,
         )
+        if self.before_begin is not None:
+            await self.before_begin()
         writer.write(text.encode())
         for part in self._parts:
             writer.write(b"%x\r\n%b\r\n" % (len(part), part))
+        if self.before_end is not None:
+            await self.before_end()
         if not self._is_cut:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
-        if self.before_end is not None:
-            await self.before_end()
         writer.close()
         with contextlib.suppress(ConnectionError):
             await writer.wait_closed()
@@ -242,3 +247,39 @@
     assert requests == may_go_on
     if not may_go_on:
         assert body == b"".join(parts)
+
+
+def test_second_attempt_that_answers_after_the_end():
+    """Guards against room that stays booked for an attempt without a use."""
+
+    async def scenario(platform):
+        for target in platform.plain_targets:
+            platform.store.remove(target)
+        first = RawTarget("first", "200 OK", EVENTS)
+        following = RawTarget("next", "200 OK", EVENTS)
+        first.before_end = lambda: asyncio.sleep(END_SECONDS)
+        following.before_begin = lambda: asyncio.sleep(END_SECONDS / 2)
+        following.before_end = lambda: asyncio.sleep(TIMEOUT_SECONDS)
+        node = platform.nodes[0]
+        fleet = node.forwarding.fleet
+        await first.start()
+        await following.start()
+        platform.register(first.entry)
+        await platform.wait_until(lambda: len(fleet) == 3)
+        reading = asyncio.create_task(
+            read_answer(platform.settings[0].callers_address)
+        )
+        await platform.wait_until(lambda: first.requests)
+        platform.register(following.entry)
+        answer = await reading
+        # The second attempt gets its answer meanwhile.
+        await asyncio.sleep(END_SECONDS)
+        booked = node.forwarding.ledger.running("next")
+        first.stop()
+        following.stop()
+        return answer, following.requests, booked
+
+    answer, requests, booked = run(scenario)
+    assert answer == (200, WHOLE, True)
+    assert requests == 1
+    assert not booked
