Take a comment at the begin of a resumed stream for what it is

The check that a resumed stream begins with a numbered event refused sound answers, too, whose first event is a comment that keeps the connection open. Comments are passed on now and don't count.

--- a/apricotseam/forwarding/_event_writer.py
+++ b/apricotseam/forwarding/_event_writer.py
@@ -31,8 +31,8 @@
     def begin(self):
         """Prepare for the events of another answer.
 
-        If it goes on after an earlier event, its first one must have a
-        number; otherwise it may be the text of an error.
+        If it goes on after an earlier event, its first one that is no comment
+        must have a number; otherwise it may be the text of an error.
         """
         self._must_be_numbered = self._call.last_event is not None
 
@@ -46,7 +46,7 @@
         """
         call = self._call
         if event.number is None:
-            if self._must_be_numbered:
+            if self._must_be_numbered and not _is_comment(event):
                 raise MalformedAnswerError(
                     "an answer that should go on with a stream begins without"
                     " the number of an event",
@@ -73,7 +73,7 @@
         if not call.exchange.is_started:
             self.start(answer)
             self._record_first_event()
-        if event.number is None and not event.data.startswith(COMMENT):
+        if event.number is None and not _is_comment(event):
             call.has_unnumbered_events = True
         await call.exchange.write(event.data, call.deadline)
         call.progress_at = asyncio.get_running_loop().time()
@@ -91,3 +91,7 @@
         kind = call.route.repeat.value
         seconds = now - call.request.received_at
         self._context.metrics.first_byte.labels(kind).observe(seconds)
+
+
+def _is_comment(event):
+    return event.data.startswith(COMMENT)
--- a/apricotseam/node/tests/test_stream_breaks.py
+++ b/apricotseam/node/tests/test_stream_breaks.py
@@ -249,6 +249,16 @@
         assert body == b"".join(parts)
 
 
+def test_answer_after_a_break_that_begins_with_a_comment():
+    """Guards against sound answers that are taken for errors."""
+    first = RawTarget("first", *BREAK[0], **BREAK[1])
+    comment = b": here\n\n"
+    following = RawTarget("next", "200 OK", [comment, *EVENTS[SENT:]])
+    status, body, is_whole, _ = play(first, following)
+    assert (status, is_whole) == (200, True)
+    assert body.replace(comment, b"") == WHOLE
+
+
 def test_second_attempt_that_answers_after_the_end():
     """Guards against room that stays booked for an attempt without a use."""
 
