Ask for the end of a process whatever is known of the target

Cause: an answer with neither length nor chunks is complete if the process of its target goes on. That was asked of the probes that serve other purposes: with none left in their limit, or for a target known as silent, no probe was sent, and nothing said that the process had ended.

Change: the end of such an answer asks by a connection of its own, whatever is known. A refused connection counts as the end of the process, and as evidence for the quarantine, as a refused probe did.

--- a/apricotseam/forwarding/_answer_end.py
+++ b/apricotseam/forwarding/_answer_end.py
@@ -13,7 +13,7 @@
     Parameters
     ----------
     prober : TargetProber
-        Probes the target.
+        Tells whether the target's process has ended.
     answer : ResponseHead
         Head of the answer.
     target : Target
@@ -26,9 +26,7 @@
     """
     if answer.has_framing:
         return
-    prober.forget(target)
-    await prober.find_unresponsive([target])
-    if target.health.refuses_connections:
+    if await prober.has_ended(target):
         raise LostConnectionError(
             f"{target.address} ended an answer without length together with"
             " its process",
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -97,6 +97,31 @@
             if not is_responsive
         ]
 
+    async def has_ended(self, target):
+        """Return whether a target's process has ended, as far as can be told.
+
+        It is asked by a connection of its own, whatever is known of it and
+        also if the rate limit permits no probe, as the end of an answer
+        depends on it. A target that does not answer in time may go on.
+
+        Parameters
+        ----------
+        target : Target
+            The target; if its process has ended, it counts as silent.
+        """
+        if target.is_replaced:
+            return True
+        deadline = self._now() + PROBE_TIMEOUT_SECONDS
+        try:
+            await self._connect(target, deadline)
+        except RefusedConnectionError as error:
+            target.health.record_contact_failure(self._now(), True, True)
+            self.record_no_connection(target, error)
+            return True
+        except TransportError:
+            return False
+        return False
+
     def record_no_connection(self, target, error):
         """Record that no connection to a target could be opened.
 
--- a/apricotseam/node/tests/test_unframed.py
+++ b/apricotseam/node/tests/test_unframed.py
@@ -41,6 +41,7 @@
         self.entry = TargetStandIn("raw", free_address())
         self.other = TargetStandIn("other", free_address())
         self.requests = 0
+        self.before_answer = lambda: None
 
     async def start(self, platform):
         """Listen; the other target is registered with the first request."""
@@ -65,6 +66,7 @@
         head = await reader.readuntil(b"\r\n\r\n")
         self.requests += 1
         await self._register(self.other)
+        self.before_answer()
         fields = dict(
             line.split(b": ", 1)
             for line in head.lower().split(b"\r\n")[1:]
@@ -108,6 +110,41 @@
 ]
 
 
+# What hosts know of the target as its answer ends.
+KNOWN = ["no probe permitted", "silent", "answered before"]
+
+
+@pytest.mark.parametrize("known", KNOWN)
+@pytest.mark.parametrize("ending", ["lives", "ends"])
+def test_end_of_an_answer_whatever_is_known_of_the_target(known, ending):
+    """Guards against parts of answers that are delivered as complete."""
+
+    async def scenario(platform):
+        target = UnframedTarget(b"half", ending)
+        await target.start(platform)
+        context = platform.nodes[0].forwarding
+        prober = context.prober
+        raw = context.fleet.get("raw")
+
+        def know():
+            if known == "no probe permitted":
+                prober._acquire_probe = lambda: False
+            elif known == "silent":
+                raw.health.mark_unreachable(asyncio.get_running_loop().time())
+            else:
+                prober._responsive_until[raw.incarnation] = float("inf")
+
+        target.before_answer = know
+        try:
+            status, _, received = await platform.send_request("/read/x")
+        finally:
+            target.stop()
+        return status, received
+
+    expected = b"half" if ending == "lives" else b"answer"
+    assert run(scenario, plain_targets=0) == (200, expected)
+
+
 # Guards against answers that are broken off by the end of a process and
 # reach the caller as complete.
 @pytest.mark.parametrize(
