Log why a trait under which targets ended is not held back

Logs told ends and holds, not what disproved ends, what was dropped for want of room and how many ends counted as one. Three events and a gauge tell it.

--- a/apricotseam/forwarding/_metrics.py
+++ b/apricotseam/forwarding/_metrics.py
@@ -75,6 +75,10 @@
             "apricotseam_quarantined_traits",
             "Traits of requests that are held back.",
         )
+        self._dropped_traits = gauge(
+            "apricotseam_quarantine_dropped_traits",
+            "Traits whose evidence was dropped for want of room so far.",
+        )
         self.relayed = counter(
             "apricotseam_relayed",
             "Requests passed on to other hosts, by outcome.",
@@ -158,6 +162,7 @@
     def watch_quarantine(self, quarantine):
         """Show how many traits a `Quarantine` holds back."""
         self._held_traits.set_function(lambda: len(quarantine.held))
+        self._dropped_traits.set_function(lambda: quarantine.dropped)
 
     def watch_fleet(self, fleet, now):
         """Show how many targets of a `Fleet` this host reaches.
--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -24,6 +24,8 @@
 # Traits with evidence, in total and of the requests of one customer.
 MAX_TRAITS = 1024
 MAX_CUSTOMER_TRAITS = 64
+# Dropped evidence is logged no more often than this.
+DROP_LOG_PERIOD_SECONDS = 1.0
 # Processes whose ends are compared in time.
 MAX_PROCESSES = 256
 
@@ -64,6 +66,9 @@
         self._begun = set()
         # Number of changes that peers should know.
         self.changes = 0
+        # Number of traits whose evidence was dropped for want of room.
+        self.dropped = 0
+        self._drop_logged_at = NEVER
         # Called when a trait begins or ends to be held back.
         self.on_hold_change = lambda: None
 
@@ -119,7 +124,11 @@
         for trait in traits:
             self._sound.record(trait, customer, now)
             evidence = self._evidence.get(trait)
-            if evidence is not None and evidence.add_sound(now, now):
+            if evidence is None:
+                continue
+            known_ends = len(evidence.ends)
+            if evidence.add_sound(now, now):
+                _log_disproof(trait, known_ends, evidence)
                 self._decide(trait, evidence, "requests were answered")
 
     def merge(self, trait, ends=(), sound_at=NEVER, seen_at=NEVER):
@@ -232,6 +241,8 @@
             evidence.changed_at = self._now()
             self._log_hold(trait, evidence)
             self.on_hold_change()
+        elif len(evidence.ends) >= hold_rule(trait).min_ends:
+            self._log_passage(trait, evidence)
 
     def _note_process(self, end):
         known = self._ended_at.get(end.process)
@@ -253,14 +264,43 @@
             if not e.is_held and e.customers <= customers and e is not evidence
         ]
         if len(same) >= MAX_CUSTOMER_TRAITS:
-            del self._evidence[same[0]]
+            self._drop(same[0])
         if len(self._evidence) > MAX_TRAITS:
             self._drop_oldest()
 
     def _drop_oldest(self):
         """Drop the oldest trait that is not held back, else the oldest."""
         free = (t for t, e in self._evidence.items() if not e.is_held)
-        del self._evidence[next(free, next(iter(self._evidence)))]
+        self._drop(next(free, next(iter(self._evidence))))
+
+    def _drop(self, trait):
+        """Drop the evidence of a trait, for want of room."""
+        evidence = self._evidence.pop(trait)
+        self.dropped += 1
+        if self._now() < self._drop_logged_at + DROP_LOG_PERIOD_SECONDS:
+            return
+        self._drop_logged_at = self._now()
+        _LOG.info(
+            "quarantine_evidence_dropped",
+            extra={
+                "trait": trait,
+                "ends": len(evidence.ends),
+                "dropped": self.dropped,
+            },
+        )
+
+    def _log_passage(self, trait, evidence):
+        """Log why requests with a trait are not held back yet."""
+        _LOG.info(
+            "quarantine_not_begun",
+            extra={
+                "trait": trait,
+                "ends": len(evidence.ends),
+                "counted": self.end_count(evidence),
+                "required": _required_ends(trait, evidence),
+                "requests": evidence.request_count,
+            },
+        )
 
     def _log_hold(self, trait, evidence):
         now = self._now()
@@ -315,5 +355,19 @@
     return item[1]
 
 
+def _log_disproof(trait, known_ends, evidence):
+    """Log that a sound answer disproved ends under a trait."""
+    if known_ends < 2:
+        return
+    _LOG.info(
+        "quarantine_ends_disproved",
+        extra={
+            "trait": trait,
+            "ends": known_ends,
+            "left": len(evidence.ends),
+        },
+    )
+
+
 def _log_release(trait, cause):
     _LOG.warning("quarantine_ended", extra={"trait": trait, "cause": cause})
