Take only complete answers of targets that live on as sound

Cause: a sign of soundness was taken from an answer that was not complete, or that stated a failure, and freed a request from all ends before. A stream that had written for 1 s counted as sound, and its end at 1.4 s not as an end; a 502 that a target sent as it ended counted as sound. Besides, the end of a process was not seen if its successor's entry came before the break was recorded, nor while this host took its links for lost although targets refused connections.

Change: only complete answers with a status below 500, of targets that live on for 1 s, are sound. One that began after the first end disproves all ends, one that began earlier only those before it. A stream may end its target up to 5 s after its first event; a failure counts as an end if its target was not heard again. A replaced or refusing target has ended.

--- a/apricotseam/fleet/_target.py
+++ b/apricotseam/fleet/_target.py
@@ -139,6 +139,16 @@
         """Whether the target leaves, by its own word or by its record."""
         return self.record.is_draining or self.announcements.is_leaving
 
+    @property
+    def has_ended(self):
+        """Whether its process is known to have ended, without having left.
+
+        Nothing listens at its address, or another process has its identity.
+        """
+        if self.health.refuses_connections:
+            return True
+        return self.is_replaced and not self.is_draining
+
     def may_send(self, now):
         """Return whether this host may send a new request at present."""
         return self.accepts_requests and not self.is_resting(now)
--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -188,8 +188,7 @@
             self._sender.send(call, connection, choice)
             call.runs += 1
             result = await self._read_answer(connection, target)
-            if result.was_run:
-                self._context.target_ends.record_survival(call)
+            self._record_harm(target, result, started_at)
             if result.is_final and result.answer.status < 500:
                 target.health.record_success(loop.time() - started_at)
             connection = None
@@ -201,12 +200,14 @@
             prober = self._context.prober
             if not await prober.reach.check_after_failure(target):
                 prober.record_no_connection(target, error)
+            self._context.target_ends.confirm_end(target)
             call.record_outcome(target.identity, "no_connection")
             return _AttemptResult(was_run=False)
         except TransportError as error:
             broken_at = loop.time()
             await self._context.prober.find_unresponsive([target])
-            if not self._context.prober.reach.is_lost(call.service.name):
+            is_lost = self._context.prober.reach.is_lost(call.service.name)
+            if target.has_ended or not is_lost:
                 self._context.target_ends.record_broken(
                     call, [target], AttemptTimes(started_at), broken_at
                 )
@@ -215,6 +216,18 @@
             if connection is not None:
                 connection.close()
 
+    def _record_harm(self, target, result, started_at):
+        """Record whether a request that was run may end its target."""
+        if not result.was_run:
+            return
+        target_ends = self._context.target_ends
+        if result.is_final:
+            target_ends.record_success(self._call, [target], started_at)
+        else:
+            target_ends.record_failure(
+                self._call, target, AttemptTimes(started_at, has_head=True)
+            )
+
     async def _read_answer(self, connection, target):
         call = self._call
         answer, metadata = await self._sender.read_head(
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -115,7 +115,6 @@
         try:
             await self._connect(target, deadline)
         except RefusedConnectionError as error:
-            target.health.record_contact_failure(self._now(), True, True)
             self.record_no_connection(target, error)
             return True
         except TransportError:
@@ -133,7 +132,10 @@
             Why not.
         """
         was_silent = target.health.is_silent
-        target.health.mark_unreachable(self._now())
+        now = self._now()
+        if isinstance(error, RefusedConnectionError):
+            target.health.record_contact_failure(now, True, True)
+        target.health.mark_unreachable(now)
         if not was_silent:
             _log_silent(target, error.code)
 
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -9,7 +9,6 @@
 from apricotseam.forwarding._replacement import ReplacementReserver
 from apricotseam.forwarding._second_attempt import SecondAttempt
 from apricotseam.forwarding._target_ends import AttemptTimes
-from apricotseam.forwarding._target_ends import SOUND_SECONDS
 from apricotseam.http1 import EventSplitter
 from apricotseam.http1 import InterruptedReadError
 from apricotseam.http1 import MalformedAnswerError
@@ -101,8 +100,6 @@
         # Loop time since which the present chain owes its first event; None
         # before the request was sent.
         self._awaited_since = None
-        # Whether the chain has written for long enough after that.
-        self._is_sound = False
         self._is_reading = False
         # Whether the first event on the present chain has come.
         self._is_begun = False
@@ -424,17 +421,9 @@
         if not self._writer.accept(event):
             return
         self._has_events = True
-        self._record_written()
-        await self._writer.write(answer, event)
-
-    def _record_written(self):
-        """Record an event, also as a sign that the request does no harm."""
-        now = asyncio.get_running_loop().time()
         if self._writing_since is None:
-            self._writing_since = now
-        if not self._is_sound and now - self._writing_since >= SOUND_SECONDS:
-            self._is_sound = True
-            self._context.target_ends.record_survival(self._call)
+            self._writing_since = asyncio.get_running_loop().time()
+        await self._writer.write(answer, event)
 
     async def _handle_silence(self):
         """Check a silent chain; reroute it or start a second attempt.
--- a/apricotseam/forwarding/_streams.py
+++ b/apricotseam/forwarding/_streams.py
@@ -268,13 +268,12 @@
             self._exclude(call, head, "no_connection")
             if not await self._context.prober.reach.check_after_failure(head):
                 self._context.prober.record_no_connection(head, error)
+            self._context.target_ends.confirm_end(head)
             return 502
         except TransportError as error:
             return await self._handle_broken_answer(call, attempt, error)
         if failure is not None:
-            return await self._handle_error_answer(
-                call, attempt.choice, *failure
-            )
+            return await self._handle_error_answer(call, attempt, *failure)
         if call.exchange.is_ended:
             self._record_success(call, attempt)
         return None
@@ -301,12 +300,18 @@
             for target in targets:
                 self._context.prober.forget(target)
             await self._context.prober.find_unresponsive(targets)
-        if self._context.prober.reach.is_lost(call.service.name):
-            # The break shows nothing about the targets.
-            return 504 if is_timeout else 502
+        is_lost = self._context.prober.reach.is_lost(call.service.name)
+        # Where this host reaches no target, the break itself shows nothing.
+        ended = [
+            target
+            for target in targets
+            if target.has_ended or (target is choice.head and not is_lost)
+        ]
         self._context.target_ends.record_broken(
-            call, [choice.head], attempt.times, broken_at
+            call, ended, attempt.times, broken_at
         )
+        if is_lost:
+            return 504 if is_timeout else 502
         now = asyncio.get_running_loop().time()
         suspects = [t for t in targets if t.health.is_suspect(now)]
         if suspects:
@@ -315,8 +320,11 @@
             self._record_failure(call, choice.head, error.code)
         return 504 if is_timeout else 502
 
-    async def _handle_error_answer(self, call, choice, answer, metadata, body):
+    async def _handle_error_answer(
+        self, call, attempt, answer, metadata, body
+    ):
         """Handle an answer that is not a stream; return the HTTP status."""
+        choice = attempt.choice
         at_fault = choice.target_at(metadata.failed_target) or choice.head
         if metadata.was_not_run:
             call.runs -= 1
@@ -329,6 +337,7 @@
                 at_fault.health.avoid(now + REFUSED_PAUSE_SECONDS)
             return 502
         self._record_failure(call, at_fault, str(answer.status))
+        self._context.target_ends.record_failure(call, at_fault, attempt.times)
         call.failed_answer = FailedAnswer(answer, body)
         return 502
 
--- a/apricotseam/forwarding/_target_ends.py
+++ b/apricotseam/forwarding/_target_ends.py
@@ -18,6 +18,10 @@
 MAX_BROKEN_ATTEMPTS = 32
 # A target that ends later than this after the first event of an answer has
 # survived its beginning, so that this request was not the cause.
+LATE_END_SECONDS = 5.0
+# A complete answer has done no harm if its target lives on for this long. A
+# request that was answered with a failure less than this before its target
+# was last heard may have ended it.
 SOUND_SECONDS = 1.0
 # Processes whose end is awaited, or whose end was counted already.
 MAX_PROCESSES = 256
@@ -48,7 +52,8 @@
     ``sent_at`` and ``at`` are the loop times in seconds at which it was sent
     and broke off. ``written_seconds`` is the time since the first event of
     the attempt, None if there was none. ``is_begun`` is whether the head of
-    the answer had arrived.
+    the answer had arrived, ``is_failure`` whether it was complete and stated
+    a failure, as a process may do that ends.
     """
 
     request_id: str
@@ -60,20 +65,27 @@
     at: float
     written_seconds: float | None
     is_begun: bool
+    is_failure: bool = False
 
-    @property
-    def may_be_cause(self):
-        """Whether its target had only just begun to answer it, or hadn't."""
+    def may_be_cause(self, target):
+        """Return whether it may have ended the process of a target.
+
+        The target had only just begun to answer it, or hadn't. After a
+        failure, nothing was heard of it for long.
+        """
+        if self.is_failure:
+            return target.health.last_contact_at < self.at + SOUND_SECONDS
         written = self.written_seconds
-        return written is None or written < SOUND_SECONDS
+        return written is None or written < LATE_END_SECONDS
 
 
 class TargetEndDetector:
     """Tells the end of a target's process from a broken connection.
 
     A process has ended if nothing listens at its address as its answer has
-    just broken off, or if its entry disappears soon afterwards. A reset
-    connection or a silent target alone shows nothing.
+    just broken off, or if its entry disappears or names another process soon
+    before or afterwards. A reset connection or a silent target alone shows
+    nothing.
 
     Parameters
     ----------
@@ -106,27 +118,37 @@
         """
         now = asyncio.get_running_loop().time()
         at = now if broken_at is None else broken_at
-        broken = BrokenAttempt(
-            request_id=call.request_id,
-            digest=call.digest,
-            request_key=_short_key(call.retry_key or call.request_id),
-            customer=call.customer,
-            traits=call.traits,
-            sent_at=attempt.sent_at,
-            at=at,
-            written_seconds=attempt.written_seconds(at),
-            is_begun=attempt.has_head,
-        )
+        broken = _make_broken(call, attempt, at)
         for target in targets:
             self._add(target.incarnation, broken)
-            if target.health.refuses_connections:
-                self._confirm(target, now)
+            self.confirm_end(target)
+
+    def record_failure(self, call, target, attempt):
+        """Record that a request was run and answered with a failure.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        target : Target
+            The target that ran it.
+        attempt : AttemptTimes
+            When the attempt was sent, and began to answer.
+        """
+        now = asyncio.get_running_loop().time()
+        broken = _make_broken(call, attempt, now, is_failure=True)
+        self._add(target.incarnation, broken)
+
+    def confirm_end(self, target):
+        """Record the end of a process, if it is known to have ended."""
+        if target.has_ended:
+            self._confirm(target, asyncio.get_running_loop().time())
 
-    def record_success(self, call, targets, writing_since):
+    def record_success(self, call, targets, began_at):
         """Record that a request was answered completely.
 
-        It does no harm if its targets live on for a while, since a short
-        answer may be complete before its target ends.
+        It does no harm if its targets live on for a while, since an answer
+        may be complete before its target ends.
 
         Parameters
         ----------
@@ -134,27 +156,30 @@
             The request.
         targets : list of Target
             Targets of its chain.
-        writing_since : float or None
-            Loop time in seconds of the attempt's first event.
+        began_at : float or None
+            Loop time in seconds at which the answer began; now if None.
         """
         loop = asyncio.get_running_loop()
-        since = loop.time() if writing_since is None else writing_since
+        now = loop.time()
+        for target in targets:
+            target.health.record_contact(now)
         loop.call_at(
-            since + SOUND_SECONDS, self._acquit_if_alive, call, targets, since
+            now + SOUND_SECONDS,
+            self._acquit_if_alive,
+            call,
+            targets,
+            now if began_at is None else began_at,
+            now,
         )
 
-    def record_survival(self, call):
-        """Record that a request is being answered for a while already."""
-        self._quarantine.record_sound(call.traits, call.customer)
-
     def record_removal(self, target):
         """Record that the entry of a target has disappeared."""
         if not target.is_draining:
             self._confirm(target, asyncio.get_running_loop().time())
 
-    def _acquit_if_alive(self, call, targets, since):
-        if all(self._seems_alive(target, since) for target in targets):
-            self.record_survival(call)
+    def _acquit_if_alive(self, call, targets, began_at, ended_at):
+        if all(self._seems_alive(target, ended_at) for target in targets):
+            self._quarantine.record_sound(call.traits, call.customer, began_at)
 
     def _seems_alive(self, target, since):
         """Return whether nothing speaks for an end since a loop time."""
@@ -163,7 +188,7 @@
         if target.incarnation in self._ended:
             return False
         broken = self._broken.get(target.incarnation, ())
-        return all(attempt.at < since for attempt in broken)
+        return all(a.at < since or a.is_failure for a in broken)
 
     def _add(self, incarnation, broken):
         attempts = self._broken.setdefault(
@@ -187,7 +212,7 @@
                 self._ended.popitem(last=False)
         for broken in recent:
             _log_end(target, broken)
-            if broken.may_be_cause:
+            if broken.may_be_cause(target):
                 self._quarantine.record_end(
                     broken.traits,
                     TargetEnd(
@@ -218,5 +243,20 @@
     )
 
 
+def _make_broken(call, attempt, at, is_failure=False):
+    return BrokenAttempt(
+        request_id=call.request_id,
+        digest=call.digest,
+        request_key=_short_key(call.retry_key or call.request_id),
+        customer=call.customer,
+        traits=call.traits,
+        sent_at=attempt.sent_at,
+        at=at,
+        written_seconds=attempt.written_seconds(at),
+        is_begun=attempt.has_head,
+        is_failure=is_failure,
+    )
+
+
 def _short_key(text):
     return hashlib.blake2b(text.encode(), digest_size=6).hexdigest()
--- a/apricotseam/forwarding/tests/test_target_ends.py
+++ b/apricotseam/forwarding/tests/test_target_ends.py
@@ -68,6 +68,90 @@
     assert traits == (list(CALL.traits) if expected else [])
 
 
+# Description, time since the first event in seconds, expected ends.
+AGES = [("just begun", 0.1, 1), ("1.4 s of events", 1.4, 1), ("long", 9.0, 0)]
+
+
+# Guards against targets that end some time after the first event of a stream.
+@pytest.mark.parametrize(
+    ("age", "expected"), [case[1:] for case in AGES], ids=[c[0] for c in AGES]
+)
+def test_stream_may_end_its_target_some_time_after_it_began(age, expected):
+    assert len(ends_after(lambda detector, target: None, age)) == expected
+
+
+def ends_after(step, age=0.1, record=None):
+    """Return traits with ends after a stream broke off and a step."""
+    quarantine = Quarantine(lambda: 0.0)
+    registry = prometheus_client.CollectorRegistry()
+    detector = TargetEndDetector(RequestMetrics(registry), quarantine)
+    target = make_target()
+
+    async def scenario():
+        now = asyncio.get_running_loop().time()
+        times = AttemptTimes(now - age, now - age, has_head=True)
+        if record is not None:
+            record(detector, target, times)
+        step(detector, target)
+        if record is None:
+            target.health.record_contact_failure(now, True, True)
+            detector.record_broken(CALL, [target], times)
+
+    asyncio.run(scenario())
+    ended = [t for t, evidence in quarantine.items() if evidence.ends]
+    return ended[:1]
+
+
+def make_target():
+    """Return a target of a plain service."""
+    return Target(
+        TargetRecord(identity="t", service="s", address="t:1", zone="a")
+    )
+
+
+def fail(detector, target, times):
+    """Record an answer that states a failure."""
+    detector.record_failure(CALL, target, times)
+
+
+def replace_first(detector, target, times):
+    """Break an answer off after the entry of the next process."""
+    target.is_replaced = True
+    detector.record_removal(target)
+    detector.record_broken(CALL, [target], times)
+
+
+def remove(detector, target):
+    """Remove the entry of a target."""
+    detector.record_removal(target)
+
+
+def answer_and_remove(detector, target):
+    """Let a target be heard long after a failure, then remove its entry."""
+    now = asyncio.get_running_loop().time()
+    target.health.record_contact(now + 2 * _target_ends.SOUND_SECONDS)
+    detector.record_removal(target)
+
+
+# Description, what is recorded of the request, what follows, expected ends.
+ENDS = [
+    ("502, then the entry disappears", fail, remove, 1),
+    ("502, and the target lives on", fail, answer_and_remove, 0),
+    ("another process was there before", replace_first, remove, 1),
+]
+
+
+# Guards against ends that are not counted, since the target answered with a
+# failure as it ended, or since its successor was known first.
+@pytest.mark.parametrize(
+    ("record", "step", "expected"),
+    [case[1:] for case in ENDS],
+    ids=[case[0] for case in ENDS],
+)
+def test_ends_beside_failures_and_replacements(record, step, expected):
+    assert len(ends_after(step, record=record)) == expected
+
+
 # Description, connections that were reset before the answer and after it,
 # whether the answer shows that the request does no harm.
 SUCCESSES = [
--- a/apricotseam/quarantine/_evidence.py
+++ b/apricotseam/quarantine/_evidence.py
@@ -35,7 +35,7 @@
     ends : dict of tuple to TargetEnd
         Ends under requests with the trait since `sound_at`, by process.
     sound_at : float
-        Time at which a request with the trait was last seen to do no harm.
+        Time until which ends are known to have another cause.
     seen_at : float
         Time of the last request with the trait that was held back.
     changed_at : float
@@ -83,10 +83,30 @@
         self.changed_at = now
         return True
 
-    def add_sound(self, at, now):
-        """Add that a request with the trait has done no harm until a time.
+    def add_answer(self, began_at, now):
+        """Add that a request with the trait was answered without harm.
+
+        What does harm always does it. An answer that began after the first
+        end therefore disproves all ends up to now. One that began earlier
+        says nothing about what came after its beginning.
+
+        Parameters
+        ----------
+        began_at : float
+            Time at which the answer began.
+        now : float
+            Current time.
+
+        Returns
+        -------
+        bool
+            Whether ends were disproved.
+        """
+        is_later = bool(self.ends) and self.first_at < began_at
+        return self.add_sound(now if is_later else began_at, now)
 
-        It disproves that the trait was the cause of ends before.
+    def add_sound(self, at, now):
+        """Add that all ends until a time have another cause.
 
         Returns
         -------
--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -118,16 +118,27 @@
         for trait in traits:
             self.merge(trait, [end])
 
-    def record_sound(self, traits, customer):
-        """Record that a request was answered, or is being, without harm."""
+    def record_sound(self, traits, customer, began_at=None):
+        """Record that a request was answered completely and without harm.
+
+        Parameters
+        ----------
+        traits : iterable of str
+            Traits of the request.
+        customer : str
+            Customer that sent it.
+        began_at : float, optional
+            Time at which the answer began; now by default.
+        """
         now = self._now()
+        began_at = now if began_at is None else began_at
         for trait in traits:
-            self._sound.record(trait, customer, now)
+            self._sound.record(trait, customer, began_at)
             evidence = self._evidence.get(trait)
             if evidence is None:
                 continue
             known_ends = len(evidence.ends)
-            if evidence.add_sound(now, now):
+            if evidence.add_answer(began_at, now):
                 _log_disproof(trait, known_ends, evidence)
                 self._decide(trait, evidence, "requests were answered")
 
--- a/apricotseam/quarantine/tests/test_quarantine.py
+++ b/apricotseam/quarantine/tests/test_quarantine.py
@@ -119,6 +119,33 @@
     assert quarantine.find_hold(["part/other"], "c1") is None
 
 
+# Description, times at which an answer began and processes ended, whether
+# requests are held back after the answer.
+ANSWERS = [
+    ("it began before the ends", 0.5, [1.0, 2.0, 3.0, 4.0, 5.0], True),
+    ("it began after the first end", 1.5, [1.0, 2.0, 3.0, 4.0, 5.0], False),
+]
+
+
+# Guards against sound answers that began before a part did harm.
+@pytest.mark.parametrize(
+    ("began_at", "ended_at", "is_held"),
+    [case[1:] for case in ANSWERS],
+    ids=[case[0] for case in ANSWERS],
+)
+def test_answer_speaks_for_the_time_since_it_began(
+    began_at, ended_at, is_held
+):
+    clock = Clock()
+    start = clock.time
+    quarantine = Quarantine(clock)
+    pauses = [b - a for a, b in zip([0.0, *ended_at], ended_at)]
+    for number, pause in enumerate(pauses):
+        Step(pause, f"t{number}", f"r{number}").play(quarantine, clock)
+    quarantine.record_sound([TRAIT], "c1", start + began_at)
+    assert bool(quarantine.find_hold([TRAIT], "c1")) is is_held
+
+
 REQUEST = "request/a"
 # Description, steps, whether a request is held back after them.
 REQUEST_CASES = [
