Count joint ends by what the ended processes had in common

Cause: ends less than 0.1 s apart counted as one, whatever they carried. A loss of power and a burst of requests that end targets look the same in time.

Change: joint ends count one by one for a part that most of the processes that ended together had, once all of them are known (0.3 s), if no sound answer speaks for it. Ends that such a part explains no longer speak against a part that other requests had without harm. No hold on joint ends alone is without trials. A stream that has written for 1 s makes its parts common, but disproves no end.

--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -14,6 +14,7 @@
 from apricotseam.http1 import MalformedAnswerError
 from apricotseam.http1 import TransportError
 from apricotseam.http1 import TransportTimeoutError
+from apricotseam.quarantine import SURVIVAL_SECONDS
 
 # Silence after which a second attempt is started, if a chain has capacity,
 # although the targets respond to probes. It is below the two seconds after
@@ -100,6 +101,8 @@
         # Loop time since which the present chain owes its first event; None
         # before the request was sent.
         self._awaited_since = None
+        # Whether the target has written for `SURVIVAL_SECONDS`.
+        self._has_survived = False
         self._is_reading = False
         # Whether the first event on the present chain has come.
         self._is_begun = False
@@ -421,10 +424,19 @@
         if not self._writer.accept(event):
             return
         self._has_events = True
-        if self._writing_since is None:
-            self._writing_since = asyncio.get_running_loop().time()
+        self._record_written()
         await self._writer.write(answer, event)
 
+    def _record_written(self):
+        """Record an event, and whether the target has written for long."""
+        now = asyncio.get_running_loop().time()
+        if self._writing_since is None:
+            self._writing_since = now
+        if self._has_survived or now < self._writing_since + SURVIVAL_SECONDS:
+            return
+        self._has_survived = True
+        self._context.target_ends.record_survival(self._call)
+
     async def _handle_silence(self):
         """Check a silent chain; reroute it or start a second attempt.
 
--- a/apricotseam/forwarding/_target_ends.py
+++ b/apricotseam/forwarding/_target_ends.py
@@ -172,6 +172,10 @@
             now,
         )
 
+    def record_survival(self, call):
+        """Record that a target has written to a request for a while."""
+        self._quarantine.record_survival(call.traits, call.customer)
+
     def record_removal(self, target):
         """Record that the entry of a target has disappeared."""
         if not target.is_draining:
--- a/apricotseam/quarantine/__init__.py
+++ b/apricotseam/quarantine/__init__.py
@@ -1,6 +1,7 @@
 """Requests that end the processes of targets, and how they are held back."""
 
 from apricotseam.quarantine._evidence import Evidence
+from apricotseam.quarantine._evidence import SURVIVAL_SECONDS
 from apricotseam.quarantine._evidence import TargetEnd
 from apricotseam.quarantine._quarantine import Hold
 from apricotseam.quarantine._quarantine import Quarantine
@@ -11,6 +12,7 @@
     "Evidence",
     "Hold",
     "Quarantine",
+    "SURVIVAL_SECONDS",
     "TargetEnd",
     "part_trait",
     "request_trait",
--- a/apricotseam/quarantine/_evidence.py
+++ b/apricotseam/quarantine/_evidence.py
@@ -3,8 +3,15 @@
 import msgspec
 
 # Ends that are kept of each trait; more say nothing new.
-MAX_ENDS = 8
+MAX_ENDS = 32
 NEVER = float("-inf")
+LATER_THAN_ANY = float("inf")
+# A trait that requests without harm had within this time before the first
+# end is a common one.
+COMMON_SECONDS = 30.0
+# A target that has written for this long has survived the beginning of an
+# answer, unless it ended later than this under the same trait.
+SURVIVAL_SECONDS = 1.0
 
 
 class TargetEnd(msgspec.Struct, frozen=True, kw_only=True):
@@ -36,19 +43,34 @@
         Ends under requests with the trait since `sound_at`, by process.
     sound_at : float
         Time until which ends are known to have another cause.
+    survived_at : float
+        Time at which a target had last written for `SURVIVAL_SECONDS` to a
+        request with the trait.
     seen_at : float
         Time of the last request with the trait that was held back.
+    review_at : float
+        Time from which a new decision may differ though nothing was added.
     changed_at : float
         Time of the last change that peers should know.
     is_held : bool
         Whether requests with the trait are held back.
     """
 
-    __slots__ = ("changed_at", "ends", "is_held", "seen_at", "sound_at")
-
-    def __init__(self, sound_at=NEVER):
+    __slots__ = (
+        "changed_at",
+        "ends",
+        "is_held",
+        "review_at",
+        "seen_at",
+        "sound_at",
+        "survived_at",
+    )
+
+    def __init__(self, sound_at=NEVER, survived_at=NEVER):
         self.ends = {}
         self.sound_at = sound_at
+        self.survived_at = survived_at
+        self.review_at = LATER_THAN_ANY
         self.seen_at = NEVER
         self.changed_at = NEVER
         self.is_held = False
@@ -73,6 +95,24 @@
         """Time of the last end, or `NEVER`."""
         return max((end.at for end in self.ends.values()), default=NEVER)
 
+    @property
+    def is_common(self):
+        """Whether other requests with the trait did no harm before."""
+        if not self.ends:
+            return False
+        since = self.first_at - COMMON_SECONDS
+        if self.sound_at > since:
+            return True
+        return self.survived_at > since and self._ends_soon
+
+    @property
+    def _ends_soon(self):
+        """Whether an end came sooner than a target counts as surviving."""
+        return any(
+            end.at - end.sent_at < SURVIVAL_SECONDS
+            for end in self.ends.values()
+        )
+
     def add_end(self, end, now):
         """Add a `TargetEnd`; return whether it says anything new."""
         if end.process in self.ends or end.at <= self.sound_at:
--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -1,33 +1,32 @@
 """Decides which requests are held back because they end targets."""
 
 import collections
-import itertools
 import logging
 
 import msgspec
 
 from apricotseam.quarantine._evidence import Evidence
+from apricotseam.quarantine._evidence import LATER_THAN_ANY
 from apricotseam.quarantine._evidence import NEVER
+from apricotseam.quarantine._process_ends import ProcessEnds
+from apricotseam.quarantine._process_ends import separate_count
 from apricotseam.quarantine._recent import RecentTimes
 from apricotseam.quarantine._traits import hold_rule
 
 _LOG = logging.getLogger(__name__)
 
-# A trait that requests without harm had within this time before the first
-# end is a common one.
-COMMON_SECONDS = 30.0
-# Ends without a longer pause between them count as one: they may have a
-# common cause, such as a loss of power.
-JOINT_SECONDS = 0.1
+# Trials are made until ends under a trait came at this many separate times,
+# since joint ends may have had another cause.
+MIN_FINAL_TIMES = 3
 # A trait that no request had for this long is forgotten.
 FORGET_SECONDS = 600.0
 # Traits with evidence, in total and of the requests of one customer.
 MAX_TRAITS = 1024
 MAX_CUSTOMER_TRAITS = 64
+# Time after the last one of joint ends until all of them are known.
+SETTLE_SECONDS = 0.3
 # Dropped evidence is logged no more often than this.
 DROP_LOG_PERIOD_SECONDS = 1.0
-# Processes whose ends are compared in time.
-MAX_PROCESSES = 256
 
 
 class Hold(msgspec.Struct, frozen=True):
@@ -60,10 +59,10 @@
         # `Evidence` by trait, the oldest first.
         self._evidence = collections.OrderedDict()
         self._sound = RecentTimes()
-        # Time of the end of each process, whatever trait it speaks against,
-        # and the processes that had begun to answer a request just before.
-        self._ended_at = collections.OrderedDict()
-        self._begun = set()
+        self._survived = RecentTimes()
+        self._process_ends = ProcessEnds()
+        # `Evidence` by trait of the traits that are held back.
+        self._held = {}
         # Number of changes that peers should know.
         self.changes = 0
         # Number of traits whose evidence was dropped for want of room.
@@ -75,11 +74,7 @@
     @property
     def held(self):
         """`Evidence` by trait of the traits that are held back."""
-        return {
-            trait: evidence
-            for trait, evidence in self._evidence.items()
-            if evidence.is_held
-        }
+        return dict(self._held)
 
     def items(self):
         """Return pairs of a trait and its `Evidence`."""
@@ -101,7 +96,11 @@
         strictest = None
         for trait in traits:
             evidence = self._evidence.get(trait)
-            if evidence is None or not evidence.is_held:
+            if evidence is None:
+                continue
+            if self._now() >= evidence.review_at:
+                self._decide(trait, evidence, "")
+            if not evidence.is_held:
                 continue
             customers = evidence.customers
             if len(customers) > 1 or customer in customers:
@@ -118,6 +117,25 @@
         for trait in traits:
             self.merge(trait, [end])
 
+    def record_survival(self, traits, customer):
+        """Record that a target has written for `SURVIVAL_SECONDS`.
+
+        It may end all the same, so this disproves no end.
+
+        Parameters
+        ----------
+        traits : iterable of str
+            Traits of the request.
+        customer : str
+            Customer that sent it.
+        """
+        now = self._now()
+        for trait in traits:
+            self._survived.record(trait, customer, now)
+            evidence = self._evidence.get(trait)
+            if evidence is not None:
+                evidence.survived_at = now
+
     def record_sound(self, traits, customer, began_at=None):
         """Record that a request was answered completely and without harm.
 
@@ -158,11 +176,13 @@
         """
         now = self._now()
         known = self._evidence.get(trait)
-        evidence = known or Evidence(self._sound.get(trait, NEVER))
+        evidence = known or Evidence(
+            self._sound.get(trait, NEVER), self._survived.get(trait, NEVER)
+        )
         is_change = evidence.add_sound(sound_at, now)
         for end in ends:
             is_change |= evidence.add_end(end, now)
-            self._note_process(end)
+            self._process_ends.record(end)
         evidence.seen_at = max(evidence.seen_at, seen_at)
         if known is None and (evidence.ends or evidence.sound_at > NEVER):
             # Who tells of ends should hear of a sound answer known here.
@@ -194,32 +214,57 @@
             last_at = max(evidence.last_at, evidence.seen_at)
             if max(last_at, evidence.changed_at) > forget_before:
                 continue
-            del self._evidence[trait]
             if evidence.is_held:
-                _log_release(trait, "no request had it")
-                self.on_hold_change()
+                self._release(trait, evidence, "no request had it")
+            del self._evidence[trait]
 
-    def end_count(self, evidence):
-        """Return the number of separate ends of an `Evidence`.
+    def end_count(self, trait, evidence):
+        """Return the number of ends of an `Evidence` that count.
 
-        Joint ends count once, unless the request was sent after the end
-        before. A request that waited at a target is no cause if the target
-        had begun to answer another one.
+        Joint ends count once. Where most of the processes that ended together
+        had requests with the trait, and no sound answer speaks for it, they
+        count one by one. Ends that another part explains do not count, if a
+        sound answer speaks for the trait.
         """
+        counts_joint = hold_rule(trait).counts_joint
+        counts_joint = counts_joint and not evidence.is_common
+        settled_before = self._now() - SETTLE_SECONDS
+        evidence.review_at = LATER_THAN_ANY
+        count = 0
+        for members, size in self._groups(evidence):
+            separate = separate_count(members)
+            if counts_joint and members[-1].at > settled_before:
+                evidence.review_at = self._now() + SETTLE_SECONDS
+            elif counts_joint and 2 * len(members) > size:
+                attempts = {(e.request_key, e.sent_at) for e in members}
+                separate = max(separate, len(attempts))
+            count += separate
+        return count
+
+    def _groups(self, evidence):
+        """Return the joint ends that may speak against a trait."""
+        explained = self._explained(evidence)
         ends = [
             end
-            for end in evidence.ends.values()
-            if end.is_begun or end.process not in self._begun
+            for end in self._process_ends.possible(evidence.ends.values())
+            if end.process not in explained
         ]
-        ends.sort(key=lambda end: end.at)
-        own = {end.process: end.at for end in ends}
-        groups = _joint_groups({**own, **self._ended_at})
-        joint = sum(
-            groups[end.process] == groups[before.process]
-            and end.sent_at <= before.at
-            for before, end in itertools.pairwise(ends)
-        )
-        return len(ends) - joint
+        return self._process_ends.joint_groups(ends)
+
+    def _explained(self, evidence):
+        """Return the processes whose ends speak against no common trait.
+
+        They ended under requests with another part, one that none had
+        without harm and that is held back.
+        """
+        if not evidence.is_common:
+            return set()
+        return {
+            process
+            for other in self._held.values()
+            if not other.is_common
+            for process in other.ends
+        }
 
     def _trial_at(self, trait, evidence):
         """Return from when on a trial is allowed, or None."""
@@ -227,7 +272,11 @@
             hold_rule(trait).final_ends,
             _required_ends(trait, evidence) + 1,
         )
-        if self.end_count(evidence) >= final_ends:
+        times = sum(
+            separate_count(members) for members, _ in self._groups(evidence)
+        )
+        is_final = self.end_count(trait, evidence) >= final_ends
+        if is_final and times >= MIN_FINAL_TIMES:
             return None
         return evidence.last_at + hold_rule(trait).trial_wait_seconds
 
@@ -237,33 +286,55 @@
         required = _required_ends(trait, evidence)
         if len(evidence.ends) < required:
             return False
-        return self.end_count(evidence) >= required
+        return self.end_count(trait, evidence) >= required
 
     def _decide(self, trait, evidence, release_cause):
         """Decide anew about a trait after a change of its evidence."""
         self.changes += 1
         if evidence.is_held:
-            evidence.is_held = bool(evidence.ends)
-            if not evidence.is_held:
-                _log_release(trait, release_cause)
-            self.on_hold_change()
+            if evidence.ends:
+                self._end_explained(evidence)
+            else:
+                self._release(trait, evidence, release_cause)
         elif self._is_guilty(trait, evidence):
-            evidence.is_held = True
-            evidence.changed_at = self._now()
-            self._log_hold(trait, evidence)
-            self.on_hold_change()
+            self._hold(trait, evidence)
         elif len(evidence.ends) >= hold_rule(trait).min_ends:
             self._log_passage(trait, evidence)
 
-    def _note_process(self, end):
-        known = self._ended_at.get(end.process)
-        if known is None or end.at < known:
-            self._ended_at[end.process] = end.at
-        if end.is_begun:
-            self._begun.add(end.process)
-        if len(self._ended_at) > MAX_PROCESSES:
-            oldest, _ = self._ended_at.popitem(last=False)
-            self._begun.discard(oldest)
+    def _hold(self, trait, evidence):
+        """Hold a trait back, and release those that it explains."""
+        evidence.is_held = True
+        evidence.changed_at = self._now()
+        self._held[trait] = evidence
+        self._log_hold(trait, evidence)
+        self.on_hold_change()
+        self._end_explained(evidence)
+
+    def _end_explained(self, evidence):
+        """Release common traits all of whose ends another one explains."""
+        if evidence.is_common:
+            return
+        for other, known in self.held.items():
+            if known.is_common and not self._groups(known):
+                self._end_hold(other, known, "another part explains the ends")
+
+    def _release(self, trait, evidence, cause):
+        """Hold a trait back no longer, and decide anew about the others.
+
+        Their ends may have been explained by it.
+        """
+        self._end_hold(trait, evidence, cause)
+        for other, known in list(self._evidence.items()):
+            if other == trait or known.is_held:
+                continue
+            if self._is_guilty(other, known):
+                self._hold(other, known)
+
+    def _end_hold(self, trait, evidence, cause):
+        evidence.is_held = False
+        del self._held[trait]
+        _log_release(trait, cause)
+        self.on_hold_change()
 
     def _insert(self, trait, evidence):
         """Add evidence of a new trait within the bounds."""
@@ -307,7 +378,7 @@
             extra={
                 "trait": trait,
                 "ends": len(evidence.ends),
-                "counted": self.end_count(evidence),
+                "counted": self.end_count(trait, evidence),
                 "required": _required_ends(trait, evidence),
                 "requests": evidence.request_count,
             },
@@ -338,32 +409,7 @@
 
 def _required_ends(trait, evidence):
     rule = hold_rule(trait)
-    since = evidence.first_at - COMMON_SECONDS
-    is_common = evidence.sound_at > since
-    return rule.min_ends_common if is_common else rule.min_ends
-
-
-def _joint_groups(ended_at):
-    """Return the number of the joint end by process.
-
-    Parameters
-    ----------
-    ended_at : dict of tuple to float
-        Time in seconds by process.
-    """
-    groups = {}
-    number = 0
-    last_at = NEVER
-    for process, at in sorted(ended_at.items(), key=_time_of):
-        if at - last_at > JOINT_SECONDS:
-            number += 1
-        groups[process] = number
-        last_at = at
-    return groups
-
-
-def _time_of(item):
-    return item[1]
+    return rule.min_ends_common if evidence.is_common else rule.min_ends
 
 
 def _log_disproof(trait, known_ends, evidence):
--- a/apricotseam/quarantine/_traits.py
+++ b/apricotseam/quarantine/_traits.py
@@ -14,7 +14,9 @@
     ``min_requests`` is the number of different requests among them: the
     other traits of a request and its repeats are in the same ends. From
     ``final_ends`` on no trial is made; before, one request is tried after
-    ``trial_wait_seconds`` without a further end.
+    ``trial_wait_seconds`` without a further end. ``counts_joint`` is whether
+    joint ends count one by one where most of the processes that ended had
+    the trait.
     """
 
     min_ends: int
@@ -22,6 +24,7 @@
     min_requests: int
     final_ends: int
     trial_wait_seconds: float
+    counts_joint: bool
 
 
 PART_RULE = HoldRule(
@@ -30,6 +33,7 @@
     min_requests=2,
     final_ends=5,
     trial_wait_seconds=10.0,
+    counts_joint=True,
 )
 # Some ends may have met one request by chance, so it is soon tried.
 REQUEST_RULE = HoldRule(
@@ -38,6 +42,7 @@
     min_requests=1,
     final_ends=4,
     trial_wait_seconds=2.0,
+    counts_joint=False,
 )
 
 
