Keep and tell the evidence that says most

What users saw: with many parts a prompt, hosts never held back the one that ends targets (41 requests too late, no sound one served in the load many-parts of soak/tests/test_crashes.py).

Cause: one end breaks off dozens of requests, each with traits of its own. 64 traits of a customer were kept, 32 broken requests of a process, 32 traits told to peers, all with one end alike: over 13,000 traits were dropped in 14 s, the fatal part 34 times.

Of the traits with one end each is told in turn, 128 a message (48 in large fleets); what has more ends is told first.

--- a/apricotseam/forwarding/_target_ends.py
+++ b/apricotseam/forwarding/_target_ends.py
@@ -15,7 +15,7 @@
 # later than this: a lapsed entry is removed after several heartbeats.
 CONFIRM_SECONDS = 8.0
 # Broken attempts of a process that are kept until it is known to have ended.
-MAX_BROKEN_ATTEMPTS = 32
+MAX_BROKEN_ATTEMPTS = 256
 # A target that ends later than this after the first event of an answer has
 # survived its beginning, so that this request was not the cause.
 LATE_END_SECONDS = 5.0
@@ -24,7 +24,7 @@
 # was last heard may have ended it.
 SOUND_SECONDS = 1.0
 # Processes whose end is awaited, or whose end was counted already.
-MAX_PROCESSES = 256
+MAX_PROCESSES = 64
 
 
 class AttemptTimes(msgspec.Struct, frozen=True):
--- a/apricotseam/node/_quarantine_keeper.py
+++ b/apricotseam/node/_quarantine_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import itertools
 import logging
 import time
 from typing import Annotated
@@ -29,7 +30,8 @@
 RANK_DELAY_SECONDS = 1.0
 MAX_DELAY_SECONDS = 4.0
 MS_PER_SECOND = 1000.0
-# Hosts write a few ends of a trait.
+# Hosts write this many ends of a trait, and read entries with more.
+WRITTEN_ENDS = 8
 MAX_STORED_ENDS = 256
 
 
@@ -177,7 +179,7 @@
                 at_ms=round((end.at + ahead) * MS_PER_SECOND),
                 is_begun=end.is_begun,
             )
-            for end in evidence.ends.values()
+            for end in itertools.islice(evidence.ends.values(), WRITTEN_ENDS)
         ]
         return msgspec.json.encode(StoredTrait(trait, ends))
 
--- a/apricotseam/node/_trait_notices.py
+++ b/apricotseam/node/_trait_notices.py
@@ -6,9 +6,12 @@
 
 # Age up to which a change of the evidence is told to others.
 NOTICE_SECONDS = 5.0
-# Traits in one message: those that are held back first, then those with most
-# ends, then the latest.
-MAX_NOTICES = 32
+# Traits in one message, in a small and in a large fleet. Those that are held
+# back come first, then those with several ends. Of the others, which may be
+# many, each is told in turn.
+MAX_NOTICES = 128
+MAX_LARGE_FLEET_NOTICES = 48
+TELLING_ENDS = 2
 
 
 class EndNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -50,26 +53,49 @@
     def __init__(self, quarantine, now):
         self._quarantine = quarantine
         self._now = now
+        # How often each trait was told since it changed.
+        self._told = {}
 
     @property
     def changes(self):
         """Number of changes that others should be told of."""
         return self._quarantine.changes
 
-    def known(self):
-        """Return a `TraitNotice` by trait of what others should know."""
+    def known(self, is_large=False):
+        """Return a `TraitNotice` by trait of what others should know.
+
+        Parameters
+        ----------
+        is_large : bool, optional
+            Whether the fleet is large, so that messages go to few or are
+            read by many.
+        """
         now = self._now()
-        told = [
-            (trait, evidence)
+        changed = {
+            trait: evidence
             for trait, evidence in self._quarantine.items()
             if evidence.is_held or now - evidence.changed_at < NOTICE_SECONDS
-        ]
-        told.sort(key=_urgency, reverse=True)
+        }
+        self._told = {trait: self._told.get(trait, 0) for trait in changed}
+        count = MAX_LARGE_FLEET_NOTICES if is_large else MAX_NOTICES
+        chosen = sorted(changed, key=lambda t: self._rank(t, changed[t]))
+        for trait in chosen[:count]:
+            self._told[trait] += 1
         return {
-            trait: self._make_notice(evidence, now)
-            for trait, evidence in told[:MAX_NOTICES]
+            trait: self._make_notice(changed[trait], now)
+            for trait in chosen[:count]
         }
 
+    def _rank(self, trait, evidence):
+        """Return the place of a trait among those that are told."""
+        is_telling = len(evidence.ends) >= TELLING_ENDS
+        return (
+            not evidence.is_held,
+            not is_telling,
+            self._told[trait],
+            -evidence.changed_at,
+        )
+
     def apply(self, notices):
         """Add the notices of a peer to the own evidence."""
         now = self._now()
@@ -111,11 +137,6 @@
         )
 
 
-def _urgency(item):
-    _, evidence = item
-    return evidence.is_held, len(evidence.ends), evidence.changed_at
-
-
 def _age_of(at, now):
     return None if at == float("-inf") else round(now - at, 3)
 
--- a/apricotseam/node/_usage.py
+++ b/apricotseam/node/_usage.py
@@ -358,7 +358,7 @@
             repeats,
             self.leaving_targets(),
             self._limit_notices.own(),
-            self._trait_notices.known(),
+            self._trait_notices.known(self._hosts.is_large),
             self._pace_notices.own(),
             demand=self._context.demand.counts(),
             restarts=self._restarts.notices(),
@@ -396,7 +396,7 @@
             other_zones=others,
             store_position=self._store_position(),
             limits=self._limit_notices.known(),
-            traits=self._trait_notices.known(),
+            traits=self._trait_notices.known(self._hosts.is_large),
             paces=self._pace_notices.known(),
         )
         self._hosts.transport.send_all(self._hosts.load_recipients, report)
--- a/apricotseam/node/_zones.py
+++ b/apricotseam/node/_zones.py
@@ -101,7 +101,7 @@
             self._usage_exchange.suspects(),
             self._usage_exchange.leaving_targets(),
             self._usage_exchange.limit_notices.known(),
-            self._usage_exchange.trait_notices.known(),
+            self._usage_exchange.trait_notices.known(is_large=True),
             self._usage_exchange.pace_notices.known(),
             demand=self._usage_exchange.zone_demand(),
             restarts=self._usage_exchange.restarts.notices(),
--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -1,6 +1,5 @@
 """Decides which requests are held back because they end targets."""
 
-import collections
 import logging
 
 import msgspec
@@ -11,6 +10,7 @@
 from apricotseam.quarantine._process_ends import ProcessEnds
 from apricotseam.quarantine._process_ends import separate_count
 from apricotseam.quarantine._recent import RecentTimes
+from apricotseam.quarantine._table import EvidenceTable
 from apricotseam.quarantine._traits import hold_rule
 
 _LOG = logging.getLogger(__name__)
@@ -20,9 +20,6 @@
 MIN_FINAL_TIMES = 3
 # A trait that no request had for this long is forgotten.
 FORGET_SECONDS = 600.0
-# Traits with evidence, in total and of the requests of one customer.
-MAX_TRAITS = 1024
-MAX_CUSTOMER_TRAITS = 64
 # Time after the last one of joint ends until all of them are known.
 SETTLE_SECONDS = 0.3
 # Dropped evidence is logged no more often than this.
@@ -56,8 +53,7 @@
 
     def __init__(self, now):
         self._now = now
-        # `Evidence` by trait, the oldest first.
-        self._evidence = collections.OrderedDict()
+        self._evidence = EvidenceTable()
         self._sound = RecentTimes()
         self._survived = RecentTimes()
         self._process_ends = ProcessEnds()
@@ -187,7 +183,7 @@
         if known is None and (evidence.ends or evidence.sound_at > NEVER):
             # Who tells of ends should hear of a sound answer known here.
             evidence.changed_at = now
-            self._insert(trait, evidence)
+            self._record_dropped(self._evidence.add(trait, evidence))
             is_change = True
         if is_change:
             self._decide(trait, evidence, "requests were answered")
@@ -216,7 +212,7 @@
                 continue
             if evidence.is_held:
                 self._release(trait, evidence, "no request had it")
-            del self._evidence[trait]
+            self._evidence.remove(trait)
 
     def end_count(self, trait, evidence):
         """Return the number of ends of an `Evidence` that count.
@@ -291,6 +287,7 @@
     def _decide(self, trait, evidence, release_cause):
         """Decide anew about a trait after a change of its evidence."""
         self.changes += 1
+        self._evidence.update(trait)
         if evidence.is_held:
             if evidence.ends:
                 self._end_explained(evidence)
@@ -305,6 +302,7 @@
         """Hold a trait back, and release those that it explains."""
         evidence.is_held = True
         evidence.changed_at = self._now()
+        self._evidence.update(trait)
         self._held[trait] = evidence
         self._log_hold(trait, evidence)
         self.on_hold_change()
@@ -336,29 +334,15 @@
         _log_release(trait, cause)
         self.on_hold_change()
 
-    def _insert(self, trait, evidence):
-        """Add evidence of a new trait within the bounds."""
-        self._evidence[trait] = evidence
-        customers = evidence.customers
-        same = [
-            t
-            for t, e in self._evidence.items()
-            if not e.is_held and e.customers <= customers and e is not evidence
-        ]
-        if len(same) >= MAX_CUSTOMER_TRAITS:
-            self._drop(same[0])
-        if len(self._evidence) > MAX_TRAITS:
-            self._drop_oldest()
-
-    def _drop_oldest(self):
-        """Drop the oldest trait that is not held back, else the oldest."""
-        free = (t for t, e in self._evidence.items() if not e.is_held)
-        self._drop(next(free, next(iter(self._evidence))))
-
-    def _drop(self, trait):
-        """Drop the evidence of a trait, for want of room."""
-        evidence = self._evidence.pop(trait)
-        self.dropped += 1
+    def _record_dropped(self, dropped):
+        """Count and log evidence that was dropped for want of room."""
+        self.dropped += len(dropped)
+        for trait, evidence in dropped:
+            if evidence.is_held:
+                self._release(trait, evidence, "dropped for want of room")
+            self._log_dropped(trait, evidence)
+
+    def _log_dropped(self, trait, evidence):
         if self._now() < self._drop_logged_at + DROP_LOG_PERIOD_SECONDS:
             return
         self._drop_logged_at = self._now()
--- a/apricotseam/quarantine/tests/test_quarantine.py
+++ b/apricotseam/quarantine/tests/test_quarantine.py
@@ -5,10 +5,10 @@
 
 from apricotseam.quarantine._evidence import TargetEnd
 from apricotseam.quarantine._quarantine import FORGET_SECONDS
-from apricotseam.quarantine._quarantine import MAX_CUSTOMER_TRAITS
-from apricotseam.quarantine._quarantine import MAX_TRAITS
 from apricotseam.quarantine._quarantine import Quarantine
 from apricotseam.quarantine._quarantine import SETTLE_SECONDS
+from apricotseam.quarantine._table import MAX_CUSTOMER_TRAITS
+from apricotseam.quarantine._table import MAX_TRAITS
 from apricotseam.quarantine._traits import PART_RULE
 from apricotseam.quarantine._traits import REQUEST_RULE
 
@@ -347,6 +347,20 @@
     assert quarantine.find_hold([TRAIT], "c1")
 
 
+# Guards against a part that ends targets and is displaced by those of the
+# many requests that its targets broke off.
+def test_traits_with_one_end_displace_none_with_more():
+    clock = Clock()
+    quarantine = Quarantine(clock)
+    for number in range(3):
+        Step(1.0, f"t{number}", f"r{number}").play(quarantine, clock)
+        for beside in range(MAX_CUSTOMER_TRAITS - 1):
+            end = Step(0.0, f"t{number}", f"{number}/{beside}")
+            end.play(quarantine, clock, f"part/{number}/{beside}")
+    assert list(quarantine.held) == [TRAIT]
+    assert len(quarantine.items()) == MAX_CUSTOMER_TRAITS
+
+
 # Guards against ends that others count although a host knows better.
 def test_sound_answer_is_told_to_those_who_tell_of_an_end_before():
     clock = Clock()
