Ask for the trial of every trait that holds a request back

Cause: only the trait with the latest trial was asked, so the trial of one let a request pass with another that has a trial due; and a request that was admitted as a trial was not stopped when another of its traits became held while it waited.

Change: all trials have to be due and granted, and a trial covers the traits that it was granted for.

--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -51,7 +51,7 @@
         "first_event_at",
         "hop",
         "is_return",
-        "is_trial",
+        "trial_traits",
         "last_event",
         "load",
         "longest_gap",
@@ -132,8 +132,8 @@
         )
         # Whether it is the repeat of a refused request.
         self.is_return = False
-        # Whether it is sent although one of its traits is held back.
-        self.is_trial = False
+        # Traits that are held back and that it is sent to try.
+        self.trial_traits = frozenset()
         # `FailedAnswer` of a target, for the caller if no attempt succeeds.
         self.failed_answer = None
         # Incarnations of the targets that failed this request. A process that
--- a/apricotseam/forwarding/_quarantine_gate.py
+++ b/apricotseam/forwarding/_quarantine_gate.py
@@ -44,46 +44,56 @@
     async def admit(self, call):
         """Return the `Refusal` of a call that is held back, else None.
 
-        A call may be admitted as a trial, which gets one attempt.
+        A call may be admitted as a trial of all its traits that are held
+        back, which gets one attempt.
         """
-        hold = self._find_hold(call)
-        if hold is None:
+        holds = self._find_holds(call)
+        if not holds:
             return None
-        self._quarantine.record_held(hold.trait)
-        if await self._acquire_trial(hold):
-            call.is_trial = True
+        for hold in holds:
+            self._quarantine.record_held(hold.trait)
+        if not await self._acquire_trials(holds):
+            return self.refusal(call)
+        call.trial_traits = frozenset(hold.trait for hold in holds)
+        for hold in holds:
             _LOG.warning(
                 "quarantine_trial",
                 extra={"trait": hold.trait, "request": call.request_id},
             )
-            return None
-        return self.refusal(call)
+        return None
 
     def stops(self, call):
         """Return whether no attempt of a call may be started now."""
-        if call.is_trial:
-            return call.runs > 0
-        return self._find_hold(call) is not None
+        if call.trial_traits and call.runs > 0:
+            return True
+        return bool(self._find_holds(call))
 
     def refusal(self, call):
         """Return the `Refusal` of a call that no target has run, or None.
 
         A caller is asked to return only if its request will be tried.
         """
-        hold = None if call.is_trial else self._find_hold(call)
-        if hold is None:
+        holds = self._find_holds(call)
+        if not holds:
             return None
+        trials = [hold.trial_at for hold in holds]
         retry_after = None
-        if hold.trial_at is not None:
+        if None not in trials:
             now = asyncio.get_running_loop().time()
-            retry_after = max(MIN_RETURN_SECONDS, hold.trial_at - now)
+            retry_after = max(MIN_RETURN_SECONDS, max(trials) - now)
         return Refusal(cause=HELD_CAUSE, retry_after=retry_after)
 
-    def _find_hold(self, call):
-        return self._quarantine.find_hold(call.traits, call.customer)
+    def _find_holds(self, call):
+        """Return the holds of a call, but for those that it is to try."""
+        holds = self._quarantine.find_holds(call.traits, call.customer)
+        return [h for h in holds if h.trait not in call.trial_traits]
 
-    async def _acquire_trial(self, hold):
+    async def _acquire_trials(self, holds):
+        """Return whether one request may be sent despite some holds."""
         now = asyncio.get_running_loop().time()
-        if hold.trial_at is None or now < hold.trial_at:
+        if any(h.trial_at is None or now < h.trial_at for h in holds):
             return False
-        return await self.trials.acquire_trial(hold.trait)
+        for hold in holds:
+            if not await self.trials.acquire_trial(hold.trait):
+                return False
+        return True
--- a/apricotseam/forwarding/tests/test_announcements.py
+++ b/apricotseam/forwarding/tests/test_announcements.py
@@ -79,7 +79,7 @@
         reserved_choice=None,
         traits=(),
         customer="c",
-        is_trial=False,
+        trial_traits=frozenset(),
     )
 
 
--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -89,7 +89,18 @@
         customer : str
             Customer that sent it.
         """
-        strictest = None
+        holds = self.find_holds(traits, customer)
+        return max(holds, key=_strictness, default=None)
+
+    def find_holds(self, traits, customer):
+        """Return the `Hold` of each trait for which a request is held back.
+
+        Parameters
+        ----------
+        traits, customer
+            As for `find_hold`.
+        """
+        holds = []
         for trait in traits:
             evidence = self._evidence.get(trait)
             if evidence is None:
@@ -100,13 +111,14 @@
                 continue
             customers = evidence.customers
             if len(customers) > 1 or customer in customers:
-                hold = Hold(trait, self._trial_at(trait, evidence))
-                strictest = max(strictest or hold, hold, key=_strictness)
-        return strictest
+                holds.append(Hold(trait, self._trial_at(trait, evidence)))
+        return holds
 
     def record_held(self, trait):
         """Record that a request with a trait was held back."""
-        self._evidence[trait].seen_at = self._now()
+        evidence = self._evidence.get(trait)
+        if evidence is not None:
+            evidence.seen_at = self._now()
 
     def record_end(self, traits, end):
         """Record a `TargetEnd` under a request with some traits."""
