--- a/soak/_hosts.py
+++ b/soak/_hosts.py
@@ -34,10 +34,15 @@
         Records to which kills are added.
     allocator : AddressAllocator
         Provides the addresses on which it listens.
+    sections : dict, optional
+        Further sections of its settings file.
     """
 
-    def __init__(self, number, store_address, folder, records, allocator):
+    def __init__(
+        self, number, store_address, folder, records, allocator, sections=None
+    ):
         self._records = records
+        self._sections = sections or {}
         self.number = number
         self.is_expected_up = False
         self._process = None
@@ -54,6 +59,11 @@
             store_address=store_address,
         )
 
+    @property
+    def process_id(self):
+        """Identifier of the process that was started last."""
+        return self._process.pid
+
     @property
     def _settings_path(self):
         return self._folder / f"host-{self.number}.yaml"
@@ -64,6 +74,7 @@
             return
         data = msgspec.to_builtins(self.settings)
         data["bounds"]["stop_seconds"] = GRACEFUL_STOP_SECONDS
+        data.update(self._sections)
         self._settings_path.write_text(yaml.safe_dump(data))
         self._log = (self._folder / f"host-{self.number}.log").open("ab")
         self._process = subprocess.Popen(
--- a/soak/tests/test_crashes.py
+++ b/soak/tests/test_crashes.py
@@ -84,6 +84,25 @@
         is_engine=False,
     ),
 ]
+POWER_LOSSES = [
+    CrashLoad(
+        name="alone",
+        fatal_rate=0.0,
+        sound_rate=40.0,
+        end_seconds=0.2,
+        back_seconds=2.0,
+        seconds=10.0,
+        power_loss_seconds=3.0,
+    ),
+    CrashLoad(
+        name="beside-a-part",
+        fatal_rate=5.0,
+        sound_rate=40.0,
+        end_seconds=0.2,
+        back_seconds=2.0,
+        power_loss_seconds=0.5,
+    ),
+]
 
 
 def play(load, folder):
@@ -121,3 +140,12 @@
 )
 def test_request_that_ends_processes_reaches_no_more_of_them(load, tmp_path):
     check(play(load, tmp_path), ENDS_TO_LEARN_REQUEST)
+
+
+# Guards against sound requests that are held back after a third of the
+# targets ended at once.
+@pytest.mark.parametrize(
+    "load", POWER_LOSSES, ids=[load.name for load in POWER_LOSSES]
+)
+def test_sound_requests_are_served_after_a_loss_of_power(load, tmp_path):
+    check(play(load, tmp_path), ENDS_TO_LEARN_PART)
