Bound what clients make a process hold

What users saw: clients that sent requests ahead and read no answer ended a process for want of memory.

Cause: nothing stopped reading while a request was handled, and nothing waited for a client to read before its next request was answered. What was received had no bound over all connections, bodies in tiny chunks were kept as one object a chunk, and connections were accepted up to the last file.

Change, in the one server behind callers, relay, directory, readiness and metrics: received bytes wait outside the parser, which gets 16 KiB at a time and yields after 64 events; above max_connection_bytes the client is not read, and its end is seen by the state of its socket. The next request waits until the answers before were read. ConnectionBudget bounds connections and held bytes of the process, and closes who makes no progress or holds the most. Settings clients, log event client_cut, three metrics. The server accepts 16 connections at a time. Lingering ends after 15 s.

--- a/apricotseam/http1/__init__.py
+++ b/apricotseam/http1/__init__.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 client and server for asyncio, with `h11` as the parser."""
 
+from apricotseam.http1._budget import ClientBounds
+from apricotseam.http1._budget import ConnectionBudget
 from apricotseam.http1._client import connect
 from apricotseam.http1._client import Connection
 from apricotseam.http1._client import ResponseHead
@@ -22,6 +24,8 @@
 from apricotseam.http1._sse import EventSplitter
 
 __all__ = [
+    "ClientBounds",
+    "ConnectionBudget",
     "ResponseHead",
     "ConnectError",
     "Connection",
--- a/apricotseam/http1/_server.py
+++ b/apricotseam/http1/_server.py
@@ -1,11 +1,15 @@
 """HTTP/1.1 server: reads complete requests and streams responses."""
 
 import asyncio
+import socket
 
+from apricotseam.http1._budget import NoBudget
 from apricotseam.http1._limits import Limits
 from apricotseam.http1._server_connection import ServerConnection
 
 MAX_PENDING_CONNECTIONS = 512
+# Connections that are accepted before the event loop serves others.
+ACCEPTED_AT_ONCE = 16
 
 
 class Server:
@@ -21,6 +25,9 @@
     count_incomplete : callable, optional
         Called with the `EndCause` of each request that this side leaves
         without a complete answer.
+    budget : ConnectionBudget, optional
+        Bounds on what clients make the process hold, which several servers
+        share; none by default.
 
     Attributes
     ----------
@@ -30,8 +37,11 @@
         Open connections.
     """
 
-    def __init__(self, handler, limits=Limits, count_incomplete=None):
+    def __init__(
+        self, handler, limits=Limits, count_incomplete=None, budget=None
+    ):
         self.handler = handler
+        self.budget = budget or NoBudget()
         self.count_incomplete = count_incomplete or (lambda cause: None)
         self.limits = limits
         self.is_closing = False
@@ -52,12 +62,14 @@
         """Listen on ``ip:port``."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
+        sock = socket.create_server((host, int(port)))
         self._server = await loop.create_server(
             lambda: ServerConnection(self),
-            host,
-            int(port),
-            backlog=MAX_PENDING_CONNECTIONS,
+            sock=sock,
+            backlog=ACCEPTED_AT_ONCE,
         )
+        # The loop accepts as many at once as it was told may be pending.
+        sock.listen(MAX_PENDING_CONNECTIONS)
 
     def announce_close(self):
         """Send ``Connection: close`` with the next response of each client."""
--- a/apricotseam/http1/_server_connection.py
+++ b/apricotseam/http1/_server_connection.py
@@ -5,12 +5,14 @@
 
 import h11
 
+from apricotseam.http1._budget import CutCause
 from apricotseam.http1._errors import TransportTimeoutError
 from apricotseam.http1._exchange import EndCause
 from apricotseam.http1._exchange import Exchange
 from apricotseam.http1._message import Request
 from apricotseam.http1._sockets import CLIENT_USER_TIMEOUT_MILLISECONDS
 from apricotseam.http1._sockets import enable_keepalive
+from apricotseam.http1._sockets import has_peer_closed
 from apricotseam.http1._sockets import set_user_timeout
 from apricotseam.http1._sockets import USER_TIMEOUT_MILLISECONDS
 
@@ -20,6 +22,17 @@
 # close before they have arrived would reset the connection, which may destroy
 # the answer on its way.
 LINGER_SECONDS = 0.5
+# Time after which a client that does not read its last answer is given up.
+MAX_LINGER_SECONDS = 15.0
+# Bytes that are given to the parser at a time, and events that it returns
+# before other connections get their turn.
+PARSE_BYTES = 16384
+MAX_PARSE_EVENTS = 64
+# Estimated size of a header field in memory beside its bytes.
+FIELD_OVERHEAD_BYTES = 200
+# Interval at which a connection that is not read is checked for its end.
+END_CHECK_SECONDS = 0.2
+RETRY_AFTER_CUT = ((b"Retry-After", b"1"),)
 
 
 class ServerConnection(asyncio.Protocol):
@@ -45,9 +58,16 @@
         self._handler_task = None
         self._exchange = None
         self._request_head = None
-        self._body_parts = []
-        self._body_size = 0
+        self._head_size = 0
+        self._body = bytearray()
         self._received_at = 0.0
+        # Received bytes that the parser has not got yet.
+        self._buffer = bytearray()
+        self._is_parse_scheduled = False
+        self._end_check = None
+        # Whether the next request waits until the client reads.
+        self._is_next_delayed = False
+        self._linger_until = 0.0
         self._idle_since = 0.0
         self._write_resumed = None
         # Whether the last answer was sent and further bytes are discarded.
@@ -62,6 +82,8 @@
     @property
     def is_idle(self):
         """Whether it waits for a request."""
+        if self._is_next_delayed:
+            return not self._has_received
         return not (self.is_busy or self._received_at or self._is_lingering)
 
     @property
@@ -69,6 +91,26 @@
         """Whether a request is received, handled, or its answer under way."""
         return not self.is_idle or self._unsent_bytes > 0
 
+    @property
+    def progress(self):
+        """How much would be lost with the connection, for comparison.
+
+        Connections of one state are ordered by its beginning.
+        """
+        if self._is_lingering:
+            return 0, self._linger_until
+        if self.is_idle:
+            return 1, self._idle_since
+        return 2, self._received_at
+
+    @property
+    def releasable_bytes(self):
+        """Bytes that are no longer held after a `cut`."""
+        released = len(self._buffer) + self._unsent_bytes
+        if not self.is_busy:
+            released += self._head_size + len(self._body)
+        return released
+
     @property
     def transport(self):
         """The `asyncio.Transport` of the connection."""
@@ -80,6 +122,11 @@
         peer = self._transport.get_extra_info("peername")
         return peer[0] if peer else ""
 
+    @property
+    def _has_received(self):
+        """Whether bytes were received that belong to a later request."""
+        return bool(self._buffer or self._parser.trailing_data[0])
+
     @property
     def _unsent_bytes(self):
         return self._transport.get_write_buffer_size()
@@ -90,19 +137,16 @@
         enable_keepalive(transport)
         self._server.connections.add(self)
         self._become_idle()
+        self._server.budget.add(self)
 
     def data_received(self, data):
         """Parse received bytes; called by the event loop."""
         if self._is_lingering:
             return
+        self._buffer += data
         if not self._received_at:
             self._start_receiving()
-        try:
-            self._parser.receive_data(data)
-            if self._handler_task is None:
-                self._parse()
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint)
+        self._parse_some()
 
     def eof_received(self):
         """Close the connection; called when the client has closed its end."""
@@ -111,7 +155,10 @@
     def connection_lost(self, error):
         """Cancel the handler; called by the event loop."""
         self._server.connections.discard(self)
+        self._server.budget.remove(self)
+        self._buffer.clear()
         self._cancel_timer()
+        self._cancel_end_check()
         self._wake_writers()
         if self._handler_task is not None:
             self._record_end(EndCause.CLIENT_CLOSED)
@@ -126,6 +173,10 @@
         """Let writers go on; called when the send buffer has room."""
         self._wake_writers()
         set_user_timeout(self._transport, USER_TIMEOUT_MILLISECONDS)
+        if self._is_next_delayed:
+            self._is_next_delayed = False
+            self._begin_next_request()
+        self._record_held()
 
     def _wake_writers(self):
         if self._write_resumed is not None and not self._write_resumed.done():
@@ -139,6 +190,7 @@
         data = self._parser.send(event)
         if data:
             self._transport.write(data)
+            self._record_held()
 
     async def wait_until_writable(self, deadline=None):
         """Wait until the transport's send buffer has room.
@@ -179,6 +231,24 @@
         self._record_end(cause)
         self._transport.abort()
 
+    def cut(self):
+        """Close the connection for a bound on what clients may hold.
+
+        A request that is handled gets its answer, one that was not received
+        completely is refused.
+        """
+        self._buffer.clear()
+        if self._transport.is_closing():
+            return
+        if self.is_busy:
+            self._exchange.must_close = True
+            self._pause_reading()
+            self._record_held()
+        elif self.is_idle or self._is_lingering or self._unsent_bytes:
+            self._transport.abort()
+        else:
+            self._reject(503, RETRY_AFTER_CUT)
+
     def _record_end(self, cause):
         """Log why a request remains without a complete answer.
 
@@ -205,12 +275,18 @@
 
     def _become_idle(self):
         """Wait for the first byte of the next request."""
-        self._request_head = None
+        self._forget_request()
         self._exchange = None
         self._received_at = 0.0
         self._idle_since = asyncio.get_running_loop().time()
         self._set_timer(self._server.limits().idle_seconds, self._end_idle)
 
+    def _forget_request(self):
+        """Release what was received of a request."""
+        self._request_head = None
+        self._head_size = 0
+        self._body = bytearray()
+
     def _end_idle(self):
         """Close an idle connection unless the limit was raised meanwhile."""
         now = asyncio.get_running_loop().time()
@@ -230,6 +306,66 @@
         if self._parser is None or limits.head_bytes != self._head_bytes:
             self._replace_parser(limits.head_bytes)
 
+    def _parse_some(self):
+        """Parse received bytes, and let other connections have their turn."""
+        try:
+            self._parse()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint)
+        self._record_held()
+        self._control_reading()
+
+    def _parse_later(self):
+        """Go on to parse once the event loop has served others."""
+        if not self._is_parse_scheduled:
+            self._is_parse_scheduled = True
+            asyncio.get_running_loop().call_soon(self._parse_scheduled)
+
+    def _parse_scheduled(self):
+        self._is_parse_scheduled = False
+        if not self._transport.is_closing() and not self._is_lingering:
+            self._parse_some()
+
+    def _feed_parser(self):
+        """Give the parser a part of what was received."""
+        data = bytes(self._buffer[:PARSE_BYTES])
+        del self._buffer[:PARSE_BYTES]
+        self._parser.receive_data(data)
+
+    def _control_reading(self):
+        """Read no further while the client has sent too much ahead."""
+        if self._transport.is_closing() or self._is_lingering:
+            return
+        limit = self._server.budget.bounds.max_connection_bytes
+        if len(self._buffer) > limit:
+            self._pause_reading()
+        elif self._end_check is not None and 2 * len(self._buffer) <= limit:
+            self._cancel_end_check()
+            self._transport.resume_reading()
+
+    def _pause_reading(self):
+        if self._end_check is None:
+            self._transport.pause_reading()
+            self._check_end()
+
+    def _check_end(self):
+        """Notice that the client has left, though nothing is read."""
+        if has_peer_closed(self._transport):
+            self.abort(EndCause.CLIENT_CLOSED)
+            return
+        loop = asyncio.get_running_loop()
+        self._end_check = loop.call_later(END_CHECK_SECONDS, self._check_end)
+
+    def _cancel_end_check(self):
+        if self._end_check is not None:
+            self._end_check.cancel()
+            self._end_check = None
+
+    def _record_held(self):
+        """Record the bytes that are held for this connection."""
+        held = len(self._buffer) + self._head_size + len(self._body)
+        self._server.budget.record(self, held + self._unsent_bytes)
+
     def _replace_parser(self, head_bytes):
         """Use another limit on the head; keeps what was received."""
         received = (
@@ -243,15 +379,20 @@
             self._parser.receive_data(received)
 
     def _parse(self):
-        while True:
+        """Parse up to the end of a request, or some events of it."""
+        for _ in range(MAX_PARSE_EVENTS):
+            if self._handler_task is not None:
+                return
             event = self._parser.next_event()
-            if event in (h11.NEED_DATA, h11.PAUSED):
+            if event is h11.NEED_DATA and self._buffer:
+                self._feed_parser()
+            elif event in (h11.NEED_DATA, h11.PAUSED):
                 if self._parser.they_are_waiting_for_100_continue:
                     self.send(
                         h11.InformationalResponse(status_code=100, headers=[])
                     )
                 return
-            if isinstance(event, h11.Request):
+            elif isinstance(event, h11.Request):
                 self._store_head(event)
             elif isinstance(event, h11.Data):
                 if not self._append_body(event.data):
@@ -262,18 +403,20 @@
             else:
                 self.close()
                 return
+        self._parse_later()
 
     def _store_head(self, event):
         self._request_head = event
-        self._body_parts = []
-        self._body_size = 0
+        fields = event.headers.raw_items()
+        size = sum(len(name) + len(value) for name, value in fields)
+        self._head_size = size + FIELD_OVERHEAD_BYTES * len(fields)
+        self._body = bytearray()
 
     def _append_body(self, data):
-        self._body_size += len(data)
-        if self._body_size > self._server.limits().body_bytes:
+        if len(self._body) + len(data) > self._server.limits().body_bytes:
             self._reject(413)
             return False
-        self._body_parts.append(bytes(data))
+        self._body += data
         return True
 
     def _dispatch(self):
@@ -283,10 +426,9 @@
             head.method,
             head.target,
             head.headers.raw_items(),
-            b"".join(self._body_parts),
+            bytes(self._body),
             self._received_at,
         )
-        self._body_parts = []
         exchange = Exchange(self)
         exchange.must_close = self._server.is_closing
         self._exchange = exchange
@@ -341,36 +483,53 @@
         if exchange.must_close or not is_reusable:
             self._linger()
             return
-        parser.start_next_cycle()
+        if self._write_resumed is not None:
+            # Further answers wait until the client has read this one.
+            self._is_next_delayed = True
+        else:
+            self._begin_next_request()
+
+    def _begin_next_request(self):
+        self._parser.start_next_cycle()
         self._become_idle()
-        if parser.trailing_data[0]:
+        if self._has_received:
             self._start_receiving()
-            try:
-                self._parse()
-            except h11.RemoteProtocolError as error:
-                self._reject(error.error_status_hint)
+            self._parse_some()
+        else:
+            self._record_held()
 
-    def _reject(self, status):
+    def _reject(self, status, headers=()):
         """Answer an unacceptable request with an error status and close."""
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             exchange = Exchange(self)
             exchange.must_close = True
-            exchange.answer(status)
+            exchange.answer(status, headers=headers)
         self._linger()
 
     def _linger(self):
         """Close after the client has closed its end, or after a while."""
         self._is_lingering = True
+        self._forget_request()
+        self._cancel_end_check()
+        loop = asyncio.get_running_loop()
+        self._linger_until = loop.time() + MAX_LINGER_SECONDS
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+        self._record_held()
         self._set_timer(LINGER_SECONDS, self._end_lingering)
         if self._transport.can_write_eof():
             self._transport.write_eof()
 
     def _end_lingering(self):
         """Close the connection once the answer has left the send buffer."""
-        if self._unsent_bytes:
+        now = asyncio.get_running_loop().time()
+        if not self._unsent_bytes:
+            self.close()
+        elif now < self._linger_until:
             self._set_timer(LINGER_SECONDS, self._end_lingering)
         else:
-            self.close()
+            self._server.budget.count(self, CutCause.UNREAD)
+            self._transport.abort()
 
     def _set_timer(self, seconds, callback):
         self._cancel_timer()
--- a/apricotseam/http1/_sockets.py
+++ b/apricotseam/http1/_sockets.py
@@ -13,6 +13,29 @@
 # The same while bytes wait for a client: one that reads slowly, or sits behind
 # a full link, is still there.
 CLIENT_USER_TIMEOUT_MILLISECONDS = 15000
+# States after the end of the peer's data or a reset: CLOSE, CLOSE_WAIT,
+# LAST_ACK and CLOSING in Linux's `tcp_states.h`.
+_CLOSED_STATES = (7, 8, 9, 11)
+
+
+def has_peer_closed(transport):
+    """Return whether the peer of a connection has closed its end.
+
+    Unlike a read, this tells it also while received bytes wait.
+
+    Parameters
+    ----------
+    transport : asyncio.Transport
+        Transport of the connection.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or transport.is_closing():
+        return True
+    try:
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except OSError:
+        return True
+    return state in _CLOSED_STATES
 
 
 def enable_keepalive(transport):
--- a/apricotseam/node/_listeners.py
+++ b/apricotseam/node/_listeners.py
@@ -123,8 +123,8 @@
         exchange.answer(200, body, headers)
 
 
-async def start_server(address, handler):
+async def start_server(address, handler, budget=None):
     """Start and return a `Server` for a handler on ``ip:port``."""
-    server = Server(handler)
+    server = Server(handler, budget=budget)
     await server.start(address)
     return server
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -32,6 +32,7 @@
 from apricotseam.forwarding import RequestMetrics
 from apricotseam.forwarding import RequestQueue
 from apricotseam.forwarding import TargetSelector
+from apricotseam.http1 import ConnectionBudget
 from apricotseam.http1 import ConnectionPool
 from apricotseam.http1 import Limits
 from apricotseam.http1 import Server
@@ -156,7 +157,7 @@
         ):
             if address:
                 self._servers.append(
-                    await start_server(address, endpoint.handle)
+                    await start_server(address, endpoint.handle, self._budget)
                 )
         await self.caller_server.start(settings.callers_address)
         if settings.relay_address:
@@ -252,15 +253,21 @@
             request_queue,
         )
         gateway = Gateway(self._context)
+        self._budget = ConnectionBudget(
+            settings.clients, self._now, self._registry
+        )
         self._context.host = settings.host
         self._context.load_policy = settings.load
         self.caller_server = Server(
             gateway.handle,
             self._limits,
             self._context.metrics.count_incomplete,
+            self._budget,
         )
         self.relay_server = Server(
-            RelayReceiver(self._context, gateway).handle, self._relay_limits
+            RelayReceiver(self._context, gateway).handle,
+            self._relay_limits,
+            budget=self._budget,
         )
 
     def _expected_peers(self):
--- a/apricotseam/node/_settings.py
+++ b/apricotseam/node/_settings.py
@@ -4,6 +4,7 @@
 import yaml
 
 from apricotseam.errors import InvalidFileError
+from apricotseam.http1 import ClientBounds
 from apricotseam.routes import LoadPolicy
 from apricotseam.routes import Switch
 
@@ -34,7 +35,8 @@
 
     At ``relay_address`` it takes requests of hosts that are cut off from the
     targets. If it is empty, this host takes none and passes none on. ``load``
-    says which decisions under load are used.
+    says which decisions under load are used, ``clients`` what clients may
+    make the process hold.
     """
 
     host: str
@@ -50,6 +52,7 @@
     seeds: list[str] = []
     bounds: NodeBounds = NodeBounds()
     load: LoadPolicy = LoadPolicy()
+    clients: ClientBounds = ClientBounds()
 
 
 def load_node_settings(text, source="<settings>"):
--- a/soak/tests/test_crowds.py
+++ b/soak/tests/test_crowds.py
@@ -8,7 +8,7 @@
 from soak._crowds import Crowd
 from soak._crowds import CrowdRun
 
-# Bounds of the host under test; see docs/reference-clients.md.
+# Bounds of the host under test; see docs/OPERATIONS.md.
 CLIENTS = {
     "max_connections": 128,
     "max_held_bytes": 8 << 20,
