Run the tests of the emulator beside those of the package

The script took 35 minutes on one processor of eight. The same tests run in five processes now; the soak, which starts processes of its own and bounds their memory and files, runs after them by itself.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,13 @@
 # The environment is made again when the lock changes.
 STAMP := $(VENV)/.ready-$(shell sha256sum requirements/dev.txt | cut -c1-12)
 
+EMULATOR_TESTS := measure/emulator/tests
+# Emulated fleets have their own time, so these run beside the tests of the
+# package. The soak starts processes and runs by itself.
+PARALLEL_TESTS := test-package test-fatal test-load test-patterns test-measure
+
 .PHONY: setup test demo format lint measure measure-long capacity soak
+.PHONY: test-soak $(PARALLEL_TESTS)
 
 setup: $(STAMP)
 
@@ -24,9 +30,30 @@
 	$(PY) -m release.shares
 
 test: lint
-	$(PY) -m pytest
+	$(MAKE) --jobs --output-sync=target $(PARALLEL_TESTS)
+	$(MAKE) test-soak
 	@cat KNOWN-RED.txt
 
+test-package: setup
+	$(PY) -m pytest apricotseam
+
+test-fatal: setup
+	$(PY) -m pytest $(EMULATOR_TESTS)/test_fatal.py
+
+test-load: setup
+	$(PY) -m pytest $(EMULATOR_TESTS)/test_load.py
+
+test-patterns: setup
+	$(PY) -m pytest $(EMULATOR_TESTS)/test_patterns.py
+
+test-measure: setup
+	$(PY) -m pytest measure --ignore=$(EMULATOR_TESTS)/test_fatal.py \
+		--ignore=$(EMULATOR_TESTS)/test_load.py \
+		--ignore=$(EMULATOR_TESTS)/test_patterns.py
+
+test-soak: setup
+	$(PY) -m pytest soak
+
 demo: setup
 	$(PY) -m apricotseam demo
 
