Bound the connections of other hosts together with those of clients

Cause: the gRPC server accepted connections up to the last file of the process, so idle ones to its port took the room of callers and targets.

Change: its connections share the bound of the process; idle ones are closed first, those with a call in progress never. Both servers accept 16 at once.

--- a/apricotseam/http1/__init__.py
+++ b/apricotseam/http1/__init__.py
@@ -2,6 +2,7 @@
 
 from apricotseam.http1._budget import ClientBounds
 from apricotseam.http1._budget import ConnectionBudget
+from apricotseam.http1._budget import NoBudget
 from apricotseam.http1._client import connect
 from apricotseam.http1._client import Connection
 from apricotseam.http1._client import ResponseHead
@@ -19,13 +20,17 @@
 from apricotseam.http1._message import Request
 from apricotseam.http1._pool import ConnectionPool
 from apricotseam.http1._server import Server
+from apricotseam.http1._sockets import ACCEPTED_AT_ONCE
+from apricotseam.http1._sockets import allow_pending
 from apricotseam.http1._sockets import enable_keepalive
+from apricotseam.http1._sockets import open_listener
 from apricotseam.http1._sse import Event
 from apricotseam.http1._sse import EventSplitter
 
 __all__ = [
     "ClientBounds",
     "ConnectionBudget",
+    "NoBudget",
     "ResponseHead",
     "ConnectError",
     "Connection",
@@ -45,5 +50,8 @@
     "TransportTimeoutError",
     "connect",
     "end_to_end_headers",
+    "ACCEPTED_AT_ONCE",
+    "allow_pending",
     "enable_keepalive",
+    "open_listener",
 ]
--- a/apricotseam/http1/_server.py
+++ b/apricotseam/http1/_server.py
@@ -1,15 +1,13 @@
 """HTTP/1.1 server: reads complete requests and streams responses."""
 
 import asyncio
-import socket
 
 from apricotseam.http1._budget import NoBudget
 from apricotseam.http1._limits import Limits
 from apricotseam.http1._server_connection import ServerConnection
-
-MAX_PENDING_CONNECTIONS = 512
-# Connections that are accepted before the event loop serves others.
-ACCEPTED_AT_ONCE = 16
+from apricotseam.http1._sockets import ACCEPTED_AT_ONCE
+from apricotseam.http1._sockets import allow_pending
+from apricotseam.http1._sockets import open_listener
 
 
 class Server:
@@ -60,16 +58,14 @@
 
     async def start(self, address):
         """Listen on ``ip:port``."""
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        sock = socket.create_server((host, int(port)))
+        sock = open_listener(address)
         self._server = await loop.create_server(
             lambda: ServerConnection(self),
             sock=sock,
             backlog=ACCEPTED_AT_ONCE,
         )
-        # The loop accepts as many at once as it was told may be pending.
-        sock.listen(MAX_PENDING_CONNECTIONS)
+        allow_pending(sock)
 
     def announce_close(self):
         """Send ``Connection: close`` with the next response of each client."""
--- a/apricotseam/http1/_sockets.py
+++ b/apricotseam/http1/_sockets.py
@@ -3,6 +3,10 @@
 import contextlib
 import socket
 
+# Connections that are accepted before the event loop serves others; it takes
+# as many at once as it was told may be pending.
+ACCEPTED_AT_ONCE = 16
+MAX_PENDING_CONNECTIONS = 512
 KEEPALIVE_IDLE_SECONDS = 2
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
@@ -18,6 +22,21 @@
 _CLOSED_STATES = (7, 8, 9, 11)
 
 
+def open_listener(address):
+    """Return a socket that is bound to ``ip:port``.
+
+    It is passed to the event loop with a backlog of `ACCEPTED_AT_ONCE`, and
+    then to `allow_pending`.
+    """
+    host, _, port = address.rpartition(":")
+    return socket.create_server((host, int(port)))
+
+
+def allow_pending(sock):
+    """Let more connections wait than the event loop accepts at once."""
+    sock.listen(MAX_PENDING_CONNECTIONS)
+
+
 def has_peer_closed(transport):
     """Return whether the peer of a connection has closed its end.
 
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -308,7 +308,10 @@
             relay_address=settings.relay_address,
         )
         transport = PeerTransport(
-            None, settings.peers_address, self._started_ms
+            None,
+            settings.peers_address,
+            self._started_ms,
+            budget=self._budget,
         )
         self._hosts = Hosts(own, transport, Facts, self._now)
         self._context.permits = PermitExchange(
--- a/apricotseam/peers/_servant.py
+++ b/apricotseam/peers/_servant.py
@@ -1,5 +1,6 @@
 """Server side of calls between hosts."""
 
+import asyncio
 import logging
 import weakref
 
@@ -15,18 +16,91 @@
 MAX_OPEN_STREAMS = 256
 
 
+class AcceptedConnection:
+    """A connection from a peer, as a `Budget` sees it.
+
+    Parameters
+    ----------
+    protocol : grpclib.protocol.H2Protocol
+        Its protocol.
+    transport : asyncio.Transport
+        Its transport.
+    accepted_at : float
+        Time of the event loop at which it was accepted, in seconds.
+    """
+
+    # What it holds is bounded by the flow control of HTTP/2.
+    releasable_bytes = 0
+
+    def __init__(self, protocol, transport, accepted_at):
+        self._protocol = protocol
+        self._transport = transport
+        self._accepted_at = accepted_at
+
+    @property
+    def is_busy(self):
+        """Whether a call is in progress."""
+        processor = getattr(self._protocol, "processor", None)
+        return processor is not None and bool(processor.streams)
+
+    @property
+    def progress(self):
+        """Place among the connections that may be closed, as for clients."""
+        return 1, self._accepted_at
+
+    @property
+    def client_ip(self):
+        """IP address of the peer, empty if the connection is closed."""
+        peer = self._transport.get_extra_info("peername")
+        return peer[0] if peer else ""
+
+    def cut(self):
+        """Close the connection."""
+        self._transport.abort()
+
+
 class ClosingServer(grpclib.server.Server):
-    """Server that also closes the connections it accepted."""
+    """Server that also closes the connections it accepted.
+
+    Parameters
+    ----------
+    *arguments, **options
+        As for `grpclib.server.Server`.
+    budget : Budget
+        Bounds on the connections of all listeners.
+    """
 
-    def __init__(self, *arguments, **options):
+    def __init__(self, *arguments, budget, **options):
         super().__init__(*arguments, **options)
+        self._budget = budget
         self._accepted = weakref.WeakSet()
 
     def _protocol_factory(self):
         protocol = super()._protocol_factory()
         self._accepted.add(protocol)
+        self._watch(protocol)
         return protocol
 
+    def _watch(self, protocol):
+        """Let the budget know a connection while it is open."""
+        connection_made = protocol.connection_made
+        connection_lost = protocol.connection_lost
+        connection = None
+
+        def add(transport):
+            nonlocal connection
+            connection_made(transport)
+            now = asyncio.get_running_loop().time()
+            connection = AcceptedConnection(protocol, transport, now)
+            self._budget.add(connection)
+
+        def remove(error):
+            self._budget.remove(connection)
+            connection_lost(error)
+
+        protocol.connection_made = add
+        protocol.connection_lost = remove
+
     def close_accepted(self):
         """Close every accepted connection."""
         for protocol in list(self._accepted):
--- a/apricotseam/peers/_transport.py
+++ b/apricotseam/peers/_transport.py
@@ -7,6 +7,10 @@
 import grpclib.exceptions
 import msgspec
 
+from apricotseam.http1 import ACCEPTED_AT_ONCE
+from apricotseam.http1 import allow_pending
+from apricotseam.http1 import NoBudget
+from apricotseam.http1 import open_listener
 from apricotseam.peers._channels import Channels
 from apricotseam.peers._channels import CONNECT_TIMEOUT_SECONDS
 from apricotseam.peers._channels import make_configuration
@@ -56,13 +60,18 @@
     tls_context : callable, optional
         Called with ``"server"`` or ``"client"``; returns an
         `ssl.SSLContext`, or None for plain text.
+    budget : Budget, optional
+        Bounds on the connections that it accepts; none by default.
     """
 
-    def __init__(self, loop, address, incarnation, tls_context=None):
+    def __init__(
+        self, loop, address, incarnation, tls_context=None, budget=None
+    ):
         self._loop = loop
         self._address = address
         self._incarnation = incarnation
         self._tls_context = tls_context or (lambda side: None)
+        self._budget = budget or NoBudget()
         self._record_types = {"Nothing": Nothing}
         self._handlers = {}
         self.traffic = Traffic()
@@ -226,13 +235,17 @@
 
     async def open(self):
         """Start to listen; like `start`, but awaited on the control loop."""
-        host, port = self._address.rsplit(":", 1)
         self._server = ClosingServer(
             [PeerService(self.answer, self.dispatch)],
             config=make_configuration(),
+            budget=self._budget,
         )
         context = self._tls_context("server")
-        await self._server.start(host, int(port), ssl=context)
+        sock = open_listener(self._address)
+        await self._server.start(
+            sock=sock, backlog=ACCEPTED_AT_ONCE, ssl=context
+        )
+        allow_pending(sock)
 
     async def close(self):
         """Close the listener and all connections, on the control loop."""
--- a/soak/tests/test_crowds.py
+++ b/soak/tests/test_crowds.py
@@ -58,6 +58,12 @@
         first=head(4000, Content_Length="10"),
     ),
     Crowd(name="idle", connections=400, descriptors=256),
+    Crowd(
+        name="idle-peers",
+        connections=400,
+        listener="peers_address",
+        descriptors=256,
+    ),
     Crowd(
         name="unfinished-heads",
         connections=400,
