Let a failure that a target states excuse no other request

Cause: a request that was answered with a failure counted as begun on its target, like an answer in progress.

Change: a complete answer excuses no other request. The new test fails without it.

--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -225,7 +225,7 @@
             target_ends.record_success(self._call, [target], started_at)
         else:
             target_ends.record_failure(
-                self._call, target, AttemptTimes(started_at, has_head=True)
+                self._call, target, AttemptTimes(started_at)
             )
 
     async def _read_answer(self, connection, target):
--- a/apricotseam/forwarding/_target_ends.py
+++ b/apricotseam/forwarding/_target_ends.py
@@ -257,7 +257,8 @@
         sent_at=attempt.sent_at,
         at=at,
         written_seconds=attempt.written_seconds(at),
-        is_begun=attempt.has_head,
+        # A complete answer was not in progress, and excuses no other request.
+        is_begun=attempt.has_head and not is_failure,
         is_failure=is_failure,
     )
 
--- a/apricotseam/forwarding/tests/test_target_ends.py
+++ b/apricotseam/forwarding/tests/test_target_ends.py
@@ -152,6 +152,27 @@
     assert len(ends_after(step, record=record)) == expected
 
 
+# Guards against a failure that a target states before it ends, and for which
+# the request does not count that ended it without an answer.
+def test_failure_before_an_end_excuses_no_other_request():
+    quarantine = Quarantine(lambda: 0.0)
+    registry = prometheus_client.CollectorRegistry()
+    detector = TargetEndDetector(RequestMetrics(registry), quarantine)
+    other = types.SimpleNamespace(**{**vars(CALL), "traits": ("part/c",)})
+
+    async def scenario():
+        now = asyncio.get_running_loop().time()
+        target = make_target()
+        times = AttemptTimes(now, has_head=True)
+        detector.record_failure(other, target, times)
+        target.health.record_contact_failure(now, True, True)
+        detector.record_broken(CALL, [target], AttemptTimes(now))
+
+    asyncio.run(scenario())
+    evidence = dict(quarantine.items())["part/a"]
+    assert quarantine.end_count("part/a", evidence) == 1
+
+
 # Description, connections that were reset before the answer and after it,
 # whether the answer shows that the request does no harm.
 SUCCESSES = [
