Bound the lines about traits that are not held, and keep room for what says more

An error where all traits of a customer have two ends or more: a new one was dropped as it was added, and its decision raised a KeyError (new test).

--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -11,6 +11,7 @@
 from apricotseam.quarantine._process_ends import separate_count
 from apricotseam.quarantine._recent import RecentTimes
 from apricotseam.quarantine._table import EvidenceTable
+from apricotseam.quarantine._table import TELLING_ENDS
 from apricotseam.quarantine._traits import hold_rule
 
 _LOG = logging.getLogger(__name__)
@@ -22,8 +23,9 @@
 FORGET_SECONDS = 600.0
 # Time after the last one of joint ends until all of them are known.
 SETTLE_SECONDS = 0.3
-# Dropped evidence is logged no more often than this.
-DROP_LOG_PERIOD_SECONDS = 1.0
+# Lines about traits that are not held back are written no more often than
+# this, each kind for itself.
+LOG_PERIOD_SECONDS = 0.1
 
 
 class Hold(msgspec.Struct, frozen=True):
@@ -63,7 +65,8 @@
         self.changes = 0
         # Number of traits whose evidence was dropped for want of room.
         self.dropped = 0
-        self._drop_logged_at = NEVER
+        # Time of the last line by event, of those that are bounded.
+        self._logged_at = {}
         # Called when a trait begins or ends to be held back.
         self.on_hold_change = lambda: None
 
@@ -165,7 +168,7 @@
                 continue
             known_ends = len(evidence.ends)
             if evidence.add_answer(began_at, now):
-                _log_disproof(trait, known_ends, evidence)
+                self._log_disproof(trait, known_ends, evidence)
                 self._decide(trait, evidence, "requests were answered")
 
     def merge(self, trait, ends=(), sound_at=NEVER, seen_at=NEVER):
@@ -355,31 +358,42 @@
             self._log_dropped(trait, evidence)
 
     def _log_dropped(self, trait, evidence):
-        if self._now() < self._drop_logged_at + DROP_LOG_PERIOD_SECONDS:
-            return
-        self._drop_logged_at = self._now()
-        _LOG.info(
+        self._log_bounded(
             "quarantine_evidence_dropped",
-            extra={
-                "trait": trait,
-                "ends": len(evidence.ends),
-                "dropped": self.dropped,
-            },
+            trait,
+            ends=len(evidence.ends),
+            dropped=self.dropped,
         )
 
     def _log_passage(self, trait, evidence):
         """Log why requests with a trait are not held back yet."""
-        _LOG.info(
+        self._log_bounded(
             "quarantine_not_begun",
-            extra={
-                "trait": trait,
-                "ends": len(evidence.ends),
-                "counted": self.end_count(trait, evidence),
-                "required": _required_ends(trait, evidence),
-                "requests": evidence.request_count,
-            },
+            trait,
+            ends=len(evidence.ends),
+            counted=self.end_count(trait, evidence),
+            required=_required_ends(trait, evidence),
+            requests=evidence.request_count,
         )
 
+    def _log_disproof(self, trait, known_ends, evidence):
+        """Log that a sound answer disproved ends under a trait."""
+        if known_ends >= TELLING_ENDS:
+            self._log_bounded(
+                "quarantine_ends_disproved",
+                trait,
+                ends=known_ends,
+                left=len(evidence.ends),
+            )
+
+    def _log_bounded(self, event, trait, **fields):
+        """Log an event about a trait, unless one was logged just before."""
+        now = self._now()
+        if now < self._logged_at.get(event, NEVER) + LOG_PERIOD_SECONDS:
+            return
+        self._logged_at[event] = now
+        _LOG.info(event, extra={"trait": trait, **fields})
+
     def _log_hold(self, trait, evidence):
         now = self._now()
         _LOG.warning(
@@ -408,19 +422,5 @@
     return rule.min_ends_common if evidence.is_common else rule.min_ends
 
 
-def _log_disproof(trait, known_ends, evidence):
-    """Log that a sound answer disproved ends under a trait."""
-    if known_ends < 2:
-        return
-    _LOG.info(
-        "quarantine_ends_disproved",
-        extra={
-            "trait": trait,
-            "ends": known_ends,
-            "left": len(evidence.ends),
-        },
-    )
-
-
 def _log_release(trait, cause):
     _LOG.warning("quarantine_ended", extra={"trait": trait, "cause": cause})
--- a/apricotseam/quarantine/_table.py
+++ b/apricotseam/quarantine/_table.py
@@ -72,7 +72,10 @@
 
     def update(self, trait):
         """Take note of a change of the evidence of a trait."""
-        evidence = self._evidence[trait]
+        evidence = self._evidence.get(trait)
+        if evidence is None:
+            # It was dropped as it was added.
+            return
         if not evidence.is_held and len(evidence.ends) < TELLING_ENDS:
             return
         traits = self._by_customer[self._customer_of[trait]]
--- a/apricotseam/quarantine/tests/test_quarantine.py
+++ b/apricotseam/quarantine/tests/test_quarantine.py
@@ -361,6 +361,18 @@
     assert len(quarantine.items()) == MAX_CUSTOMER_TRAITS
 
 
+# Guards against an error where all traits of a customer are telling ones.
+def test_new_trait_is_dropped_if_all_others_say_more():
+    clock = Clock()
+    quarantine = Quarantine(clock)
+    for number in range(MAX_CUSTOMER_TRAITS):
+        for step in ends(2, 0.0):
+            step.play(quarantine, clock, f"part/{number}")
+    Step(1.0, "t9", "r9").play(quarantine, clock)
+    assert TRAIT not in dict(quarantine.items())
+    assert len(quarantine.items()) == MAX_CUSTOMER_TRAITS
+
+
 # Guards against ends that others count although a host knows better.
 def test_sound_answer_is_told_to_those_who_tell_of_an_end_before():
     clock = Clock()
