Tell ends that come late from those at the beginning of an answer

Change: an end after 1 s of events is a late one. Late ends count only where six ends speak against a trait and no complete answer for it. A stream that has written for 1 s disproves ends again, if none under its trait was late. Hosts tell each other and the store which ends are late, in a new last field.

--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -435,7 +435,9 @@
         if self._has_survived or now < self._writing_since + SURVIVAL_SECONDS:
             return
         self._has_survived = True
-        self._context.target_ends.record_survival(self._call)
+        self._context.target_ends.record_survival(
+            self._call, self._writing_since
+        )
 
     async def _handle_silence(self):
         """Check a silent chain; reroute it or start a second attempt.
--- a/apricotseam/forwarding/_target_ends.py
+++ b/apricotseam/forwarding/_target_ends.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from apricotseam.quarantine import SURVIVAL_SECONDS
 from apricotseam.quarantine import TargetEnd
 
 _LOG = logging.getLogger(__name__)
@@ -67,6 +68,12 @@
     is_begun: bool
     is_failure: bool = False
 
+    @property
+    def is_late(self):
+        """Whether its target had written for `SURVIVAL_SECONDS`."""
+        written = self.written_seconds
+        return written is not None and written >= SURVIVAL_SECONDS
+
     def may_be_cause(self, target):
         """Return whether it may have ended the process of a target.
 
@@ -172,9 +179,17 @@
             now,
         )
 
-    def record_survival(self, call):
-        """Record that a target has written to a request for a while."""
-        self._quarantine.record_survival(call.traits, call.customer)
+    def record_survival(self, call, began_at):
+        """Record that a target has written to a request for a while.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        began_at : float
+            Loop time in seconds at which the answer began.
+        """
+        self._quarantine.record_survival(call.traits, call.customer, began_at)
 
     def record_removal(self, target):
         """Record that the entry of a target has disappeared."""
@@ -226,6 +241,7 @@
                         sent_at=broken.sent_at,
                         at=broken.at,
                         is_begun=broken.is_begun,
+                        is_late=broken.is_late,
                     ),
                 )
 
--- a/apricotseam/node/_quarantine_keeper.py
+++ b/apricotseam/node/_quarantine_keeper.py
@@ -45,6 +45,7 @@
     sent_at_ms: Amount
     at_ms: Amount
     is_begun: bool = False
+    is_late: bool = False
 
 
 class StoredTrait(msgspec.Struct, frozen=True):
@@ -178,6 +179,7 @@
                 sent_at_ms=round((end.sent_at + ahead) * MS_PER_SECOND),
                 at_ms=round((end.at + ahead) * MS_PER_SECOND),
                 is_begun=end.is_begun,
+                is_late=end.is_late,
             )
             for end in itertools.islice(evidence.ends.values(), WRITTEN_ENDS)
         ]
@@ -194,6 +196,7 @@
             sent_at=sent_at,
             at=at,
             is_begun=end.is_begun,
+            is_late=end.is_late,
         )
 
 
--- a/apricotseam/node/_trait_notices.py
+++ b/apricotseam/node/_trait_notices.py
@@ -24,6 +24,7 @@
     sent_age: float
     age_seconds: float
     is_begun: bool = False
+    is_late: bool = False
 
 
 class TraitNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -108,6 +109,7 @@
                     sent_at=now - end.sent_age,
                     at=now - end.age_seconds,
                     is_begun=end.is_begun,
+                    is_late=end.is_late,
                 )
                 for end in notice.ends
             ]
@@ -127,6 +129,7 @@
                 round(now - end.sent_at, 3),
                 round(now - end.at, 3),
                 end.is_begun,
+                end.is_late,
             )
             for end in evidence.ends.values()
         ]
--- a/apricotseam/quarantine/_evidence.py
+++ b/apricotseam/quarantine/_evidence.py
@@ -10,7 +10,7 @@
 # end is a common one.
 COMMON_SECONDS = 30.0
 # A target that has written for this long has survived the beginning of an
-# answer, unless it ended later than this under the same trait.
+# answer, unless targets end later than this under the same trait.
 SURVIVAL_SECONDS = 1.0
 
 
@@ -20,7 +20,8 @@
     ``process`` is `Target.incarnation`. ``request_key`` is the same for a
     request and its repeats. ``sent_at`` and ``at`` are the monotonic times
     in seconds at which the request was sent and the process ended.
-    ``is_begun`` is whether the head of the answer had arrived.
+    ``is_begun`` is whether the head of the answer had arrived, ``is_late``
+    whether the target had written for `SURVIVAL_SECONDS`.
     """
 
     process: tuple[str, int]
@@ -29,6 +30,7 @@
     sent_at: float
     at: float
     is_begun: bool = False
+    is_late: bool = False
 
 
 class Evidence:
@@ -101,17 +103,20 @@
         if not self.ends:
             return False
         since = self.first_at - COMMON_SECONDS
-        if self.sound_at > since:
-            return True
-        return self.survived_at > since and self._ends_soon
+        has_survived = self.survived_at > since and not self.are_all_late
+        return self.was_sound or has_survived
 
     @property
-    def _ends_soon(self):
-        """Whether an end came sooner than a target counts as surviving."""
-        return any(
-            end.at - end.sent_at < SURVIVAL_SECONDS
-            for end in self.ends.values()
-        )
+    def was_sound(self):
+        """Whether other requests with the trait were answered before."""
+        if not self.ends:
+            return False
+        return self.sound_at > self.first_at - COMMON_SECONDS
+
+    @property
+    def are_all_late(self):
+        """Whether each target had written for `SURVIVAL_SECONDS`."""
+        return all(end.is_late for end in self.ends.values())
 
     def add_end(self, end, now):
         """Add a `TargetEnd`; return whether it says anything new."""
@@ -145,6 +150,29 @@
         is_later = bool(self.ends) and self.first_at < began_at
         return self.add_sound(now if is_later else began_at, now)
 
+    def add_survival(self, began_at, now):
+        """Add that a target has written for `SURVIVAL_SECONDS`.
+
+        It speaks for the trait like a complete answer, unless targets ended
+        later than this.
+
+        Parameters
+        ----------
+        began_at : float
+            Time at which the answer began.
+        now : float
+            Current time.
+
+        Returns
+        -------
+        bool
+            Whether ends were disproved.
+        """
+        self.survived_at = now
+        if any(end.is_late for end in self.ends.values()):
+            return False
+        return self.add_answer(began_at, now)
+
     def add_sound(self, at, now):
         """Add that all ends until a time have another cause.
 
--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -19,6 +19,9 @@
 # Trials are made until ends under a trait came at this many separate times,
 # since joint ends may have had another cause.
 MIN_FINAL_TIMES = 3
+# Ends from which on late ones count too. Many requests are in progress for
+# long on a target that ends.
+MIN_ENDS_WITH_LATE = 6
 # A trait that no request had for this long is forgotten.
 FORGET_SECONDS = 600.0
 # Time after the last one of joint ends until all of them are known.
@@ -128,10 +131,10 @@
         for trait in traits:
             self.merge(trait, [end])
 
-    def record_survival(self, traits, customer):
+    def record_survival(self, traits, customer, began_at):
         """Record that a target has written for `SURVIVAL_SECONDS`.
 
-        It may end all the same, so this disproves no end.
+        It may end all the same, so this disproves no ends that came later.
 
         Parameters
         ----------
@@ -139,13 +142,19 @@
             Traits of the request.
         customer : str
             Customer that sent it.
+        began_at : float
+            Time at which the answer began.
         """
         now = self._now()
         for trait in traits:
             self._survived.record(trait, customer, now)
             evidence = self._evidence.get(trait)
-            if evidence is not None:
-                evidence.survived_at = now
+            if evidence is None:
+                continue
+            known_ends = len(evidence.ends)
+            if evidence.add_survival(began_at, now):
+                self._log_disproof(trait, known_ends, evidence)
+                self._decide(trait, evidence, "requests were answered")
 
     def record_sound(self, traits, customer, began_at=None):
         """Record that a request was answered completely and without harm.
@@ -229,20 +238,29 @@
                 self._release(trait, evidence, "no request had it")
             self._evidence.remove(trait)
 
-    def end_count(self, trait, evidence):
+    def end_count(self, trait, evidence, with_late=True):
         """Return the number of ends of an `Evidence` that count.
 
         Joint ends count once. Where most of the processes that ended together
         had requests with the trait, and no sound answer speaks for it, they
         count one by one. Ends that another part explains do not count, if a
         sound answer speaks for the trait.
+
+        Parameters
+        ----------
+        trait : str
+            The trait.
+        evidence : Evidence
+            What is known of it.
+        with_late : bool, optional
+            Whether to count ends after a target had written for long.
         """
         counts_joint = hold_rule(trait).counts_joint
         counts_joint = counts_joint and not evidence.is_common
         settled_before = self._now() - SETTLE_SECONDS
         evidence.review_at = LATER_THAN_ANY
         count = 0
-        for members, size in self._groups(evidence):
+        for members, size in self._groups(evidence, with_late):
             separate = separate_count(members)
             if counts_joint and members[-1].at > settled_before:
                 evidence.review_at = self._now() + SETTLE_SECONDS
@@ -252,13 +270,13 @@
             count += separate
         return count
 
-    def _groups(self, evidence):
+    def _groups(self, evidence, with_late=True):
         """Return the joint ends that may speak against a trait."""
         explained = self._explained(evidence)
         ends = [
             end
             for end in self._process_ends.possible(evidence.ends.values())
-            if end.process not in explained
+            if end.process not in explained and (with_late or not end.is_late)
         ]
         return self._process_ends.joint_groups(ends)
 
@@ -297,7 +315,11 @@
         required = _required_ends(trait, evidence)
         if len(evidence.ends) < required:
             return False
-        return self.end_count(trait, evidence) >= required
+        if self.end_count(trait, evidence, with_late=False) >= required:
+            return True
+        if evidence.was_sound or len(evidence.ends) < MIN_ENDS_WITH_LATE:
+            return False
+        return self.end_count(trait, evidence) >= MIN_ENDS_WITH_LATE
 
     def _decide(self, trait, evidence, release_cause):
         """Decide anew about a trait after a change of its evidence."""
--- a/apricotseam/quarantine/tests/test_quarantine.py
+++ b/apricotseam/quarantine/tests/test_quarantine.py
@@ -35,6 +35,7 @@
     customer: str = "c1"
     run_seconds: float = 0.2
     trait: str = ""
+    is_late: bool = False
 
     def play(self, quarantine, clock, trait=TRAIT):
         """Record the step."""
@@ -48,6 +49,7 @@
             customer=self.customer,
             sent_at=clock.time - self.run_seconds,
             at=clock.time,
+            is_late=self.is_late,
         )
         quarantine.record_end([self.trait or trait], end)
 
@@ -57,6 +59,14 @@
     return [Step(pause, f"t{n}", f"r{n}") for n in range(first, first + count)]
 
 
+def late_ends(count, first=20):
+    """Return steps in which targets end that had written for long."""
+    return [
+        Step(1.0, f"t{n}", f"r{n}", run_seconds=1.5, is_late=True)
+        for n in range(first, first + count)
+    ]
+
+
 def power_loss(with_part, without_part):
     """Return steps in which processes end at once, some without the trait."""
     others = [
@@ -90,6 +100,13 @@
         False,
         False,
     ),
+    (
+        "streams that were in progress for long on targets that end",
+        [*ends(2), *late_ends(3)],
+        False,
+        False,
+    ),
+    ("streams that end targets after a while", late_ends(6), True, False),
     ("requests end many at once", power_loss(20, 3), True, False),
     (
         "requests end one at a time beside a loss of power",
@@ -171,6 +188,31 @@
     assert bool(quarantine.find_hold([TRAIT], "c1")) is is_held
 
 
+# Description, ends before a stream with the part has written for a while,
+# whether they are disproved by it.
+SURVIVALS = [
+    ("targets end at once", ends(4), True),
+    ("targets end after a while", [*ends(3), *late_ends(1)], False),
+]
+
+
+# Guards against streams that are taken as sound before their targets end, and
+# against parts of sound streams that are held back until one is complete.
+@pytest.mark.parametrize(
+    ("steps", "is_free"),
+    [case[1:] for case in SURVIVALS],
+    ids=[case[0] for case in SURVIVALS],
+)
+def test_stream_that_goes_on_disproves_ends_that_came_sooner(steps, is_free):
+    clock = Clock()
+    quarantine = Quarantine(clock)
+    for step in steps:
+        step.play(quarantine, clock)
+    assert quarantine.find_hold([TRAIT], "c1")
+    quarantine.record_survival([TRAIT], "c1", clock.time - 1.0)
+    assert (quarantine.find_hold([TRAIT], "c1") is None) is is_free
+
+
 REQUEST = "request/a"
 # Description, steps, whether a request is held back after them.
 REQUEST_CASES = [
