--- a/apricotseam/node/tests/test_zones.py
+++ b/apricotseam/node/tests/test_zones.py
@@ -43,7 +43,7 @@
         self._known = known
         self.noticed = {}
 
-    def known(self):
+    def known(self, is_large=False):
         """Return the notices of this zone."""
         return self._known
 
--- a/apricotseam/platform/standins/__init__.py
+++ b/apricotseam/platform/standins/__init__.py
@@ -3,6 +3,7 @@
 from apricotseam.platform.standins._callers import address_query_path
 from apricotseam.platform.standins._callers import caller_headers
 from apricotseam.platform.standins._callers import decode_addresses
+from apricotseam.platform.standins._callers import prompt_changes
 from apricotseam.platform.standins._configuration import CUSTOMER
 from apricotseam.platform.standins._configuration import ENGINE_SERVICE
 from apricotseam.platform.standins._configuration import HOST
@@ -12,6 +13,8 @@
 from apricotseam.platform.standins._configuration import sample_configuration
 from apricotseam.platform.standins._configuration import sample_route
 from apricotseam.platform.standins._store import StoreStandIn
+from apricotseam.platform.standins._target import answer_headers
+from apricotseam.platform.standins._target import prompt_of
 from apricotseam.platform.standins._target import TargetStandIn
 from apricotseam.platform.standins._target_side import decode_forwarded_request
 from apricotseam.platform.standins._target_side import decode_order
@@ -29,6 +32,9 @@
     "StoreStandIn",
     "TargetStandIn",
     "address_query_path",
+    "answer_headers",
+    "prompt_changes",
+    "prompt_of",
     "decode_addresses",
     "decode_forwarded_request",
     "decode_order",
--- a/apricotseam/platform/standins/_callers.py
+++ b/apricotseam/platform/standins/_callers.py
@@ -47,6 +47,34 @@
     return [(name.encode(), value.encode()) for name, value in values.items()]
 
 
+def prompt_changes(key, parts, part_tokens, answer_tokens):
+    """Return header changes for `caller_headers` of a request with a prompt.
+
+    Parameters
+    ----------
+    key : str
+        Key of the customer.
+    parts : list of str
+        Hashes of the parts of the prompt; none for other requests.
+    part_tokens, answer_tokens : int
+        Number of tokens of each part and of the answer.
+
+    Returns
+    -------
+    dict of str to str
+        Values by name.
+    """
+    tokens = part_tokens * len(parts)
+    changes = {
+        "Apricotseam-Key": key,
+        "Apricotseam-Token-Count": f"{tokens},{answer_tokens}",
+    }
+    if parts:
+        entries = (f"{part}:{part_tokens}" for part in parts)
+        changes["Apricotseam-Prefix-Hash"] = ",".join(entries)
+    return changes
+
+
 def address_query_path(zone):
     """Return the request target of a caller's query for addresses.
 
--- a/soak/_crashes.py
+++ b/soak/_crashes.py
@@ -14,6 +14,7 @@
 from apricotseam.http1 import TransportError
 from apricotseam.platform.standins import caller_headers
 from apricotseam.platform.standins import LAYERS
+from apricotseam.platform.standins import prompt_changes
 from apricotseam.platform.standins import sample_configuration
 from apricotseam.platform.standins import StoreStandIn
 from apricotseam.platform.standins import TargetStandIn
@@ -35,6 +36,7 @@
 # Time without fatal requests after which sound ones are counted as usual.
 WARM_UP_SECONDS = 2.0
 PART_TOKENS = 2
+ANSWER_TOKENS = 20
 
 
 class CrashLoad(msgspec.Struct, frozen=True, kw_only=True):
@@ -282,13 +284,9 @@
         return self._headers(number, customer, parts), "/chat/x"
 
     def _headers(self, number, customer, parts):
-        prompt = ",".join(f"{part}:{PART_TOKENS}" for part in parts)
-        changes = {
-            "Apricotseam-Key": _key(customer),
-            "Apricotseam-Token-Count": f"{PART_TOKENS * len(parts)},20",
-        }
-        if parts:
-            changes["Apricotseam-Prefix-Hash"] = prompt
+        changes = prompt_changes(
+            _key(customer), parts, PART_TOKENS, ANSWER_TOKENS
+        )
         return caller_headers(changes, f"{number:016x}", REQUEST_SECONDS)
 
     async def _exchange(self, host, path, headers):
--- a/soak/_target_process.py
+++ b/soak/_target_process.py
@@ -11,7 +11,9 @@
 
 import msgspec
 
+from apricotseam.platform.standins import answer_headers
 from apricotseam.platform.standins import LAYERS
+from apricotseam.platform.standins import prompt_of
 from apricotseam.platform.standins import TargetStandIn
 
 # Exit code of a process that a request has ended.
@@ -102,11 +104,7 @@
         if not self._options.end_status:
             await self._begin_answer(request, exchange)
             return
-        request_id = request.header(b"apricotseam-request-id").encode()
-        headers = [
-            (b"Apricotseam-Request-Id", request_id),
-            (b"Apricotseam-Server-Signature", b"stand-in"),
-        ]
+        headers = answer_headers(request)
         exchange.answer(self._options.end_status, b"ended", headers)
 
     async def _begin_answer(self, request, exchange):
@@ -118,8 +116,7 @@
 
     def _is_fatal(self, request):
         mark = self._options.fatal_mark
-        prompt = request.header(b"apricotseam-prefix-hash")
-        return mark in request.target.decode() or mark in prompt
+        return mark in request.target.decode() or mark in prompt_of(request)
 
 
 async def _serve_forever(options):
