Let the new runs of the soak call what the project has

Cause: the crash and crowd runs wrote three things again. A target's signed headers and the parts of a forwarded prompt stood in platform/standins already (signed_headers, decode_forwarded_request), waiting until hosts are ready in soak/_run.py, and one request with its whole answer in both runs.

No load, crowd, bound or check is changed.

--- a/apricotseam/platform/standins/__init__.py
+++ b/apricotseam/platform/standins/__init__.py
@@ -13,8 +13,6 @@
 from apricotseam.platform.standins._configuration import sample_configuration
 from apricotseam.platform.standins._configuration import sample_route
 from apricotseam.platform.standins._store import StoreStandIn
-from apricotseam.platform.standins._target import answer_headers
-from apricotseam.platform.standins._target import prompt_of
 from apricotseam.platform.standins._target import TargetStandIn
 from apricotseam.platform.standins._target_side import decode_forwarded_request
 from apricotseam.platform.standins._target_side import decode_order
@@ -32,9 +30,7 @@
     "StoreStandIn",
     "TargetStandIn",
     "address_query_path",
-    "answer_headers",
     "prompt_changes",
-    "prompt_of",
     "decode_addresses",
     "decode_forwarded_request",
     "decode_order",
--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -345,19 +345,6 @@
             self.ended.append(request_id_of(request))
 
 
-def answer_headers(request):
-    """Return the headers of a target's own answer to a request."""
-    return [
-        (b"Apricotseam-Request-Id", request_id_of(request).encode()),
-        SIGNATURE,
-    ]
-
-
-def prompt_of(request):
-    """Return the parts of a request's prompt, as the header states them."""
-    return request.header(b"apricotseam-prefix-hash")
-
-
 def request_id_of(request):
     """Return the identifier of a request."""
     return request.header(b"apricotseam-request-id")
--- a/soak/_crashes.py
+++ b/soak/_crashes.py
@@ -10,7 +10,6 @@
 
 import msgspec
 
-from apricotseam.http1 import connect
 from apricotseam.http1 import TransportError
 from apricotseam.platform.standins import caller_headers
 from apricotseam.platform.standins import LAYERS
@@ -20,7 +19,8 @@
 from apricotseam.platform.standins import TargetStandIn
 from soak._addresses import AddressAllocator
 from soak._hosts import HostProcess
-from soak._queries import is_ready
+from soak._queries import send_request
+from soak._queries import wait_until_ready
 from soak._records import RunRecords
 from soak._target_process import SLOTS
 from soak._target_process import TargetEvent
@@ -158,9 +158,7 @@
         for host in self._hosts:
             host.start()
         async with asyncio.timeout(READY_SECONDS):
-            for host in self._hosts:
-                while not await is_ready(host):
-                    await asyncio.sleep(POLL_SECONDS)
+            await wait_until_ready(self._hosts, POLL_SECONDS)
 
     async def _stop(self):
         for host in self._hosts:
@@ -262,7 +260,7 @@
         customer = self._random.randrange(self._load.customers)
         headers, path = self._request(number, customer, is_fatal)
         try:
-            status = await self._exchange(host, path, headers)
+            status = await send_request(host, path, headers, REQUEST_SECONDS)
         except (TransportError, OSError, EOFError):
             status = 0
         if not is_fatal:
@@ -289,20 +287,6 @@
         )
         return caller_headers(changes, f"{number:016x}", REQUEST_SECONDS)
 
-    async def _exchange(self, host, path, headers):
-        """Send a request; return its status, 0 if the answer is cut off."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + REQUEST_SECONDS
-        connection = await connect(host.settings.callers_address, deadline)
-        try:
-            connection.send(b"POST", path.encode(), headers)
-            answer = await connection.head(deadline)
-            while await connection.read(deadline):
-                pass
-            return answer.status
-        finally:
-            connection.close()
-
     def _kill_third(self):
         """Kill the processes that serve on every third target at once."""
         for process in self._processes[::3]:
--- a/soak/_crowds.py
+++ b/soak/_crowds.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-from apricotseam.http1 import connect
 from apricotseam.http1 import TransportError
 from apricotseam.platform.standins import caller_headers
 from apricotseam.platform.standins import sample_configuration
@@ -17,7 +16,8 @@
 from apricotseam.platform.standins import TargetStandIn
 from soak._addresses import AddressAllocator
 from soak._hosts import HostProcess
-from soak._queries import is_ready
+from soak._queries import send_request
+from soak._queries import wait_until_ready
 from soak._records import RunRecords
 
 READY_SECONDS = 20.0
@@ -115,8 +115,7 @@
             (self._crowd.descriptors, self._crowd.descriptors),
         )
         async with asyncio.timeout(READY_SECONDS):
-            while not await is_ready(self._host):
-                await asyncio.sleep(POLL_SECONDS)
+            await wait_until_ready([self._host], POLL_SECONDS)
         await asyncio.sleep(POLL_SECONDS)
 
     async def _send_crowd(self):
@@ -158,28 +157,18 @@
         until = loop.time() + SETTLE_SECONDS
         for number in itertools.count():
             try:
-                self.status = await self._ask_once(f"after-{number}")
+                self.status = await send_request(
+                    self._host,
+                    "/read/x",
+                    caller_headers((), f"after-{number}"),
+                    REQUEST_SECONDS,
+                )
             except TransportError:
                 self.status = 0
             if self.status == OK_STATUS or loop.time() > until:
                 return
             await asyncio.sleep(POLL_SECONDS)
 
-    async def _ask_once(self, request_id):
-        deadline = asyncio.get_running_loop().time() + REQUEST_SECONDS
-        address = self._host.settings.callers_address
-        connection = await connect(address, deadline)
-        try:
-            connection.send(
-                b"POST", b"/read/x", caller_headers((), request_id)
-            )
-            answer = await connection.head(deadline)
-            while await connection.read(deadline):
-                pass
-            return answer.status
-        finally:
-            connection.close()
-
     def _measure(self):
         """Note the memory and the open files of the host, if it lives."""
         folder = pathlib.Path(f"/proc/{self._host.process_id}")
--- a/soak/_queries.py
+++ b/soak/_queries.py
@@ -19,6 +19,44 @@
     return await _get(host.settings.readiness_address, path) is not None
 
 
+async def wait_until_ready(hosts, poll_seconds):
+    """Wait until all hosts report that they accept requests."""
+    for host in hosts:
+        while not await is_ready(host):
+            await asyncio.sleep(poll_seconds)
+
+
+async def send_request(host, path, headers, seconds):
+    """Send a request to a host; return the status of its complete answer.
+
+    Parameters
+    ----------
+    host : HostProcess
+        The host.
+    path : str
+        Path of the request, which is a ``POST`` without a body.
+    headers : list of tuple
+        Pairs of a name and a value, both bytes.
+    seconds : float
+        Time for all of it.
+
+    Raises
+    ------
+    TransportError
+        If there is no complete answer in that time.
+    """
+    deadline = asyncio.get_running_loop().time() + seconds
+    connection = await connect(host.settings.callers_address, deadline)
+    try:
+        connection.send(b"POST", path.encode(), headers)
+        answer = await connection.head(deadline)
+        while await connection.read(deadline):
+            pass
+        return answer.status
+    finally:
+        connection.close()
+
+
 async def fetch_callers_addresses(host):
     """Return the addresses for callers that a host announces.
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -13,7 +13,7 @@
 from soak._overload import LEAD_SECONDS
 from soak._overload import shrink_pool
 from soak._queries import fetch_callers_addresses
-from soak._queries import is_ready
+from soak._queries import wait_until_ready
 
 # Longest wait until all hosts are ready.
 READY_TIMEOUT_SECONDS = 10.0
@@ -117,9 +117,8 @@
 async def _wait_until_ready(cluster):
     """Wait until all hosts have a configuration and know each other."""
     async with asyncio.timeout(READY_TIMEOUT_SECONDS):
+        await wait_until_ready(cluster.hosts, READY_POLL_SECONDS)
         for host in cluster.hosts:
-            while not await is_ready(host):
-                await asyncio.sleep(READY_POLL_SECONDS)
             while len(await fetch_callers_addresses(host)) < len(
                 cluster.hosts
             ):
--- a/soak/_target_process.py
+++ b/soak/_target_process.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-from apricotseam.platform.standins import answer_headers
+from apricotseam.platform.standins import decode_forwarded_request
 from apricotseam.platform.standins import LAYERS
-from apricotseam.platform.standins import prompt_of
+from apricotseam.platform.standins import signed_headers
 from apricotseam.platform.standins import TargetStandIn
 
 # Exit code of a process that a request has ended.
@@ -104,7 +104,8 @@
         if not self._options.end_status:
             await self._begin_answer(request, exchange)
             return
-        headers = answer_headers(request)
+        forwarded = decode_forwarded_request(request.headers)
+        headers = signed_headers(forwarded.request_id)
         exchange.answer(self._options.end_status, b"ended", headers)
 
     async def _begin_answer(self, request, exchange):
@@ -116,7 +117,9 @@
 
     def _is_fatal(self, request):
         mark = self._options.fatal_mark
-        return mark in request.target.decode() or mark in prompt_of(request)
+        parts = decode_forwarded_request(request.headers).prompt_parts
+        texts = (request.target.decode(), *parts)
+        return any(mark in text for text in texts)
 
 
 async def _serve_forever(options):
