Write the loop over answers and the rule for telling traits once

Cause: record_survival and record_sound had the same loop, TELLING_ENDS and its comparison stood in the quarantine and in the node, and _trial_at grouped the ends of each trait although most are not near the last trial.

Change: one loop (_add_answers), one property (Evidence.is_telling), groups only where they are needed. No decision changes.

--- a/apricotseam/node/_trait_notices.py
+++ b/apricotseam/node/_trait_notices.py
@@ -11,7 +11,6 @@
 # many, each is told in turn.
 MAX_NOTICES = 128
 MAX_LARGE_FLEET_NOTICES = 48
-TELLING_ENDS = 2
 
 
 class EndNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -89,10 +88,9 @@
 
     def _rank(self, trait, evidence):
         """Return the place of a trait among those that are told."""
-        is_telling = len(evidence.ends) >= TELLING_ENDS
         return (
             not evidence.is_held,
-            not is_telling,
+            not evidence.is_telling,
             self._told[trait],
             -evidence.changed_at,
         )
--- a/apricotseam/quarantine/_evidence.py
+++ b/apricotseam/quarantine/_evidence.py
@@ -4,6 +4,9 @@
 
 # Ends that are kept of each trait; more say nothing new.
 MAX_ENDS = 32
+# Ends from which on the evidence of a trait is kept, and told, before that of
+# others. One end breaks off many requests, each with traits of its own.
+TELLING_ENDS = 2
 NEVER = float("-inf")
 LATER_THAN_ANY = float("inf")
 # A trait that requests without harm had within this time before the first
@@ -97,6 +100,11 @@
         """Time of the last end, or `NEVER`."""
         return max((end.at for end in self.ends.values()), default=NEVER)
 
+    @property
+    def is_telling(self):
+        """Whether it says more than the many traits of one end do."""
+        return self.is_held or len(self.ends) >= TELLING_ENDS
+
     @property
     def is_common(self):
         """Whether other requests with the trait did no harm before."""
--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -7,11 +7,11 @@
 from apricotseam.quarantine._evidence import Evidence
 from apricotseam.quarantine._evidence import LATER_THAN_ANY
 from apricotseam.quarantine._evidence import NEVER
+from apricotseam.quarantine._evidence import TELLING_ENDS
 from apricotseam.quarantine._process_ends import ProcessEnds
 from apricotseam.quarantine._process_ends import separate_count
 from apricotseam.quarantine._recent import RecentTimes
 from apricotseam.quarantine._table import EvidenceTable
-from apricotseam.quarantine._table import TELLING_ENDS
 from apricotseam.quarantine._traits import hold_rule
 
 _LOG = logging.getLogger(__name__)
@@ -148,13 +148,7 @@
         now = self._now()
         for trait in traits:
             self._survived.record(trait, customer, now)
-            evidence = self._evidence.get(trait)
-            if evidence is None:
-                continue
-            known_ends = len(evidence.ends)
-            if evidence.add_survival(began_at, now):
-                self._log_disproof(trait, known_ends, evidence)
-                self._decide(trait, evidence, "requests were answered")
+        self._add_answers(traits, began_at, Evidence.add_survival)
 
     def record_sound(self, traits, customer, began_at=None):
         """Record that a request was answered completely and without harm.
@@ -168,15 +162,30 @@
         began_at : float, optional
             Time at which the answer began; now by default.
         """
-        now = self._now()
-        began_at = now if began_at is None else began_at
+        began_at = self._now() if began_at is None else began_at
         for trait in traits:
             self._sound.record(trait, customer, began_at)
+        self._add_answers(traits, began_at, Evidence.add_answer)
+
+    def _add_answers(self, traits, began_at, add):
+        """Add an answer to the evidence of some traits, and decide anew.
+
+        Parameters
+        ----------
+        traits : iterable of str
+            Traits of the request.
+        began_at : float
+            Time at which the answer began.
+        add : callable
+            `Evidence.add_answer` or `Evidence.add_survival`.
+        """
+        now = self._now()
+        for trait in traits:
             evidence = self._evidence.get(trait)
             if evidence is None:
                 continue
             known_ends = len(evidence.ends)
-            if evidence.add_answer(began_at, now):
+            if add(evidence, began_at, now):
                 self._log_disproof(trait, known_ends, evidence)
                 self._decide(trait, evidence, "requests were answered")
 
@@ -301,12 +310,11 @@
             hold_rule(trait).final_ends,
             _required_ends(trait, evidence) + 1,
         )
-        times = sum(
-            separate_count(members) for members, _ in self._groups(evidence)
-        )
-        is_final = self.end_count(trait, evidence) >= final_ends
-        if is_final and times >= MIN_FINAL_TIMES:
-            return None
+        if self.end_count(trait, evidence) >= final_ends:
+            groups = self._groups(evidence)
+            times = sum(separate_count(members) for members, _ in groups)
+            if times >= MIN_FINAL_TIMES:
+                return None
         return evidence.last_at + hold_rule(trait).trial_wait_seconds
 
     def _is_guilty(self, trait, evidence):
--- a/apricotseam/quarantine/_table.py
+++ b/apricotseam/quarantine/_table.py
@@ -5,15 +5,12 @@
 # Traits with evidence, in total and of the requests of one customer.
 MAX_TRAITS = 16384
 MAX_CUSTOMER_TRAITS = 4096
-# Ends from which on the evidence of a trait is kept before that of others.
-# One end breaks off many requests, each with traits of its own.
-TELLING_ENDS = 2
 
 
 class _CustomerTraits:
     """Traits of one customer, the oldest first.
 
-    ``telling`` are those that are held back or have `TELLING_ENDS`.
+    ``telling`` are those of which `Evidence.is_telling` holds.
     """
 
     __slots__ = ("others", "telling")
@@ -76,7 +73,7 @@
         if evidence is None:
             # It was dropped as it was added.
             return
-        if not evidence.is_held and len(evidence.ends) < TELLING_ENDS:
+        if not evidence.is_telling:
             return
         traits = self._by_customer[self._customer_of[trait]]
         if traits.others.pop(trait, evidence) is None:
