Hold the body of a request once while it is handled

Cause: the connection kept the bytes that it had received beside those that it gave to the handler, as only their length was needed for the bound.

Change: the size of head and body is kept as a number, the received bytes are released with the dispatch. What counts as held is the same.

--- a/apricotseam/http1/_server_connection.py
+++ b/apricotseam/http1/_server_connection.py
@@ -58,8 +58,9 @@
         self._handler_task = None
         self._exchange = None
         self._request_head = None
-        self._head_size = 0
         self._body = bytearray()
+        # Bytes that the head and the body of the request take.
+        self._request_size = 0
         self._received_at = 0.0
         # Received bytes that the parser has not got yet.
         self._buffer = bytearray()
@@ -108,7 +109,7 @@
         """Bytes that are no longer held after a `cut`."""
         released = len(self._buffer) + self._unsent_bytes
         if not self.is_busy:
-            released += self._head_size + len(self._body)
+            released += self._request_size
         return released
 
     @property
@@ -284,7 +285,7 @@
     def _forget_request(self):
         """Release what was received of a request."""
         self._request_head = None
-        self._head_size = 0
+        self._request_size = 0
         self._body = bytearray()
 
     def _end_idle(self):
@@ -363,8 +364,8 @@
 
     def _record_held(self):
         """Record the bytes that are held for this connection."""
-        held = len(self._buffer) + self._head_size + len(self._body)
-        self._server.budget.record(self, held + self._unsent_bytes)
+        held = len(self._buffer) + self._request_size + self._unsent_bytes
+        self._server.budget.record(self, held)
 
     def _replace_parser(self, head_bytes):
         """Use another limit on the head; keeps what was received."""
@@ -409,7 +410,7 @@
         self._request_head = event
         fields = event.headers.raw_items()
         size = sum(len(name) + len(value) for name, value in fields)
-        self._head_size = size + FIELD_OVERHEAD_BYTES * len(fields)
+        self._request_size = size + FIELD_OVERHEAD_BYTES * len(fields)
         self._body = bytearray()
 
     def _append_body(self, data):
@@ -417,6 +418,7 @@
             self._reject(413)
             return False
         self._body += data
+        self._request_size += len(data)
         return True
 
     def _dispatch(self):
@@ -429,6 +431,7 @@
             bytes(self._body),
             self._received_at,
         )
+        self._body = bytearray()
         exchange = Exchange(self)
         exchange.must_close = self._server.is_closing
         self._exchange = exchange
