Bound the lines about one thing by one class

Cause: the quarantine and the budget of clients each kept the times of their last lines and compared them.

Change: LogPeriods in the logs package does it for both. The keys of the budget's choices are attribute getters.

--- a/apricotseam/http1/_budget.py
+++ b/apricotseam/http1/_budget.py
@@ -3,11 +3,14 @@
 import abc
 import enum
 import logging
+import operator
 import resource
 
 import msgspec
 import prometheus_client
 
+from apricotseam.logs import LogPeriods
+
 _LOG = logging.getLogger(__name__)
 
 # Part of the process's open files that clients may use; the others are for
@@ -15,6 +18,8 @@
 CLIENT_FILES_SHARE = 0.5
 # One closed connection of each cause is logged in this time.
 LOG_PERIOD_SECONDS = 1.0
+_RELEASABLE_BYTES = operator.attrgetter("releasable_bytes")
+_PROGRESS = operator.attrgetter("progress")
 
 
 class ClientBounds(msgspec.Struct, frozen=True, kw_only=True):
@@ -102,13 +107,12 @@
 
     def __init__(self, bounds, now, registry=None):
         self._bounds = bounds
-        self._now = now
         self._max_connections = bounds.max_connections or _default_files()
         # Bytes held by connection, and those that are being closed.
         self._held = {}
         self._closing = set()
         self._total = 0
-        self._logged_at = {}
+        self._log_periods = LogPeriods(LOG_PERIOD_SECONDS, now)
         self._make_metrics(registry)
 
     @property
@@ -142,7 +146,7 @@
         """Close connections that hold the most until the bound is kept."""
         excess = self._total - self._bounds.max_held_bytes
         while excess > 0:
-            victim = max(self._open(), key=_releasable_bytes, default=None)
+            victim = max(self._open(), key=_RELEASABLE_BYTES, default=None)
             if victim is None or not victim.releasable_bytes:
                 return
             excess -= victim.releasable_bytes
@@ -151,7 +155,7 @@
     def _least_useful(self, newest):
         """Return the connection to close, which is the newest one at last."""
         others = (c for c in self._open() if c is not newest and not c.is_busy)
-        return min(others, key=lambda c: c.progress, default=newest)
+        return min(others, key=_PROGRESS, default=newest)
 
     def _open(self):
         return (c for c in self._held if c not in self._closing)
@@ -159,9 +163,8 @@
     def count(self, connection, cause):
         """Count and log a connection that is closed for a `CutCause`."""
         self._cuts.labels(cause).inc()
-        if self._now() < self._logged_at.get(cause, 0.0) + LOG_PERIOD_SECONDS:
+        if not self._log_periods.is_due(cause):
             return
-        self._logged_at[cause] = self._now()
         _LOG.warning(
             "client_cut",
             extra={
@@ -197,10 +200,6 @@
         ).set_function(lambda: self._total)
 
 
-def _releasable_bytes(connection):
-    return connection.releasable_bytes
-
-
 def _default_files():
     files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     return max(1, int(CLIENT_FILES_SHARE * files))
--- a/apricotseam/quarantine/_quarantine.py
+++ b/apricotseam/quarantine/_quarantine.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from apricotseam.logs import LogPeriods
 from apricotseam.quarantine._evidence import Evidence
 from apricotseam.quarantine._evidence import LATER_THAN_ANY
 from apricotseam.quarantine._evidence import NEVER
@@ -68,8 +69,7 @@
         self.changes = 0
         # Number of traits whose evidence was dropped for want of room.
         self.dropped = 0
-        # Time of the last line by event, of those that are bounded.
-        self._logged_at = {}
+        self._log_periods = LogPeriods(LOG_PERIOD_SECONDS, now)
         # Called when a trait begins or ends to be held back.
         self.on_hold_change = lambda: None
 
@@ -418,11 +418,8 @@
 
     def _log_bounded(self, event, trait, **fields):
         """Log an event about a trait, unless one was logged just before."""
-        now = self._now()
-        if now < self._logged_at.get(event, NEVER) + LOG_PERIOD_SECONDS:
-            return
-        self._logged_at[event] = now
-        _LOG.info(event, extra={"trait": trait, **fields})
+        if self._log_periods.is_due(event):
+            _LOG.info(event, extra={"trait": trait, **fields})
 
     def _log_hold(self, trait, evidence):
         now = self._now()
