--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -181,6 +181,8 @@
         self.born = 0
         # Time of its last heartbeat.
         self.beat_at = 0.0
+        # Whether it has left; it may go on to serve.
+        self.has_left = False
 
     @property
     def is_up(self):
@@ -337,14 +339,21 @@
         store_address = f"{loopback_ip()}:8223"
         self.store = StoreStandIn([store_address])
         ips = [loopback_ip() for _ in range(host_count)]
+        # Link of the first host to the store.
+        self.store_link = Link(f"{loopback_ip()}:8223", store_address)
+        self.links = [self.store_link]
         self.hosts = [
             HostProcess(
-                f"edge-a-{n}", "a", ip, ips, store_address, self.folder
+                f"edge-a-{n}",
+                "a",
+                ip,
+                ips,
+                store_address if n else self.store_link.address,
+                self.folder,
             )
             for n, ip in enumerate(ips)
         ]
         self.servers = []
-        self.links = []
         self._tasks = set()
         # Time until which each server's entry stands without a heartbeat.
         self._expires_at = {}
@@ -352,6 +361,7 @@
     async def start(self, servers):
         """Start everything; return once all hosts are ready."""
         await self.store.start()
+        await self.store_link.start()
         self._spawn(self._run_store())
         self.store.write_configuration(self._configuration)
         for server in servers:
@@ -394,7 +404,7 @@
         await asyncio.sleep(first_beat_seconds)
         key = f"servers/{server.identity}"
         written = None
-        while server.is_up:
+        while server.is_up and not server.has_left:
             now = time.monotonic()
             entry = server.entry()
             if entry != written or self.store.get(key) is None:
@@ -406,6 +416,21 @@
             server.beat_at = now
             self._expires_at[key] = now + SILENT_HEARTBEATS * HEARTBEAT_SECONDS
 
+    def leave(self, server):
+        """Remove the entry of a server, which serves on for a while.
+
+        Returns
+        -------
+        float
+            Monotonic time in seconds at which the store has accepted that.
+        """
+        server.has_left = True
+        key = f"servers/{server.identity}"
+        self._expires_at.pop(key, None)
+        self.store.delete(key)
+        self.record.add("left", id=server.identity)
+        return time.monotonic()
+
     async def _run_store(self):
         """Let entries and leases expire."""
         while True:
