--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -425,6 +425,7 @@
             Monotonic time in seconds at which the store has accepted that.
         """
         server.has_left = True
+        server.process.send_signal(signal.SIGUSR1)
         key = f"servers/{server.identity}"
         self._expires_at.pop(key, None)
         self.store.delete(key)
--- a/review/server_2.py
+++ b/review/server_2.py
@@ -2,11 +2,13 @@
 
 It takes its options as JSON in its only argument, and reports what it does as
 lines of JSON on standard output. It speaks what PROTOCOL.md says of servers.
+From a SIGUSR1 on, it says in all answers that it leaves.
 """
 
 import asyncio
 import json
 import os
+import signal
 import sys
 
 SIGNATURE = "Apricotseam-Server-Signature: 3e1b.07.5a2.600.0.c9f2a4d1"
@@ -35,16 +37,25 @@
         self._fence = 0
         self._layers = options.get("layers")
         self._busy = False
-        self._connections = 0
+        self._is_leaving = False
 
     async def run(self):
         """Serve until killed."""
         ip, port = self._options["address"].split(":")
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGUSR1, self._leave)
         server = await asyncio.start_server(self._serve, ip, int(port))
         print("listening", flush=True)
         async with server:
             await server.serve_forever()
 
+    def _leave(self):
+        self._is_leaving = True
+
+    def _own_lines(self):
+        """Return the headers of all answers."""
+        return ["Server-Leaving: 1"] if self._is_leaving else []
+
     async def _serve(self, reader, writer):
         try:
             while await self._serve_one(reader, writer):
@@ -81,6 +92,7 @@
             "HTTP/1.1 200 OK",
             f"Apricotseam-Request-Id: {request_id}",
             SIGNATURE,
+            *self._own_lines(),
         ]
 
     def _refuse(self, writer, headers, status, at_fault=""):
@@ -92,7 +104,7 @@
             lines.append(f"At-Server: {at_fault}")
         identity = self._options["identity"]
         lines.append(f"Apricotseam-Instance-Id: {identity}")
-        lines.append("Content-Length: 0")
+        lines += ["Content-Length: 0", *self._own_lines()]
         writer.write("\r\n".join([*lines, "", ""]).encode())
         return True
 
@@ -102,6 +114,7 @@
             f"HTTP/1.1 {status} OK",
             "Content-Type: application/json",
             f"Content-Length: {len(body)}",
+            *self._own_lines(),
         ]
         writer.write("\r\n".join([*lines, "", ""]).encode() + body)
         return True
