--- a/review/server_2.py
+++ b/review/server_2.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import sys
 
@@ -26,8 +27,8 @@
     """One server.
 
     Options: ``identity``, ``address``, ``born``; ``body`` is the length of an
-    answer, written in two halves ``pause`` seconds apart; ``framed`` tells
-    whether answers have a length. Servers with a ``kind`` of accelerator are
+    answer, written in two halves ``pause`` seconds apart; ``unframed`` is the
+    share of the answers that have no length. Servers with a ``kind`` of accelerator are
     engines with ``size_mb`` of memory and ``layers``, ``layer_mb`` each.
     """
 
@@ -249,7 +250,7 @@
         lines = self._head(request_id)
         size = self._options.get("body", 800)
         body = request_id.encode().ljust(size, b"-")
-        is_framed = self._options.get("framed", True)
+        is_framed = random.random() >= self._options.get("unframed", 0.0)
         if is_framed:
             lines.append(f"Content-Length: {len(body)}")
         else:
