--- a/review/9/case.py
+++ b/review/9/case.py
@@ -132,6 +132,7 @@
         await leaving.kill()
         record.add("exited", id=leaving.identity)
         await sending
+        deployment.record_runs()
         found = find_breaks(deployment, traffic, leaving, left_at, healed_at)
     finally:
         await deployment.stop()
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -453,6 +453,12 @@
             return False
         return status == 200
 
+    def record_runs(self):
+        """Write down what all servers have run."""
+        for server in self.servers:
+            for line in server.said("run"):
+                self.record.add("ran", id=line["id"], server=server.identity)
+
     async def stop(self):
         """End all processes that were started."""
         for host in self.hosts:
