--- a/review/server_2.py
+++ b/review/server_2.py
@@ -8,7 +8,6 @@
 import asyncio
 import json
 import os
-import random
 import signal
 import sys
 
@@ -39,6 +38,8 @@
         self._layers = options.get("layers")
         self._busy = False
         self._is_leaving = False
+        # Grows to 1 until the next answer without a length.
+        self._answers = 0.0
 
     async def run(self):
         """Serve until killed."""
@@ -250,7 +251,10 @@
         lines = self._head(request_id)
         size = self._options.get("body", 800)
         body = request_id.encode().ljust(size, b"-")
-        is_framed = random.random() >= self._options.get("unframed", 0.0)
+        self._answers += self._options.get("unframed", 0.0)
+        is_framed = self._answers < 1.0
+        if not is_framed:
+            self._answers -= 1.0
         if is_framed:
             lines.append(f"Content-Length: {len(body)}")
         else:
