Log and count the reads by which a host learns of changes

The logs did not tell a host that had not heard of a change from one whose read was slow, and one whose read was ended while it made progress. Now a line says when a host finds that it lacks changes, and how many bytes a large, long or failed read brought in how many seconds; a metric counts reads by source and outcome.

--- a/apricotseam/coordination/_synchronizer.py
+++ b/apricotseam/coordination/_synchronizer.py
@@ -11,6 +11,7 @@
 from apricotseam.coordination._packing import MAX_UNPACKED_BYTES
 from apricotseam.coordination._packing import pack_push
 from apricotseam.coordination._packing import unpack_push
+from apricotseam.coordination._read_log import ReadLog
 from apricotseam.errors import InvalidInputError
 from apricotseam.platform import HistoryLostError
 from apricotseam.platform import StaleAnswerError
@@ -130,6 +131,7 @@
         # Number of watches by reason: this host is a reader, it hears none,
         # or pushes of a reader were lost or too large.
         self.watches = collections.Counter()
+        self._reads = ReadLog(now)
         # Number of changes of the era, and of messages and answers of earlier
         # eras that were dropped.
         self.era_events = collections.Counter()
@@ -140,6 +142,11 @@
         self._list_at = 0.0
         store.on_new_era = self._interrupt_waits
 
+    @property
+    def reads(self):
+        """The `ReadLog` of what this host reads from the store and peers."""
+        return self._reads
+
     @property
     def is_store_unreachable(self):
         """Whether this host cannot reach the store."""
@@ -251,13 +258,25 @@
         self._pushed_at = self._now()
         self._updated_at = self._pushed_at
         if message.base > self._mirror.position:
-            self._has_gap = True
-            self._gap_found.set()
+            self._note_gap(message.base)
             return
         for item in message.items:
             self._mirror.apply(item)
         self._mirror.advance(message.position)
 
+    def _note_gap(self, position):
+        """Record that changes up to a position are missing."""
+        if not self._has_gap:
+            _LOG.info(
+                "changes_missed",
+                extra={
+                    "known": str(self._mirror.position),
+                    "heard": str(position),
+                },
+            )
+        self._has_gap = True
+        self._gap_found.set()
+
     def _count_stale(self, kind, found):
         self.era_events[f"stale_{kind}"] += 1
         _LOG.info(
@@ -333,9 +352,11 @@
     async def _watch(self, reason, seconds):
         """Apply the changes that the store reports within some seconds."""
         self.watches[reason] += 1
-        watched = await self._wait_for_changes(seconds)
-        if watched is None:
-            return
+        with self._reads.record(reason) as read:
+            watched = await self._wait_for_changes(seconds, read)
+            if watched is None:
+                return
+            read.items = len(watched.items)
         self._mark_store_available()
         if watched.position.era != self._mirror.position.era:
             return
@@ -357,12 +378,12 @@
         elif items:
             await asyncio.sleep(NON_URGENT_COALESCE_SECONDS)
 
-    async def _wait_for_changes(self, seconds):
+    async def _wait_for_changes(self, seconds, read):
         """Return the result of a watch, None if the store has gone back."""
         try:
             async with asyncio.timeout(None) as self._watch_timeout:
                 return await self._store.watch(
-                    "", self._mirror.position, seconds
+                    "", self._mirror.position, seconds, read.note_answer
                 )
         except TimeoutError:
             return None
@@ -386,7 +407,9 @@
         return Push(push.position, push.position, [])
 
     async def _list(self):
-        pages = await self._list_pages()
+        with self._reads.record("listing") as read:
+            pages = await self._list_pages(read)
+            read.items = sum(len(page.items) for page in pages)
         items = [
             MirrorItem(item.key, item.value, item.position)
             for page in pages
@@ -405,12 +428,12 @@
             },
         )
 
-    async def _list_pages(self):
+    async def _list_pages(self, read):
         """Return all pages of the store, which are of one era."""
         pages = []
         after = ""
         while True:
-            page = await self._store.list_page("", after)
+            page = await self._store.list_page("", after, read.note_answer)
             if pages and page.position.era != pages[0].position.era:
                 pages = []
                 after = ""
@@ -451,9 +474,11 @@
 
     async def _catch_up_from_peers(self, **options):
         """Apply the changes that peers know and this host does not."""
-        answers = await self._ask_peers(
-            self._mirror.position, PEERS_PER_REQUEST, **options
-        )
+        with self._reads.record("peers") as read:
+            answers = await self._ask_peers(
+                self._mirror.position, PEERS_PER_REQUEST, **options
+            )
+            read.items = sum(len(changes.items) for changes in answers)
         for changes in answers:
             self._apply_changes(changes)
 
--- a/apricotseam/coordination/tests/test_synchronizer.py
+++ b/apricotseam/coordination/tests/test_synchronizer.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from apricotseam.coordination._read_log import LOGGED_BYTES
 from apricotseam.coordination._synchronizer import GAP_WATCH_TIMEOUT_SECONDS
 from apricotseam.coordination._synchronizer import LARGE_PAUSE_SECONDS
 from apricotseam.coordination._synchronizer import MAX_PLAIN_PUSH_BYTES
@@ -54,13 +55,13 @@
         self.list_calls = 0
         self.era = 0
 
-    async def list_page(self, prefix, after=""):
+    async def list_page(self, prefix, after="", on_answer=None):
         """Return all items."""
         self.list_calls += 1
         last = max((i.position for i in self.listing), default=Position(1))
         return Listing(self.listing, False, last)
 
-    async def watch(self, prefix, after, wait_seconds):
+    async def watch(self, prefix, after, wait_seconds, on_answer=None):
         """Return or raise the next answer."""
         self.waits.append(wait_seconds)
         if wait_seconds == GAP_WATCH_TIMEOUT_SECONDS and self.gap is not None:
@@ -296,7 +297,7 @@
             Listing([last], False, Position.of(1, 4)),
         ]
 
-    async def list_page(self, prefix, after=""):
+    async def list_page(self, prefix, after="", on_answer=None):
         """Return the next page."""
         page = self.pages.pop(0)
         self.era = page.position.era
@@ -326,7 +327,7 @@
         self.listing = [Item("a", b"w", Position.of(era, 2))]
         self.on_new_era()
 
-    async def watch(self, prefix, after, wait_seconds):
+    async def watch(self, prefix, after, wait_seconds, on_answer=None):
         """Wait."""
         await asyncio.sleep(3600)
 
@@ -356,3 +357,34 @@
         b"v",
         Position.of(1, 3),
     )
+
+
+class StatedStore(FakeStore):
+    """Store whose answers state a length."""
+
+    async def watch(self, prefix, after, wait_seconds, on_answer=None):
+        """State the length, and return the next answer."""
+        if self.watches:
+            on_answer(LOGGED_BYTES)
+        return await super().watch(prefix, after, wait_seconds)
+
+
+# Answers to a watch, outcomes that are logged.
+READS = [
+    (WatchResult([Item("a", b"w", Position(5))], Position(5)), "changed"),
+    (StoreError("down", "wait"), "failed"),
+]
+
+
+@pytest.mark.parametrize(("answer", "outcome"), READS)
+def test_large_and_failed_reads_are_logged_with_their_size(
+    answer, outcome, caplog
+):
+    caplog.set_level("INFO")
+    follow(StatedStore([answer], [("a", 3)]))
+    logged = [
+        (line.source, line.outcome, line.bytes)
+        for line in caplog.records
+        if line.message == "changes_read"
+    ]
+    assert logged == [("reader", outcome, LOGGED_BYTES)]
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -336,6 +336,7 @@
             transport.traffic,
             self._store.calls,
             self._synchronizer.watches,
+            self._synchronizer.reads.counts,
             self._synchronizer.era_events,
         )
         self._registry.register(self._traffic)
--- a/apricotseam/node/_traffic.py
+++ b/apricotseam/node/_traffic.py
@@ -25,15 +25,18 @@
         Calls to the store by kind.
     watches : collections.Counter
         Watches of the store by reason.
+    reads : collections.Counter
+        Reads of the store's items by source and outcome.
     era_events : collections.Counter
         Events by kind that belong to changes of the store's era.
     """
 
-    def __init__(self, traffic, store_calls, watches, era_events):
+    def __init__(self, traffic, store_calls, watches, reads, era_events):
         self._era_events = era_events
         self._traffic = traffic
         self._store_calls = store_calls
         self._watches = watches
+        self._reads = reads
 
     def collect(self):
         """Yield the metric families."""
@@ -73,6 +76,13 @@
         )
         for reason, count in self._watches.items():
             watches.add_metric([reason], count)
+        reads = CounterMetricFamily(
+            "apricotseam_store_reads",
+            "Reads of the store's items, from it or from peers, by outcome.",
+            labels=["source", "outcome"],
+        )
+        for (source, outcome), count in self._reads.items():
+            reads.add_metric([source, outcome], count)
         era_events = CounterMetricFamily(
             "apricotseam_store_era_events",
             "Changes of the store's era, messages and answers of earlier eras"
@@ -81,7 +91,8 @@
         )
         for event, count in self._era_events.items():
             era_events.add_metric([event], count)
-        yield from (messages, size, connections, calls, watches, era_events)
+        yield from (messages, size, connections, calls, watches, reads)
+        yield era_events
 
     def totals(self):
         """Return all counts by name, for example ``sent_Ping_bytes``."""
@@ -98,6 +109,8 @@
             totals[f"store_{kind}"] = count
         for reason, count in self._watches.items():
             totals[f"watch_{reason}"] = count
+        for (source, outcome), count in self._reads.items():
+            totals[f"read_{source}_{outcome}"] = count
         for event, count in self._era_events.items():
             totals[f"era_{event}"] = count
         return totals
--- a/apricotseam/platform/_store.py
+++ b/apricotseam/platform/_store.py
@@ -189,7 +189,7 @@
             self.era = era
             self.on_new_era()
 
-    async def list_page(self, prefix, after=""):
+    async def list_page(self, prefix, after="", on_answer=None):
         """Return one page of the keys with a prefix.
 
         Parameters
@@ -198,6 +198,8 @@
             Start of the keys.
         after : str
             Key after which the page starts; empty for the first page.
+        on_answer : callable, optional
+            As for `watch`.
 
         Returns
         -------
@@ -206,7 +208,9 @@
         query = {"Prefix": prefix}
         if after:
             query["After"] = after
-        answer = await self._call("list", "GET", "/v1/kv-range", query)
+        answer = await self._call(
+            "list", "GET", "/v1/kv-range", query, on_answer=on_answer
+        )
         page = _decode(answer.body, _Page)
         return Listing(
             [_decode_item(item, answer.era) for item in page.entries],
@@ -214,7 +218,7 @@
             _position(answer.era, page.at),
         )
 
-    async def watch(self, prefix, after, wait_seconds):
+    async def watch(self, prefix, after, wait_seconds, on_answer=None):
         """Wait for changes of keys with a prefix after a position.
 
         If the store has meanwhile gone back, the changes are those after the
@@ -228,6 +232,9 @@
             Position after which changes are returned.
         wait_seconds : float
             How long the store waits for a first change.
+        on_answer : callable, optional
+            Called with the size in bytes of the answer's body, as its head
+            states it, when the body is about to be read; 0 if it states none.
 
         Returns
         -------
@@ -245,7 +252,12 @@
         }
         seconds = wait_seconds + WATCH_MARGIN_SECONDS
         answer = await self._call(
-            "watch", "GET", "/v1/kv-watch", query, seconds=seconds
+            "watch",
+            "GET",
+            "/v1/kv-watch",
+            query,
+            seconds=seconds,
+            on_answer=on_answer,
         )
         result = _decode(answer.body, _WatchResult)
         return WatchResult(
@@ -365,7 +377,14 @@
                 )
 
     async def _call(
-        self, kind, method, path, query=None, body=None, seconds=None
+        self,
+        kind,
+        method,
+        path,
+        query=None,
+        body=None,
+        seconds=None,
+        on_answer=None,
     ):
         self.calls[kind] += 1
         loop = asyncio.get_running_loop()
@@ -393,6 +412,8 @@
                 method.encode(), target.encode(), headers, request_body
             )
             response = await connection.head(deadline)
+            if on_answer is not None:
+                on_answer(_stated_length(response))
             response_body = await connection.read_all(deadline, MAX_BODY_BYTES)
         except TransportError as error:
             raise StoreError(
@@ -424,6 +445,11 @@
         return era
 
 
+def _stated_length(response):
+    """Return the length of a body that the head of its answer states."""
+    return parse_count(response.header(b"content-length") or "") or 0
+
+
 def _raise_for_status(status, method, path):
     if status == 200:
         return
