Show that large configurations do not arrive over slow links in time

What callers see is CONFIG: requests that are handled by an old version. The fleet in memory now has links that carry bytes in turn.

--- a/apricotseam/node/tests/memory_fleet.py
+++ b/apricotseam/node/tests/memory_fleet.py
@@ -7,11 +7,13 @@
 
 import asyncio
 import collections
+import math
 import random
 import types
 
 import msgspec
 
+from apricotseam.coordination._hosts import REQUEST_TIMEOUT_SECONDS
 from apricotseam.coordination import Changes
 from apricotseam.coordination import Election
 from apricotseam.coordination import HostRecord
@@ -20,11 +22,13 @@
 from apricotseam.coordination import PackedPush
 from apricotseam.coordination import Registration
 from apricotseam.fleet import Fleet
+from apricotseam.http1 import Connection
 from apricotseam.http1 import LostConnectionError
 from apricotseam.http1 import ResponseHead
 from apricotseam.http1 import TransportTimeoutError
 from apricotseam.node._store_items import HOSTS_PREFIX
 from apricotseam.node._store_items import StoreItemHandler
+from apricotseam.peers._transport import MAX_MESSAGE_BYTES
 from apricotseam.platform import CONFIGURATION_KEY
 from apricotseam.platform.standins import StoreStandIn
 from apricotseam.platform import StoreClient
@@ -45,6 +49,32 @@
 LATE_SHARE = 0.03
 # Longer than any call.
 SILENCE_SECONDS = 60.0
+# Bytes that a link carries at once; those of several messages take turns.
+SEGMENT_BYTES = 16 << 10
+
+
+class Link:
+    """One direction of a host's link.
+
+    Parameters
+    ----------
+    bytes_per_second : float
+        Its bandwidth, may be infinite.
+    """
+
+    def __init__(self, bytes_per_second):
+        self._bytes_per_second = bytes_per_second
+        self._free_at = 0.0
+
+    async def carry(self, size_bytes):
+        """Return when a number of bytes have passed."""
+        loop = asyncio.get_running_loop()
+        while size_bytes > 0:
+            segment = min(SEGMENT_BYTES, size_bytes)
+            size_bytes -= segment
+            seconds = segment / self._bytes_per_second
+            self._free_at = max(self._free_at, loop.time()) + seconds
+            await asyncio.sleep(self._free_at - loop.time())
 
 
 class _Exchange:
@@ -61,10 +91,11 @@
         """Answer nothing."""
 
 
-class _Connection:
+class _Connection(Connection):
     """Connection of one host to the store."""
 
     def __init__(self, fleet, address):
+        super().__init__(address)
         self._fleet = fleet
         self._address = address
         self._request = None
@@ -80,6 +111,7 @@
         try:
             async with asyncio.timeout_at(deadline):
                 await self._cross_link()
+                await asyncio.sleep(self._fleet.slowness_seconds)
                 await self._fleet.store.handle(
                     self._address, self._request, exchange
                 )
@@ -89,7 +121,8 @@
         if exchange.answered is None:
             raise LostConnectionError("no answer", "call again")
         head, self._body = exchange.answered
-        return head
+        length = (b"Content-Length", str(len(self._body)).encode())
+        return ResponseHead(head.status, b"", [*head.headers, length])
 
     async def _cross_link(self):
         """Wait as long as a message to or from the store takes."""
@@ -97,9 +130,16 @@
             await asyncio.sleep(SILENCE_SECONDS)
         await asyncio.sleep(self._fleet.delay())
 
-    async def read_all(self, deadline, limit):
-        """Return the body of the answer."""
-        return self._body
+    async def read(self, deadline):
+        """Return the next part of the answer's body."""
+        part = self._body[:SEGMENT_BYTES]
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self._fleet.downlinks[self._address].carry(len(part))
+        except TimeoutError:
+            raise TransportTimeoutError("no answer", "wait") from None
+        self._body = self._body[SEGMENT_BYTES:]
+        return part
 
     def close(self):
         """Close the connection."""
@@ -221,18 +261,26 @@
         rest = [h for h in others if h not in chosen]
         chosen += random.sample(rest, min(count - len(chosen), len(rest)))
         await asyncio.sleep(self.fleet.delay())
-        answers = [
-            msgspec.msgpack.decode(
-                msgspec.msgpack.encode(
-                    peer.mirror.changes_since(position), enc_hook=encode_hook
-                ),
-                type=Changes,
-                dec_hook=decode_hook,
-            )
-            for peer in chosen
-        ]
+        answers = await asyncio.gather(
+            *(self._ask_peer(peer, position) for peer in chosen)
+        )
         await asyncio.sleep(self.fleet.delay())
-        return answers
+        return [answer for answer in answers if answer is not None]
+
+    async def _ask_peer(self, peer, position):
+        """Return the answer of a peer, None if it has not come in time."""
+        body = msgspec.msgpack.encode(
+            peer.mirror.changes_since(position), enc_hook=encode_hook
+        )
+        if len(body) > MAX_MESSAGE_BYTES:
+            return None
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
+                await self.fleet.uplinks[peer.name].carry(len(body))
+                await self.fleet.downlinks[self.name].carry(len(body))
+        except TimeoutError:
+            return None
+        return msgspec.msgpack.decode(body, type=Changes, dec_hook=decode_hook)
 
 
 class MemoryFleet:
@@ -247,9 +295,16 @@
     is_large : bool, optional
         Whether only the readers of a zone read the store; by default this
         depends on the number of hosts.
+    link_mbps : float, optional
+        Bandwidth of each host's link in each direction, in 10**6 bits a
+        second; unlimited by default.
 
     Attributes
     ----------
+    downlinks, uplinks : dict of str to Link
+        Links of the hosts by name.
+    slowness_seconds : float
+        Time that the store takes for an answer, beside what usually passes.
     silenced : set of str
         Hosts whose calls to the store are not answered.
     violations : list of str
@@ -258,7 +313,14 @@
         Incarnations of targets whose processes have ended.
     """
 
-    def __init__(self, hosts, zones=1, lost_share=0.0, is_large=None):
+    def __init__(
+        self,
+        hosts,
+        zones=1,
+        lost_share=0.0,
+        is_large=None,
+        link_mbps=math.inf,
+    ):
         self.zones = zones
         self.lost_share = lost_share
         if is_large is None:
@@ -273,7 +335,13 @@
         self._known = collections.defaultdict(set)
         self._left = collections.defaultdict(set)
         self._tasks = []
+        self._deliveries = set()
+        self.slowness_seconds = 0.0
         self.hosts = [MemoryHost(self, number) for number in range(hosts)]
+        bytes_per_second = link_mbps * 1e6 / 8
+        names = [host.name for host in self.hosts]
+        self.downlinks = {name: Link(bytes_per_second) for name in names}
+        self.uplinks = {name: Link(bytes_per_second) for name in names}
 
     def start(self):
         """Start all hosts and the checks."""
@@ -307,9 +375,17 @@
             if random.random() < self.lost_share:
                 copies = random.choice([0, 2])
             for _ in range(copies):
-                loop.call_later(
-                    self.delay(), host.receive, type(message), body
+                task = loop.create_task(
+                    self._deliver(sender, host, type(message), body)
                 )
+                self._deliveries.add(task)
+                task.add_done_callback(self._deliveries.discard)
+
+    async def _deliver(self, sender, host, kind, body):
+        await self.uplinks[sender.name].carry(len(body))
+        await asyncio.sleep(self.delay())
+        await self.downlinks[host.name].carry(len(body))
+        host.receive(kind, body)
 
     def disagreements(self):
         """Return what hosts believe that the store does not say."""
