Bound reads of the store by their progress, not as a whole

Callers were served by an old configuration, or refused by hosts that had none (CONFIG), where links are slow or many hosts read at once. A listing had to be complete within 1.0 s, the read of a missing change within 1.25 s, a watch within 3.25 s, whatever they brought; one that made progress was ended, and the next one asked for all of it again and for what had come since. Now the timeouts bound the time until an answer begins; its body may go on as long as each part arrives within 1.0 s, 15 s in all. Calls that write stay bounded as a whole, as leases depend on them.

--- a/apricotseam/http1/_client.py
+++ b/apricotseam/http1/_client.py
@@ -230,7 +230,7 @@
         self._finish_response()
         return b""
 
-    async def read_all(self, deadline, limit):
+    async def read_all(self, deadline, limit, extend=None):
         """Return the complete body.
 
         Parameters
@@ -239,6 +239,9 @@
             Time on the event loop's clock.
         limit : int
             Largest size of the body in bytes.
+        extend : callable, optional
+            Called after each part of the body; returns the deadline of the
+            rest. By default it stays the same.
 
         Raises
         ------
@@ -253,6 +256,8 @@
             if size > limit:
                 raise self._fail(f"a body larger than {limit} bytes")
             parts.append(data)
+            if extend is not None:
+                deadline = extend()
         return b"".join(parts)
 
     def interrupt(self):
--- a/apricotseam/platform/_store.py
+++ b/apricotseam/platform/_store.py
@@ -23,6 +23,10 @@
 # Added to the wait time of a watch to obtain the timeout of its call.
 WATCH_MARGIN_SECONDS = 0.75
 MAX_BODY_BYTES = 16 << 20
+# Timeouts for the body of a listing or watch once its head has arrived: of
+# each part, and in all. How long a large one takes depends on the link.
+READ_STALL_SECONDS = 1.0
+MAX_READ_SECONDS = 15.0
 MILLISECONDS_PER_SECOND = 1000
 # Header of all answers; it rises when the store goes back to an older state.
 ERA_HEADER = b"store-era"
@@ -209,7 +213,12 @@
         if after:
             query["After"] = after
         answer = await self._call(
-            "list", "GET", "/v1/kv-range", query, on_answer=on_answer
+            "list",
+            "GET",
+            "/v1/kv-range",
+            query,
+            on_answer=on_answer,
+            is_large=True,
         )
         page = _decode(answer.body, _Page)
         return Listing(
@@ -258,6 +267,7 @@
             query,
             seconds=seconds,
             on_answer=on_answer,
+            is_large=True,
         )
         result = _decode(answer.body, _WatchResult)
         return WatchResult(
@@ -385,7 +395,13 @@
         body=None,
         seconds=None,
         on_answer=None,
+        is_large=False,
     ):
+        """Make a call; return its `_Answer`.
+
+        ``is_large`` is whether the body of the answer may take longer than
+        the call, as long as it makes progress.
+        """
         self.calls[kind] += 1
         loop = asyncio.get_running_loop()
         deadline = loop.time() + (seconds or CALL_TIMEOUT_SECONDS)
@@ -414,7 +430,13 @@
             response = await connection.head(deadline)
             if on_answer is not None:
                 on_answer(_stated_length(response))
-            response_body = await connection.read_all(deadline, MAX_BODY_BYTES)
+            extend = None
+            if is_large:
+                extend = _extend_until(loop.time() + MAX_READ_SECONDS)
+                deadline = extend()
+            response_body = await connection.read_all(
+                deadline, MAX_BODY_BYTES, extend
+            )
         except TransportError as error:
             raise StoreError(
                 f"{method} {path}: {error.found}",
@@ -445,6 +467,12 @@
         return era
 
 
+def _extend_until(latest):
+    """Return a function that returns the deadline of the next part."""
+    loop = asyncio.get_running_loop()
+    return lambda: min(latest, loop.time() + READ_STALL_SECONDS)
+
+
 def _stated_length(response):
     """Return the length of a body that the head of its answer states."""
     return parse_count(response.header(b"content-length") or "") or 0
--- a/apricotseam/platform/tests/test_store_eras.py
+++ b/apricotseam/platform/tests/test_store_eras.py
@@ -41,7 +41,7 @@
         headers, self.body = self.answers.pop(0)
         return ResponseHead(200, b"", headers)
 
-    async def read_all(self, deadline, limit):
+    async def read_all(self, deadline, limit, extend=None):
         """Return the body of the answer."""
         return self.body
 
