Pack answers of peers about changes, and do not wait for a second one

A host that the store turns away has only its peers' answers to learn a version from. With a large configuration it never got one (CONFIG): two whole, uncompressed answers at once had to pass its link within 0.5 s, and none of more than 1 MiB fits in a message.

--- a/apricotseam/coordination/__init__.py
+++ b/apricotseam/coordination/__init__.py
@@ -4,14 +4,15 @@
 from apricotseam.coordination._hosts import Hosts
 from apricotseam.coordination._hosts import is_large_fleet
 from apricotseam.coordination._messages import Changes
-from apricotseam.coordination._messages import ChangesRequest
 from apricotseam.coordination._messages import decode_host_record
 from apricotseam.coordination._messages import HostRecord
 from apricotseam.coordination._messages import MirrorItem
+from apricotseam.coordination._messages import PackedChanges
 from apricotseam.coordination._messages import PackedPush
 from apricotseam.coordination._messages import Push
 from apricotseam.coordination._mirror import EraChange
 from apricotseam.coordination._mirror import Mirror
+from apricotseam.coordination._peer_changes import PeerChanges
 from apricotseam.coordination._permits import PermitAnswer
 from apricotseam.coordination._permits import PermitIssuer
 from apricotseam.coordination._permits import PermitRequest
@@ -21,7 +22,6 @@
 
 __all__ = [
     "Changes",
-    "ChangesRequest",
     "Election",
     "EraChange",
     "HostRecord",
@@ -29,7 +29,9 @@
     "Mirror",
     "MirrorItem",
     "MirrorSynchronizer",
+    "PackedChanges",
     "PackedPush",
+    "PeerChanges",
     "PermitAnswer",
     "PermitIssuer",
     "PermitRequest",
--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -4,13 +4,9 @@
 import logging
 import random
 
-from apricotseam.coordination._messages import Changes
-from apricotseam.coordination._messages import ChangesRequest
 from apricotseam.membership import Member
 from apricotseam.membership import Membership
 from apricotseam.membership import MESSAGE_TYPES
-from apricotseam.peers import PeerAnswerLostError
-from apricotseam.peers import PeerUnreachableError
 
 _LOG = logging.getLogger(__name__)
 
@@ -18,7 +14,6 @@
 MS_PER_SECOND = 1000
 # A host that started within this time counts as live if the store lists it.
 RECENT_START_SECONDS = 10.0
-REQUEST_TIMEOUT_SECONDS = 0.5
 # Larger fleets exchange loads and watch the store by availability zone.
 MAX_SMALL_FLEET = 25
 # Two, so that a message still reaches a zone of which one delegate has just
@@ -255,23 +250,20 @@
             self._publish()
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
 
-    async def ask_changes(self, position, count, readers_first=False):
-        """Request the latest changes of the store from random hosts.
+    def choose_peers(self, count, readers_first=False):
+        """Return the peer addresses of some other hosts, chosen at random.
 
         Parameters
         ----------
-        position : Position
-            Position up to which this host knows the changes.
         count : int
-            Number of hosts to ask.
+            Number of hosts.
         readers_first : bool
             Whether one of them should be a delegate of this host's zone,
             which reads the store.
 
         Returns
         -------
-        list of Changes
-            The answers that arrived in time.
+        list of str
         """
         own = self.table.own_address
         addresses = [
@@ -285,21 +277,7 @@
             chosen = random.sample(sorted(readers), min(1, len(readers)))
             addresses = [a for a in addresses if a not in chosen]
         rest = min(count - len(chosen), len(addresses))
-        chosen += random.sample(addresses, rest)
-        requests = [
-            self._request_changes(a, ChangesRequest(position)) for a in chosen
-        ]
-        answers = await asyncio.gather(*requests)
-        return [a for a in answers if isinstance(a, Changes)]
-
-    async def _request_changes(self, address, record):
-        try:
-            return await self._transport.ask_async(
-                address, record, REQUEST_TIMEOUT_SECONDS
-            )
-        except (PeerAnswerLostError, PeerUnreachableError) as error:
-            _LOG.debug("peer_silent", extra={"error": str(error)})
-            return None
+        return chosen + random.sample(addresses, rest)
 
     def _receive(self, sender, message):
         now = self._now()
--- a/apricotseam/coordination/_messages.py
+++ b/apricotseam/coordination/_messages.py
@@ -22,9 +22,13 @@
 
 
 class ChangesRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Request for the changes after a position in the store."""
+    """Request for the changes after a position in the store.
+
+    If ``accepts_packed`` is set, the answer may be `PackedChanges`.
+    """
 
     after: Position
+    accepts_packed: bool = False
 
 
 class Changes(msgspec.Struct, frozen=True, array_like=True):
@@ -39,6 +43,14 @@
     is_whole: bool = False
 
 
+class PackedChanges(msgspec.Struct, frozen=True, array_like=True):
+    """`Changes` whose items are packed, see `pack_changes`."""
+
+    position: Position
+    packed: bytes
+    is_whole: bool
+
+
 class Push(msgspec.Struct, frozen=True, array_like=True):
     """Message from a reader of the store to the other hosts of its zone.
 
--- a/apricotseam/coordination/tests/test_fan_out.py
+++ b/apricotseam/coordination/tests/test_fan_out.py
@@ -13,7 +13,7 @@
 class Transport:
     """Accepts handlers and sends nothing."""
 
-    def handle(self, record_type, handler, answer_type=None):
+    def handle(self, record_type, handler, *answer_types):
         """Accept a handler."""
 
 
--- a/apricotseam/execution/_messages.py
+++ b/apricotseam/execution/_messages.py
@@ -112,5 +112,5 @@
 
     def handle(self, record_type, handler, answer_type=None):
         """Register a handler for records of a type on the control loop."""
-        options = {} if answer_type is None else {"answer_type": answer_type}
-        self._transport.handle(record_type, handler, **options)
+        answer_types = () if answer_type is None else (answer_type,)
+        self._transport.handle(record_type, handler, *answer_types)
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -12,14 +12,13 @@
 
 from apricotseam import _early_signals
 from apricotseam.chains import Ledger
-from apricotseam.coordination import Changes
-from apricotseam.coordination import ChangesRequest
 from apricotseam.coordination import Election
 from apricotseam.coordination import HostRecord
 from apricotseam.coordination import Hosts
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import MirrorSynchronizer
 from apricotseam.coordination import PackedPush
+from apricotseam.coordination import PeerChanges
 from apricotseam.coordination import Push
 from apricotseam.coordination import Registration
 from apricotseam.coordination import SuspensionDetector
@@ -318,13 +317,13 @@
             self._hosts, self._context.request_queue, self._now
         )
         self._context.quarantine_gate.trials = self._context.permits
-        transport.handle(ChangesRequest, self._answer_changes, Changes)
         self._store = StoreClient(settings.store_address)
         self._mirror = Mirror(self._apply_item)
+        peer_changes = PeerChanges(self._hosts, self._mirror)
         self._synchronizer = MirrorSynchronizer(
             self._store,
             self._mirror,
-            self._hosts.ask_changes,
+            peer_changes.ask,
             self._now,
             lambda: self._hosts.reads_store,
             self._push_if_large,
@@ -512,9 +511,6 @@
         if self._hosts.is_large:
             self._hosts.push(message)
 
-    def _answer_changes(self, sender, request):
-        return self._mirror.changes_since(request.after)
-
     def _make_controls(self):
         """Return the endpoints for operators."""
         return [
--- a/apricotseam/node/tests/memory_fleet.py
+++ b/apricotseam/node/tests/memory_fleet.py
@@ -13,13 +13,12 @@
 
 import msgspec
 
-from apricotseam.coordination._hosts import REQUEST_TIMEOUT_SECONDS
-from apricotseam.coordination import Changes
 from apricotseam.coordination import Election
 from apricotseam.coordination import HostRecord
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import MirrorSynchronizer
 from apricotseam.coordination import PackedPush
+from apricotseam.coordination import PeerChanges
 from apricotseam.coordination import Registration
 from apricotseam.fleet import Fleet
 from apricotseam.http1 import Connection
@@ -29,6 +28,7 @@
 from apricotseam.node._store_items import HOSTS_PREFIX
 from apricotseam.node._store_items import StoreItemHandler
 from apricotseam.peers._transport import MAX_MESSAGE_BYTES
+from apricotseam.peers import PeerAnswerLostError
 from apricotseam.platform import CONFIGURATION_KEY
 from apricotseam.platform.standins import StoreStandIn
 from apricotseam.platform import StoreClient
@@ -157,6 +157,51 @@
         """Do not keep connections."""
 
 
+class _Peers:
+    """Other hosts and the requests to them, in place of `Hosts`."""
+
+    def __init__(self, fleet, host):
+        self._fleet = fleet
+        self._host = host
+
+    @property
+    def transport(self):
+        """Sender of requests, which is this object."""
+        return self
+
+    def handle(self, record_type, handler, *answer_types):
+        """Accept a handler, which the fleet calls directly."""
+
+    def choose_peers(self, count, readers_first=False):
+        """Return the names of other hosts."""
+        others = [h for h in self._fleet.hosts if h is not self._host]
+        chosen = []
+        if readers_first and self._fleet.is_large:
+            readers = [
+                h for h in others if h.is_reader and h.zone == self._host.zone
+            ]
+            chosen = random.sample(readers, min(1, len(readers)))
+        rest = [h for h in others if h not in chosen]
+        chosen += random.sample(rest, min(count - len(chosen), len(rest)))
+        return [host.name for host in chosen]
+
+    async def ask_async(self, address, record):
+        """Return the answer of a host."""
+        fleet, name = self._fleet, self._host.name
+        await asyncio.sleep(fleet.delay())
+        peer = next(h for h in fleet.hosts if h.name == address)
+        answer = peer.peer_changes.answer(name, record)
+        body = msgspec.msgpack.encode(answer, enc_hook=encode_hook)
+        if len(body) > MAX_MESSAGE_BYTES:
+            raise PeerAnswerLostError("too large", "ask again")
+        await fleet.uplinks[address].carry(len(body))
+        await fleet.downlinks[name].carry(len(body))
+        await asyncio.sleep(fleet.delay())
+        return msgspec.msgpack.decode(
+            body, type=type(answer), dec_hook=decode_hook
+        )
+
+
 class MemoryHost:
     """One host of a `MemoryFleet`."""
 
@@ -171,10 +216,11 @@
         self.store = StoreClient(self.name)
         self.store._pool = _Pool(fleet)
         self.mirror = Mirror(lambda item: self.handler.apply(item))
+        self.peer_changes = PeerChanges(_Peers(fleet, self), self.mirror)
         self.synchronizer = MirrorSynchronizer(
             self.store,
             self.mirror,
-            self._ask_peers,
+            self.peer_changes.ask,
             loop.time,
             lambda: self.is_reader,
             self._push,
@@ -250,38 +296,6 @@
         if self.fleet.is_large:
             self.fleet.push(self, message)
 
-    async def _ask_peers(self, position, count, readers_first=False):
-        others = [h for h in self.fleet.hosts if h is not self]
-        chosen = []
-        if readers_first and self.fleet.is_large:
-            readers = [
-                h for h in others if h.is_reader and h.zone == self.zone
-            ]
-            chosen = random.sample(readers, min(1, len(readers)))
-        rest = [h for h in others if h not in chosen]
-        chosen += random.sample(rest, min(count - len(chosen), len(rest)))
-        await asyncio.sleep(self.fleet.delay())
-        answers = await asyncio.gather(
-            *(self._ask_peer(peer, position) for peer in chosen)
-        )
-        await asyncio.sleep(self.fleet.delay())
-        return [answer for answer in answers if answer is not None]
-
-    async def _ask_peer(self, peer, position):
-        """Return the answer of a peer, None if it has not come in time."""
-        body = msgspec.msgpack.encode(
-            peer.mirror.changes_since(position), enc_hook=encode_hook
-        )
-        if len(body) > MAX_MESSAGE_BYTES:
-            return None
-        try:
-            async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
-                await self.fleet.uplinks[peer.name].carry(len(body))
-                await self.fleet.downlinks[self.name].carry(len(body))
-        except TimeoutError:
-            return None
-        return msgspec.msgpack.decode(body, type=Changes, dec_hook=decode_hook)
-
 
 class MemoryFleet:
     """A store and the hosts that follow it.
--- a/apricotseam/node/tests/test_zone_reports.py
+++ b/apricotseam/node/tests/test_zone_reports.py
@@ -120,7 +120,7 @@
         """Apply a notice of a target's pace."""
         return target.pace.apply(notice, self.zone.now)
 
-    def handle(self, record_type, handler, answer_type=None):
+    def handle(self, record_type, handler, *answer_types):
         """Record the handler of a message type."""
         self.handlers[record_type] = handler
 
--- a/apricotseam/peers/_transport.py
+++ b/apricotseam/peers/_transport.py
@@ -105,7 +105,7 @@
         """
         self._incarnation = max(self._incarnation, incarnation)
 
-    def handle(self, record_type, handler, answer_type=Nothing):
+    def handle(self, record_type, handler, *answer_types):
         """Register the handler for messages of a type.
 
         Parameters
@@ -115,11 +115,12 @@
         handler : callable
             Called as ``handler(sender_address, record)``; returns the
             answer or None. May be a coroutine function.
-        answer_type : type
-            The `msgspec.Struct` class of the answers.
+        *answer_types : type
+            The `msgspec.Struct` classes of the answers; none if the handler
+            returns None.
         """
-        self._record_types[record_type.__name__] = record_type
-        self._record_types[answer_type.__name__] = answer_type
+        for kind in (record_type, *answer_types):
+            self._record_types[kind.__name__] = kind
         self._handlers[record_type.__name__] = handler
 
     def start(self):
