Skip overwritten versions before they are read, and announce long reads

A quick succession of large versions was read version by version: a watch returns every one since its position, and only after all had been read a pause of 0.5 s and a listing followed.

Now the client refuses an answer to a watch whose stated length is above that of a listing, before its body is read, and the host lists the store at once. A reader whose answer is under way for 0.2 s tells its zone that there are changes after its position, so that the others read them at the same time. It passes on what differs between two positions, not each version. A host that hears of changes waits 0.1 s for a push before it reads the store itself, and asks peers first while the store does not answer it.

The new cases of test_synchronizer.py fail before: versions are skipped, long reads are announced, a push that follows closes a gap, peers are asked first. The case of listing after many large versions now states the size of answers; it is as strict, as the listing has to come without the versions being read.

--- a/apricotseam/coordination/_mirror.py
+++ b/apricotseam/coordination/_mirror.py
@@ -11,6 +11,8 @@
 
 # Number of deleted keys whose positions are remembered for peers.
 MAX_TOMBSTONES = 1024
+# Size of what a store answers of an item beside its key and value.
+ITEM_BYTES = 128
 
 
 class EraChange(msgspec.Struct, frozen=True):
@@ -60,6 +62,13 @@
     def __len__(self):
         return len(self._items)
 
+    def size_bytes(self):
+        """Return the size of all keys and values, with that of a record."""
+        return sum(
+            len(key) + len(item.value) + ITEM_BYTES
+            for key, item in self._items.items()
+        )
+
     def get(self, key):
         """Return the item of a key, or None."""
         return self._items.get(key)
--- a/apricotseam/coordination/_synchronizer.py
+++ b/apricotseam/coordination/_synchronizer.py
@@ -7,12 +7,15 @@
 import random
 
 from apricotseam.coordination._messages import MirrorItem
-from apricotseam.coordination._messages import Push
-from apricotseam.coordination._packing import MAX_UNPACKED_BYTES
-from apricotseam.coordination._packing import pack_push
 from apricotseam.coordination._packing import unpack_push
+from apricotseam.coordination._pushes import make_push
+from apricotseam.coordination._pushes import MAX_PUSHED_BYTES
+from apricotseam.coordination._pushes import position_push
+from apricotseam.coordination._pushes import unread_push
 from apricotseam.coordination._read_log import ReadLog
+from apricotseam.coordination._store_reader import StoreReader
 from apricotseam.errors import InvalidInputError
+from apricotseam.platform import AnswerTooLargeError
 from apricotseam.platform import HistoryLostError
 from apricotseam.platform import StaleAnswerError
 from apricotseam.platform import StoreError
@@ -39,19 +42,18 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 READER_TIMEOUT_SECONDS = 1.2
 READER_CHECK_INTERVAL_SECONDS = 0.4
-# Larger changes are compressed.
-MAX_PLAIN_PUSH_BYTES = 4096
-# Limit on compressed changes. Each host reads larger ones from the store
-# itself, since the store has more bandwidth than a reader.
-MAX_PUSHED_BYTES = 16 << 10
 # Timeout for reading from the store a change that no push contained.
 GAP_WATCH_TIMEOUT_SECONDS = 0.5
 # Pause after filling a gap, so that further gaps share the next call.
 GAP_PAUSE_SECONDS = 0.3
-# If a watch returns more bytes of overwritten versions, a listing is cheaper.
-MAX_SUPERSEDED_BYTES = 128 << 10
-# Pause before that listing.
-LARGE_PAUSE_SECONDS = 0.5
+# Pause before changes that a reader knows of are read from the store, in
+# which a push may bring them.
+GAP_DELAY_SECONDS = 0.1
+# An answer to a watch that is larger than a listing would be contains versions
+# that were overwritten. Size of a listing in relation to the values, and of
+# the rest of it.
+ENCODED_SIZE_FACTOR = 4 / 3
+MIN_WATCHED_BYTES = 512 << 10
 # When the store has gone back, readers list it and the other hosts ask their
 # peers, each after a random pause up to these.
 READER_SPREAD_SECONDS = 0.2
@@ -96,6 +98,9 @@
     on_era_change : callable, optional
         Called with the `EraChange` after the mirror has followed the store
         to a later era.
+    max_pushed_bytes : callable, optional
+        Returns the limit on compressed changes that this host pushes. The
+        other hosts read larger ones themselves.
     """
 
     def __init__(
@@ -109,14 +114,19 @@
         is_urgent=None,
         reports_position=None,
         on_era_change=None,
+        max_pushed_bytes=None,
     ):
         self._on_era_change = on_era_change or (lambda change: None)
+        self._max_pushed_bytes = max_pushed_bytes or (lambda: MAX_PUSHED_BYTES)
         self._reports_position = reports_position or (lambda: False)
         self._is_urgent = is_urgent or (lambda item: True)
         self._is_reader = is_reader or (lambda: True)
         self._push = push or (lambda message: None)
         self._pushed_at = None
-        self._has_gap = False
+        # Position up to which changes are missing, as this host has heard.
+        self._missed_position = NO_POSITION
+        # Whether the last read of missing changes from the store failed.
+        self._asks_peers_first = False
         # Wakes `run` if it waits for pushes.
         self._gap_found = asyncio.Event()
         self._store = store
@@ -135,7 +145,7 @@
         # Number of changes of the era, and of messages and answers of earlier
         # eras that were dropped.
         self.era_events = collections.Counter()
-        self._watch_timeout = None
+        self._reader = StoreReader(store, self._reads, self._announce_unread)
         # Era in which the mirror is too old, and the time at which this host
         # lists the store if no peer has helped.
         self._missed_era = 0
@@ -193,6 +203,9 @@
             except HistoryLostError as error:
                 _LOG.info("store_history_lost", extra={"error": str(error)})
                 self._handle_lost_history()
+            except AnswerTooLargeError as error:
+                _LOG.info("versions_skipped", extra={"error": str(error)})
+                self._needs_listing = True
             except StaleAnswerError as error:
                 self._count_stale("answer", str(error))
                 await self._sleep_before_retry()
@@ -204,6 +217,8 @@
     async def _run_once(self):
         if self._is_behind:
             await self._join_era()
+        elif self._needs_listing:
+            await self._list()
         elif self._has_active_reader():
             await self._follow_reader()
         else:
@@ -222,7 +237,7 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
             position = self.followed_position
             if position and not self._reports_position():
-                self._push(Push(position, position, []))
+                self._push(position_push(position))
 
     def receive_packed_push(self, message):
         """Apply the changes in a `PackedPush`, as `receive_push` does.
@@ -233,12 +248,12 @@
             push = unpack_push(message)
         except InvalidInputError as error:
             _LOG.warning("push_refused", extra={"error": str(error)})
-            push = Push(message.position, message.position, [])
+            push = position_push(message.position)
         self.receive_push(push)
 
     def receive_heartbeat(self, position):
         """Note that a reader follows the store at a position."""
-        self.receive_push(Push(position, position, []))
+        self.receive_push(position_push(position))
 
     def receive_push(self, message):
         """Apply the changes in a push of a reader.
@@ -266,7 +281,7 @@
 
     def _note_gap(self, position):
         """Record that changes up to a position are missing."""
-        if not self._has_gap:
+        if self._missed_position <= self._mirror.position:
             _LOG.info(
                 "changes_missed",
                 extra={
@@ -274,7 +289,7 @@
                     "heard": str(position),
                 },
             )
-        self._has_gap = True
+        self._missed_position = max(self._missed_position, position)
         self._gap_found.set()
 
     def _count_stale(self, kind, found):
@@ -286,10 +301,7 @@
     def _interrupt_waits(self):
         """End the present wait for changes, as the store has gone back."""
         self._gap_found.set()
-        # A timeout that has expired cannot be set again.
-        timeout, self._watch_timeout = self._watch_timeout, None
-        if timeout is not None:
-            timeout.reschedule(0)
+        self._reader.interrupt()
 
     async def _join_era(self):
         """Replace the mirror by the items of the store's later era.
@@ -313,15 +325,14 @@
 
     def _has_active_reader(self):
         """Return whether a reader watches the store on behalf of this host."""
-        if self._needs_listing or self._is_reader():
+        if self._is_reader():
             return False
         if self._pushed_at is None:
             return False
         return self._now() - self._pushed_at < READER_TIMEOUT_SECONDS
 
     async def _follow_reader(self):
-        if self._has_gap:
-            self._has_gap = False
+        if self._missed_position > self._mirror.position:
             await self._fill_gap()
             await asyncio.sleep(GAP_PAUSE_SECONDS)
         self._gap_found.clear()
@@ -331,17 +342,27 @@
 
     async def _fill_gap(self):
         """Fetch the changes that the pushes of the reader did not contain."""
+        position = self._missed_position
+        await asyncio.sleep(GAP_DELAY_SECONDS)
+        if self._mirror.position >= position:
+            return
+        self._missed_position = NO_POSITION
+        if self._asks_peers_first:
+            await self._catch_up_from_peers()
+            if self._mirror.position >= position:
+                return
         try:
             await self._watch("gap", GAP_WATCH_TIMEOUT_SECONDS)
-        except HistoryLostError:
+            self._asks_peers_first = False
+        except (HistoryLostError, AnswerTooLargeError):
             raise
         except StoreError as error:
             _LOG.info("gap_requested_from_peers", extra={"error": str(error)})
-            await self._catch_up_from_peers()
+            if not self._asks_peers_first:
+                await self._catch_up_from_peers()
+            self._asks_peers_first = True
 
     async def _follow_store(self):
-        if self._needs_listing:
-            await self._list()
         await self._watch(
             "reader" if self._is_reader() else "no_reader",
             UNREACHABLE_WATCH_TIMEOUT_SECONDS
@@ -352,11 +373,11 @@
     async def _watch(self, reason, seconds):
         """Apply the changes that the store reports within some seconds."""
         self.watches[reason] += 1
-        with self._reads.record(reason) as read:
-            watched = await self._wait_for_changes(seconds, read)
-            if watched is None:
-                return
-            read.items = len(watched.items)
+        watched = await self._reader.watch(
+            reason, self._mirror.position, seconds, self._max_watched_bytes()
+        )
+        if watched is None:
+            return
         self._mark_store_available()
         if watched.position.era != self._mirror.position.era:
             return
@@ -368,80 +389,44 @@
         for item in items:
             self._mirror.apply(item)
         self._mirror.advance(watched.position)
-        if items and self._is_reader():
-            self._push(self._make_push(base, items))
-        if _superseded_bytes(items) > MAX_SUPERSEDED_BYTES:
-            self._needs_listing = True
-            await asyncio.sleep(LARGE_PAUSE_SECONDS)
-        elif any(map(self._is_urgent, items)):
-            await asyncio.sleep(URGENT_COALESCE_SECONDS)
-        elif items:
-            await asyncio.sleep(NON_URGENT_COALESCE_SECONDS)
-
-    async def _wait_for_changes(self, seconds, read):
-        """Return the result of a watch, None if the store has gone back."""
-        try:
-            async with asyncio.timeout(None) as self._watch_timeout:
-                return await self._store.watch(
-                    "", self._mirror.position, seconds, read.note_answer
-                )
-        except TimeoutError:
-            return None
-        finally:
-            self._watch_timeout = None
-
-    def _make_push(self, base, items):
-        """Return a push of the changes.
-
-        If they are too large to be pushed, it contains only the position,
-        from which the other hosts see that they miss changes.
+        if items:
+            self._push_changes(base)
+            is_urgent = any(map(self._is_urgent, items))
+            await asyncio.sleep(
+                URGENT_COALESCE_SECONDS
+                if is_urgent
+                else NON_URGENT_COALESCE_SECONDS
+            )
+
+    def _max_watched_bytes(self):
+        """Return the size up to which a watch is cheaper than a listing."""
+        return max(
+            MIN_WATCHED_BYTES,
+            int(ENCODED_SIZE_FACTOR * self._mirror.size_bytes()),
+        )
+
+    def _push_changes(self, base):
+        """Pass the changes after a position on, if this host is a reader."""
+        if self._is_reader():
+            changes = self._mirror.changes_since(base)
+            self._push(make_push(changes, base, self._max_pushed_bytes()))
+
+    def _announce_unread(self):
+        """Tell the other hosts of changes that this one still reads.
+
+        They read them at the same time, and need not wait for this host.
         """
-        push = Push(base, self._mirror.position, items)
-        size = sum(_size(item) for item in items)
-        if size <= MAX_PLAIN_PUSH_BYTES:
-            return push
-        if size <= MAX_UNPACKED_BYTES // 2:
-            packed = pack_push(push)
-            if len(packed.packed) <= MAX_PUSHED_BYTES:
-                return packed
-        return Push(push.position, push.position, [])
+        if self._is_reader() and self._mirror.position != NO_POSITION:
+            self._push(unread_push(self._mirror.position))
 
     async def _list(self):
-        with self._reads.record("listing") as read:
-            pages = await self._list_pages(read)
-            read.items = sum(len(page.items) for page in pages)
-        items = [
-            MirrorItem(item.key, item.value, item.position)
-            for page in pages
-            for item in page.items
-        ]
-        position = pages[-1].position
+        listed = await self._reader.list()
         self._mark_store_available()
-        self._reconcile(items, pages[0].position, position)
+        base = self._mirror.position
         self._needs_listing = False
-        _LOG.info(
-            "store_listed",
-            extra={
-                "items": len(items),
-                "era": position.era,
-                "revision": position.revision,
-            },
-        )
-
-    async def _list_pages(self, read):
-        """Return all pages of the store, which are of one era."""
-        pages = []
-        after = ""
-        while True:
-            page = await self._store.list_page("", after, read.note_answer)
-            if pages and page.position.era != pages[0].position.era:
-                pages = []
-                after = ""
-                continue
-            pages.append(page)
-            if not page.has_more or not page.items:
-                return pages
-            after = page.items[-1].key
+        self._reconcile(listed.items, listed.first, listed.last)
+        if base.era == self._mirror.position.era != NO_POSITION:
+            self._push_changes(base)
 
     def _reconcile(self, items, first_position, last_position):
         """Replace the mirror by a complete listing."""
@@ -452,7 +437,7 @@
         self._on_era_change(change)
         position = self.followed_position
         if position:
-            self._push(Push(position, position, []))
+            self._push(position_push(position))
 
     def _mark_store_lost(self, error):
         if self._unreachable_since is None:
@@ -504,13 +489,3 @@
     async def _sleep_before_retry(self):
         await asyncio.sleep(self._backoff * random.uniform(0.7, 1.0))
         self._backoff = min(MAX_BACKOFF_SECONDS, 2 * self._backoff)
-
-
-def _size(item):
-    return len(item.value or b"")
-
-
-def _superseded_bytes(items):
-    """Return the size in bytes of the versions that later items overwrite."""
-    last = {item.key: item for item in items}
-    return sum(map(_size, items)) - sum(map(_size, last.values()))
--- a/apricotseam/coordination/tests/test_synchronizer.py
+++ b/apricotseam/coordination/tests/test_synchronizer.py
@@ -5,12 +5,14 @@
 
 import pytest
 
+from apricotseam.coordination._pushes import MAX_PLAIN_PUSH_BYTES
+from apricotseam.coordination._pushes import MAX_PUSHED_BYTES
 from apricotseam.coordination._read_log import LOGGED_BYTES
+from apricotseam.coordination._store_reader import LONG_READ_SECONDS
+from apricotseam.coordination._synchronizer import GAP_DELAY_SECONDS
+from apricotseam.coordination._synchronizer import GAP_PAUSE_SECONDS
 from apricotseam.coordination._synchronizer import GAP_WATCH_TIMEOUT_SECONDS
-from apricotseam.coordination._synchronizer import LARGE_PAUSE_SECONDS
-from apricotseam.coordination._synchronizer import MAX_PLAIN_PUSH_BYTES
-from apricotseam.coordination._synchronizer import MAX_PUSHED_BYTES
-from apricotseam.coordination._synchronizer import MAX_SUPERSEDED_BYTES
+from apricotseam.coordination._synchronizer import MIN_WATCHED_BYTES
 from apricotseam.coordination._synchronizer import (
     UNREACHABLE_WATCH_TIMEOUT_SECONDS,
 )
@@ -21,6 +23,7 @@
 from apricotseam.coordination import MirrorSynchronizer
 from apricotseam.coordination import PackedPush
 from apricotseam.coordination import Push
+from apricotseam.platform import AnswerTooLargeError
 from apricotseam.platform import HistoryLostError
 from apricotseam.platform import Item
 from apricotseam.platform import Listing
@@ -61,7 +64,7 @@
         last = max((i.position for i in self.listing), default=Position(1))
         return Listing(self.listing, False, last)
 
-    async def watch(self, prefix, after, wait_seconds, on_answer=None):
+    async def watch(self, prefix, after, wait_seconds, *options):
         """Return or raise the next answer."""
         self.waits.append(wait_seconds)
         if wait_seconds == GAP_WATCH_TIMEOUT_SECONDS and self.gap is not None:
@@ -231,15 +234,98 @@
     assert mirror.position == 5
 
 
-def test_many_large_versions_are_listed_instead():
+class SizedStore(FakeStore):
+    """Store whose answers to watches have the size of their values."""
+
+    async def watch(self, prefix, after, wait_seconds, on_answer, max_bytes):
+        """Return the next answer unless it is too large."""
+        answer = await super().watch(prefix, after, wait_seconds)
+        if sum(len(item.value) for item in answer.items) > max_bytes:
+            raise AnswerTooLargeError("too large", "list")
+        return answer
+
+
+# Number of versions that one watch would bring, number of listings in all.
+VERSIONS = [(1, 1), (3, 2)]
+
+
+@pytest.mark.parametrize(("count", "listings"), VERSIONS)
+def test_many_large_versions_are_listed_instead(count, listings):
     """A listing does not contain versions that were overwritten meanwhile."""
-    size = MAX_SUPERSEDED_BYTES
+    size = MIN_WATCHED_BYTES // 2
     versions = [
-        Item("a", bytes([n]) * size, Position(4 + n)) for n in range(3)
+        Item("a", bytes([n]) * size, Position(4 + n)) for n in range(count)
     ]
-    store = FakeStore([WatchResult(versions, Position(6))], [("a", 3)])
-    follow(store, seconds=LARGE_PAUSE_SECONDS + 0.2)
-    assert store.list_calls == 2
+    store = SizedStore([WatchResult(versions, Position(6))], [("a", 3)])
+    follow(store)
+    assert store.list_calls == listings
+
+
+class SlowStore(FakeStore):
+    """Store whose first answer to a watch takes some time to arrive."""
+
+    async def watch(self, prefix, after, wait_seconds, on_answer, max_bytes):
+        """Begin to answer, and return the next answer later."""
+        if self.watches:
+            on_answer(LOGGED_BYTES)
+            await asyncio.sleep(2 * LONG_READ_SECONDS)
+        return await super().watch(prefix, after, wait_seconds)
+
+
+def test_a_reader_tells_of_changes_that_it_still_reads():
+    """Guards against CONFIG: a zone that waits for its slowest host."""
+    changed = WatchResult([Item("a", b"w", Position(5))], Position(5))
+    _, sent, _ = follow(
+        SlowStore([changed], [("a", 3)]), seconds=3 * LONG_READ_SECONDS
+    )
+    assert [(push.base, push.position) for push in sent] == [(4, 4), (3, 5)]
+
+
+def test_a_push_that_follows_closes_a_gap_without_a_read():
+    store = FakeStore([], [("a", 3)])
+    changes = [MirrorItem("a", b"w", Position(5))]
+    mirror, _, _ = follow(
+        store,
+        is_reader=False,
+        pushes=[
+            Push(Position(5), Position(5), []),
+            Push(Position(3), Position(5), changes),
+        ],
+    )
+    assert mirror.get("a").value == b"w"
+    assert GAP_WATCH_TIMEOUT_SECONDS not in store.waits
+
+
+def test_peers_are_asked_first_while_the_store_fails():
+    """The second gap costs no wait for a store that is silent."""
+    store = FakeStore([], [("a", 3)], gap=StoreError("down", "wait"))
+    answer = Changes(Position(9), [MirrorItem("a", b"new", Position(9))])
+    answers = [answer]
+    gaps = [Push(Position(n), Position(n), []) for n in (8, 18)]
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        mirror = Mirror(lambda item: None)
+
+        async def ask_peers(position, count):
+            return answers
+
+        synchronizer = MirrorSynchronizer(
+            store, mirror, ask_peers, loop.time, lambda: False
+        )
+        task = loop.create_task(synchronizer.run())
+        for gap in gaps:
+            await asyncio.sleep(0.05)
+            synchronizer.receive_push(gap)
+            await asyncio.sleep(GAP_DELAY_SECONDS + GAP_PAUSE_SECONDS + 0.2)
+            answers[0] = Changes(
+                Position(19), [MirrorItem("a", b"newer", Position(19))]
+            )
+        task.cancel()
+        return mirror.get("a").value
+
+    assert asyncio.run(scenario()) == b"newer"
+    assert store.waits.count(GAP_WATCH_TIMEOUT_SECONDS) == 1
 
 
 # Case, whether the changes are urgent, number of watches within 0.3 s.
@@ -327,7 +413,7 @@
         self.listing = [Item("a", b"w", Position.of(era, 2))]
         self.on_new_era()
 
-    async def watch(self, prefix, after, wait_seconds, on_answer=None):
+    async def watch(self, prefix, after, wait_seconds, *options):
         """Wait."""
         await asyncio.sleep(3600)
 
@@ -362,7 +448,7 @@
 class StatedStore(FakeStore):
     """Store whose answers state a length."""
 
-    async def watch(self, prefix, after, wait_seconds, on_answer=None):
+    async def watch(self, prefix, after, wait_seconds, on_answer, max_bytes):
         """State the length, and return the next answer."""
         if self.watches:
             on_answer(LOGGED_BYTES)
--- a/apricotseam/http1/__init__.py
+++ b/apricotseam/http1/__init__.py
@@ -6,6 +6,7 @@
 from apricotseam.http1._client import connect
 from apricotseam.http1._client import Connection
 from apricotseam.http1._client import ResponseHead
+from apricotseam.http1._errors import BodyTooLargeError
 from apricotseam.http1._errors import ConnectError
 from apricotseam.http1._errors import InterruptedReadError
 from apricotseam.http1._errors import LostConnectionError
@@ -28,6 +29,7 @@
 from apricotseam.http1._sse import EventSplitter
 
 __all__ = [
+    "BodyTooLargeError",
     "ClientBounds",
     "ConnectionBudget",
     "NoBudget",
--- a/apricotseam/http1/_client.py
+++ b/apricotseam/http1/_client.py
@@ -4,6 +4,7 @@
 
 import h11
 
+from apricotseam.http1._errors import BodyTooLargeError
 from apricotseam.http1._errors import ConnectError
 from apricotseam.http1._errors import InterruptedReadError
 from apricotseam.http1._errors import LostConnectionError
@@ -254,7 +255,9 @@
         while data := await self.read(deadline):
             size += len(data)
             if size > limit:
-                raise self._fail(f"a body larger than {limit} bytes")
+                raise self._fail(
+                    f"a body larger than {limit} bytes", BodyTooLargeError
+                )
             parts.append(data)
             if extend is not None:
                 deadline = extend()
@@ -295,7 +298,12 @@
         try:
             event = self._parser.next_event()
         except (h11.RemoteProtocolError, h11.LocalProtocolError) as error:
-            raise self._fail(str(error), self._has_ended) from None
+            kind = (
+                LostConnectionError
+                if self._has_ended
+                else MalformedAnswerError
+            )
+            raise self._fail(str(error), kind) from None
         if event in (h11.NEED_DATA, h11.PAUSED):
             self._unread_bytes = 0
             self._resume_reading()
@@ -309,23 +317,17 @@
             self._is_paused = False
             self._transport.resume_reading()
 
-    def _fail(self, description, is_end=False):
+    def _fail(self, description, kind=MalformedAnswerError):
         """Give the response up; return the error, which later reads raise."""
-        self._error = self._response_error(description, is_end)
-        self._is_closed = True
-        return self._error
-
-    def _response_error(self, description, is_end=False):
-        if is_end:
-            return LostConnectionError(
+        found = f"{self.address} sent {description}"
+        if kind is LostConnectionError:
+            found = (
                 f"{self.address} closed the connection before the end of its"
-                f" response ({description})",
-                "retry the call if it is idempotent",
+                f" response ({description})"
             )
-        return MalformedAnswerError(
-            f"{self.address} sent {description}",
-            "retry the call if it is idempotent",
-        )
+        self._error = kind(found, "retry the call if it is idempotent")
+        self._is_closed = True
+        return self._error
 
     def _wake_reader(self):
         waiter = self._waiter
--- a/apricotseam/http1/_errors.py
+++ b/apricotseam/http1/_errors.py
@@ -34,6 +34,12 @@
     code = "malformed_answer"
 
 
+class BodyTooLargeError(MalformedAnswerError):
+    """The body of the answer is larger than the caller takes."""
+
+    code = "body_too_large"
+
+
 class TransportTimeoutError(TransportError):
     """The peer sent nothing by the deadline."""
 
--- a/apricotseam/platform/__init__.py
+++ b/apricotseam/platform/__init__.py
@@ -37,6 +37,7 @@
 from apricotseam.platform._requests import ResponseMetadata
 from apricotseam.platform._requests import RETRY_AFTER_HEADER
 from apricotseam.platform._requests import returned_headers
+from apricotseam.platform._store import AnswerTooLargeError
 from apricotseam.platform._store import HistoryLostError
 from apricotseam.platform._store import Item
 from apricotseam.platform._store import Lease
@@ -51,6 +52,7 @@
 from apricotseam.platform._targets import decode_target
 
 __all__ = [
+    "AnswerTooLargeError",
     "ResponseMetadata",
     "CONFIGURATION_KEY",
     "RequestMetadata",
--- a/apricotseam/platform/_store.py
+++ b/apricotseam/platform/_store.py
@@ -4,6 +4,7 @@
 import base64
 import binascii
 import collections
+from collections.abc import Callable
 import urllib.parse
 
 import msgspec
@@ -13,6 +14,7 @@
 from apricotseam.errors import ApricotseamError
 from apricotseam.errors import ConflictError
 from apricotseam.errors import InvalidInputError
+from apricotseam.http1 import BodyTooLargeError
 from apricotseam.http1 import ConnectionPool
 from apricotseam.http1 import TransportError
 from apricotseam.positions import MAX_ERA
@@ -55,6 +57,12 @@
     code = "history_lost"
 
 
+class AnswerTooLargeError(StoreError):
+    """The answer is larger than the caller wants to read."""
+
+    code = "answer_too_large"
+
+
 class LeaseEndedError(StoreError):
     """The lease has ended."""
 
@@ -158,6 +166,21 @@
     era: int
 
 
+class _BodyRead(msgspec.Struct, frozen=True):
+    """How the body of an answer is read.
+
+    ``on_answer`` is called with its size, if given. ``is_long`` is whether it
+    may take longer than the call, as long as it makes progress.
+    """
+
+    on_answer: Callable[[int], None] | None = None
+    is_long: bool = False
+    max_bytes: int = MAX_BODY_BYTES
+
+
+_SHORT_READ = _BodyRead()
+
+
 class StoreClient:
     """Asynchronous client of the key-value store.
 
@@ -217,8 +240,7 @@
             "GET",
             "/v1/kv-range",
             query,
-            on_answer=on_answer,
-            is_large=True,
+            read=_BodyRead(on_answer, is_long=True),
         )
         page = _decode(answer.body, _Page)
         return Listing(
@@ -227,7 +249,14 @@
             _position(answer.era, page.at),
         )
 
-    async def watch(self, prefix, after, wait_seconds, on_answer=None):
+    async def watch(
+        self,
+        prefix,
+        after,
+        wait_seconds,
+        on_answer=None,
+        max_bytes=MAX_BODY_BYTES,
+    ):
         """Wait for changes of keys with a prefix after a position.
 
         If the store has meanwhile gone back, the changes are those after the
@@ -244,6 +273,8 @@
         on_answer : callable, optional
             Called with the size in bytes of the answer's body, as its head
             states it, when the body is about to be read; 0 if it states none.
+        max_bytes : int, optional
+            Largest size of the answer's body.
 
         Returns
         -------
@@ -253,6 +284,8 @@
         ------
         HistoryLostError
             If the store no longer has the changes after that revision.
+        AnswerTooLargeError
+            If the answer is larger.
         """
         query = {
             "Prefix": prefix,
@@ -266,8 +299,7 @@
             "/v1/kv-watch",
             query,
             seconds=seconds,
-            on_answer=on_answer,
-            is_large=True,
+            read=_BodyRead(on_answer, True, max_bytes),
         )
         result = _decode(answer.body, _WatchResult)
         return WatchResult(
@@ -394,14 +426,9 @@
         query=None,
         body=None,
         seconds=None,
-        on_answer=None,
-        is_large=False,
+        read=_SHORT_READ,
     ):
-        """Make a call; return its `_Answer`.
-
-        ``is_large`` is whether the body of the answer may take longer than
-        the call, as long as it makes progress.
-        """
+        """Make a call; return its `_Answer`."""
         self.calls[kind] += 1
         loop = asyncio.get_running_loop()
         deadline = loop.time() + (seconds or CALL_TIMEOUT_SECONDS)
@@ -428,14 +455,8 @@
                 method.encode(), target.encode(), headers, request_body
             )
             response = await connection.head(deadline)
-            if on_answer is not None:
-                on_answer(_stated_length(response))
-            extend = None
-            if is_large:
-                extend = _extend_until(loop.time() + MAX_READ_SECONDS)
-                deadline = extend()
-            response_body = await connection.read_all(
-                deadline, MAX_BODY_BYTES, extend
+            response_body = await self._read_body(
+                connection, response, deadline, read
             )
         except TransportError as error:
             raise StoreError(
@@ -453,6 +474,23 @@
         _raise_for_status(response.status, method, path)
         return _Answer(response_body, era)
 
+    async def _read_body(self, connection, response, deadline, read):
+        """Return the body of an answer, read as a `_BodyRead` says."""
+        length = _stated_length(response)
+        if length > read.max_bytes:
+            raise _too_large(read.max_bytes)
+        if read.on_answer is not None:
+            read.on_answer(length)
+        extend = None
+        if read.is_long:
+            loop = asyncio.get_running_loop()
+            extend = _extend_until(loop.time() + MAX_READ_SECONDS)
+            deadline = extend()
+        try:
+            return await connection.read_all(deadline, read.max_bytes, extend)
+        except BodyTooLargeError:
+            raise _too_large(read.max_bytes) from None
+
     def _check_era(self, value, method, path):
         """Return the era that an answer states, and record it."""
         era = _decode_era(value, self.era)
@@ -478,6 +516,15 @@
     return parse_count(response.header(b"content-length") or "") or 0
 
 
+def _too_large(max_bytes):
+    """Return the error for a body beyond a limit."""
+    return AnswerTooLargeError(
+        f"the store answers with more than {max_bytes} bytes",
+        "list the keys, or ask for fewer changes",
+        may_have_executed=True,
+    )
+
+
 def _raise_for_status(status, method, path):
     if status == 200:
         return
