Let the hosts with the fastest links of a zone carry its duties

A zone's delegates, which read the store for it and report on it, were its first hosts by name.

Now hosts state the bandwidth of their links in their membership and store records, and the delegates are those with the fastest links, then by name. As long as a zone has a host of an earlier version, which states none, all go by names, as such hosts do. These pass records on without the new field, so each host publishes its record once more after the last of them has left.

The cases of test_audience.py for links fail before, as there are none.

--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import logging
+import math
 import random
 
+from apricotseam.coordination._pushes import MAX_PUSHED_BYTES
 from apricotseam.membership import Member
 from apricotseam.membership import Membership
 from apricotseam.membership import MESSAGE_TYPES
@@ -19,6 +21,11 @@
 # Two, so that a message still reaches a zone of which one delegate has just
 # failed.
 DELEGATES_PER_ZONE = 2
+# Time without further upgrades after which records are published again.
+REPUBLISH_SECONDS = 5.0
+# Time in which a delegate's link carries one message to all recipients.
+PUSH_SECONDS = 0.5
+BYTES_PER_MEGABIT = 1e6 / 8
 
 
 def is_large_fleet(hosts):
@@ -62,6 +69,10 @@
         self._logged_states = {}
         # Addresses of delegates of the own zone whose reports are overdue.
         self.unheard_delegates = set()
+        # Live hosts whose link is not known, and the time at which this host
+        # publishes its own record again.
+        self._without_link = set()
+        self._republish_at = math.inf
         # Addresses that receive this host's load, and the live hosts of its
         # zone, each with the table that they were found in.
         self._recipients = (None, ())
@@ -118,8 +129,9 @@
     def zone_delegates(self):
         """Peer addresses of the delegates of this host's availability zone.
 
-        These are the first `DELEGATES_PER_ZONE` live hosts by name whose
-        reports are not overdue. A small fleet has no delegates.
+        These are the first `DELEGATES_PER_ZONE` live hosts, in the order of
+        `_first_of_zone`, whose reports are not overdue. A small fleet has no
+        delegates.
         """
         if not self.is_large:
             return []
@@ -164,9 +176,17 @@
         ]
 
     def _first_of_zone(self, zone, count=None):
-        """Return the first live hosts of a zone by name; all by default."""
+        """Return the first live hosts of a zone; all by default.
+
+        Those with the fastest links come first, then those with the first
+        names. Hosts of earlier versions state no link and go by names alone;
+        as long as a zone has one, all do.
+        """
         members = [m for m in self.table.live() if m.availability_zone == zone]
-        return sorted(members, key=lambda m: m.name)[:count]
+        members.sort(key=lambda m: m.name)
+        if all(m.link_mbps for m in members):
+            members.sort(key=lambda m: m.link_mbps, reverse=True)
+        return members[:count]
 
     @property
     def is_large(self):
@@ -187,6 +207,20 @@
             m.peers_address != self.own_address for m in self.table.live()
         )
 
+    @property
+    def max_pushed_bytes(self):
+        """Limit on the compressed changes in a message of this host.
+
+        The first delegate of a zone sends as much to each other host as its
+        link carries in `PUSH_SECONDS`.
+        """
+        recipients = len(self.load_recipients)
+        if not self.is_delegate or not recipients:
+            return MAX_PUSHED_BYTES
+        link_mbps = self._membership.own.link_mbps
+        sent_bytes = PUSH_SECONDS * link_mbps * BYTES_PER_MEGABIT
+        return max(MAX_PUSHED_BYTES, int(sent_bytes / recipients))
+
     def push(self, message):
         """Send a message to the hosts that receive this host's load."""
         self._transport.send_all(self.load_recipients, message)
@@ -220,6 +254,7 @@
                 availability_zone=record.zone,
                 incarnation=record.started_ms,
                 relay_address=record.relay_address,
+                link_mbps=record.link_mbps,
             )
             for name, record in records.items()
             if abs(wall_now_ms - record.started_ms) <= recent_ms
@@ -246,10 +281,28 @@
         """Run the membership protocol (probes and gossip) until cancelled."""
         while True:
             self._membership.set_facts(self._facts())
+            self._republish_if_due()
             self._send(self._membership.tick(self._now()))
             self._publish()
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
 
+    def _republish_if_due(self):
+        """Publish the own record again after hosts were upgraded.
+
+        Hosts of earlier versions pass records on without the fields that
+        they do not know, such as the link.
+        """
+        now = self._now()
+        without_link = {
+            m.peers_address for m in self.table.live() if not m.link_mbps
+        }
+        if self._without_link - without_link:
+            self._republish_at = now + REPUBLISH_SECONDS
+        self._without_link = without_link
+        if self._membership.own.link_mbps and now >= self._republish_at:
+            self._republish_at = math.inf
+            self._membership.republish()
+
     def choose_peers(self, count, readers_first=False):
         """Return the peer addresses of some other hosts, chosen at random.
 
--- a/apricotseam/coordination/_messages.py
+++ b/apricotseam/coordination/_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from apricotseam.decoding import Amount
 from apricotseam.decoding import Count
 from apricotseam.decoding import decode_json
 from apricotseam.decoding import is_address
@@ -76,6 +77,8 @@
 
     ``started_ms`` is the start time in milliseconds since the epoch.
     ``relay_address`` is where it takes requests of other hosts, or empty.
+    ``link_mbps`` is the bandwidth of its link in 10**6 bits a second, 0 if it
+    is not known.
     """
 
     peers_address: str
@@ -83,6 +86,7 @@
     zone: Name
     started_ms: Count
     relay_address: str = ""
+    link_mbps: Amount = 0.0
 
 
 _HOST_RECORD_DECODER = msgspec.json.Decoder(HostRecord)
--- a/apricotseam/coordination/tests/test_audience.py
+++ b/apricotseam/coordination/tests/test_audience.py
@@ -1,7 +1,10 @@
 """Which hosts receive a host's load, and which are zone delegates."""
 
+import msgspec
 import pytest
 
+from apricotseam.coordination._hosts import REPUBLISH_SECONDS
+from apricotseam.coordination._pushes import MAX_PUSHED_BYTES
 from apricotseam.coordination import HostRecord
 from apricotseam.coordination import Hosts
 from apricotseam.membership import Facts
@@ -75,6 +78,71 @@
     assert sorted(own.other_zone_delegates) == sorted(expected)
 
 
+# Case, links of hosts by number, the delegates of their zone, and whether the
+# first one may push more than others.
+LINKS = [
+    ("one speed", {}, ["h0", "h12"], True),
+    ("fast ones last", {30: 100.0, 87: 200.0}, ["h87", "h30"], True),
+    ("all slow but one", {n: 7.0 for n in range(87)}, ["h87", "h0"], True),
+    ("not all known", {30: 100.0, 60: 0.0}, ["h0", "h12"], False),
+]
+
+
+@pytest.mark.parametrize(
+    ("links", "delegates", "may_push"),
+    [case[1:] for case in LINKS],
+    ids=[case[0] for case in LINKS],
+)
+def test_the_fastest_links_of_a_zone_carry_its_duties(
+    links, delegates, may_push
+):
+    """Guards against CONFIG: a duty that takes the link of a slow host."""
+    members = [
+        msgspec.structs.replace(
+            make_member(number, 3), link_mbps=links.get(number, 50.0)
+        )
+        for number in range(90)
+    ]
+    by_name = {member.name: member for member in members}
+    limits = []
+    for name in (delegates[0], delegates[1], "h3"):
+        own = Hosts(by_name[name], SilentTransport(), Facts, lambda: 0.0)
+        own.table = MemberTable(members, by_name[name].peers_address)
+        expected = [by_name[d].peers_address for d in delegates]
+        assert own.zone_delegates == expected
+        limits.append(own.max_pushed_bytes)
+    assert limits[1:] == [MAX_PUSHED_BYTES, MAX_PUSHED_BYTES]
+    if may_push:
+        assert limits[0] > MAX_PUSHED_BYTES
+
+
+def test_records_are_published_again_once_all_hosts_are_upgraded():
+    """Earlier versions pass records on without what they do not know."""
+    now = [0.0]
+    members = [
+        msgspec.structs.replace(make_member(n, 1), link_mbps=7.0)
+        for n in range(3)
+    ]
+    hosts = Hosts(members[0], SilentTransport(), Facts, lambda: now[0])
+    sequences = []
+    for old in ({1, 2}, {2}, set(), set()):
+        hosts.table = MemberTable(
+            [
+                msgspec.structs.replace(m, link_mbps=0.0 if n in old else 7.0)
+                for n, m in enumerate(members)
+            ],
+            members[0].peers_address,
+        )
+        hosts._republish_if_due()
+        sequences.append(hosts._membership.own.sequence)
+        now[0] += REPUBLISH_SECONDS / 2
+    for _ in range(2):
+        now[0] += REPUBLISH_SECONDS
+        hosts._republish_if_due()
+        sequences.append(hosts._membership.own.sequence)
+    assert sequences == [0, 0, 0, 0, 1, 1]
+
+
 @pytest.mark.parametrize("hosts", [90, 900])
 def test_members_are_not_searched_again_before_the_table_changes(
     hosts, monkeypatch
--- a/apricotseam/membership/_member.py
+++ b/apricotseam/membership/_member.py
@@ -62,6 +62,8 @@
         if it takes none.
     lost_services : tuple of str
         Services of which the host itself finds that it reaches no target.
+    link_mbps : float
+        Bandwidth of its link in 10**6 bits a second, 0 if it is not known.
     """
 
     name: str
@@ -77,6 +79,7 @@
     load: int = 0
     relay_address: str = ""
     lost_services: tuple[str, ...] = ()
+    link_mbps: float = 0.0
 
     @property
     def state(self):
--- a/apricotseam/membership/_membership.py
+++ b/apricotseam/membership/_membership.py
@@ -185,6 +185,10 @@
             self._ping(address, self._last_tick) for address in self.partners
         ]
 
+    def republish(self):
+        """Publish this host's record again, for hosts with a partial copy."""
+        self._records.publish()
+
     def tick(self, now):
         """Run the periodic work that is due.
 
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -305,6 +305,7 @@
             availability_zone=settings.zone,
             incarnation=self._started_ms,
             relay_address=settings.relay_address,
+            link_mbps=settings.link_mbps or 0.0,
         )
         transport = PeerTransport(
             None,
@@ -330,6 +331,7 @@
             lambda item: not item.key.startswith(HOSTS_PREFIX),
             lambda: self._usage_exchange.reports_zone,
             lambda change: self._item_handler.log_era_change(change),
+            lambda: self._hosts.max_pushed_bytes,
         )
         self._traffic = TrafficCollector(
             transport.traffic,
@@ -369,6 +371,7 @@
                 zone=settings.zone,
                 started_ms=self._started_ms,
                 relay_address=settings.relay_address,
+                link_mbps=settings.link_mbps or 0.0,
             ),
             lambda: self._hosts.is_contact,
         )
--- a/apricotseam/node/_settings.py
+++ b/apricotseam/node/_settings.py
@@ -3,6 +3,7 @@
 import msgspec
 import yaml
 
+from apricotseam.decoding import Amount
 from apricotseam.errors import InvalidFileError
 from apricotseam.http1 import ClientBounds
 from apricotseam.routes import LoadPolicy
@@ -36,7 +37,8 @@
     At ``relay_address`` it takes requests of hosts that are cut off from the
     targets. If it is empty, this host takes none and passes none on. ``load``
     says which decisions under load are used, ``clients`` what clients may
-    make the process hold.
+    make the process hold. ``link_mbps`` is the bandwidth of the host's link in
+    10**6 bits a second, None if it is not known.
     """
 
     host: str
@@ -49,6 +51,7 @@
     relay_address: str = ""
     metrics_address: str = ""
     store_address: str
+    link_mbps: Amount | None = None
     seeds: list[str] = []
     bounds: NodeBounds = NodeBounds()
     load: LoadPolicy = LoadPolicy()
--- a/apricotseam/node/tests/test_settings.py
+++ b/apricotseam/node/tests/test_settings.py
@@ -14,6 +14,7 @@
     "Zone": '"a"',
     "Region": '"r"',
     "Seeds": '["10.0.0.1:90"]',
+    "Limits.LinkMbps": "7.0",
     "Bounds.stall_ms": "3000",
     "Bounds.DrainMs": "2000",
     "Bounds.ConfigApplyMs": "2000",
@@ -39,6 +40,7 @@
     assert settings.bounds.stop_seconds == 8.0
     assert settings.bounds.retry_slack == 200.0
     assert settings.seeds == ["10.0.0.1:90"]
+    assert settings.link_mbps == 7.0
 
 
 VALID_SETTINGS = """
