--- a/apricotseam/node/_main.py
+++ b/apricotseam/node/_main.py
@@ -11,6 +11,7 @@
 from apricotseam.node._loop import make_loop
 from apricotseam.node._node import Node
 from apricotseam.node._settings import load_node_settings
+from apricotseam.node._settings import with_link
 
 _LOG = logging.getLogger(__name__)
 
@@ -38,7 +39,8 @@
                 "no settings file given",
                 f"pass a path or set {SETTINGS_VARIABLE}",
             )
-        settings = load_node_settings(pathlib.Path(path).read_text(), path)
+        text = pathlib.Path(path).read_text()
+        settings = with_link(load_node_settings(text, path), os.environ)
     except (ApricotseamError, OSError) as error:
         _LOG.critical("start_failed", extra={"error": str(error)})
         return 2
--- a/apricotseam/node/_settings.py
+++ b/apricotseam/node/_settings.py
@@ -12,6 +12,8 @@
 # The C loader is about ten times faster; PyYAML may be built without it.
 _Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
+# Variable that states the link of the machine, which the settings need not.
+LINK_VARIABLE = "APRICOTSEAM_LINK_MBPS"
 SWITCH_BY_TRUTH = {True: Switch.ON, False: Switch.OFF}
 
 
@@ -82,6 +84,43 @@
         ) from None
 
 
+def with_link(settings, environment):
+    """Return settings with the bandwidth that the environment states.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of the process; what they state goes first.
+    environment : mapping of str to str
+        The process's environment.
+
+    Raises
+    ------
+    InvalidFileError
+        If the variable is no amount.
+
+    Examples
+    --------
+    >>> settings = load_node_settings(
+    ...     "{host: h, zone: z, callers_address: a, readiness_address: a,"
+    ...     " directory_address: a, peers_address: a, store_address: a}"
+    ... )
+    >>> with_link(settings, {"APRICOTSEAM_LINK_MBPS": "7.0"}).link_mbps
+    7.0
+    """
+    text = environment.get(LINK_VARIABLE)
+    if settings.link_mbps is not None or not text:
+        return settings
+    try:
+        link_mbps = msgspec.convert(text, Amount, strict=False)
+    except msgspec.ValidationError as error:
+        raise InvalidFileError(
+            f"{LINK_VARIABLE}={text!r}: {error}",
+            "state the bandwidth of the link in 10**6 bits a second",
+        ) from None
+    return msgspec.structs.replace(settings, link_mbps=link_mbps)
+
+
 def _with_named_switches(data):
     """Return settings whose switches are words.
 
