Never return to an older configuration while a newer one is in force

Entries that are older than what a host acts on were held for 10 s and then applied, whatever they were. That is right for a target, which writes at each heartbeat; an operator writes when it has reason to, and versions only increase. Now an older configuration is held until a version that is not older replaces it, and a line says so.

--- a/apricotseam/node/_held.py
+++ b/apricotseam/node/_held.py
@@ -13,17 +13,22 @@
 
 
 class HeldEntry(msgspec.Struct, frozen=True):
-    """An entry that is not applied yet, and the reason."""
+    """An entry that is not applied yet, and the reason.
+
+    ``lapses`` is whether it is applied once its time has passed.
+    """
 
     item: MirrorItem
     cause: str
+    lapses: bool
 
 
 class HeldEntries:
     """Entries that a store which went back has in an earlier state.
 
     They are held while operators and targets write their entries again. A
-    newer state replaces them; what is left in the end is applied.
+    newer state replaces them; what is left in the end is applied, unless
+    nothing but a newer state may replace what it would replace.
 
     Parameters
     ----------
@@ -56,15 +61,27 @@
             self._due_at = self._now() + REWRITE_SECONDS
         self._position = max(self._position, position)
 
-    def hold(self, item, cause):
-        """Hold an entry, in place of an earlier one of its key."""
-        self._entries[item.key] = HeldEntry(item, cause)
+    def hold(self, item, cause, lapses=True):
+        """Hold an entry, in place of an earlier one of its key.
+
+        Parameters
+        ----------
+        item : MirrorItem
+            The entry.
+        cause : str
+            Why it is held.
+        lapses : bool
+            Whether it is applied once its time has passed.
+        """
+        self._entries[item.key] = HeldEntry(item, cause, lapses)
 
     def drop(self, key):
         """Drop the entry of a key, as its state is known otherwise."""
         self._entries.pop(key, None)
 
     def take_due(self):
-        """Yield all entries once their time has passed, and forget each."""
-        while self._entries and not self.is_open:
-            yield self._entries.pop(next(iter(self._entries))).item
+        """Return the entries whose time has passed, and forget them."""
+        if self.is_open:
+            return []
+        due = [key for key, held in self._entries.items() if held.lapses]
+        return [self._entries.pop(key).item for key in due]
--- a/apricotseam/node/_store_items.py
+++ b/apricotseam/node/_store_items.py
@@ -28,7 +28,8 @@
     """Applies every entry that changes in the local mirror of the store.
 
     After the store went back, entries in an earlier state than the one that
-    this host acts on are held until their writers have written them again.
+    this host acts on are held until their writers have written them again. An
+    older configuration never replaces the one in force.
 
     Parameters
     ----------
@@ -125,9 +126,9 @@
                 kept[key] = "the last one stays in force"
         return kept
 
-    def _hold(self, item, cause):
+    def _hold(self, item, cause, lapses=True):
         self._era_events["held"] += 1
-        self._held.hold(item, cause)
+        self._held.hold(item, cause, lapses)
 
     def _apply_configuration(self, item):
         if item.value is None:
@@ -153,8 +154,17 @@
             )
             return
         current = self._context.table
-        if is_of_later_era and self._is_older_version(table, current):
-            self._hold(item, f"version {current.version} is in force")
+        if is_of_later_era and _is_older_version(table, current):
+            cause = f"version {current.version} is in force"
+            self._hold(item, cause, lapses=False)
+            _LOG.warning(
+                "older_configuration_held",
+                extra={
+                    "revision": item.position,
+                    "version": table.version,
+                    "in_force": current.version,
+                },
+            )
             return
         self._held.drop(item.key)
         self._configuration_position = item.position
@@ -169,12 +179,6 @@
             },
         )
 
-    def _is_older_version(self, table, current):
-        """Return whether a configuration may still be written anew."""
-        if current is None or not self._held.is_open:
-            return False
-        return table.version < current.version
-
     def _apply_target(self, item):
         fleet = self._context.fleet
         identity = target_identity(item.key)
@@ -244,3 +248,8 @@
             )
             return
         self._host_records[item.key] = record
+
+
+def _is_older_version(table, current):
+    """Return whether a configuration was in force before the current one."""
+    return current is not None and table.version < current.version
