Notice silent connections to the store within the time to be in touch

Connections that fall silent are noticed only by a timeout. Now the store lets a watch wait for 1.5 s, so that it is given up after 2.25 s; calls use no connection that was idle for more than 1.0 s; and while peers are asked, the store is called again after 0.3 s.

--- a/apricotseam/coordination/_synchronizer.py
+++ b/apricotseam/coordination/_synchronizer.py
@@ -23,9 +23,10 @@
 
 _LOG = logging.getLogger(__name__)
 
-# A store that stops responding may never answer pending calls. They must end
-# soon, so that they do not delay this host after the store has recovered.
-WATCH_TIMEOUT_SECONDS = 2.5
+# A store that stops responding, or a connection that falls silent, may never
+# answer pending calls. They must end soon, so that they do not delay this host
+# after the store has recovered, or on a new connection.
+WATCH_TIMEOUT_SECONDS = 1.5
 # The same after a call to the store has failed, until one succeeds.
 UNREACHABLE_WATCH_TIMEOUT_SECONDS = 0.3
 # Pause after changes, so that further ones share the next call.
@@ -37,6 +38,8 @@
 # within this time after it.
 SETTLE_SECONDS = 2.5
 PEERS_PER_REQUEST = 2
+# Time after which the store is called again although peers have not answered.
+PEER_WAIT_SECONDS = 0.3
 # Interval between heartbeats of readers, and the time without a push after
 # which they count as failed.
 HEARTBEAT_INTERVAL_SECONDS = 0.4
@@ -145,6 +148,8 @@
         # Number of changes of the era, and of messages and answers of earlier
         # eras that were dropped.
         self.era_events = collections.Counter()
+        # Requests to peers that are under way, as the store does not answer.
+        self._peers_task = None
         self._reader = StoreReader(store, self._reads, self._announce_unread)
         # Era in which the mirror is too old, and the time at which this host
         # lists the store if no peer has helped.
@@ -197,24 +202,32 @@
 
     async def run(self):
         """Update the mirror until cancelled."""
-        while True:
-            try:
+        try:
+            while True:
                 await self._run_once()
-            except HistoryLostError as error:
-                _LOG.info("store_history_lost", extra={"error": str(error)})
-                self._handle_lost_history()
-            except AnswerTooLargeError as error:
-                _LOG.info("versions_skipped", extra={"error": str(error)})
-                self._needs_listing = True
-            except StaleAnswerError as error:
-                self._count_stale("answer", str(error))
-                await self._sleep_before_retry()
-            except StoreError as error:
-                self._mark_store_lost(error)
-                await self._catch_up_from_peers()
-                await self._sleep_before_retry()
+        finally:
+            if self._peers_task is not None:
+                self._peers_task.cancel()
 
     async def _run_once(self):
+        """Update the mirror once, and note why that failed."""
+        try:
+            await self._update()
+        except HistoryLostError as error:
+            _LOG.info("store_history_lost", extra={"error": str(error)})
+            self._handle_lost_history()
+        except AnswerTooLargeError as error:
+            _LOG.info("versions_skipped", extra={"error": str(error)})
+            self._needs_listing = True
+        except StaleAnswerError as error:
+            self._count_stale("answer", str(error))
+            await self._sleep_before_retry()
+        except StoreError as error:
+            self._mark_store_lost(error)
+            await self._begin_to_catch_up()
+            await self._sleep_before_retry()
+
+    async def _update(self):
         if self._is_behind:
             await self._join_era()
         elif self._needs_listing:
@@ -457,6 +470,21 @@
         self._unreachable_since = None
         self._settled_at = now + SETTLE_SECONDS
 
+    async def _begin_to_catch_up(self):
+        """Ask peers, and wait for their answers for a short time.
+
+        Connections to peers may be silent as well; the store is called again
+        on a new connection meanwhile.
+        """
+        task = self._peers_task
+        if task is None or task.done():
+            loop = asyncio.get_running_loop()
+            task = loop.create_task(self._catch_up_from_peers())
+            self._peers_task = task
+        done, _ = await asyncio.wait({task}, timeout=PEER_WAIT_SECONDS)
+        for finished in done:
+            finished.result()
+
     async def _catch_up_from_peers(self, **options):
         """Apply the changes that peers know and this host does not."""
         with self._reads.record("peers") as read:
--- a/apricotseam/platform/_store.py
+++ b/apricotseam/platform/_store.py
@@ -24,6 +24,8 @@
 CALL_TIMEOUT_SECONDS = 1.0
 # Added to the wait time of a watch to obtain the timeout of its call.
 WATCH_MARGIN_SECONDS = 0.75
+# A connection that was idle for longer may have fallen silent.
+MAX_IDLE_SECONDS = 1.0
 MAX_BODY_BYTES = 16 << 20
 # Timeouts for the body of a listing or watch once its head has arrived: of
 # each part, and in all. How long a large one takes depends on the link.
@@ -449,7 +451,10 @@
         try:
             # A watch may wait longer for its response than for a connection.
             connection = await self._pool.acquire(
-                "store", self._address, min(deadline, loop.time() + 1.0)
+                "store",
+                self._address,
+                min(deadline, loop.time() + CALL_TIMEOUT_SECONDS),
+                MAX_IDLE_SECONDS,
             )
             connection.send(
                 method.encode(), target.encode(), headers, request_body
