Take a status beyond 599 for no answer

A server in trouble may send a status that is none. Asked of real sockets, for plain requests, streams and requests through another host: 000 and 099 never reached a client, but 600 and 999 did, with a length and without one, where the request may not be repeated (MIXED). The client takes them for a malformed answer now, so that the request is repeated where it may be and fails with 502 where not. The same test shows that a head which ends early, at six places, was and is never passed on as an answer, also through another host: the request is repeated or fails with 502. Heads with bare line feeds are accepted, as RFC 9112 permits; one needs its empty line like any other.

--- a/apricotseam/http1/_client.py
+++ b/apricotseam/http1/_client.py
@@ -16,6 +16,8 @@
 MAX_HEAD_BYTES = 1 << 16
 # Heads of informational responses that may precede the response.
 MAX_INFORMATIONAL_HEADS = 16
+# Higher ones are invalid (RFC 9110, section 15).
+MAX_STATUS = 599
 # Answers that have no body (RFC 9112, section 6.3).
 BODILESS_STATUSES = (204, 304)
 # Unread bytes at which reading from the server is paused.
@@ -197,13 +199,15 @@
         Raises
         ------
         TransportError
-            If they were not received by the deadline.
+            If they were not received by the deadline, or are no answer.
         """
         for _ in range(MAX_INFORMATIONAL_HEADS + 1):
             event = await self._next_event(deadline)
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise self._fail(f"the status {event.status_code}")
                 headers = event.headers.raw_items()
                 return ResponseHead(event.status_code, event.reason, headers)
             raise self._fail("the end of the message before its head")
