Answer the requests in progress before a planned stop ends the process

In a planned stop, what was still in progress at the end of the grace period was cut with no answer, also requests that must not be repeated (LOST). A real process showed it: requests that came before the stop and whose server did not answer, and one whose body never came, ended with a closed connection. Requests that come late were already refused unless they end in time, also where only their body comes late; that holds.

Now the host gives the final answers itself, 0.15 s before the process exits: 504 to what may have run, also at another host that it was passed on to; 503 with Retry-After to what has not, and to what was not received completely.

--- a/apricotseam/forwarding/_call.py
+++ b/apricotseam/forwarding/_call.py
@@ -50,6 +50,7 @@
         "metadata",
         "first_event_at",
         "hop",
+        "is_relaying",
         "is_return",
         "trial_traits",
         "last_event",
@@ -121,6 +122,8 @@
         self.attempts = 0
         self.sends = 0
         self.runs = 0 if hop is None else hop.runs
+        # Whether it was sent to another host, which may be running it.
+        self.is_relaying = False
         # Name of the host that it was passed on to, or empty.
         self.relayed_to = ""
         # Hash that the repeats of the request share.
--- a/apricotseam/forwarding/_gateway.py
+++ b/apricotseam/forwarding/_gateway.py
@@ -8,8 +8,10 @@
 from apricotseam.forwarding._active_streams import ActiveStreams
 from apricotseam.forwarding._announcements import AnnouncementRecorder
 from apricotseam.forwarding._answering import decline
+from apricotseam.forwarding._answering import fail
 from apricotseam.forwarding._answering import Refusal
 from apricotseam.forwarding._answering import refuse
+from apricotseam.forwarding._answering import refuse_call
 from apricotseam.forwarding._call import Call
 from apricotseam.forwarding._paces import PaceRecorder
 from apricotseam.forwarding._plain import PlainRunner
@@ -33,6 +35,8 @@
 
 UNREADY_RETRY_SECONDS = 0.3
 SHUTDOWN_RETRY_SECONDS = 0.0
+# Given at the end of the process to requests that may have run.
+EXIT_STATUS = 504
 # The next configuration version may declare the missing service.
 NO_SERVICE_RETRY_SECONDS = 1.0
 
@@ -79,6 +83,7 @@
         "demand",
         "generator",
         "host",
+        "is_exiting",
         "_now",
         "load_policy",
         "paces",
@@ -173,6 +178,9 @@
         # Loop time in seconds at which this host exits; set only at the end
         # of a graceful shutdown.
         self.shutdown_at = None
+        # Whether requests in progress get their final answers now, since the
+        # process is about to exit.
+        self.is_exiting = False
 
     def record_silence(self, identity):
         """Record that a target answers no more.
@@ -250,6 +258,8 @@
                 status = await self._plain.run(call)
         except asyncio.CancelledError:
             status = str(exchange.end_cause or EndCause.HANDLER_CANCELLED)
+            if context.is_exiting and not exchange.is_started:
+                status = self._answer_at_exit(call)
             raise
         finally:
             self._finish(call, status, loop.time())
@@ -288,6 +298,16 @@
                 )
         return call, None
 
+    def _answer_at_exit(self, call):
+        """Answer a call that cannot be finished; return the HTTP status."""
+        if call.runs or call.is_relaying:
+            return fail(call, EXIT_STATUS)
+        if call.is_relayed:
+            return decline(call.exchange, "leaving")
+        return refuse_call(
+            self._context, call, "leaving", SHUTDOWN_RETRY_SECONDS
+        )
+
     def _revision(self):
         table = self._context.table
         return table.position if table is not None else NO_POSITION
--- a/apricotseam/forwarding/_relay.py
+++ b/apricotseam/forwarding/_relay.py
@@ -139,10 +139,12 @@
         except TransportError as error:
             hosts.avoid(host)
             attempt.record(error.code)
+            call.is_relaying = False
             return self._handle_broken_answer(call, error)
         finally:
             hosts.end(host)
             attempt.close()
+        call.is_relaying = False
         if status is None:
             hosts.avoid(host)
         return status
@@ -205,6 +207,7 @@
         """
         call = self._call
         connection = await self._open()
+        call.is_relaying = True
         self._send(connection)
         answer = await self._read(connection.head)
         cause = declined_cause(answer)
--- a/apricotseam/http1/_server.py
+++ b/apricotseam/http1/_server.py
@@ -87,6 +87,11 @@
             if connection.is_idle:
                 connection.close()
 
+    def end_requests(self):
+        """End the requests that have no answer; see `end_request`."""
+        for connection in list(self.connections):
+            connection.end_request()
+
     def abort(self):
         """Close all connections at once."""
         self.stop_listening()
--- a/apricotseam/http1/_server_connection.py
+++ b/apricotseam/http1/_server_connection.py
@@ -232,6 +232,21 @@
         self._record_end(cause)
         self._transport.abort()
 
+    def end_request(self):
+        """End a request without an answer, as the process is about to end.
+
+        A handler is cancelled, and answers if it can; a request that was not
+        received completely is refused. A response that has begun goes on.
+        """
+        if self._transport.is_closing() or self._is_lingering:
+            return
+        if self.is_busy:
+            if not self._exchange.is_started:
+                self._exchange.must_close = True
+                self._handler_task.cancel()
+        elif not self.is_idle:
+            self._reject(503, RETRY_AFTER_CUT)
+
     def cut(self):
         """Close the connection for a bound on what clients may hold.
 
@@ -443,11 +458,13 @@
             await self._server.handler(request, exchange)
         except asyncio.CancelledError:
             if asyncio.current_task().cancelling():
-                exchange.abort_response(EndCause.HANDLER_CANCELLED)
-                return
-            # Something that the handler waited for was cancelled, not the
-            # handler itself: its client still waits for an answer.
-            self._log_failure(exchange)
+                if not exchange.is_ended:
+                    exchange.abort_response(EndCause.HANDLER_CANCELLED)
+                    return
+            else:
+                # Something that the handler waited for was cancelled, not the
+                # handler itself: its client still waits for an answer.
+                self._log_failure(exchange)
         except Exception:
             self._log_failure(exchange)
         finally:
--- a/apricotseam/node/_leaving.py
+++ b/apricotseam/node/_leaving.py
@@ -21,6 +21,9 @@
 # The process accepts no connection in this last part of its time, since a
 # request on it might be read and not answered.
 CLOSING_SECONDS = 0.3
+# Requests in progress get their final answers this long before the process
+# exits.
+ANSWER_SECONDS = 0.15
 
 
 class GracefulShutdown:
@@ -51,10 +54,13 @@
         # From here on no request is read that could not be answered.
         server.stop_listening()
         relays.stop_listening()
-        while self._has_unfinished() and loop.time() < deadline:
-            await asyncio.sleep(CHECK_PERIOD_SECONDS)
-            server.close_idle()
-            relays.close_idle()
+        await self._wait_until_idle(deadline - ANSWER_SECONDS)
+        if self._has_unfinished():
+            _LOG.warning(
+                "requests_ended", extra={"in_progress": server.in_progress}
+            )
+            _run_step(self._node.end_requests)
+            await self._wait_until_idle(deadline)
         _LOG.info(
             "stopped",
             extra={
@@ -84,6 +90,14 @@
             if has_stayed and not self._has_unfinished():
                 return
 
+    async def _wait_until_idle(self, deadline):
+        """Wait until all requests are answered, or until a loop time."""
+        loop = asyncio.get_running_loop()
+        while self._has_unfinished() and loop.time() < deadline:
+            await asyncio.sleep(CHECK_PERIOD_SECONDS)
+            self._node.caller_server.close_idle()
+            self._node.relay_server.close_idle()
+
     def _has_unfinished(self):
         """Return whether a request of a caller or a host is unanswered."""
         node = self._node
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -222,6 +222,12 @@
         """
         self._context.shutdown_at = shutdown_at
 
+    def end_requests(self):
+        """Give the requests that have no answer a final one."""
+        self._context.is_exiting = True
+        self.caller_server.end_requests()
+        self.relay_server.end_requests()
+
     def _build_request_path(self):
         settings = self._settings
         bounds = settings.bounds
