Ask the process of a target before an answer without a length counts

An answer without a length ends with its connection, and so does that of a process that crashes.

Now the host asks the process, on a connection of its own: the health check of its service, or the report of an engine, for the target by its identity. Only an answer that does not come from another process, within 1.0 s, lets the answer count; otherwise it broke off, and is repeated where it may be. An engine that started again under its identity is told by its start. Hosts take no relayed answer without a length, as hosts always state one.

Three new cases of test_unframed.py fail before.

--- a/apricotseam/forwarding/_plain.py
+++ b/apricotseam/forwarding/_plain.py
@@ -234,7 +234,7 @@
             call, connection, call.deadline, target
         )
         body = await connection.read_all(call.deadline, MAX_ANSWER_BYTES)
-        await check_answer_end(self._context.prober, answer, target)
+        await check_answer_end(self._context.prober, call, answer, target)
         if metadata.was_not_run:
             call.runs -= 1
             target.health.record_failure()
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -10,6 +10,8 @@
 from apricotseam.http1 import RefusedConnectionError
 from apricotseam.http1 import TransportError
 from apricotseam.platform import decode_report
+from apricotseam.platform import expected_target_headers
+from apricotseam.platform import is_answer_of
 from apricotseam.platform import REPORT_PATH
 
 _LOG = logging.getLogger(__name__)
@@ -97,29 +99,46 @@
             if not is_responsive
         ]
 
-    async def has_ended(self, target):
-        """Return whether a target's process has ended, as far as can be told.
+    async def confirms_process(self, target, health_path, deadline):
+        """Return whether the process of a target answers.
 
-        It is asked by a connection of its own, whatever is known of it and
+        It is asked over a connection of its own, whatever is known of it and
         also if the rate limit permits no probe, as the end of an answer
-        depends on it. A target that does not answer in time may go on.
+        depends on it. That a connection can be opened shows nothing: the
+        address of a process that ends accepts some a while longer, and the
+        next process at the address accepts them, too.
 
         Parameters
         ----------
         target : Target
-            The target; if its process has ended, it counts as silent.
+            The target; if nothing listens at its address, it counts as
+            silent.
+        health_path : str
+            Path of the health check of its service.
+        deadline : float
+            Monotonic time in seconds.
         """
         if target.is_replaced:
-            return True
-        deadline = self._now() + PROBE_TIMEOUT_SECONDS
+            return False
+        is_engine = target.record.is_placeable
         try:
-            await self._connect(target, deadline)
-        except RefusedConnectionError as error:
-            self.record_no_connection(target, error)
-            return True
-        except TransportError:
+            answer, body = await self._pool.call(
+                target.incarnation,
+                target.address,
+                b"GET",
+                REPORT_PATH if is_engine else health_path.encode(),
+                b"",
+                deadline,
+                must_open=True,
+                headers=expected_target_headers(target.identity),
+            )
+        except TransportError as error:
+            if isinstance(error, RefusedConnectionError):
+                self.record_no_connection(target, error)
             return False
-        return False
+        if not is_answer_of(answer, target.identity):
+            return False
+        return not is_engine or _is_report_of(target, answer, body)
 
     def record_no_connection(self, target, error):
         """Record that no connection to a target could be opened.
@@ -404,6 +423,18 @@
         self._responsive_until.pop(target.incarnation, None)
 
 
+def _is_report_of(target, answer, body):
+    """Return whether a report does not name a later start of the target."""
+    if answer.status != OK_STATUS:
+        return True
+    try:
+        born_ms = decode_report(body).born_ms
+    except InvalidInputError:
+        return True
+    known_ms = target.record.born_ms
+    return not (born_ms and known_ms) or born_ms == known_ms
+
+
 def _log_silent(target, cause):
     _LOG.warning(
         "target_silent",
--- a/apricotseam/forwarding/_relay.py
+++ b/apricotseam/forwarding/_relay.py
@@ -238,6 +238,13 @@
             If it isn't.
         """
         request_id = self._call.request_id
+        if not answer.has_framing:
+            # A host always states the end of an answer, but the connection
+            # also ends if its process does.
+            raise MalformedAnswerError(
+                f"{self._host.address} sent an answer without a length",
+                "repeat the request if it is idempotent",
+            )
         answered = decode_response_metadata(answer).request_id
         if answered is None and answer.status not in NOT_RUN_STATUSES:
             return
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -323,7 +323,9 @@
                 " first event",
                 "repeat the request if it can be resumed",
             )
-        await check_answer_end(self._context.prober, answer, self._choice.head)
+        await check_answer_end(
+            self._context.prober, self._call, answer, self._choice.head
+        )
 
     async def _read_data(self):
         return await self._read_with_checks(self._connection.read)
--- a/apricotseam/http1/_pool.py
+++ b/apricotseam/http1/_pool.py
@@ -113,7 +113,15 @@
         idle.append(connection)
 
     async def call(
-        self, key, address, method, path, body, deadline, must_open=False
+        self,
+        key,
+        address,
+        method,
+        path,
+        body,
+        deadline,
+        must_open=False,
+        headers=(),
     ):
         """Send one short request and receive the complete response.
 
@@ -132,6 +140,8 @@
         must_open : bool
             Whether to open a new connection, as kept ones may outlive the
             ability to open others.
+        headers : iterable of (bytes, bytes), optional
+            Further headers of the request.
 
         Returns
         -------
@@ -145,7 +155,7 @@
             If no complete response was received by the deadline, or if its
             body is too large.
         """
-        headers = [(b"Host", address.encode())]
+        headers = [(b"Host", address.encode()), *headers]
         if body:
             headers.append((b"Content-Type", b"application/json"))
             headers.append((b"Content-Length", str(len(body)).encode()))
--- a/apricotseam/node/tests/test_unframed.py
+++ b/apricotseam/node/tests/test_unframed.py
@@ -14,6 +14,10 @@
     "HTTP/1.1 200 OK\r\nApricotseam-Request-Id: {id}\r\n"
     "Apricotseam-Server-Signature: raw\r\n{framing}\r\n"
 )
+HEALTH = (
+    "HTTP/1.1 200 OK\r\nApricotseam-Instance-Id: {identity}\r\n"
+    "Content-Length: 0\r\n\r\n"
+)
 EVENTS = [f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, 5)]
 WHOLE = b"".join(EVENTS)
 # Makes the close of a socket reset its connection.
@@ -31,7 +35,9 @@
         What it sends after the head.
     ending : str
         ``lives`` closes the connection, ``ends`` also stops to listen as if
-        its process had ended, ``resets`` resets the connection.
+        its process had ended, ``resets`` resets the connection. With
+        ``accepts`` its address still accepts connections and answers none,
+        with ``replaced`` another process answers there.
     """
 
     def __init__(self, body, ending):
@@ -64,6 +70,12 @@
 
     async def _answer(self, reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
+        if head.startswith(b"GET "):
+            identity = "next" if self._ending == "replaced" else "raw"
+            if self._ending not in ("ends", "accepts"):
+                writer.write(HEALTH.format(identity=identity).encode())
+            writer.close()
+            return
         self.requests += 1
         await self._register(self.other)
         self.before_answer()
@@ -106,6 +118,9 @@
     ("a reset between events", "/feed/x", EVENTS[0], "resets", WHOLE, 1),
     ("a whole answer", "/read/x", b"whole", "lives", b"whole", 0),
     ("half an answer", "/read/x", b"ha", "ends", b"answer", 1),
+    ("half while it accepts", "/read/x", b"ha", "accepts", b"answer", 1),
+    ("half, then replaced", "/read/x", b"ha", "replaced", b"answer", 1),
+    ("a cut while it accepts", "/feed/x", EVENTS[0], "accepts", WHOLE, 1),
     ("a reset in an answer", "/read/x", b"ha", "resets", b"answer", 1),
 ]
 
--- a/apricotseam/platform/__init__.py
+++ b/apricotseam/platform/__init__.py
@@ -14,6 +14,8 @@
 from apricotseam.platform._announcements import Announcement
 from apricotseam.platform._announcements import decode_announcement
 from apricotseam.platform._configuration import decode_configuration
+from apricotseam.platform._instances import expected_target_headers
+from apricotseam.platform._instances import is_answer_of
 from apricotseam.platform._keys import CONFIGURATION_KEY
 from apricotseam.platform._keys import ROUTER_PREFIX
 from apricotseam.platform._keys import target_identity
@@ -92,6 +94,8 @@
     "decode_report",
     "decode_target",
     "encode_addresses",
+    "expected_target_headers",
+    "is_answer_of",
     "forwarded_headers",
     "refusal_headers",
     "returned_headers",
--- a/apricotseam/platform/_requests.py
+++ b/apricotseam/platform/_requests.py
@@ -4,6 +4,8 @@
 
 from apricotseam.decoding import parse_count
 from apricotseam.http1 import end_to_end_headers
+from apricotseam.platform._instances import EXPECTED_TARGET_HEADER
+from apricotseam.platform._instances import expected_target_headers
 
 REQUEST_ID_HEADER = b"Apricotseam-Request-Id"
 API_KEY_HEADER = b"Apricotseam-Key"
@@ -14,7 +16,6 @@
 LENGTH_HINT_HEADER = b"Apricotseam-Length-Hint"
 PREFIX_HASH_HEADER = b"Apricotseam-Prefix-Hash"
 LAST_EVENT_HEADER = b"Last-Event-Id"
-EXPECTED_TARGET_HEADER = b"Apricotseam-Expect-Instance"
 # Lists the targets of a chain; despite its name it is not a count.
 CHAIN_HEADER = b"Apricotseam-Hop-Count"
 PRIORITY_HEADER = b"Apricotseam-Request-Priority"
@@ -159,7 +160,7 @@
         1, round(forwarding.seconds_left * MILLISECONDS_PER_SECOND)
     )
     headers.append((DEADLINE_HEADER, str(remaining_ms).encode()))
-    headers.append((EXPECTED_TARGET_HEADER, forwarding.target.encode()))
+    headers.extend(expected_target_headers(forwarding.target))
     if forwarding.customer:
         headers.append((CUSTOMER_HEADER, forwarding.customer.encode()))
     if forwarding.chain:
--- a/apricotseam/platform/standins/_target_side.py
+++ b/apricotseam/platform/standins/_target_side.py
@@ -4,6 +4,7 @@
 
 from apricotseam.fleet import LayerRange
 from apricotseam.platform._announcements import LIMIT_HEADER
+from apricotseam.platform._instances import EXPECTED_TARGET_HEADER
 from apricotseam.platform._orders import _Layers
 from apricotseam.platform._orders import _Order
 from apricotseam.platform._orders import _Report
@@ -14,7 +15,6 @@
 from apricotseam.platform._requests import API_KEY_HEADER
 from apricotseam.platform._requests import CHAIN_HEADER
 from apricotseam.platform._requests import DEADLINE_HEADER
-from apricotseam.platform._requests import EXPECTED_TARGET_HEADER
 from apricotseam.platform._requests import FAILED_TARGET_HEADER
 from apricotseam.platform._requests import LAST_EVENT_HEADER
 from apricotseam.platform._requests import LENGTH_HINT_HEADER
