Bound what the answers of all servers make a process hold

A faulty server that sends without end was given up at 8 MiB of one body, or 1 MiB of one event, and each of many answers could hold as much: 60 requests at once made a process grow by 489 MB (bodies) and 91 MB (events), where machines have 152 MB; a process that ends so takes the requests of all clients with it (LOST). Heads, chunks of two bytes, extensions of chunks and trailers were bounded already (7 to 18 MB).

Now a budget of 16 MiB is shared by all answers of targets and hosts, plain ones and streams, relayed ones, reports and health checks; beyond it the answer that holds the most fails as a malformed one, and those of other servers go on. A body is collected in one buffer, and neither bodies nor events are kept by the errors that end them.

--- a/apricotseam/forwarding/_relay.py
+++ b/apricotseam/forwarding/_relay.py
@@ -179,6 +179,7 @@
         self._call = call
         self._host = host
         self._writer = EventWriter(context, call)
+        self._splitter = EventSplitter()
         self._connection = None
 
     def record(self, outcome):
@@ -188,6 +189,7 @@
 
     def close(self):
         """Close the connection, so that the other host stops its work."""
+        self._splitter.discard()
         if self._connection is not None:
             self._connection.close()
 
@@ -309,10 +311,12 @@
 
     async def _relay_events(self, connection, answer):
         """Pass events on as they arrive, each once and in order."""
-        splitter = EventSplitter()
+        splitter = self._splitter
         self._writer.begin()
         while data := await self._read(connection.read):
-            for event in splitter.feed(data):
+            events = splitter.feed(data)
+            connection.keep(splitter.held_bytes)
+            for event in events:
                 if self._writer.accept(event):
                     await self._writer.write(answer, event)
         if splitter.has_incomplete_event:
--- a/apricotseam/forwarding/_stream_attempt.py
+++ b/apricotseam/forwarding/_stream_attempt.py
@@ -89,6 +89,7 @@
         self._connection = None
         self._answer = None
         self._first_data = None
+        self._splitter = EventSplitter()
         # Loop times of the last event, and at which the chain is checked if
         # no event has arrived until then.
         self._progress_at = 0.0
@@ -195,6 +196,8 @@
     def close(self):
         """Release the capacity and close the connection."""
         self._release_capacity()
+        # An error that is kept also keeps this attempt.
+        self._splitter.discard()
         if self._connection is not None:
             self._connection.close()
 
@@ -285,10 +288,11 @@
         """
         answer = self._answer
         exchange = self._call.exchange
-        splitter = EventSplitter()
+        splitter = self._splitter
         self._writer.begin()
         while data:
             events = splitter.feed(data)
+            self._connection.keep(splitter.held_bytes)
             if events:
                 self._record_progress()
                 self._record_start()
--- a/apricotseam/http1/__init__.py
+++ b/apricotseam/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client and server for asyncio, with `h11` as the parser."""
 
+from apricotseam.http1._answer_budget import AnswerBudget
 from apricotseam.http1._budget import ClientBounds
 from apricotseam.http1._budget import ConnectionBudget
 from apricotseam.http1._budget import NoBudget
@@ -29,6 +30,7 @@
 from apricotseam.http1._sse import EventSplitter
 
 __all__ = [
+    "AnswerBudget",
     "BodyTooLargeError",
     "ClientBounds",
     "ConnectionBudget",
--- a/apricotseam/http1/_client.py
+++ b/apricotseam/http1/_client.py
@@ -4,6 +4,7 @@
 
 import h11
 
+from apricotseam.http1._answer_budget import AnswerBudget
 from apricotseam.http1._errors import BodyTooLargeError
 from apricotseam.http1._errors import ConnectError
 from apricotseam.http1._errors import InterruptedReadError
@@ -21,7 +22,7 @@
 # Answers that have no body (RFC 9112, section 6.3).
 BODILESS_STATUSES = (204, 304)
 # Unread bytes at which reading from the server is paused.
-PAUSE_BYTES = 1 << 18
+PAUSE_BYTES = 1 << 17
 # Events read without waiting after which other tasks get their turn.
 EVENTS_PER_TURN = 64
 
@@ -79,6 +80,9 @@
     ----------
     address : str
         ``ip:port`` of the server, for error messages.
+    budget : AnswerBudget, optional
+        Bounds what the answers of all connections hold; a budget of its own
+        by default.
 
     Attributes
     ----------
@@ -90,8 +94,11 @@
         kept idle; set by `ConnectionPool`.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, budget=None):
         self.address = address
+        self._budget = AnswerBudget() if budget is None else budget
+        # Bytes of the answer that its reader holds.
+        self._kept_bytes = 0
         self.idle_since = 0.0
         self.expires_at = None
         self._parser = None
@@ -125,6 +132,8 @@
 
     def data_received(self, data):
         """Parse received bytes; called by the event loop."""
+        if self._parser is None:
+            return
         if not self._is_busy:
             # Unsolicited bytes could be taken for the response to the next
             # request.
@@ -132,6 +141,7 @@
             return
         self._parser.receive_data(data)
         self._unread_bytes += len(data)
+        self._record_held()
         if self._unread_bytes >= PAUSE_BYTES and not self._is_paused:
             self._is_paused = True
             self._transport.pause_reading()
@@ -140,7 +150,7 @@
     def eof_received(self):
         """Handle the end of the server's data; called by the event loop."""
         self._is_closed = True
-        if self._is_busy:
+        if self._is_busy and self._parser is not None:
             self._parser.receive_data(b"")
             self._has_ended = True
             self._wake_reader()
@@ -149,6 +159,7 @@
     def connection_lost(self, error):
         """Handle a closed connection; called by the event loop."""
         self._is_closed = True
+        self._budget.record(self, 0)
         if error is not None:
             self._error = self._error or LostConnectionError(
                 f"the connection to {self.address} was reset",
@@ -172,6 +183,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._unread_bytes = 0
+        self._kept_bytes = 0
         self._events_in_turn = 0
         self._error = None
         self._has_ended = False
@@ -254,18 +266,33 @@
             If the body was truncated, not received by the deadline or
             larger than `limit`.
         """
-        parts = []
-        size = 0
-        while data := await self.read(deadline):
-            size += len(data)
-            if size > limit:
-                raise self._fail(
-                    f"a body larger than {limit} bytes", BodyTooLargeError
-                )
-            parts.append(data)
-            if extend is not None:
-                deadline = extend()
-        return b"".join(parts)
+        body = bytearray()
+        try:
+            while data := await self.read(deadline):
+                body += data
+                if len(body) > limit:
+                    raise self._fail(
+                        f"a body larger than {limit} bytes", BodyTooLargeError
+                    )
+                self.keep(len(body))
+                if extend is not None:
+                    deadline = extend()
+            return bytes(body)
+        finally:
+            # An error keeps this frame, and must not keep the body.
+            body.clear()
+            self.keep(0)
+
+    def keep(self, size_bytes):
+        """Record how many bytes of the answer its reader holds."""
+        self._kept_bytes = size_bytes
+        self._record_held()
+
+    def give_up(self):
+        """Give the answer up, as all answers hold too much."""
+        self._fail("more than this host can hold of all answers")
+        self.close()
+        self._wake_reader()
 
     def interrupt(self):
         """Make a pending read raise `InterruptedReadError`."""
@@ -284,6 +311,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _record_held(self):
+        self._budget.record(self, self._unread_bytes + self._kept_bytes)
+
+    def _release(self):
+        """Forget what was received."""
+        self._parser = None
+        self._unread_bytes = 0
+        self._kept_bytes = 0
+
     def _finish_response(self):
         """Close the connection unless it can take another request."""
         parser = self._parser
@@ -310,6 +346,7 @@
             raise self._fail(str(error), kind) from None
         if event in (h11.NEED_DATA, h11.PAUSED):
             self._unread_bytes = 0
+            self._record_held()
             self._resume_reading()
             return None
         if isinstance(event, h11.ConnectionClosed):
@@ -331,6 +368,7 @@
             )
         self._error = kind(found, "retry the call if it is idempotent")
         self._is_closed = True
+        self._release()
         return self._error
 
     def _wake_reader(self):
@@ -392,7 +430,7 @@
         )
 
 
-async def connect(address, deadline):
+async def connect(address, deadline, budget=None):
     """Open a connection to a server.
 
     Parameters
@@ -401,6 +439,8 @@
         ``ip:port`` of the server.
     deadline : float
         Time on the event loop's clock.
+    budget : AnswerBudget, optional
+        As for `Connection`.
 
     Returns
     -------
@@ -417,7 +457,7 @@
     try:
         async with asyncio.timeout_at(deadline):
             _, connection = await loop.create_connection(
-                lambda: Connection(address), host, int(port)
+                lambda: Connection(address, budget), host, int(port)
             )
     except (OSError, ValueError, TimeoutError) as error:
         is_refused = isinstance(error, ConnectionRefusedError)
--- a/apricotseam/http1/_pool.py
+++ b/apricotseam/http1/_pool.py
@@ -4,6 +4,7 @@
 import collections
 
 from apricotseam.decoding import parse_count
+from apricotseam.http1._answer_budget import AnswerBudget
 from apricotseam.http1._client import connect
 
 DEFAULT_IDLE_SECONDS = 4.0
@@ -24,6 +25,9 @@
     on_response : callable, optional
         Called with the key of the server and the `ResponseHead` as soon as
         the head of the response to a `call` has been read.
+    budget : AnswerBudget, optional
+        Bounds what the answers on all connections hold, with those of other
+        pools that share it.
 
     Attributes
     ----------
@@ -31,7 +35,8 @@
         Number of connections that were opened or tried to open.
     """
 
-    def __init__(self, on_response=None):
+    def __init__(self, on_response=None, budget=None):
+        self._budget = AnswerBudget() if budget is None else budget
         self._on_response = on_response or (lambda key, response: None)
         self._idle = collections.defaultdict(list)
         self.opened = 0
@@ -88,7 +93,7 @@
             If it was not open by a time on the event loop's clock.
         """
         self.opened += 1
-        return await connect(address, deadline)
+        return await connect(address, deadline, self._budget)
 
     def release(self, key, connection, response=None):
         """Return a connection to the pool once its response was read.
--- a/apricotseam/http1/_sse.py
+++ b/apricotseam/http1/_sse.py
@@ -53,6 +53,15 @@
         """Whether the buffer holds the start of an incomplete event."""
         return bool(self._incomplete.strip())
 
+    @property
+    def held_bytes(self):
+        """Size of the incomplete event."""
+        return len(self._incomplete)
+
+    def discard(self):
+        """Forget the incomplete event."""
+        self._incomplete.clear()
+
     def feed(self, data):
         """Add received bytes; return the `Event` objects they complete.
 
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -31,6 +31,7 @@
 from apricotseam.forwarding import RequestMetrics
 from apricotseam.forwarding import RequestQueue
 from apricotseam.forwarding import TargetSelector
+from apricotseam.http1 import AnswerBudget
 from apricotseam.http1 import ConnectionBudget
 from apricotseam.http1 import ConnectionPool
 from apricotseam.http1 import Limits
@@ -231,7 +232,10 @@
     def _build_request_path(self):
         settings = self._settings
         bounds = settings.bounds
-        self._pool = ConnectionPool(self._on_target_response)
+        self._answer_budget = AnswerBudget()
+        self._pool = ConnectionPool(
+            self._on_target_response, self._answer_budget
+        )
         request_queue = RequestQueue(self._now)
         self._ledger = Ledger(
             lambda is_own: (
@@ -433,7 +437,7 @@
         )
         self._zone_links = ZoneLinks(self._hosts, self._settings.zone, reach)
         if self._settings.relay_address:
-            context.relay_pool = ConnectionPool()
+            context.relay_pool = ConnectionPool(budget=self._answer_budget)
 
     def _can_place(self):
         """Return whether this host can carry out the placer's duty."""
--- a/apricotseam/node/tests/test_planned_stop.py
+++ b/apricotseam/node/tests/test_planned_stop.py
@@ -1,13 +1,11 @@
 """Requests in progress as a process ends its grace period."""
 
 import asyncio
-import contextlib
-import json
 import signal
-import sys
 
-
-from apricotseam.platform.standins import caller_headers
+from apricotseam.node.tests.process import exchange
+from apricotseam.node.tests.process import request
+from apricotseam.node.tests.process import start_host
 from apricotseam.platform.standins import PLAIN_SERVICE
 from apricotseam.platform.standins import sample_configuration
 from apricotseam.platform.standins import sample_route
@@ -15,7 +13,6 @@
 from apricotseam.platform.standins import TargetStandIn
 from apricotseam.web import free_address
 
-START_SECONDS = 20.0
 GRACE_SECONDS = 3.0
 # Longer than the grace period.
 LONG_SECONDS = 20.0
@@ -24,82 +21,6 @@
 LATE_SECONDS = 1.6
 
 
-async def start_host(folder, store_address):
-    """Start a host as a process; return it and its address for callers."""
-    fields = {
-        name: free_address()
-        for name in (
-            "callers_address",
-            "readiness_address",
-            "directory_address",
-            "peers_address",
-        )
-    }
-    settings = {
-        "host": "h",
-        "zone": "a",
-        "store_address": store_address,
-        "bounds": {"stop_seconds": GRACE_SECONDS},
-        **fields,
-    }
-    path = folder / "settings.yaml"
-    path.write_text(json.dumps(settings))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "apricotseam.start",
-        str(path),
-        stdout=asyncio.subprocess.DEVNULL,
-    )
-    await wait_until_ready(fields["readiness_address"])
-    return process, fields["callers_address"]
-
-
-async def wait_until_ready(address):
-    """Ask for readiness until it is given."""
-    async with asyncio.timeout(START_SECONDS):
-        while True:
-            await asyncio.sleep(0.05)
-            with contextlib.suppress(OSError):
-                status, _ = await exchange(
-                    address, b"GET /v1/readyz HTTP/1.1\r\nHost: h\r\n\r\n"
-                )
-                if status == 200:
-                    return
-
-
-async def exchange(address, *parts, pause=0.0):
-    """Send a request in parts; return status and body of the answer.
-
-    The status is 0 if there is none.
-    """
-    host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    try:
-        for number, part in enumerate(parts):
-            if number:
-                await asyncio.sleep(pause)
-            writer.write(part)
-        head = await reader.readuntil(b"\r\n\r\n")
-        length = head.lower().partition(b"content-length: ")[2]
-        body = await reader.readexactly(int(length.split(b"\r\n")[0] or 0))
-        return int(head.split(b" ")[1]), body
-    except (EOFError, OSError):
-        return 0, b""
-    finally:
-        writer.close()
-
-
-def request(path, deadline_seconds, content=b""):
-    """Return a whole request."""
-    head = b"POST " + path.encode() + b" HTTP/1.1\r\n"
-    for name, value in caller_headers(
-        {}, deadline_seconds=deadline_seconds, content=content
-    ):
-        head += name + b": " + value + b"\r\n"
-    return head + b"\r\n" + content
-
-
 def split(whole):
     """Return a request whose last byte comes late."""
     return whole[:-1], whole[-1:]
@@ -160,7 +81,9 @@
         store.write_configuration(configuration())
         store.register(target)
         (store_address,) = store._servers
-        process, address = await start_host(tmp_path, store_address)
+        process, address = await start_host(
+            tmp_path, store_address, stop_seconds=GRACE_SECONDS
+        )
         loop = asyncio.get_running_loop()
         stop_at = loop.time() + 1.0
         try:
