Drop a removed target before it exits, on time

After a host had missed the store, it kept targets whose entries were removed for 2.0 s, in case they had only lapsed, and looked for those that are due each 0.25 s. Now the grace is 1.8 s, and the target is dropped at the time that is due, not at the next check.

--- a/apricotseam/fleet/_fleet.py
+++ b/apricotseam/fleet/_fleet.py
@@ -14,8 +14,8 @@
 _LOG = logging.getLogger(__name__)
 
 # Targets whose entries expired while the store was unreachable register again
-# within this time.
-REMOVAL_GRACE_SECONDS = 2.0
+# within this time. One that has left serves on for little longer.
+REMOVAL_GRACE_SECONDS = 1.8
 # Processes whose announcements are kept, also while they are not listed.
 MAX_REMEMBERED_PROCESSES = 1000
 # Number of removed targets whose records are remembered, so that entries of a
@@ -58,6 +58,8 @@
         self._on_drain = on_drain or (lambda target: None)
         # Called with the identity under which another process has started.
         self.on_restart = lambda identity: None
+        # Called with the time at which `expire` has to be called.
+        self.on_removal_due = lambda at: None
         # Called with each `Target` whose process was not known before.
         self.on_new = lambda target: None
         # Number of changes so far; readers compare it to detect new ones.
@@ -302,6 +304,7 @@
         self.changes += 1
         if may_return and not target.is_draining:
             target.removal_due_at = now + REMOVAL_GRACE_SECONDS
+            self.on_removal_due(target.removal_due_at)
             return
         self._remove_target(target, "entry removed", has_left=not was_lost)
 
--- a/apricotseam/node/_node.py
+++ b/apricotseam/node/_node.py
@@ -246,6 +246,7 @@
             self._expected_peers,
         )
         self._fleet = Fleet(self._on_target_removed, self._on_target_draining)
+        self._fleet.on_removal_due = self._expire_targets_at
         retry_budget = HostRetryBudget(
             bounds.retry_ratio,
             bounds.retry_slack,
@@ -292,6 +293,12 @@
             len(self._hosts.load_recipients),
         )
 
+    def _expire_targets_at(self, at):
+        """Remove the targets that are due at a monotonic time, on time."""
+        loop = asyncio.get_running_loop()
+        seconds = max(0.0, at - self._now())
+        loop.call_later(seconds, lambda: self._fleet.expire(self._now()))
+
     def _on_target_removed(self, target):
         self._pool.drop(target.incarnation)
         self._context.target_ends.record_removal(target)
