Name the target in control calls

Orders and questions for reports went to an address. Now such calls carry the identity of the target, as requests do, so that any other process refuses them; and a report that states another start than the entry is no answer of the target, for a process that started again under its identity. The calls that reroute a stream name their head as well.

The new cases of test_placer.py fail before; the stand-in of targets refuses what is meant for others.

--- a/apricotseam/fleet/_target.py
+++ b/apricotseam/fleet/_target.py
@@ -149,6 +149,17 @@
             return True
         return self.is_replaced and not self.is_draining
 
+    def is_process(self, born_ms):
+        """Return whether a start time may be that of the target's process.
+
+        Parameters
+        ----------
+        born_ms : int
+            Unix time in milliseconds, 0 if it is not known.
+        """
+        known_ms = self.record.born_ms
+        return not (born_ms and known_ms) or born_ms == known_ms
+
     def may_send(self, now):
         """Return whether this host may send a new request at present."""
         return self.accepts_requests and not self.is_resting(now)
--- a/apricotseam/forwarding/_head_control.py
+++ b/apricotseam/forwarding/_head_control.py
@@ -6,6 +6,7 @@
 from apricotseam.errors import InvalidInputError
 from apricotseam.http1 import TransportError
 from apricotseam.platform import decode_report
+from apricotseam.platform import expected_target_headers
 from apricotseam.platform import ORDER_PATH
 from apricotseam.platform import OrderOutcome
 from apricotseam.platform import REPORT_PATH
@@ -110,5 +111,11 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + HEAD_CALL_TIMEOUT_SECONDS
         return await self._context.pool.call(
-            head.incarnation, head.address, method, path, body, deadline
+            head.incarnation,
+            head.address,
+            method,
+            path,
+            body,
+            deadline,
+            headers=expected_target_headers(head.identity),
         )
--- a/apricotseam/forwarding/_probes.py
+++ b/apricotseam/forwarding/_probes.py
@@ -138,7 +138,7 @@
             return False
         if not is_answer_of(answer, target.identity):
             return False
-        return not is_engine or _is_report_of(target, answer, body)
+        return not (is_engine and _names_other_start(target, answer, body))
 
     def record_no_connection(self, target, error):
         """Record that no connection to a target could be opened.
@@ -423,16 +423,14 @@
         self._responsive_until.pop(target.incarnation, None)
 
 
-def _is_report_of(target, answer, body):
-    """Return whether a report does not name a later start of the target."""
+def _names_other_start(target, answer, body):
+    """Return whether a report names another start of the target."""
     if answer.status != OK_STATUS:
-        return True
+        return False
     try:
-        born_ms = decode_report(body).born_ms
+        return not target.is_process(decode_report(body).born_ms)
     except InvalidInputError:
-        return True
-    known_ms = target.record.born_ms
-    return not (born_ms and known_ms) or born_ms == known_ms
+        return False
 
 
 def _log_silent(target, cause):
--- a/apricotseam/forwarding/tests/test_probes.py
+++ b/apricotseam/forwarding/tests/test_probes.py
@@ -26,7 +26,15 @@
         self.probed = []
 
     async def call(
-        self, key, address, method, path, body, deadline, must_open=False
+        self,
+        key,
+        address,
+        method,
+        path,
+        body,
+        deadline,
+        must_open=False,
+        headers=(),
     ):
         """Return an answer without a report, or fail to connect."""
         self.probed.append(address)
@@ -44,7 +52,15 @@
         self.stalls = stalls
 
     async def call(
-        self, key, address, method, path, body, deadline, must_open=False
+        self,
+        key,
+        address,
+        method,
+        path,
+        body,
+        deadline,
+        must_open=False,
+        headers=(),
     ):
         """Block the loop past the time-out, or answer if no stall is left."""
         if self.stalls:
@@ -62,7 +78,15 @@
         self.opens_at = opens_at
 
     async def call(
-        self, key, address, method, path, body, deadline, must_open=False
+        self,
+        key,
+        address,
+        method,
+        path,
+        body,
+        deadline,
+        must_open=False,
+        headers=(),
     ):
         """Answer once the link is free, or fail at the deadline."""
         loop = asyncio.get_running_loop()
--- a/apricotseam/node/_placer.py
+++ b/apricotseam/node/_placer.py
@@ -9,6 +9,7 @@
 from apricotseam.chains import choose_orders
 from apricotseam.errors import ApricotseamError
 from apricotseam.platform import decode_report
+from apricotseam.platform import expected_target_headers
 from apricotseam.platform import ORDER_PATH
 from apricotseam.platform import OrderOutcome
 from apricotseam.platform import Placement
@@ -265,7 +266,14 @@
                 f"target report: got status {answer.status}, expected 200",
                 "retry later",
             )
-        return decode_report(body)
+        report = decode_report(body)
+        if not target.is_process(report.born_ms):
+            raise ApricotseamError(
+                f"target report: process {report.born_ms} answers in place of"
+                f" {target.record.born_ms}",
+                "wait until the entry names the new process",
+            )
+        return report
 
     async def _issue_order(self, order):
         target = self._context.fleet.get(order.identity)
@@ -348,7 +356,10 @@
             return OrderOutcome.FAILED
 
     async def _call(self, target, method, path, body=b""):
-        """Make a control call to a target; return answer and body."""
+        """Make a control call to a target; return answer and body.
+
+        Another process at its address refuses the call.
+        """
         return await self._context.pool.call(
             target.incarnation,
             target.address,
@@ -356,6 +367,7 @@
             path,
             body,
             self._now() + CALL_TIMEOUT_SECONDS,
+            headers=expected_target_headers(target.identity),
         )
 
 
--- a/apricotseam/node/tests/test_joined_loss.py
+++ b/apricotseam/node/tests/test_joined_loss.py
@@ -62,7 +62,15 @@
         self.failures = {}
 
     async def call(
-        self, key, address, method, path, body, deadline, must_open=False
+        self,
+        key,
+        address,
+        method,
+        path,
+        body,
+        deadline,
+        must_open=False,
+        headers=(),
     ):
         """Return an answer without a report, or raise the target's error."""
         if address in self.failures:
--- a/apricotseam/node/tests/test_placer.py
+++ b/apricotseam/node/tests/test_placer.py
@@ -10,7 +10,9 @@
 from apricotseam.fleet import LayerRange
 from apricotseam.fleet import TargetRecord
 from apricotseam.node._placer import Placer
+from apricotseam.node.tests.harness import run
 from apricotseam.platform import OrderOutcome
+from apricotseam.platform.standins import TargetStandIn
 from apricotseam.positions import Position
 
 
@@ -147,3 +149,31 @@
     with pytest.raises(ExceptionGroup):
         asyncio.run(placer._cycle())
     assert placed == ["first", "last"]
+
+
+# Layers that the former process held, which decides whether it is asked first.
+HELD = [None, (0, 2)]
+
+
+@pytest.mark.parametrize("layers", HELD)
+def test_an_order_does_not_reach_the_next_process_at_an_address(layers):
+    """Guards against LIMIT: orders that were meant for another server."""
+
+    async def scenario(platform):
+        (engine,) = platform.engine_targets
+        former = TargetStandIn("former", engine.address, is_engine=True)
+        former.layers = layers
+        node = platform.nodes[0]
+        platform.store.remove(engine)
+        platform.register(former)
+        fleet = node.forwarding.fleet
+        await platform.wait_until(lambda: fleet.get("former"))
+        await platform.wait_until(lambda: node._election.is_holder)
+        engine.orders.clear()
+        order = LayerOrder("former", LayerRange(0, 4), "gap")
+        outcome = await node.placer._send_order(fleet.get("former"), order)
+        return outcome, engine.orders, engine.refused_for_others > 0
+
+    outcome, orders, is_refused = run(scenario, engine_targets=1)
+    assert outcome in (OrderOutcome.WRONG_TARGET, OrderOutcome.FAILED)
+    assert (orders, is_refused) == ([], True)
--- a/apricotseam/node/tests/test_restarts.py
+++ b/apricotseam/node/tests/test_restarts.py
@@ -166,11 +166,13 @@
     report = TargetReport(stalled=(StalledRequest("r", ADDRESS),))
 
     class Pool:
-        async def call(self, *_):
+        async def call(self, *_, headers):
             return None, encode_report(report)
 
     class Choice:
-        head = types.SimpleNamespace(incarnation=("h", 1), address="h:1")
+        head = types.SimpleNamespace(
+            incarnation=("h", 1), identity="h", address="h:1"
+        )
 
         def target_at(self, address):
             return old if address == ADDRESS else None
--- a/apricotseam/platform/standins/_target.py
+++ b/apricotseam/platform/standins/_target.py
@@ -4,6 +4,8 @@
 import json
 
 from apricotseam.http1 import Server
+from apricotseam.platform._instances import EXPECTED_TARGET_HEADER
+from apricotseam.platform._instances import OTHER_TARGET_STATUS
 from apricotseam.platform.standins._configuration import ACCELERATOR_KIND
 from apricotseam.platform.standins._configuration import ENGINE_SERVICE
 from apricotseam.platform.standins._configuration import PLAIN_SERVICE
@@ -92,6 +94,8 @@
         First layer held and first layer after it that is not held.
     orders : list of dict
         Received orders, as decoded from JSON.
+    refused_for_others : int
+        Number of requests that were meant for other targets.
     requests : list of Request
         Received requests, other than orders and those for a report.
     runs : list of str
@@ -134,6 +138,7 @@
         self.born = 1
         self.layers = None
         self.orders = []
+        self.refused_for_others = 0
         self.requests = []
         self.runs = []
         self.chains = {}
@@ -231,7 +236,11 @@
 
     async def _handle(self, request, exchange):
         await self._wait_while_paused()
-        if request.target == b"/v1/order":
+        expected = request.header(EXPECTED_TARGET_HEADER.lower())
+        if expected not in (None, self.identity):
+            self.refused_for_others += 1
+            self._answer(exchange, OTHER_TARGET_STATUS, b"", [NOT_EXECUTED])
+        elif request.target == b"/v1/order":
             self._accept_order(request, exchange)
         elif request.target == b"/v1/report":
             self._answer(exchange, 200, json.dumps(self._report()).encode())
--- a/measure/emulator/_network.py
+++ b/measure/emulator/_network.py
@@ -114,7 +114,15 @@
         )
 
     async def call(
-        self, key, address, method, path, body, deadline, must_open=False
+        self,
+        key,
+        address,
+        method,
+        path,
+        body,
+        deadline,
+        must_open=False,
+        headers=(),
     ):
         """Send a control call; return the head and body of its answer."""
         connection = await self.acquire(key, address, deadline)
