Pass on what a listing changed

Now the changes that the listing made to the mirror are pushed like any others. Long listings are announced only if they stand for changes that were skipped, and a failure of the request to peers that runs beside the store's is raised, not lost. The new case fails before.

--- a/apricotseam/coordination/_mirror.py
+++ b/apricotseam/coordination/_mirror.py
@@ -111,7 +111,7 @@
         """Record that all changes up to a position are known."""
         self.position = max(self.position, position)
 
-    def reconcile(self, items, first_position, last_position):
+    def reconcile(self, items, first_position, last_position, applied=None):
         """Replace the items by a complete listing, which may have had pages.
 
         Parameters
@@ -122,22 +122,27 @@
             Positions of the store at the first and the last page, of the
             same era. A key that is not listed counts as deleted unless it is
             known at a position above that of the first page.
+        applied : list of MirrorItem, optional
+            The changes that are applied are added to it.
 
         Returns
         -------
         EraChange or None
             What differs if the listing is of a later era.
         """
+        applied = [] if applied is None else applied
         change = self._compare(items, first_position)
         listed = {item.key for item in items}
         is_older = first_position < self.position
         for item in items:
             unknown_position = self.position if is_older else NO_POSITION
-            self._apply_newer(item, unknown_position)
+            if self._apply_newer(item, unknown_position):
+                applied.append(item)
         for key, item in list(self._items.items()):
             if key not in listed and item.position <= first_position:
                 deleted = MirrorItem(key, None, first_position)
-                self._apply_newer(deleted, self.position)
+                if self._apply_newer(deleted, self.position):
+                    applied.append(deleted)
         # Keys that were deleted before the listing are not in it.
         self._forgotten_position = max(
             self._forgotten_position, first_position
--- a/apricotseam/coordination/_store_reader.py
+++ b/apricotseam/coordination/_store_reader.py
@@ -36,8 +36,8 @@
     reads : ReadLog
         Records the reads.
     on_long_read : callable
-        Called when the answer to a read has been under way for
-        `LONG_READ_SECONDS`.
+        Called when the answer to a read that brings changes has been under
+        way for `LONG_READ_SECONDS`.
     """
 
     def __init__(self, store, reads, on_long_read):
@@ -87,16 +87,22 @@
             read.items = len(watched.items)
             return watched
 
-    async def list(self):
+    async def list(self, reports_long_read):
         """Return the `ListedItems` of the store.
 
+        Parameters
+        ----------
+        reports_long_read : bool
+            Whether to call ``on_long_read``, as it brings known changes.
+
         Raises
         ------
         StoreError
             If there is no valid answer.
         """
+        on_long_read = self._on_long_read if reports_long_read else _ignore
         with self._reads.record("listing") as read:
-            answer = _Answer(read, self._on_long_read)
+            answer = _Answer(read, on_long_read)
             try:
                 pages = await self._list_pages(answer.begin)
             finally:
@@ -141,6 +147,10 @@
             after = page.items[-1].key
 
 
+def _ignore():
+    """Do nothing about a long read."""
+
+
 class _Answer:
     """Answer to a read, which is reported once if it is long."""
 
--- a/apricotseam/coordination/_synchronizer.py
+++ b/apricotseam/coordination/_synchronizer.py
@@ -6,6 +6,7 @@
 import logging
 import random
 
+from apricotseam.coordination._messages import Changes
 from apricotseam.coordination._messages import MirrorItem
 from apricotseam.coordination._packing import unpack_push
 from apricotseam.coordination._pushes import make_push
@@ -137,6 +138,8 @@
         self._ask_peers = ask_peers
         self._now = now
         self._needs_listing = True
+        # Whether the listing replaces changes that were too large to read.
+        self._has_skipped = False
         self._unreachable_since = None
         self._settled_at = 0.0
         self._backoff = FIRST_BACKOFF_SECONDS
@@ -219,6 +222,7 @@
         except AnswerTooLargeError as error:
             _LOG.info("versions_skipped", extra={"error": str(error)})
             self._needs_listing = True
+            self._has_skipped = True
         except StaleAnswerError as error:
             self._count_stale("answer", str(error))
             await self._sleep_before_retry()
@@ -403,7 +407,7 @@
             self._mirror.apply(item)
         self._mirror.advance(watched.position)
         if items:
-            self._push_changes(base)
+            self._push_changes(self._mirror.changes_since(base), base)
             is_urgent = any(map(self._is_urgent, items))
             await asyncio.sleep(
                 URGENT_COALESCE_SECONDS
@@ -418,10 +422,9 @@
             int(ENCODED_SIZE_FACTOR * self._mirror.size_bytes()),
         )
 
-    def _push_changes(self, base):
+    def _push_changes(self, changes, base):
         """Pass the changes after a position on, if this host is a reader."""
         if self._is_reader():
-            changes = self._mirror.changes_since(base)
             self._push(make_push(changes, base, self._max_pushed_bytes()))
 
     def _announce_unread(self):
@@ -433,24 +436,29 @@
             self._push(unread_push(self._mirror.position))
 
     async def _list(self):
-        listed = await self._reader.list()
+        listed = await self._reader.list(self._has_skipped)
         self._mark_store_available()
-        base = self._mirror.position
         self._needs_listing = False
-        self._reconcile(listed.items, listed.first, listed.last)
-        if base.era == self._mirror.position.era != NO_POSITION:
-            self._push_changes(base)
+        self._has_skipped = False
+        base = self._mirror.position
+        applied = self._reconcile(listed.items, listed.first, listed.last)
+        position = self._mirror.position
+        if base != NO_POSITION and base.era == position.era:
+            self._push_changes(Changes(position, applied), base)
 
     def _reconcile(self, items, first_position, last_position):
-        """Replace the mirror by a complete listing."""
-        change = self._mirror.reconcile(items, first_position, last_position)
-        if change is None:
-            return
-        self.era_events["changed"] += 1
-        self._on_era_change(change)
-        position = self.followed_position
-        if position:
-            self._push(position_push(position))
+        """Replace the mirror by a complete listing; return what changed."""
+        applied = []
+        change = self._mirror.reconcile(
+            items, first_position, last_position, applied
+        )
+        if change is not None:
+            self.era_events["changed"] += 1
+            self._on_era_change(change)
+            position = self.followed_position
+            if position:
+                self._push(position_push(position))
+        return applied
 
     def _mark_store_lost(self, error):
         if self._unreachable_since is None:
@@ -477,6 +485,8 @@
         on a new connection meanwhile.
         """
         task = self._peers_task
+        if task is not None and task.done():
+            task.result()
         if task is None or task.done():
             loop = asyncio.get_running_loop()
             task = loop.create_task(self._catch_up_from_peers())
--- a/apricotseam/coordination/tests/test_synchronizer.py
+++ b/apricotseam/coordination/tests/test_synchronizer.py
@@ -257,8 +257,33 @@
         Item("a", bytes([n]) * size, Position(4 + n)) for n in range(count)
     ]
     store = SizedStore([WatchResult(versions, Position(6))], [("a", 3)])
-    follow(store)
+    mirror, sent, _ = follow(store)
     assert store.list_calls == listings
+    if listings == 1:
+        assert sent[-1].position == Position(6)
+
+
+def test_a_reader_passes_on_what_a_listing_changed():
+    """Guards against CONFIG: hosts that all read what one has read."""
+    store = FakeStore(
+        [AnswerTooLargeError("too large", "list")], [("a", 3), ("b", 2)]
+    )
+    list_page = store.list_page
+
+    async def list_other(*options):
+        page = await list_page(*options)
+        store.listing = [Item("a", b"w", Position(7))]
+        return page
+
+    store.list_page = list_other
+    mirror, sent, _ = follow(store)
+    assert [item.key for item in mirror.with_prefix("")] == ["a"]
+    (push,) = [push for push in sent if push.items]
+    assert (push.base, push.position) == (3, 7)
+    assert sorted((i.key, i.value) for i in push.items) == [
+        ("a", b"w"),
+        ("b", None),
+    ]
 
 
 class SlowStore(FakeStore):
