Let emulated connections take what readers hold

The emulated hosts of the measuring tool failed on streams, as their connections lacked the method by which a reader states what it holds of an answer.

--- a/measure/emulator/_inbox.py
+++ b/measure/emulator/_inbox.py
@@ -86,6 +86,9 @@
         """Return the next bytes of the body, empty at its end."""
         return await self._inbox.next(deadline)
 
+    def keep(self, size_bytes):
+        """Ignore how much of the answer its reader holds."""
+
     async def read_all(self, deadline, limit):
         """Return the complete body."""
         parts = []
