Apply entries of unknown services once a configuration names them

Such an entry names no target to use. Now it is kept aside, and applied when a configuration names its service, as a target may register before that; a target that is known stays.

The first of the new cases of test_store_items.py fails before. The writers of the fleet in memory name the service of their targets, as operators do.

--- a/apricotseam/node/_store_items.py
+++ b/apricotseam/node/_store_items.py
@@ -49,6 +49,8 @@
             collections.Counter() if era_events is None else era_events
         )
         self._held = HeldEntries(now)
+        # Entries by key whose service no configuration names yet.
+        self._unnamed = {}
         # Position and value of the configuration in force.
         self._configuration_position = NO_POSITION
         self._configuration_value = None
@@ -178,11 +180,19 @@
                 "version": table.version,
             },
         )
+        self._apply_named_targets()
+
+    def _apply_named_targets(self):
+        """Apply the entries of targets whose services are named now."""
+        unnamed, self._unnamed = self._unnamed, {}
+        for item in unnamed.values():
+            self._apply_target(item)
 
     def _apply_target(self, item):
         fleet = self._context.fleet
         identity = target_identity(item.key)
         fleet.advance(item.position)
+        self._unnamed.pop(item.key, None)
         if item.value is None:
             was_lost = self._is_lost(identity, item)
             may_return = was_lost or self._was_store_unreachable()
@@ -198,6 +208,13 @@
             )
             fleet.remove(identity, self._now())
             return
+        if not self._is_named(record):
+            self._unnamed[item.key] = item
+            _LOG.warning(
+                "target_service_unknown",
+                extra={"key": item.key, "service": record.service},
+            )
+            return
         cause = self._cause_to_hold(record)
         if cause:
             self._hold(item, cause)
@@ -205,6 +222,17 @@
         self._held.drop(item.key)
         fleet.update(record)
 
+    def _is_named(self, record):
+        """Return whether a target may be used, now or as it was before.
+
+        Another program may write an entry with the address of a target that
+        is used, which must not take its place.
+        """
+        table = self._context.table
+        if table is None or self._context.fleet.get(record.identity):
+            return True
+        return record.service in table.services
+
     def _is_lost(self, identity, item):
         """Return whether the store went back to a state without a target.
 
--- a/apricotseam/node/tests/store_writers.py
+++ b/apricotseam/node/tests/store_writers.py
@@ -123,7 +123,10 @@
     def _value(self, key):
         """Return what a key should have, None if it should not exist."""
         if key == CONFIGURATION_KEY:
-            return msgspec.json.encode({"Version": self._version})
+            services = [{"Name": "s"}]
+            return msgspec.json.encode(
+                {"Version": self._version, "Services": services}
+            )
         process = self.processes.get(key.removeprefix(TARGETS_PREFIX))
         return None if process is None else process.entry()
 
--- a/apricotseam/node/tests/test_store_items.py
+++ b/apricotseam/node/tests/test_store_items.py
@@ -10,6 +10,7 @@
 from apricotseam.fleet import Fleet
 from apricotseam.node._store_items import HOSTS_PREFIX
 from apricotseam.node._store_items import StoreItemHandler
+from apricotseam.platform import CONFIGURATION_KEY
 from apricotseam.platform.standins import TargetStandIn
 from apricotseam.platform import TARGETS_PREFIX
 from apricotseam.positions import Position
@@ -42,7 +43,7 @@
 )
 def test_unusable_entry_removes_its_target_only(value):
     fleet = Fleet()
-    context = types.SimpleNamespace(fleet=fleet)
+    context = types.SimpleNamespace(fleet=fleet, table=None)
     handler = StoreItemHandler(context, lambda: False, lambda: 0.0)
     for number, identity in enumerate(["p1", "p2"]):
         entry = TargetStandIn(identity, f"10.0.0.1:{80 + number}").entry()
@@ -52,3 +53,38 @@
     handler.apply(MirrorItem(TARGETS_PREFIX + "p1", value, Position(3)))
     assert list(fleet) == [kept]
     assert kept.accepts_requests
+
+
+# Services that the configuration names before and after an entry of another
+# program, with the address of a target of "plain"; whose target is used there.
+ENTRIES = [
+    (["plain"], ["plain"], "p1"),
+    (["plain"], ["plain", "later"], "odd"),
+    (["plain", "later"], ["plain", "later"], "odd"),
+]
+
+
+@pytest.mark.parametrize(("before", "after", "used"), ENTRIES)
+def test_entry_of_an_unknown_service_takes_no_address(before, after, used):
+    """Guards against sound targets that an odd entry takes out of use."""
+    fleet = Fleet()
+    context = types.SimpleNamespace(fleet=fleet, table=None)
+    handler = StoreItemHandler(context, lambda: False, lambda: 0.0)
+    target = TargetStandIn("p1", "10.0.0.1:80")
+    odd = target.entry().replace(b'"plain"', b'"later"')
+    values = [
+        (CONFIGURATION_KEY, services_document(1, before)),
+        (TARGETS_PREFIX + "p1", target.entry()),
+        (TARGETS_PREFIX + "odd", odd),
+        (CONFIGURATION_KEY, services_document(2, after)),
+    ]
+    for number, (key, value) in enumerate(values):
+        handler.apply(MirrorItem(key, value, Position(number + 1)))
+    assert [t.identity for t in fleet] == [used]
+
+
+def services_document(version, services):
+    """Return a configuration that names services."""
+    return msgspec.json.encode(
+        {"Version": version, "Services": [{"Name": n} for n in services]}
+    )
