--- a/apricotseam/http1/_client.py
+++ b/apricotseam/http1/_client.py
@@ -132,13 +132,14 @@
 
     def data_received(self, data):
         """Parse received bytes; called by the event loop."""
-        if self._parser is None:
-            return
         if not self._is_busy:
             # Unsolicited bytes could be taken for the response to the next
             # request.
             self.close()
             return
+        if self._parser is None:
+            # The response was given up.
+            return
         self._parser.receive_data(data)
         self._unread_bytes += len(data)
         self._record_held()
--- a/apricotseam/http1/tests/test_endless.py
+++ b/apricotseam/http1/tests/test_endless.py
@@ -279,3 +279,10 @@
 
     with pytest.raises(TransportTimeoutError):
         asyncio.run(scenario())
+
+
+def test_bytes_before_the_first_request_close_the_connection():
+    connection = Connection("10.0.0.1:80")
+    connection.connection_made(FakeTransport())
+    connection.data_received(b"HTTP/1.1 200 OK\r\n\r\n")
+    assert not connection.is_usable
