Split the store's client, and share the target that writes its own answers

Errors and records of the store's client stand in modules of their own, and the two tests whose targets write answers byte by byte share one.

--- a/apricotseam/node/tests/test_odd_heads.py
+++ b/apricotseam/node/tests/test_odd_heads.py
@@ -1,13 +1,10 @@
 """Targets whose answers have a status that is none, or a head that ends."""
 
-import asyncio
-
 import pytest
 
 from apricotseam.node.tests.harness import run
+from apricotseam.node.tests.raw_target import RawTarget
 from apricotseam.node.tests.test_relay import cut_and_notice
-from apricotseam.platform.standins import TargetStandIn
-from apricotseam.web import free_address
 
 EVENTS = b"".join(f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, 5))
 FIELDS = (
@@ -15,7 +12,7 @@
 )
 
 
-class RawTarget:
+class OddTarget(RawTarget):
     """Target that answers each request with given bytes and closes.
 
     Parameters
@@ -25,48 +22,12 @@
     """
 
     def __init__(self, answer):
+        super().__init__()
         self._answer = answer
-        self._server = None
-        self.entry = TargetStandIn("raw", free_address())
-        self.other = TargetStandIn("other", free_address())
-        self.requests = 0
-
-    async def start(self, platform):
-        """Listen; the other target is registered with the first request."""
-        self._platform = platform
-        await self.other.start()
-        host, port = self.entry.address.split(":")
-        self._server = await asyncio.start_server(self._serve, host, port)
-        await self._register(self.entry)
-
-    def stop(self):
-        """Stop both targets."""
-        self._server.close()
-        self.other.stop()
-
-    async def _register(self, target):
-        """Write the entry of a target; wait until all hosts know it."""
-        self._platform.register(target)
-        fleets = [node.forwarding.fleet for node in self._platform.nodes]
-        await self._platform.wait_until(
-            lambda: all(fleet.get(target.identity) for fleet in fleets)
-        )
-
-    async def _serve(self, reader, writer):
-        try:
-            head = await reader.readuntil(b"\r\n\r\n")
-        except asyncio.IncompleteReadError:
-            # A probe opens a connection and sends nothing.
-            writer.close()
-            return
-        marker = b"apricotseam-request-id: "
-        request_id = head.lower().partition(marker)[2].partition(b"\r\n")[0]
-        if request_id:
-            self.requests += 1
-            await self._register(self.other)
-            answer = self._answer.replace("{id}", request_id.decode())
-            writer.write(answer.encode())
-        writer.close()
+
+    async def answer_request(self, request_id, writer):
+        """Write the bytes."""
+        writer.write(self._answer.replace("{id}", request_id).encode())
 
 
 def framed(status):
@@ -131,7 +92,7 @@
     """Guards against MIXED: odd statuses and cut heads as answers."""
 
     async def scenario(platform):
-        return await ask(platform, RawTarget(answer), path, is_relayed)
+        return await ask(platform, OddTarget(answer), path, is_relayed)
 
     hosts = 2 if is_relayed else 1
     found = run(scenario, plain_targets=0, hosts=hosts)
--- a/apricotseam/node/tests/test_unframed.py
+++ b/apricotseam/node/tests/test_unframed.py
@@ -7,8 +7,7 @@
 import pytest
 
 from apricotseam.node.tests.harness import run
-from apricotseam.platform.standins import TargetStandIn
-from apricotseam.web import free_address
+from apricotseam.node.tests.raw_target import RawTarget
 
 HEAD = (
     "HTTP/1.1 200 OK\r\nApricotseam-Request-Id: {id}\r\n"
@@ -26,7 +25,7 @@
 READ_SECONDS = 0.15
 
 
-class UnframedTarget:
+class UnframedTarget(RawTarget):
     """Target that answers one request and ends the connection.
 
     Parameters
@@ -41,55 +40,25 @@
     """
 
     def __init__(self, body, ending):
+        super().__init__()
         self._body = body
         self._ending = ending
-        self._server = None
-        self.entry = TargetStandIn("raw", free_address())
-        self.other = TargetStandIn("other", free_address())
-        self.requests = 0
         self.before_answer = lambda: None
 
-    async def start(self, platform):
-        """Listen; the other target is registered with the first request."""
-        self._platform = platform
-        await self.other.start()
-        host, port = self.entry.address.split(":")
-        self._server = await asyncio.start_server(self._answer, host, port)
-        await self._register(self.entry)
-
-    def stop(self):
-        """Stop both targets."""
-        self._server.close()
-        self.other.stop()
-
-    async def _register(self, target):
-        """Write the entry of a target, and wait until the host knows it."""
-        self._platform.register(target)
-        fleet = self._platform.nodes[0].forwarding.fleet
-        await self._platform.wait_until(lambda: fleet.get(target.identity))
-
-    async def _answer(self, reader, writer):
-        head = await reader.readuntil(b"\r\n\r\n")
-        if head.startswith(b"GET "):
-            identity = "next" if self._ending == "replaced" else "raw"
-            if self._ending not in ("ends", "accepts"):
-                writer.write(HEALTH.format(identity=identity).encode())
-            writer.close()
-            return
-        self.requests += 1
-        await self._register(self.other)
+    def answer_question(self, writer):
+        """Answer a health check as the process at the address does."""
+        identity = "next" if self._ending == "replaced" else "raw"
+        if self._ending not in ("ends", "accepts"):
+            writer.write(HEALTH.format(identity=identity).encode())
+
+    async def answer_request(self, request_id, writer):
+        """Write the answer, and end as stated."""
         self.before_answer()
-        fields = dict(
-            line.split(b": ", 1)
-            for line in head.lower().split(b"\r\n")[1:]
-            if b": " in line
-        )
-        request_id = fields[b"apricotseam-request-id"].decode()
         head = HEAD.format(id=request_id, framing="")
         writer.write(head.encode() + self._body)
         await writer.drain()
         if self._ending == "ends":
-            self._server.close()
+            self.server.close()
         if self._ending == "resets":
             # The bytes must arrive before the reset discards them.
             await asyncio.sleep(READ_SECONDS)
@@ -97,7 +66,6 @@
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT
             )
-        writer.close()
 
 
 # Description, path, body, how the answer ends, expected body, requests that
--- a/apricotseam/platform/__init__.py
+++ b/apricotseam/platform/__init__.py
@@ -39,18 +39,18 @@
 from apricotseam.platform._requests import ResponseMetadata
 from apricotseam.platform._requests import RETRY_AFTER_HEADER
 from apricotseam.platform._requests import returned_headers
-from apricotseam.platform._store import AnswerTooLargeError
-from apricotseam.platform._store import HistoryLostError
-from apricotseam.platform._store import Item
-from apricotseam.platform._store import Lease
-from apricotseam.platform._store import LeaseEndedError
-from apricotseam.platform._store import Listing
-from apricotseam.platform._store import StaleAnswerError
 from apricotseam.platform._store import StoreClient
-from apricotseam.platform._store import StoreConflictError
-from apricotseam.platform._store import StoreError
 from apricotseam.platform._store import WATCH_MARGIN_SECONDS
-from apricotseam.platform._store import WatchResult
+from apricotseam.platform._store_errors import AnswerTooLargeError
+from apricotseam.platform._store_errors import HistoryLostError
+from apricotseam.platform._store_errors import LeaseEndedError
+from apricotseam.platform._store_errors import StaleAnswerError
+from apricotseam.platform._store_errors import StoreConflictError
+from apricotseam.platform._store_errors import StoreError
+from apricotseam.platform._store_records import Item
+from apricotseam.platform._store_records import Lease
+from apricotseam.platform._store_records import Listing
+from apricotseam.platform._store_records import WatchResult
 from apricotseam.platform._targets import decode_target
 
 __all__ = [
--- a/apricotseam/platform/_store.py
+++ b/apricotseam/platform/_store.py
@@ -11,12 +11,20 @@
 
 from apricotseam.decoding import decode_json
 from apricotseam.decoding import parse_count
-from apricotseam.errors import ApricotseamError
-from apricotseam.errors import ConflictError
 from apricotseam.errors import InvalidInputError
 from apricotseam.http1 import BodyTooLargeError
 from apricotseam.http1 import ConnectionPool
 from apricotseam.http1 import TransportError
+from apricotseam.platform._store_errors import AnswerTooLargeError
+from apricotseam.platform._store_errors import HistoryLostError
+from apricotseam.platform._store_errors import LeaseEndedError
+from apricotseam.platform._store_errors import StaleAnswerError
+from apricotseam.platform._store_errors import StoreConflictError
+from apricotseam.platform._store_errors import StoreError
+from apricotseam.platform._store_records import Item
+from apricotseam.platform._store_records import Lease
+from apricotseam.platform._store_records import Listing
+from apricotseam.platform._store_records import WatchResult
 from apricotseam.positions import MAX_ERA
 from apricotseam.positions import NO_POSITION
 from apricotseam.positions import Position
@@ -38,92 +46,6 @@
 MAX_SHOWN_CHARACTERS = 64
 
 
-class StoreError(ApricotseamError):
-    """The store did not answer, or refused the call.
-
-    ``may_have_executed`` is True if the store may have executed the call
-    although no usable response arrived.
-    """
-
-    code = "store_unavailable"
-    http_status = 503
-
-    def __init__(self, found, remedy, may_have_executed=False):
-        super().__init__(found, remedy)
-        self.may_have_executed = may_have_executed
-
-
-class HistoryLostError(StoreError):
-    """The store no longer has the changes that were asked for."""
-
-    code = "history_lost"
-
-
-class AnswerTooLargeError(StoreError):
-    """The answer is larger than the caller wants to read."""
-
-    code = "answer_too_large"
-
-
-class LeaseEndedError(StoreError):
-    """The lease has ended."""
-
-    code = "lease_ended"
-
-
-class StaleAnswerError(StoreError):
-    """The answer is of an earlier era than one that is known already."""
-
-    code = "stale_answer"
-
-
-class StoreConflictError(ConflictError):
-    """The condition of a change does not hold."""
-
-    code = "store_conflict"
-
-
-class Lease(msgspec.Struct, frozen=True):
-    """Identifier of a lease in the era in which it was granted.
-
-    The store forgets leases when it goes back, and may give out their
-    numbers again.
-    """
-
-    era: int
-    number: int
-
-
-class Item(msgspec.Struct, frozen=True):
-    """Key, value and position; ``value`` is None if the key was deleted.
-
-    ``lease`` is the lease to which the key is bound, or None.
-    """
-
-    key: str
-    value: bytes | None
-    position: Position = NO_POSITION
-    lease: Lease | None = None
-
-
-class Listing(msgspec.Struct, frozen=True):
-    """One page of keys and the position of the store at that time."""
-
-    items: list[Item]
-    has_more: bool
-    position: Position
-
-
-class WatchResult(msgspec.Struct, frozen=True):
-    """Changes in order; empty if there were none within the wait time.
-
-    ``position`` is the position after which to watch next.
-    """
-
-    items: list[Item]
-    position: Position
-
-
 class _WireItem(msgspec.Struct, rename="pascal"):
     key: str
     value: str = ""
