--- a/apricotseam/coordination/_store_reader.py
+++ b/apricotseam/coordination/_store_reader.py
@@ -44,8 +44,14 @@
         self._store = store
         self._reads = reads
         self._on_long_read = on_long_read
+        self._answer = None
         self._watch_timeout = None
 
+    @property
+    def is_long(self):
+        """Whether an answer that was reported as long is still under way."""
+        return self._answer is not None and self._answer.is_long
+
     async def watch(self, source, after, seconds, max_bytes):
         """Wait for changes after a position.
 
@@ -73,7 +79,7 @@
             If there is no valid answer.
         """
         with self._reads.record(source) as read:
-            answer = _Answer(read, self._on_long_read)
+            self._answer = answer = _Answer(read, self._on_long_read)
             try:
                 async with asyncio.timeout(None) as self._watch_timeout:
                     watched = await self._store.watch(
@@ -102,7 +108,7 @@
         """
         on_long_read = self._on_long_read if reports_long_read else _ignore
         with self._reads.record("listing") as read:
-            answer = _Answer(read, on_long_read)
+            self._answer = answer = _Answer(read, on_long_read)
             try:
                 pages = await self._list_pages(answer.begin)
             finally:
@@ -152,9 +158,16 @@
 
 
 class _Answer:
-    """Answer to a read, which is reported once if it is long."""
+    """Answer to a read, which is reported once if it is long.
+
+    Attributes
+    ----------
+    is_long : bool
+        Whether it was reported and is still under way.
+    """
 
     def __init__(self, read, on_long_read):
+        self.is_long = False
         self._read = read
         self._on_long_read = on_long_read
         self._timer = None
@@ -164,11 +177,14 @@
         self._read.note_answer(size_bytes)
         if self._timer is None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(
-                LONG_READ_SECONDS, self._on_long_read
-            )
+            self._timer = loop.call_later(LONG_READ_SECONDS, self._report)
+
+    def _report(self):
+        self.is_long = True
+        self._on_long_read()
 
     def end(self):
         """Record that the answer has ended."""
+        self.is_long = False
         if self._timer is not None:
             self._timer.cancel()
--- a/apricotseam/coordination/_synchronizer.py
+++ b/apricotseam/coordination/_synchronizer.py
@@ -41,6 +41,8 @@
 PEERS_PER_REQUEST = 2
 # Time after which the store is called again although peers have not answered.
 PEER_WAIT_SECONDS = 0.3
+# Interval at which peers are asked while the store's answer takes long.
+MEANWHILE_SECONDS = 0.5
 # Interval between heartbeats of readers, and the time without a push after
 # which they count as failed.
 HEARTBEAT_INTERVAL_SECONDS = 0.4
@@ -151,9 +153,11 @@
         # Number of changes of the era, and of messages and answers of earlier
         # eras that were dropped.
         self.era_events = collections.Counter()
-        # Requests to peers that are under way, as the store does not answer.
+        # Requests to peers that are under way, as the store does not answer,
+        # and as its answer takes long.
         self._peers_task = None
-        self._reader = StoreReader(store, self._reads, self._announce_unread)
+        self._meanwhile_task = None
+        self._reader = StoreReader(store, self._reads, self._handle_long_read)
         # Era in which the mirror is too old, and the time at which this host
         # lists the store if no peer has helped.
         self._missed_era = 0
@@ -209,8 +213,9 @@
             while True:
                 await self._run_once()
         finally:
-            if self._peers_task is not None:
-                self._peers_task.cancel()
+            for task in (self._peers_task, self._meanwhile_task):
+                if task is not None:
+                    task.cancel()
 
     async def _run_once(self):
         """Update the mirror once, and note why that failed."""
@@ -427,6 +432,25 @@
         if self._is_reader():
             self._push(make_push(changes, base, self._max_pushed_bytes()))
 
+    def _handle_long_read(self):
+        """Let others know, and help, while an answer takes long."""
+        self._announce_unread()
+        task = self._meanwhile_task
+        if task is None or task.done():
+            loop = asyncio.get_running_loop()
+            self._meanwhile_task = loop.create_task(self._ask_meanwhile())
+
+    async def _ask_meanwhile(self):
+        """Ask peers, which may be faster, while an answer is under way.
+
+        A host with a duty may have less of its link for itself than they.
+        """
+        while True:
+            await asyncio.sleep(MEANWHILE_SECONDS)
+            if not self._reader.is_long:
+                return
+            await self._catch_up_from_peers()
+
     def _announce_unread(self):
         """Tell the other hosts of changes that this one still reads.
 
--- a/apricotseam/coordination/tests/test_synchronizer.py
+++ b/apricotseam/coordination/tests/test_synchronizer.py
@@ -12,6 +12,7 @@
 from apricotseam.coordination._synchronizer import GAP_DELAY_SECONDS
 from apricotseam.coordination._synchronizer import GAP_PAUSE_SECONDS
 from apricotseam.coordination._synchronizer import GAP_WATCH_TIMEOUT_SECONDS
+from apricotseam.coordination._synchronizer import MEANWHILE_SECONDS
 from apricotseam.coordination._synchronizer import MIN_WATCHED_BYTES
 from apricotseam.coordination._synchronizer import (
     UNREACHABLE_WATCH_TIMEOUT_SECONDS,
@@ -306,6 +307,27 @@
     assert [(push.base, push.position) for push in sent] == [(4, 4), (3, 5)]
 
 
+class StalledStore(FakeStore):
+    """Store whose answer to a watch goes on for very long."""
+
+    async def watch(self, prefix, after, wait_seconds, on_answer, max_bytes):
+        """Begin to answer."""
+        on_answer(LOGGED_BYTES)
+        await asyncio.sleep(3600)
+
+
+def test_a_host_whose_read_takes_long_asks_peers_meanwhile():
+    """Guards against CONFIG: hosts whose duties take their links."""
+    answer = Changes(Position(9), [MirrorItem("a", b"new", Position(9))])
+    mirror, _, is_store_unreachable = follow(
+        StalledStore([], [("a", 3)]),
+        changes=[answer],
+        seconds=LONG_READ_SECONDS + MEANWHILE_SECONDS + 0.2,
+    )
+    assert (mirror.get("a").value, mirror.position) == (b"new", 9)
+    assert not is_store_unreachable
+
+
 def test_a_push_that_follows_closes_a_gap_without_a_read():
     store = FakeStore([], [("a", 3)])
     changes = [MirrorItem("a", b"w", Position(5))]
