Ask only peers that compress their answers meanwhile

Now only hosts that state a link are asked while a read is under way; hosts of earlier versions state none. Where all hosts are of this version nothing changes.

--- a/apricotseam/coordination/_hosts.py
+++ b/apricotseam/coordination/_hosts.py
@@ -303,7 +303,7 @@
             self._republish_at = math.inf
             self._membership.republish()
 
-    def choose_peers(self, count, readers_first=False):
+    def choose_peers(self, count, readers_first=False, must_pack=False):
         """Return the peer addresses of some other hosts, chosen at random.
 
         Parameters
@@ -313,6 +313,9 @@
         readers_first : bool
             Whether one of them should be a delegate of this host's zone,
             which reads the store.
+        must_pack : bool
+            Whether to leave hosts out that may compress no answers. Those of
+            earlier versions state no link.
 
         Returns
         -------
@@ -322,7 +325,7 @@
         addresses = [
             m.peers_address
             for m in self.table.present()
-            if m.peers_address != own
+            if m.peers_address != own and (m.link_mbps or not must_pack)
         ]
         chosen = []
         if readers_first:
--- a/apricotseam/coordination/_peer_changes.py
+++ b/apricotseam/coordination/_peer_changes.py
@@ -40,7 +40,7 @@
             ChangesRequest, self.answer, Changes, PackedChanges
         )
 
-    async def ask(self, position, count, readers_first=False):
+    async def ask(self, position, count, **options):
         """Request the changes after a position from other hosts.
 
         Parameters
@@ -49,9 +49,8 @@
             Position up to which this host knows the changes.
         count : int
             Number of hosts to ask.
-        readers_first : bool
-            Whether one of them should be a delegate of this host's zone,
-            which reads the store.
+        **options
+            As for `Hosts.choose_peers`.
 
         Returns
         -------
@@ -60,7 +59,7 @@
             others that are still under way would bring the same over its
             link.
         """
-        addresses = self._hosts.choose_peers(count, readers_first)
+        addresses = self._hosts.choose_peers(count, **options)
         loop = asyncio.get_running_loop()
         pending = {
             loop.create_task(self._request(address, position))
--- a/apricotseam/coordination/_synchronizer.py
+++ b/apricotseam/coordination/_synchronizer.py
@@ -86,7 +86,8 @@
     ask_peers : callable
         Coroutine function ``ask_peers(position, count)`` that returns a
         list of `Changes` from peers. With ``readers_first=True`` it asks a
-        reader of the availability zone if there is one.
+        reader of the availability zone if there is one, with
+        ``must_pack=True`` only peers that compress their answers.
     now : callable
         Returns monotonic time in seconds.
     is_reader : callable, optional
@@ -449,7 +450,8 @@
             await asyncio.sleep(MEANWHILE_SECONDS)
             if not self._reader.is_long:
                 return
-            await self._catch_up_from_peers()
+            # An answer that is not compressed would compete with the store's.
+            await self._catch_up_from_peers(must_pack=True)
 
     def _announce_unread(self):
         """Tell the other hosts of changes that this one still reads.
--- a/apricotseam/coordination/tests/test_audience.py
+++ b/apricotseam/coordination/tests/test_audience.py
@@ -116,6 +116,18 @@
         assert limits[0] > MAX_PUSHED_BYTES
 
 
+def test_only_hosts_that_state_a_link_are_sure_to_pack():
+    members = [
+        msgspec.structs.replace(make_member(n, 1), link_mbps=7.0 * (n % 2))
+        for n in range(6)
+    ]
+    own = Hosts(members[0], SilentTransport(), Facts, lambda: 0.0)
+    own.table = MemberTable(members, members[0].peers_address)
+    chosen = own.choose_peers(6, must_pack=True)
+    assert sorted(chosen) == [members[n].peers_address for n in (1, 3, 5)]
+    assert len(own.choose_peers(6)) == 5
+
+
 def test_records_are_published_again_once_all_hosts_are_upgraded():
     """Earlier versions pass records on without what they do not know."""
     now = [0.0]
--- a/apricotseam/coordination/tests/test_peer_changes.py
+++ b/apricotseam/coordination/tests/test_peer_changes.py
@@ -38,7 +38,7 @@
     def handle(self, record_type, handler, *answer_types):
         """Accept a handler."""
 
-    def choose_peers(self, count, readers_first):
+    def choose_peers(self, count):
         """Return all hosts."""
         return list(self._answers)
 
--- a/apricotseam/coordination/tests/test_synchronizer.py
+++ b/apricotseam/coordination/tests/test_synchronizer.py
@@ -101,7 +101,7 @@
         mirror = Mirror(lambda item: None)
         sent = []
 
-        async def ask_peers(revision, count):
+        async def ask_peers(revision, count, **options):
             return list(changes)
 
         synchronizer = MirrorSynchronizer(
--- a/apricotseam/node/tests/memory_fleet.py
+++ b/apricotseam/node/tests/memory_fleet.py
@@ -172,7 +172,7 @@
     def handle(self, record_type, handler, *answer_types):
         """Accept a handler, which the fleet calls directly."""
 
-    def choose_peers(self, count, readers_first=False):
+    def choose_peers(self, count, readers_first=False, must_pack=False):
         """Return the names of other hosts."""
         others = [h for h in self._fleet.hosts if h is not self._host]
         chosen = []
