Compute the changes to push only at readers, and their size in one place

Each host computed what had changed after every watch, also those that push nothing; only readers do now. The size of items and the bound on what is sent uncompressed stood twice, for pushes and for answers to peers. Nothing decides differently: the tests of coordination, of slow links and of eras pass.

--- a/apricotseam/coordination/_packing.py
+++ b/apricotseam/coordination/_packing.py
@@ -13,12 +13,19 @@
 from apricotseam.positions import decode_hook
 from apricotseam.positions import encode_hook
 
+# Larger messages are compressed.
+MAX_PLAIN_BYTES = 4096
 # Limit on the items of one message; larger ones could exhaust the memory of
 # the host that reads them.
 MAX_UNPACKED_BYTES = 8 << 20
 COMPRESSION_LEVEL = 1
 
 
+def size_bytes(items):
+    """Return the size of the values of some items."""
+    return sum(len(item.value or b"") for item in items)
+
+
 def pack_push(push):
     """Return the `PackedPush` with the same changes as a `Push`.
 
--- a/apricotseam/coordination/_peer_changes.py
+++ b/apricotseam/coordination/_peer_changes.py
@@ -6,7 +6,9 @@
 from apricotseam.coordination._messages import Changes
 from apricotseam.coordination._messages import ChangesRequest
 from apricotseam.coordination._messages import PackedChanges
+from apricotseam.coordination._packing import MAX_PLAIN_BYTES
 from apricotseam.coordination._packing import pack_changes
+from apricotseam.coordination._packing import size_bytes
 from apricotseam.coordination._packing import unpack_changes
 from apricotseam.errors import InvalidInputError
 from apricotseam.peers import PeerAnswerLostError
@@ -15,8 +17,6 @@
 _LOG = logging.getLogger(__name__)
 
 REQUEST_TIMEOUT_SECONDS = 1.0
-# Larger answers are compressed for hosts that accept that.
-MAX_PLAIN_BYTES = 4096
 
 
 class PeerChanges:
@@ -93,8 +93,8 @@
         Changes or PackedChanges
         """
         changes = self._mirror.changes_since(request.after)
-        size = sum(len(item.value or b"") for item in changes.items)
-        if not request.accepts_packed or size <= MAX_PLAIN_BYTES:
+        is_small = size_bytes(changes.items) <= MAX_PLAIN_BYTES
+        if is_small or not request.accepts_packed:
             return changes
         after, packed = self._packed
         if after != request.after or packed.position != changes.position:
--- a/apricotseam/coordination/_pushes.py
+++ b/apricotseam/coordination/_pushes.py
@@ -1,12 +1,12 @@
 """Messages by which a reader passes changes of the store on."""
 
 from apricotseam.coordination._messages import Push
+from apricotseam.coordination._packing import MAX_PLAIN_BYTES
 from apricotseam.coordination._packing import MAX_UNPACKED_BYTES
 from apricotseam.coordination._packing import pack_push
+from apricotseam.coordination._packing import size_bytes
 from apricotseam.positions import Position
 
-# Larger changes are compressed.
-MAX_PLAIN_PUSH_BYTES = 4096
 # Default limit on compressed changes.
 MAX_PUSHED_BYTES = 16 << 10
 
@@ -30,10 +30,10 @@
         position, from which the other hosts see that they miss changes.
     """
     push = Push(base, changes.position, changes.items)
-    size = sum(len(item.value or b"") for item in changes.items)
+    size = size_bytes(changes.items)
     if changes.is_whole or size > MAX_UNPACKED_BYTES // 2:
         return position_push(changes.position)
-    if size <= MAX_PLAIN_PUSH_BYTES:
+    if size <= MAX_PLAIN_BYTES:
         return push
     packed = pack_push(push)
     if len(packed.packed) <= max_pushed_bytes:
--- a/apricotseam/coordination/_synchronizer.py
+++ b/apricotseam/coordination/_synchronizer.py
@@ -413,7 +413,8 @@
             self._mirror.apply(item)
         self._mirror.advance(watched.position)
         if items:
-            self._push_changes(self._mirror.changes_since(base), base)
+            if self._is_reader():
+                self._push_changes(self._mirror.changes_since(base), base)
             is_urgent = any(map(self._is_urgent, items))
             await asyncio.sleep(
                 URGENT_COALESCE_SECONDS
@@ -429,9 +430,8 @@
         )
 
     def _push_changes(self, changes, base):
-        """Pass the changes after a position on, if this host is a reader."""
-        if self._is_reader():
-            self._push(make_push(changes, base, self._max_pushed_bytes()))
+        """Pass the changes after a position on to the other hosts."""
+        self._push(make_push(changes, base, self._max_pushed_bytes()))
 
     def _handle_long_read(self):
         """Let others know, and help, while an answer takes long."""
@@ -469,7 +469,8 @@
         base = self._mirror.position
         applied = self._reconcile(listed.items, listed.first, listed.last)
         position = self._mirror.position
-        if base != NO_POSITION and base.era == position.era:
+        is_known = base != NO_POSITION and base.era == position.era
+        if is_known and self._is_reader():
             self._push_changes(Changes(position, applied), base)
 
     def _reconcile(self, items, first_position, last_position):
--- a/apricotseam/coordination/tests/test_peer_changes.py
+++ b/apricotseam/coordination/tests/test_peer_changes.py
@@ -7,8 +7,8 @@
 import pytest
 
 from apricotseam.coordination._messages import ChangesRequest
+from apricotseam.coordination._packing import MAX_PLAIN_BYTES
 from apricotseam.coordination._packing import pack_changes
-from apricotseam.coordination._peer_changes import MAX_PLAIN_BYTES
 from apricotseam.coordination import Changes
 from apricotseam.coordination import Mirror
 from apricotseam.coordination import MirrorItem
--- a/apricotseam/coordination/tests/test_synchronizer.py
+++ b/apricotseam/coordination/tests/test_synchronizer.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from apricotseam.coordination._pushes import MAX_PLAIN_PUSH_BYTES
+from apricotseam.coordination._packing import MAX_PLAIN_BYTES
 from apricotseam.coordination._pushes import MAX_PUSHED_BYTES
 from apricotseam.coordination._read_log import LOGGED_BYTES
 from apricotseam.coordination._store_reader import LONG_READ_SECONDS
@@ -197,8 +197,8 @@
 
 # Case, value of a change, whether its push is packed.
 PACKED = [
-    ("small", b"x" * MAX_PLAIN_PUSH_BYTES, False),
-    ("compressible", b"x" * (MAX_PLAIN_PUSH_BYTES + 1), True),
+    ("small", b"x" * MAX_PLAIN_BYTES, False),
+    ("compressible", b"x" * (MAX_PLAIN_BYTES + 1), True),
 ]
 
 
