--- a/review/plain_3.py
+++ b/review/plain_3.py
@@ -53,9 +53,10 @@
         self._slots = slots
         self._store = store
         self._born = int(time.time() * 1000)
-        self._sequence = 0
+        self.sequence = 0
         self._server = None
         self._heartbeat = None
+        self._writers = set()
         self.address = harness_3.free_address()
 
     async def start(self):
@@ -63,8 +64,6 @@
         ip, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, ip, int(port))
         self.register()
-        loop = asyncio.get_running_loop()
-        self._heartbeat = loop.create_task(self._beat())
 
     def stop(self):
         """Stop to listen and to register."""
@@ -73,9 +72,20 @@
         if self._heartbeat is not None:
             self._heartbeat.cancel()
 
+    def exit(self):
+        """End as a process does: the connections close, the entry goes."""
+        self.stop()
+        self._store.delete(f"servers/{self.identity}")
+        for writer in list(self._writers):
+            writer.close()
+
     def register(self):
-        """Write the entry in the store."""
-        self._sequence += 1
+        """Write the entry in the store, and again at each heartbeat."""
+        if self._heartbeat is not None:
+            self._heartbeat.cancel()
+        loop = asyncio.get_running_loop()
+        self._heartbeat = loop.call_later(HEARTBEAT_SECONDS, self.register)
+        self.sequence += 1
         entry = {
             "Service": self._service,
             "Address": self.address,
@@ -84,18 +94,14 @@
             "Slots": self._slots,
             "State": self.state,
             "ColdLeftMs": 0,
-            "Sequence": self._sequence,
+            "Sequence": self.sequence,
             "born": self._born,
         }
         key = f"servers/{self.identity}"
         self._store.put(key, json.dumps(entry).encode())
 
-    async def _beat(self):
-        while True:
-            await asyncio.sleep(HEARTBEAT_SECONDS)
-            self.register()
-
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -109,7 +115,10 @@
                 await self._answer(first.split(" ")[1], headers, writer)
         except (EOFError, ConnectionError):
             pass
+        except asyncio.CancelledError:
+            pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, path, headers, writer):
