--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,6 +9,6 @@
 import pathlib
 for path in sorted(pathlib.Path('review').glob('1[1-5]/*.py')):
     compile(path.read_text(), str(path), 'exec')
-import client_3, harness_3, plain_3, server_3
+import client_3, harness_3, link_3, plain_3, server_3
 import apricotseam.platform.standins
 "
--- a/review/client_3.py
+++ b/review/client_3.py
@@ -34,13 +34,10 @@
     ----------
     address : str
         ``ip:port`` of the host.
-    receive_bytes : int, optional
-        Size of the socket's receive buffer; that of the system by default.
     """
 
-    def __init__(self, address, receive_bytes=None):
+    def __init__(self, address):
         self._address = address
-        self._receive_bytes = receive_bytes
         self._socket = None
         self._received = b""
 
@@ -48,10 +45,6 @@
         """Connect to the host."""
         self._socket = socket.socket()
         self._socket.setblocking(False)
-        if self._receive_bytes:
-            self._socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_bytes
-            )
         ip, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
         await loop.sock_connect(self._socket, (ip, int(port)))
--- a/review/server_3.py
+++ b/review/server_3.py
@@ -1,19 +1,21 @@
-"""Worker process of a server whose address a supervisor holds open.
+"""Server of the case 11, a process of its own.
 
-``python3 server_3.py FD ID RUNS`` serves the listening socket that it has
-inherited under the identity ``ID``, and writes each request that it runs to
-the file ``RUNS``. Its answers have no length and end with the connection.
+``python3 server_3.py ADDRESS ID RUNS [unframed]`` serves an address under the
+identity ``ID``, and writes each request that it runs to the file ``RUNS``.
+With ``unframed``, some of its answers have no length and end with the
+connection.
 """
 
 import asyncio
 import json
-import socket
 import sys
-import time
 
 BODY_BYTES = 4800
 # Pause in the middle of each answer.
 PAUSE_SECONDS = 1.0
+# One answer of so many has no length, the tenth first.
+UNFRAMED_INTERVAL = 20
+FIRST_UNFRAMED = 10
 
 
 def make_body(request_id):
@@ -43,11 +45,15 @@
         Identity of the server.
     runs : str
         File to which requests are written as they begin to run.
+    has_unframed : bool
+        Whether some of its answers have no length.
     """
 
-    def __init__(self, identity, runs):
+    def __init__(self, identity, runs, has_unframed):
         self._identity = identity
         self._runs = runs
+        self._has_unframed = has_unframed
+        self._count = 0
 
     async def serve(self, reader, writer):
         """Answer the requests of one connection."""
@@ -78,14 +84,18 @@
             )
             return False
         request_id = headers["apricotseam-request-id"]
+        self._count += 1
+        place = self._count % UNFRAMED_INTERVAL
+        is_unframed = self._has_unframed and place == FIRST_UNFRAMED
+        kind = "unframed" if is_unframed else "framed"
         with open(self._runs, "a") as runs:
-            runs.write(f"{time.monotonic():.3f} {request_id}\n")
+            runs.write(f"{request_id}, {kind}\n")
         body = make_body(request_id)
         writer.write(
             "HTTP/1.1 200 OK\r\n"
             f"Apricotseam-Request-Id: {request_id}\r\n"
             f"Apricotseam-Server-Signature: {self._identity}.{request_id}\r\n"
-            "Connection: close\r\n\r\n".encode()
+            f"{end_header(body, is_unframed)}\r\n\r\n".encode()
         )
         half = len(body) // 2
         writer.write(body[:half])
@@ -93,14 +103,21 @@
         await asyncio.sleep(PAUSE_SECONDS)
         writer.write(body[half:])
         await writer.drain()
-        return True
+        return is_unframed
 
 
-async def main(descriptor, identity, runs):
+def end_header(body, is_unframed):
+    """Return the header that tells how an answer ends."""
+    if is_unframed:
+        return "Connection: close"
+    return f"Content-Length: {len(body)}"
+
+
+async def main(address, identity, runs, *options):
     """Serve until the process is killed."""
-    worker = Worker(identity, runs)
-    sock = socket.socket(fileno=int(descriptor))
-    server = await asyncio.start_server(worker.serve, sock=sock)
+    worker = Worker(identity, runs, "unframed" in options)
+    ip, _, port = address.rpartition(":")
+    server = await asyncio.start_server(worker.serve, ip, int(port))
     print("serving", flush=True)
     await server.serve_forever()
 
